--- /dev/null
+++ b/auditor/doc.go
@@ -0,0 +1,2 @@
+// Package auditor keeps the audit trail of changes in the platform's key-value service.
+package auditor
--- /dev/null
+++ b/cmd/amaranthmill/main.go
@@ -0,0 +1,4 @@
+// Command amaranthmill is part of amaranthmill.
+package main
+
+func main() {}
--- /dev/null
+++ b/cmd/millctl/main.go
@@ -0,0 +1,4 @@
+// Command millctl is part of amaranthmill.
+package main
+
+func main() {}
--- /dev/null
+++ b/configurer/doc.go
@@ -0,0 +1,2 @@
+// Package configurer reads and checks the settings of an instance.
+package configurer
--- /dev/null
+++ b/grouper/doc.go
@@ -0,0 +1,2 @@
+// Package grouper assigns endpoints to replica groups and repairs broken groups.
+package grouper
--- /dev/null
+++ b/keeper/doc.go
@@ -0,0 +1,2 @@
+// Package keeper is the client of the platform's key-value service and list of instances.
+package keeper
--- /dev/null
+++ b/limiter/doc.go
@@ -0,0 +1,2 @@
+// Package limiter admits requests by client account, priority and deadline, and sheds load.
+package limiter
--- /dev/null
+++ b/linker/message.go
@@ -0,0 +1,73 @@
+package linker
+
+import (
+	"net/netip"
+	"time"
+
+	"amaranthmill/internal/identifier"
+)
+
+// Message is what one instance tells another: BundleOffer, ProbeDigest, Suspicion or LoadSummary.
+type Message interface{ message() }
+
+// BundleOffer offers a signed bundle document to a peer that has an older one.
+type BundleOffer struct {
+	Version  identifier.BundleVersion
+	Document []byte
+}
+
+// ProbeDigest shares what one prober saw of the endpoints that it probes.
+type ProbeDigest struct {
+	Reports []ProbeReport
+}
+
+// ProbeReport is one endpoint's state as its prober last saw it.
+type ProbeReport struct {
+	Endpoint      identifier.Endpoint
+	Address       netip.AddrPort
+	ProcessStart  identifier.ProcessStart
+	Group         identifier.Group
+	Epoch         identifier.Epoch
+	BundleVersion identifier.BundleVersion
+	Loaded        bool
+	Leaving       bool
+	Reachable     bool
+	InFlight      int
+	Queued        int
+	Capacity      int
+	Age           time.Duration // since the prober's last successful probe
+	Latency       time.Duration // of the last successful probe
+}
+
+// Suspicion says that endpoints crashed while they ran requests with this fingerprint.
+type Suspicion struct {
+	Fingerprint uint64
+	Crashes     int
+	GroupsLost  []identifier.Group
+	For         time.Duration // how much longer the suspicion lasts
+}
+
+// LoadSummary says what an instance's failure domain can take from others.
+type LoadSummary struct {
+	FailureDomain identifier.FailureDomain
+	Services      []ServiceLoad
+}
+
+// ServiceLoad is the load of one pool or plain service in one failure domain.
+type ServiceLoad struct {
+	Pool     identifier.Pool
+	Free     int // requests that could start now
+	Capacity int // requests that can run at once; zero if nothing is ready
+}
+
+func (BundleOffer) message() {}
+func (ProbeDigest) message() {}
+func (Suspicion) message()   {}
+func (LoadSummary) message() {}
+
+// Peer describes another instance as the platform's list or the settings give it.
+type Peer struct {
+	Instance      identifier.Instance
+	FailureDomain identifier.FailureDomain
+	Address       netip.AddrPort
+}
--- /dev/null
+++ b/prober/doc.go
@@ -0,0 +1,2 @@
+// Package prober watches the endpoints of a failure domain: liveness, load, leaving and stragglers.
+package prober
--- /dev/null
+++ b/server/doc.go
@@ -0,0 +1,2 @@
+// Package server serves callers over HTTP.
+package server
