keeper: client of the platform's service

Every slice that keeps anything needs the client first. A write names itself in the first line of its stored value, so that a lost answer is settled by sending it again and, on a conflict, reading the key back. Ruled out: comparing values, since two instances may write the same.

--- /dev/null
+++ b/keeper/config.go
@@ -0,0 +1,73 @@
+package keeper
+
+import (
+	"math/rand/v2"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/rs/zerolog"
+	"go.opentelemetry.io/otel/metric"
+	"go.opentelemetry.io/otel/metric/noop"
+
+	"amaranthmill/internal/identifier"
+)
+
+// Config configures a Client. Address is required; every other zero value means the default named.
+type Config struct {
+	Address  netip.AddrPort      // of the platform's HTTP API
+	Instance identifier.Instance // the writer named in stored values and logs
+
+	HTTP *http.Client // default: a client of its own with pooled connections
+
+	ReadsPerSecond  float64 // budget of reads, watches and looks at the list; default 50
+	WritesPerSecond float64 // budget of writes and lease calls; default 20
+	Burst           int     // calls of either kind that may go at once; default 40
+
+	CallTimeout time.Duration // of one attempt; default 2 s
+	Attempts    int           // of one call; default 3
+	BackoffBase time.Duration // mean wait before the second attempt, doubled for each later one; default 50 ms
+	BackoffMax  time.Duration // longest wait between attempts; default 2 s
+
+	CircuitFailures int           // failures in a row that open the circuit; default 5
+	CircuitOpen     time.Duration // mean time to the first trial call; default 1 s, doubled at each failed trial up to 15 s
+
+	Random rand.Source      // of jitter and write names; default: seeded by the runtime
+	Now    func() time.Time // default time.Now
+	Logger zerolog.Logger   // the zero value logs nothing
+	Meter  metric.Meter     // default: none
+}
+
+// withDefaults returns cfg with its zero values replaced.
+func withDefaults(cfg Config) Config {
+	setDefault(&cfg.ReadsPerSecond, 50)
+	setDefault(&cfg.WritesPerSecond, 20)
+	setDefault(&cfg.Burst, 40)
+	setDefault(&cfg.CallTimeout, 2*time.Second)
+	setDefault(&cfg.Attempts, 3)
+	setDefault(&cfg.BackoffBase, 50*time.Millisecond)
+	setDefault(&cfg.BackoffMax, 2*time.Second)
+	setDefault(&cfg.CircuitFailures, 5)
+	setDefault(&cfg.CircuitOpen, time.Second)
+	if cfg.HTTP == nil {
+		cfg.HTTP = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 8, IdleConnTimeout: time.Minute}}
+	}
+	if cfg.Random == nil {
+		cfg.Random = rand.NewPCG(rand.Uint64(), rand.Uint64())
+	}
+	if cfg.Now == nil {
+		cfg.Now = time.Now
+	}
+	if cfg.Meter == nil {
+		cfg.Meter = noop.NewMeterProvider().Meter("keeper")
+	}
+	return cfg
+}
+
+// setDefault sets *v to def if it is zero.
+func setDefault[T comparable](v *T, def T) {
+	var zero T
+	if *v == zero {
+		*v = def
+	}
+}
--- /dev/null
+++ b/keeper/errors.go
@@ -0,0 +1,67 @@
+package keeper
+
+import "fmt"
+
+// NotFoundError says that the key or the lease does not exist.
+type NotFoundError struct{ Key string }
+
+func (e *NotFoundError) Error() string { return fmt.Sprintf("keeper: no %q", e.Key) }
+
+// ConflictError says that a conditional write found another revision and had no effect.
+// Revision is the present one, or zero if the service named none.
+type ConflictError struct {
+	Key      string
+	Revision uint64
+}
+
+func (e *ConflictError) Error() string {
+	return fmt.Sprintf("keeper: %q is at revision %d", e.Key, e.Revision)
+}
+
+// UnavailableError says that the service could not be used. A write that returns it has
+// certainly had no effect and will have none.
+type UnavailableError struct {
+	Call  string
+	Cause error
+}
+
+func (e *UnavailableError) Error() string {
+	return fmt.Sprintf("keeper: %s: service unavailable: %v", e.Call, e.Cause)
+}
+
+func (e *UnavailableError) Unwrap() error { return e.Cause }
+
+// UnknownError says that a write may have taken effect, or may still take effect.
+type UnknownError struct {
+	Call  string
+	Key   string
+	Cause error
+}
+
+func (e *UnknownError) Error() string {
+	return fmt.Sprintf("keeper: %s of %q has an unknown outcome: %v", e.Call, e.Key, e.Cause)
+}
+
+func (e *UnknownError) Unwrap() error { return e.Cause }
+
+// CircuitError is the cause of an *UnavailableError of a call that was not sent, because
+// the calls before it failed.
+type CircuitError struct{}
+
+func (e *CircuitError) Error() string { return "keeper: circuit open" }
+
+// StatusError is the cause of an error that comes from an unexpected HTTP status.
+type StatusError struct{ Status int }
+
+func (e *StatusError) Error() string { return fmt.Sprintf("keeper: unexpected status %d", e.Status) }
+
+// StaleError is the cause of an *UnavailableError of a read that kept giving an older
+// state of Key than Revision, which the service had named before.
+type StaleError struct {
+	Key      string
+	Revision uint64
+}
+
+func (e *StaleError) Error() string {
+	return fmt.Sprintf("keeper: read of %q is older than revision %d", e.Key, e.Revision)
+}
--- /dev/null
+++ b/keeper/listing.go
@@ -0,0 +1,59 @@
+package keeper
+
+import (
+	"context"
+	"net/http"
+	"net/netip"
+
+	"amaranthmill/internal/identifier"
+)
+
+// Kind says what an instance of the platform runs.
+type Kind string
+
+// The kinds of instance.
+const (
+	KindEngine  Kind = "engine"  // a model engine
+	KindService Kind = "service" // a plain service
+	KindEntry   Kind = "entry"   // an entry instance of this system
+)
+
+// State is what the platform's list says about an instance. The list lags.
+type State string
+
+// The states of an instance.
+const (
+	StateLive    State = "live"
+	StateLeaving State = "leaving"
+)
+
+// Listing is one instance of the platform's list.
+type Listing struct {
+	Name          string                   `json:"name"`
+	Kind          Kind                     `json:"kind"`
+	Address       netip.AddrPort           `json:"address"`
+	FailureDomain identifier.FailureDomain `json:"failureDomain"`
+	FabricDomain  identifier.FabricDomain  `json:"fabricDomain"`
+	Service       identifier.Service       `json:"service"`
+	State         State                    `json:"state"`
+	Accelerators  int                      `json:"accelerators"`
+}
+
+// listingsWire is the answer to a look at the list.
+type listingsWire struct {
+	Instances []Listing `json:"instances"`
+}
+
+// Listed returns the platform's list of instances, which lags. Its error is *UnavailableError.
+func (c *Client) Listed(ctx context.Context) ([]Listing, error) {
+	r := request{kind: "instances", method: http.MethodGet, path: "/instances"}
+	a, _, err := c.retry(ctx, r)
+	if err != nil {
+		return nil, err
+	}
+	var wire listingsWire
+	if err := a.decode(&wire); err != nil || a.status != http.StatusOK {
+		return nil, unexpected(r, a, err)
+	}
+	return wire.Instances, nil
+}
--- /dev/null
+++ b/keeper/meters.go
@@ -0,0 +1,61 @@
+package keeper
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/metric"
+)
+
+// meters counts the calls of a Client.
+type meters struct {
+	calls    metric.Int64Counter
+	duration metric.Float64Histogram
+}
+
+// newMeters registers the instruments with m. A failed registration leaves one that records nothing.
+func newMeters(m metric.Meter, circuitOpen func() bool) meters {
+	calls, _ := m.Int64Counter("keeper.calls", metric.WithDescription("Attempts of calls to the platform's service, by kind and result."))
+	duration, _ := m.Float64Histogram("keeper.call.duration", metric.WithUnit("s"), metric.WithDescription("Time of an attempt, from its sending to its answer."))
+	_, _ = m.Int64ObservableGauge("keeper.circuit.open",
+		metric.WithDescription("1 while calls fail at once because those before them failed."),
+		metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
+			o.Observe(int64(btoi(circuitOpen())))
+			return nil
+		}))
+	return meters{calls: calls, duration: duration}
+}
+
+// count notes one attempt. A refused one, which was not sent, has no duration.
+func (m meters) count(ctx context.Context, kind, result string, took time.Duration) {
+	attrs := metric.WithAttributes(attribute.String("kind", kind), attribute.String("result", result))
+	m.calls.Add(ctx, 1, attrs)
+	if result != "refused" {
+		m.duration.Record(ctx, took.Seconds(), metric.WithAttributes(attribute.String("kind", kind)))
+	}
+}
+
+// resultName names the result of an attempt in metrics.
+func resultName(a answer, err error) string {
+	switch {
+	case err != nil:
+		return "failed"
+	case a.status == http.StatusConflict:
+		return "conflict"
+	case a.status == http.StatusNotFound:
+		return "notFound"
+	case a.status >= http.StatusBadRequest:
+		return "failed"
+	}
+	return "ok"
+}
+
+// btoi returns 1 for true and 0 for false.
+func btoi(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
