grouper, prober, leaser: thin shells over first cores

Cause: the request path needs targets, and targets need groups. Before: empty packages. After: probes give reports, reports and the bundle give a record per fabric domain by compare-and-swap under a lease, the record gives orders, and records with fresh reports give targets. Ruled out: a watch of every record, whose size grows with the whole fleet. Conclusion: two instances over fake engines and platform form two groups and mend one.

--- /dev/null
+++ b/grouper/core.go
@@ -0,0 +1,253 @@
+package grouper
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"amaranthmill/bundler"
+	"amaranthmill/internal/identifier"
+)
+
+// Core decides which groups a failure domain has, and gives orders to its endpoints. It acts
+// only on fabric domains whose lease it holds. It is not safe for concurrent use.
+type Core struct {
+	policy    Policy
+	bundle    *bundler.Bundle
+	records   map[identifier.FabricDomain]*recordState
+	recordsOK bool // the records were read at least once
+	endpoints map[identifier.Endpoint]*endpointState
+	leases    map[identifier.FabricDomain]time.Time
+	returns   returnTimes
+}
+
+// recordState is a record and what goes on with it.
+type recordState struct {
+	Stored
+	saving  bool // a save is under way, or its effect is unknown
+	drained map[identifier.Group]time.Time
+}
+
+// endpointState is an endpoint's last report and what the core remembers of it.
+type endpointState struct {
+	Report
+	awaySince time.Time // zero while its reports are fresh
+	freeSince time.Time // since when no record has it, as far as this core saw; zero if one has
+	freeFence uint64    // the revision of the record that first lacked it
+	returns   []time.Time
+	fence     uint64                  // of the last release that it accepted
+	fencedRun identifier.ProcessStart // the process that accepted it
+	ordered   time.Time               // until when its last order may still take effect
+}
+
+// NewCore returns a Core with policy; its zero fields take their defaults.
+func NewCore(policy Policy) *Core {
+	return &Core{
+		policy:    policy.withDefaults(),
+		records:   map[identifier.FabricDomain]*recordState{},
+		endpoints: map[identifier.Endpoint]*endpointState{},
+		leases:    map[identifier.FabricDomain]time.Time{},
+	}
+}
+
+// Step applies e at now and returns what it causes.
+func (c *Core) Step(now time.Time, e Event) []Action {
+	switch e := e.(type) {
+	case RecordsRead:
+		c.read(e.Records)
+	case ReportsSeen:
+		c.see(now, e.Reports)
+	case BundleSet:
+		c.bundle = e.Bundle
+	case LeaseChanged:
+		c.leases[e.FabricDomain] = e.Until
+	case Saved:
+		c.saved(e.Stored)
+	case SaveFailed:
+		c.saveFailed(e)
+	case OrderDone:
+		c.ordered(e)
+	case Tick:
+		return c.tick(now)
+	}
+	return nil
+}
+
+// read takes over the platform's records. A fabric domain without one has the zero record.
+func (c *Core) read(records []Stored) {
+	c.recordsOK = true
+	found := map[identifier.FabricDomain]bool{}
+	for _, s := range records {
+		found[s.Record.FabricDomain] = true
+		c.saved(s)
+	}
+	for fd, r := range c.records {
+		if !found[fd] && r.Revision != 0 {
+			delete(c.records, fd)
+		}
+	}
+}
+
+func (c *Core) emptyRecord(fd identifier.FabricDomain) *recordState {
+	rec := Record{FabricDomain: fd, FailureDomain: c.policy.FailureDomain}
+	return &recordState{Stored: Stored{Record: rec}, drained: map[identifier.Group]time.Time{}}
+}
+
+// saveFailed takes over what the platform has after a save that failed. Without that the
+// record stays blocked until a newer one is read.
+func (c *Core) saveFailed(e SaveFailed) {
+	r := c.records[e.FabricDomain]
+	if r == nil || !e.Known {
+		return
+	}
+	r.saving = false
+	if e.Present.Revision > r.Revision {
+		r.Stored = e.Present
+	}
+}
+
+// saved takes over one record, unless a newer one is known.
+func (c *Core) saved(s Stored) {
+	r := c.records[s.Record.FabricDomain]
+	if r == nil {
+		r = c.emptyRecord(s.Record.FabricDomain)
+		c.records[s.Record.FabricDomain] = r
+	}
+	if s.Revision > r.Revision {
+		r.Stored = s
+		r.saving = false
+	}
+}
+
+// see takes over the reports; an endpoint that is not among them is away.
+func (c *Core) see(now time.Time, reports []Report) {
+	seen := map[identifier.Endpoint]bool{}
+	for _, rep := range reports {
+		seen[rep.Endpoint] = true
+		ep := c.endpoints[rep.Endpoint]
+		if ep == nil {
+			ep = &endpointState{}
+			c.endpoints[rep.Endpoint] = ep
+		}
+		c.track(now, ep, rep)
+	}
+	for name, ep := range c.endpoints {
+		if !seen[name] {
+			gone := ep.Report
+			gone.Fresh = false
+			c.track(now, ep, gone)
+		}
+	}
+}
+
+// track notes when an endpoint goes away and how long it was away when it returns.
+func (c *Core) track(now time.Time, ep *endpointState, rep Report) {
+	switch {
+	case !rep.Fresh && ep.awaySince.IsZero():
+		ep.awaySince = now
+	case rep.Fresh && !ep.awaySince.IsZero():
+		if ep.ProcessStart != 0 {
+			c.returns.add(now.Sub(ep.awaySince))
+			ep.returns = append(recent(ep.returns, now.Add(-c.policy.FlapWindow)), now)
+		}
+		ep.awaySince = time.Time{}
+	}
+	ep.Report = rep
+}
+
+// ordered notes what an endpoint's answer to an order proves.
+func (c *Core) ordered(e OrderDone) {
+	ep := c.endpoints[e.Endpoint]
+	if ep == nil {
+		return
+	}
+	if e.Accepted && e.Kind == OrderRelease {
+		ep.fence, ep.fencedRun = e.Fence, e.ProcessStart
+	}
+}
+
+// tick plans for each held fabric domain, and gives orders where nothing had to change.
+func (c *Core) tick(now time.Time) []Action {
+	if !c.recordsOK || c.bundle == nil {
+		return nil
+	}
+	c.free(now)
+	var out []Action
+	for _, fd := range c.held(now) {
+		r := c.records[fd]
+		if r.saving {
+			continue
+		}
+		p := newPlanner(c, now, r)
+		if p.plan() {
+			r.saving = true
+			out = append(out, p.notes...)
+			out = append(out, Save{Record: p.rec, Revision: r.Revision})
+			continue
+		}
+		out = append(out, c.orders(now, r)...)
+	}
+	return out
+}
+
+// held returns the fabric domains whose lease is valid at now, by name.
+func (c *Core) held(now time.Time) []identifier.FabricDomain {
+	var out []identifier.FabricDomain
+	for _, fd := range slices.Sorted(maps.Keys(c.leases)) {
+		if !now.Before(c.leases[fd]) {
+			continue
+		}
+		if c.records[fd] == nil {
+			c.records[fd] = c.emptyRecord(fd)
+		}
+		out = append(out, fd)
+	}
+	return out
+}
+
+// free notes since when each endpoint stands in no record.
+func (c *Core) free(now time.Time) {
+	used := map[identifier.Endpoint]bool{}
+	for _, r := range c.records {
+		for i := range r.Record.Groups {
+			for _, m := range r.Record.Groups[i].endpoints() {
+				used[m.Endpoint] = true
+			}
+		}
+	}
+	for name, ep := range c.endpoints {
+		switch {
+		case used[name]:
+			ep.freeSince = time.Time{}
+		case ep.freeSince.IsZero():
+			ep.freeSince = now
+			ep.freeFence = c.revision(ep.FabricDomain)
+		}
+	}
+}
+
+// revision returns the revision of the record of fd, or zero if it has none.
+func (c *Core) revision(fd identifier.FabricDomain) uint64 {
+	if r := c.records[fd]; r != nil {
+		return r.Revision
+	}
+	return 0
+}
+
+// sorted returns the endpoints of a fabric domain by name.
+func (c *Core) sorted(fd identifier.FabricDomain) []*endpointState {
+	var out []*endpointState
+	for _, ep := range c.endpoints {
+		if ep.FabricDomain == fd {
+			out = append(out, ep)
+		}
+	}
+	slices.SortFunc(out, func(a, b *endpointState) int { return cmp.Compare(a.Endpoint, b.Endpoint) })
+	return out
+}
+
+// recent returns the times after since.
+func recent(times []time.Time, since time.Time) []time.Time {
+	return slices.DeleteFunc(times, func(t time.Time) bool { return !t.After(since) })
+}
--- /dev/null
+++ b/grouper/event.go
@@ -0,0 +1,125 @@
+package grouper
+
+import (
+	"net/netip"
+	"time"
+
+	"amaranthmill/bundler"
+	"amaranthmill/internal/identifier"
+)
+
+// Event is what a Core learns: RecordsRead, ReportsSeen, BundleSet, LeaseChanged, Saved,
+// SaveFailed, OrderDone or Tick.
+type Event interface{ event() }
+
+// RecordsRead gives all records of the own failure domain as the platform has them.
+type RecordsRead struct{ Records []Stored }
+
+// Stored is a record with the revision under which the platform keeps it.
+type Stored struct {
+	Record   Record
+	Revision uint64
+}
+
+// ReportsSeen gives all model endpoints of the own failure domain.
+type ReportsSeen struct{ Reports []Report }
+
+// BundleSet gives the bundle in force.
+type BundleSet struct{ Bundle *bundler.Bundle }
+
+// LeaseChanged says until when the repair lease of a fabric domain may be acted on; the
+// zero time says that it is lost.
+type LeaseChanged struct {
+	FabricDomain identifier.FabricDomain
+	Until        time.Time
+}
+
+// Saved says that the platform took a record under a revision.
+type Saved struct{ Stored Stored }
+
+// SaveFailed says that the platform refused a record or that its answer was lost. Known says
+// that Present is what the platform had when it was read afterwards.
+type SaveFailed struct {
+	FabricDomain identifier.FabricDomain
+	Known        bool
+	Present      Stored
+}
+
+// OrderDone says how an endpoint took an order.
+type OrderDone struct {
+	Endpoint     identifier.Endpoint
+	Kind         OrderKind
+	Fence        uint64
+	Accepted     bool
+	ProcessStart identifier.ProcessStart // of the endpoint that accepted it
+}
+
+// Tick lets time pass. Only a Tick causes actions.
+type Tick struct{}
+
+func (RecordsRead) event()  {}
+func (ReportsSeen) event()  {}
+func (BundleSet) event()    {}
+func (LeaseChanged) event() {}
+func (Saved) event()        {}
+func (SaveFailed) event()   {}
+func (OrderDone) event()    {}
+func (Tick) event()         {}
+
+// Action is what a Core wants done: Save, Send or Note.
+type Action interface{ action() }
+
+// Save writes a record if the platform still has Revision; zero creates it.
+type Save struct {
+	Record   Record
+	Revision uint64
+}
+
+// Send gives an order to an endpoint, unless its deadline has passed when it is sent.
+type Send struct{ Order Order }
+
+// Note tells operators of a decision.
+type Note struct {
+	FabricDomain identifier.FabricDomain
+	Group        identifier.Group
+	Endpoint     identifier.Endpoint // empty if it concerns the whole group
+	Decision     Decision
+}
+
+// Decision is a step that the repair policy took.
+type Decision string
+
+// The decisions of the repair policy.
+const (
+	DecisionCreate  Decision = "create"  // a group from free endpoints
+	DecisionReadmit Decision = "readmit" // a member that returned with a new process start
+	DecisionReplace Decision = "replace" // a member by a free endpoint
+	DecisionRemove  Decision = "remove"  // a group
+	DecisionDrain   Decision = "drain"   // a group, before it is changed or removed
+	DecisionUpdate  Decision = "update"  // a drained group to the model of a newer bundle
+	DecisionPromise Decision = "promise" // a free endpoint as standby
+	DecisionSucceed Decision = "succeed" // a standby that took a member's place
+)
+
+func (Save) action() {}
+func (Send) action() {}
+func (Note) action() {}
+
+// OrderKind says what an order asks of an endpoint.
+type OrderKind string
+
+// The kinds of order.
+const (
+	OrderAssign  OrderKind = "assign"
+	OrderRelease OrderKind = "release"
+)
+
+// Order asks one endpoint to join or leave a group.
+type Order struct {
+	Endpoint identifier.Endpoint
+	Address  netip.AddrPort
+	Kind     OrderKind
+	Fence    uint64    // the revision of the record that the order carries out
+	Deadline time.Time // neither sent nor obeyed later
+	Group    Assignment
+}
--- /dev/null
+++ b/grouper/fake_test.go
@@ -0,0 +1,239 @@
+package grouper_test
+
+import (
+	"context"
+	"encoding/json"
+	"maps"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"amaranthmill/keeper"
+)
+
+// fakePlatform is the platform's service in memory, with faults on demand.
+type fakePlatform struct {
+	mu       sync.Mutex
+	revision uint64
+	entries  map[string]keeper.Entry
+	lapses   map[keeper.LeaseID]time.Time
+	ttls     map[keeper.LeaseID]time.Duration
+	keyLease map[string]keeper.LeaseID
+	down     bool
+	loseNext bool // the next write takes effect, but its answer is lost
+}
+
+func newFakePlatform() *fakePlatform {
+	return &fakePlatform{
+		entries: map[string]keeper.Entry{}, lapses: map[keeper.LeaseID]time.Time{},
+		ttls: map[keeper.LeaseID]time.Duration{}, keyLease: map[string]keeper.LeaseID{},
+	}
+}
+
+// enter locks p, lets leases lapse, and returns an error while p is down. Its caller unlocks p.
+func (p *fakePlatform) enter(call string) error {
+	p.mu.Lock()
+	for key, lease := range p.keyLease {
+		if !time.Now().Before(p.lapses[lease]) {
+			delete(p.entries, key)
+			delete(p.keyLease, key)
+		}
+	}
+	if p.down {
+		return &keeper.UnavailableError{Call: call, Cause: http.ErrServerClosed}
+	}
+	return nil
+}
+
+func (p *fakePlatform) put(key string, value []byte) (keeper.Entry, error) {
+	p.revision++
+	p.entries[key] = keeper.Entry{Key: key, Value: value, Revision: p.revision}
+	if p.loseNext {
+		p.loseNext = false
+		return keeper.Entry{}, &keeper.UnknownError{Call: "put", Key: key, Cause: http.ErrServerClosed}
+	}
+	return p.entries[key], nil
+}
+
+func (p *fakePlatform) Get(_ context.Context, key string) (keeper.Entry, error) {
+	defer p.mu.Unlock()
+	if err := p.enter("get"); err != nil {
+		return keeper.Entry{}, err
+	}
+	e, ok := p.entries[key]
+	if !ok {
+		return e, &keeper.NotFoundError{Key: key}
+	}
+	return e, nil
+}
+
+func (p *fakePlatform) Create(_ context.Context, key string, value []byte, lease keeper.LeaseID) (keeper.Entry, error) {
+	defer p.mu.Unlock()
+	if err := p.enter("create"); err != nil {
+		return keeper.Entry{}, err
+	}
+	if e, ok := p.entries[key]; ok {
+		return e, &keeper.ConflictError{Key: key, Revision: e.Revision}
+	}
+	if lease != "" {
+		p.keyLease[key] = lease
+	}
+	return p.put(key, value)
+}
+
+func (p *fakePlatform) Swap(_ context.Context, key string, revision uint64, value []byte) (keeper.Entry, error) {
+	defer p.mu.Unlock()
+	if err := p.enter("swap"); err != nil {
+		return keeper.Entry{}, err
+	}
+	if e := p.entries[key]; e.Revision != revision {
+		return e, &keeper.ConflictError{Key: key, Revision: e.Revision}
+	}
+	return p.put(key, value)
+}
+
+func (p *fakePlatform) List(_ context.Context, prefix string) ([]keeper.Entry, error) {
+	defer p.mu.Unlock()
+	if err := p.enter("list"); err != nil {
+		return nil, err
+	}
+	var out []keeper.Entry
+	for _, key := range slices.Sorted(maps.Keys(p.entries)) {
+		if strings.HasPrefix(key, prefix) {
+			out = append(out, p.entries[key])
+		}
+	}
+	return out, nil
+}
+
+// Watch looks once, 100 ms later.
+func (p *fakePlatform) Watch(ctx context.Context, prefix string, after uint64) (keeper.Changes, error) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(100 * time.Millisecond):
+	}
+	entries, err := p.List(ctx, prefix)
+	changes := keeper.Changes{Revision: after}
+	for _, e := range entries {
+		if e.Revision > after {
+			changes.Entries = append(changes.Entries, keeper.Change{Entry: e})
+			changes.Revision = max(changes.Revision, e.Revision)
+		}
+	}
+	return changes, err
+}
+
+func (p *fakePlatform) Grant(_ context.Context, ttl time.Duration) (keeper.LeaseID, error) {
+	defer p.mu.Unlock()
+	if err := p.enter("grant"); err != nil {
+		return "", err
+	}
+	id := keeper.LeaseID("l" + strconv.Itoa(len(p.ttls)))
+	p.ttls[id], p.lapses[id] = ttl, time.Now().Add(ttl)
+	return id, nil
+}
+
+func (p *fakePlatform) Renew(_ context.Context, lease keeper.LeaseID) error {
+	defer p.mu.Unlock()
+	if err := p.enter("renew"); err != nil {
+		return err
+	}
+	if !time.Now().Before(p.lapses[lease]) {
+		return &keeper.NotFoundError{Key: string(lease)}
+	}
+	p.lapses[lease] = time.Now().Add(p.ttls[lease])
+	return nil
+}
+
+func (p *fakePlatform) Revoke(_ context.Context, lease keeper.LeaseID) error {
+	defer p.mu.Unlock()
+	if err := p.enter("revoke"); err != nil {
+		return err
+	}
+	p.lapses[lease] = time.Time{}
+	return nil
+}
+
+// set changes p's faults.
+func (p *fakePlatform) set(change func(*fakePlatform)) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	change(p)
+}
+
+// fakeEngine is one model engine's /status and /orders.
+type fakeEngine struct {
+	mu     sync.Mutex
+	dead   bool
+	fence  uint64
+	status engineStatus
+}
+
+type engineStatus struct {
+	Endpoint      string `json:"endpoint"`
+	ProcessStart  int64  `json:"processStart"`
+	Group         string `json:"group"`
+	Epoch         uint64 `json:"epoch"`
+	BundleVersion uint64 `json:"bundleVersion"`
+	Loaded        bool   `json:"loaded"`
+	Leaving       bool   `json:"leaving"`
+	InFlight      int    `json:"inFlight"`
+	Capacity      int    `json:"capacity"`
+}
+
+type engineOrder struct {
+	engineStatus
+
+	Fence    uint64    `json:"fence"`
+	Deadline time.Time `json:"deadline"`
+	Kind     string    `json:"kind"`
+}
+
+func (e *fakeEngine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if r.URL.Path == "/orders" {
+		var o engineOrder
+		_ = json.NewDecoder(r.Body).Decode(&o)
+		switch {
+		case time.Now().After(o.Deadline):
+			w.WriteHeader(http.StatusGone)
+			return
+		case o.Fence < e.fence:
+			w.WriteHeader(http.StatusConflict)
+			return
+		}
+		e.fence = o.Fence
+		e.status.Group, e.status.Epoch, e.status.BundleVersion = o.Group, o.Epoch, o.BundleVersion
+		e.status.Loaded = o.Kind == "assign"
+	}
+	_ = json.NewEncoder(w).Encode(e.status)
+}
+
+// set changes e.
+func (e *fakeEngine) set(change func(*fakeEngine)) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	change(e)
+}
+
+// fakeNetwork carries HTTP calls to the engines by address, without sockets.
+type fakeNetwork map[string]*fakeEngine
+
+func (n fakeNetwork) RoundTrip(r *http.Request) (*http.Response, error) {
+	e := n[r.URL.Host]
+	e.mu.Lock()
+	dead := e.dead
+	e.mu.Unlock()
+	if dead {
+		<-r.Context().Done()
+		return nil, r.Context().Err()
+	}
+	rec := httptest.NewRecorder()
+	e.ServeHTTP(rec, r)
+	return rec.Result(), nil
+}
--- /dev/null
+++ b/grouper/grouper.go
@@ -0,0 +1,195 @@
+package grouper
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+	"go.opentelemetry.io/otel/metric"
+
+	"amaranthmill/bundler"
+	"amaranthmill/internal/identifier"
+	"amaranthmill/internal/ranker"
+	"amaranthmill/internal/stepper"
+	"amaranthmill/keeper"
+	"amaranthmill/leaser"
+)
+
+// candidates is how many instances of a failure domain ask for a fabric domain's repair lease.
+const candidates = 2
+
+// Platform is what a Grouper needs of the platform's service. *keeper.Client has it.
+type Platform interface {
+	leaser.Platform
+	List(ctx context.Context, prefix string) ([]keeper.Entry, error)
+	Watch(ctx context.Context, prefix string, after uint64) (keeper.Changes, error)
+	Swap(ctx context.Context, key string, revision uint64, value []byte) (keeper.Entry, error)
+}
+
+// Config configures a Grouper. Platform, Instance and Policy.FailureDomain are required; the
+// zero value of each other field takes the default named.
+type Config struct {
+	Platform  Platform
+	Instance  identifier.Instance
+	Policy    Policy
+	OnRecords func([]Record) // gets all records of the failure domain as they change; must not block
+	OnNote    func(Note)     // gets the decisions; must not block
+	HTTP      *http.Client   // for orders; a client of its own without proxy
+	Tick      time.Duration  // between two decisions; 250 ms
+	Logger    zerolog.Logger // the zero value logs nothing
+	Meter     metric.Meter   // nil measures nothing
+}
+
+// Grouper keeps the replica groups of one failure domain. It is safe for concurrent use.
+type Grouper struct {
+	cfg    Config
+	step   *stepper.Stepper[Event, Action]
+	meters meters
+	ctx    context.Context // of effects; set by Run before the first tick
+	work   sync.WaitGroup
+
+	publishing sync.Mutex // keeps the order in which records are given on
+
+	mu      sync.Mutex
+	peers   []identifier.Instance
+	fabrics map[identifier.FabricDomain]bool
+	leases  map[identifier.FabricDomain]context.CancelFunc
+	records map[string]Stored // by key
+}
+
+// New returns a Grouper for cfg. It does nothing until Run.
+func New(cfg Config) *Grouper {
+	cfg.Policy = cfg.Policy.withDefaults()
+	orDefault(&cfg.Tick, 250*time.Millisecond)
+	if cfg.HTTP == nil {
+		cfg.HTTP = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}}
+	}
+	if cfg.OnRecords == nil {
+		cfg.OnRecords = func([]Record) {}
+	}
+	if cfg.OnNote == nil {
+		cfg.OnNote = func(Note) {}
+	}
+	g := &Grouper{
+		cfg:     cfg,
+		meters:  newMeters(cfg.Meter),
+		peers:   []identifier.Instance{cfg.Instance},
+		fabrics: map[identifier.FabricDomain]bool{},
+		leases:  map[identifier.FabricDomain]context.CancelFunc{},
+		records: map[string]Stored{},
+	}
+	g.step = stepper.New(stepper.Config[Event, Action]{Core: NewCore(cfg.Policy), Handle: g.handle})
+	return g
+}
+
+// SetBundle gives the bundle in force.
+func (g *Grouper) SetBundle(b *bundler.Bundle) { g.step.Submit(BundleSet{Bundle: b}) }
+
+// SetReports gives the reports of all model endpoints of the failure domain.
+func (g *Grouper) SetReports(reports []Report) {
+	g.step.Submit(ReportsSeen{Reports: reports})
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, rep := range reports {
+		g.fabrics[rep.FabricDomain] = true
+	}
+}
+
+// SetPeers gives the instances of the own failure domain that are in reach, with this one.
+// Two of them, chosen alike by all, ask for the lease of each fabric domain.
+func (g *Grouper) SetPeers(peers []identifier.Instance) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.peers = peers
+}
+
+// Run keeps the groups until ctx ends, then gives the leases back. It returns nil.
+func (g *Grouper) Run(ctx context.Context) error {
+	effects, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	g.ctx = effects
+	g.work.Go(func() { g.watch(ctx) })
+	g.tickLoop(ctx)
+	late := time.AfterFunc(g.cfg.Policy.OrderLife, cancel) // what is under way may end, but not keep the process
+	defer late.Stop()
+	g.work.Wait()
+	return nil
+}
+
+func (g *Grouper) tickLoop(ctx context.Context) {
+	t := time.NewTicker(g.cfg.Tick)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+			g.campaign(ctx)
+			g.step.Submit(Tick{})
+		}
+	}
+}
+
+// campaign runs a leaser for each fabric domain for which this instance is a candidate.
+func (g *Grouper) campaign(ctx context.Context) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for fd := range g.fabrics {
+		chosen := ranker.Chosen(fd, g.peers, g.cfg.Instance, candidates)
+		stop, running := g.leases[fd]
+		switch {
+		case chosen && !running:
+			g.leases[fd] = g.hold(ctx, fd)
+		case !chosen && running:
+			stop()
+			delete(g.leases, fd)
+		}
+	}
+}
+
+// hold starts a leaser for fd and returns what stops it.
+func (g *Grouper) hold(ctx context.Context, fd identifier.FabricDomain) context.CancelFunc {
+	ctx, stop := context.WithCancel(ctx)
+	l := leaser.New(leaser.Config{
+		Platform: g.cfg.Platform,
+		Key:      "leases/repair/" + string(fd),
+		Token:    string(g.cfg.Instance),
+		TTL:      g.cfg.Policy.LeaseTTL,
+		OnHold: func(until time.Time) {
+			g.step.Submit(LeaseChanged{FabricDomain: fd, Until: until})
+		},
+	})
+	g.work.Go(func() { _ = l.Run(ctx) })
+	return stop
+}
+
+func (g *Grouper) handle(a Action) {
+	switch a := a.(type) {
+	case Save:
+		g.work.Go(func() { g.save(a) })
+	case Send:
+		g.work.Go(func() { g.send(a.Order) })
+	case Note:
+		g.meters.decision(g.ctx, a)
+		g.cfg.Logger.Info().Str("fabricDomain", string(a.FabricDomain)).Str("group", string(a.Group)).
+			Str("endpoint", string(a.Endpoint)).Str("decision", string(a.Decision)).Msg("replica group changed")
+		g.cfg.OnNote(a)
+	}
+}
+
+// send gives an order to an endpoint before the order's deadline.
+func (g *Grouper) send(o Order) {
+	ctx, cancel := context.WithDeadline(g.ctx, o.Deadline)
+	defer cancel()
+	if ctx.Err() != nil {
+		return
+	}
+	start, err := post(ctx, g.cfg.HTTP, o)
+	g.meters.order(g.ctx, o, err)
+	if err != nil {
+		g.cfg.Logger.Warn().Err(err).Str("endpoint", string(o.Endpoint)).Str("kind", string(o.Kind)).Msg("order failed")
+	}
+	g.step.Submit(OrderDone{Endpoint: o.Endpoint, Kind: o.Kind, Fence: o.Fence, Accepted: err == nil, ProcessStart: start})
+}
--- /dev/null
+++ b/grouper/grouper_test.go
@@ -0,0 +1,119 @@
+package grouper_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"amaranthmill/bundler"
+	"amaranthmill/grouper"
+	"amaranthmill/internal/identifier"
+	"amaranthmill/keeper"
+	"amaranthmill/prober"
+	"amaranthmill/router"
+)
+
+// fleet is one failure domain: engines, a platform, and entry instances with a prober and a grouper each.
+type fleet struct {
+	t        *testing.T
+	platform *fakePlatform
+	network  fakeNetwork
+	engines  []*fakeEngine
+	listings []keeper.Listing
+	stops    []func()
+	mu       sync.Mutex
+	targets  map[identifier.Instance][]router.Target
+}
+
+func newFleet(t *testing.T, engines int) *fleet {
+	f := &fleet{t: t, platform: newFakePlatform(), network: fakeNetwork{}, targets: map[identifier.Instance][]router.Target{}}
+	for i := range engines {
+		name := fmt.Sprintf("e%d", i)
+		address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i + 1)}), 9000)
+		e := &fakeEngine{status: engineStatus{Endpoint: name, ProcessStart: 1, Capacity: 8}}
+		f.engines = append(f.engines, e)
+		f.network[address.String()] = e
+		f.listings = append(f.listings, keeper.Listing{
+			Name: name, Kind: keeper.KindEngine, Address: address, FailureDomain: "alpine", FabricDomain: "fab", State: keeper.StateLive,
+		})
+	}
+	return f
+}
+
+// start runs an entry instance and returns what stops it.
+func (f *fleet) start(name identifier.Instance, groups int) {
+	client := &http.Client{Transport: f.network}
+	var g *grouper.Grouper
+	p := prober.New(prober.Config{
+		Instance: name, FailureDomain: "alpine", HTTP: client,
+		OnReports: func(r []grouper.Report) { g.SetReports(r) },
+		OnTargets: func(ts []router.Target) {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			f.targets[name] = ts
+		},
+	})
+	g = grouper.New(grouper.Config{
+		Instance: name, Platform: f.platform, HTTP: client, OnRecords: p.SetRecords,
+		Policy: grouper.Policy{FailureDomain: "alpine"},
+	})
+	g.SetBundle(&bundler.Bundle{Version: 1, Pools: []bundler.Pool{{
+		Name: "guides", Base: "m", Version: "1", GroupSize: 4,
+		Groups: []bundler.Placement{{FailureDomain: "alpine", Count: groups}},
+	}}})
+	p.SetListings(f.listings)
+	ctx, cancel := context.WithCancel(f.t.Context())
+	var wg sync.WaitGroup
+	wg.Go(func() { _ = p.Run(ctx) })
+	wg.Go(func() { _ = g.Run(ctx) })
+	f.stops = append(f.stops, func() { cancel(); wg.Wait() })
+}
+
+func (f *fleet) stop() {
+	for _, stop := range f.stops {
+		stop()
+	}
+}
+
+// ready returns the ready targets of an instance.
+func (f *fleet) ready(name identifier.Instance) []router.Target {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var out []router.Target
+	for _, t := range f.targets[name] {
+		if t.Ready && !t.Leaving {
+			out = append(out, t)
+		}
+	}
+	return out
+}
+
+// TestGroupsForm runs two instances over the shells: groups form, a member dies, its group is
+// no target within the bound, and the spare takes its place.
+func TestGroupsForm(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(t, 9)
+		f.start("i1", 2)
+		f.start("i2", 2)
+		defer f.stop()
+		time.Sleep(30 * time.Second)
+		is.Equal(len(f.ready("i1")), 2)
+		is.Equal(len(f.ready("i2")), 2)
+
+		f.engines[0].set(func(e *fakeEngine) { e.dead = true })
+		time.Sleep(2100 * time.Millisecond) // prober.Config.FreshFor and Tick
+		synctest.Wait()
+		is.Equal(len(f.ready("i1")), 1)
+		time.Sleep(4 * time.Minute)
+		is.Equal(len(f.ready("i1")), 2)
+		is.Equal(len(f.ready("i2")), 2)
+	})
+}
--- /dev/null
+++ b/grouper/policy.go
@@ -0,0 +1,51 @@
+package grouper
+
+import (
+	"time"
+
+	"amaranthmill/internal/identifier"
+)
+
+// Policy configures a Core. FailureDomain is required; other zero fields take the defaults named.
+type Policy struct {
+	FailureDomain identifier.FailureDomain
+
+	// OrderLife is how long after its decision an order may still be sent and obeyed; 2 s.
+	OrderLife time.Duration
+	// LeaseTTL is the life of a repair lease without renewal; 10 s.
+	LeaseTTL time.Duration
+	// FencingEndpoints are the endpoints that refuse an order with an old fencing number. An
+	// endpoint that is not named here waits LeaseTTL and OrderLife before it joins another group.
+	FencingEndpoints func(identifier.Endpoint) bool
+	// DrainSettle is how long after a group was recorded as draining a request may still reach it; 3 s.
+	DrainSettle time.Duration
+	// LoadsAtOnce bounds the endpoints of a fabric domain that load a model at one time; 8.
+	LoadsAtOnce int
+	// LoadTime is how long an endpoint takes to load a model, until loads were seen; 2 min.
+	LoadTime time.Duration
+	// FlapWindow is how long a return counts against an endpoint's stability; 30 min.
+	FlapWindow time.Duration
+	// RolloutFloor is the share of a pool's groups that keep serving in a rollout, 0 to 1; 0.5.
+	RolloutFloor float64
+}
+
+func (p Policy) withDefaults() Policy {
+	orDefault(&p.OrderLife, 2*time.Second)
+	orDefault(&p.LeaseTTL, 10*time.Second)
+	orDefault(&p.DrainSettle, 3*time.Second)
+	orDefault(&p.LoadsAtOnce, 8)
+	orDefault(&p.LoadTime, 2*time.Minute)
+	orDefault(&p.FlapWindow, 30*time.Minute)
+	orDefault(&p.RolloutFloor, 0.5)
+	if p.FencingEndpoints == nil {
+		p.FencingEndpoints = func(identifier.Endpoint) bool { return false }
+	}
+	return p
+}
+
+func orDefault[T comparable](v *T, value T) {
+	var zero T
+	if *v == zero {
+		*v = value
+	}
+}
--- /dev/null
+++ b/grouper/store.go
@@ -0,0 +1,172 @@
+package grouper
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"errors"
+	"slices"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"amaranthmill/keeper"
+)
+
+// retryWait is how long a Grouper waits before it reads the platform again after a failure.
+const retryWait = time.Second
+
+// prefix returns the prefix of the keys of the failure domain's records.
+func (g *Grouper) prefix() string { return "groups/" + string(g.cfg.Policy.FailureDomain) + "/" }
+
+// watch reads the records and follows their changes until ctx ends.
+func (g *Grouper) watch(ctx context.Context) {
+	for ctx.Err() == nil {
+		after, err := g.list(ctx)
+		for err == nil && ctx.Err() == nil {
+			after, err = g.follow(ctx, after)
+		}
+		if err != nil {
+			g.cfg.Logger.Warn().Err(err).Msg("group records not read")
+		}
+		wait(ctx, retryWait)
+	}
+}
+
+// list reads all records, and returns the highest revision among them.
+func (g *Grouper) list(ctx context.Context) (uint64, error) {
+	entries, err := g.cfg.Platform.List(ctx, g.prefix())
+	if err != nil {
+		return 0, eris.Wrap(err, "list group records")
+	}
+	after := uint64(0)
+	records := map[string]Stored{}
+	for _, e := range entries {
+		after = max(after, e.Revision)
+		if s, ok := g.decode(e); ok {
+			records[e.Key] = s
+		}
+	}
+	g.publish(func() { g.records = records })
+	return after, nil
+}
+
+// follow waits for changes after a revision, and returns the revision to go on from.
+func (g *Grouper) follow(ctx context.Context, after uint64) (uint64, error) {
+	changes, err := g.cfg.Platform.Watch(ctx, g.prefix(), after)
+	if err != nil {
+		return 0, eris.Wrap(err, "watch group records")
+	}
+	if len(changes.Entries) == 0 {
+		return changes.Revision, nil
+	}
+	g.publish(func() {
+		for _, ch := range changes.Entries {
+			s, ok := g.decode(ch.Entry)
+			switch {
+			case ch.Deleted:
+				delete(g.records, ch.Key)
+			case ok && s.Revision > g.records[ch.Key].Revision:
+				g.records[ch.Key] = s
+			}
+		}
+	})
+	return changes.Revision, nil
+}
+
+// publish applies change to the records and gives them to the core and to OnRecords.
+func (g *Grouper) publish(change func()) {
+	g.publishing.Lock()
+	defer g.publishing.Unlock()
+	g.mu.Lock()
+	change()
+	stored := make([]Stored, 0, len(g.records))
+	for _, s := range g.records {
+		stored = append(stored, s)
+		g.fabrics[s.Record.FabricDomain] = true
+	}
+	g.mu.Unlock()
+	slices.SortFunc(stored, func(a, b Stored) int { return cmp.Compare(a.Record.FabricDomain, b.Record.FabricDomain) })
+	g.step.Submit(RecordsRead{Records: stored})
+	records := make([]Record, len(stored))
+	for i := range stored {
+		records[i] = stored[i].Record
+	}
+	g.cfg.OnRecords(records)
+}
+
+// decode reads a record; one that is not valid is logged and left out.
+func (g *Grouper) decode(e keeper.Entry) (Stored, bool) {
+	s := Stored{Revision: e.Revision}
+	err := json.Unmarshal(e.Value, &s.Record)
+	if err == nil {
+		err = s.Record.Check()
+	}
+	if err != nil {
+		g.cfg.Logger.Error().Err(err).Str("key", e.Key).Msg("group record not valid")
+		return Stored{}, false
+	}
+	return s, true
+}
+
+// save writes a record by compare-and-swap and tells the core what became of it.
+func (g *Grouper) save(s Save) {
+	ctx, cancel := context.WithTimeout(g.ctx, g.cfg.Policy.LeaseTTL)
+	defer cancel()
+	e, err := g.write(ctx, s)
+	g.meters.save(ctx, err)
+	if err == nil {
+		stored := Stored{Record: s.Record, Revision: e.Revision}
+		g.step.Submit(Saved{Stored: stored})
+		g.publish(func() { g.records[e.Key] = stored })
+		return
+	}
+	g.cfg.Logger.Warn().Err(err).Str("fabricDomain", string(s.Record.FabricDomain)).Msg("group record not saved")
+	g.step.Submit(g.settle(s, err))
+}
+
+func (g *Grouper) write(ctx context.Context, s Save) (keeper.Entry, error) {
+	value, err := json.Marshal(s.Record)
+	if err != nil {
+		return keeper.Entry{}, eris.Wrap(err, "encode a group record")
+	}
+	if s.Revision == 0 {
+		return g.cfg.Platform.Create(ctx, g.key(s.Record), value, "")
+	}
+	return g.cfg.Platform.Swap(ctx, g.key(s.Record), s.Revision, value)
+}
+
+func (g *Grouper) key(r Record) string { return g.prefix() + string(r.FabricDomain) }
+
+// settle reads what the platform has after a save that failed with cause.
+func (g *Grouper) settle(s Save, cause error) SaveFailed {
+	failed := SaveFailed{FabricDomain: s.Record.FabricDomain}
+	if _, ok := errors.AsType[*keeper.UnavailableError](cause); ok {
+		wait(g.ctx, retryWait)
+		failed.Known = true // nothing changed
+		return failed
+	}
+	for g.ctx.Err() == nil {
+		e, err := g.cfg.Platform.Get(g.ctx, g.key(s.Record))
+		if _, ok := errors.AsType[*keeper.NotFoundError](err); ok {
+			failed.Known = true
+			return failed
+		}
+		if err == nil {
+			failed.Present, failed.Known = g.decode(e)
+			return failed
+		}
+		wait(g.ctx, retryWait)
+	}
+	return failed
+}
+
+// wait returns after d or when ctx ends.
+func wait(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- /dev/null
+++ b/grouper/wire.go
@@ -0,0 +1,95 @@
+package grouper
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"amaranthmill/internal/identifier"
+)
+
+// orderWire is the body of POST /orders of an engine.
+type orderWire struct {
+	Fence         uint64                   `json:"fence"`
+	Deadline      time.Time                `json:"deadline"`
+	Kind          OrderKind                `json:"kind"`
+	Group         identifier.Group         `json:"group"`
+	Epoch         identifier.Epoch         `json:"epoch"`
+	Members       []memberWire             `json:"members"`
+	BundleVersion identifier.BundleVersion `json:"bundleVersion"`
+	Base          string                   `json:"base"`
+	Version       string                   `json:"version"`
+	Adapters      []string                 `json:"adapters"`
+}
+
+// memberWire is a member of an order's group.
+type memberWire struct {
+	Endpoint identifier.Endpoint `json:"endpoint"`
+	Address  netip.AddrPort      `json:"address"`
+}
+
+// orderedWire is the part of an engine's answer to an order that matters here.
+type orderedWire struct {
+	ProcessStart identifier.ProcessStart `json:"processStart"`
+}
+
+// OrderRefusedError says that an endpoint refused an order: with 409 because its fencing
+// number is old, with 410 because it came past its deadline.
+type OrderRefusedError struct {
+	Endpoint identifier.Endpoint
+	Status   int
+}
+
+// Error returns the endpoint and the HTTP status.
+func (e *OrderRefusedError) Error() string {
+	return fmt.Sprintf("grouper: endpoint %s refused an order with status %d", e.Endpoint, e.Status)
+}
+
+// post sends o and returns the process that accepted it.
+func post(ctx context.Context, client *http.Client, o Order) (identifier.ProcessStart, error) {
+	body, err := json.Marshal(wireOrder(o))
+	if err != nil {
+		return 0, eris.Wrap(err, "encode an order")
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+o.Address.String()+"/orders", bytes.NewReader(body))
+	if err != nil {
+		return 0, eris.Wrap(err, "make the request of an order")
+	}
+	req.GetBody = nil // an order is not repeated behind its sender's back
+	resp, err := client.Do(req)
+	if err != nil {
+		return 0, eris.Wrap(err, "send an order")
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return 0, &OrderRefusedError{Endpoint: o.Endpoint, Status: resp.StatusCode}
+	}
+	var answer orderedWire
+	if err := json.NewDecoder(http.MaxBytesReader(nil, resp.Body, maxAnswer)).Decode(&answer); err != nil {
+		return 0, eris.Wrap(err, "read the answer to an order")
+	}
+	return answer.ProcessStart, nil
+}
+
+// maxAnswer bounds the bytes of an engine's answer to an order.
+const maxAnswer = 1 << 20
+
+func wireOrder(o Order) orderWire {
+	w := orderWire{Fence: o.Fence, Deadline: o.Deadline, Kind: o.Kind, Members: []memberWire{}, Adapters: []string{}}
+	if o.Kind == OrderRelease {
+		return w
+	}
+	for _, m := range o.Group.Members {
+		w.Members = append(w.Members, memberWire{Endpoint: m.Endpoint, Address: m.Address})
+	}
+	w.Group, w.Epoch, w.BundleVersion = o.Group.Group, o.Group.Epoch, o.Group.BundleVersion
+	w.Base, w.Version = o.Group.Base, o.Group.Version
+	w.Adapters = append(w.Adapters, o.Group.Adapters...)
+	return w
+}
--- /dev/null
+++ b/leaser/leaser.go
@@ -0,0 +1,181 @@
+package leaser
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"amaranthmill/internal/stepper"
+	"amaranthmill/keeper"
+)
+
+// Platform is what a Leaser needs of the platform's service. *keeper.Client has it.
+type Platform interface {
+	Get(ctx context.Context, key string) (keeper.Entry, error)
+	Create(ctx context.Context, key string, value []byte, lease keeper.LeaseID) (keeper.Entry, error)
+	Grant(ctx context.Context, ttl time.Duration) (keeper.LeaseID, error)
+	Renew(ctx context.Context, lease keeper.LeaseID) error
+	Revoke(ctx context.Context, lease keeper.LeaseID) error
+}
+
+// Config configures a Leaser. Platform, Key, Token and OnHold are required; the zero value of
+// each other field takes the default named.
+type Config struct {
+	Platform Platform
+	Key      string
+	Token    string          // unique to this process's run
+	OnHold   func(time.Time) // until when the holder may act; zero if not at all. It must not block.
+	TTL      time.Duration   // of the lease; 10 s
+	Margin   time.Duration   // by which the holder stops before the lease can lapse; TTL/4
+	Pause    time.Duration   // between two ticks that counts as a pause; TTL/5
+	Tick     time.Duration   // between two ticks; 200 ms
+}
+
+func (c Config) withDefaults() Config {
+	if c.TTL == 0 {
+		c.TTL = 10 * time.Second
+	}
+	if c.Margin == 0 {
+		c.Margin = c.TTL / 4
+	}
+	if c.Pause == 0 {
+		c.Pause = c.TTL / 5
+	}
+	if c.Tick == 0 {
+		c.Tick = 200 * time.Millisecond
+	}
+	return c
+}
+
+// Leaser keeps one lease while it runs.
+type Leaser struct {
+	cfg   Config
+	step  *stepper.Stepper[Event, Action]
+	calls chan Ask
+	ended chan struct{}
+}
+
+// New returns a Leaser for cfg.
+func New(cfg Config) *Leaser {
+	l := &Leaser{cfg: cfg.withDefaults(), calls: make(chan Ask, 1), ended: make(chan struct{})}
+	l.step = stepper.New(stepper.Config[Event, Action]{Core: NewCore(l.cfg), Handle: l.handle})
+	return l
+}
+
+func (l *Leaser) handle(a Action) {
+	switch a := a.(type) {
+	case Ask:
+		l.calls <- a // a core has one call under way, so the channel has room
+	case Hold:
+		l.cfg.OnHold(a.Until)
+	case End:
+		close(l.ended)
+	}
+}
+
+// Run asks for the lease and renews it until ctx ends, then gives it back. It returns nil.
+func (l *Leaser) Run(ctx context.Context) error {
+	// Calls outlive ctx, so that the lease can be given back.
+	calls, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		l.callLoop(calls)
+	}()
+	l.tickLoop(ctx)
+	l.step.Submit(Stop{})
+	stop := time.AfterFunc(l.cfg.TTL/5, cancel)
+	defer stop.Stop()
+	<-done
+	cancel()
+	return nil
+}
+
+func (l *Leaser) tickLoop(ctx context.Context) {
+	t := time.NewTicker(l.cfg.Tick)
+	defer t.Stop()
+	for {
+		l.step.Submit(Tick{Wall: time.Now().Round(0)})
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+	}
+}
+
+// callLoop makes the core's calls until the lease was given back or ctx ends.
+func (l *Leaser) callLoop(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-l.ended:
+			return
+		case ask := <-l.calls:
+			l.step.Submit(l.call(ctx, ask))
+		}
+	}
+}
+
+func (l *Leaser) call(ctx context.Context, ask Ask) Answered {
+	ctx, cancel := context.WithTimeout(ctx, l.cfg.TTL/5)
+	defer cancel()
+	lease, err := ask.Lease, error(nil)
+	switch ask.Call {
+	case CallLook:
+		err = l.look(ctx)
+	case CallGrant:
+		lease, err = l.cfg.Platform.Grant(ctx, l.cfg.TTL)
+	case CallClaim:
+		err = l.claim(ctx, lease)
+	case CallRenew:
+		err = l.cfg.Platform.Renew(ctx, lease)
+	case CallRevoke:
+		err = l.cfg.Platform.Revoke(ctx, lease)
+	}
+	return Answered{Call: ask.Call, Lease: lease, Result: result(err)}
+}
+
+// look returns a conflict if another holder has the key.
+func (l *Leaser) look(ctx context.Context) error {
+	e, err := l.cfg.Platform.Get(ctx, l.cfg.Key)
+	if _, ok := errors.AsType[*keeper.NotFoundError](err); ok {
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	return &keeper.ConflictError{Key: e.Key, Revision: e.Revision}
+}
+
+// claim creates the key under lease, or finds that an earlier claim under the same lease did.
+func (l *Leaser) claim(ctx context.Context, lease keeper.LeaseID) error {
+	value := []byte(l.cfg.Token + " " + string(lease))
+	_, err := l.cfg.Platform.Create(ctx, l.cfg.Key, value, lease)
+	if _, ok := errors.AsType[*keeper.ConflictError](err); !ok {
+		return err
+	}
+	e, readErr := l.cfg.Platform.Get(ctx, l.cfg.Key)
+	if readErr != nil {
+		return readErr
+	}
+	if string(e.Value) != string(value) {
+		return err
+	}
+	return nil
+}
+
+// result sorts the errors of the platform's client.
+func result(err error) Result {
+	if err == nil {
+		return ResultOK
+	}
+	if _, ok := errors.AsType[*keeper.NotFoundError](err); ok {
+		return ResultRefused
+	}
+	if _, ok := errors.AsType[*keeper.ConflictError](err); ok {
+		return ResultRefused
+	}
+	return ResultUnknown
+}
