--- a/grouper/core.go
+++ b/grouper/core.go
@@ -19,7 +19,9 @@
 	recordsOK bool // the records were read at least once
 	endpoints map[identifier.Endpoint]*endpointState
 	leases    map[identifier.FabricDomain]time.Time
+	first     map[identifier.FabricDomain]bool // this instance is the first choice to act there
 	returns   returnTimes
+	loadSeen  time.Duration // average time of a load; zero if none was seen
 }
 
 // recordState is a record and what goes on with it.
@@ -32,13 +34,17 @@
 // endpointState is an endpoint's last report and what the core remembers of it.
 type endpointState struct {
 	Report
-	awaySince time.Time // zero while its reports are fresh
-	freeSince time.Time // since when no record has it, as far as this core saw; zero if one has
-	freeFence uint64    // the revision of the record that first lacked it
-	returns   []time.Time
-	fence     uint64                  // of the last release that it accepted
-	fencedRun identifier.ProcessStart // the process that accepted it
-	ordered   time.Time               // until when its last order may still take effect
+	awaySince    time.Time               // zero while its reports are fresh
+	lostSince    time.Time               // when it was last away or had another process start than before
+	slowSince    time.Time               // zero while it is no straggler
+	freeSince    time.Time               // since when no record has it, as far as this core saw; zero if one has
+	freeFence    uint64                  // the revision of the record that first lacked it
+	loadingSince time.Time               // zero unless it loads a model
+	lastRun      identifier.ProcessStart // the process last seen, also while it is away
+	returns      []time.Time             // within Policy.FlapWindow
+	fence        uint64                  // of the last release that it accepted
+	fencedRun    identifier.ProcessStart // the process that accepted it
+	ordered      time.Time               // until when its last order may still take effect
 }
 
 // NewCore returns a Core with policy; its zero fields take their defaults.
@@ -48,6 +54,7 @@
 		records:   map[identifier.FabricDomain]*recordState{},
 		endpoints: map[identifier.Endpoint]*endpointState{},
 		leases:    map[identifier.FabricDomain]time.Time{},
+		first:     map[identifier.FabricDomain]bool{},
 	}
 }
 
@@ -62,6 +69,8 @@
 		c.bundle = e.Bundle
 	case LeaseChanged:
 		c.leases[e.FabricDomain] = e.Until
+	case ChosenFirst:
+		c.first[e.FabricDomain] = e.First
 	case Saved:
 		c.saved(e.Stored)
 	case SaveFailed:
@@ -141,21 +150,57 @@
 	}
 }
 
-// track notes when an endpoint goes away and how long it was away when it returns.
+// track notes when an endpoint goes away, returns, loads a model or is slow.
 func (c *Core) track(now time.Time, ep *endpointState, rep Report) {
+	restarted := rep.Fresh && ep.lastRun != 0 && rep.ProcessStart != ep.lastRun
+	if !rep.Fresh && ep.awaySince.IsZero() || restarted && ep.awaySince.IsZero() {
+		ep.lostSince = now
+	}
 	switch {
 	case !rep.Fresh && ep.awaySince.IsZero():
 		ep.awaySince = now
 	case rep.Fresh && !ep.awaySince.IsZero():
-		if ep.ProcessStart != 0 {
-			c.returns.add(now.Sub(ep.awaySince))
-			ep.returns = append(recent(ep.returns, now.Add(-c.policy.FlapWindow)), now)
-		}
-		ep.awaySince = time.Time{}
+		c.returned(now, ep, restarted)
+	case restarted:
+		ep.returns = append(ep.returns, now)
+	}
+	c.trackLoad(now, ep, rep)
+	if rep.Fresh {
+		ep.lastRun = rep.ProcessStart
+		since(&ep.slowSince, now, rep.Slow)
 	}
+	ep.returns = recent(ep.returns, now.Add(-c.policy.FlapWindow))
 	ep.Report = rep
 }
 
+// returned notes how long an endpoint that is back was away. The first sight of it is no return.
+func (c *Core) returned(now time.Time, ep *endpointState, restarted bool) {
+	if ep.lastRun != 0 {
+		c.returns.add(absence{away: now.Sub(ep.awaySince), restarted: restarted})
+		ep.returns = append(ep.returns, now)
+	}
+	ep.awaySince = time.Time{}
+}
+
+// trackLoad notes how long an endpoint takes to load a model.
+func (c *Core) trackLoad(now time.Time, ep *endpointState, rep Report) {
+	done := !ep.loadingSince.IsZero() && rep.Fresh && rep.Loaded && rep.ProcessStart == ep.lastRun
+	if done {
+		c.sawLoad(now.Sub(ep.loadingSince))
+	}
+	since(&ep.loadingSince, now, rep.Fresh && rep.Group != "" && !rep.Loaded)
+}
+
+// since keeps in t when a condition began to hold; zero while it does not.
+func since(t *time.Time, now time.Time, holds bool) {
+	switch {
+	case !holds:
+		*t = time.Time{}
+	case t.IsZero():
+		*t = now
+	}
+}
+
 // ordered notes what an endpoint's answer to an order proves.
 func (c *Core) ordered(e OrderDone) {
 	ep := c.endpoints[e.Endpoint]
@@ -167,7 +212,8 @@
 	}
 }
 
-// tick plans for each held fabric domain, and gives orders where nothing had to change.
+// tick plans for each held fabric domain, and gives orders where nothing had to change. Where
+// nobody can change the record, it carries out what the record agreed beforehand.
 func (c *Core) tick(now time.Time) []Action {
 	if !c.recordsOK || c.bundle == nil {
 		return nil
@@ -175,27 +221,36 @@
 	c.free(now)
 	var out []Action
 	for _, fd := range c.held(now) {
-		r := c.records[fd]
-		if r.saving {
-			continue
+		if r := c.records[fd]; !r.saving {
+			out = append(out, c.act(now, r)...)
 		}
-		p := newPlanner(c, now, r)
-		if p.plan() {
-			r.saving = true
-			out = append(out, p.notes...)
-			out = append(out, Save{Record: p.rec, Revision: r.Revision})
-			continue
+	}
+	for _, fd := range slices.Sorted(maps.Keys(c.records)) {
+		if c.successor(fd) && !c.holds(now, fd) {
+			out = append(out, c.successionOrders(now, c.records[fd])...)
 		}
-		out = append(out, c.orders(now, r)...)
 	}
 	return out
 }
 
+// act plans for one held fabric domain or gives orders in it.
+func (c *Core) act(now time.Time, r *recordState) []Action {
+	p := newPlanner(c, now, r)
+	if !p.plan() {
+		return c.orders(now, r)
+	}
+	r.saving = true
+	return append(p.notes, Save{Record: p.rec, Revision: r.Revision})
+}
+
+// holds reports whether the lease of fd is valid at now.
+func (c *Core) holds(now time.Time, fd identifier.FabricDomain) bool { return now.Before(c.leases[fd]) }
+
 // held returns the fabric domains whose lease is valid at now, by name.
 func (c *Core) held(now time.Time) []identifier.FabricDomain {
 	var out []identifier.FabricDomain
 	for _, fd := range slices.Sorted(maps.Keys(c.leases)) {
-		if !now.Before(c.leases[fd]) {
+		if !c.holds(now, fd) {
 			continue
 		}
 		if c.records[fd] == nil {
@@ -206,12 +261,12 @@
 	return out
 }
 
-// free notes since when each endpoint stands in no record.
+// free notes since when each endpoint is a member of no group in any record.
 func (c *Core) free(now time.Time) {
 	used := map[identifier.Endpoint]bool{}
 	for _, r := range c.records {
 		for i := range r.Record.Groups {
-			for _, m := range r.Record.Groups[i].endpoints() {
+			for _, m := range r.Record.Groups[i].Members {
 				used[m.Endpoint] = true
 			}
 		}
--- a/grouper/event.go
+++ b/grouper/event.go
@@ -8,8 +8,8 @@
 	"amaranthmill/internal/identifier"
 )
 
-// Event is what a Core learns: RecordsRead, ReportsSeen, BundleSet, LeaseChanged, Saved,
-// SaveFailed, OrderDone or Tick.
+// Event is what a Core learns: RecordsRead, ReportsSeen, BundleSet, LeaseChanged,
+// ChosenFirst, Saved, SaveFailed, OrderDone or Tick.
 type Event interface{ event() }
 
 // RecordsRead gives all records of the own failure domain as the platform has them.
@@ -34,6 +34,13 @@
 	Until        time.Time
 }
 
+// ChosenFirst says whether this instance is the first choice to act in a fabric domain if
+// nobody holds its lease.
+type ChosenFirst struct {
+	FabricDomain identifier.FabricDomain
+	First        bool
+}
+
 // Saved says that the platform took a record under a revision.
 type Saved struct{ Stored Stored }
 
@@ -61,6 +68,7 @@
 func (ReportsSeen) event()  {}
 func (BundleSet) event()    {}
 func (LeaseChanged) event() {}
+func (ChosenFirst) event()  {}
 func (Saved) event()        {}
 func (SaveFailed) event()   {}
 func (OrderDone) event()    {}
@@ -91,14 +99,16 @@
 
 // The decisions of the repair policy.
 const (
-	DecisionCreate  Decision = "create"  // a group from free endpoints
-	DecisionReadmit Decision = "readmit" // a member that returned with a new process start
-	DecisionReplace Decision = "replace" // a member by a free endpoint
-	DecisionRemove  Decision = "remove"  // a group
-	DecisionDrain   Decision = "drain"   // a group, before it is changed or removed
-	DecisionUpdate  Decision = "update"  // a drained group to the model of a newer bundle
-	DecisionPromise Decision = "promise" // a free endpoint as standby
-	DecisionSucceed Decision = "succeed" // a standby that took a member's place
+	DecisionCreate   Decision = "create"   // a group from free endpoints
+	DecisionReadmit  Decision = "readmit"  // a member that returned with a new process start
+	DecisionReplace  Decision = "replace"  // a member by a free endpoint
+	DecisionRemove   Decision = "remove"   // a group
+	DecisionDrain    Decision = "drain"    // a group, before it is changed or removed
+	DecisionResume   Decision = "resume"   // a group that was drained for nothing
+	DecisionUpdate   Decision = "update"   // a drained group to the model of a newer bundle
+	DecisionPromise  Decision = "promise"  // a free endpoint as standby
+	DecisionWithdraw Decision = "withdraw" // a promise that its standby can no longer keep
+	DecisionSucceed  Decision = "succeed"  // a standby that took a member's place
 )
 
 func (Save) action() {}
--- a/grouper/grouper.go
+++ b/grouper/grouper.go
@@ -137,6 +137,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for fd := range g.fabrics {
+		g.step.Submit(ChosenFirst{FabricDomain: fd, First: ranker.Chosen(fd, g.peers, g.cfg.Instance, 1)})
 		chosen := ranker.Chosen(fd, g.peers, g.cfg.Instance, candidates)
 		stop, running := g.leases[fd]
 		switch {
--- a/grouper/plan.go
+++ b/grouper/plan.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"fmt"
 	"slices"
 	"time"
 
@@ -16,7 +15,7 @@
 	now     time.Time
 	state   *recordState
 	rec     Record
-	free    []*endpointState // assignable now, the most stable first
+	free    []*endpointState // that may join a group now, the first choice first
 	notes   []Action
 	changed bool
 }
@@ -28,7 +27,9 @@
 			p.free = append(p.free, ep)
 		}
 	}
-	slices.SortStableFunc(p.free, func(a, b *endpointState) int { return cmp.Compare(len(a.returns), len(b.returns)) })
+	slices.SortStableFunc(p.free, func(a, b *endpointState) int {
+		return cmp.Or(cmp.Compare(len(a.returns), len(b.returns)), cmp.Compare(p.promises(a), p.promises(b)))
+	})
 	return p
 }
 
@@ -37,29 +38,30 @@
 	return ep.fence != 0 && ep.fence >= ep.freeFence && ep.fencedRun == ep.ProcessStart
 }
 
-// assignable reports whether ep may join a group: it stands in no record, its own fresh report
-// shows no group, and no order of an earlier holder can still reach it.
+// assignable reports whether ep may join a group: it is a member of none in the records, its
+// own fresh report shows no group, and no order of an earlier holder can still reach it.
 func (c *Core) assignable(now time.Time, ep *endpointState) bool {
 	if ep.freeSince.IsZero() || !ep.Fresh || ep.Leaving || ep.Slow || ep.Group != "" || ep.ProcessStart == 0 {
 		return false
 	}
-	if ep.fenced() {
-		return true
-	}
-	return now.Sub(ep.freeSince) >= c.policy.LeaseTTL+c.policy.OrderLife
+	return ep.fenced() || now.Sub(ep.freeSince) >= c.policy.LeaseTTL+c.policy.OrderLife
 }
 
 // plan changes the record as the policy wants, and reports whether it did.
 func (p *planner) plan() bool {
+	p.adopt()
+	p.quiet()
 	p.repair()
-	p.create()
 	if !p.changed {
-		return false
+		p.rollout()
 	}
-	if err := p.rec.Check(); err != nil {
-		return false // a fault of the planner must not reach the platform
+	if !p.changed {
+		p.create()
 	}
-	return true
+	if !p.changed {
+		p.promise()
+	}
+	return p.changed && p.rec.Check() == nil // a fault of the planner must not reach the platform
 }
 
 func (p *planner) note(g identifier.Group, ep identifier.Endpoint, d Decision) {
@@ -67,84 +69,49 @@
 	p.notes = append(p.notes, Note{FabricDomain: p.rec.FabricDomain, Group: g, Endpoint: ep, Decision: d})
 }
 
-// repair mends groups whose members were lost.
-func (p *planner) repair() {
+// promises returns 1 if ep is some group's standby, and 0 otherwise.
+func (p *planner) promises(ep *endpointState) int {
 	for i := range p.rec.Groups {
-		p.repairGroup(&p.rec.Groups[i])
-	}
-}
-
-func (p *planner) repairGroup(a *Assignment) {
-	var lost []int
-	for i, m := range a.Members {
-		ep := p.core.endpoints[m.Endpoint]
-		if ep == nil || !ep.Fresh || ep.ProcessStart != m.ProcessStart {
-			lost = append(lost, i)
+		if s := p.rec.Groups[i].Standby; s != nil && s.Endpoint == ep.Endpoint {
+			return 1
 		}
 	}
-	mended := false
-	for _, i := range lost {
-		mended = p.mend(a, i) || mended
-	}
-	if mended {
-		a.Epoch = p.rec.nextEpoch()
-	}
+	return 0
 }
 
-// mend readmits or replaces member i of a, and reports whether it did.
-func (p *planner) mend(a *Assignment, i int) bool {
-	m := &a.Members[i]
-	ep := p.core.endpoints[m.Endpoint]
-	if ep != nil && ep.Fresh && !ep.Leaving {
-		m.ProcessStart, m.Address = ep.ProcessStart, ep.Address
-		p.note(a.Group, m.Endpoint, DecisionReadmit)
-		return true
+// take removes a free endpoint for group a: its standby if that is free, else the first
+// choice, which is nobody's standby any more.
+func (p *planner) take(a *Assignment) Member {
+	i := 0
+	if a.Standby != nil {
+		i = max(0, slices.IndexFunc(p.free, func(ep *endpointState) bool { return ep.Endpoint == a.Standby.Endpoint }))
+	}
+	ep := p.free[i]
+	p.free = slices.Delete(p.free, i, i+1)
+	for j := range p.rec.Groups {
+		if s := p.rec.Groups[j].Standby; s != nil && s.Endpoint == ep.Endpoint {
+			p.rec.Groups[j].Standby = nil
+		}
 	}
-	if ep != nil && p.now.Sub(ep.awaySince) < p.core.policy.LoadTime || len(p.free) == 0 {
-		return false
+	if a.Standby != nil && a.Standby.Endpoint == ep.Endpoint {
+		a.Standby = nil
 	}
-	*m = p.take()
-	p.note(a.Group, m.Endpoint, DecisionReplace)
-	return true
+	return ep.member()
 }
 
-// take removes the most stable free endpoint from the free ones.
-func (p *planner) take() Member {
-	ep := p.free[0]
-	p.free = p.free[1:]
+func (ep *endpointState) member() Member {
 	return Member{Endpoint: ep.Endpoint, Address: ep.Address, ProcessStart: ep.ProcessStart}
 }
 
-// create makes missing groups of the bundle's pools, the highest priority first.
-func (p *planner) create() {
-	for _, pool := range p.core.pools() {
-		for n := p.core.missing(pool); n > 0 && len(p.free) >= pool.GroupSize && pool.GroupSize > 0; n-- {
-			p.createGroup(pool)
-		}
-	}
-}
-
-func (p *planner) createGroup(pool *bundler.Pool) {
-	a := Assignment{
-		Group: p.groupName(pool.Name), Pool: pool.Name, Epoch: p.rec.nextEpoch(), BundleVersion: p.core.bundle.Version,
-		Base: pool.Base, Version: pool.Version, Adapters: pool.Adapters,
-	}
-	for range pool.GroupSize {
-		a.Members = append(a.Members, p.take())
-	}
-	p.rec.Groups = append(p.rec.Groups, a)
-	slices.SortFunc(p.rec.Groups, func(a, b Assignment) int { return cmp.Compare(a.Group, b.Group) })
-	p.note(a.Group, "", DecisionCreate)
-}
-
-// groupName returns a name that no group of the fabric domain has.
-func (p *planner) groupName(pool identifier.Pool) identifier.Group {
-	for n := 0; ; n++ {
-		name := identifier.Group(fmt.Sprintf("%s-%s-%d", pool, p.rec.FabricDomain, n))
-		if !slices.ContainsFunc(p.rec.Groups, func(a Assignment) bool { return a.Group == name }) {
-			return name
+// whole reports whether every member of a serves it.
+func (c *Core) whole(a *Assignment) bool {
+	for _, m := range a.Members {
+		ep := c.endpoints[m.Endpoint]
+		if ep == nil || !ep.Serves(a, m) {
+			return false
 		}
 	}
+	return true
 }
 
 // pools returns the bundle's pools, the highest priority first.
@@ -159,20 +126,31 @@
 	return out
 }
 
-// missing returns how many groups of pool the failure domain lacks; negative if it has too many.
-func (c *Core) missing(pool *bundler.Pool) int {
+// pool returns the bundle's pool of that name, or nil.
+func (c *Core) pool(name identifier.Pool) *bundler.Pool {
+	for i := range c.bundle.Pools {
+		if c.bundle.Pools[i].Name == name {
+			return &c.bundle.Pools[i]
+		}
+	}
+	return nil
+}
+
+// priority returns the priority of a's pool; a pool that the bundle lacks has the lowest.
+func (c *Core) priority(a *Assignment) int {
+	if pool := c.pool(a.Pool); pool != nil {
+		return pool.Priority
+	}
+	return -1
+}
+
+// wanted returns how many groups of pool the failure domain should have.
+func (c *Core) wanted(pool *bundler.Pool) int {
 	n := 0
 	for _, pl := range pool.Groups {
 		if pl.FailureDomain == c.policy.FailureDomain {
 			n += pl.Count
 		}
 	}
-	for _, r := range c.records {
-		for i := range r.Record.Groups {
-			if r.Record.Groups[i].Pool == pool.Name {
-				n--
-			}
-		}
-	}
 	return n
 }
--- a/grouper/policy.go
+++ b/grouper/policy.go
@@ -19,7 +19,17 @@
 	FencingEndpoints func(identifier.Endpoint) bool
 	// DrainSettle is how long after a group was recorded as draining a request may still reach it; 3 s.
 	DrainSettle time.Duration
-	// LoadsAtOnce bounds the endpoints of a fabric domain that load a model at one time; 8.
+	// SuccessionAfter is how long after it was time for a repair standbys succeed on their own; 15 s.
+	SuccessionAfter time.Duration
+	// NoStandby turns the promises of standbys off.
+	NoStandby bool
+	// Wait fixes how long to wait for a member that is away; nil weighs the absences seen.
+	Wait *time.Duration
+	// DarkAfter is how long all members of a group are away before others may be built for it; 2 min.
+	DarkAfter time.Duration
+	// SlowPatience is how long a member is a straggler before it is replaced; 5 min.
+	SlowPatience time.Duration
+	// LoadsAtOnce bounds the endpoints of a fabric domain that load a model at one time; 4.
 	LoadsAtOnce int
 	// LoadTime is how long an endpoint takes to load a model, until loads were seen; 2 min.
 	LoadTime time.Duration
@@ -33,7 +43,10 @@
 	orDefault(&p.OrderLife, 2*time.Second)
 	orDefault(&p.LeaseTTL, 10*time.Second)
 	orDefault(&p.DrainSettle, 3*time.Second)
-	orDefault(&p.LoadsAtOnce, 8)
+	orDefault(&p.SuccessionAfter, 15*time.Second)
+	orDefault(&p.DarkAfter, 2*time.Minute)
+	orDefault(&p.SlowPatience, 5*time.Minute)
+	orDefault(&p.LoadsAtOnce, 4)
 	orDefault(&p.LoadTime, 2*time.Minute)
 	orDefault(&p.FlapWindow, 30*time.Minute)
 	orDefault(&p.RolloutFloor, 0.5)
--- a/grouper/record.go
+++ b/grouper/record.go
@@ -101,15 +101,18 @@
 
 // Successions returns what a becomes if its standby takes a member's place: one assignment
 // for each member, each with its own epoch, or none without a standby. A succession has
-// no standby of its own, and an assignment that is a succession has no further one.
+// no standby of its own. An assignment that is a succession itself has epochs for further
+// ones until the next EpochStep is reached.
 func (a *Assignment) Successions() []Assignment {
-	if a.Standby == nil || a.Epoch != BaseEpoch(a.Epoch) {
+	n := identifier.Epoch(len(a.Members))
+	level := (a.Epoch - BaseEpoch(a.Epoch) + n - 1) / n
+	if a.Standby == nil || (level+1)*n >= EpochStep {
 		return nil
 	}
-	out := make([]Assignment, len(a.Members))
+	out := make([]Assignment, n)
 	for i := range a.Members {
 		s := *a
-		s.Epoch = a.Epoch + 1 + identifier.Epoch(i)
+		s.Epoch = BaseEpoch(a.Epoch) + level*n + 1 + identifier.Epoch(i)
 		s.Members = slices.Clone(a.Members)
 		s.Members[i] = *a.Standby
 		s.Standby = nil
--- /dev/null
+++ b/internal/modeler/engine.go
@@ -0,0 +1,84 @@
+package modeler
+
+import (
+	"net/netip"
+	"time"
+
+	"amaranthmill/grouper"
+	"amaranthmill/internal/identifier"
+	"amaranthmill/prober"
+)
+
+// Engine models one model engine: it has one role at a time, and obeys orders.
+type Engine struct {
+	Name         identifier.Endpoint
+	Address      netip.AddrPort
+	Fabric       identifier.FabricDomain
+	Fences       bool // refuses orders with an old fencing number
+	Late         bool // obeys orders past their deadline
+	ProcessStart identifier.ProcessStart
+	Running      bool // its process runs
+	Reachable    bool // its network works
+	Leaving      bool
+	Slow         bool
+	InFlight     int
+
+	Group         identifier.Group
+	Epoch         identifier.Epoch
+	BundleVersion identifier.BundleVersion
+	Loaded        bool
+	model         string
+	fence         uint64
+	ToLoad        time.Duration // of loading at full rate that remains
+}
+
+// Up reports whether the engine can work and be reached.
+func (e *Engine) Up() bool { return e.Running && e.Reachable }
+
+// Stop ends the engine's process; all that it had is lost.
+func (e *Engine) Stop() {
+	e.Running = false
+	e.Group, e.Epoch, e.BundleVersion, e.model, e.fence = "", 0, 0, "", 0
+	e.Loaded, e.Leaving, e.ToLoad, e.InFlight = false, false, 0, 0
+}
+
+// Start runs a new process of the engine.
+func (e *Engine) Start() {
+	if !e.Running {
+		e.ProcessStart++
+		e.Running = true
+	}
+}
+
+// Obey carries out o at now, and reports whether the engine accepted it. Loading a model that
+// it does not have takes load.
+func (e *Engine) Obey(now time.Time, o grouper.Order, load time.Duration) bool {
+	if !e.Up() || !e.Late && now.After(o.Deadline) || e.Fences && o.Fence < e.fence {
+		return false
+	}
+	e.fence = o.Fence
+	if o.Kind == grouper.OrderRelease {
+		e.Group, e.Epoch, e.BundleVersion, e.Loaded = "", 0, 0, false
+		return true
+	}
+	e.Group, e.Epoch, e.BundleVersion = o.Group.Group, o.Group.Epoch, o.Group.BundleVersion
+	if model := o.Group.Base + "@" + o.Group.Version; model != e.model {
+		e.model, e.ToLoad = model, load
+	}
+	e.Loaded = e.ToLoad == 0
+	return true
+}
+
+// load lets d of loading at full rate pass.
+func (e *Engine) load(d time.Duration) {
+	e.ToLoad = max(0, e.ToLoad-d)
+	e.Loaded = e.Group != "" && e.ToLoad == 0
+}
+
+// status returns what the engine says of itself.
+func (e *Engine) status() prober.Status {
+	return prober.Status{
+		ProcessStart: e.ProcessStart, Group: e.Group, Epoch: e.Epoch, BundleVersion: e.BundleVersion,
+		Loaded: e.Loaded, Leaving: e.Leaving, InFlight: e.InFlight, Capacity: 8,
+	}
+}
