--- a/leaser/core.go
+++ b/leaser/core.go
@@ -20,6 +20,7 @@
 	told     time.Time // the deadline last given in Hold
 	stopping bool
 	calling  bool
+	ended    bool
 }
 
 type phase uint8
@@ -137,7 +138,10 @@
 	}
 	call := CallLook
 	switch {
+	case c.ended:
+		return nil
 	case c.stopping && c.lease == "":
+		c.ended = true
 		return []Action{End{}}
 	case c.stopping:
 		call = CallRevoke
