--- /dev/null
+++ b/standin/engine/order.go
@@ -0,0 +1,122 @@
+package engine
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"time"
+)
+
+type order struct {
+	Fence         uint64    `json:"fence"`
+	Deadline      time.Time `json:"deadline"`
+	Kind          string    `json:"kind"`
+	Group         string    `json:"group"`
+	Epoch         uint64    `json:"epoch"`
+	Members       []member  `json:"members"`
+	BundleVersion uint64    `json:"bundleVersion"`
+	Base          string    `json:"base"`
+	Version       string    `json:"version"`
+	Adapters      []string  `json:"adapters"`
+}
+
+// order takes an order to join or leave a group and answers with the new status at once;
+// weights load in the background.
+func (e *Engine) order(w http.ResponseWriter, r *http.Request) {
+	var o order
+	if err := json.NewDecoder(r.Body).Decode(&o); err != nil {
+		answer(w, http.StatusBadRequest, refusal{err.Error()})
+		return
+	}
+	if !o.Deadline.IsZero() && time.Now().After(o.Deadline) {
+		answer(w, http.StatusGone, refusal{"the order's deadline has passed"})
+		return
+	}
+	e.mu.Lock()
+	if e.cfg.ChecksFence && o.Fence < e.fence {
+		fence := e.fence
+		e.mu.Unlock()
+		answer(w, http.StatusConflict, struct {
+			Fence uint64 `json:"fence"`
+		}{fence})
+		return
+	}
+	e.fence = max(e.fence, o.Fence)
+	e.apply(o)
+	e.mu.Unlock()
+	answer(w, http.StatusOK, e.report())
+}
+
+type refusal struct {
+	Detail string `json:"detail"`
+}
+
+// apply changes the membership; e.mu is held.
+func (e *Engine) apply(o order) {
+	same := o.Kind == "assign" && o.Group == e.state.Group && o.Epoch == e.state.Epoch
+	if same {
+		e.state.BundleVersion, e.state.Adapters = o.BundleVersion, o.Adapters
+		return
+	}
+	e.cancel()
+	e.ctx, e.cancel = context.WithCancel(context.Background())
+	e.whole = 0
+	if o.Kind == "release" {
+		e.state.Group, e.state.Epoch, e.state.Members = "", 0, nil
+		return
+	}
+	reload := e.state.Base != o.Base || e.state.Version != o.Version
+	if reload {
+		e.state.Loaded = false
+	}
+	e.state.Group, e.state.Epoch, e.state.Members = o.Group, o.Epoch, o.Members
+	e.state.BundleVersion, e.state.Base, e.state.Version = o.BundleVersion, o.Base, o.Version
+	e.state.Adapters = o.Adapters
+	ctx := e.ctx
+	if reload {
+		go e.load(ctx, o)
+	}
+	if len(o.Members) > 0 && o.Members[0].Endpoint == e.cfg.Name {
+		for _, m := range o.Members[1:] {
+			go e.connect(ctx, m, o)
+		}
+	}
+}
+
+// load fetches the weights, and again until it has them.
+func (e *Engine) load(ctx context.Context, o order) {
+	for ctx.Err() == nil {
+		url := fmt.Sprintf("http://%s/weights/%s/%s", e.cfg.Platform, o.Base, o.Version)
+		if e.fetch(ctx, url) {
+			e.mu.Lock()
+			e.state.Loaded = e.state.Loaded || e.ctx == ctx
+			e.mu.Unlock()
+			return
+		}
+		pause(ctx, 200*time.Millisecond)
+	}
+}
+
+func (e *Engine) fetch(ctx context.Context, url string) bool {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return false
+	}
+	res, err := e.client.Do(req)
+	if err != nil {
+		return false
+	}
+	defer res.Body.Close()
+	return res.StatusCode == http.StatusOK
+}
+
+// pause waits for d or until ctx is done.
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- /dev/null
+++ b/standin/load/send.go
@@ -0,0 +1,116 @@
+package load
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"strings"
+	"time"
+
+	"amaranthmill/standin/engine"
+)
+
+// outcome is what came of one request.
+type outcome struct {
+	kind       string // answered, notRun, unknown, cut or wrong
+	reason     string
+	retryAfter time.Duration
+	first      time.Duration
+	between    []time.Duration
+}
+
+type problem struct {
+	Outcome string `json:"outcome"`
+	Reason  string `json:"reason"`
+	Detail  string `json:"detail"`
+}
+
+type chunk struct {
+	Choices []struct {
+		Delta struct {
+			Content string `json:"content"`
+		} `json:"delta"`
+	} `json:"choices"`
+	Error *problem `json:"error"`
+}
+
+func (r *runner) send(to netip.AddrPort, i int) outcome {
+	prompt := fmt.Sprintf("%s request %d", r.cfg.Prompt, i)
+	body, _ := json.Marshal(map[string]any{
+		"model": r.cfg.Model, "stream": true, "max_tokens": r.cfg.Tokens,
+		"messages": []map[string]string{{"role": "user", "content": prompt}},
+	})
+	req, err := http.NewRequest(http.MethodPost, fmt.Sprintf("http://%s/v1/chat/completions", to), bytes.NewReader(body))
+	if err != nil {
+		return outcome{kind: "cut", reason: err.Error()}
+	}
+	req.Header.Set("Authorization", "Bearer "+r.cfg.Key)
+	if r.cfg.Deadline > 0 {
+		req.Header.Set("Mill-Timeout", r.cfg.Deadline.String())
+	}
+	if r.cfg.Epoch != "" {
+		req.Header.Set("Mill-Epoch", r.cfg.Epoch)
+		req.Header.Set("Mill-Adapter", r.cfg.Adapter)
+	}
+	start := time.Now()
+	res, err := r.client.Do(req)
+	if err != nil {
+		return outcome{kind: "cut", reason: "connection"}
+	}
+	defer res.Body.Close()
+	if res.StatusCode != http.StatusOK {
+		return refused(res)
+	}
+	return r.read(res, start, engine.Text(prompt, r.cfg.Adapter, r.cfg.Tokens))
+}
+
+func refused(res *http.Response) outcome {
+	var p problem
+	_ = json.NewDecoder(res.Body).Decode(&p)
+	seconds, _ := strconv.Atoi(res.Header.Get("Retry-After"))
+	return outcome{kind: p.Outcome, reason: p.Reason, retryAfter: time.Duration(seconds) * time.Second}
+}
+
+// read takes the events of an answer until its end mark.
+func (r *runner) read(res *http.Response, start time.Time, want string) outcome {
+	var o outcome
+	var text strings.Builder
+	last := start
+	lines := bufio.NewScanner(res.Body)
+	lines.Buffer(nil, 1<<20)
+	for lines.Scan() {
+		data, ok := strings.CutPrefix(lines.Text(), "data: ")
+		if !ok {
+			continue
+		}
+		if data == "[DONE]" {
+			o.kind = "answered"
+			if text.String() != want {
+				o.kind = "wrong"
+			}
+			return o
+		}
+		var c chunk
+		if json.Unmarshal([]byte(data), &c) != nil {
+			return outcome{kind: "wrong", reason: "badEvent"}
+		}
+		if c.Error != nil {
+			return outcome{kind: c.Error.Outcome, reason: c.Error.Reason}
+		}
+		now := time.Now()
+		if text.Len() == 0 {
+			o.first = now.Sub(start)
+		} else {
+			o.between = append(o.between, now.Sub(last))
+		}
+		last = now
+		if len(c.Choices) > 0 {
+			text.WriteString(c.Choices[0].Delta.Content)
+		}
+	}
+	return outcome{kind: "cut", reason: "noEndMark"}
+}
--- /dev/null
+++ b/standin/platform/platform.go
@@ -0,0 +1,323 @@
+package platform
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"sort"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/time/rate"
+)
+
+// expireEvery is how often lapsed leases are looked for.
+const expireEvery = 50 * time.Millisecond
+
+// Config configures a Platform. The zero value serves weights without a limit.
+type Config struct {
+	WeightsPerSecond float64 // loads that the weight store starts each second; 0 is no limit
+}
+
+// Platform is the stand-in. Its Handler is safe for concurrent use.
+type Platform struct {
+	store     *store
+	weights   *rate.Limiter
+	leaseID   atomic.Uint64
+	mu        sync.Mutex
+	instances map[string]instance
+	fault     fault
+	calls     map[string]int
+}
+
+type instance struct {
+	Name          string         `json:"name"`
+	Kind          string         `json:"kind"`
+	Address       netip.AddrPort `json:"address"`
+	FailureDomain string         `json:"failureDomain"`
+	FabricDomain  string         `json:"fabricDomain,omitempty"`
+	Service       string         `json:"service,omitempty"`
+	State         string         `json:"state"`
+	Accelerators  int            `json:"accelerators,omitempty"`
+}
+
+// fault is what a test sets: an outage, a delay of each call, and how many answers of
+// writes are lost after the write took effect.
+type fault struct {
+	Down        bool     `json:"down"`
+	Delay       duration `json:"delay"`
+	LoseAnswers int      `json:"loseAnswers"`
+}
+
+type duration time.Duration
+
+func (d *duration) UnmarshalText(b []byte) error {
+	v, err := time.ParseDuration(string(b))
+	*d = duration(v)
+	return err
+}
+
+func (d duration) MarshalText() ([]byte, error) { return []byte(time.Duration(d).String()), nil }
+
+// New returns a Platform with no keys and no instances.
+func New(cfg Config) *Platform {
+	limit := rate.Inf
+	if cfg.WeightsPerSecond > 0 {
+		limit = rate.Limit(cfg.WeightsPerSecond)
+	}
+	return &Platform{
+		store: newStore(), weights: rate.NewLimiter(limit, 1),
+		instances: map[string]instance{}, calls: map[string]int{},
+	}
+}
+
+// Run ends lapsed leases until ctx is done.
+func (p *Platform) Run(ctx context.Context) error {
+	t := time.NewTicker(expireEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case now := <-t.C:
+			p.store.expire(now)
+		}
+	}
+}
+
+// Handler returns the platform's HTTP API and its fault control.
+func (p *Platform) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /kv/{key...}", p.counted("read", p.get))
+	mux.HandleFunc("PUT /kv/{key...}", p.counted("write", p.put))
+	mux.HandleFunc("DELETE /kv/{key...}", p.counted("write", p.remove))
+	mux.HandleFunc("GET /kv", p.counted("read", p.list))
+	mux.HandleFunc("GET /watch", p.counted("watch", p.watch))
+	mux.HandleFunc("POST /leases", p.counted("lease", p.grant))
+	mux.HandleFunc("POST /leases/{lease}", p.counted("lease", p.renew))
+	mux.HandleFunc("DELETE /leases/{lease}", p.counted("lease", p.revoke))
+	mux.HandleFunc("GET /instances", p.counted("list", p.listInstances))
+	mux.HandleFunc("GET /weights/{base}/{version}", p.fetchWeights)
+	mux.HandleFunc("PUT /instances/{name}", p.putInstance)
+	mux.HandleFunc("DELETE /instances/{name}", p.removeInstance)
+	mux.HandleFunc("PUT /fault", p.setFault)
+	mux.HandleFunc("GET /calls", p.countCalls)
+	return mux
+}
+
+// counted counts a call and applies the faults that are set.
+func (p *Platform) counted(kind string, h http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		p.mu.Lock()
+		p.calls[kind]++
+		f := p.fault
+		if kind == "write" && p.fault.LoseAnswers > 0 {
+			p.fault.LoseAnswers--
+		}
+		p.mu.Unlock()
+		time.Sleep(time.Duration(f.Delay))
+		if f.Down {
+			panic(http.ErrAbortHandler)
+		}
+		if kind == "write" && f.LoseAnswers > 0 {
+			h(discard{}, r)
+			panic(http.ErrAbortHandler)
+		}
+		h(w, r)
+	}
+}
+
+// discard is a ResponseWriter of an answer that is lost.
+type discard struct{}
+
+func (discard) Header() http.Header         { return http.Header{} }
+func (discard) Write(b []byte) (int, error) { return len(b), nil }
+func (discard) WriteHeader(int)             {}
+
+func (p *Platform) get(w http.ResponseWriter, r *http.Request) {
+	e, ok := p.store.get(r.PathValue("key"))
+	if !ok {
+		answer(w, http.StatusNotFound, struct{}{})
+		return
+	}
+	answer(w, http.StatusOK, e)
+}
+
+func (p *Platform) put(w http.ResponseWriter, r *http.Request) {
+	revision, err := strconv.ParseUint(r.URL.Query().Get("revision"), 10, 64)
+	var body struct {
+		Value []byte `json:"value"`
+		Lease string `json:"lease"`
+	}
+	if err != nil || json.NewDecoder(r.Body).Decode(&body) != nil {
+		answer(w, http.StatusBadRequest, struct{}{})
+		return
+	}
+	if len(body.Value) > maxValueBytes {
+		answer(w, http.StatusRequestEntityTooLarge, struct{}{})
+		return
+	}
+	revision, ok := p.store.put(r.PathValue("key"), revision, body.Value, body.Lease)
+	answer(w, swapStatus(ok), revisionAnswer{revision})
+}
+
+func (p *Platform) remove(w http.ResponseWriter, r *http.Request) {
+	revision, err := strconv.ParseUint(r.URL.Query().Get("revision"), 10, 64)
+	if err != nil {
+		answer(w, http.StatusBadRequest, struct{}{})
+		return
+	}
+	revision, ok := p.store.remove(r.PathValue("key"), revision)
+	if !ok && revision == 0 {
+		answer(w, http.StatusNotFound, struct{}{})
+		return
+	}
+	answer(w, swapStatus(ok), revisionAnswer{revision})
+}
+
+type revisionAnswer struct {
+	Revision uint64 `json:"revision"`
+}
+
+type entriesAnswer struct {
+	Entries  []entry `json:"entries"`
+	Revision uint64  `json:"revision"`
+}
+
+func swapStatus(ok bool) int {
+	if ok {
+		return http.StatusOK
+	}
+	return http.StatusConflict
+}
+
+func (p *Platform) list(w http.ResponseWriter, r *http.Request) {
+	entries, revision, _ := p.store.list(r.URL.Query().Get("prefix"), 0, false)
+	answer(w, http.StatusOK, entriesAnswer{entries, revision})
+}
+
+func (p *Platform) watch(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	after, err1 := strconv.ParseUint(q.Get("after"), 10, 64)
+	wait, err2 := time.ParseDuration(q.Get("wait"))
+	if err1 != nil || err2 != nil {
+		answer(w, http.StatusBadRequest, struct{}{})
+		return
+	}
+	timeout := time.After(wait)
+	for {
+		entries, revision, changed := p.store.list(q.Get("prefix"), after, true)
+		if len(entries) > 0 {
+			answer(w, http.StatusOK, entriesAnswer{entries, revision})
+			return
+		}
+		select {
+		case <-changed:
+		case <-r.Context().Done():
+			return
+		case <-timeout:
+			answer(w, http.StatusOK, entriesAnswer{[]entry{}, revision})
+			return
+		}
+	}
+}
+
+type leaseAnswer struct {
+	Lease string `json:"lease"`
+}
+
+func (p *Platform) grant(w http.ResponseWriter, r *http.Request) {
+	var body struct {
+		TTL duration `json:"ttl"`
+	}
+	if json.NewDecoder(r.Body).Decode(&body) != nil || body.TTL <= 0 {
+		answer(w, http.StatusBadRequest, struct{}{})
+		return
+	}
+	id := fmt.Sprintf("lease-%d", p.leaseID.Add(1))
+	p.store.grant(id, time.Duration(body.TTL), time.Now())
+	answer(w, http.StatusOK, leaseAnswer{id})
+}
+
+func (p *Platform) renew(w http.ResponseWriter, r *http.Request) {
+	answer(w, foundStatus(p.store.renew(r.PathValue("lease"), time.Now())), struct{}{})
+}
+
+func (p *Platform) revoke(w http.ResponseWriter, r *http.Request) {
+	answer(w, foundStatus(p.store.revoke(r.PathValue("lease"))), struct{}{})
+}
+
+func foundStatus(ok bool) int {
+	if ok {
+		return http.StatusOK
+	}
+	return http.StatusNotFound
+}
+
+func (p *Platform) listInstances(w http.ResponseWriter, _ *http.Request) {
+	p.mu.Lock()
+	out := make([]instance, 0, len(p.instances))
+	for _, i := range p.instances {
+		out = append(out, i)
+	}
+	p.mu.Unlock()
+	sort.Slice(out, func(i, j int) bool { return out[i].Name < out[j].Name })
+	answer(w, http.StatusOK, struct {
+		Instances []instance `json:"instances"`
+	}{out})
+}
+
+func (p *Platform) putInstance(w http.ResponseWriter, r *http.Request) {
+	var i instance
+	if err := json.NewDecoder(r.Body).Decode(&i); err != nil {
+		answer(w, http.StatusBadRequest, struct{}{})
+		return
+	}
+	i.Name = r.PathValue("name")
+	p.mu.Lock()
+	p.instances[i.Name] = i
+	p.mu.Unlock()
+	answer(w, http.StatusOK, i)
+}
+
+func (p *Platform) removeInstance(w http.ResponseWriter, r *http.Request) {
+	p.mu.Lock()
+	delete(p.instances, r.PathValue("name"))
+	p.mu.Unlock()
+	answer(w, http.StatusOK, struct{}{})
+}
+
+func (p *Platform) fetchWeights(w http.ResponseWriter, r *http.Request) {
+	if p.weights.Wait(r.Context()) == nil {
+		answer(w, http.StatusOK, struct{}{})
+	}
+}
+
+func (p *Platform) setFault(w http.ResponseWriter, r *http.Request) {
+	var f fault
+	if json.NewDecoder(r.Body).Decode(&f) != nil {
+		answer(w, http.StatusBadRequest, struct{}{})
+		return
+	}
+	p.mu.Lock()
+	p.fault = f
+	p.mu.Unlock()
+	answer(w, http.StatusOK, f)
+}
+
+func (p *Platform) countCalls(w http.ResponseWriter, _ *http.Request) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	answer(w, http.StatusOK, p.calls)
+}
+
+// answer writes v as JSON. A caller that has gone needs no error.
+func answer(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(v)
+}
