--- /dev/null
+++ b/configurer/read.go
@@ -0,0 +1,117 @@
+package configurer
+
+import (
+	"errors"
+	"fmt"
+	"net/netip"
+	"os"
+	"reflect"
+	"strings"
+	"time"
+
+	"amaranthmill/internal/decoder"
+	"amaranthmill/internal/formatter"
+
+	"github.com/go-playground/validator/v10"
+	"github.com/rotisserie/eris"
+)
+
+// The defaults of the optional settings.
+const (
+	defaultPlatformTimeout = 2 * time.Second
+	defaultReadsPerSecond  = 20
+	defaultWritesPerSecond = 10
+	defaultBodySize        = 1 << 20
+	defaultStopNotice      = 2 * time.Second
+	defaultStopLimit       = time.Minute
+	defaultLogLevel        = "info"
+)
+
+// Read reads the settings file at path and fills in the defaults. It returns a
+// *decoder.DocumentError with everything that is wrong, or the error of reading the file.
+func Read(path string) (*Settings, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, eris.Wrap(err, "configurer: read settings")
+	}
+	return Parse(data)
+}
+
+// Parse reads settings from data as Read does from a file.
+func Parse(data []byte) (*Settings, error) {
+	var s Settings
+	if err := decoder.Decode(data, &s); err != nil {
+		return nil, err
+	}
+	if err := check(&s); err != nil {
+		return nil, err
+	}
+	s.setDefaults()
+	return &s, nil
+}
+
+func (s *Settings) setDefaults() {
+	orDefault(&s.Platform.Timeout, formatter.Duration(defaultPlatformTimeout))
+	orDefault(&s.Platform.ReadsPerSecond, defaultReadsPerSecond)
+	orDefault(&s.Platform.WritesPerSecond, defaultWritesPerSecond)
+	orDefault(&s.Limits.BodySize, defaultBodySize)
+	orDefault(&s.Limits.StopNotice, formatter.Duration(defaultStopNotice))
+	orDefault(&s.Limits.StopLimit, formatter.Duration(defaultStopLimit))
+	orDefault(&s.Log.Level, defaultLogLevel)
+}
+
+func orDefault[T comparable](v *T, value T) {
+	var zero T
+	if *v == zero {
+		*v = value
+	}
+}
+
+// check returns a *decoder.DocumentError with every field that breaks its rule.
+func check(s *Settings) error {
+	v := validator.New(validator.WithRequiredStructEnabled())
+	v.RegisterTagNameFunc(func(f reflect.StructField) string {
+		name, _, _ := strings.Cut(f.Tag.Get("json"), ",")
+		return name
+	})
+	v.RegisterCustomTypeFunc(func(f reflect.Value) any {
+		a, ok := f.Interface().(netip.AddrPort)
+		if !ok || !a.IsValid() {
+			return ""
+		}
+		return a.String()
+	}, netip.AddrPort{})
+	err := v.Struct(s)
+	var found validator.ValidationErrors
+	if !errors.As(err, &found) {
+		return err
+	}
+	out := &decoder.DocumentError{}
+	for _, f := range found {
+		_, path, _ := strings.Cut(f.Namespace(), ".")
+		out.Faults = append(out.Faults, decoder.Fault{Path: path, Mend: mend(f)})
+	}
+	return out
+}
+
+// mend says in words what a broken rule asks for.
+func mend(f validator.FieldError) string {
+	switch f.Tag() {
+	case "required":
+		return "is missing; give it a value"
+	case "oneof":
+		return fmt.Sprintf("is %q; write one of: %s", f.Value(), strings.ReplaceAll(f.Param(), " ", ", "))
+	case "base64":
+		return "is not base64; write the public key as `millctl keys signer` prints it"
+	case "hexadecimal", "len":
+		return "is not the hexadecimal SHA-256 of a token; write it as `millctl keys token` prints it"
+	case "unique":
+		return "has the same name twice; give each its own"
+	case "min":
+		return "is empty; list at least one"
+	case "gte":
+		return "is negative; write 0 for the default or more"
+	default:
+		return "breaks the rule " + f.Tag()
+	}
+}
