--- /dev/null
+++ b/server/index.go
@@ -0,0 +1,58 @@
+package server
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+
+	"amaranthmill/bundler"
+	"amaranthmill/internal/identifier"
+)
+
+// index finds the parts of one bundle by name.
+type index struct {
+	bundle   *bundler.Bundle
+	accounts map[string]*bundler.Account // by the digest of a bearer key
+	models   map[identifier.Service]*bundler.Model
+	services map[identifier.Service]*bundler.Service
+}
+
+// current returns the index of the bundle in force, or nil if there is none.
+func (s *Server) current() *index {
+	b := s.cfg.Bundle()
+	if b == nil {
+		return nil
+	}
+	if x := s.index.Load(); x != nil && x.bundle == b {
+		return x
+	}
+	x := newIndex(b)
+	s.index.Store(x)
+	return x
+}
+
+func newIndex(b *bundler.Bundle) *index {
+	x := &index{
+		bundle:   b,
+		accounts: map[string]*bundler.Account{},
+		models:   map[identifier.Service]*bundler.Model{},
+		services: map[identifier.Service]*bundler.Service{},
+	}
+	for i := range b.Accounts {
+		for _, digest := range b.Accounts[i].KeyDigests {
+			x.accounts[digest] = &b.Accounts[i]
+		}
+	}
+	for i := range b.Models {
+		x.models[b.Models[i].Name] = &b.Models[i]
+	}
+	for i := range b.Services {
+		x.services[b.Services[i].Name] = &b.Services[i]
+	}
+	return x
+}
+
+// account returns the client account of a bearer key, or nil. Keys are compared by digest.
+func (x *index) account(key string) *bundler.Account {
+	sum := sha256.Sum256([]byte(key))
+	return x.accounts[hex.EncodeToString(sum[:])]
+}
