--- /dev/null
+++ b/standin/cmd/standin/certificates.go
@@ -0,0 +1,30 @@
+package main
+
+import (
+	"fmt"
+	"strings"
+
+	"amaranthmill/standin/authority"
+)
+
+type certificatesCommand struct {
+	Dir     string   `long:"dir" required:"true" description:"folder for the files"`
+	Members []string `long:"member" required:"true" description:"failureDomain/instance; may be repeated"`
+}
+
+// Execute makes an authority and the certificates of the members.
+func (c *certificatesCommand) Execute([]string) error {
+	a, err := authority.New()
+	if err != nil {
+		return err
+	}
+	members := make([]authority.Member, 0, len(c.Members))
+	for _, m := range c.Members {
+		domain, instance, ok := strings.Cut(m, "/")
+		if !ok {
+			return fmt.Errorf("certificates: --member %q: write failureDomain/instance", m)
+		}
+		members = append(members, authority.Member{Instance: instance, FailureDomain: domain})
+	}
+	return a.Write(c.Dir, members)
+}
--- a/standin/cmd/standin/main.go
+++ b/standin/cmd/standin/main.go
@@ -21,6 +21,7 @@
 	add("engine", "Run a model engine", &engineCommand{logger: logger})
 	add("service", "Run a plain service", &serviceCommand{logger: logger})
 	add("load", "Send a load of streamed model requests and report on it", &loadCommand{})
+	add("certificates", "Make an authority and certificates of instances", &certificatesCommand{})
 	add("ports", "Print addresses of loopback with free ports", &portsCommand{})
 	if _, err := p.Parse(); err != nil {
 		var fe *flags.Error
