--- /dev/null
+++ b/linker/credentials.go
@@ -0,0 +1,173 @@
+package linker
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"errors"
+	"net/url"
+	"os"
+	"strings"
+	"sync/atomic"
+
+	"github.com/rotisserie/eris"
+
+	"amaranthmill/internal/identifier"
+)
+
+// uriScheme is the scheme of the URI in a certificate that names an instance, as in
+// mill://failure-domain/instance.
+const uriScheme = "mill"
+
+// CredentialsConfig says where the PEM texts of an instance are. Each is the path of a
+// file or the text itself, which begins with "-----BEGIN".
+type CredentialsConfig struct {
+	Certificate string
+	Key         string
+	Authorities string // the certificates of the authorities that sign peers' certificates
+}
+
+// Credentials are the certificate of an instance and the authorities that it believes.
+// Reload takes up renewed ones for the sessions that open afterwards. Credentials are
+// safe for concurrent use.
+type Credentials struct {
+	cfg     CredentialsConfig
+	current atomic.Pointer[material]
+}
+
+type material struct {
+	certificate tls.Certificate
+	authorities *x509.CertPool
+}
+
+// NewCredentials reads the texts that cfg names.
+func NewCredentials(cfg CredentialsConfig) (*Credentials, error) {
+	c := &Credentials{cfg: cfg}
+	return c, c.Reload()
+}
+
+// Reload reads the texts again. If any of them cannot be used, the former ones stay.
+func (c *Credentials) Reload() error {
+	certificate, err := readPEM(c.cfg.Certificate)
+	if err != nil {
+		return eris.Wrap(err, "linker: certificate")
+	}
+	key, err := readPEM(c.cfg.Key)
+	if err != nil {
+		return eris.Wrap(err, "linker: key")
+	}
+	authorities, err := readPEM(c.cfg.Authorities)
+	if err != nil {
+		return eris.Wrap(err, "linker: authorities")
+	}
+	pair, err := tls.X509KeyPair(certificate, key)
+	if err != nil {
+		return eris.Wrap(err, "linker: certificate and key")
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(authorities) {
+		return &CertificateError{Problem: "no certificate among the authorities"}
+	}
+	c.current.Store(&material{certificate: pair, authorities: pool})
+	return nil
+}
+
+// readPEM returns text itself if it is PEM, and else the file of that name.
+func readPEM(text string) ([]byte, error) {
+	if strings.HasPrefix(strings.TrimSpace(text), "-----BEGIN") {
+		return []byte(text), nil
+	}
+	return os.ReadFile(text)
+}
+
+// A CertificateError says why a certificate does not prove an instance.
+type CertificateError struct {
+	Problem string
+}
+
+// Error implements error.
+func (e *CertificateError) Error() string { return "linker: certificate: " + e.Problem }
+
+// serverConfig returns the settings of a listener. Each handshake uses the latest texts.
+func (c *Credentials) serverConfig() *tls.Config {
+	return &tls.Config{
+		MinVersion: tls.VersionTLS13,
+		GetConfigForClient: func(*tls.ClientHelloInfo) (*tls.Config, error) {
+			m := c.current.Load()
+			return &tls.Config{
+				MinVersion:             tls.VersionTLS13,
+				Certificates:           []tls.Certificate{m.certificate},
+				ClientAuth:             tls.RequireAndVerifyClientCert,
+				ClientCAs:              m.authorities,
+				SessionTicketsDisabled: true,
+			}, nil
+		},
+	}
+}
+
+// clientConfig returns the settings of one dialled connection. An instance has no DNS
+// name, so the chain is verified here and the name by the caller.
+func (c *Credentials) clientConfig() *tls.Config {
+	m := c.current.Load()
+	return &tls.Config{
+		MinVersion:         tls.VersionTLS13,
+		Certificates:       []tls.Certificate{m.certificate},
+		InsecureSkipVerify: true, // VerifyConnection verifies the chain without a DNS name.
+		VerifyConnection: func(state tls.ConnectionState) error {
+			return verifyChain(state, m.authorities)
+		},
+	}
+}
+
+func verifyChain(state tls.ConnectionState, authorities *x509.CertPool) error {
+	if len(state.PeerCertificates) == 0 {
+		return &CertificateError{Problem: "the peer sent none"}
+	}
+	intermediates := x509.NewCertPool()
+	for _, c := range state.PeerCertificates[1:] {
+		intermediates.AddCert(c)
+	}
+	_, err := state.PeerCertificates[0].Verify(x509.VerifyOptions{
+		Roots:         authorities,
+		Intermediates: intermediates,
+		KeyUsages:     []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth},
+	})
+	if err != nil {
+		return eris.Wrap(err, "linker: verify peer")
+	}
+	return nil
+}
+
+// identity is the instance that a certificate or a Hello names.
+type identity struct {
+	instance      identifier.Instance
+	failureDomain identifier.FailureDomain
+}
+
+// certifiedIdentity returns the instance that the peer's certificate names.
+func certifiedIdentity(state tls.ConnectionState) (identity, error) {
+	for _, uri := range state.PeerCertificates[0].URIs {
+		if uri.Scheme == uriScheme {
+			return identityFromURI(uri)
+		}
+	}
+	return identity{}, &CertificateError{Problem: "no " + uriScheme + " URI"}
+}
+
+func identityFromURI(uri *url.URL) (identity, error) {
+	name, found := strings.CutPrefix(uri.Path, "/")
+	if !found || name == "" || uri.Host == "" {
+		return identity{}, &CertificateError{Problem: "expected " + uriScheme + "://failure-domain/instance"}
+	}
+	return identity{
+		instance:      identifier.Instance(name),
+		failureDomain: identifier.FailureDomain(uri.Host),
+	}, nil
+}
+
+// isCertificate reports whether a handshake failed for a certificate, and not for the network.
+func isCertificate(err error) bool {
+	var own *CertificateError
+	var unknown x509.UnknownAuthorityError
+	var invalid x509.CertificateInvalidError
+	return errors.As(err, &own) || errors.As(err, &unknown) || errors.As(err, &invalid)
+}
