keeper: sessions of lost answers, outages and budgets

Before: the client had no test. A write whose answer was lost and whose value another writer had replaced was called a conflict without effect, seen by reading; it is unknown now, with the conflict as its cause. A lapsed lease, which the stand-in answers with the revision asked for, is told from a conflict. An open circuit no longer waits for the budget.

--- a/keeper/circuit.go
+++ b/keeper/circuit.go
@@ -20,16 +20,18 @@
 
 // allow reports whether a call may be sent at now. An open circuit lets one call through at a time.
 func (c *circuit) allow(now time.Time) bool {
-	if !c.open {
-		return true
-	}
-	if c.trial || now.Before(c.until) {
+	if c.blocked(now) {
 		return false
 	}
-	c.trial = true
+	c.trial = c.open
 	return true
 }
 
+// blocked reports whether no call may be sent at now.
+func (c *circuit) blocked(now time.Time) bool {
+	return c.open && (c.trial || now.Before(c.until))
+}
+
 // record notes how a call that was allowed ended, and reports whether the circuit opened or closed by it.
 func (c *circuit) record(now time.Time, ok bool, jitter float64) (changed bool) {
 	if ok {
--- a/keeper/client.go
+++ b/keeper/client.go
@@ -92,8 +92,11 @@
 	return answer{}, &UnknownError{Call: r.kind, Key: r.key, Cause: err}
 }
 
-// admit waits for the budget and asks the circuit.
+// admit waits for the budget and asks the circuit. Where that is open, it does not wait.
 func (c *Client) admit(ctx context.Context, r request) error {
+	if c.circuitBlocked() {
+		return &CircuitError{}
+	}
 	budget := c.reads
 	if r.write {
 		budget = c.writes
@@ -127,6 +130,13 @@
 	c.cfg.Logger.Warn().Str("call", r.kind).AnErr("cause", cause).Msg("keeper: circuit opened")
 }
 
+// circuitBlocked reports whether no call can be sent now.
+func (c *Client) circuitBlocked() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.circuit.blocked(c.cfg.Now())
+}
+
 // circuitOpen reports whether the circuit is open.
 func (c *Client) circuitOpen() bool {
 	c.mu.Lock()
@@ -216,12 +226,14 @@
 	return fmt.Sprintf("%016x%016x", c.random.Uint64(), c.random.Uint64())
 }
 
-// unexpected is the error of an answer whose status or body makes no sense for r.
+// unexpected is the error of an answer whose status or body makes no sense for r. A
+// status of 400 to 499 says that r was refused and had no effect.
 func unexpected(r request, a answer, err error) error {
 	if err == nil {
 		err = &StatusError{Status: a.status}
 	}
-	if r.write {
+	refused := a.status >= http.StatusBadRequest && a.status < http.StatusInternalServerError
+	if r.write && !refused {
 		return &UnknownError{Call: r.kind, Key: r.key, Cause: err}
 	}
 	return &UnavailableError{Call: r.kind, Cause: err}
--- a/keeper/entry.go
+++ b/keeper/entry.go
@@ -81,7 +81,9 @@
 
 // Create stores value under key if there is none. With a lease other than "", the key
 // goes when the lease lapses. Its errors are *ConflictError, *UnavailableError,
-// *UnknownError and, for a lapsed lease, *NotFoundError.
+// *UnknownError and, for a lapsed lease, *NotFoundError. An *UnknownError with a
+// *ConflictError as its cause says that another writer's value stands now, and that this write
+// may have stood before it.
 func (c *Client) Create(ctx context.Context, key string, value []byte, lease LeaseID) (Entry, error) {
 	return c.put(ctx, "create", key, 0, value, lease)
 }
@@ -122,6 +124,9 @@
 	if a.status == http.StatusOK {
 		return Entry{Key: key, Value: value, Revision: rev.Revision}, nil
 	}
+	if rev.Revision == revision && lease != "" {
+		return Entry{}, &NotFoundError{Key: string(lease)}
+	}
 	if !unsure {
 		return Entry{}, &ConflictError{Key: key, Revision: rev.Revision}
 	}
@@ -129,14 +134,16 @@
 }
 
 // readBack settles a write whose first answer was lost and whose repetition met a
-// conflict at revision: the conflict is either the write itself or another writer.
+// conflict at revision: the conflict is either the write itself or another writer. In
+// the second case the write may have taken effect before the other one replaced it.
 func (c *Client) readBack(ctx context.Context, r request, name string, revision uint64) (Entry, error) {
 	stored, err := c.get(ctx, r.key, revision)
 	if err != nil {
 		return Entry{}, &UnknownError{Call: r.kind, Key: r.key, Cause: err}
 	}
-	if stored, _ := open(stored.Value); stored != name {
-		return Entry{}, &ConflictError{Key: r.key, Revision: revision}
+	if writer, _ := open(stored.Value); writer != name {
+		conflict := &ConflictError{Key: r.key, Revision: stored.Revision}
+		return Entry{}, &UnknownError{Call: r.kind, Key: r.key, Cause: conflict}
 	}
 	return stored.entry(), nil
 }
--- /dev/null
+++ b/keeper/fake_test.go
@@ -0,0 +1,123 @@
+package keeper_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// fault is what happens to one call of the platform.
+type fault string
+
+const (
+	faultLose     fault = "lose"     // the answer is lost after the call took effect
+	faultReplaced fault = "replaced" // the same, and another writer then replaces the value
+	faultDrop     fault = "drop"     // the call is lost
+	faultLate     fault = "late"     // the call takes effect after the one that follows
+	faultDial     fault = "dial"     // no connection is made
+	faultDown     fault = "down"     // 503
+	faultSlow     fault = "slow"     // the call takes effect and the answer comes after 3 s
+	faultStale    fault = "stale"    // a read gives the value before the last write
+)
+
+type stored struct {
+	Key      string `json:"key"`
+	Value    []byte `json:"value"`
+	Revision uint64 `json:"revision"`
+}
+
+// platform is an http.RoundTripper that answers as the platform does, in memory. Each call takes the next of faults.
+type platform struct {
+	faults   []fault
+	entries  map[string]stored
+	before   map[string]stored // the value that the last write replaced
+	revision uint64
+	calls    []string
+	late     func()
+}
+
+func (p *platform) RoundTrip(r *http.Request) (*http.Response, error) {
+	p.calls = append(p.calls, r.Method)
+	f := fault("")
+	if len(p.faults) > 0 {
+		f, p.faults = p.faults[0], p.faults[1:]
+	}
+	late := p.late
+	p.late = nil
+	if late != nil {
+		defer late()
+	}
+	body := map[string]string{}
+	if r.Body != nil {
+		_ = json.NewDecoder(r.Body).Decode(&body)
+	}
+	switch f {
+	case faultDrop:
+		return nil, errors.New("connection reset")
+	case faultDial:
+		return nil, &net.OpError{Op: "dial", Err: errors.New("refused")}
+	case faultDown:
+		return response(http.StatusServiceUnavailable, nil), nil
+	case faultLate:
+		p.late = func() { p.apply(r, body) }
+		return nil, errors.New("timeout")
+	case faultStale:
+		return response(http.StatusOK, p.before[r.URL.Path]), nil
+	}
+	status, answer := p.apply(r, body)
+	switch f {
+	case faultLose, faultReplaced:
+		if f == faultReplaced {
+			p.write(r.URL.Path, []byte("theirs"))
+		}
+		return nil, errors.New("connection reset")
+	case faultSlow:
+		select {
+		case <-time.After(3 * time.Second):
+		case <-r.Context().Done():
+			return nil, r.Context().Err()
+		}
+	}
+	return response(status, answer), nil
+}
+
+func (p *platform) apply(r *http.Request, body map[string]string) (int, any) {
+	if strings.HasPrefix(r.URL.Path, "/leases") {
+		return http.StatusOK, map[string]string{"lease": "lease-1"}
+	}
+	e, ok := p.entries[r.URL.Path]
+	asked, _ := strconv.ParseUint(r.URL.Query().Get("revision"), 10, 64)
+	switch {
+	case !ok && (r.Method != http.MethodPut || asked != 0):
+		return http.StatusNotFound, struct{}{}
+	case r.Method == http.MethodGet:
+		return http.StatusOK, e
+	case asked != e.Revision || body["lease"] == "lapsed":
+		return http.StatusConflict, e
+	case r.Method == http.MethodDelete:
+		delete(p.entries, r.URL.Path)
+		return http.StatusOK, struct{}{}
+	}
+	var value []byte
+	text, _ := json.Marshal(body["value"])
+	_ = json.Unmarshal(text, &value)
+	return http.StatusOK, p.write(r.URL.Path, value)
+}
+
+func (p *platform) write(path string, value []byte) stored {
+	p.revision++
+	p.before[path] = p.entries[path]
+	p.entries[path] = stored{Key: strings.TrimPrefix(path, "/kv/"), Value: value, Revision: p.revision}
+	return p.entries[path]
+}
+
+func response(status int, v any) *http.Response {
+	text, _ := json.Marshal(v)
+	return &http.Response{StatusCode: status, Body: io.NopCloser(bytes.NewReader(text))}
+}
--- /dev/null
+++ b/keeper/session_test.go
@@ -0,0 +1,125 @@
+package keeper_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"net/netip"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"amaranthmill/internal/scripter"
+	"amaranthmill/keeper"
+)
+
+// session runs each paragraph of a script, which ends with the event "run", with a client
+// and a platform of its own under the synthetic clock.
+type session struct {
+	t      *testing.T
+	events []timed
+}
+
+type timed struct {
+	at time.Time
+	ev scripter.Event
+}
+
+func (s *session) Handle(now time.Time, ev scripter.Event) ([]string, error) {
+	if ev.Name != "run" {
+		s.events = append(s.events, timed{now, ev})
+		return nil, nil
+	}
+	var out []string
+	synctest.Test(s.t, func(*testing.T) { out = play(s.events) })
+	s.events = nil
+	return out, nil
+}
+
+func play(events []timed) []string {
+	p := &platform{entries: map[string]stored{}, before: map[string]stored{}}
+	c := keeper.New(keeper.Config{
+		Address: netip.MustParseAddrPort("10.0.0.1:80"),
+		HTTP:    &http.Client{Transport: p}, Random: rand.NewPCG(1, 2), WritesPerSecond: 1, Burst: 12,
+	})
+	start := time.Now()
+	var out []string
+	for _, e := range events {
+		time.Sleep(e.at.Sub(events[0].at) - time.Since(start))
+		if e.ev.Name == "faults" {
+			p.faults = nil
+			for _, f := range e.ev.List("next") {
+				p.faults = append(p.faults, fault(f))
+			}
+			continue
+		}
+		p.calls = nil
+		began := time.Now()
+		said := call(c, e.ev)
+		waited := time.Since(began).Round(time.Second)
+		out = append(out, fmt.Sprintf("%s %s: %s [%s] %s", e.ev.Name, e.ev.Str("key"), said, strings.Join(p.calls, " "), waited))
+	}
+	return out
+}
+
+func call(c *keeper.Client, ev scripter.Event) string {
+	ctx := context.Background()
+	if ev.Has("within") {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, ev.Duration("within"))
+		defer cancel()
+	}
+	var e keeper.Entry
+	var err error
+	key, value, revision := ev.Str("key"), []byte(ev.Str("value")), uint64(ev.Int("revision"))
+	switch ev.Name {
+	case "get":
+		e, err = c.Get(ctx, key)
+	case "create":
+		e, err = c.Create(ctx, key, value, keeper.LeaseID(ev.Str("lease")))
+	case "swap":
+		e, err = c.Swap(ctx, key, revision, value)
+	case "delete":
+		err = c.Delete(ctx, key, revision)
+	case "renew":
+		err = c.Renew(ctx, "lease-1")
+	default:
+		return "no such event"
+	}
+	if err != nil {
+		return outcome(err)
+	}
+	return fmt.Sprintf("ok value=%s revision=%d", e.Value, e.Revision)
+}
+
+func outcome(err error) string {
+	var (
+		notFound    *keeper.NotFoundError
+		conflict    *keeper.ConflictError
+		unavailable *keeper.UnavailableError
+		unknown     *keeper.UnknownError
+		circuit     *keeper.CircuitError
+	)
+	switch {
+	case errors.As(err, &unknown) && errors.As(err, &conflict):
+		return fmt.Sprintf("unknown, replaced at revision %d", conflict.Revision)
+	case errors.As(err, &unknown):
+		return "unknown"
+	case errors.As(err, &circuit):
+		return "unavailable, circuit open"
+	case errors.As(err, &unavailable):
+		return "unavailable"
+	case errors.As(err, &conflict):
+		return fmt.Sprintf("conflict at revision %d", conflict.Revision)
+	case errors.As(err, &notFound):
+		return "not found " + notFound.Key
+	}
+	return err.Error()
+}
+
+func TestSessions(t *testing.T) {
+	scripter.Run(t, "testdata/sessions", func(t *testing.T) scripter.Session { return &session{t: t} })
+}
