--- /dev/null
+++ b/administrator/handler.go
@@ -0,0 +1,196 @@
+package administrator
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"time"
+
+	"amaranthmill/bundler"
+	"amaranthmill/internal/identifier"
+	"amaranthmill/keeper"
+)
+
+// callTimeout bounds one call of the API.
+const callTimeout = 30 * time.Second
+
+// handler serves the API.
+type handler struct {
+	cfg       Config
+	operators map[string]Operator // by token digest
+}
+
+// Handler returns the API's handler. Its paths begin with /admin/v1/.
+func Handler(cfg Config) http.Handler {
+	h := &handler{cfg: cfg, operators: map[string]Operator{}}
+	for _, o := range cfg.Operators {
+		h.operators[o.TokenDigest] = o
+	}
+	mux := http.NewServeMux()
+	mux.Handle("POST /admin/v1/checks", h.call(RoleReader, h.check))
+	mux.Handle("GET /admin/v1/bundles", h.call(RoleReader, h.list))
+	mux.Handle("POST /admin/v1/bundles", h.call(RoleAuthor, h.propose))
+	mux.Handle("GET /admin/v1/bundles/{version}", h.call(RoleReader, h.show))
+	mux.Handle("PUT /admin/v1/bundles/{version}/signature", h.call(RoleSigner, h.sign))
+	mux.Handle("GET /admin/v1/status", h.call(RoleReader, h.status))
+	mux.Handle("GET /admin/v1/instances", h.call(RoleReader, h.instances))
+	mux.Handle("GET /admin/v1/groups", h.call(RoleReader, h.groups))
+	mux.Handle("GET /admin/v1/audit", h.call(RoleReader, h.auditEnd))
+	mux.Handle("GET /admin/v1/audit/{page}", h.call(RoleReader, h.auditPage))
+	return mux
+}
+
+// request is a call by an operator who may make it.
+type request struct {
+	*http.Request
+	operator Operator
+}
+
+// operation carries out a call and returns the status and the body to encode.
+type operation func(ctx context.Context, r request) (int, any, error)
+
+// call returns the handler of one operation for operators with a role.
+func (h *handler) call(role Role, op operation) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		ctx, cancel := context.WithTimeout(r.Context(), callTimeout)
+		defer cancel()
+		operator, err := h.authorise(r, role)
+		if err != nil {
+			h.fail(w, r, "", err)
+			return
+		}
+		r.Body = http.MaxBytesReader(w, r.Body, bundler.MaxDocumentSize)
+		status, body, err := op(ctx, request{Request: r, operator: operator})
+		if err != nil {
+			h.fail(w, r, operator.Name, err)
+			return
+		}
+		writeJSON(w, status, "application/json", body)
+	})
+}
+
+// authorise finds the operator by the bearer token's digest.
+func (h *handler) authorise(r *http.Request, role Role) (Operator, error) {
+	token, ok := bearer(r.Header.Get("Authorization"))
+	if !ok {
+		return Operator{}, &Problem{Status: http.StatusUnauthorized, Reason: "noToken", Detail: "send an operator's token as \"Authorization: Bearer ...\""}
+	}
+	o, ok := h.operators[bundler.DigestOf([]byte(token)).String()]
+	if !ok {
+		return Operator{}, &Problem{Status: http.StatusUnauthorized, Reason: "unknownToken", Detail: "the token is not one of the settings' operators"}
+	}
+	if role != RoleReader && !slices.Contains(o.Roles, role) {
+		return Operator{}, &Problem{Status: http.StatusForbidden, Reason: "missingRole", Detail: fmt.Sprintf("operator %q needs the role %q", o.Name, role)}
+	}
+	return o, nil
+}
+
+func (h *handler) check(ctx context.Context, r request) (int, any, error) {
+	content, err := body(r)
+	if err != nil {
+		return 0, nil, err
+	}
+	b, err := h.cfg.Registrar.Check(ctx, content)
+	if err != nil {
+		return 0, nil, err
+	}
+	return http.StatusOK, Checked{Version: b.Version, Digest: bundler.DigestOf(content).String()}, nil
+}
+
+func (h *handler) propose(ctx context.Context, r request) (int, any, error) {
+	content, err := body(r)
+	if err != nil {
+		return 0, nil, err
+	}
+	b, err := h.cfg.Registrar.Propose(ctx, r.operator.Name, content)
+	if err != nil {
+		return 0, nil, err
+	}
+	return http.StatusCreated, Checked{Version: b.Version, Digest: bundler.DigestOf(content).String()}, nil
+}
+
+func (h *handler) list(ctx context.Context, _ request) (int, any, error) {
+	proposals, err := h.cfg.Registrar.Proposals(ctx)
+	if err != nil {
+		return 0, nil, err
+	}
+	last, err := h.cfg.Trail.Last(ctx)
+	if err != nil {
+		return 0, nil, err
+	}
+	return http.StatusOK, listOf(h.cfg.Store.InForce(), proposals, last), nil
+}
+
+// show returns a bundle's exact bytes: of the version in force, an accepted or a proposed one.
+func (h *handler) show(ctx context.Context, r request) (int, any, error) {
+	if r.PathValue("version") == "current" {
+		d := h.cfg.Store.InForce()
+		if d == nil {
+			return 0, nil, &Problem{Status: http.StatusNotFound, Reason: "noBundle", Detail: "no bundle is in force on this instance"}
+		}
+		return http.StatusOK, contentOf(d), nil
+	}
+	v, err := pathVersion(r)
+	if err != nil {
+		return 0, nil, err
+	}
+	d, err := h.cfg.Registrar.Accepted(ctx, v)
+	if err == nil {
+		return http.StatusOK, contentOf(d), nil
+	}
+	if !errors.As(err, new(*bundler.MissingError)) {
+		return 0, nil, err
+	}
+	content, err := h.cfg.Registrar.Proposal(ctx, v)
+	if err != nil {
+		return 0, nil, err
+	}
+	return http.StatusOK, Content{Version: v, Digest: bundler.DigestOf(content).String(), Bytes: content}, nil
+}
+
+func (h *handler) sign(ctx context.Context, r request) (int, any, error) {
+	v, err := pathVersion(r)
+	if err != nil {
+		return 0, nil, err
+	}
+	content, err := body(r)
+	if err != nil {
+		return 0, nil, err
+	}
+	var wire signatureWire
+	if err := json.Unmarshal(content, &wire); err != nil {
+		return 0, nil, &Problem{Status: http.StatusBadRequest, Reason: "badBody", Detail: "want {\"signature\": base64 text}: " + err.Error()}
+	}
+	d, err := h.cfg.Registrar.SignOff(ctx, v, r.operator.Name, wire.Signature)
+	if err != nil {
+		return 0, nil, err
+	}
+	return http.StatusOK, Checked{Version: v, Digest: d.Digest.String()}, nil
+}
+
+func body(r request) ([]byte, error) {
+	content, err := io.ReadAll(r.Body)
+	if errors.As(err, new(*http.MaxBytesError)) {
+		return nil, &Problem{Status: http.StatusRequestEntityTooLarge, Reason: "tooLarge", Detail: fmt.Sprintf("the body exceeds %d bytes", bundler.MaxDocumentSize)}
+	}
+	if err != nil {
+		return nil, &Problem{Status: http.StatusBadRequest, Reason: "badBody", Detail: "the body was cut off"}
+	}
+	return content, nil
+}
+
+func pathVersion(r request) (identifier.BundleVersion, error) {
+	v, err := strconv.ParseUint(r.PathValue("version"), 10, 64)
+	if err != nil || v == 0 {
+		return 0, &Problem{Status: http.StatusBadRequest, Reason: "badVersion", Detail: fmt.Sprintf("%q is no version; want a number from 1 or \"current\"", r.PathValue("version"))}
+	}
+	return identifier.BundleVersion(v), nil
+}
+
+// missing reports whether err says that the platform has no such key.
+func missing(err error) bool { return errors.As(err, new(*keeper.NotFoundError)) }
--- /dev/null
+++ b/auditor/trail.go
@@ -0,0 +1,162 @@
+package auditor
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"amaranthmill/internal/identifier"
+	"amaranthmill/keeper"
+)
+
+// appendAttempts bounds the rounds of one append against concurrent appends.
+const appendAttempts = 20
+
+// Platform is the part of the platform's service that a Trail uses. keeper.Client is one.
+type Platform interface {
+	Get(ctx context.Context, key string) (keeper.Entry, error)
+	Create(ctx context.Context, key string, value []byte, lease keeper.LeaseID) (keeper.Entry, error)
+	Swap(ctx context.Context, key string, revision uint64, value []byte) (keeper.Entry, error)
+}
+
+// Config configures a Trail. Platform is required.
+type Config struct {
+	Platform Platform
+	Instance identifier.Instance // named in every entry
+	PageSize int                 // the size in bytes at which a page is full; default 64 KiB
+	Now      func() time.Time    // default time.Now
+}
+
+// Trail appends to and reads the audit trail. It is safe for concurrent use.
+type Trail struct {
+	cfg Config
+
+	mu   sync.Mutex
+	hint uint64 // a page that exists, or zero
+	seen Entry  // the newest entry seen
+}
+
+// New returns a Trail for cfg. It makes no call.
+func New(cfg Config) *Trail {
+	if cfg.PageSize <= 0 {
+		cfg.PageSize = maxPageSize
+	}
+	if cfg.Now == nil {
+		cfg.Now = time.Now
+	}
+	return &Trail{cfg: cfg}
+}
+
+// BusyError says that an append lost against others too often. It had no effect.
+type BusyError struct{ Attempts int }
+
+// Error returns the number of attempts.
+func (e *BusyError) Error() string {
+	return fmt.Sprintf("auditor: %d attempts to append met other writers", e.Attempts)
+}
+
+// Append adds r to the trail and returns its entry. A record whose ID stands in the last
+// two pages already is not added again. The time and the instance are filled in if they
+// are zero. The errors are *BusyError, *PageError, *keeper.UnavailableError and
+// *keeper.UnknownError; after the last one, an append of the same ID is safe.
+func (t *Trail) Append(ctx context.Context, r Record) (Entry, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if r.At.IsZero() {
+		r.At = t.cfg.Now()
+	}
+	if r.Instance == "" {
+		r.Instance = t.cfg.Instance
+	}
+	r = identified(r)
+	for range appendAttempts {
+		end, err := t.end(ctx)
+		if err != nil {
+			return Entry{}, eris.Wrap(err, "read the end of the audit trail")
+		}
+		if e, ok := end.find(r.ID); ok {
+			return e, nil
+		}
+		added, err := t.add(ctx, end, r)
+		if err == nil {
+			t.seen = added
+			return added, nil
+		}
+		var conflict *keeper.ConflictError
+		if !errors.As(err, &conflict) {
+			return Entry{}, eris.Wrap(err, "append to the audit trail")
+		}
+	}
+	return Entry{}, &BusyError{Attempts: appendAttempts}
+}
+
+// end is the end of the trail: its last page and the one before.
+type end struct {
+	before, page Page // the zero Page where there is none
+	revision     uint64
+}
+
+func (e end) find(id string) (Entry, bool) {
+	if found, ok := e.page.find(id); ok {
+		return found, true
+	}
+	return e.before.find(id)
+}
+
+// add writes r after the trail's end, behind a note of a rewound trail if there is need.
+func (t *Trail) add(ctx context.Context, at end, r Record) (Entry, error) {
+	last := at.page.last()
+	var added []Entry
+	if note, ok := t.rewound(at); ok {
+		added = append(added, chain(last, note))
+		last = added[0]
+	}
+	entry := chain(last, r)
+	added = append(added, entry)
+	value, err := json.Marshal(Page{Number: at.page.Number, Entries: append(at.page.Entries, added...)})
+	if err != nil {
+		return Entry{}, err
+	}
+	if at.page.Number > 0 && len(value) <= t.cfg.PageSize {
+		_, err = t.cfg.Platform.Swap(ctx, pageKey(at.page.Number), at.revision, value)
+		return entry, err
+	}
+	next := Page{Number: at.page.Number + 1, Entries: added}
+	if value, err = json.Marshal(next); err != nil {
+		return Entry{}, err
+	}
+	_, err = t.cfg.Platform.Create(ctx, pageKey(next.Number), value, "")
+	return entry, err
+}
+
+// rewound returns the note to be kept if the trail lacks the newest entry seen.
+func (t *Trail) rewound(at end) (Record, bool) {
+	if t.seen.Sequence == 0 {
+		return Record{}, false
+	}
+	last := at.page.last()
+	if last.Sequence >= t.seen.Sequence && t.holdsSeen(at) {
+		return Record{}, false
+	}
+	return identified(Record{
+		At: t.cfg.Now(), Actor: string(t.cfg.Instance), Instance: t.cfg.Instance, Action: ActionRewound,
+		Detail: fmt.Sprintf("this instance saw entry %d with hash %s, which the trail lacks", t.seen.Sequence, t.seen.Hash),
+	}), true
+}
+
+// holdsSeen reports whether the newest entry seen is in the end, or before it.
+func (t *Trail) holdsSeen(at end) bool {
+	for _, p := range []Page{at.before, at.page} {
+		for _, e := range p.Entries {
+			if e.Sequence == t.seen.Sequence {
+				return e.Hash == t.seen.Hash
+			}
+		}
+	}
+	return true
+}
--- a/bundler/bundle.go
+++ b/bundler/bundle.go
@@ -9,6 +9,7 @@
 // priority. It never changes under its version. In JSON its names are camel case.
 type Bundle struct {
 	Version  identifier.BundleVersion `json:"version"`
+	Previous identifier.BundleVersion `json:"previous,omitempty"` // the version that it was made from; zero for the first
 	Author   string                   `json:"author"`
 	Note     string                   `json:"note,omitempty"`
 	Pools    []Pool                   `json:"pools"`
--- /dev/null
+++ b/bundler/core.go
@@ -0,0 +1,171 @@
+package bundler
+
+import (
+	"bytes"
+	"math/rand/v2"
+	"time"
+
+	"amaranthmill/internal/identifier"
+)
+
+// Core decides which bundle is in force on one instance. It applies only signed
+// documents of a higher version than the one in force, whoever offers them, so the
+// version in force never goes down while the process lives. A Core is not safe for
+// concurrent use.
+type Core struct {
+	signers  Signers
+	jitter   *rand.Rand
+	current  *Document
+	platform platformState
+	sent     map[identifier.Instance]sending
+	alarmed  string // the last alarm's text
+}
+
+// platformState is what the platform holds that has to be restored.
+type platformState struct {
+	behind    bool
+	revision  uint64
+	version   identifier.BundleVersion
+	restoreAt time.Time
+}
+
+// sending is the last document that a peer was sent.
+type sending struct {
+	version identifier.BundleVersion
+	at      time.Time
+}
+
+// NewCore returns a Core without a bundle. The source spreads the instances' writes in
+// time; it must not be shared.
+func NewCore(signers Signers, source rand.Source) *Core {
+	return &Core{signers: signers, jitter: rand.New(source), sent: map[identifier.Instance]sending{}}
+}
+
+// Current returns the document in force, or nil.
+func (c *Core) Current() *Document { return c.current }
+
+// Step applies e at now and returns what is to be done, in order.
+func (c *Core) Step(now time.Time, e Event) []Action {
+	switch e := e.(type) {
+	case Offered:
+		return c.offered(e)
+	case PlatformRead:
+		return c.platformRead(now, e)
+	case PeerSeen:
+		return c.peerSeen(now, e)
+	case Ticked:
+		return c.ticked(now)
+	}
+	return nil
+}
+
+func (c *Core) offered(e Offered) []Action {
+	if c.isCurrent(e.Document) {
+		return nil
+	}
+	d, err := c.accept(e.Document)
+	if err != nil {
+		return c.refuse(e.From, err)
+	}
+	return c.apply(d)
+}
+
+func (c *Core) platformRead(now time.Time, e PlatformRead) []Action {
+	c.platform = platformState{}
+	if c.isCurrent(e.Document) {
+		return nil
+	}
+	if e.Document == nil {
+		c.planRestore(now, e.Revision, 0)
+		return nil
+	}
+	d, err := c.accept(e.Document)
+	if err == nil {
+		return c.apply(d)
+	}
+	if outdated, ok := err.(*OutdatedError); ok {
+		c.planRestore(now, e.Revision, outdated.Offered)
+	}
+	return c.refuse("", err)
+}
+
+// planRestore has the platform's value rewritten if a bundle is in force here. Each
+// instance waits for a time of its own, so that most find it done by another. A value
+// that this instance cannot verify is left alone: a signer may be missing in its settings.
+func (c *Core) planRestore(now time.Time, revision uint64, was identifier.BundleVersion) {
+	if c.current == nil {
+		return
+	}
+	wait := time.Duration(c.jitter.Int64N(int64(restoreSpread)))
+	c.platform = platformState{behind: true, revision: revision, version: was, restoreAt: now.Add(wait)}
+}
+
+func (c *Core) ticked(now time.Time) []Action {
+	for peer, s := range c.sent {
+		if now.Sub(s.at) > peerKept {
+			delete(c.sent, peer)
+		}
+	}
+	if !c.platform.behind || now.Before(c.platform.restoreAt) {
+		return nil
+	}
+	a := Restore{Revision: c.platform.revision, Was: c.platform.version, Document: c.current}
+	c.platform.restoreAt = now.Add(restoreSpread)
+	return []Action{a}
+}
+
+func (c *Core) peerSeen(now time.Time, e PeerSeen) []Action {
+	if c.current == nil || e.Version >= c.current.Bundle.Version {
+		delete(c.sent, e.Peer)
+		return nil
+	}
+	last, ok := c.sent[e.Peer]
+	if ok && last.version == c.current.Bundle.Version && now.Sub(last.at) < resendAfter {
+		return nil
+	}
+	c.sent[e.Peer] = sending{version: c.current.Bundle.Version, at: now}
+	return []Action{Send{To: e.Peer, Document: c.current}}
+}
+
+func (c *Core) isCurrent(encoded []byte) bool {
+	return c.current != nil && bytes.Equal(encoded, c.current.Encoded)
+}
+
+// accept opens a document and returns it if it is above the one in force. The error is
+// an *OutdatedError only for a document whose sign-off counts.
+func (c *Core) accept(encoded []byte) (*Document, error) {
+	d, err := c.signers.Open(encoded)
+	if err != nil {
+		return nil, err
+	}
+	if c.current == nil || d.Bundle.Version > c.current.Bundle.Version {
+		return d, nil
+	}
+	inForce := c.current.Bundle.Version
+	if d.Bundle.Version == inForce && d.Digest != c.current.Digest {
+		return nil, &ReusedVersionError{Version: inForce, Offered: d.Digest, Known: c.current.Digest}
+	}
+	if d.Bundle.Version < inForce {
+		return nil, &OutdatedError{Offered: d.Bundle.Version, InForce: inForce}
+	}
+	return nil, nil
+}
+
+func (c *Core) apply(d *Document) []Action {
+	if d == nil {
+		return nil
+	}
+	c.current = d
+	c.alarmed = ""
+	return []Action{Apply{Document: d}}
+}
+
+// refuse reports err. An outdated offer of a peer is ordinary: it is behind and will be sent the newer one.
+func (c *Core) refuse(from identifier.Instance, err error) []Action {
+	_, outdated := err.(*OutdatedError)
+	alarm := (!outdated || from == "") && err.Error() != c.alarmed
+	if alarm {
+		c.alarmed = err.Error()
+	}
+	return []Action{Refuse{From: from, Err: err, Alarm: alarm}}
+}
--- /dev/null
+++ b/bundler/registrar.go
@@ -0,0 +1,144 @@
+package bundler
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"strconv"
+
+	"github.com/rotisserie/eris"
+	"github.com/rs/zerolog"
+
+	"amaranthmill/auditor"
+	"amaranthmill/internal/identifier"
+	"amaranthmill/keeper"
+)
+
+const (
+	proposalPrefix = "bundles/proposals/"
+	versionPrefix  = "bundles/versions/"
+)
+
+// Recorder keeps the changes. auditor.Trail is one.
+type Recorder interface {
+	Append(ctx context.Context, r auditor.Record) (auditor.Entry, error)
+}
+
+// RegistrarConfig configures a Registrar. All fields but Logger are required.
+type RegistrarConfig struct {
+	Signers   Signers
+	Platform  Platform
+	Store     *Store // of this instance; a bundle that is accepted here is applied here at once
+	Trail     Recorder
+	Inventory func(ctx context.Context) (*Inventory, error) // what the fleet has, for validation
+	Logger    zerolog.Logger
+}
+
+// Registrar stores proposals and accepts bundles that were signed off. Any number of
+// them may work against the same platform. It is safe for concurrent use.
+type Registrar struct{ cfg RegistrarConfig }
+
+// NewRegistrar returns a Registrar for cfg.
+func NewRegistrar(cfg RegistrarConfig) *Registrar { return &Registrar{cfg: cfg} }
+
+// Check validates a bundle against what the fleet has and stores nothing. Its errors are
+// *InvalidError and those of the platform.
+func (r *Registrar) Check(ctx context.Context, content []byte) (*Bundle, error) {
+	inv, err := r.cfg.Inventory(ctx)
+	if err != nil {
+		return nil, eris.Wrap(err, "read the fleet")
+	}
+	return Check(content, inv)
+}
+
+// Propose checks a bundle and stores it for sign-off. Proposing the same content again is
+// no error. Its errors are *InvalidError, *ConflictError, *ReusedVersionError and those
+// of the platform.
+func (r *Registrar) Propose(ctx context.Context, actor string, content []byte) (*Bundle, error) {
+	b, err := r.Check(ctx, content)
+	if err != nil {
+		return nil, err
+	}
+	if b.Author != actor {
+		return nil, &InvalidError{Problems: []Problem{{Path: "author", Message: fmt.Sprintf("is %q; set it to your own name, %q", b.Author, actor)}}}
+	}
+	at, err := r.base(ctx)
+	if err != nil {
+		return nil, err
+	}
+	if err := follows(b, at.document); err != nil {
+		return nil, err
+	}
+	if err := r.createProposal(ctx, b.Version, content); err != nil {
+		return nil, err
+	}
+	_, err = r.cfg.Trail.Append(ctx, auditor.Record{
+		ID: recordID(auditor.ActionProposed, b.Version, DigestOf(content)), Actor: actor, Action: auditor.ActionProposed,
+		From: b.Previous, To: b.Version, Digest: DigestOf(content).String(), Detail: b.Note,
+	})
+	return b, eris.Wrap(err, "record the proposal")
+}
+
+// Proposal returns the exact bytes of a proposed bundle. Its errors are *MissingError and
+// those of the platform.
+func (r *Registrar) Proposal(ctx context.Context, v identifier.BundleVersion) ([]byte, error) {
+	entry, err := r.cfg.Platform.Get(ctx, proposalKey(v))
+	var missing *keeper.NotFoundError
+	if errors.As(err, &missing) {
+		return nil, &MissingError{Version: v}
+	}
+	return entry.Value, eris.Wrap(err, "read the proposal")
+}
+
+// Accepted returns the signed document of an accepted version. Its errors are
+// *MissingError, those of the platform and those of Signers.Open.
+func (r *Registrar) Accepted(ctx context.Context, v identifier.BundleVersion) (*Document, error) {
+	if d := r.cfg.Store.InForce(); d != nil && d.Bundle.Version == v {
+		return d, nil
+	}
+	at, err := r.base(ctx)
+	if err != nil {
+		return nil, err
+	}
+	if at.document != nil && at.document.Bundle.Version == v {
+		return at.document, nil
+	}
+	entry, err := r.cfg.Platform.Get(ctx, versionKey(v))
+	var missing *keeper.NotFoundError
+	if errors.As(err, &missing) {
+		return nil, &MissingError{Version: v}
+	}
+	if err != nil {
+		return nil, eris.Wrap(err, "read the version")
+	}
+	return r.cfg.Signers.Open(entry.Value)
+}
+
+// Proposals returns the proposed bundles that may still be signed off, in rising
+// versions. Its errors are those of the platform.
+func (r *Registrar) Proposals(ctx context.Context) ([]*Bundle, error) {
+	entries, err := r.cfg.Platform.List(ctx, proposalPrefix)
+	if err != nil {
+		return nil, eris.Wrap(err, "list the proposals")
+	}
+	inForce, _ := r.cfg.Store.Document()
+	var proposals []*Bundle
+	for _, e := range entries {
+		b, err := Parse(e.Value)
+		if err == nil && b.Version > inForce {
+			proposals = append(proposals, b)
+		}
+	}
+	slices.SortFunc(proposals, func(a, b *Bundle) int { return cmp.Compare(a.Version, b.Version) })
+	return proposals, nil
+}
+
+func proposalKey(v identifier.BundleVersion) string { return proposalPrefix + versionText(v) }
+func versionKey(v identifier.BundleVersion) string  { return versionPrefix + versionText(v) }
+func versionText(v identifier.BundleVersion) string { return strconv.FormatUint(uint64(v), 10) }
+
+func recordID(action string, v identifier.BundleVersion, d Digest) string {
+	return fmt.Sprintf("%s/%d/%s", action, v, d.String()[:16])
+}
--- /dev/null
+++ b/bundler/signoff.go
@@ -0,0 +1,283 @@
+package bundler
+
+import (
+	"context"
+	"errors"
+
+	"github.com/rotisserie/eris"
+
+	"amaranthmill/auditor"
+	"amaranthmill/internal/identifier"
+	"amaranthmill/keeper"
+)
+
+const (
+	// keptVersions is how many accepted versions stay readable behind the one in force.
+	keptVersions = 500
+	// keptProposals is how many versions' proposals stay readable up to the one in force,
+	// so that whoever signs one that lost is told which version won.
+	keptProposals = 20
+	// prunedAtOnce bounds the deletions that one acceptance makes.
+	prunedAtOnce = 10
+	// signOffRounds bounds the rounds of one acceptance against concurrent writers.
+	signOffRounds = 10
+)
+
+// currentState is what a new bundle has to follow.
+type currentState struct {
+	document *Document // the highest known to be in force; nil if there is none
+	revision uint64    // of the platform's value; zero if it is absent
+}
+
+// SignOff accepts a proposed bundle: if the signature counts and the bundle was made from
+// the version in force, it becomes the platform's current one. Signing off again what is
+// accepted is no error, so a caller without an answer asks again. Its errors are
+// *MissingError, *InvalidError, *SignOffError, *ConflictError, *ReusedVersionError,
+// *UnsettledError and those of the platform, after which nothing was accepted.
+func (r *Registrar) SignOff(ctx context.Context, v identifier.BundleVersion, signer string, signature []byte) (*Document, error) {
+	d, err := r.signed(ctx, v, signer, signature)
+	if err != nil {
+		return nil, err
+	}
+	from, err := r.accept(ctx, d)
+	if err != nil {
+		return nil, err
+	}
+	if err := r.cfg.Store.Offer(d.Encoded); err != nil {
+		r.cfg.Logger.Warn().Err(err).Msg("bundler: accepted bundle not applied here")
+	}
+	r.record(ctx, auditor.ActionAccepted, d, from)
+	r.prune(ctx, d.Bundle)
+	return d, nil
+}
+
+// signed builds and verifies the signed document of a proposal.
+func (r *Registrar) signed(ctx context.Context, v identifier.BundleVersion, signer string, signature []byte) (*Document, error) {
+	content, err := r.content(ctx, v)
+	if err != nil {
+		return nil, err
+	}
+	encoded, err := EncodeDocument(content, signer, signature)
+	if err != nil {
+		return nil, eris.Wrap(err, "encode the document")
+	}
+	d, err := r.cfg.Signers.Open(encoded)
+	if err != nil {
+		return nil, err
+	}
+	_, err = r.Check(ctx, content)
+	return d, err
+}
+
+// content returns the bytes of a proposal, or of an accepted version whose proposal is
+// gone. A proposal that lost against a later version is gone too, which is a conflict.
+func (r *Registrar) content(ctx context.Context, v identifier.BundleVersion) ([]byte, error) {
+	content, err := r.Proposal(ctx, v)
+	if !errors.As(err, new(*MissingError)) {
+		return content, err
+	}
+	d, err := r.Accepted(ctx, v)
+	if err == nil {
+		return d.Content, nil
+	}
+	at, baseErr := r.base(ctx)
+	if errors.As(err, new(*MissingError)) && baseErr == nil && at.document != nil && at.document.Bundle.Version > v {
+		return nil, &ConflictError{Version: v, InForce: at.document.Bundle.Version, Signer: at.document.Signer}
+	}
+	return nil, err
+}
+
+// accept makes d the current document and returns the version that it followed. Once a
+// write has an unknown outcome, it reads back until the outcome is known or ctx ends.
+func (r *Registrar) accept(ctx context.Context, d *Document) (identifier.BundleVersion, error) {
+	var unknown error
+	for range signOffRounds {
+		done, err := r.acceptOnce(ctx, d)
+		if err == nil && done {
+			return d.Bundle.Previous, nil
+		}
+		var unavailable *keeper.UnavailableError
+		switch {
+		case err == nil: // another write came between
+		case errors.As(err, new(*keeper.UnknownError)):
+			unknown = err
+		case unknown != nil && errors.As(err, &unavailable):
+		default:
+			return 0, err
+		}
+		if ctx.Err() != nil {
+			break
+		}
+		if err != nil {
+			pause(ctx, readAgain)
+		}
+	}
+	if unknown == nil {
+		unknown = &auditor.BusyError{Attempts: signOffRounds}
+	}
+	return 0, &UnsettledError{Version: d.Bundle.Version, Cause: unknown}
+}
+
+// acceptOnce tries the compare-and-swap once. It returns false without an error if the
+// platform's value changed in between.
+func (r *Registrar) acceptOnce(ctx context.Context, d *Document) (bool, error) {
+	at, err := r.base(ctx)
+	if err != nil {
+		return false, err
+	}
+	if was, err := r.acceptedBefore(ctx, d, at); was || err != nil {
+		return was, err
+	}
+	if err := follows(d.Bundle, at.document); err != nil {
+		return false, err
+	}
+	if err := r.archive(ctx, at.document); err != nil {
+		return false, err
+	}
+	if _, err := r.cfg.Trail.Append(ctx, r.entry(auditor.ActionSigned, d, d.Bundle.Previous)); err != nil {
+		return false, eris.Wrap(notDone(err), "record the sign-off")
+	}
+	if at.revision == 0 {
+		_, err = r.cfg.Platform.Create(ctx, CurrentKey, d.Encoded, "")
+	} else {
+		_, err = r.cfg.Platform.Swap(ctx, CurrentKey, at.revision, d.Encoded)
+	}
+	if errors.As(err, new(*keeper.ConflictError)) {
+		return false, nil
+	}
+	return err == nil, eris.Wrap(err, "write the current bundle")
+}
+
+// base reads what is in force: the higher of the platform's document and this
+// instance's. A platform's document that cannot be verified counts for its revision only.
+func (r *Registrar) base(ctx context.Context) (currentState, error) {
+	at := currentState{document: r.cfg.Store.InForce()}
+	entry, err := r.cfg.Platform.Get(ctx, CurrentKey)
+	if errors.As(err, new(*keeper.NotFoundError)) {
+		return at, nil
+	}
+	if err != nil {
+		return at, eris.Wrap(err, "read the current bundle")
+	}
+	at.revision = entry.Revision
+	d, err := r.cfg.Signers.Open(entry.Value)
+	if err != nil {
+		r.cfg.Logger.Error().Err(err).Msg("bundler: current bundle of the platform does not count")
+		return at, nil
+	}
+	if at.document == nil || d.Bundle.Version > at.document.Bundle.Version {
+		at.document = d
+	}
+	return at, nil
+}
+
+// acceptedBefore reports whether d's content is in force, or was and has been archived
+// when a later one replaced it.
+func (r *Registrar) acceptedBefore(ctx context.Context, d *Document, at currentState) (bool, error) {
+	if at.document == nil || d.Bundle.Version > at.document.Bundle.Version {
+		return false, nil
+	}
+	if d.Bundle.Version == at.document.Bundle.Version {
+		return d.Digest == at.document.Digest, nil
+	}
+	entry, err := r.cfg.Platform.Get(ctx, versionKey(d.Bundle.Version))
+	if errors.As(err, new(*keeper.NotFoundError)) {
+		return false, nil
+	}
+	if err != nil {
+		return false, eris.Wrap(err, "read the archived version")
+	}
+	archived, err := r.cfg.Signers.Open(entry.Value)
+	return err == nil && archived.Digest == d.Digest, nil
+}
+
+// archive stores the document that is about to be replaced under its version, so that
+// every accepted version can be read later, and one that never was cannot.
+func (r *Registrar) archive(ctx context.Context, d *Document) error {
+	if d == nil {
+		return nil
+	}
+	_, err := r.cfg.Platform.Create(ctx, versionKey(d.Bundle.Version), d.Encoded, "")
+	if errors.As(err, new(*keeper.ConflictError)) {
+		return nil
+	}
+	return eris.Wrap(notDone(err), "archive the bundle in force")
+}
+
+// createProposal stores content under its version once. The same content again is no error.
+func (r *Registrar) createProposal(ctx context.Context, v identifier.BundleVersion, content []byte) error {
+	_, err := r.cfg.Platform.Create(ctx, proposalKey(v), content, "")
+	if !errors.As(err, new(*keeper.ConflictError)) {
+		return eris.Wrap(err, "store the proposal")
+	}
+	known, err := r.Proposal(ctx, v)
+	if err != nil {
+		return err
+	}
+	if DigestOf(known) != DigestOf(content) {
+		return &ReusedVersionError{Version: v, Offered: DigestOf(content), Known: DigestOf(known)}
+	}
+	return nil
+}
+
+// entry returns the trail's record of an action on d.
+func (r *Registrar) entry(action string, d *Document, from identifier.BundleVersion) auditor.Record {
+	return auditor.Record{
+		ID: recordID(action, d.Bundle.Version, d.Digest), Actor: d.Signer, Action: action,
+		From: from, To: d.Bundle.Version, Digest: d.Digest.String(), Detail: d.Bundle.Note,
+	}
+}
+
+// record appends to the trail what is done already. Its sign-off stands there before it,
+// so that a failure here hides no change.
+func (r *Registrar) record(ctx context.Context, action string, d *Document, from identifier.BundleVersion) {
+	if _, err := r.cfg.Trail.Append(ctx, r.entry(action, d, from)); err != nil {
+		r.cfg.Logger.Error().Err(err).Str("action", action).Uint64("version", uint64(d.Bundle.Version)).Msg("bundler: not recorded in the audit trail")
+	}
+}
+
+// prune deletes the proposals and versions that are no longer kept. What it fails to
+// delete costs room only.
+func (r *Registrar) prune(ctx context.Context, b *Bundle) {
+	first := max(b.Previous+1, b.Version-min(b.Version, prunedAtOnce)+1)
+	for v := first; v <= b.Version; v++ {
+		if v > keptProposals {
+			r.remove(ctx, proposalKey(v-keptProposals))
+		}
+		if v > keptVersions {
+			r.remove(ctx, versionKey(v-keptVersions))
+		}
+	}
+}
+
+func (r *Registrar) remove(ctx context.Context, key string) {
+	entry, err := r.cfg.Platform.Get(ctx, key)
+	if err != nil {
+		return
+	}
+	if err := r.cfg.Platform.Delete(ctx, key, entry.Revision); err != nil {
+		r.cfg.Logger.Warn().Err(err).Str("key", key).Msg("bundler: key not deleted")
+	}
+}
+
+// follows checks that b was made from the document in force and is numbered above it.
+func follows(b *Bundle, inForce *Document) error {
+	var version identifier.BundleVersion
+	var signer string
+	if inForce != nil {
+		version, signer = inForce.Bundle.Version, inForce.Signer
+	}
+	if b.Version > version && b.Previous == version {
+		return nil
+	}
+	return &ConflictError{Version: b.Version, Previous: b.Previous, InForce: version, Signer: signer}
+}
+
+// notDone turns the unknown outcome of a write that a repetition finds done into "not
+// accepted": only the write of the current bundle accepts it.
+func notDone(err error) error {
+	if unknown := (*keeper.UnknownError)(nil); errors.As(err, &unknown) {
+		return &keeper.UnavailableError{Call: unknown.Call, Cause: unknown}
+	}
+	return err
+}
--- /dev/null
+++ b/bundler/validate.go
@@ -0,0 +1,107 @@
+package bundler
+
+import (
+	"fmt"
+	"regexp"
+	"time"
+
+	"amaranthmill/internal/formatter"
+)
+
+// The limits of a bundle's values.
+const (
+	maxGroupSize         = 64
+	maxGroupCount        = 10_000
+	maxPoolPriority      = 100
+	maxAccountPriority   = 9
+	maxRequestsPerSecond = 1_000_000
+	maxBurst             = 1_000_000
+	maxDeadline          = time.Hour
+	maxWeight            = 1_000_000
+)
+
+var (
+	namePattern      = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$`)
+	modelNamePattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._:/-]{0,127}$`)
+	digestPattern    = regexp.MustCompile(`^[0-9a-f]{64}$`)
+)
+
+const (
+	nameRule      = "want 1 to 64 letters, digits, dots, underscores or hyphens, beginning with a letter or digit"
+	modelNameRule = "want 1 to 128 letters, digits or any of . _ : / -, beginning with a letter or digit"
+)
+
+// validator collects the faults of one bundle in the order of its fields.
+type validator struct {
+	bundle    *Bundle
+	inventory *Inventory
+	problems  []Problem
+}
+
+// Validate returns every fault of b's meaning in the order of its fields, or nil. With an
+// inventory it also finds pools that fit no fabric domain.
+func Validate(b *Bundle, inv *Inventory) []Problem {
+	v := &validator{bundle: b, inventory: inv}
+	v.head()
+	v.pools()
+	v.models()
+	v.services()
+	v.accounts()
+	v.weight("repair.groupDowntime", b.Repair.GroupDowntime)
+	v.weight("repair.strandedAccelerators", b.Repair.StrandedAccelerators)
+	return v.problems
+}
+
+func (v *validator) add(path, format string, args ...any) {
+	v.problems = append(v.problems, Problem{Path: path, Message: fmt.Sprintf(format, args...)})
+}
+
+func (v *validator) head() {
+	b := v.bundle
+	if b.Version == 0 {
+		v.add("version", "is missing; set it above the version in force")
+	}
+	if b.Version != 0 && b.Previous >= b.Version {
+		v.add("previous", "is %d, not below version %d; set it to the version that this bundle was made from", b.Previous, b.Version)
+	}
+	v.name("author", b.Author)
+}
+
+func (v *validator) name(path, name string) {
+	if !namePattern.MatchString(name) {
+		v.add(path, "is %q; %s", name, nameRule)
+	}
+}
+
+func (v *validator) modelName(path, name string) {
+	if !modelNamePattern.MatchString(name) {
+		v.add(path, "is %q; %s", name, modelNameRule)
+	}
+}
+
+func (v *validator) between(path string, value, low, high int) {
+	if value < low || value > high {
+		v.add(path, "is %d; want %d to %d", value, low, high)
+	}
+}
+
+func (v *validator) deadline(path string, d formatter.Duration) {
+	if d.Std() <= 0 || d.Std() > maxDeadline {
+		v.add(path, "is %s; want more than 0s and at most %s", d, formatter.Duration(maxDeadline))
+	}
+}
+
+func (v *validator) weight(path string, value float64) {
+	if !(value >= 0 && value <= maxWeight) {
+		v.add(path, "is %v; want 0 to %d", value, maxWeight)
+	}
+}
+
+// firstUse notes the place of name in seen, and adds a fault if it has a place already.
+func (v *validator) firstUse(seen map[string]string, path, name string) {
+	if first, ok := seen[name]; ok {
+		v.add(path, "repeats %q of %s; choose another", name, first)
+		return
+	}
+	seen[name] = path
+}
--- /dev/null
+++ b/cmd/millctl/audit.go
@@ -0,0 +1,98 @@
+package main
+
+import (
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"amaranthmill/administrator"
+	"amaranthmill/auditor"
+)
+
+// auditCommand reads and verifies the audit trail.
+type auditCommand struct {
+	app    *app
+	Page   uint64   `long:"page" value-name:"N" description:"print this page; default: the last"`
+	Verify bool     `long:"verify" description:"read and check the whole trail"`
+	Anchor []string `long:"anchor" value-name:"SEQUENCE:HASH" description:"an anchor printed by an earlier --verify, which the trail has to contain; may be repeated"`
+}
+
+// Execute carries the command out.
+func (c *auditCommand) Execute([]string) error {
+	client, err := c.app.client()
+	if err != nil {
+		return err
+	}
+	if c.Verify || len(c.Anchor) > 0 {
+		return c.verify(client)
+	}
+	p, err := client.AuditPage(c.app.ctx, c.Page)
+	if err != nil {
+		return err
+	}
+	return c.app.show(p, func() { c.app.printTrail(p) })
+}
+
+// verified is the result of a verification in JSON.
+type verified struct {
+	Entries uint64          `json:"entries"`
+	Anchor  auditor.Anchor  `json:"anchor"`
+	Faults  []auditor.Fault `json:"faults"`
+}
+
+func (c *auditCommand) verify(client *administrator.Client) error {
+	v := &auditor.Verifier{Faults: []auditor.Fault{}}
+	for _, text := range c.Anchor {
+		anchor, err := parseAnchor(text)
+		if err != nil {
+			return err
+		}
+		v.Anchors = append(v.Anchors, anchor)
+	}
+	for number := uint64(1); ; number++ {
+		p, err := client.AuditPage(c.app.ctx, number)
+		if problem := problemIn(err); problem != nil && problem.Status == http.StatusNotFound {
+			break
+		}
+		if err != nil {
+			return err
+		}
+		v.Add(p)
+	}
+	return c.conclude(v)
+}
+
+// conclude prints the result and returns the faults as an error.
+func (c *auditCommand) conclude(v *auditor.Verifier) error {
+	end := v.Finish()
+	err := c.app.show(verified{Entries: end.Sequence, Anchor: end, Faults: v.Faults}, func() {
+		c.app.printf("%d entries, %d faults; anchor %d:%s\n", end.Sequence, len(v.Faults), end.Sequence, end.Hash)
+	})
+	if err != nil || len(v.Faults) == 0 {
+		return err
+	}
+	tampered := &tamperedError{}
+	for _, f := range v.Faults {
+		tampered.faults = append(tampered.faults, fmt.Sprintf("entry %d: %s", f.Sequence, f.Message))
+	}
+	return tampered
+}
+
+func parseAnchor(text string) (auditor.Anchor, error) {
+	number, hash, found := strings.Cut(text, ":")
+	sequence, err := strconv.ParseUint(number, 10, 64)
+	if err != nil || !found || sequence == 0 {
+		return auditor.Anchor{}, &usageError{message: fmt.Sprintf("--anchor: %q is not SEQUENCE:HASH", text)}
+	}
+	return auditor.Anchor{Sequence: sequence, Hash: hash}, nil
+}
+
+func (a *app) printTrail(p auditor.Page) {
+	var rows []string
+	for _, e := range p.Entries {
+		rows = append(rows, fmt.Sprintf("%d\t%s\t%s\t%s\t%d\t%d\t%s\t%s", e.Sequence, e.At.Format(time.RFC3339), e.Actor, e.Action, e.From, e.To, e.Instance, e.Detail))
+	}
+	a.table("ENTRY\tAT\tWHO\tWHAT\tFROM\tTO\tINSTANCE\tDETAIL", rows)
+}
--- /dev/null
+++ b/cmd/millctl/diff.go
@@ -0,0 +1,62 @@
+package main
+
+import (
+	"os"
+	"strconv"
+
+	"amaranthmill/administrator"
+	"amaranthmill/bundler"
+)
+
+// diffCommand says what changes between two bundles.
+type diffCommand struct {
+	app  *app
+	Args struct {
+		From string `positional-arg-name:"FROM" description:"a file, a version or \"current\""`
+		To   string `positional-arg-name:"TO" description:"a file, a version or \"current\""`
+	} `positional-args:"yes" required:"yes"`
+}
+
+// Execute carries the command out.
+func (c *diffCommand) Execute([]string) error {
+	from, err := c.app.readBundle(c.Args.From)
+	if err != nil {
+		return err
+	}
+	to, err := c.app.readBundle(c.Args.To)
+	if err != nil {
+		return err
+	}
+	lines := bundler.Diff(from, to)
+	return c.app.show(difference{From: from.Version, To: to.Version, Changes: lines}, func() {
+		c.app.printDiff(from, to, lines)
+	})
+}
+
+// readBundle reads a bundle by version from an instance, or else from a file.
+func (a *app) readBundle(name string) (*bundler.Bundle, error) {
+	if _, err := strconv.ParseUint(name, 10, 64); err != nil && name != "current" {
+		content, err := os.ReadFile(name)
+		if err != nil {
+			return nil, err
+		}
+		return bundler.Parse(content)
+	}
+	client, err := a.client()
+	if err != nil {
+		return nil, err
+	}
+	c, err := client.Bundle(a.ctx, name)
+	if err != nil {
+		return nil, err
+	}
+	return parseContent(c)
+}
+
+// parseContent decodes a bundle from an instance after checking its digest.
+func parseContent(c administrator.Content) (*bundler.Bundle, error) {
+	if digest := bundler.DigestOf(c.Bytes).String(); digest != c.Digest {
+		return nil, &usageError{message: "the instance names digest " + c.Digest + " for content with digest " + digest}
+	}
+	return bundler.Parse(c.Bytes)
+}
--- /dev/null
+++ b/cmd/millctl/fleet.go
@@ -0,0 +1,68 @@
+package main
+
+import (
+	"fmt"
+	"strings"
+)
+
+func fleetCommands(a *app) []command {
+	return []command{
+		{"groups", "show the replica groups", "Shows the replica groups, their members and whether they serve.", &groupsCommand{app: a}},
+		{"instances", "show the instances", "Shows the entry instances, and the engines and plain services.", &instancesCommand{app: a}},
+		{"audit", "read and verify the audit trail", "Prints the audit trail. With --verify it reads the whole trail, checks its chain of hashes and prints an anchor to be kept elsewhere; --anchor checks against one that was kept.", &auditCommand{app: a}},
+	}
+}
+
+// groupsCommand shows the replica groups.
+type groupsCommand struct{ app *app }
+
+// Execute carries the command out.
+func (c *groupsCommand) Execute([]string) error {
+	client, err := c.app.client()
+	if err != nil {
+		return err
+	}
+	g, err := client.Groups(c.app.ctx)
+	if err != nil {
+		return err
+	}
+	return c.app.show(g, func() {
+		var rows []string
+		for _, g := range g.Groups {
+			state := "ready"
+			if !g.Ready {
+				state = "not ready: " + g.Reason
+			}
+			members := make([]string, len(g.Members))
+			for i, m := range g.Members {
+				members[i] = string(m)
+			}
+			rows = append(rows, fmt.Sprintf("%s\t%s\t%s\t%s\t%d\t%d\t%s\t%s", g.Group, g.Pool, g.FailureDomain, g.FabricDomain, g.Epoch, g.BundleVersion, strings.Join(members, ","), state))
+		}
+		c.app.table("GROUP\tPOOL\tFAILURE DOMAIN\tFABRIC DOMAIN\tEPOCH\tVERSION\tMEMBERS\tSTATE", rows)
+	})
+}
+
+// instancesCommand shows the instances.
+type instancesCommand struct{ app *app }
+
+// Execute carries the command out.
+func (c *instancesCommand) Execute([]string) error {
+	client, err := c.app.client()
+	if err != nil {
+		return err
+	}
+	census, err := client.Census(c.app.ctx)
+	if err != nil {
+		return err
+	}
+	return c.app.show(census, func() {
+		c.app.printInstances(census.Instances)
+		var rows []string
+		for _, e := range census.Endpoints {
+			rows = append(rows, fmt.Sprintf("%s\t%s\t%s\t%s\t%s\t%s\t%s\t%d of %d", e.Endpoint, e.Kind, e.FailureDomain, e.FabricDomain, e.Address, e.State, e.Group, e.InFlight, e.Capacity))
+		}
+		c.app.printf("\n")
+		c.app.table("ENDPOINT\tKIND\tFAILURE DOMAIN\tFABRIC DOMAIN\tADDRESS\tSTATE\tGROUP\tIN FLIGHT", rows)
+	})
+}
--- /dev/null
+++ b/cmd/millctl/output.go
@@ -0,0 +1,54 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/netip"
+	"text/tabwriter"
+
+	"amaranthmill/administrator"
+)
+
+// client returns a client of the administration API for the global options.
+func (a *app) client() (*administrator.Client, error) {
+	if len(a.Address) == 0 {
+		return nil, &usageError{message: "no address; give --address IP:PORT or set MILLCTL_ADDRESS"}
+	}
+	if a.Token == "" {
+		return nil, &usageError{message: "no token; set MILLCTL_TOKEN or give --token"}
+	}
+	var addresses []netip.AddrPort
+	for _, text := range a.Address {
+		address, err := netip.ParseAddrPort(text)
+		if err != nil {
+			return nil, &usageError{message: fmt.Sprintf("--address: %q is not IP:PORT, such as 10.1.0.7:8081", text)}
+		}
+		addresses = append(addresses, address)
+	}
+	return administrator.NewClient(administrator.ClientConfig{Addresses: addresses, Token: a.Token}), nil
+}
+
+// show writes v as JSON, or calls text to write it for people.
+func (a *app) show(v any, text func()) error {
+	if a.Output != "json" {
+		text()
+		return nil
+	}
+	enc := json.NewEncoder(a.stdout)
+	enc.SetIndent("", "  ")
+	return enc.Encode(v)
+}
+
+func (a *app) printf(format string, args ...any) {
+	fmt.Fprintf(a.stdout, format, args...)
+}
+
+// table writes rows in columns under a heading; cells are separated by tabs.
+func (a *app) table(heading string, rows []string) {
+	w := tabwriter.NewWriter(a.stdout, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, heading)
+	for _, row := range rows {
+		fmt.Fprintln(w, row)
+	}
+	_ = w.Flush() // a closed standard output has no reader to tell
+}
--- /dev/null
+++ b/internal/faker/platform.go
@@ -0,0 +1,244 @@
+package faker
+
+import (
+	"context"
+	"errors"
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+
+	"amaranthmill/keeper"
+)
+
+// Platform answers as keeper.Client does. The zero value is empty and ready for use; it
+// is safe for concurrent use.
+type Platform struct {
+	mu       sync.Mutex
+	entries  map[string]keeper.Entry
+	backup   map[string]keeper.Entry
+	changes  []keeper.Change // since the last restored backup
+	revision uint64
+	changed  chan struct{} // closed at the next change
+
+	down       bool
+	loseEffect bool // of the answers to be lost
+	lose       int
+	reads      int
+	writes     int
+	bytes      int
+	before     func(key string) // called once before the next conditional write
+}
+
+var errDown = errors.New("faker: outage")
+
+// SetDown starts or ends an outage. Watches that wait fail at its start.
+func (p *Platform) SetDown(down bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.down = down
+	p.wake()
+}
+
+// LoseAnswers has the answers of the next n writes lost, after the write took effect or without it.
+func (p *Platform) LoseAnswers(n int, effect bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.lose, p.loseEffect = n, effect
+}
+
+// BeforeWrite has f called before the next write of key, outside the platform's lock.
+func (p *Platform) BeforeWrite(key string, f func()) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.before = func(written string) {
+		if written == key {
+			p.clearBefore()
+			f()
+		}
+	}
+}
+
+// Backup keeps the present state for Restore.
+func (p *Platform) Backup() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.backup = maps.Clone(p.entries)
+}
+
+// Restore sets the service back to the state of the last Backup. Watches do not see it.
+func (p *Platform) Restore() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.entries = maps.Clone(p.backup)
+	p.changes = nil
+}
+
+// Calls returns the reads, with each watch as one, the writes and the bytes written.
+func (p *Platform) Calls() (reads, writes, bytes int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.reads, p.writes, p.bytes
+}
+
+// Get is keeper.Client.Get.
+func (p *Platform) Get(_ context.Context, key string) (keeper.Entry, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.reads++
+	if p.down {
+		return keeper.Entry{}, &keeper.UnavailableError{Call: "get", Cause: errDown}
+	}
+	e, ok := p.entries[key]
+	if !ok {
+		return keeper.Entry{}, &keeper.NotFoundError{Key: key}
+	}
+	return e, nil
+}
+
+// Create is keeper.Client.Create. The lease is not kept.
+func (p *Platform) Create(_ context.Context, key string, value []byte, _ keeper.LeaseID) (keeper.Entry, error) {
+	return p.put(key, 0, value)
+}
+
+// Swap is keeper.Client.Swap.
+func (p *Platform) Swap(_ context.Context, key string, revision uint64, value []byte) (keeper.Entry, error) {
+	return p.put(key, revision, value)
+}
+
+// Delete is keeper.Client.Delete.
+func (p *Platform) Delete(_ context.Context, key string, revision uint64) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.writes++
+	if p.down {
+		return &keeper.UnavailableError{Call: "delete", Cause: errDown}
+	}
+	e, ok := p.entries[key]
+	if !ok {
+		return &keeper.NotFoundError{Key: key}
+	}
+	if e.Revision != revision {
+		return &keeper.ConflictError{Key: key, Revision: e.Revision}
+	}
+	delete(p.entries, key)
+	p.revision++
+	p.change(keeper.Change{Entry: keeper.Entry{Key: key, Revision: p.revision}, Deleted: true})
+	return nil
+}
+
+// List is keeper.Client.List.
+func (p *Platform) List(_ context.Context, prefix string) ([]keeper.Entry, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.reads++
+	if p.down {
+		return nil, &keeper.UnavailableError{Call: "list", Cause: errDown}
+	}
+	var found []keeper.Entry
+	for _, key := range slices.Sorted(maps.Keys(p.entries)) {
+		if strings.HasPrefix(key, prefix) {
+			found = append(found, p.entries[key])
+		}
+	}
+	return found, nil
+}
+
+// Watch is keeper.Client.Watch, but waits until ctx ends if nothing changes.
+func (p *Platform) Watch(ctx context.Context, prefix string, after uint64) (keeper.Changes, error) {
+	p.mu.Lock()
+	p.reads++
+	p.mu.Unlock()
+	for {
+		found, changed, err := p.since(prefix, after)
+		if err != nil || len(found.Entries) > 0 {
+			return found, err
+		}
+		select {
+		case <-ctx.Done():
+			return keeper.Changes{}, &keeper.UnavailableError{Call: "watch", Cause: ctx.Err()}
+		case <-changed:
+		}
+	}
+}
+
+func (p *Platform) since(prefix string, after uint64) (keeper.Changes, chan struct{}, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.down {
+		return keeper.Changes{}, nil, &keeper.UnavailableError{Call: "watch", Cause: errDown}
+	}
+	if p.changed == nil {
+		p.changed = make(chan struct{})
+	}
+	found := keeper.Changes{Revision: p.revision}
+	for _, c := range p.changes {
+		if c.Revision > after && strings.HasPrefix(c.Key, prefix) {
+			found.Entries = append(found.Entries, c)
+		}
+	}
+	return found, p.changed, nil
+}
+
+func (p *Platform) put(key string, revision uint64, value []byte) (keeper.Entry, error) {
+	if before := p.hook(); before != nil {
+		before(key)
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.writes++
+	p.bytes += len(value)
+	if p.down {
+		return keeper.Entry{}, &keeper.UnavailableError{Call: "put", Cause: errDown}
+	}
+	lost := p.lose > 0
+	if lost {
+		p.lose--
+	}
+	if lost && !p.loseEffect {
+		return keeper.Entry{}, &keeper.UnknownError{Call: "put", Key: key, Cause: errDown}
+	}
+	e, err := p.write(key, revision, value)
+	if lost {
+		return keeper.Entry{}, &keeper.UnknownError{Call: "put", Key: key, Cause: errDown}
+	}
+	return e, err
+}
+
+func (p *Platform) write(key string, revision uint64, value []byte) (keeper.Entry, error) {
+	if present := p.entries[key].Revision; present != revision {
+		return keeper.Entry{}, &keeper.ConflictError{Key: key, Revision: present}
+	}
+	if p.entries == nil {
+		p.entries = map[string]keeper.Entry{}
+	}
+	p.revision++
+	e := keeper.Entry{Key: key, Value: slices.Clone(value), Revision: p.revision}
+	p.entries[key] = e
+	p.change(keeper.Change{Entry: e})
+	return e, nil
+}
+
+func (p *Platform) change(c keeper.Change) {
+	p.changes = append(p.changes, c)
+	p.wake()
+}
+
+func (p *Platform) wake() {
+	if p.changed != nil {
+		close(p.changed)
+		p.changed = nil
+	}
+}
+
+func (p *Platform) hook() func(key string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.before
+}
+
+func (p *Platform) clearBefore() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.before = nil
+}
