--- a/auditor/read.go
+++ b/auditor/read.go
@@ -31,71 +31,67 @@
 	return p, entry.Revision, err
 }
 
-// exists reports whether there is a page of that number.
-func (t *Trail) exists(ctx context.Context, number uint64) (bool, error) {
-	_, err := t.cfg.Platform.Get(ctx, pageKey(number))
-	var missing *keeper.NotFoundError
-	if errors.As(err, &missing) {
-		return false, nil
+// end is the end of the trail: its last page and the one before.
+type end struct {
+	before, page Page // the zero Page where there is none
+	revision     uint64
+}
+
+// find returns the entry with the identity id.
+func (e end) find(id string) (Entry, bool) {
+	if found, ok := e.page.find(id); ok {
+		return found, true
 	}
-	return err == nil, err
+	return e.before.find(id)
 }
 
-// end reads the last two pages.
+// end reads the last two pages. It finds the last by doubled steps from the page known
+// last, then by halving.
 func (t *Trail) end(ctx context.Context) (end, error) {
-	number, err := t.lastNumber(ctx)
-	if err != nil || number == 0 {
-		return end{}, err
-	}
 	var e end
-	if e.page, e.revision, err = t.page(ctx, number); err != nil {
-		return end{}, err
-	}
-	if number > 1 {
-		if e.before, _, err = t.page(ctx, number-1); err != nil {
+	if t.hint > 0 {
+		if _, err := t.advance(ctx, &e, t.hint); err != nil {
 			return end{}, err
 		}
 	}
-	t.hint = number
-	return e, nil
-}
-
-// lastNumber finds the last page's number: by doubled steps from the page known last,
-// then by halving. It is zero for an empty trail.
-func (t *Trail) lastNumber(ctx context.Context) (uint64, error) {
-	low := t.hint
-	if low > 0 {
-		ok, err := t.exists(ctx, low)
-		if err != nil {
-			return 0, err
-		}
-		if !ok {
-			low = 0
-		}
-	}
 	step := uint64(1)
 	for {
-		ok, err := t.exists(ctx, low+step)
+		found, err := t.advance(ctx, &e, e.page.Number+step)
 		if err != nil {
-			return 0, err
+			return end{}, err
 		}
-		if !ok {
+		if !found {
 			break
 		}
-		low += step
 		step *= 2
 	}
-	for high := low + step; high-low > 1; {
-		middle := low + (high-low)/2
-		ok, err := t.exists(ctx, middle)
+	for high := e.page.Number + step; high-e.page.Number > 1; {
+		middle := e.page.Number + (high-e.page.Number)/2
+		found, err := t.advance(ctx, &e, middle)
 		if err != nil {
-			return 0, err
+			return end{}, err
 		}
-		if ok {
-			low = middle
-		} else {
+		if !found {
 			high = middle
 		}
 	}
-	return low, nil
+	t.hint = e.page.Number
+	var err error
+	if e.page.Number > 1 {
+		e.before, _, err = t.page(ctx, e.page.Number-1)
+	}
+	return e, err
+}
+
+// advance sets e to the page of that number and reports whether there is one.
+func (t *Trail) advance(ctx context.Context, e *end, number uint64) (bool, error) {
+	p, revision, err := t.page(ctx, number)
+	if errors.As(err, new(*keeper.NotFoundError)) {
+		return false, nil
+	}
+	if err != nil {
+		return false, err
+	}
+	e.page, e.revision = p, revision
+	return true, nil
 }
--- a/auditor/trail.go
+++ b/auditor/trail.go
@@ -95,19 +95,6 @@
 	return Entry{}, &BusyError{Attempts: appendAttempts}
 }
 
-// end is the end of the trail: its last page and the one before.
-type end struct {
-	before, page Page // the zero Page where there is none
-	revision     uint64
-}
-
-func (e end) find(id string) (Entry, bool) {
-	if found, ok := e.page.find(id); ok {
-		return found, true
-	}
-	return e.before.find(id)
-}
-
 // add writes r after the trail's end, behind a note of a rewound trail if there is need.
 func (t *Trail) add(ctx context.Context, at end, r Record) (Entry, error) {
 	last := at.page.last()
--- a/bundler/core.go
+++ b/bundler/core.go
@@ -17,7 +17,6 @@
 	jitter   *rand.Rand
 	current  *Document
 	platform platformState
-	sent     map[identifier.Instance]sending
 	alarmed  string // the last alarm's text
 }
 
@@ -29,16 +28,10 @@
 	restoreAt time.Time
 }
 
-// sending is the last document that a peer was sent.
-type sending struct {
-	version identifier.BundleVersion
-	at      time.Time
-}
-
 // NewCore returns a Core without a bundle. The source spreads the instances' writes in
 // time; it must not be shared.
 func NewCore(signers Signers, source rand.Source) *Core {
-	return &Core{signers: signers, jitter: rand.New(source), sent: map[identifier.Instance]sending{}}
+	return &Core{signers: signers, jitter: rand.New(source)}
 }
 
 // Current returns the document in force, or nil.
@@ -51,8 +44,6 @@
 		return c.offered(e)
 	case PlatformRead:
 		return c.platformRead(now, e)
-	case PeerSeen:
-		return c.peerSeen(now, e)
 	case Ticked:
 		return c.ticked(now)
 	}
@@ -71,8 +62,8 @@
 }
 
 func (c *Core) platformRead(now time.Time, e PlatformRead) []Action {
-	c.platform = platformState{}
 	if c.isCurrent(e.Document) {
+		c.platform = platformState{}
 		return nil
 	}
 	if e.Document == nil {
@@ -80,20 +71,22 @@
 		return nil
 	}
 	d, err := c.accept(e.Document)
-	if err == nil {
-		return c.apply(d)
-	}
 	if outdated, ok := err.(*OutdatedError); ok {
 		c.planRestore(now, e.Revision, outdated.Offered)
+		return c.refuse("", err)
 	}
-	return c.refuse("", err)
+	c.platform = platformState{}
+	if err != nil {
+		return c.refuse("", err)
+	}
+	return c.apply(d)
 }
 
 // planRestore has the platform's value rewritten if a bundle is in force here. Each
 // instance waits for a time of its own, so that most find it done by another. A value
 // that this instance cannot verify is left alone: a signer may be missing in its settings.
 func (c *Core) planRestore(now time.Time, revision uint64, was identifier.BundleVersion) {
-	if c.current == nil {
+	if c.current == nil || c.platform.behind && c.platform.revision == revision {
 		return
 	}
 	wait := time.Duration(c.jitter.Int64N(int64(restoreSpread)))
@@ -101,11 +94,6 @@
 }
 
 func (c *Core) ticked(now time.Time) []Action {
-	for peer, s := range c.sent {
-		if now.Sub(s.at) > peerKept {
-			delete(c.sent, peer)
-		}
-	}
 	if !c.platform.behind || now.Before(c.platform.restoreAt) {
 		return nil
 	}
@@ -114,19 +102,6 @@
 	return []Action{a}
 }
 
-func (c *Core) peerSeen(now time.Time, e PeerSeen) []Action {
-	if c.current == nil || e.Version >= c.current.Bundle.Version {
-		delete(c.sent, e.Peer)
-		return nil
-	}
-	last, ok := c.sent[e.Peer]
-	if ok && last.version == c.current.Bundle.Version && now.Sub(last.at) < resendAfter {
-		return nil
-	}
-	c.sent[e.Peer] = sending{version: c.current.Bundle.Version, at: now}
-	return []Action{Send{To: e.Peer, Document: c.current}}
-}
-
 func (c *Core) isCurrent(encoded []byte) bool {
 	return c.current != nil && bytes.Equal(encoded, c.current.Encoded)
 }
--- a/bundler/event.go
+++ b/bundler/event.go
@@ -6,7 +6,7 @@
 	"amaranthmill/internal/identifier"
 )
 
-// Event is what a Core is told: Offered, PlatformRead, PeerSeen or Ticked.
+// Event is what a Core is told: Offered, PlatformRead or Ticked.
 type Event interface{ event() }
 
 // Offered is a signed document from a peer.
@@ -22,21 +22,14 @@
 	Document []byte
 }
 
-// PeerSeen is the version that a peer's heartbeat names.
-type PeerSeen struct {
-	Peer    identifier.Instance
-	Version identifier.BundleVersion
-}
-
 // Ticked is the passing of time.
 type Ticked struct{}
 
 func (Offered) event()      {}
 func (PlatformRead) event() {}
-func (PeerSeen) event()     {}
 func (Ticked) event()       {}
 
-// Action is what a Core wants done: Apply, Refuse, Restore or Send.
+// Action is what a Core wants done: Apply, Refuse or Restore.
 type Action interface{ action() }
 
 // Apply puts a document in force.
@@ -58,22 +51,9 @@
 	Document *Document
 }
 
-// Send offers the document in force to a peer with an older one.
-type Send struct {
-	To       identifier.Instance
-	Document *Document
-}
-
 func (Apply) action()   {}
 func (Refuse) action()  {}
 func (Restore) action() {}
-func (Send) action()    {}
 
-const (
-	// resendAfter is how long a peer has to show a version that it was sent.
-	resendAfter = 2 * time.Second
-	// restoreSpread is the time over which instances spread the rewriting of the platform's value.
-	restoreSpread = 2 * time.Second
-	// peerKept is how long a silent peer is remembered.
-	peerKept = time.Minute
-)
+// restoreSpread is the time over which instances spread the rewriting of the platform's value.
+const restoreSpread = 2 * time.Second
--- a/bundler/meters.go
+++ b/bundler/meters.go
@@ -12,7 +12,7 @@
 
 // meters are the metrics of a Store.
 type meters struct {
-	applies, refusals, sends, restores metric.Int64Counter
+	applies, refusals, restores metric.Int64Counter
 }
 
 // newMeters returns the metrics of meter, or ones that count nothing for nil. Making an
@@ -24,7 +24,6 @@
 	var m meters
 	m.applies, _ = meter.Int64Counter("bundle_applied", metric.WithDescription("bundles that came into force"))
 	m.refusals, _ = meter.Int64Counter("bundle_refused", metric.WithDescription("documents that were not applied"))
-	m.sends, _ = meter.Int64Counter("bundle_sent", metric.WithDescription("documents sent to peers"))
 	m.restores, _ = meter.Int64Counter("bundle_restored", metric.WithDescription("bundles written back to the platform"))
 	_, _ = meter.Int64ObservableGauge("bundle_version", metric.WithDescription("version in force, 0 for none"),
 		metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
@@ -35,7 +34,6 @@
 }
 
 func (m meters) applied() { m.applies.Add(context.Background(), 1) }
-func (m meters) sent()    { m.sends.Add(context.Background(), 1) }
 
 func (m meters) restored(ctx context.Context) { m.restores.Add(ctx, 1) }
 
--- /dev/null
+++ b/bundler/registrar_test.go
@@ -0,0 +1,155 @@
+package bundler
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"amaranthmill/auditor"
+	"amaranthmill/internal/faker"
+	"amaranthmill/internal/identifier"
+	"amaranthmill/internal/scripter"
+	"amaranthmill/keeper"
+)
+
+// instance is one entry instance's part in bundles.
+type instance struct {
+	store     *Store
+	registrar *Registrar
+}
+
+func newInstance(name identifier.Instance, platform Platform, trail auditor.Platform) *instance {
+	store := NewStore(Config{Signers: testSigners(), Platform: platform, Random: rand.NewPCG(1, 2)})
+	registrar := NewRegistrar(RegistrarConfig{
+		Signers: testSigners(), Platform: platform, Store: store,
+		Trail:     auditor.New(auditor.Config{Platform: trail, Instance: name}),
+		Inventory: func(context.Context) (*Inventory, error) { return nil, nil },
+	})
+	return &instance{store: store, registrar: registrar}
+}
+
+// registrarSession is several instances before one platform under a script.
+type registrarSession struct {
+	t         *testing.T
+	platform  *faker.Platform
+	instances map[string]*instance
+}
+
+// Handle applies one event of a script in a bubble of its own, so that no wait takes time.
+func (s *registrarSession) Handle(_ time.Time, ev scripter.Event) ([]string, error) {
+	var lines []string
+	var err error
+	synctest.Test(s.t, func(t *testing.T) { lines, err = s.handle(t.Context(), ev) })
+	return lines, err
+}
+
+func (s *registrarSession) handle(ctx context.Context, ev scripter.Event) ([]string, error) {
+	at := s.instance(ev.Str("at"))
+	version := identifier.BundleVersion(ev.Int("version"))
+	switch ev.Name {
+	case "propose":
+		bundle := content(version, identifier.BundleVersion(ev.Int("previous")), ev.Str("by"), ev.Str("note"))
+		_, err := at.registrar.Propose(ctx, ev.Str("by"), bundle)
+		return []string{outcome("proposed", version, err)}, nil
+	case "sign":
+		return s.sign(ctx, at, ev), nil
+	case "signMeanwhile":
+		return s.signMeanwhile(ctx, at, ev), nil
+	case "read":
+		_, err := at.store.read(ctx)
+		return []string{fmt.Sprintf("%s has version %d (%v)", ev.Str("at"), at.store.version(), err)}, nil
+	case "restart":
+		delete(s.instances, ev.Str("at"))
+	case "down":
+		s.platform.SetDown(true)
+	case "up":
+		s.platform.SetDown(false)
+	case "lose":
+		s.platform.LoseAnswers(ev.Str("key"), ev.Int("answers"), ev.Bool("effect"))
+	case "backup":
+		s.platform.Backup()
+	case "setBack":
+		s.platform.Restore()
+	case "show":
+		return s.show(ctx), nil
+	default:
+		return nil, fmt.Errorf("unknown event %q", ev.Name)
+	}
+	return nil, nil
+}
+
+func (s *registrarSession) instance(name string) *instance {
+	if s.instances[name] == nil {
+		s.instances[name] = newInstance(identifier.Instance(name), s.platform, s.platform)
+	}
+	return s.instances[name]
+}
+
+func (s *registrarSession) sign(ctx context.Context, at *instance, ev scripter.Event) []string {
+	version := identifier.BundleVersion(ev.Int("version"))
+	bundle, err := at.registrar.content(ctx, version)
+	if err == nil {
+		_, err = at.registrar.SignOff(ctx, version, ev.Str("by"), Sign(signerKey(ev.Str("by")), DigestOf(bundle)))
+	}
+	return []string{outcome("accepted", version, err)}
+}
+
+// signMeanwhile signs the version that "then" names right before the write that accepts
+// the other one.
+func (s *registrarSession) signMeanwhile(ctx context.Context, at *instance, ev scripter.Event) []string {
+	var lines []string
+	s.platform.BeforeWrite(CurrentKey, func() {
+		other := s.instance(ev.Str("otherAt"))
+		bundle, _ := other.registrar.content(ctx, identifier.BundleVersion(ev.Int("other")))
+		_, err := other.registrar.SignOff(ctx, identifier.BundleVersion(ev.Int("other")), "hedy", Sign(signerKey("hedy"), DigestOf(bundle)))
+		lines = append(lines, outcome("accepted", identifier.BundleVersion(ev.Int("other")), err))
+	})
+	return append(s.sign(ctx, at, ev), lines...)
+}
+
+// show lists the platform's state and the audit trail.
+func (s *registrarSession) show(ctx context.Context) []string {
+	var lines []string
+	entries, _ := s.platform.List(ctx, "bundles/")
+	for _, e := range entries {
+		lines = append(lines, e.Key)
+		if e.Key == CurrentKey {
+			d, err := testSigners().Open(e.Value)
+			lines[len(lines)-1] += fmt.Sprintf(" version=%d signer=%s (%v)", d.Bundle.Version, d.Signer, err)
+		}
+	}
+	page, err := auditor.New(auditor.Config{Platform: s.platform}).Last(ctx)
+	if err != nil {
+		return append(lines, err.Error())
+	}
+	for _, e := range page.Entries {
+		lines = append(lines, fmt.Sprintf("%s at %s: %s from=%d to=%d", e.Actor, e.Instance, e.Action, e.From, e.To))
+	}
+	return lines
+}
+
+// outcome tells a result without digests and causes.
+func outcome(done string, version identifier.BundleVersion, err error) string {
+	switch {
+	case err == nil:
+		return fmt.Sprintf("version %d is %s", version, done)
+	case errors.As(err, new(*UnsettledError)):
+		return fmt.Sprintf("version %d is unsettled", version)
+	case errors.As(err, new(*keeper.UnavailableError)):
+		return fmt.Sprintf("version %d is not %s: the platform is unavailable", version, done)
+	case errors.As(err, new(*ReusedVersionError)):
+		return fmt.Sprintf("version %d is not %s: its number is used", version, done)
+	}
+	return strings.TrimPrefix(err.Error(), "bundler: ")
+}
+
+func TestRegistrarSessions(t *testing.T) {
+	scripter.Run(t, "testdata/registrar", func(t *testing.T) scripter.Session {
+		return &registrarSession{t: t, platform: &faker.Platform{}, instances: map[string]*instance{}}
+	})
+}
--- a/bundler/run.go
+++ b/bundler/run.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"math/rand/v2"
 	"time"
 
 	"amaranthmill/keeper"
@@ -53,7 +52,7 @@
 		after, err := s.read(ctx)
 		if err != nil {
 			s.cfg.Logger.Warn().Err(err).Msg("bundler: current bundle not read from the platform")
-			pause(ctx, readAgain)
+			pause(ctx, s.spread(readAgain))
 			continue
 		}
 		s.watch(ctx, after)
@@ -80,7 +79,7 @@
 	for {
 		changes, err := s.cfg.Platform.Watch(ctx, CurrentKey, after)
 		if err != nil {
-			pause(ctx, readAgain)
+			pause(ctx, s.spread(readAgain))
 			return
 		}
 		if len(changes.Entries) == 0 || changes.Revision < after {
@@ -124,9 +123,14 @@
 	}
 }
 
-// pause waits for about d or until ctx ends.
+// spread varies d evenly over half to one and a half of it. Only follow may call it.
+func (s *Store) spread(d time.Duration) time.Duration {
+	return time.Duration(float64(d) * (0.5 + s.jitter.Float64()))
+}
+
+// pause waits for d or until ctx ends.
 func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(time.Duration(float64(d) * (0.5 + rand.Float64())))
+	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
--- a/bundler/signoff.go
+++ b/bundler/signoff.go
@@ -39,14 +39,14 @@
 	if err != nil {
 		return nil, err
 	}
-	from, err := r.accept(ctx, d)
+	d, err = r.accept(ctx, d)
 	if err != nil {
 		return nil, err
 	}
 	if err := r.cfg.Store.Offer(d.Encoded); err != nil {
 		r.cfg.Logger.Warn().Err(err).Msg("bundler: accepted bundle not applied here")
 	}
-	r.record(ctx, auditor.ActionAccepted, d, from)
+	r.recordAcceptance(ctx, d)
 	r.prune(ctx, d.Bundle)
 	return d, nil
 }
@@ -87,14 +87,15 @@
 	return nil, err
 }
 
-// accept makes d the current document and returns the version that it followed. Once a
-// write has an unknown outcome, it reads back until the outcome is known or ctx ends.
-func (r *Registrar) accept(ctx context.Context, d *Document) (identifier.BundleVersion, error) {
+// accept makes d the current document and returns the one accepted, which has another
+// sign-off if another signer was first. Once a write has an unknown outcome, it reads back
+// until the outcome is known or ctx ends.
+func (r *Registrar) accept(ctx context.Context, d *Document) (*Document, error) {
 	var unknown error
 	for range signOffRounds {
-		done, err := r.acceptOnce(ctx, d)
-		if err == nil && done {
-			return d.Bundle.Previous, nil
+		accepted, err := r.acceptOnce(ctx, d)
+		if accepted != nil {
+			return accepted, nil
 		}
 		var unavailable *keeper.UnavailableError
 		switch {
@@ -103,7 +104,7 @@
 			unknown = err
 		case unknown != nil && errors.As(err, &unavailable):
 		default:
-			return 0, err
+			return nil, err
 		}
 		if ctx.Err() != nil {
 			break
@@ -113,29 +114,26 @@
 		}
 	}
 	if unknown == nil {
-		unknown = &auditor.BusyError{Attempts: signOffRounds}
+		return nil, &keeper.UnavailableError{Call: "swap", Cause: &auditor.BusyError{Attempts: signOffRounds}}
 	}
-	return 0, &UnsettledError{Version: d.Bundle.Version, Cause: unknown}
+	return nil, &UnsettledError{Version: d.Bundle.Version, Cause: unknown}
 }
 
-// acceptOnce tries the compare-and-swap once. It returns false without an error if the
-// platform's value changed in between.
-func (r *Registrar) acceptOnce(ctx context.Context, d *Document) (bool, error) {
+// acceptOnce tries the compare-and-swap once. It returns neither a document nor an error
+// if the platform's value changed in between.
+func (r *Registrar) acceptOnce(ctx context.Context, d *Document) (*Document, error) {
 	at, err := r.base(ctx)
 	if err != nil {
-		return false, err
+		return nil, err
 	}
-	if was, err := r.acceptedBefore(ctx, d, at); was || err != nil {
+	if was, err := r.acceptedBefore(ctx, d, at); was != nil || err != nil {
 		return was, err
 	}
 	if err := follows(d.Bundle, at.document); err != nil {
-		return false, err
-	}
-	if err := r.archive(ctx, at.document); err != nil {
-		return false, err
+		return nil, err
 	}
-	if _, err := r.cfg.Trail.Append(ctx, r.entry(auditor.ActionSigned, d, d.Bundle.Previous)); err != nil {
-		return false, eris.Wrap(notDone(err), "record the sign-off")
+	if err := r.prepare(ctx, d, at.document); err != nil {
+		return nil, notDone(err)
 	}
 	if at.revision == 0 {
 		_, err = r.cfg.Platform.Create(ctx, CurrentKey, d.Encoded, "")
@@ -143,9 +141,12 @@
 		_, err = r.cfg.Platform.Swap(ctx, CurrentKey, at.revision, d.Encoded)
 	}
 	if errors.As(err, new(*keeper.ConflictError)) {
-		return false, nil
+		return nil, nil
+	}
+	if err != nil {
+		return nil, eris.Wrap(err, "write the current bundle")
 	}
-	return err == nil, eris.Wrap(err, "write the current bundle")
+	return d, nil
 }
 
 // base reads what is in force: the higher of the platform's document and this
@@ -171,37 +172,45 @@
 	return at, nil
 }
 
-// acceptedBefore reports whether d's content is in force, or was and has been archived
-// when a later one replaced it.
-func (r *Registrar) acceptedBefore(ctx context.Context, d *Document, at currentState) (bool, error) {
+// acceptedBefore returns the accepted document with d's version and content: the one in
+// force, or one that was archived when a later one replaced it. It is nil if there is none.
+func (r *Registrar) acceptedBefore(ctx context.Context, d *Document, at currentState) (*Document, error) {
 	if at.document == nil || d.Bundle.Version > at.document.Bundle.Version {
-		return false, nil
+		return nil, nil
 	}
-	if d.Bundle.Version == at.document.Bundle.Version {
-		return d.Digest == at.document.Digest, nil
+	if d.Digest == at.document.Digest {
+		return at.document, nil
 	}
 	entry, err := r.cfg.Platform.Get(ctx, versionKey(d.Bundle.Version))
 	if errors.As(err, new(*keeper.NotFoundError)) {
-		return false, nil
+		return nil, nil
 	}
 	if err != nil {
-		return false, eris.Wrap(err, "read the archived version")
+		return nil, eris.Wrap(err, "read the archived version")
 	}
 	archived, err := r.cfg.Signers.Open(entry.Value)
-	return err == nil && archived.Digest == d.Digest, nil
+	if err != nil || archived.Digest != d.Digest {
+		return nil, nil
+	}
+	return archived, nil
 }
 
-// archive stores the document that is about to be replaced under its version, so that
-// every accepted version can be read later, and one that never was cannot.
-func (r *Registrar) archive(ctx context.Context, d *Document) error {
-	if d == nil {
-		return nil
-	}
-	_, err := r.cfg.Platform.Create(ctx, versionKey(d.Bundle.Version), d.Encoded, "")
-	if errors.As(err, new(*keeper.ConflictError)) {
-		return nil
+// prepare does what has to stand before d replaces the document in force. That one is
+// stored under its version, so that every accepted version can be read later and one that
+// never was cannot; and its acceptance is recorded if the instance that accepted it
+// failed before it could. Then the sign-off of d is recorded.
+func (r *Registrar) prepare(ctx context.Context, d, inForce *Document) error {
+	if inForce != nil {
+		_, err := r.cfg.Platform.Create(ctx, versionKey(inForce.Bundle.Version), inForce.Encoded, "")
+		if err != nil && !errors.As(err, new(*keeper.ConflictError)) {
+			return eris.Wrap(err, "archive the bundle in force")
+		}
+		if _, err := r.cfg.Trail.Append(ctx, entryOf(auditor.ActionAccepted, inForce)); err != nil {
+			return eris.Wrap(err, "record the acceptance before")
+		}
 	}
-	return eris.Wrap(notDone(err), "archive the bundle in force")
+	_, err := r.cfg.Trail.Append(ctx, entryOf(auditor.ActionSigned, d))
+	return eris.Wrap(err, "record the sign-off")
 }
 
 // createProposal stores content under its version once. The same content again is no error.
@@ -220,19 +229,23 @@
 	return nil
 }
 
-// entry returns the trail's record of an action on d.
-func (r *Registrar) entry(action string, d *Document, from identifier.BundleVersion) auditor.Record {
+// entryOf returns the trail's record of an action of d's signer on d.
+func entryOf(action string, d *Document) auditor.Record {
+	id := recordID(action, d.Bundle.Version, d.Digest)
+	if action == auditor.ActionSigned { // each signer's counts
+		id += "/" + d.Signer
+	}
 	return auditor.Record{
-		ID: recordID(action, d.Bundle.Version, d.Digest), Actor: d.Signer, Action: action,
-		From: from, To: d.Bundle.Version, Digest: d.Digest.String(), Detail: d.Bundle.Note,
+		ID: id, Actor: d.Signer, Action: action,
+		From: d.Bundle.Previous, To: d.Bundle.Version, Digest: d.Digest.String(), Detail: d.Bundle.Note,
 	}
 }
 
-// record appends to the trail what is done already. Its sign-off stands there before it,
-// so that a failure here hides no change.
-func (r *Registrar) record(ctx context.Context, action string, d *Document, from identifier.BundleVersion) {
-	if _, err := r.cfg.Trail.Append(ctx, r.entry(action, d, from)); err != nil {
-		r.cfg.Logger.Error().Err(err).Str("action", action).Uint64("version", uint64(d.Bundle.Version)).Msg("bundler: not recorded in the audit trail")
+// recordAcceptance appends to the trail what is done already. The sign-off stands there
+// before it, and the next acceptance makes up for a failure here.
+func (r *Registrar) recordAcceptance(ctx context.Context, d *Document) {
+	if _, err := r.cfg.Trail.Append(ctx, entryOf(auditor.ActionAccepted, d)); err != nil {
+		r.cfg.Logger.Error().Err(err).Uint64("version", uint64(d.Bundle.Version)).Msg("bundler: acceptance not recorded in the audit trail")
 	}
 }
 
--- a/bundler/store.go
+++ b/bundler/store.go
@@ -34,8 +34,6 @@
 	Signers  Signers // the names and public keys of those who may sign bundles off
 	Platform Platform
 
-	// Send offers a document to a peer. It must not block. Default: nothing is sent.
-	Send func(to identifier.Instance, version identifier.BundleVersion, document []byte)
 	// Restored is told of a bundle that this instance wrote back to the platform. Default: none.
 	Restored func(ctx context.Context, r Restore)
 
@@ -52,6 +50,7 @@
 	steps   *stepper.Stepper[Event, Action]
 	current atomic.Pointer[Document]
 	restore chan Restore
+	jitter  *rand.Rand // of the reads of the platform
 
 	stepping sync.Mutex // guards refused, and one step with it
 	refused  error      // by the present step
@@ -67,6 +66,7 @@
 		cfg.Random = rand.NewPCG(rand.Uint64(), rand.Uint64())
 	}
 	s := &Store{cfg: cfg, restore: make(chan Restore, 1)}
+	s.jitter = rand.New(rand.NewPCG(cfg.Random.Uint64(), cfg.Random.Uint64()))
 	s.meters = newMeters(cfg.Meter, s.version)
 	core := NewCore(cfg.Signers, cfg.Random)
 	s.steps = stepper.New(stepper.Config[Event, Action]{Core: core, Handle: s.handle, Now: cfg.Now})
@@ -121,12 +121,6 @@
 	return s.submit(Offered{From: from, Document: document})
 }
 
-// PeerSeen tells the store the version that a peer's heartbeat names. A peer that is
-// behind is sent the document in force through Config.Send.
-func (s *Store) PeerSeen(peer identifier.Instance, version identifier.BundleVersion) {
-	_ = s.submit(PeerSeen{Peer: peer, Version: version}) // a heartbeat is never refused
-}
-
 // submit steps the core with e, tells the listeners of a new bundle and returns the
 // reason of a refusal.
 func (s *Store) submit(e Event) error {
@@ -154,11 +148,6 @@
 		case s.restore <- a:
 		default: // one is waiting already
 		}
-	case Send:
-		s.meters.sent()
-		if s.cfg.Send != nil {
-			s.cfg.Send(a.To, a.Document.Bundle.Version, a.Document.Encoded)
-		}
 	}
 }
 
--- a/bundler/validate_parts.go
+++ b/bundler/validate_parts.go
@@ -151,7 +151,7 @@
 
 func (v *validator) keys(at string, a Account, seen map[string]string) {
 	if len(a.KeyDigests) == 0 {
-		v.add(at+".keyDigests", "is empty; make a key with \"millctl keys bearer\" and add its digest")
+		v.add(at+".keyDigests", "is empty; make a key with \"millctl keys token\" and add its digest")
 	}
 	for j, digest := range a.KeyDigests {
 		place := fmt.Sprintf("%s.keyDigests[%d]", at, j)
--- a/cmd/millctl/keys.go
+++ b/cmd/millctl/keys.go
@@ -10,13 +10,13 @@
 	"amaranthmill/bundler"
 )
 
-// bearerSize is the number of random bytes in a bearer key.
-const bearerSize = 32
+// tokenSize is the number of random bytes in a bearer key.
+const tokenSize = 32
 
 func keyCommands(a *app) []command {
 	return []command{
 		{"signer", "make a signer's key pair", "Writes a new private key to a file that only you may read, and prints the public key for the settings of the instances.", &signerCommand{app: a}},
-		{"bearer", "make a bearer key or token", "Prints a new bearer key, for a client account or an operator, and its digest for the bundle or the settings. The key itself is kept nowhere.", &bearerCommand{app: a}},
+		{"token", "make a bearer key or token", "Prints a new bearer key, for a client account or an operator, and its digest for the bundle or the settings. The key itself is kept nowhere.", &tokenCommand{app: a}},
 		{"digest", "print the digest of a bearer key", "Prints the digest of a bearer key that is read from a file.", &digestCommand{app: a}},
 	}
 }
@@ -65,24 +65,24 @@
 	return f.Close()
 }
 
-// bearerKey is a bearer key with its digest in JSON.
-type bearerKey struct {
+// token is a bearer key with its digest in JSON.
+type token struct {
 	Key    string `json:"key,omitempty"`
 	Digest string `json:"digest"`
 }
 
-// bearerCommand makes a bearer key.
-type bearerCommand struct{ app *app }
+// tokenCommand makes a bearer key.
+type tokenCommand struct{ app *app }
 
 // Execute carries the command out.
-func (c *bearerCommand) Execute([]string) error {
-	random := make([]byte, bearerSize)
+func (c *tokenCommand) Execute([]string) error {
+	random := make([]byte, tokenSize)
 	if _, err := rand.Read(random); err != nil {
 		return err
 	}
 	text := base64.RawURLEncoding.EncodeToString(random)
-	key := bearerKey{Key: text, Digest: bundler.DigestOf([]byte(text)).String()}
-	return c.app.show(key, func() { c.app.printf("key:    %s\ndigest: %s\n", key.Key, key.Digest) })
+	made := token{Key: text, Digest: bundler.DigestOf([]byte(text)).String()}
+	return c.app.show(made, func() { c.app.printf("key:    %s\ndigest: %s\n", made.Key, made.Digest) })
 }
 
 // digestCommand prints the digest of a bearer key.
@@ -99,6 +99,6 @@
 	if err != nil {
 		return err
 	}
-	key := bearerKey{Digest: bundler.DigestOf(bytes.TrimSpace(text)).String()}
+	key := token{Digest: bundler.DigestOf(bytes.TrimSpace(text)).String()}
 	return c.app.show(key, func() { c.app.printf("digest: %s\n", key.Digest) })
 }
--- a/cmd/millctl/script_test.go
+++ b/cmd/millctl/script_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http/httptest"
 	"net/netip"
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
 
 	"github.com/rogpeppe/go-internal/testscript"
@@ -17,10 +19,6 @@
 	"amaranthmill/internal/identifier"
 )
 
-func TestMain(m *testing.M) {
-	testscript.Main(m, map[string]func(){"millctl": main})
-}
-
 // fleet reports the one instance of the test and one beside it that is always behind.
 type fleet struct{ store *bundler.Store }
 
@@ -37,7 +35,7 @@
 	return []administrator.GroupStatus{{Group: "g1", Pool: "guides", FailureDomain: "alpine", Members: []identifier.Endpoint{"engine-1"}, Reason: "a member is missing"}}, nil
 }
 
-// token is the operators' tokens in scripts: the operator's name and "-token".
+// operator returns an operator whose token in scripts is the name and "-token".
 func operator(name string, roles ...administrator.Role) administrator.Operator {
 	return administrator.Operator{Name: name, Roles: roles, TokenDigest: bundler.DigestOf([]byte(name + "-token")).String()}
 }
@@ -75,7 +73,7 @@
 		Dir: "testdata",
 		Setup: func(env *testscript.Env) error {
 			s := startInstance(t, &faker.Platform{}, signers)
-			env.Setenv("MILLCTL_ADDRESS", s.Listener.Addr().String())
+			env.Setenv("ADDRESS", s.Listener.Addr().String())
 			env.Setenv("KEYS", keys)
 			return nil
 		},
@@ -85,14 +83,16 @@
 
 // exits runs millctl and compares its exit code: exits CODE OPERATOR ARGS...
 func exits(ts *testscript.TestScript, _ bool, args []string) {
-	ts.Setenv("MILLCTL_TOKEN", args[1]+"-token")
-	err := ts.Exec("millctl", args[2:]...)
-	code := "0"
-	if err != nil {
-		code = err.Error()[len("exit status "):]
+	line := []string{"--address", ts.Getenv("ADDRESS"), "--token", args[1] + "-token"}
+	for _, arg := range args[2:] {
+		if strings.HasSuffix(arg, ".json") {
+			arg = ts.MkAbs(arg)
+		}
+		line = append(line, arg)
 	}
-	if code != args[0] {
-		ts.Fatalf("millctl exits with %s, want %s", code, args[0])
+	code := run(context.Background(), line, ts.Stdout(), ts.Stderr())
+	if fmt.Sprint(code) != args[0] {
+		ts.Fatalf("millctl exits with %d, want %s", code, args[0])
 	}
 }
 
--- a/internal/faker/platform.go
+++ b/internal/faker/platform.go
@@ -22,7 +22,8 @@
 	changed  chan struct{} // closed at the next change
 
 	down       bool
-	loseEffect bool // of the answers to be lost
+	loseKey    string // whose answers are to be lost
+	loseEffect bool   // whether those writes take effect
 	lose       int
 	reads      int
 	writes     int
@@ -40,11 +41,12 @@
 	p.wake()
 }
 
-// LoseAnswers has the answers of the next n writes lost, after the write took effect or without it.
-func (p *Platform) LoseAnswers(n int, effect bool) {
+// LoseAnswers has the answers of the next n writes of keys that begin with prefix lost,
+// after the write took effect or without it.
+func (p *Platform) LoseAnswers(prefix string, n int, effect bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.lose, p.loseEffect = n, effect
+	p.loseKey, p.lose, p.loseEffect = prefix, n, effect
 }
 
 // BeforeWrite has f called before the next write of key, outside the platform's lock.
@@ -191,7 +193,7 @@
 	if p.down {
 		return keeper.Entry{}, &keeper.UnavailableError{Call: "put", Cause: errDown}
 	}
-	lost := p.lose > 0
+	lost := p.lose > 0 && strings.HasPrefix(key, p.loseKey)
 	if lost {
 		p.lose--
 	}
