--- a/configurer/settings.go
+++ b/configurer/settings.go
@@ -61,9 +61,9 @@
 
 // Operator may call the administration API.
 type Operator struct {
-	Name        string `json:"name" validate:"required"`
-	Role        string `json:"role" validate:"oneof=author signer reader"`
-	TokenDigest string `json:"tokenDigest" validate:"required,hexadecimal,len=64"` // SHA-256 of the token
+	Name        string   `json:"name" validate:"required"`
+	Roles       []string `json:"roles" validate:"min=1,dive,oneof=author signer reader"`
+	TokenDigest string   `json:"tokenDigest" validate:"required,hexadecimal,len=64"` // SHA-256 of the token
 }
 
 // Limits bound what one instance takes on.
--- /dev/null
+++ b/runner/fleet.go
@@ -0,0 +1,167 @@
+package runner
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+	"sync"
+	"time"
+
+	"amaranthmill/administrator"
+	"amaranthmill/grouper"
+	"amaranthmill/internal/formatter"
+	"amaranthmill/internal/identifier"
+	"amaranthmill/keeper"
+	"amaranthmill/router"
+)
+
+// fleet is what this instance sees of the others, for the administration API.
+type fleet struct {
+	i *instance
+
+	mu      sync.Mutex
+	targets []router.Target
+	reports []grouper.Report
+	records []grouper.Record
+}
+
+func (f *fleet) setTargets(t []router.Target) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.targets = t
+}
+
+func (f *fleet) setReports(r []grouper.Report) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.reports = r
+}
+
+func (f *fleet) setRecords(r []grouper.Record) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.records = r
+}
+
+// Instances returns the entry instances as this one sees them.
+func (f *fleet) Instances(context.Context) ([]administrator.InstanceStatus, error) {
+	s := f.i.settings
+	version, _ := f.i.bundles.Document()
+	out := []administrator.InstanceStatus{{
+		Instance: s.Instance, FailureDomain: s.FailureDomain, Address: s.Listen.Peers, BundleVersion: version, Reachable: true,
+	}}
+	for _, p := range f.i.linker.Peers() {
+		st := administrator.InstanceStatus{
+			Instance: p.Instance, FailureDomain: p.FailureDomain, Address: p.Address,
+			BundleVersion: p.BundleVersion, Reachable: p.Reachable, Leaving: p.Leaving,
+		}
+		if !p.LastHeard.IsZero() {
+			st.Age = formatter.Duration(time.Since(p.LastHeard).Round(time.Millisecond))
+		}
+		out = append(out, st)
+	}
+	return out, nil
+}
+
+// Endpoints returns the engines and plain services of the platform's list, with what the
+// probes of the own failure domain say of them.
+func (f *fleet) Endpoints(context.Context) ([]administrator.EndpointStatus, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var out []administrator.EndpointStatus
+	for _, l := range f.i.directory.last() {
+		if l.Kind == keeper.KindEntry {
+			continue
+		}
+		st := administrator.EndpointStatus{
+			Endpoint: identifier.Endpoint(l.Name), Kind: string(l.Kind), Service: l.Service, FailureDomain: l.FailureDomain,
+			FabricDomain: l.FabricDomain, Address: l.Address, State: string(l.State), Accelerators: l.Accelerators,
+		}
+		f.addReport(&st)
+		out = append(out, st)
+	}
+	return out, nil
+}
+
+func (f *fleet) addReport(st *administrator.EndpointStatus) {
+	for i := range f.reports {
+		r := &f.reports[i]
+		if r.Endpoint != st.Endpoint {
+			continue
+		}
+		st.Group, st.InFlight = r.Group, r.InFlight
+		if !r.Fresh {
+			st.State = "unreachable"
+		}
+	}
+}
+
+// Groups returns the replica groups of all failure domains as the platform has them, or
+// those of the own failure domain while the platform cannot be reached.
+func (f *fleet) Groups(ctx context.Context) ([]administrator.GroupStatus, error) {
+	records := f.stored(ctx)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if records == nil {
+		records = f.records
+	}
+	var out []administrator.GroupStatus
+	for i := range records {
+		for j := range records[i].Groups {
+			out = append(out, f.group(&records[i], &records[i].Groups[j]))
+		}
+	}
+	return out, nil
+}
+
+// stored returns the records that the platform keeps, or nil if it cannot be reached.
+func (f *fleet) stored(ctx context.Context) []grouper.Record {
+	entries, err := f.i.platform.List(ctx, "groups/")
+	if err != nil {
+		return nil
+	}
+	out := make([]grouper.Record, 0, len(entries))
+	for _, e := range entries {
+		var r grouper.Record
+		if json.Unmarshal(e.Value, &r) == nil {
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
+func (f *fleet) group(r *grouper.Record, a *grouper.Assignment) administrator.GroupStatus {
+	st := administrator.GroupStatus{
+		Group: a.Group, Pool: a.Pool, FailureDomain: r.FailureDomain, FabricDomain: r.FabricDomain,
+		Epoch: a.Epoch, BundleVersion: a.BundleVersion,
+	}
+	for _, m := range a.Members {
+		st.Members = append(st.Members, m.Endpoint)
+	}
+	if r.FailureDomain != f.i.settings.FailureDomain {
+		st.Reason = "another failure domain; ask an instance there"
+		return st
+	}
+	i := slices.IndexFunc(f.targets, func(t router.Target) bool { return t.ID == string(a.Group) })
+	if i >= 0 && f.targets[i].Ready {
+		st.Ready, st.Epoch = true, f.targets[i].Epoch
+		return st
+	}
+	st.Reason = f.missing(a)
+	return st
+}
+
+// missing says which members keep a group from serving.
+func (f *fleet) missing(a *grouper.Assignment) string {
+	reason := ""
+	for _, m := range a.Members {
+		i := slices.IndexFunc(f.reports, func(r grouper.Report) bool { return r.Endpoint == m.Endpoint })
+		if i < 0 || !f.reports[i].Serves(a, m) {
+			reason += " " + string(m.Endpoint)
+		}
+	}
+	if reason == "" {
+		return "draining or leaving"
+	}
+	return "not serving:" + reason
+}
--- /dev/null
+++ b/runner/runner.go
@@ -0,0 +1,73 @@
+package runner
+
+import (
+	"context"
+	"errors"
+	"net/http"
+
+	"amaranthmill/configurer"
+
+	"github.com/oklog/run"
+	"github.com/rs/zerolog"
+)
+
+// Run runs an instance until it is stopped by a signal or one of its actors fails. It
+// returns nil after a graceful stop, a *StopError if requests may have been cut off, and
+// the error of the actor that failed otherwise.
+func Run(s *configurer.Settings, logger zerolog.Logger) error {
+	i, err := newInstance(s, logger)
+	if err != nil {
+		return err
+	}
+	i.listed(nil)
+	i.peersChanged()
+	callers := newHTTP(s.Listen.Callers.String(), i.server.Handler())
+	var g run.Group
+	st := newStopper()
+	st.notice, st.limit, st.logger = s.Limits.StopNotice.Std(), s.Limits.StopLimit.Std(), logger
+	st.drain = i.server.Drain
+	st.finish = callers.Shutdown
+	g.Add(st.run, st.interrupt)
+	g.Add(served(callers, st.stopped))
+	g.Add(served(newHTTP(s.Listen.Administration.String(), i.administration()), nil))
+	for _, actor := range []func(context.Context) error{
+		i.linker.Run, i.bundles.Run, i.prober.Run, i.grouper.Run, i.claimer.Run,
+		i.directory.run, i.records.run, i.reports.run, i.shareSummaries,
+	} {
+		g.Add(until(actor))
+	}
+	logger.Info().Stringer("callers", s.Listen.Callers).Msg("instance runs")
+	return g.Run()
+}
+
+// until returns the actor of a function that runs until its context ends.
+func until(f func(context.Context) error) (execute func() error, interrupt func(error)) {
+	ctx, cancel := context.WithCancel(context.Background())
+	return func() error { return f(ctx) }, func(error) { cancel() }
+}
+
+// served returns the actor of an HTTP server. One that is shut down by a stop waits until
+// the stop has ended, so that its own end does not end the instance.
+func served(s *http.Server, stopped <-chan struct{}) (execute func() error, interrupt func(error)) {
+	execute = func() error {
+		err := s.ListenAndServe()
+		if !errors.Is(err, http.ErrServerClosed) {
+			return err
+		}
+		if stopped != nil {
+			<-stopped
+		}
+		return nil
+	}
+	return execute, func(error) { _ = s.Close() }
+}
+
+// administration returns the handler of the administration listener.
+func (i *instance) administration() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", i.metrics)
+	mux.Handle("GET /livez", i.server.Handler())
+	mux.Handle("GET /readyz", i.server.Handler())
+	mux.Handle("/", i.admin)
+	return mux
+}
--- a/runner/stop.go
+++ b/runner/stop.go
@@ -29,17 +29,19 @@
 	finish  func(context.Context) error
 	logger  zerolog.Logger
 	signals chan os.Signal
-	done    chan struct{}
+	done    chan struct{} // closed when another actor has failed
+	stopped chan struct{} // closed when the stop has ended
 }
 
 func newStopper() *stopper {
-	s := &stopper{signals: make(chan os.Signal, 2), done: make(chan struct{})}
+	s := &stopper{signals: make(chan os.Signal, 2), done: make(chan struct{}), stopped: make(chan struct{})}
 	signal.Notify(s.signals, syscall.SIGTERM, os.Interrupt)
 	return s
 }
 
 // run waits for a signal and stops the instance. It returns nil after a graceful stop.
 func (s *stopper) run() error {
+	defer close(s.stopped)
 	select {
 	case <-s.done:
 		return nil
