--- /dev/null
+++ b/standin/cmd/standin/trial.go
@@ -0,0 +1,30 @@
+package main
+
+import (
+	"os"
+	"os/signal"
+	"path/filepath"
+	"syscall"
+
+	"amaranthmill/standin/trial"
+)
+
+type trialCommand struct {
+	Stay bool `long:"stay" description:"leave everything up until Ctrl-C"`
+}
+
+// Execute runs the whole path with the programs that lie beside this one.
+func (c *trialCommand) Execute([]string) error {
+	self, err := os.Executable()
+	if err != nil {
+		return err
+	}
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
+	stop := make(chan struct{})
+	go func() {
+		<-signals
+		close(stop)
+	}()
+	return trial.Main(trial.Config{Bin: filepath.Dir(self), Stay: c.Stay, Stop: stop, Out: os.Stdout})
+}
--- a/standin/engine/complete.go
+++ b/standin/engine/complete.go
@@ -54,6 +54,10 @@
 		notRun(w, http.StatusBadRequest, "badRequest")
 		return
 	}
+	asked := e.report()
+	if epoch, _ := strconv.ParseUint(r.Header.Get("Mill-Epoch"), 10, 64); epoch != 0 {
+		e.count(asked.Group, epoch, false)
+	}
 	group, status, code := e.admit(r)
 	if code != "" {
 		notRun(w, status, code)
@@ -82,6 +86,7 @@
 	g.resume, _ = strconv.Atoi(r.Header.Get("Mill-Resume"))
 	g.id = "chatcmpl-" + r.Header.Get("Mill-Request")
 	g.run()
+	e.count(rep.Group, rep.Epoch, true)
 }
 
 // admit returns the membership's context, or why the request is refused.
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -66,6 +66,7 @@
 	cancel  context.CancelFunc
 	whole   int // members that are connected, this one not counted
 	waiting int
+	served  []served
 }
 
 // New returns an Engine that is in no group.
@@ -89,6 +90,7 @@
 	mux.HandleFunc("GET /member", e.serveMember)
 	mux.HandleFunc("POST /v1/chat/completions", e.complete)
 	mux.HandleFunc("PUT /leaving", e.leave)
+	mux.HandleFunc("GET /served", e.getServed)
 	return mux
 }
 
--- /dev/null
+++ b/standin/trial/fleet.go
@@ -0,0 +1,173 @@
+package trial
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/netip"
+	"os"
+	"path/filepath"
+
+	"amaranthmill/standin/authority"
+)
+
+// The size of the trial's fleet.
+const (
+	groupsPerDomain = 2
+	groupSize       = 2
+	sparesPerDomain = 1
+)
+
+var failureDomains = []string{"fort-davis", "alpine", "marfa"}
+
+// entry is one entry instance.
+type entry struct {
+	name, domain          string
+	callers, admin, peers netip.AddrPort
+	process               *process
+}
+
+// endpoint is one engine or plain service.
+type endpoint struct {
+	name, domain string
+	address      netip.AddrPort
+	process      *process
+}
+
+// fleet is all that runs.
+type fleet struct {
+	bin, dir  string
+	processes processes
+	platform  netip.AddrPort
+	entries   []*entry
+	engines   []*endpoint
+	service   *endpoint
+	keys      map[string]keyPair // tokens of operators and the bearer key of the client account
+	publicKey string
+}
+
+// keyPair is a bearer key or token with its digest, as millctl prints it.
+type keyPair struct {
+	Key    string `json:"key"`
+	Digest string `json:"digest"`
+}
+
+// freePorts returns n loopback addresses whose ports were free at the same moment.
+func freePorts(n int) ([]netip.AddrPort, error) {
+	var out []netip.AddrPort
+	for range n {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, err
+		}
+		defer l.Close()
+		out = append(out, l.Addr().(*net.TCPAddr).AddrPort())
+	}
+	return out, nil
+}
+
+// newFleet lays out names and addresses. Nothing runs yet.
+func newFleet(bin, dir string) (*fleet, error) {
+	f := &fleet{bin: bin, dir: dir, processes: processes{dir: dir}, keys: map[string]keyPair{}}
+	perDomain := groupsPerDomain*groupSize + sparesPerDomain
+	ports, err := freePorts(2 + len(failureDomains)*perDomain + 3*4)
+	if err != nil {
+		return nil, err
+	}
+	next := func() netip.AddrPort {
+		p := ports[0]
+		ports = ports[1:]
+		return p
+	}
+	f.platform = next()
+	f.service = &endpoint{name: "pad-ledger-1", domain: failureDomains[0], address: next()}
+	for _, domain := range failureDomains {
+		for i := range perDomain {
+			f.engines = append(f.engines, &endpoint{name: fmt.Sprintf("engine-%s-%d", domain, i+1), domain: domain, address: next()})
+		}
+	}
+	for i := range 4 {
+		f.entries = append(f.entries, &entry{
+			name: fmt.Sprintf("entry-%d", i+1), domain: failureDomains[i%len(failureDomains)],
+			callers: next(), admin: next(), peers: next(),
+		})
+	}
+	return f, nil
+}
+
+// startEndpoints starts the platform, the engines and the plain service.
+func (f *fleet) startEndpoints() error {
+	standin := filepath.Join(f.bin, "standin")
+	if _, err := f.processes.start("platform", standin, "platform", "--listen", f.platform.String(), "--weightsPerSecond", "20"); err != nil {
+		return err
+	}
+	var err error
+	for _, e := range f.engines {
+		e.process, err = f.processes.start(e.name, standin, "engine", "--name", e.name, "--listen", e.address.String(),
+			"--platform", f.platform.String(), "--failureDomain", e.domain, "--fabricDomain", e.domain+"-rack", "--checksFence")
+		if err != nil {
+			return err
+		}
+	}
+	s := f.service
+	s.process, err = f.processes.start(s.name, standin, "service", "--name", s.name, "--service", "pad-ledger",
+		"--listen", s.address.String(), "--platform", f.platform.String(), "--failureDomain", s.domain)
+	return err
+}
+
+// startEntries makes certificates and settings and starts the entry instances.
+func (f *fleet) startEntries() error {
+	a, err := authority.New()
+	if err != nil {
+		return err
+	}
+	var members []authority.Member
+	for _, e := range f.entries {
+		members = append(members, authority.Member{Instance: e.name, FailureDomain: e.domain})
+	}
+	if err := a.Write(f.dir, members); err != nil {
+		return err
+	}
+	for _, e := range f.entries {
+		path := filepath.Join(f.dir, e.name+".json")
+		if err := f.writeSettings(e, path); err != nil {
+			return err
+		}
+		if e.process, err = f.processes.start(e.name, filepath.Join(f.bin, "amaranthmill"), path); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// writeSettings writes the settings file of one entry instance.
+func (f *fleet) writeSettings(e *entry, path string) error {
+	type object = map[string]any
+	var peers []object
+	for _, p := range f.entries {
+		if p != e {
+			peers = append(peers, object{"instance": p.name, "failureDomain": p.domain, "address": p.peers})
+		}
+	}
+	operator := func(name, role string) object {
+		return object{"name": name, "roles": []string{role}, "tokenDigest": f.keys[name].Digest}
+	}
+	settings := object{
+		"instance": e.name, "failureDomain": e.domain,
+		"listen":   object{"callers": e.callers, "administration": e.admin, "peers": e.peers},
+		"platform": object{"address": f.platform},
+		"peers":    peers,
+		"tls": object{
+			"certificate": filepath.Join(f.dir, e.name+".pem"), "key": filepath.Join(f.dir, e.name+".key"),
+			"authorities": filepath.Join(f.dir, "authorities.pem"),
+		},
+		"signers":      []object{{"name": "vera", "publicKey": f.publicKey}},
+		"operators":    []object{operator("abel", "author"), operator("vera", "signer"), operator("ruth", "reader")},
+		"fenceChecked": []string{"fort-davis-rack", "alpine-rack", "marfa-rack"},
+	}
+	b, err := json.MarshalIndent(settings, "", "  ")
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(path, b, 0o600)
+}
--- /dev/null
+++ b/standin/trial/operate.go
@@ -0,0 +1,143 @@
+package trial
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+)
+
+// millctl runs the operators' command line as one operator and returns its output.
+func (f *fleet) millctl(operator string, args ...string) ([]byte, error) {
+	cmd := exec.Command(filepath.Join(f.bin, "millctl"), args...)
+	cmd.Env = append(os.Environ(), "MILLCTL_TOKEN="+f.keys[operator].Key)
+	var out, errOut bytes.Buffer
+	cmd.Stdout, cmd.Stderr = &out, &errOut
+	if err := cmd.Run(); err != nil {
+		return nil, fmt.Errorf("trial: millctl %s: %w: %s", strings.Join(args, " "), err, strings.TrimSpace(errOut.String()))
+	}
+	return out.Bytes(), nil
+}
+
+// makeKeys has millctl make the signer's key pair, the operators' tokens and the bearer
+// key of the client account.
+func (f *fleet) makeKeys() error {
+	for _, name := range []string{"abel", "vera", "ruth", "observatory"} {
+		out, err := f.millctl("", "keys", "token", "--output", "json")
+		if err != nil {
+			return err
+		}
+		var k keyPair
+		if err := json.Unmarshal(out, &k); err != nil {
+			return err
+		}
+		f.keys[name] = k
+	}
+	out, err := f.millctl("", "keys", "signer", "--out", f.signerKey(), "--output", "json")
+	if err != nil {
+		return err
+	}
+	var k struct {
+		PublicKey string `json:"publicKey"`
+	}
+	err = json.Unmarshal(out, &k)
+	f.publicKey = k.PublicKey
+	return err
+}
+
+func (f *fleet) signerKey() string { return filepath.Join(f.dir, "vera.key") }
+
+// bundle returns the text of the trial's bundle.
+func (f *fleet) bundle() ([]byte, error) {
+	type object = map[string]any
+	var groups []object
+	for _, d := range failureDomains {
+		groups = append(groups, object{"failureDomain": d, "count": groupsPerDomain})
+	}
+	return json.MarshalIndent(object{
+		"version": 1, "author": "abel", "note": "first version for the trial",
+		"pools": []object{{
+			"name": "guides", "base": "guide-70b", "version": "2026-11", "adapters": []string{"patrons"},
+			"groupSize": groupSize, "priority": 5, "groups": groups,
+		}},
+		"models": []object{{"name": "mill-guides", "pool": "guides", "adapter": "patrons", "deadline": "20s"}},
+		"services": []object{{
+			"name": "pad-ledger", "deadline": "5s", "repeatable": []object{{"method": "GET", "path": "/holds/*"}},
+		}},
+		"accounts": []object{{
+			"name": "observatory", "keyDigests": []string{f.keys["observatory"].Digest}, "priority": 5,
+			"requestsPerSecond": 2000, "burst": 2000, "services": []string{"mill-guides", "pad-ledger"},
+		}},
+		"repair": object{"groupDowntime": 2, "strandedAccelerators": 1},
+	}, "", "  ")
+}
+
+// rollOut proposes the bundle as its author, signs it off as another person and waits
+// until it is in force everywhere.
+func (f *fleet) rollOut() error {
+	text, err := f.bundle()
+	if err != nil {
+		return err
+	}
+	path := filepath.Join(f.dir, "bundle.json")
+	if err := os.WriteFile(path, text, 0o600); err != nil {
+		return err
+	}
+	admin := f.entries[0].admin.String()
+	steps := []struct {
+		operator string
+		args     []string
+	}{
+		{"abel", []string{"bundle", "check", "--fleet", path}},
+		{"abel", []string{"bundle", "propose", path}},
+		{"vera", []string{"bundle", "sign", "1", "--key", f.signerKey()}},
+		{"ruth", []string{"bundle", "status", "--version", "1", "--wait", "5s"}},
+	}
+	for _, s := range steps {
+		if _, err := f.millctl(s.operator, append([]string{"--address", admin}, s.args...)...); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// group is one replica group as millctl prints it.
+type group struct {
+	Group         string   `json:"group"`
+	FailureDomain string   `json:"failureDomain"`
+	Epoch         uint64   `json:"epoch"`
+	Members       []string `json:"members"`
+	Ready         bool     `json:"ready"`
+	Reason        string   `json:"reason"`
+}
+
+// groups asks one instance of each failure domain for its groups.
+func (f *fleet) groups() ([]group, error) {
+	var out []group
+	asked := map[string]bool{}
+	for _, e := range f.entries {
+		if asked[e.domain] || !e.process.running() {
+			continue
+		}
+		asked[e.domain] = true
+		text, err := f.millctl("ruth", "--address", e.admin.String(), "--output", "json", "groups")
+		if err != nil {
+			return nil, err
+		}
+		var all struct {
+			Groups []group `json:"groups"`
+		}
+		if err := json.Unmarshal(text, &all); err != nil {
+			return nil, err
+		}
+		for _, g := range all.Groups {
+			if g.FailureDomain == e.domain {
+				out = append(out, g)
+			}
+		}
+	}
+	return out, nil
+}
