--- a/bundler/registrar.go
+++ b/bundler/registrar.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"slices"
 	"strconv"
+	"time"
 
 	"github.com/rotisserie/eris"
 	"github.com/rs/zerolog"
@@ -38,10 +39,13 @@
 
 // Registrar stores proposals and accepts bundles that were signed off. Any number of
 // them may work against the same platform. It is safe for concurrent use.
-type Registrar struct{ cfg RegistrarConfig }
+type Registrar struct {
+	cfg   RegistrarConfig
+	pause func(ctx context.Context, d time.Duration)
+}
 
 // NewRegistrar returns a Registrar for cfg.
-func NewRegistrar(cfg RegistrarConfig) *Registrar { return &Registrar{cfg: cfg} }
+func NewRegistrar(cfg RegistrarConfig) *Registrar { return &Registrar{cfg: cfg, pause: pause} }
 
 // Check validates a bundle against what the fleet has and stores nothing. Its errors are
 // *InvalidError and those of the platform.
--- a/bundler/registrar_test.go
+++ b/bundler/registrar_test.go
@@ -7,7 +7,6 @@
 	"math/rand/v2"
 	"strings"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"amaranthmill/auditor"
@@ -30,6 +29,7 @@
 		Trail:     auditor.New(auditor.Config{Platform: trail, Instance: name}),
 		Inventory: func(context.Context) (*Inventory, error) { return nil, nil },
 	})
+	registrar.pause = func(context.Context, time.Duration) {}
 	return &instance{store: store, registrar: registrar}
 }
 
@@ -40,15 +40,9 @@
 	instances map[string]*instance
 }
 
-// Handle applies one event of a script in a bubble of its own, so that no wait takes time.
+// Handle applies one event of a script.
 func (s *registrarSession) Handle(_ time.Time, ev scripter.Event) ([]string, error) {
-	var lines []string
-	var err error
-	synctest.Test(s.t, func(t *testing.T) { lines, err = s.handle(t.Context(), ev) })
-	return lines, err
-}
-
-func (s *registrarSession) handle(ctx context.Context, ev scripter.Event) ([]string, error) {
+	ctx := s.t.Context()
 	at := s.instance(ev.Str("at"))
 	version := identifier.BundleVersion(ev.Int("version"))
 	switch ev.Name {
--- a/bundler/signoff.go
+++ b/bundler/signoff.go
@@ -110,7 +110,7 @@
 			break
 		}
 		if err != nil {
-			pause(ctx, readAgain)
+			r.pause(ctx, readAgain)
 		}
 	}
 	if unknown == nil {
