linker: membership core, deltas of probe digests, sessions that retire

Failure detection by heartbeats that echo what was heard, hysteresis, own pauses, duplicate sessions, incarnations, bundles asked for by version, a full mesh inside a failure domain and three sessions a pair of domains are decided in a pure core under session scripts (linker/testdata/session). A session closes only when neither side has a request on it.

Before: a silence limit and one dialler in the shell. After: go test -race ./linker/ passes. Ruled out: pushing a new bundle to all peers (36 copies a node in a mesh of 37); a peer that shows a newer version in its heartbeat is asked instead.

--- a/linker/convert.go
+++ b/linker/convert.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"net/netip"
 	"slices"
 	"time"
 
@@ -10,69 +9,6 @@
 	"amaranthmill/linker/internal/wire"
 )
 
-func digestToWire(d ProbeDigest) *wire.ProbeDigest {
-	out := &wire.ProbeDigest{Reports: make([]*wire.ProbeReport, 0, len(d.Reports))}
-	for _, r := range d.Reports {
-		out.Reports = append(out.Reports, reportToWire(r))
-	}
-	return out
-}
-
-func reportToWire(r ProbeReport) *wire.ProbeReport {
-	address, _ := r.Address.MarshalBinary() // never fails
-	return &wire.ProbeReport{
-		Endpoint:            string(r.Endpoint),
-		Address:             address,
-		ProcessStart:        int64(r.ProcessStart),
-		Group:               string(r.Group),
-		Epoch:               uint64(r.Epoch),
-		BundleVersion:       uint64(r.BundleVersion),
-		Loaded:              r.Loaded,
-		Leaving:             r.Leaving,
-		Reachable:           r.Reachable,
-		InFlight:            count(r.InFlight),
-		Queued:              count(r.Queued),
-		Capacity:            count(r.Capacity),
-		AgeMilliseconds:     count(r.Age.Milliseconds()),
-		LatencyMicroseconds: count(r.Latency.Microseconds()),
-	}
-}
-
-func digestFromWire(d *wire.ProbeDigest) (ProbeDigest, error) {
-	out := ProbeDigest{Reports: make([]ProbeReport, 0, len(d.GetReports()))}
-	for _, w := range d.GetReports() {
-		r, err := reportFromWire(w)
-		if err != nil {
-			return ProbeDigest{}, err
-		}
-		out.Reports = append(out.Reports, r)
-	}
-	return out, nil
-}
-
-func reportFromWire(w *wire.ProbeReport) (ProbeReport, error) {
-	var address netip.AddrPort
-	if err := address.UnmarshalBinary(w.GetAddress()); err != nil || w.GetEndpoint() == "" {
-		return ProbeReport{}, &FrameError{Expected: "an endpoint with an address in a probe report"}
-	}
-	return ProbeReport{
-		Endpoint:      identifier.Endpoint(w.GetEndpoint()),
-		Address:       address,
-		ProcessStart:  identifier.ProcessStart(w.GetProcessStart()),
-		Group:         identifier.Group(w.GetGroup()),
-		Epoch:         identifier.Epoch(w.GetEpoch()),
-		BundleVersion: identifier.BundleVersion(w.GetBundleVersion()),
-		Loaded:        w.GetLoaded(),
-		Leaving:       w.GetLeaving(),
-		Reachable:     w.GetReachable(),
-		InFlight:      clamp(w.GetInFlight()),
-		Queued:        clamp(w.GetQueued()),
-		Capacity:      clamp(w.GetCapacity()),
-		Age:           time.Duration(clamp(w.GetAgeMilliseconds())) * time.Millisecond,
-		Latency:       time.Duration(clamp(w.GetLatencyMicroseconds())) * time.Microsecond,
-	}, nil
-}
-
 func suspicionToWire(s Suspicion) *wire.Suspicion {
 	out := &wire.Suspicion{
 		Fingerprint:     s.Fingerprint,
@@ -149,8 +85,8 @@
 	return uint64(max(n, 0))
 }
 
-// clamp returns n as an int that a duration in milliseconds can hold.
+// clamp returns n as an int that a duration in any unit of the wire can hold.
 func clamp(n uint64) int {
-	const limit = 1 << 40
+	const limit = 1 << 36
 	return int(min(n, limit))
 }
--- a/linker/exchange.go
+++ b/linker/exchange.go
@@ -17,7 +17,7 @@
 func (l *Linker) Send(to identifier.Instance, m Message) error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	s := l.sessions[to]
+	s := l.current[to]
 	if s == nil {
 		return &NotReachableError{Instance: to}
 	}
@@ -25,22 +25,35 @@
 	return nil
 }
 
-// Broadcast sends m on: a ProbeDigest to the reachable peers of the own failure domain,
-// a Suspicion or a LoadSummary to every instance, and a BundleOffer as a new version that
-// each instance then asks one peer for.
+// Broadcast spreads m. A ProbeDigest goes to the instances of the own failure domain. A
+// Suspicion goes to every instance, each of which passes it on once. A LoadSummary goes
+// to the other failure domains if this instance is among those that hold the sessions
+// with them, and to all there. A BundleOffer is announced: each instance that has an
+// older version asks one that has it.
 func (l *Linker) Broadcast(m Message) {
+	if offer, ok := m.(BundleOffer); ok {
+		l.core.Submit(versioned{version: offer.Version})
+		return
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	e := l.envelope(m)
-	for _, name := range sortedKeys(l.sessions) {
-		s := l.sessions[name]
-		if _, digest := m.(ProbeDigest); digest && s.peer.FailureDomain != l.cfg.FailureDomain {
-			continue
+	for _, name := range sortedKeys(l.current) {
+		if s := l.current[name]; l.goesTo(m, s.peer.FailureDomain) {
+			l.post(s, e)
 		}
-		l.post(s, e)
 	}
-	if _, offer := m.(BundleOffer); offer {
-		signal(l.changed)
+}
+
+// goesTo reports whether a broadcast m goes on sessions with a failure domain.
+func (l *Linker) goesTo(m Message, domain identifier.FailureDomain) bool {
+	switch m.(type) {
+	case ProbeDigest:
+		return domain == l.cfg.FailureDomain
+	case LoadSummary:
+		return domain != l.cfg.FailureDomain && l.relays[domain]
+	default:
+		return true
 	}
 }
 
@@ -84,23 +97,49 @@
 	case e.offer != nil:
 		s.box.putOffer(*e.offer)
 	case len(e.digest.Reports) > 0:
-		s.box.putDigest(e.digest)
+		s.box.putDigest(l.cfg.Now(), e.digest)
 	}
 }
 
 // runSession carries s until it ends.
-func (l *Linker) runSession(run context.Context, s *session) {
-	l.adopt(s)
-	l.cfg.OnPeers()
-	defer l.cfg.OnPeers()
-	defer l.remove(s)
-	defer s.close()
-	ctx, cancel := context.WithCancel(run)
-	defer cancel()
+func (l *Linker) runSession(s *session) {
+	l.add(s)
+	l.core.Submit(opened{
+		session:     s.id,
+		peer:        s.peer,
+		incarnation: s.hello.GetIncarnation(),
+		attempt:     s.attempt,
+		dialed:      s.dialed,
+	})
+	ctx, cancel := context.WithCancel(l.run)
 	go l.writeControl(ctx, s)
 	go l.writeBulk(ctx, s)
-	go l.acceptStreams(run, s)
+	go l.acceptStreams(s)
 	l.readControl(s)
+	cancel()
+	s.close()
+	l.remove(s)
+	l.core.Submit(ended{session: s.id})
+}
+
+func (l *Linker) add(s *session) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.last++
+	s.id = l.last
+	l.sessions[s.id] = s
+}
+
+func (l *Linker) remove(s *session) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.sessions, s.id)
+	if l.current[s.peer.Instance] == s {
+		delete(l.current, s.peer.Instance)
+	}
+	if len(l.sessions) == 0 {
+		signal(l.empty)
+	}
 }
 
 func (l *Linker) writeControl(ctx context.Context, s *session) {
@@ -110,7 +149,7 @@
 			return
 		case <-s.box.ready:
 		}
-		frame := s.box.take()
+		frame := s.box.take(l.cfg.Now())
 		if frame == nil {
 			continue
 		}
@@ -119,6 +158,10 @@
 			s.close()
 			return
 		}
+		if frame.Retired && s.use.setWritten() {
+			s.close()
+			return
+		}
 	}
 }
 
@@ -151,17 +194,17 @@
 }
 
 // acceptStreams takes the streams that the peer opens.
-func (l *Linker) acceptStreams(run context.Context, s *session) {
+func (l *Linker) acceptStreams(s *session) {
 	for {
 		stream, err := s.mux.AcceptStream()
 		if err != nil {
 			return
 		}
-		go l.acceptStream(run, s, stream)
+		go l.acceptStream(s, stream)
 	}
 }
 
-func (l *Linker) acceptStream(run context.Context, s *session, stream *yamux.Stream) {
+func (l *Linker) acceptStream(s *session, stream *yamux.Stream) {
 	in := newFrameReader(stream, maxRequestFrame)
 	var opening wire.Opening
 	_ = stream.SetReadDeadline(time.Now().Add(openTimeout))
@@ -181,9 +224,9 @@
 			return
 		}
 		defer l.work.Done()
-		l.serveRequest(run, stream, in, purpose.Request)
+		l.serveRequest(s, stream, in, purpose.Request)
 	default:
-		l.logFrame(&FrameError{Expected: "the purpose of a stream"})
+		l.logFrame(&FrameError{Expected: "the purpose of a stream"}, s.peer.Instance)
 		s.close()
 	}
 }
@@ -212,16 +255,23 @@
 			return
 		}
 		if err := l.receive(s, &frame); err != nil {
-			l.logFrame(err)
+			l.logFrame(err, s.peer.Instance)
 			return
 		}
 	}
 }
 
 func (l *Linker) receive(s *session, frame *wire.ControlFrame) error {
-	l.heard(s, frame)
+	if h := frame.GetHeartbeat(); h != nil {
+		l.core.Submit(heard{
+			session:  s.id,
+			sequence: h.GetSequence(),
+			echo:     h.GetEcho(),
+			version:  identifier.BundleVersion(h.GetBundleVersion()),
+		})
+	}
 	if d := frame.GetDigest(); d != nil {
-		digest, err := digestFromWire(d)
+		digest, err := s.digests.decode(d)
 		if err != nil {
 			return err
 		}
@@ -232,22 +282,26 @@
 			return err
 		}
 	}
+	if ask := frame.GetBundleRequest(); ask != nil {
+		l.offer(s, identifier.BundleVersion(ask.GetVersion()))
+	}
+	l.receiveRetired(s, frame)
 	return nil
 }
 
-// heard notes what a frame says of its sender and offers the bundle to one that lags.
-func (l *Linker) heard(s *session, frame *wire.ControlFrame) {
-	version, document := l.cfg.Bundle()
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	p := l.peers[s.peer.Instance]
-	p.lastHeard = l.cfg.Now()
-	p.leaving = p.leaving || frame.GetLeaving()
-	if h := frame.GetHeartbeat(); h != nil {
-		p.version = identifier.BundleVersion(h.GetBundleVersion())
-		if p.version < version {
-			s.box.putOffer(BundleOffer{Version: version, Document: document})
-		}
+// offer sends the bundle that a peer asked for, or a newer one.
+func (l *Linker) offer(s *session, asked identifier.BundleVersion) {
+	if version, document := l.cfg.Bundle(); version >= asked {
+		s.box.putOffer(BundleOffer{Version: version, Document: document})
+	}
+}
+
+func (l *Linker) receiveRetired(s *session, frame *wire.ControlFrame) {
+	if frame.GetLeaving() || frame.GetRetired() {
+		l.core.Submit(peerRetires{session: s.id, leaving: frame.GetLeaving()})
+	}
+	if frame.GetRetired() && s.use.setHeard() {
+		s.close()
 	}
 }
 
@@ -256,38 +310,39 @@
 	if r.GetOrigin() == "" || r.GetMessage() == nil {
 		return &FrameError{Expected: "a message with an origin"}
 	}
-	if !l.passOn(s, r) {
+	from, fresh := l.passOn(s, r)
+	if !fresh {
 		return nil
 	}
-	from := s.peer
-	if r.GetOrigin() != string(s.peer.Instance) {
-		from = Peer{Instance: identifier.Instance(r.GetOrigin())}
-	}
 	switch m := r.GetMessage().(type) {
 	case *wire.Relayed_Suspicion:
 		l.cfg.OnMessage(from, suspicionFromWire(m.Suspicion))
 	case *wire.Relayed_Load:
-		from.FailureDomain = identifier.FailureDomain(m.Load.GetFailureDomain())
 		l.cfg.OnMessage(from, loadFromWire(m.Load))
 	}
 	return nil
 }
 
-// passOn reports whether r is new here, and if so posts it to the peers of this failure
-// domain, or of others if it came from this one.
-func (l *Linker) passOn(s *session, r *wire.Relayed) bool {
+// passOn returns the origin of r and whether r is new here. A new Suspicion goes to all
+// but its sender, a new LoadSummary of another failure domain to all of this one if this
+// instance relays between the two.
+func (l *Linker) passOn(s *session, r *wire.Relayed) (from Peer, fresh bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	key := origin{instance: identifier.Instance(r.GetOrigin()), incarnation: r.GetIncarnation()}
-	if key.instance == l.cfg.Instance || l.seen[key] >= r.GetSequence() {
-		return false
+	origin := identifier.Instance(r.GetOrigin())
+	if origin == l.cfg.Instance || !l.seen.accept(origin, r.GetIncarnation(), r.GetSequence()) {
+		return Peer{}, false
 	}
-	l.seen[key] = r.GetSequence()
-	inside := s.peer.FailureDomain == l.cfg.FailureDomain
-	for _, to := range l.sessions {
-		if to != s && (to.peer.FailureDomain == l.cfg.FailureDomain) != inside {
+	from = l.statuses[origin].Peer
+	from.Instance = origin
+	outside := s.peer.FailureDomain != l.cfg.FailureDomain
+	for _, to := range l.current {
+		if r.GetLoad() != nil && !(outside && l.relays[s.peer.FailureDomain] && to.peer.FailureDomain == l.cfg.FailureDomain) {
+			continue
+		}
+		if to != s {
 			to.box.putRelayed(r)
 		}
 	}
-	return true
+	return from, true
 }
--- a/linker/forward.go
+++ b/linker/forward.go
@@ -19,16 +19,28 @@
 // Forward has the instance to carry out req and hands the answer to w. A request crosses
 // one link at most. The outcome is the peer's own unless the link fails: then it is
 // NotRun if the end of the request was never written, and else Unknown, whatever the
-// kind of the request. Forward returns soon after ctx or the request's deadline ends.
+// kind of the request. Forward returns soon after ctx or the request's deadline ends, and
+// uses w no more once it has returned.
 func (l *Linker) Forward(ctx context.Context, to identifier.Instance, req router.Request, w router.Writer) router.Outcome {
+	if !req.Deadline.IsZero() {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithDeadline(ctx, req.Deadline)
+		defer cancel()
+	}
+	outcome := l.forward(ctx, to, req, w)
+	l.metrics.request(l.run, "sent", outcome)
+	return outcome
+}
+
+func (l *Linker) forward(ctx context.Context, to identifier.Instance, req router.Request, w router.Writer) router.Outcome {
 	if req.Hops > 0 {
 		return notRun("tooManyHops", "the request has crossed a link already")
 	}
-	s, done := l.beginForward(to)
+	s := l.beginForward(ctx, to)
 	if s == nil {
 		return notRun("peerNotReachable", "no session with the other instance")
 	}
-	defer done()
+	defer l.endForward(s)
 	if s.mux.NumStreams() >= maxStreams {
 		return notRun("linkBusy", "too many requests on the link to the other instance")
 	}
@@ -36,11 +48,6 @@
 	if err != nil {
 		return notRun("peerNotReachable", "the session with the other instance ended")
 	}
-	if !req.Deadline.IsZero() {
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithDeadline(ctx, req.Deadline)
-		defer cancel()
-	}
 	f := &forward{
 		ctx:    ctx,
 		stream: stream,
--- a/linker/linker.go
+++ b/linker/linker.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"math/rand/v2"
+	"errors"
 	"net"
 	"net/netip"
 	"sync"
@@ -11,44 +11,44 @@
 	"github.com/rotisserie/eris"
 
 	"amaranthmill/internal/identifier"
-	"amaranthmill/linker/internal/wire"
+	"amaranthmill/internal/stepper"
 )
 
+// tickInterval is how often the membership core lets time pass.
+const tickInterval = 500 * time.Millisecond
+
+// maxHandshakes bounds the connections that have not said Hello yet.
+const maxHandshakes = 128
+
 // Linker keeps this instance's sessions with its peers. It is safe for concurrent use.
 type Linker struct {
 	cfg         Config
+	metrics     *metrics
 	listener    net.Listener
 	incarnation uint64
+	core        *stepper.Stepper[event, action]
+	run         context.Context // of the sessions; outlives the context of Run while it drains
+	cancel      context.CancelFunc
+	work        sync.WaitGroup // forwarded requests of both directions
 
 	mu       sync.Mutex
-	rand     *rand.Rand
-	peers    map[identifier.Instance]*peer
-	sessions map[identifier.Instance]*session
-	seen     map[origin]uint64 // highest sequence of each origin's messages
-	sequence uint64            // of the last message that started here
+	last     sessionID
+	sessions map[sessionID]*session
+	current  map[identifier.Instance]*session // in use
+	statuses map[identifier.Instance]PeerStatus
+	relays   map[identifier.FailureDomain]bool
+	waits    map[identifier.Instance]*wait
+	seen     dedupe
+	sequence uint64 // of the last message that started here
 	stopping bool
-	work     sync.WaitGroup // forwarded requests of both directions
-	changed  chan struct{}
-}
-
-// peer is what is known of another instance.
-type peer struct {
-	Peer
-	dialing   bool
-	retryAt   time.Time
-	lastHeard time.Time
-	version   identifier.BundleVersion
-	leaving   bool
-}
-
-type origin struct {
-	instance    identifier.Instance
-	incarnation uint64
+	empty    chan struct{} // has an element after the last session ended
 }
 
 // PeerStatus is how this instance sees a peer.
 type PeerStatus struct {
 	Peer
+	// Reachable says that there is a session and that heartbeats pass both ways. Of
+	// another failure domain most instances have no session until a request needs one.
 	Reachable     bool
 	Leaving       bool
 	LastHeard     time.Time // zero if never
@@ -74,266 +74,161 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "linker: listen")
 	}
-	return &Linker{
+	l := &Linker{
 		cfg:         cfg,
 		listener:    listener,
 		incarnation: uint64(cfg.Now().UnixNano()),
-		rand:        rand.New(cfg.Rand),
-		peers:       map[identifier.Instance]*peer{},
-		sessions:    map[identifier.Instance]*session{},
-		seen:        map[origin]uint64{},
-		changed:     make(chan struct{}, 1),
-	}, nil
+		sessions:    map[sessionID]*session{},
+		current:     map[identifier.Instance]*session{},
+		statuses:    map[identifier.Instance]PeerStatus{},
+		relays:      map[identifier.FailureDomain]bool{},
+		waits:       map[identifier.Instance]*wait{},
+		seen:        dedupe{},
+		empty:       make(chan struct{}, 1),
+	}
+	l.run, l.cancel = context.WithCancel(context.Background())
+	self := Peer{Instance: cfg.Instance, FailureDomain: cfg.FailureDomain}
+	l.core = stepper.New(stepper.Config[event, action]{
+		Core:   newCore(self, cfg.Rand),
+		Handle: l.handle,
+		Now:    cfg.Now,
+	})
+	if l.metrics, err = newMetrics(l); err != nil {
+		_ = listener.Close()
+		return nil, eris.Wrap(err, "linker: metrics")
+	}
+	return l, nil
+}
+
+// Address returns the address on which the Linker listens.
+func (l *Linker) Address() netip.AddrPort {
+	return l.listener.Addr().(*net.TCPAddr).AddrPort()
 }
 
 // SetPeers gives the whole set of other instances, as the platform's list has it. This
 // instance itself may be among them.
-func (l *Linker) SetPeers(peers []Peer) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	listed := map[identifier.Instance]bool{}
-	for _, p := range peers {
-		if p.Instance == l.cfg.Instance {
-			continue
-		}
-		listed[p.Instance] = true
-		if known := l.peers[p.Instance]; known != nil {
-			known.Peer = p
-			continue
-		}
-		l.peers[p.Instance] = &peer{Peer: p}
-	}
-	for name := range l.peers {
-		if !listed[name] && l.sessions[name] == nil {
-			delete(l.peers, name)
-		}
-	}
-	signal(l.changed)
-}
+func (l *Linker) SetPeers(peers []Peer) { l.core.Submit(listed{peers: peers}) }
 
 // Peers returns the status of each known peer in the order of their names.
 func (l *Linker) Peers() []PeerStatus {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	out := make([]PeerStatus, 0, len(l.peers))
-	for _, name := range sortedKeys(l.peers) {
-		p := l.peers[name]
-		out = append(out, PeerStatus{
-			Peer:          p.Peer,
-			Reachable:     l.sessions[name] != nil,
-			Leaving:       p.leaving,
-			LastHeard:     p.lastHeard,
-			BundleVersion: p.version,
-		})
+	out := make([]PeerStatus, 0, len(l.statuses))
+	for _, name := range sortedKeys(l.statuses) {
+		out = append(out, l.statuses[name])
 	}
 	return out
 }
 
-// Address returns the address on which the Linker listens.
-func (l *Linker) Address() netip.AddrPort {
-	return l.listener.Addr().(*net.TCPAddr).AddrPort()
-}
-
 // Run keeps the sessions until ctx ends. Then it tells the peers, finishes the forwarded
-// requests and returns nil.
+// requests of both directions within Config.DrainLimit, and returns nil.
 func (l *Linker) Run(ctx context.Context) error {
-	run, cancel := context.WithCancel(context.WithoutCancel(ctx))
-	defer cancel()
-	go l.acceptAll(run)
-	l.keepSessions(ctx, run)
+	defer l.cancel()
+	go l.acceptAll()
+	l.tickUntil(ctx.Done())
 	_ = l.listener.Close()
 	l.drain()
 	return nil
 }
 
-func (l *Linker) acceptAll(run context.Context) {
-	for {
-		conn, err := l.listener.Accept()
-		if err != nil {
-			return
-		}
-		go func() {
-			s, err := l.accept(run, conn)
-			if err != nil {
-				l.logRefused(err)
-				_ = conn.Close()
-				return
-			}
-			l.runSession(run, s)
-		}()
-	}
-}
-
-const (
-	heartbeatInterval = time.Second
-	silenceLimit      = 4 * time.Second
-	redialInterval    = time.Second
-)
-
-// keepSessions dials the peers and sends heartbeats until ctx ends.
-func (l *Linker) keepSessions(ctx, run context.Context) {
-	ticker := time.NewTicker(heartbeatInterval)
+func (l *Linker) tickUntil(done <-chan struct{}) {
+	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	for {
-		for _, p := range l.dueDials() {
-			go l.connect(run, p)
-		}
-		l.beat()
+		version, _ := l.cfg.Bundle()
+		l.core.Submit(versioned{version: version})
+		l.core.Submit(tick{})
 		select {
-		case <-ctx.Done():
+		case <-done:
 			return
-		case <-l.changed:
 		case <-ticker.C:
 		}
 	}
 }
 
-// dueDials marks and returns the peers to dial now. The instance with the lower name dials.
-func (l *Linker) dueDials() []Peer {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	now := l.cfg.Now()
-	var due []Peer
-	for _, name := range sortedKeys(l.peers) {
-		p := l.peers[name]
-		if l.cfg.Instance < name && l.sessions[name] == nil && !p.dialing && !p.retryAt.After(now) {
-			p.dialing = true
-			due = append(due, p.Peer)
+func (l *Linker) acceptAll() {
+	handshakes := make(chan struct{}, maxHandshakes)
+	for {
+		conn, err := l.listener.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return
 		}
-	}
-	return due
-}
-
-func (l *Linker) connect(run context.Context, p Peer) {
-	s, err := l.dial(run, p, 0)
-	l.mu.Lock()
-	if known := l.peers[p.Instance]; known != nil {
-		known.dialing = false
-		known.retryAt = l.cfg.Now().Add(redialInterval + rand.N(redialInterval))
-	}
-	l.mu.Unlock()
-	if err != nil {
-		l.logRefused(err)
-		return
-	}
-	l.runSession(run, s)
-}
-
-// checkListed completes the peer of s from the list and refuses another failure domain
-// than the list's.
-func (l *Linker) checkListed(s *session) error {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	known := l.peers[s.peer.Instance]
-	if known == nil {
-		return nil
-	}
-	if known.FailureDomain != s.peer.FailureDomain {
-		return &CertificateError{Problem: "the list has " + string(s.peer.Instance) + " in " + string(known.FailureDomain)}
-	}
-	s.peer.Address = known.Address
-	return nil
-}
-
-// adopt makes s the session of its peer in place of an older one.
-func (l *Linker) adopt(s *session) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if old := l.sessions[s.peer.Instance]; old != nil {
-		old.close()
-	}
-	l.sessions[s.peer.Instance] = s
-	known := l.peers[s.peer.Instance]
-	if known == nil {
-		known = &peer{Peer: s.peer}
-		l.peers[s.peer.Instance] = known
-	}
-	known.leaving = false
-	known.lastHeard = l.cfg.Now()
-}
-
-func (l *Linker) remove(s *session) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.sessions[s.peer.Instance] == s {
-		delete(l.sessions, s.peer.Instance)
-	}
-}
-
-// beat sends a heartbeat on each session and ends those that are silent.
-func (l *Linker) beat() {
-	version, _ := l.cfg.Bundle()
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	now := l.cfg.Now()
-	for name, s := range l.sessions {
-		if now.Sub(l.peers[name].lastHeard) > silenceLimit {
-			s.close()
+		if err != nil {
+			l.cfg.Logger.Warn().Err(err).Msg("accept failed")
+			time.Sleep(tickInterval)
 			continue
 		}
-		s.box.putHeartbeat(&wire.Heartbeat{BundleVersion: uint64(version)})
-	}
-}
-
-// beginForward returns the session with an instance and counts a request on it until
-// done runs. It returns nil if there is none or this instance is stopping.
-func (l *Linker) beginForward(to identifier.Instance) (s *session, done func()) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	s = l.sessions[to]
-	if s == nil || l.stopping || l.peers[to].leaving {
-		return nil, nil
+		handshakes <- struct{}{}
+		go func() {
+			s, err := l.accept(l.run, conn)
+			<-handshakes
+			if err != nil {
+				l.logRefused(err, "")
+				_ = conn.Close()
+				return
+			}
+			l.runSession(s)
+		}()
 	}
-	l.work.Add(1)
-	return s, l.work.Done
 }
 
-// beginServe counts a request that a peer forwarded, or refuses it.
-func (l *Linker) beginServe() bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.stopping {
-		return false
+// connect dials a peer and runs the session.
+func (l *Linker) connect(a dialPeer) {
+	s, err := l.dial(l.run, a.peer, a.attempt)
+	if err != nil {
+		l.logRefused(err, a.peer.Instance)
+		l.core.Submit(dialFailed{instance: a.peer.Instance})
+		return
 	}
-	l.work.Add(1)
-	return true
+	l.runSession(s)
 }
 
-// drain tells the peers, waits for the forwarded requests and ends the sessions.
+// drain tells the peers and waits until no session has a request and all are closed.
 func (l *Linker) drain() {
 	l.mu.Lock()
 	l.stopping = true
-	for _, s := range l.sessions {
-		s.box.putLeaving()
-	}
+	none := len(l.sessions) == 0
 	l.mu.Unlock()
+	l.core.Submit(stop{})
+	if none {
+		return
+	}
+	limit := time.NewTimer(l.cfg.DrainLimit)
+	defer limit.Stop()
 	done := make(chan struct{})
 	go func() {
-		l.work.Wait()
-		close(done)
+		defer close(done)
+		select {
+		case <-l.empty:
+			l.work.Wait()
+		case <-limit.C:
+			l.cfg.Logger.Warn().Dur("limit", l.cfg.DrainLimit).Msg("sessions cut off at the stop limit")
+		}
 	}()
-	select {
-	case <-done:
-	case <-time.After(l.cfg.DrainLimit):
-		l.cfg.Logger.Warn().Dur("limit", l.cfg.DrainLimit).Msg("forwarded requests cut off at the stop limit")
-	}
+	l.tickUntil(done)
+	l.closeAll()
+}
+
+func (l *Linker) closeAll() {
+	l.cancel()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, s := range l.sessions {
-		s.close()
+		go s.close()
 	}
 }
 
 // logRefused logs why a session did not open.
-func (l *Linker) logRefused(err error) {
+func (l *Linker) logRefused(err error, peer identifier.Instance) {
 	if isCertificate(err) {
-		l.cfg.Logger.Warn().Err(err).Msg("peer refused")
+		l.metrics.refuse(l.run)
+		l.cfg.Logger.Warn().Err(err).Str("peer", string(peer)).Msg("peer refused")
 		return
 	}
-	l.cfg.Logger.Debug().Err(err).Msg("no session")
+	l.cfg.Logger.Debug().Err(err).Str("peer", string(peer)).Msg("no session")
 }
 
 // logFrame logs that a peer broke the protocol.
-func (l *Linker) logFrame(err error) {
-	l.cfg.Logger.Warn().Err(err).Msg("bad frame")
+func (l *Linker) logFrame(err error, peer identifier.Instance) {
+	l.cfg.Logger.Warn().Err(err).Str("peer", string(peer)).Msg("bad frame")
 }
--- a/linker/mailbox.go
+++ b/linker/mailbox.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"sync"
+	"time"
 
 	"amaranthmill/internal/identifier"
 	"amaranthmill/linker/internal/wire"
@@ -19,19 +20,27 @@
 
 	mu         sync.Mutex
 	heartbeat  *wire.Heartbeat
-	reports    map[identifier.Endpoint]ProbeReport
+	reports    map[identifier.Endpoint]waitingReport
+	encoder    digestEncoder
 	loads      map[identifier.FailureDomain]*wire.Relayed
 	suspicions []*wire.Relayed
 	request    *wire.BundleRequest
 	leaving    bool
+	retired    bool
 	offer      *BundleOffer
 }
 
+// waitingReport is a report that ages while it waits.
+type waitingReport struct {
+	ProbeReport
+	since time.Time
+}
+
 func newMailbox() *mailbox {
 	return &mailbox{
 		ready:   make(chan struct{}, 1),
 		bulk:    make(chan struct{}, 1),
-		reports: map[identifier.Endpoint]ProbeReport{},
+		reports: map[identifier.Endpoint]waitingReport{},
 		loads:   map[identifier.FailureDomain]*wire.Relayed{},
 	}
 }
@@ -50,12 +59,19 @@
 
 func (m *mailbox) putLeaving() { m.put(func() { m.leaving = true }) }
 
-func (m *mailbox) putDigest(d ProbeDigest) {
-	m.put(func() {
-		for _, r := range d.Reports {
-			m.reports[r.Endpoint] = r
+func (m *mailbox) putRetired() { m.put(func() { m.retired = true }) }
+
+// putDigest keeps the newest report of each endpoint. Reports that show only another load
+// wait for the next heartbeat, others leave at once.
+func (m *mailbox) putDigest(now time.Time, d ProbeDigest) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, r := range d.Reports {
+		m.reports[r.Endpoint] = waitingReport{ProbeReport: r, since: now}
+		if m.encoder.isUrgent(r) {
+			signal(m.ready)
 		}
-	})
+	}
 }
 
 func (m *mailbox) putRelayed(r *wire.Relayed) {
@@ -89,35 +105,38 @@
 }
 
 // take returns all that waits for the control stream as one frame, or nil.
-func (m *mailbox) take() *wire.ControlFrame {
+func (m *mailbox) take(now time.Time) *wire.ControlFrame {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	frame := &wire.ControlFrame{
 		Heartbeat:     m.heartbeat,
-		Digest:        m.takeReports(),
+		Digest:        m.takeReports(now),
 		Relayed:       m.takeRelayed(),
 		BundleRequest: m.request,
 		Leaving:       m.leaving,
+		Retired:       m.retired,
 	}
 	empty := frame.Heartbeat == nil && frame.Digest == nil && frame.Relayed == nil &&
-		frame.BundleRequest == nil && !frame.Leaving
-	m.heartbeat, m.request, m.leaving = nil, nil, false
+		frame.BundleRequest == nil && !frame.Leaving && !frame.Retired
+	m.heartbeat, m.request, m.leaving, m.retired = nil, nil, false, false
 	if empty {
 		return nil
 	}
 	return frame
 }
 
-func (m *mailbox) takeReports() *wire.ProbeDigest {
+func (m *mailbox) takeReports(now time.Time) *wire.ProbeDigest {
 	if len(m.reports) == 0 {
 		return nil
 	}
-	var d ProbeDigest
+	reports := make([]ProbeReport, 0, len(m.reports))
 	for _, endpoint := range sortedKeys(m.reports) {
-		d.Reports = append(d.Reports, m.reports[endpoint])
+		waiting := m.reports[endpoint]
+		waiting.Age += now.Sub(waiting.since)
+		reports = append(reports, waiting.ProbeReport)
 	}
 	clear(m.reports)
-	return digestToWire(d)
+	return m.encoder.encode(reports)
 }
 
 func (m *mailbox) takeRelayed() []*wire.Relayed {
--- a/linker/serve.go
+++ b/linker/serve.go
@@ -12,11 +12,11 @@
 )
 
 // serveRequest carries out one request that a peer forwarded on stream.
-func (l *Linker) serveRequest(ctx context.Context, stream *yamux.Stream, in *frameReader, head *wire.RequestHead) {
+func (l *Linker) serveRequest(s *session, stream *yamux.Stream, in *frameReader, head *wire.RequestHead) {
 	defer stream.Close()
 	req, err := requestFromWire(head, l.cfg.Now())
 	if err != nil {
-		l.logFrame(err)
+		l.logFrame(err, s.peer.Instance)
 		return
 	}
 	var got uint64
@@ -24,7 +24,7 @@
 		// Without the end mark of the request nothing runs.
 		return
 	}
-	ctx, cancel := context.WithCancel(ctx)
+	ctx, cancel := context.WithCancel(l.run)
 	defer cancel()
 	go func() {
 		// The peer sends nothing more; the end of its direction cancels the request.
@@ -34,6 +34,7 @@
 	}()
 	w := &answerWriter{out: &frameWriter{w: stream}}
 	outcome := l.cfg.Serve(ctx, req, w)
+	l.metrics.request(l.run, "served", outcome)
 	_ = w.send(&wire.RequestFrame{Body: &wire.RequestFrame_Outcome{Outcome: outcomeToWire(outcome)}})
 	_ = stream.SetReadDeadline(time.Unix(1, 0))
 }
--- a/linker/session.go
+++ b/linker/session.go
@@ -22,15 +22,18 @@
 
 // session is one connection with a peer after both have said Hello.
 type session struct {
-	id      uint64
+	id      sessionID
 	peer    Peer
 	hello   *wire.Hello // the peer's
-	dialed  bool        // this instance opened the connection
+	attempt uint64      // of the side that dialed
+	dialed  bool        // this instance dialed
 	mux     *yamux.Session
 	control *yamux.Stream
 	frames  *frameReader
 	out     *frameWriter
 	box     *mailbox
+	digests digestDecoder
+	use     usage
 }
 
 // close ends the connection and all its streams.
@@ -56,7 +59,7 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "linker: dial")
 	}
-	s, err := l.open(ctx, conn, attempt)
+	s, err := l.open(ctx, &countedConn{Conn: conn, metrics: l.metrics}, attempt)
 	if err != nil {
 		_ = conn.Close()
 		return nil, err
@@ -84,6 +87,7 @@
 		return nil, eris.Wrap(err, "linker: open control stream")
 	}
 	s := newSession(mux, control, true)
+	s.attempt = attempt
 	return s, l.greet(s, certified, attempt)
 }
 
@@ -93,7 +97,7 @@
 	defer cancel()
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	defer stop()
-	certified, conn, err := l.handshake(ctx, conn, false)
+	certified, conn, err := l.handshake(ctx, &countedConn{Conn: conn, metrics: l.metrics}, false)
 	if err != nil {
 		return nil, err
 	}
@@ -106,7 +110,11 @@
 		return nil, eris.Wrap(err, "linker: accept control stream")
 	}
 	s := newSession(mux, control, false)
-	return s, l.greet(s, certified, 0)
+	if err := l.greet(s, certified, 0); err != nil {
+		return nil, err
+	}
+	s.attempt = s.hello.GetAttempt()
+	return s, nil
 }
 
 func newSession(mux *yamux.Session, control *yamux.Stream, dialed bool) *session {
@@ -166,5 +174,5 @@
 		return &CertificateError{Problem: "it names another instance than the Hello"}
 	}
 	s.peer = Peer{Instance: said.instance, FailureDomain: said.failureDomain}
-	return l.checkListed(s)
+	return nil
 }
