--- a/dispatcher/attempt.go
+++ b/dispatcher/attempt.go
@@ -1,11 +1,8 @@
 package dispatcher
 
 import (
-	"bufio"
-	"bytes"
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"net/http/httptrace"
 	"strconv"
@@ -15,8 +12,14 @@
 	"amaranthmill/router"
 )
 
-// attempt sends req to the target of a and passes the answer on.
-func (d *Dispatcher) attempt(ctx context.Context, req *router.Request, a router.Dispatch, s *sink) router.Ending {
+// dispatch sends the call to the target of a and passes the answer on. A lapsed call
+// is not sent.
+func (d *Dispatcher) dispatch(ctx context.Context, c *call, a router.Dispatch, lapsed bool) router.Ending {
+	if lapsed {
+		return router.CallerGone{}
+	}
+	req, s := c.req, &c.sink
+	s.begin(a.Attempt, a.Resume)
 	var connected atomic.Bool
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
 	out, err := newRequest(req, a)
@@ -36,7 +39,7 @@
 	if !isSame(resp.Header, a) {
 		return router.Mismatched{}
 	}
-	return d.answer(ctx, req, resp, s)
+	return d.pass(ctx, req, resp, s)
 }
 
 // sendEnding returns the ending of an attempt that got no answer.
@@ -61,16 +64,16 @@
 	return router.Refused{Status: resp.StatusCode, RetryAfter: time.Duration(seconds) * time.Second}, true
 }
 
-// answer passes the answer in resp on.
-func (d *Dispatcher) answer(ctx context.Context, req *router.Request, resp *http.Response, s *sink) router.Ending {
+// pass passes the answer in resp on.
+func (d *Dispatcher) pass(ctx context.Context, req *router.Request, resp *http.Response, s *sink) router.Ending {
 	if req.Kind == router.KindModel && resp.StatusCode >= http.StatusInternalServerError {
 		return router.Failed{Status: resp.StatusCode}
 	}
 	var err error
 	if req.Kind == router.KindModel && isStream(resp.Header) {
-		err = d.streamed(resp, s)
+		err = d.stream(resp, s)
 	} else {
-		err = d.whole(resp, s)
+		err = d.hold(resp, s)
 	}
 	return answerEnding(ctx, err)
 }
@@ -84,87 +87,31 @@
 		return router.CallerGone{}
 	case ctx.Err() != nil:
 		return router.Expired{}
+	case errors.Is(err, errTooLarge), errors.Is(err, errUnbounded), errors.Is(err, errEngine), errors.Is(err, errUnexpected):
+		return router.Failed{Status: http.StatusBadGateway}
+	case errors.Is(err, errGap):
+		return router.Mismatched{}
 	}
 	return router.Broken{}
 }
 
-// streamed passes server-sent events on until the end mark. A part that is cut off
-// inside an event is never passed on.
-func (d *Dispatcher) streamed(resp *http.Response, s *sink) error {
-	if err := s.start(resp.StatusCode, answerHeader(resp.Header)); err != nil {
-		return err
-	}
-	in := bufio.NewReaderSize(resp.Body, 4<<10)
-	var event []byte
-	for !s.ended {
-		line, err := in.ReadSlice('\n')
-		event = append(event, line...)
-		if len(event) > maxEventBytes {
-			return errTooLarge
-		}
-		if errors.Is(err, bufio.ErrBufferFull) {
-			continue
-		}
-		if errors.Is(err, io.EOF) {
-			return errNoEndMark
-		}
-		if err != nil {
-			return err
-		}
-		if len(bytes.TrimRight(line, "\r\n")) > 0 {
-			continue
-		}
-		if err := s.event(event); err != nil {
-			return err
-		}
-		event = event[:0]
-	}
-	return nil
-}
-
-// errTooLarge is returned for an answer beyond the bound on memory.
-var errTooLarge = errors.New("dispatcher: the answer is too large")
-
-// whole reads the answer to its end before a byte of it goes out.
-func (d *Dispatcher) whole(resp *http.Response, s *sink) error {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, int64(d.cfg.MaxAnswerBytes)+1))
-	if err != nil {
-		return err
-	}
-	if len(body) > d.cfg.MaxAnswerBytes {
-		return errTooLarge
-	}
-	return s.whole(resp.StatusCode, answerHeader(resp.Header), body)
-}
-
-// whole sends a whole answer.
-func (s *sink) whole(status int, header http.Header, body []byte) error {
-	if err := s.start(status, header); err != nil {
-		return err
-	}
-	if len(body) == 0 {
-		return nil
-	}
-	if err := s.w.Write(body); err != nil {
-		return &callerError{err}
+// forward sends the call to the peer of a and passes the answer on. A lapsed call is not sent.
+func (d *Dispatcher) forward(ctx context.Context, c *call, a router.Forward, lapsed bool) router.Ending {
+	req, s := c.req, &c.sink
+	if lapsed {
+		return router.CallerGone{}
 	}
-	return nil
-}
-
-// answerHeader returns a copy of h without the fields of one connection or of this system.
-func answerHeader(h http.Header) http.Header { return passedHeader(h) }
-
-// forward sends req to the peer of a and passes the answer on.
-func (d *Dispatcher) forward(ctx context.Context, req *router.Request, a router.Forward, s *sink) router.Ending {
 	if d.cfg.Forwarder == nil {
 		return router.NotSent{}
 	}
+	s.begin(a.Attempt, 0)
 	out := *req
 	out.Hops++
-	switch o := d.cfg.Forwarder.Forward(ctx, a.Instance, out, &passing{s: s}).(type) {
+	back := &forwarded{s: s}
+	switch o := d.cfg.Forwarder.Forward(ctx, a.Instance, out, back).(type) {
 	case router.Answered:
-		if s.streams && !s.ended {
-			return router.Broken{}
+		if err := back.end(); err != nil {
+			return answerEnding(ctx, err)
 		}
 		return router.Whole{}
 	case router.NotRun:
@@ -178,17 +125,3 @@
 	}
 	return router.Broken{}
 }
-
-// passing is the Writer through which a forwarded answer comes back.
-type passing struct{ s *sink }
-
-// Start sends the status and header if no earlier attempt did.
-func (p *passing) Start(status int, header http.Header) error { return p.s.start(status, header) }
-
-// Write passes a part of the body on. A part of a stream is one whole event.
-func (p *passing) Write(part []byte) error {
-	if p.s.streams {
-		return p.s.event(part)
-	}
-	return p.s.w.Write(part)
-}
--- a/dispatcher/claim.go
+++ b/dispatcher/claim.go
@@ -4,7 +4,6 @@
 	"context"
 	"crypto/sha256"
 	"io"
-	"net/http"
 	"time"
 
 	"amaranthmill/router"
@@ -24,22 +23,24 @@
 // serveClaimed claims the key, makes the call, settles the claim and writes the
 // answer. A caller that hangs up does not stop a claimed call, so that its next try
 // with the same key gets the stored answer.
-func (d *Dispatcher) serveClaimed(ctx context.Context, req *router.Request, key string, w router.Writer) router.Outcome {
+func (d *Dispatcher) serveClaimed(ctx context.Context, c *call, key string) router.Outcome {
+	req, w := c.req, c.sink.w
 	scoped := ClaimKey{Account: req.Account, Service: req.Service, Key: key}
-	switch c := d.cfg.Claims.Claim(ctx, scoped, callDigest(req)).(type) {
+	switch decision := d.cfg.Claims.Claim(ctx, scoped, callDigest(req)).(type) {
 	case ClaimSettled:
-		return writeResult(c.Result, w)
+		return writeResult(decision.Result, w)
 	case ClaimDenied:
-		return c.Outcome
+		return decision.Outcome
 	case ClaimGranted:
 		callCtx, cancel := context.WithDeadline(context.WithoutCancel(ctx), req.Deadline)
 		defer cancel()
 		held := &holder{}
-		result := ClaimResult{Outcome: d.route(callCtx, req, &sink{w: held})}
+		c.sink.w, c.sendBefore = held, decision.SendBefore
+		result := ClaimResult{Outcome: d.route(callCtx, c)}
 		if _, ok := result.Outcome.(router.Answered); ok {
 			result.Status, result.Header, result.Body = held.status, held.header, held.body
 		}
-		d.settle(ctx, c.Token, result)
+		d.settle(ctx, decision.Token, result)
 		return writeResult(result, w)
 	}
 	panic("dispatcher: unknown claim decision")
@@ -49,7 +50,7 @@
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), settleTimeout)
 	defer cancel()
 	if err := d.cfg.Claims.Settle(ctx, token, result); err != nil {
-		d.cfg.Logger.Error().Err(err).Msg("claim is not settled")
+		d.cfg.Logger.Error().Err(err).Str("token", token).Msg("claim not settled")
 	}
 }
 
@@ -60,7 +61,7 @@
 	}
 	s := &sink{w: w}
 	if err := s.whole(r.Status, r.Header, r.Body); err != nil {
-		return router.Unknown{Status: 499, Reason: "callerGone", Detail: "The caller hung up."}
+		return router.CallerGoneOutcome()
 	}
 	return router.Answered{}
 }
@@ -74,22 +75,3 @@
 	_, _ = h.Write(req.Body)
 	return [32]byte(h.Sum(nil))
 }
-
-// holder is a Writer that holds the answer in memory.
-type holder struct {
-	status int
-	header http.Header
-	body   []byte
-}
-
-// Start holds the status and header. It returns no error.
-func (h *holder) Start(status int, header http.Header) error {
-	h.status, h.header = status, header
-	return nil
-}
-
-// Write holds a part of the body. It returns no error.
-func (h *holder) Write(part []byte) error {
-	h.body = append(h.body, part...)
-	return nil
-}
--- a/dispatcher/config.go
+++ b/dispatcher/config.go
@@ -2,12 +2,18 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/rs/zerolog"
+	"go.opentelemetry.io/otel/metric"
+	"go.opentelemetry.io/otel/metric/noop"
 
 	"amaranthmill/internal/identifier"
+	"amaranthmill/limiter"
+	"amaranthmill/linker"
 	"amaranthmill/router"
 )
 
@@ -23,14 +29,20 @@
 type Config struct {
 	Instance        identifier.Instance
 	Router          router.Config
+	Limiter         limiter.Config
 	Forwarder       Forwarder         // nil: nothing is forwarded
 	Claims          Claims            // nil: keyed calls run without a claim
 	Transport       http.RoundTripper // nil: an http.Transport with the two limits below
 	DialTimeout     time.Duration     // zero means 1 s
 	IdleConnections int               // kept open to one endpoint; zero means 64
 	MaxAnswerBytes  int               // of an answer that is held until it is whole; zero means 16 MiB
+	Meter           metric.Meter      // nil: nothing is measured
 	Logger          zerolog.Logger
-	Now             func() time.Time // nil means time.Now
+
+	// OnSuspicion tells every peer of a suspicion. It must not block or call the
+	// Dispatcher. Nil means that none is told.
+	OnSuspicion func(linker.Suspicion)
+	Now         func() time.Time // nil means time.Now
 }
 
 // Forwarder sends a request to a peer in another failure domain and writes the answer
@@ -57,8 +69,12 @@
 // ClaimDecision is ClaimGranted, ClaimSettled or ClaimDenied.
 type ClaimDecision interface{ claimDecision() }
 
-// ClaimGranted lets the holder of Token make the call once and settle it.
-type ClaimGranted struct{ Token string }
+// ClaimGranted lets the holder of Token make the call once and settle it. Nothing is
+// sent from SendBefore on, unless it is zero.
+type ClaimGranted struct {
+	Token      string
+	SendBefore time.Time
+}
 
 // ClaimSettled has the stored result of an earlier call with the same key.
 type ClaimSettled struct{ Result ClaimResult }
@@ -91,6 +107,12 @@
 	if c.Now == nil {
 		c.Now = time.Now
 	}
+	if c.Meter == nil {
+		c.Meter = noop.NewMeterProvider().Meter("")
+	}
+	if c.Router.Rand == nil {
+		c.Router.Rand = rand.NewPCG(xxhash.Sum64String(string(c.Instance)), 1)
+	}
 	if c.Transport == nil {
 		c.Transport = newTransport(c)
 	}
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -2,36 +2,53 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"amaranthmill/bundler"
 	"amaranthmill/internal/stepper"
+	"amaranthmill/limiter"
 	"amaranthmill/linker"
 	"amaranthmill/router"
 )
 
-// Dispatcher serves requests: it runs the router's core, sends attempts to endpoints
-// and peers, and streams the answers. It is safe for concurrent use.
+// Dispatcher serves requests: it runs the cores of limiter and router, sends attempts
+// to endpoints and peers, and streams the answers. It is safe for concurrent use.
 type Dispatcher struct {
 	cfg     Config
+	meters  meters
+	admit   *stepper.Stepper[limiter.Event, limiter.Action]
 	step    *stepper.Stepper[router.Event, router.Action]
 	lastRef atomic.Uint64
+	tick    *time.Timer
 
 	mu    sync.Mutex
-	calls map[router.Ref]chan router.Action
+	calls map[uint64]*call
+}
+
+// call is one request under way. Each core has at most one action outstanding for it.
+type call struct {
+	ref        uint64
+	req        *router.Request
+	sink       sink
+	sendBefore time.Time // of a claimed call; zero for no bound
+	admission  chan limiter.Action
+	actions    chan router.Action
 }
 
 // New returns a Dispatcher for cfg. It starts no goroutine.
 func New(cfg Config) *Dispatcher {
 	cfg = cfg.withDefaults()
-	d := &Dispatcher{cfg: cfg, calls: map[router.Ref]chan router.Action{}}
+	d := &Dispatcher{cfg: cfg, meters: newMeters(cfg.Meter), calls: map[uint64]*call{}}
+	d.admit = stepper.New(stepper.Config[limiter.Event, limiter.Action]{
+		Core: limiter.New(cfg.Limiter), Handle: d.handleAdmission, Now: cfg.Now,
+	})
 	d.step = stepper.New(stepper.Config[router.Event, router.Action]{
-		Core:   router.New(cfg.Router),
-		Handle: d.handle,
-		Now:    cfg.Now,
+		Core: router.New(cfg.Router), Handle: d.handle, Now: cfg.Now,
 	})
+	d.tick = time.AfterFunc(time.Hour, func() { d.admit.Submit(limiter.Ticked{}) })
 	return d
 }
 
@@ -40,98 +57,170 @@
 	d.step.Submit(router.TargetsSet{Targets: targets})
 }
 
+// SetInstances says how many instances of the system serve the own failure domain and
+// how many there are in all, this one included. The first share the targets, and all
+// share the client accounts' limits.
+func (d *Dispatcher) SetInstances(own, all int) {
+	d.step.Submit(router.InstancesSet{Count: own})
+	d.admit.Submit(limiter.InstancesSet{Count: all})
+}
+
 // SetRemote replaces what peer last said of the load that its failure domain can take.
 func (d *Dispatcher) SetRemote(peer linker.Peer, load linker.LoadSummary) {
 	pools := make([]router.RemotePool, len(load.Services))
 	for i, s := range load.Services {
 		pools[i] = router.RemotePool{Pool: s.Pool, Free: s.Free, Capacity: s.Capacity}
 	}
-	d.step.Submit(router.RemoteSet{Instance: peer.Instance, FailureDomain: load.FailureDomain, Pools: pools})
+	d.step.Submit(router.RemoteSet{Instance: peer.Instance, Pools: pools})
 }
 
 // SetBundle takes the client accounts and their limits from b.
-func (d *Dispatcher) SetBundle(*bundler.Bundle) {}
+func (d *Dispatcher) SetBundle(b *bundler.Bundle) {
+	accounts := make([]limiter.Account, len(b.Accounts))
+	for i, a := range b.Accounts {
+		accounts[i] = limiter.Account{Name: a.Name, RequestsPerSecond: a.RequestsPerSecond, Burst: a.Burst}
+	}
+	d.admit.Submit(limiter.AccountsSet{Accounts: accounts})
+}
+
+// AddSuspicion takes in a peer's suspicion.
+func (d *Dispatcher) AddSuspicion(s linker.Suspicion) {
+	lost := make([]string, len(s.GroupsLost))
+	for i, g := range s.GroupsLost {
+		lost[i] = string(g)
+	}
+	d.step.Submit(router.Suspected{Suspicion: router.Suspicion{Fingerprint: s.Fingerprint, Lost: lost, For: s.For}})
+}
 
 // Serve carries req out and writes its answer to w. It returns once the outcome is
 // known: Answered only if the whole answer went to w, NotRun only if no endpoint ran
 // the request. After Start was called on w, any outcome but Answered means that the
 // answer was cut off and has no end mark. A done ctx means that the caller hung up.
 func (d *Dispatcher) Serve(ctx context.Context, req router.Request, w router.Writer) router.Outcome {
+	began := d.cfg.Now()
 	ctx, cancel := context.WithDeadline(ctx, req.Deadline)
 	defer cancel()
-	if key := idempotencyKey(&req); key != "" && d.cfg.Claims != nil {
-		return d.serveClaimed(ctx, &req, key, w)
+	c := d.newCall(&req, w)
+	defer d.forget(c)
+	outcome := d.serve(ctx, c)
+	d.meters.finished(ctx, outcome, d.cfg.Now().Sub(began))
+	return outcome
+}
+
+func (d *Dispatcher) newCall(req *router.Request, w router.Writer) *call {
+	c := &call{
+		ref: d.lastRef.Add(1), req: req, sink: sink{w: w},
+		admission: make(chan limiter.Action, 1), actions: make(chan router.Action, 1),
 	}
-	return d.route(ctx, &req, &sink{w: w})
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.calls[c.ref] = c
+	return c
+}
+
+func (d *Dispatcher) forget(c *call) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	delete(d.calls, c.ref)
 }
 
-// route runs the attempts of req that the router decides on.
-func (d *Dispatcher) route(ctx context.Context, req *router.Request, s *sink) router.Outcome {
-	ref := router.Ref(d.lastRef.Add(1))
-	actions := make(chan router.Action, 1)
+func (d *Dispatcher) find(ref uint64) *call {
 	d.mu.Lock()
-	d.calls[ref] = actions
-	d.mu.Unlock()
-	defer d.forget(ref)
-	d.step.Submit(router.Arrived{Ref: ref, Request: req})
-	for a := range actions {
+	defer d.mu.Unlock()
+	return d.calls[ref]
+}
+
+// serve admits the call, carries it out and releases its slot.
+func (d *Dispatcher) serve(ctx context.Context, c *call) (outcome router.Outcome) {
+	if refused := d.enter(ctx, c); refused != nil {
+		return refused
+	}
+	defer func() {
+		_, ran := outcome.(router.Answered)
+		d.admit.Submit(limiter.Released{Ref: limiter.Ref(c.ref), Ran: ran})
+	}()
+	if key := idempotencyKey(c.req); key != "" && d.cfg.Claims != nil {
+		return d.serveClaimed(ctx, c, key)
+	}
+	return d.route(ctx, c)
+}
+
+// enter waits until the limiter admits the call, and returns nil, or its outcome if it was not admitted.
+func (d *Dispatcher) enter(ctx context.Context, c *call) router.Outcome {
+	d.admit.Submit(limiter.Arrived{
+		Ref: limiter.Ref(c.ref), Account: c.req.Account, Pool: c.req.Pool,
+		Priority: c.req.Priority, Deadline: c.req.Deadline, Counted: c.req.Hops == 0,
+	})
+	select {
+	case a := <-c.admission:
+		return refusalOutcome(a)
+	case <-ctx.Done():
+	}
+	d.admit.Submit(limiter.Released{Ref: limiter.Ref(c.ref)})
+	if errors.Is(ctx.Err(), context.Canceled) {
+		return router.CallerGoneOutcome()
+	}
+	return tooLate
+}
+
+// route runs the attempts of the call that the router decides on.
+func (d *Dispatcher) route(ctx context.Context, c *call) router.Outcome {
+	ref := router.Ref(c.ref)
+	arrived := router.Arrived{Ref: ref, Request: c.req, Fingerprint: router.Fingerprint(c.req)}
+	if c.req.Kind == router.KindModel {
+		arrived.Prefix = router.PromptBlocks(nil, c.req)
+	}
+	d.step.Submit(arrived)
+	lapsed := false
+	for a := range c.actions {
 		switch a := a.(type) {
 		case router.Dispatch:
-			end := d.attempt(ctx, req, a, s)
-			d.log(req, a, end)
-			d.step.Submit(router.Ended{Ref: ref, Attempt: a.Attempt, Ending: end, Delivered: s.delivered, Started: s.started})
+			lapsed = c.isLapsed(d.cfg.Now())
+			d.ended(c, a.Attempt, a.Target.ID, d.dispatch(ctx, c, a, lapsed))
 		case router.Forward:
-			end := d.forward(ctx, req, a, s)
-			d.step.Submit(router.Ended{Ref: ref, Attempt: a.Attempt, Ending: end, Delivered: s.delivered, Started: s.started})
+			lapsed = c.isLapsed(d.cfg.Now())
+			d.ended(c, a.Attempt, string(a.Instance), d.forward(ctx, c, a, lapsed))
 		case router.Wait:
-			sleep(ctx, a.Until.Sub(d.cfg.Now()))
-			d.step.Submit(router.Woken{Ref: ref})
+			d.wait(ctx, ref, a.Until)
 		case router.Finish:
+			if lapsed {
+				return claimLapsed
+			}
 			return a.Outcome
 		}
 	}
 	panic("dispatcher: a request without an outcome")
 }
 
-// handle hands an action to the goroutine of its request, which has at most one outstanding.
-func (d *Dispatcher) handle(a router.Action) {
-	switch a := a.(type) {
-	case router.Dispatch:
-		d.call(a.Ref) <- a
-	case router.Forward:
-		d.call(a.Ref) <- a
-	case router.Wait:
-		d.call(a.Ref) <- a
-	case router.Finish:
-		d.call(a.Ref) <- a
-	}
+// isLapsed reports whether the claim of the call allows no more sends. It compares the
+// wall clock also, since the monotonic one may stop while the instance is suspended.
+func (c *call) isLapsed(now time.Time) bool {
+	return !c.sendBefore.IsZero() && !(now.Before(c.sendBefore) && now.Round(0).Before(c.sendBefore.Round(0)))
 }
 
-func (d *Dispatcher) call(ref router.Ref) chan router.Action {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.calls[ref]
-}
-
-func (d *Dispatcher) forget(ref router.Ref) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	delete(d.calls, ref)
-}
-
-func (d *Dispatcher) log(req *router.Request, a router.Dispatch, end router.Ending) {
-	if _, ok := end.(router.Whole); ok {
-		return
+func (d *Dispatcher) ended(c *call, attempt int, target string, end router.Ending) {
+	d.meters.attempted(end)
+	if _, whole := end.(router.Whole); !whole {
+		d.cfg.Logger.Warn().Str("request", string(c.req.ID)).Str("target", target).
+			Int("attempt", attempt).Str("ending", endingName(end)).Msg("attempt without a whole answer")
 	}
-	d.cfg.Logger.Warn().Str("request", string(req.ID)).Str("target", a.Target.ID).
-		Int("attempt", a.Attempt).Type("ending", end).Msg("attempt did not give the whole answer")
+	d.step.Submit(router.Ended{
+		Ref: router.Ref(c.ref), Attempt: attempt, Ending: end,
+		Delivered: c.sink.answer.Delivered(), Started: c.sink.started, Fixed: c.sink.fixed,
+	})
 }
 
-func sleep(ctx context.Context, wait time.Duration) {
-	timer := time.NewTimer(wait)
+// wait wakes the router at until, or tells it that the caller hung up.
+func (d *Dispatcher) wait(ctx context.Context, ref router.Ref, until time.Time) {
+	timer := time.NewTimer(until.Sub(d.cfg.Now()))
 	defer timer.Stop()
 	select {
-	case <-ctx.Done():
 	case <-timer.C:
+	case <-ctx.Done():
+	}
+	if errors.Is(ctx.Err(), context.Canceled) {
+		d.step.Submit(router.Gone{Ref: ref})
+		return
 	}
+	d.step.Submit(router.Woken{Ref: ref})
 }
--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -55,8 +56,8 @@
 	w.Header().Set("Mill-Epoch", fmt.Sprint(epoch))
 	w.Header().Set("Mill-Process-Start", "42")
 	w.Header().Set("Content-Type", "text/event-stream")
-	resume := 0
-	_, _ = fmt.Sscan(r.Header.Get("Mill-Resume"), &resume)
+	resume, _ := strconv.Atoi(r.Header.Get("Mill-Resume"))
+	w.Header().Set("Mill-Resume", strconv.Itoa(resume))
 	for i := resume; i < len(answerText); i++ {
 		if i == cut {
 			panic(http.ErrAbortHandler)
@@ -80,7 +81,7 @@
 	for cut := range len(answerText) {
 		t.Run(fmt.Sprintf("cut=%d", cut), func(t *testing.T) {
 			is := is.New(t)
-			d := dispatcher.New(dispatcher.Config{})
+			d := dispatcher.New(dispatcher.Config{Router: router.Config{SuspicionSettle: time.Millisecond}})
 			d.SetTargets([]router.Target{
 				startEndpoint(t, "g1", func(w http.ResponseWriter, r *http.Request) { stream(w, r, 7, cut) }),
 				startEndpoint(t, "g2", func(w http.ResponseWriter, r *http.Request) { stream(w, r, 7, -1) }),
@@ -97,7 +98,7 @@
 // TestOtherEpochIsDiscarded holds that no byte of an answer from another epoch goes out.
 func TestOtherEpochIsDiscarded(t *testing.T) {
 	is := is.New(t)
-	d := dispatcher.New(dispatcher.Config{})
+	d := dispatcher.New(dispatcher.Config{Router: router.Config{SuspicionSettle: time.Millisecond}})
 	d.SetTargets([]router.Target{startEndpoint(t, "g1", func(w http.ResponseWriter, r *http.Request) { stream(w, r, 6, -1) })})
 	w := &recorder{}
 	_, unknown := d.Serve(context.Background(), modelRequest(), w).(router.Unknown)
@@ -119,7 +120,7 @@
 				}
 			})
 			target.Epoch, target.ProcessStart = 0, 0
-			d := dispatcher.New(dispatcher.Config{})
+			d := dispatcher.New(dispatcher.Config{Router: router.Config{SuspicionSettle: time.Millisecond}})
 			d.SetTargets([]router.Target{target})
 			req := modelRequest()
 			req.Kind, req.Path, req.Method = router.KindNonIdempotent, "/warm", http.MethodGet
--- a/dispatcher/transport.go
+++ b/dispatcher/transport.go
@@ -90,13 +90,17 @@
 }
 
 // isSame reports whether the answer comes from the epoch and process start of the
-// dispatch, and resumes where it should.
+// dispatch, and goes on at the position asked for.
 func isSame(h http.Header, a router.Dispatch) bool {
+	if a.Resume > 0 && h.Get("Mill-Resume") != strconv.Itoa(a.Resume) {
+		return false
+	}
 	if a.Target.Epoch != 0 && h.Get("Mill-Epoch") != strconv.FormatUint(uint64(a.Target.Epoch), 10) {
 		return false
 	}
-	if got := h.Get("Mill-Process-Start"); a.Target.ProcessStart != 0 && (got != "" || a.Target.Epoch != 0) {
-		return got == strconv.FormatInt(int64(a.Target.ProcessStart), 10)
+	start := h.Get("Mill-Process-Start")
+	if a.Target.ProcessStart == 0 || (start == "" && a.Target.Epoch == 0) {
+		return true
 	}
-	return true
+	return start == strconv.FormatInt(int64(a.Target.ProcessStart), 10)
 }
--- /dev/null
+++ b/limiter/limiter.go
@@ -0,0 +1,197 @@
+package limiter
+
+import (
+	"time"
+
+	"amaranthmill/internal/identifier"
+)
+
+// Defaults of Config.
+const (
+	defaultQueueLength = 1024
+	defaultFirstHold   = 2 * time.Second
+	defaultFloorEvery  = 20
+	defaultMargin      = 1.2
+	minRetryAfter      = time.Second
+)
+
+// Config configures a Limiter. The zero value is usable.
+type Config struct {
+	QueueLength int           // requests that wait for one pool at most; zero means 1024
+	FirstHold   time.Duration // the estimate of a request's time before any was measured; zero means 2 s
+	FloorEvery  int           // one admission in so many goes to the account served least lately; zero means 20
+	Margin      float64       // of the estimated time that a waiting request must have left; zero means 1.2
+}
+
+// Limiter is the deterministic core of admission. It is not safe for concurrent use;
+// run it with a stepper.Stepper. The slice that Step returns is valid until the next Step.
+type Limiter struct {
+	cfg       Config
+	accounts  map[identifier.ClientAccount]*bucket
+	instances int
+	pools     []*pool
+	requests  map[Ref]*request
+	wakeAt    time.Time
+	actions   []Action
+}
+
+// request is one request from its arrival to its release.
+type request struct {
+	Arrived
+	pool       *pool
+	class      *class
+	admittedAt time.Time // zero while it waits
+}
+
+// New returns a Limiter for cfg.
+func New(cfg Config) *Limiter {
+	if cfg.QueueLength <= 0 {
+		cfg.QueueLength = defaultQueueLength
+	}
+	if cfg.FirstHold <= 0 {
+		cfg.FirstHold = defaultFirstHold
+	}
+	if cfg.FloorEvery <= 0 {
+		cfg.FloorEvery = defaultFloorEvery
+	}
+	if cfg.Margin <= 0 {
+		cfg.Margin = defaultMargin
+	}
+	return &Limiter{
+		cfg:       cfg,
+		accounts:  map[identifier.ClientAccount]*bucket{},
+		instances: 1,
+		requests:  map[Ref]*request{},
+	}
+}
+
+// Step applies e at now and returns the actions that it causes.
+func (l *Limiter) Step(now time.Time, e Event) []Action {
+	l.actions = l.actions[:0]
+	switch e := e.(type) {
+	case AccountsSet:
+		l.setAccounts(now, e.Accounts)
+	case InstancesSet:
+		l.instances = max(e.Count, 1)
+	case SlotsSet:
+		l.setSlots(now, e)
+	case Arrived:
+		l.arrived(now, e)
+	case Released:
+		l.released(now, e)
+	case Ticked:
+		l.wakeAt = time.Time{}
+		for _, p := range l.pools {
+			l.shed(now, p)
+		}
+	}
+	l.wake()
+	return l.actions
+}
+
+func (l *Limiter) act(a Action) { l.actions = append(l.actions, a) }
+
+func (l *Limiter) arrived(now time.Time, e Arrived) {
+	if b := l.accounts[e.Account]; e.Counted && b != nil {
+		if wait := b.take(now, l.instances); wait > 0 {
+			l.act(Refuse{Ref: e.Ref, Reason: ReasonAccountLimit, RetryAfter: wait})
+			return
+		}
+	}
+	p := l.pool(e.Pool)
+	q := &request{Arrived: e, pool: p}
+	l.requests[e.Ref] = q
+	if p.isFree() && p.waiting == 0 {
+		l.admit(now, q)
+		return
+	}
+	p.enqueue(q)
+	l.shed(now, p)
+}
+
+// released frees the slot of a request that was admitted, or takes one that waits off its queue.
+func (l *Limiter) released(now time.Time, e Released) {
+	q := l.requests[e.Ref]
+	if q == nil {
+		return
+	}
+	delete(l.requests, e.Ref)
+	if q.admittedAt.IsZero() {
+		q.pool.remove(q)
+		return
+	}
+	q.pool.running--
+	if e.Ran {
+		q.pool.measure(now.Sub(q.admittedAt))
+	}
+	l.fill(now, q.pool)
+}
+
+func (l *Limiter) setSlots(now time.Time, e SlotsSet) {
+	p := l.pool(e.Pool)
+	p.slots = e.Slots
+	l.fill(now, p)
+	l.shed(now, p)
+}
+
+// fill admits waiting requests of p while slots are free.
+func (l *Limiter) fill(now time.Time, p *pool) {
+	for p.waiting > 0 && p.isFree() {
+		p.beginPlan()
+		c, floor := p.next(p.turn, l.cfg.FloorEvery)
+		q := c.queue[0]
+		p.remove(q)
+		if now.Add(p.hold).After(q.Deadline) {
+			l.refuse(q)
+			continue
+		}
+		p.serve(c, floor)
+		l.admit(now, q)
+	}
+}
+
+func (l *Limiter) admit(now time.Time, q *request) {
+	q.admittedAt = now
+	q.pool.running++
+	l.act(Admit{Ref: q.Ref})
+}
+
+// refuse ends a request that waits or waited and gives its account's token back.
+func (l *Limiter) refuse(q *request) {
+	delete(l.requests, q.Ref)
+	if b := l.accounts[q.Account]; q.Counted && b != nil {
+		b.giveBack()
+	}
+	l.act(Refuse{Ref: q.Ref, Reason: ReasonOverloaded, RetryAfter: q.pool.drainTime()})
+}
+
+// wake asks for a tick when the first waiting request becomes too late to start.
+func (l *Limiter) wake() {
+	var first time.Time
+	for _, p := range l.pools {
+		for _, c := range p.classes {
+			if len(c.queue) == 0 {
+				continue
+			}
+			if at := c.queue[0].Deadline.Add(-p.hold); first.IsZero() || at.Before(first) {
+				first = at
+			}
+		}
+	}
+	if first.IsZero() || first.Equal(l.wakeAt) {
+		return
+	}
+	l.wakeAt = first
+	l.act(WakeAt{At: first})
+}
+
+func (l *Limiter) pool(name identifier.Pool) *pool {
+	for _, p := range l.pools {
+		if p.name == name {
+			return p
+		}
+	}
+	p := &pool{name: name, slots: unlimited, hold: l.cfg.FirstHold, bound: l.cfg.QueueLength, virtual: map[int]float64{}}
+	l.pools = append(l.pools, p)
+	return p
+}
--- a/router/event.go
+++ b/router/event.go
@@ -10,17 +10,21 @@
 // Request.ID it never stands for two, also when a request comes back over a link.
 type Ref uint64
 
-// Event is what a Router learns: TargetsSet, RemoteSet, Arrived, Ended, Woken or Suspected.
+// Event is what a Router learns: TargetsSet, InstancesSet, RemoteSet, Suspected,
+// Arrived, Ended, Woken or Gone.
 type Event interface{ event() }
 
 // TargetsSet replaces the whole set of targets of the own failure domain.
 type TargetsSet struct{ Targets []Target }
 
+// InstancesSet says how many instances of the system share the targets of the own
+// failure domain, this one included.
+type InstancesSet struct{ Count int }
+
 // RemoteSet replaces what is known of the load that a peer's failure domain can take.
 type RemoteSet struct {
-	Instance      identifier.Instance
-	FailureDomain identifier.FailureDomain
-	Pools         []RemotePool
+	Instance identifier.Instance
+	Pools    []RemotePool
 }
 
 // RemotePool is one pool as a peer in another failure domain sees it.
@@ -30,6 +34,9 @@
 	Capacity int // requests that can run at once; zero if nothing is ready
 }
 
+// Suspected is a peer's suspicion.
+type Suspected struct{ Suspicion Suspicion }
+
 // Arrived is an admitted request. The Router keeps Request until its Finish action and never changes it.
 type Arrived struct {
 	Ref         Ref
@@ -45,16 +52,23 @@
 	Ending    Ending
 	Delivered int  // content characters of the answer that the caller has so far, over all attempts
 	Started   bool // a byte of the answer went to the caller
+	Fixed     bool // the caller has parts that no position counts, so that no target can resume
 }
 
 // Woken follows a Wait action at its time.
 type Woken struct{ Ref Ref }
 
-func (TargetsSet) event() {}
-func (RemoteSet) event()  {}
-func (Arrived) event()    {}
-func (Ended) event()      {}
-func (Woken) event()      {}
+// Gone says that the caller hung up while no attempt ran.
+type Gone struct{ Ref Ref }
+
+func (TargetsSet) event()   {}
+func (InstancesSet) event() {}
+func (RemoteSet) event()    {}
+func (Suspected) event()    {}
+func (Arrived) event()      {}
+func (Ended) event()        {}
+func (Woken) event()        {}
+func (Gone) event()         {}
 
 // Ending is how one attempt ended: Whole, NotSent, Refused, Broken, Failed, Mismatched, CallerGone or Expired.
 type Ending interface{ ending() }
@@ -65,7 +79,7 @@
 // NotSent says that no byte of the request was written to the endpoint.
 type NotSent struct{}
 
-// Refused says that the endpoint itself answered that it did not run the request.
+// Refused says that the endpoint or peer itself answered that it did not run the request.
 type Refused struct {
 	Status     int
 	RetryAfter time.Duration
@@ -96,38 +110,3 @@
 func (Mismatched) ending() {}
 func (CallerGone) ending() {}
 func (Expired) ending()    {}
-
-// Action is what a Router decides: Dispatch, Forward, Wait or Finish.
-type Action interface{ action() }
-
-// Dispatch sends the request to a target of the own failure domain.
-type Dispatch struct {
-	Ref     Ref
-	Attempt int
-	Target  Target
-	Resume  int // content characters that the caller already has; zero for the whole answer
-}
-
-// Forward sends the request to a peer in another failure domain.
-type Forward struct {
-	Ref      Ref
-	Attempt  int
-	Instance identifier.Instance
-}
-
-// Wait asks for a Woken event at Until.
-type Wait struct {
-	Ref   Ref
-	Until time.Time
-}
-
-// Finish ends the request. Nothing follows it.
-type Finish struct {
-	Ref     Ref
-	Outcome Outcome
-}
-
-func (Dispatch) action() {}
-func (Forward) action()  {}
-func (Wait) action()     {}
-func (Finish) action()   {}
--- /dev/null
+++ b/router/flight.go
@@ -0,0 +1,230 @@
+package router
+
+import (
+	"time"
+
+	"amaranthmill/internal/identifier"
+)
+
+// suspectPoll is how often a suspected request looks for a target of its own.
+const suspectPoll = 250 * time.Millisecond
+
+// flight is one request between its Arrived event and its Finish action.
+type flight struct {
+	Arrived
+	attempt      int
+	target       string              // of the running attempt; empty for none
+	instance     identifier.Instance // that the running attempt was forwarded to; empty for none
+	loss         loss                // what a crash of the running attempt's target loses
+	suspected    bool                // the running attempt is the second run of a suspect
+	tried        []string            // targets and instances that earlier attempts used
+	mayHaveRun   bool
+	unloaded     bool // the last attempt put no load on an endpoint
+	delivered    int
+	started      bool
+	fixed        bool
+	patientUntil time.Time // of a suspected request that waits; zero before
+	refusal      Refused   // the last refusal of an endpoint
+}
+
+// runs reports whether an attempt of f is under way.
+func (f *flight) runs() bool { return f.target != "" || f.instance != "" }
+
+func (r *Router) arrived(now time.Time, e Arrived) {
+	f := &flight{Arrived: e}
+	r.requests[e.Ref] = f
+	r.budget.earn()
+	r.next(now, f)
+}
+
+// next starts the next attempt of f, waits or finishes it.
+func (r *Router) next(now time.Time, f *flight) {
+	mayNotRepeat := f.mayHaveRun && (f.Request.Kind == KindNonIdempotent || f.fixed)
+	if mayNotRepeat || f.attempt >= r.cfg.MaxAttempts || !now.Before(f.Request.Deadline) {
+		r.giveUp(now, f)
+		return
+	}
+	if s := r.suspects.find(now, f.Fingerprint); s != nil {
+		r.nextOfSuspect(now, f, s)
+		return
+	}
+	t := r.choose(now, f)
+	if f.delivered == 0 && (t == nil || t.own+int(t.others) >= t.Capacity) {
+		if to := r.chooseRemote(f, t != nil); to != "" && r.affordable(f) {
+			r.forward(f, to)
+			return
+		}
+	}
+	if t == nil || !r.affordable(f) {
+		r.giveUp(now, f)
+		return
+	}
+	r.dispatch(now, f, t)
+}
+
+// affordable reports whether the retry budget allows another attempt of f, and counts it.
+func (r *Router) affordable(f *flight) bool {
+	return f.attempt == 0 || f.unloaded || r.budget.spend()
+}
+
+func (r *Router) forward(f *flight, to identifier.Instance) {
+	f.attempt++
+	f.instance = to
+	f.tried = append(f.tried, string(to))
+	r.act(Forward{Ref: f.Ref, Attempt: f.attempt, Instance: to})
+}
+
+func (r *Router) dispatch(now time.Time, f *flight, t *target) {
+	r.table.addOwn(now, t, 1)
+	f.attempt++
+	f.target = t.ID
+	f.loss = loss{name: t.lossName(), fingerprint: f.Fingerprint}
+	f.tried = append(f.tried, t.ID)
+	r.prefixes.add(f.Prefix, t.num)
+	if f.Fingerprint != 0 {
+		c := r.running[f.Fingerprint]
+		r.running[f.Fingerprint] = copies{target: t.ID, count: c.count + 1}
+	}
+	r.act(Dispatch{Ref: f.Ref, Attempt: f.attempt, Target: t.Target, Resume: f.delivered})
+}
+
+// nextOfSuspect gives a suspected request its second run on the target that every
+// instance chooses for it, with no other suspect there. Nothing is decided, and no caller is told
+// to come back at another instance, before every instance had time to learn of the loss.
+func (r *Router) nextOfSuspect(now time.Time, f *flight, s *suspect) {
+	if settled := s.lastLoss.Add(r.cfg.SuspicionSettle); now.Before(settled) && settled.Before(f.Request.Deadline) {
+		r.act(Wait{Ref: f.Ref, Until: settled})
+		return
+	}
+	if s.isConvicted() || !r.isOwnLoss(s) {
+		r.refuseSuspect(now, f, s)
+		return
+	}
+	t, settled := r.chooseForSuspect(now, f, s)
+	if !settled || (t != nil && (s.running || t.suspectRuns > 0)) {
+		r.waitAsSuspect(now, f, s, now.Add(suspectPoll))
+		return
+	}
+	if t == nil || !r.affordable(f) {
+		r.giveUp(now, f)
+		return
+	}
+	f.suspected, s.running = true, true
+	t.suspectRuns++
+	r.dispatch(now, f, t)
+}
+
+// waitAsSuspect waits until the given time, if the request's patience and deadline allow it.
+func (r *Router) waitAsSuspect(now time.Time, f *flight, s *suspect, until time.Time) {
+	if f.patientUntil.IsZero() {
+		f.patientUntil = now.Add(r.cfg.SuspectPatience)
+	}
+	if until.After(f.patientUntil) || !until.Before(f.Request.Deadline) {
+		r.refuseSuspect(now, f, s)
+		return
+	}
+	r.act(Wait{Ref: f.Ref, Until: until})
+}
+
+// isOwnLoss reports whether a target of the own failure domain is among the losses of s.
+// A suspect is run a second time only where it was lost first.
+func (r *Router) isOwnLoss(s *suspect) bool {
+	for _, name := range s.lost {
+		if r.table.seen[targetOfLoss(name)] {
+			return true
+		}
+	}
+	return false
+}
+
+// ended settles the running attempt of a request.
+func (r *Router) ended(now time.Time, e Ended) {
+	f := r.requests[e.Ref]
+	if f == nil || e.Attempt != f.attempt || !f.runs() {
+		return
+	}
+	forwarded := f.instance != ""
+	t := r.release(now, f)
+	f.delivered, f.started, f.fixed, f.unloaded = e.Delivered, e.Started, e.Fixed, false
+	switch end := e.Ending.(type) {
+	case Whole:
+		r.exonerate(now, f.Fingerprint)
+		r.finish(f, Answered{})
+	case NotSent:
+		f.unloaded = true
+		t.suspend(now)
+		r.next(now, f)
+	case Refused:
+		f.refusal = end
+		r.next(now, f)
+	case Broken:
+		r.broken(now, f, t, forwarded)
+	case Failed:
+		r.retry(now, f)
+	case Mismatched:
+		t.suspend(now)
+		r.retry(now, f)
+	case CallerGone:
+		r.finish(f, callerGone)
+	case Expired:
+		f.mayHaveRun = true
+		r.finish(f, f.expired())
+	}
+}
+
+// broken settles an attempt that may have taken its target down. The request goes on
+// when every instance had time to learn of that, and this one to learn what a peer knows.
+func (r *Router) broken(now time.Time, f *flight, t *target, forwarded bool) {
+	f.mayHaveRun = true
+	if !forwarded {
+		t.suspend(now)
+		r.blame(now, f)
+	}
+	if f.Fingerprint == 0 {
+		r.retry(now, f)
+		return
+	}
+	r.act(Wait{Ref: f.Ref, Until: now.Add(r.cfg.SuspicionSettle)})
+}
+
+// retry makes another attempt of a request that may have run.
+func (r *Router) retry(now time.Time, f *flight) {
+	f.mayHaveRun = true
+	r.next(now, f)
+}
+
+// release takes the running attempt off its target and returns the target, which is
+// nil if it left the set or the attempt was forwarded.
+func (r *Router) release(now time.Time, f *flight) *target {
+	t := r.table.find(f.target)
+	if t != nil {
+		r.table.addOwn(now, t, -1)
+	}
+	if c := r.running[f.Fingerprint]; f.target != "" && f.Fingerprint != 0 {
+		c.count--
+		r.running[f.Fingerprint] = c
+		if c.count <= 0 {
+			delete(r.running, f.Fingerprint)
+		}
+	}
+	if f.suspected {
+		r.releaseSuspect(f, t)
+	}
+	f.target, f.instance = "", ""
+	return t
+}
+
+func (r *Router) releaseSuspect(f *flight, t *target) {
+	f.suspected = false
+	if t != nil {
+		t.suspectRuns = max(t.suspectRuns-1, 0)
+	}
+	if s := r.suspects.byFP[f.Fingerprint]; s != nil {
+		s.running = false
+	}
+}
+
+func (r *Router) finish(f *flight, o Outcome) {
+	delete(r.requests, f.Ref)
+	r.act(Finish{Ref: f.Ref, Outcome: o})
+}
--- a/router/router.go
+++ b/router/router.go
@@ -1,55 +1,88 @@
 package router
 
 import (
-	"slices"
+	"math/rand/v2"
 	"time"
 
 	"amaranthmill/internal/identifier"
 )
 
-// defaultMaxAttempts bounds the attempts of one request.
-const defaultMaxAttempts = 3
+// Defaults of Config.
+const (
+	defaultMaxAttempts     = 3
+	defaultRetryShare      = 0.1
+	defaultRetryBurst      = 16
+	defaultChoices         = 2
+	defaultLoadBound       = 1.25
+	defaultAffinityWeight  = 0.5
+	defaultReportHalfLife  = 2 * time.Second
+	defaultPrefixBlocks    = 1 << 16
+	defaultCapacity        = 64
+	defaultSuspicionFor    = time.Hour
+	defaultSuspicionSettle = 500 * time.Millisecond
+	defaultSuspectPatience = 5 * time.Second
+	defaultSuspendFor      = 5 * time.Second
+)
 
 // Config configures a Router. The zero value is usable.
 type Config struct {
-	MaxAttempts int // of one request, the first included; zero means 3
+	MaxAttempts int     // of one request, the first included; zero means 3
+	RetryShare  float64 // retries that each first attempt allows; zero means 0.1
+	RetryBurst  int     // retries that a time without any saves up; zero means 16
+
+	Choices        int           // targets that are compared by load for one request; zero means 2
+	LoadBound      float64       // of the load of a target chosen by prefix, in parts of the mean; zero means 1.25
+	AffinityWeight float64       // of a wholly cached prompt, in parts of a target's capacity; zero means 0.5, negative none
+	ReportHalfLife time.Duration // in which half of a load report's weight goes over to the mean; zero means 2 s
+	PrefixBlocks   int           // prompt blocks remembered; zero means 65536
+	Capacity       int           // of a target that reports none; zero means 64
+
+	SuspicionFor    time.Duration // how long a fingerprint stays suspected; zero means 1 h
+	SuspicionSettle time.Duration // between a crash and the second run of what ran there; zero means 500 ms
+	SuspectPatience time.Duration // that a suspected request waits for a target of its own; zero means 5 s
+	SuspendFor      time.Duration // that a target which broke an attempt is left alone without a newer report; zero means 5 s
+
+	Rand rand.Source // nil means a fixed seed
 }
 
 // Router is the deterministic core of routing. It is not safe for concurrent use; run
 // it with a stepper.Stepper. The slice that Step returns is valid until the next Step.
 type Router struct {
 	cfg      Config
-	targets  []target
-	remotes  []RemoteSet
+	rand     *rand.Rand
+	table    targetTable
+	prefixes prefixTable
+	remotes  []remote
+	budget   retryBudget
+	suspects suspectList
+	losses   []loss
 	requests map[Ref]*flight
+	running  map[uint64]copies // by fingerprint
+	slots    map[identifier.Pool]int
 	actions  []Action
+	cached   []cachedPrefix // scratch of choose
 }
 
-// target is a Target with what this instance knows of it at once.
-type target struct {
-	Target
-	own int // requests of this instance that run there
-}
-
-// flight is one request between its Arrived event and its Finish action.
-type flight struct {
-	Arrived
-	attempt   int
-	target    string              // of the running attempt; empty for none
-	instance  identifier.Instance // that the running attempt was forwarded to; empty for none
-	tried     []string            // targets and instances that earlier attempts used
-	mayHave   bool                // an attempt may have run at an endpoint
-	delivered int
-	started   bool
-	refusal   Refused // the last refusal of an endpoint
+// copies counts the requests of one fingerprint that run on one target.
+type copies struct {
+	target string
+	count  int
 }
 
 // New returns a Router for cfg.
 func New(cfg Config) *Router {
-	if cfg.MaxAttempts <= 0 {
-		cfg.MaxAttempts = defaultMaxAttempts
+	cfg = cfg.withDefaults()
+	return &Router{
+		cfg:      cfg,
+		rand:     rand.New(cfg.Rand),
+		table:    newTargetTable(),
+		prefixes: newPrefixTable(cfg.PrefixBlocks),
+		budget:   newRetryBudget(cfg.RetryShare, cfg.RetryBurst),
+		suspects: newSuspectList(cfg.SuspicionFor),
+		requests: map[Ref]*flight{},
+		running:  map[uint64]copies{},
+		slots:    map[identifier.Pool]int{},
 	}
-	return &Router{cfg: cfg, requests: map[Ref]*flight{}}
 }
 
 // Step applies e at now and returns the actions that it causes.
@@ -57,162 +90,57 @@
 	r.actions = r.actions[:0]
 	switch e := e.(type) {
 	case TargetsSet:
-		r.setTargets(e.Targets)
+		r.setTargets(now, e.Targets)
+	case InstancesSet:
+		r.table.instances = max(e.Count, 1)
+		r.setSlots(now)
 	case RemoteSet:
 		r.setRemote(e)
+		r.setSlots(now)
+	case Suspected:
+		r.suspected(now, e.Suspicion)
 	case Arrived:
-		f := &flight{Arrived: e}
-		r.requests[e.Ref] = f
-		r.next(now, f)
+		r.arrived(now, e)
 	case Ended:
 		r.ended(now, e)
 	case Woken:
-		if f := r.requests[e.Ref]; f != nil {
+		if f := r.requests[e.Ref]; f != nil && !f.runs() {
 			r.next(now, f)
 		}
-	}
-	return r.actions
-}
-
-func (r *Router) setTargets(targets []Target) {
-	old := r.targets
-	r.targets = make([]target, len(targets))
-	for i, t := range targets {
-		r.targets[i].Target = t
-		if j := slices.IndexFunc(old, func(o target) bool { return o.ID == t.ID }); j >= 0 {
-			r.targets[i].own = old[j].own
+	case Gone:
+		if f := r.requests[e.Ref]; f != nil && !f.runs() {
+			r.finish(f, callerGone)
 		}
 	}
+	return r.actions
 }
 
-func (r *Router) setRemote(e RemoteSet) {
-	i := slices.IndexFunc(r.remotes, func(o RemoteSet) bool { return o.Instance == e.Instance })
-	if i < 0 {
-		r.remotes = append(r.remotes, e)
-		return
-	}
-	r.remotes[i] = e
-}
-
-// next starts the next attempt of f or finishes it.
-func (r *Router) next(now time.Time, f *flight) {
-	if f.attempt >= r.cfg.MaxAttempts || !now.Before(f.Request.Deadline) {
-		r.giveUp(now, f)
-		return
-	}
-	if i := r.choose(f); i >= 0 {
-		r.dispatch(f, i)
-		return
-	}
-	if in := r.chooseRemote(f); in != "" {
-		f.attempt++
-		f.instance = in
-		f.tried = append(f.tried, string(in))
-		r.actions = append(r.actions, Forward{Ref: f.Ref, Attempt: f.attempt, Instance: in})
-		return
-	}
-	r.giveUp(now, f)
-}
-
-func (r *Router) dispatch(f *flight, i int) {
-	t := &r.targets[i]
-	t.own++
-	f.attempt++
-	f.target = t.ID
-	f.tried = append(f.tried, t.ID)
-	r.actions = append(r.actions, Dispatch{Ref: f.Ref, Attempt: f.attempt, Target: t.Target, Resume: f.delivered})
-}
-
-// choose returns the index of the usable target with the least load, or -1.
-func (r *Router) choose(f *flight) int {
-	best := -1
-	for i := range r.targets {
-		t := &r.targets[i]
-		if !t.usable(f) {
-			continue
-		}
-		if best < 0 || t.load() < r.targets[best].load() {
-			best = i
-		}
-	}
-	return best
-}
-
-// usable reports whether t may take f now.
-func (t *target) usable(f *flight) bool {
-	return t.Pool == f.Request.Pool && t.Ready && !t.Leaving &&
-		(f.Request.Adapter == "" || slices.Contains(t.Adapters, f.Request.Adapter)) &&
-		!slices.Contains(f.tried, t.ID)
-}
-
-func (t *target) load() float64 {
-	return float64(max(t.own, t.InFlight+t.Queued)) / float64(max(t.Capacity, 1))
-}
-
-func (r *Router) chooseRemote(f *flight) identifier.Instance {
-	if f.Request.Hops > 0 {
-		return ""
-	}
-	for _, remote := range r.remotes {
-		if slices.Contains(f.tried, string(remote.Instance)) {
-			continue
-		}
-		for _, p := range remote.Pools {
-			if p.Pool == f.Request.Pool && p.Capacity > 0 {
-				return remote.Instance
-			}
-		}
-	}
-	return ""
-}
-
-// ended settles the running attempt of a request.
-func (r *Router) ended(now time.Time, e Ended) {
-	f := r.requests[e.Ref]
-	if f == nil || e.Attempt != f.attempt || (f.target == "" && f.instance == "") {
-		return
-	}
-	r.release(f)
-	f.delivered, f.started = e.Delivered, e.Started
-	switch end := e.Ending.(type) {
-	case Whole:
-		r.finish(f, Answered{})
-	case NotSent:
-		r.next(now, f)
-	case Refused:
-		f.refusal = end
-		r.next(now, f)
-	case Broken, Failed, Mismatched:
-		f.mayHave = true
-		r.retry(now, f)
-	case CallerGone:
-		r.finish(f, Unknown{Status: statusCallerGone, Reason: "callerGone", Detail: "The caller hung up."})
-	case Expired:
-		f.mayHave = true
-		r.finish(f, f.expired())
-	}
-}
-
-// retry makes another attempt of a request that may have run, if that is allowed.
-func (r *Router) retry(now time.Time, f *flight) {
-	if f.Request.Kind == KindNonIdempotent || (f.started && f.delivered == 0) {
-		r.giveUp(now, f)
-		return
+func (r *Router) act(a Action) { r.actions = append(r.actions, a) }
+
+func (c Config) withDefaults() Config {
+	setDefault(&c.MaxAttempts, defaultMaxAttempts)
+	setDefault(&c.RetryShare, defaultRetryShare)
+	setDefault(&c.RetryBurst, defaultRetryBurst)
+	setDefault(&c.Choices, defaultChoices)
+	setDefault(&c.LoadBound, defaultLoadBound)
+	setDefault(&c.AffinityWeight, defaultAffinityWeight)
+	setDefault(&c.ReportHalfLife, defaultReportHalfLife)
+	setDefault(&c.PrefixBlocks, defaultPrefixBlocks)
+	setDefault(&c.Capacity, defaultCapacity)
+	setDefault(&c.SuspicionFor, defaultSuspicionFor)
+	setDefault(&c.SuspicionSettle, defaultSuspicionSettle)
+	setDefault(&c.SuspectPatience, defaultSuspectPatience)
+	setDefault(&c.SuspendFor, defaultSuspendFor)
+	if c.Rand == nil {
+		c.Rand = rand.NewPCG(1, 1)
 	}
-	r.next(now, f)
+	return c
 }
 
-// release takes the running attempt off its target.
-func (r *Router) release(f *flight) {
-	for i := range r.targets {
-		if r.targets[i].ID == f.target {
-			r.targets[i].own--
-		}
+// setDefault gives *field the value of its zero.
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
 	}
-	f.target, f.instance = "", ""
-}
-
-func (r *Router) finish(f *flight, o Outcome) {
-	delete(r.requests, f.Ref)
-	r.actions = append(r.actions, Finish{Ref: f.Ref, Outcome: o})
 }
