--- a/standin/cmd/standin/trial.go
+++ b/standin/cmd/standin/trial.go
@@ -11,6 +11,7 @@
 
 type trialCommand struct {
 	Stay bool `long:"stay" description:"leave everything up until Ctrl-C"`
+	Keep bool `long:"keep" description:"keep the logs of a run that passed"`
 }
 
 // Execute runs the whole path with the programs that lie beside this one.
@@ -26,5 +27,5 @@
 		<-signals
 		close(stop)
 	}()
-	return trial.Main(trial.Config{Bin: filepath.Dir(self), Stay: c.Stay, Stop: stop, Out: os.Stdout})
+	return trial.Main(trial.Config{Bin: filepath.Dir(self), Stay: c.Stay, Keep: c.Keep, Stop: stop, Out: os.Stdout})
 }
--- a/standin/trial/fault.go
+++ b/standin/trial/fault.go
@@ -4,7 +4,9 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net/http"
+	"slices"
 	"time"
 )
 
@@ -159,6 +161,9 @@
   group downtime        %6.1f s
   stranded accelerators %6.1f accelerator seconds
 `, r.Sent, r.Answered, r.NotRun, r.Unknown, r.Cut, r.Wrong, t.holds, t.m.GroupDowntime.Seconds(), t.m.StrandedAccelerators.Seconds())
+	for _, reason := range slices.Sorted(maps.Keys(t.reasons)) {
+		fmt.Fprintf(t.cfg.Out, "  not answered: %-20s %d\n", reason, t.reasons[reason])
+	}
 	if r.Wrong > 0 || r.Cut > 0 {
 		return &FailedError{Check: "every answer is whole and the caller's own, and no request is cut off"}
 	}
--- a/standin/trial/trial.go
+++ b/standin/trial/trial.go
@@ -20,7 +20,8 @@
 	Dir         string // an empty folder for settings, keys and logs
 	Stay        bool   // leaves everything up until Stop is closed
 	Stop        <-chan struct{}
-	Concurrency int // streams at once; 0 is 24
+	Keep        bool // leaves the folder of Main after a run that passed
+	Concurrency int  // streams at once; 0 is 24
 	Out         io.Writer
 }
 
@@ -39,12 +40,13 @@
 
 // trial is one run.
 type trial struct {
-	cfg   Config
-	f     *fleet
-	total load.Report
-	m     measures
-	holds int // booking calls answered
-	start time.Time
+	cfg     Config
+	f       *fleet
+	total   load.Report
+	m       measures
+	reasons map[string]int // of requests that were not answered
+	holds   int            // booking calls answered
+	start   time.Time
 }
 
 // Run runs a trial and returns the first check that did not hold, if any.
@@ -57,7 +59,7 @@
 		return err
 	}
 	defer f.processes.stopAll()
-	t := &trial{cfg: cfg, f: f, start: time.Now()}
+	t := &trial{cfg: cfg, f: f, start: time.Now(), reasons: map[string]int{}}
 	steps := []func() error{t.bringUp, t.rollOut, t.serveRequests, t.bookHold}
 	if !cfg.Stay {
 		steps = append(steps, t.breakGroup, t.stopEntry, t.stopRest)
@@ -159,6 +161,9 @@
 	t.total.Unknown += r.Unknown
 	t.total.Cut += r.Cut
 	t.total.Wrong += r.Wrong
+	for reason, n := range r.Refused {
+		t.reasons[reason] += n
+	}
 }
 
 // serveRequests sends a load to the healthy fleet.
@@ -240,5 +245,9 @@
 	if err := Run(cfg); err != nil {
 		return errors.Join(err, fmt.Errorf("trial: logs are in %s", dir))
 	}
+	if cfg.Keep {
+		fmt.Fprintln(cfg.Out, "logs are in", dir)
+		return nil
+	}
 	return os.RemoveAll(dir)
 }
