--- a/limiter/limiter_test.go
+++ b/limiter/limiter_test.go
@@ -1,8 +1,10 @@
 package limiter_test
 
 import (
+	"flag"
 	"fmt"
 	"math/rand/v2"
+	"os"
 	"slices"
 	"testing"
 	"time"
@@ -61,6 +63,12 @@
 	return nil, fmt.Errorf("unknown event %q", ev.Name)
 }
 
+// TestMain fixes the seed of property tests; -rapid.seed overrides it.
+func TestMain(m *testing.M) {
+	_ = flag.Set("rapid.seed", "20260105")
+	os.Exit(m.Run())
+}
+
 func TestSessions(t *testing.T) {
 	scripter.Run(t, "testdata/sessions", func(*testing.T) scripter.Session {
 		return session{limiter.New(limiter.Config{FloorEvery: 4})}
--- a/standin/engine/complete.go
+++ b/standin/engine/complete.go
@@ -84,6 +84,9 @@
 	w.Header().Set("Mill-Process-Start", strconv.FormatInt(rep.ProcessStart, 10))
 	g := generation{e: e, w: w, ctx: r.Context(), group: group, q: q, prompt: prompt, adapter: r.Header.Get("Mill-Adapter")}
 	g.resume, _ = strconv.Atoi(r.Header.Get("Mill-Resume"))
+	if g.resume > 0 {
+		w.Header().Set("Mill-Resume", strconv.Itoa(g.resume))
+	}
 	g.id = "chatcmpl-" + r.Header.Get("Mill-Request")
 	g.run()
 	e.count(rep.Group, rep.Epoch, true)
