--- a/administrator/handler.go
+++ b/administrator/handler.go
@@ -70,6 +70,9 @@
 			h.fail(w, r, operator.Name, err)
 			return
 		}
+		if r.Method != http.MethodGet {
+			h.cfg.Logger.Info().Str("operator", operator.Name).Str("method", r.Method).Str("path", r.URL.Path).Msg("administrator: call done")
+		}
 		writeJSON(w, status, "application/json", body)
 	})
 }
--- a/auditor/trail.go
+++ b/auditor/trail.go
@@ -1,6 +1,7 @@
 package auditor
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -14,8 +15,8 @@
 	"amaranthmill/keeper"
 )
 
-// appendAttempts bounds the rounds of one append against concurrent appends.
-const appendAttempts = 20
+// lostAnswers bounds the lost answers after which an append gives up.
+const lostAnswers = 3
 
 // Platform is the part of the platform's service that a Trail uses. keeper.Client is one.
 type Platform interface {
@@ -52,18 +53,10 @@
 	return &Trail{cfg: cfg}
 }
 
-// BusyError says that an append lost against others too often. It had no effect.
-type BusyError struct{ Attempts int }
-
-// Error returns the number of attempts.
-func (e *BusyError) Error() string {
-	return fmt.Sprintf("auditor: %d attempts to append met other writers", e.Attempts)
-}
-
 // Append adds r to the trail and returns its entry. A record whose ID stands in the last
 // two pages already is not added again. The time and the instance are filled in if they
-// are zero. The errors are *BusyError, *PageError, *keeper.UnavailableError and
-// *keeper.UnknownError; after the last one, an append of the same ID is safe.
+// are zero. The errors are *PageError, *keeper.UnavailableError and
+// *keeper.UnknownError; an append of the same ID is safe after each.
 func (t *Trail) Append(ctx context.Context, r Record) (Entry, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -74,25 +67,38 @@
 		r.Instance = t.cfg.Instance
 	}
 	r = identified(r)
-	for range appendAttempts {
+	return t.settle(ctx, r)
+}
+
+// settle adds r until it stands in the trail. After a conflict, and after a write whose
+// answer was lost, it reads the end again and looks for r there first.
+func (t *Trail) settle(ctx context.Context, r Record) (Entry, error) {
+	var unknown error // a write whose answer was lost
+	for lost := 0; lost < lostAnswers; {
 		end, err := t.end(ctx)
 		if err != nil {
-			return Entry{}, eris.Wrap(err, "read the end of the audit trail")
+			return Entry{}, eris.Wrap(cmp.Or(unknown, err), "read the end of the audit trail")
 		}
 		if e, ok := end.find(r.ID); ok {
 			return e, nil
 		}
 		added, err := t.add(ctx, end, r)
-		if err == nil {
+		switch {
+		case err == nil:
 			t.seen = added
 			return added, nil
+		case errors.As(err, new(*keeper.UnknownError)):
+			unknown = err
+			lost++
+		case !errors.As(err, new(*keeper.ConflictError)):
+			return Entry{}, eris.Wrap(cmp.Or(unknown, err), "append to the audit trail")
 		}
-		var conflict *keeper.ConflictError
-		if !errors.As(err, &conflict) {
-			return Entry{}, eris.Wrap(err, "append to the audit trail")
+		if ctx.Err() != nil {
+			var stopped error = &keeper.UnavailableError{Call: "append", Cause: ctx.Err()}
+			return Entry{}, eris.Wrap(cmp.Or(unknown, stopped), "append to the audit trail")
 		}
 	}
-	return Entry{}, &BusyError{Attempts: appendAttempts}
+	return Entry{}, eris.Wrap(unknown, "append to the audit trail")
 }
 
 // add writes r after the trail's end, behind a note of a rewound trail if there is need.
--- a/bundler/parse.go
+++ b/bundler/parse.go
@@ -1,10 +1,6 @@
 package bundler
 
-import (
-	"encoding/json"
-
-	"amaranthmill/internal/identifier"
-)
+import "encoding/json"
 
 // Parse decodes a bundle's bytes strictly: unknown and repeated fields, values of a
 // wrong kind and text after the end are faults. It returns an *InvalidError with every
@@ -32,15 +28,3 @@
 	}
 	return b, nil
 }
-
-// Inventory is what the fleet has to run a bundle on.
-type Inventory struct {
-	FabricDomains []FabricDomain
-}
-
-// FabricDomain is the engines of one fabric domain.
-type FabricDomain struct {
-	Name          identifier.FabricDomain
-	FailureDomain identifier.FailureDomain
-	Engines       int
-}
--- a/bundler/signoff.go
+++ b/bundler/signoff.go
@@ -114,7 +114,7 @@
 		}
 	}
 	if unknown == nil {
-		return nil, &keeper.UnavailableError{Call: "swap", Cause: &auditor.BusyError{Attempts: signOffRounds}}
+		return nil, &keeper.UnavailableError{Call: "swap", Cause: &keeper.ConflictError{Key: CurrentKey}}
 	}
 	return nil, &UnsettledError{Version: d.Bundle.Version, Cause: unknown}
 }
