--- /dev/null
+++ b/dispatcher/claim.go
@@ -0,0 +1,77 @@
+package dispatcher
+
+import (
+	"context"
+	"crypto/sha256"
+	"io"
+	"time"
+
+	"amaranthmill/router"
+)
+
+// settleTimeout bounds the wait for a claim's result to be stored.
+const settleTimeout = 2 * time.Second
+
+// idempotencyKey returns the caller's key of a non-idempotent call that starts here, or "".
+func idempotencyKey(req *router.Request) string {
+	if req.Kind != router.KindNonIdempotent || req.Hops > 0 {
+		return ""
+	}
+	return req.Header.Get("Idempotency-Key")
+}
+
+// serveClaimed claims the key, makes the call, settles the claim and writes the
+// answer. A caller that hangs up does not stop a claimed call, so that its next try
+// with the same key gets the stored answer.
+func (d *Dispatcher) serveClaimed(ctx context.Context, c *call, key string) router.Outcome {
+	req, w := c.req, c.sink.w
+	scoped := ClaimKey{Account: req.Account, Service: req.Service, Key: key}
+	switch decision := d.cfg.Claims.Claim(ctx, scoped, callDigest(req)).(type) {
+	case ClaimSettled:
+		return writeResult(decision.Result, w)
+	case ClaimDenied:
+		return decision.Outcome
+	case ClaimGranted:
+		callCtx, cancel := context.WithDeadline(context.WithoutCancel(ctx), req.Deadline)
+		defer cancel()
+		held := &holder{}
+		c.sink.w, c.sendBefore = held, decision.SendBefore
+		result := ClaimResult{Outcome: d.route(callCtx, c)}
+		if _, ok := result.Outcome.(router.Answered); ok {
+			result.Status, result.Header, result.Body = held.status, held.header, held.body
+		}
+		d.settle(ctx, decision.Token, result)
+		return writeResult(result, w)
+	}
+	panic("dispatcher: unknown claim decision")
+}
+
+func (d *Dispatcher) settle(ctx context.Context, token string, result ClaimResult) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), settleTimeout)
+	defer cancel()
+	if err := d.cfg.Claims.Settle(ctx, token, result); err != nil {
+		d.cfg.Logger.Error().Err(err).Str("token", token).Msg("claim not settled")
+	}
+}
+
+// writeResult writes the answer of a settled call, if it has one.
+func writeResult(r ClaimResult, w router.Writer) router.Outcome {
+	if _, ok := r.Outcome.(router.Answered); !ok {
+		return r.Outcome
+	}
+	s := &sink{w: w}
+	if err := s.whole(r.Status, r.Header, r.Body); err != nil {
+		return router.CallerGoneOutcome()
+	}
+	return router.Answered{}
+}
+
+// callDigest returns the digest of what the endpoint would run.
+func callDigest(req *router.Request) [32]byte {
+	h := sha256.New()
+	for _, part := range []string{req.Method, string(req.Service), req.Path} {
+		_, _ = io.WriteString(h, part+"\x00")
+	}
+	_, _ = h.Write(req.Body)
+	return [32]byte(h.Sum(nil))
+}
--- /dev/null
+++ b/router/router.go
@@ -0,0 +1,146 @@
+package router
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"amaranthmill/internal/identifier"
+)
+
+// Defaults of Config.
+const (
+	defaultMaxAttempts     = 3
+	defaultRetryShare      = 0.1
+	defaultRetryBurst      = 16
+	defaultChoices         = 2
+	defaultLoadBound       = 1.25
+	defaultAffinityWeight  = 0.5
+	defaultReportHalfLife  = 2 * time.Second
+	defaultPrefixBlocks    = 1 << 16
+	defaultCapacity        = 64
+	defaultSuspicionFor    = time.Hour
+	defaultSuspicionSettle = 500 * time.Millisecond
+	defaultSuspectPatience = 5 * time.Second
+	defaultSuspendFor      = 5 * time.Second
+)
+
+// Config configures a Router. The zero value is usable.
+type Config struct {
+	MaxAttempts int     // of one request, the first included; zero means 3
+	RetryShare  float64 // retries that each first attempt allows; zero means 0.1
+	RetryBurst  int     // retries that a time without any saves up; zero means 16
+
+	Choices        int           // targets that are compared by load for one request; zero means 2
+	LoadBound      float64       // of the load of a target chosen by prefix, in parts of the mean; zero means 1.25
+	AffinityWeight float64       // of a wholly cached prompt, in parts of a target's capacity; zero means 0.5, negative none
+	ReportHalfLife time.Duration // in which half of a load report's weight goes over to the mean; zero means 2 s
+	PrefixBlocks   int           // prompt blocks remembered; zero means 65536
+	Capacity       int           // of a target that reports none; zero means 64
+
+	SuspicionFor    time.Duration // how long a fingerprint stays suspected; zero means 1 h
+	SuspicionSettle time.Duration // between a crash and the second run of what ran there; zero means 500 ms
+	SuspectPatience time.Duration // that a suspected request waits for a target of its own; zero means 5 s
+	SuspendFor      time.Duration // that a target which broke an attempt is left alone without a newer report; zero means 5 s
+
+	Rand rand.Source // nil means a fixed seed
+}
+
+// Router is the deterministic core of routing. It is not safe for concurrent use; run
+// it with a stepper.Stepper. The slice that Step returns is valid until the next Step.
+type Router struct {
+	cfg      Config
+	rand     *rand.Rand
+	table    targetTable
+	prefixes prefixTable
+	remotes  []remote
+	budget   retryBudget
+	suspects suspectList
+	losses   []loss
+	requests map[Ref]*flight
+	running  map[uint64]copies // by fingerprint
+	slots    map[identifier.Pool]int
+	actions  []Action
+	cached   []cachedPrefix // scratch of choose
+}
+
+// copies counts the requests of one fingerprint that run on one target.
+type copies struct {
+	target string
+	count  int
+}
+
+// New returns a Router for cfg.
+func New(cfg Config) *Router {
+	cfg = cfg.withDefaults()
+	return &Router{
+		cfg:      cfg,
+		rand:     rand.New(cfg.Rand),
+		table:    newTargetTable(),
+		prefixes: newPrefixTable(cfg.PrefixBlocks),
+		budget:   newRetryBudget(cfg.RetryShare, cfg.RetryBurst),
+		suspects: newSuspectList(cfg.SuspicionFor),
+		requests: map[Ref]*flight{},
+		running:  map[uint64]copies{},
+		slots:    map[identifier.Pool]int{},
+	}
+}
+
+// Step applies e at now and returns the actions that it causes.
+func (r *Router) Step(now time.Time, e Event) []Action {
+	r.actions = r.actions[:0]
+	switch e := e.(type) {
+	case TargetsSet:
+		r.setTargets(now, e.Targets)
+	case InstancesSet:
+		r.table.instances = max(e.Count, 1)
+		r.setSlots(now)
+	case RemoteSet:
+		r.setRemote(e)
+		r.setSlots(now)
+	case Suspected:
+		r.suspected(now, e.Suspicion)
+	case Arrived:
+		r.arrived(now, e)
+	case Ended:
+		r.ended(now, e)
+	case Woken:
+		if f := r.requests[e.Ref]; f != nil && !f.runs() {
+			r.next(now, f)
+		}
+	case Gone:
+		if f := r.requests[e.Ref]; f != nil && !f.runs() {
+			r.finish(f, callerGone)
+		}
+	}
+	return r.actions
+}
+
+func (r *Router) act(a Action) { r.actions = append(r.actions, a) }
+
+func (c Config) withDefaults() Config {
+	setDefault(&c.MaxAttempts, defaultMaxAttempts)
+	setDefault(&c.RetryShare, defaultRetryShare)
+	setDefault(&c.RetryBurst, defaultRetryBurst)
+	setDefault(&c.Choices, defaultChoices)
+	setDefault(&c.LoadBound, defaultLoadBound)
+	setDefault(&c.AffinityWeight, defaultAffinityWeight)
+	setDefault(&c.ReportHalfLife, defaultReportHalfLife)
+	setDefault(&c.PrefixBlocks, defaultPrefixBlocks)
+	setDefault(&c.Capacity, defaultCapacity)
+	setDefault(&c.SuspicionFor, defaultSuspicionFor)
+	setDefault(&c.SuspicionSettle, defaultSuspicionSettle)
+	setDefault(&c.SuspectPatience, defaultSuspectPatience)
+	setDefault(&c.SuspendFor, defaultSuspendFor)
+	if c.Rand == nil {
+		c.Rand = rand.NewPCG(1, 1)
+	}
+	return c
+}
+
+// setDefault gives *field the value of its zero.
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
