--- a/grouper/core.go
+++ b/grouper/core.go
@@ -42,7 +42,9 @@
 	loadingSince time.Time               // zero unless it loads a model
 	lastRun      identifier.ProcessStart // the process last seen, also while it is away
 	returns      []time.Time             // within Policy.FlapWindow
-	fence        uint64                  // of the last release that it accepted
+	model        model                   // that it was last ordered to load
+	modelRun     identifier.ProcessStart // the process that accepted that
+	fence        uint64                  // of the last order to leave its group that it accepted
 	fencedRun    identifier.ProcessStart // the process that accepted it
 	ordered      time.Time               // until when its last order may still take effect
 }
@@ -188,7 +190,8 @@
 	if done {
 		c.sawLoad(now.Sub(ep.loadingSince))
 	}
-	since(&ep.loadingSince, now, rep.Fresh && rep.Group != "" && !rep.Loaded)
+	ordered := rep.Group != "" || ep.modelRun == rep.ProcessStart
+	since(&ep.loadingSince, now, rep.Fresh && ordered && !rep.Loaded)
 }
 
 // since keeps in t when a condition began to hold; zero while it does not.
@@ -203,12 +206,15 @@
 
 // ordered notes what an endpoint's answer to an order proves.
 func (c *Core) ordered(e OrderDone) {
-	ep := c.endpoints[e.Endpoint]
-	if ep == nil {
+	ep := c.endpoints[e.Order.Endpoint]
+	if ep == nil || !e.Accepted {
 		return
 	}
-	if e.Accepted && e.Kind == OrderRelease {
-		ep.fence, ep.fencedRun = e.Fence, e.ProcessStart
+	if e.Order.Kind != OrderAssign {
+		ep.fence, ep.fencedRun = e.Order.Fence, e.ProcessStart
+	}
+	if e.Order.Kind != OrderRelease {
+		ep.model, ep.modelRun = e.Order.Group.model(), e.ProcessStart
 	}
 }
 
--- a/grouper/event.go
+++ b/grouper/event.go
@@ -54,9 +54,7 @@
 
 // OrderDone says how an endpoint took an order.
 type OrderDone struct {
-	Endpoint     identifier.Endpoint
-	Kind         OrderKind
-	Fence        uint64
+	Order        Order
 	Accepted     bool
 	ProcessStart identifier.ProcessStart // of the endpoint that accepted it
 }
@@ -122,14 +120,17 @@
 const (
 	OrderAssign  OrderKind = "assign"
 	OrderRelease OrderKind = "release"
+	// OrderLoad asks an endpoint to leave any group and to load a model, so that it can take
+	// a lost member's place without loading then.
+	OrderLoad OrderKind = "load"
 )
 
-// Order asks one endpoint to join or leave a group.
+// Order asks one endpoint to join or leave a group, or to load a model.
 type Order struct {
 	Endpoint identifier.Endpoint
 	Address  netip.AddrPort
 	Kind     OrderKind
-	Fence    uint64    // the revision of the record that the order carries out
-	Deadline time.Time // neither sent nor obeyed later
-	Group    Assignment
+	Fence    uint64     // the revision of the record that the order carries out
+	Deadline time.Time  // neither sent nor obeyed later
+	Group    Assignment // of an assignment; of a load only its model
 }
--- a/grouper/grouper.go
+++ b/grouper/grouper.go
@@ -192,5 +192,5 @@
 	if err != nil {
 		g.cfg.Logger.Warn().Err(err).Str("endpoint", string(o.Endpoint)).Str("kind", string(o.Kind)).Msg("order failed")
 	}
-	g.step.Submit(OrderDone{Endpoint: o.Endpoint, Kind: o.Kind, Fence: o.Fence, Accepted: err == nil, ProcessStart: start})
+	g.step.Submit(OrderDone{Order: o, Accepted: err == nil, ProcessStart: start})
 }
--- a/grouper/order.go
+++ b/grouper/order.go
@@ -20,7 +20,7 @@
 		if !ok || now.Before(t.ep.ordered) {
 			continue
 		}
-		if o.Kind == OrderAssign && !t.ep.Loaded {
+		if o.Kind != OrderRelease && !t.ep.keeps(&o.Group) {
 			if loading >= c.policy.LoadsAtOnce {
 				continue
 			}
@@ -61,6 +61,9 @@
 	for _, ep := range c.sorted(r.Record.FabricDomain) {
 		t := byEndpoint[ep.Endpoint]
 		t.ep = ep
+		if t.a == nil && ep.Group == "" {
+			t.rank = len(groups) + 1 // idle endpoints load last
+		}
 		out = append(out, t)
 	}
 	slices.SortStableFunc(out, func(a, b task) int { return cmp.Compare(a.rank, b.rank) })
@@ -100,11 +103,52 @@
 	case !ep.Fresh:
 		return o, false
 	case a == nil && ep.Group == "":
-		// A release of an endpoint that is in no group makes it refuse older orders.
-		return o, !ep.fenced() && r.Revision != 0 && !ep.freeSince.IsZero() && c.policy.FencingEndpoints(ep.Endpoint)
+		return c.idleOrder(ep, r, o)
 	case a == nil, ep.Group != "" && ep.Group != a.Group:
 		return o, true
 	}
 	o.Kind, o.Group = OrderAssign, *a
 	return o, ep.Group != a.Group || ep.Epoch != a.Epoch || ep.BundleVersion != a.BundleVersion
 }
+
+// idleOrder returns what an endpoint in no group must be told: to load the model that it
+// would need if it took a lost member's place, or, if it checks fencing numbers, to be
+// released once more, so that it refuses older orders.
+func (c *Core) idleOrder(ep *endpointState, r *recordState, o Order) (Order, bool) {
+	if r.Revision == 0 || ep.freeSince.IsZero() || ep.Leaving {
+		return o, false
+	}
+	m, wanted := c.idleModel(ep, r)
+	if wanted && !c.policy.ColdSpares && (ep.model != m || ep.modelRun != ep.ProcessStart) {
+		o.Kind, o.Group = OrderLoad, Assignment{Base: m.base, Version: m.version}
+		return o, true
+	}
+	return o, !ep.fenced() && c.policy.FencingEndpoints(ep.Endpoint)
+}
+
+// idleModel returns the model of the group that ep is promised to, or else of the pool with the
+// highest priority that has groups in the failure domain.
+func (c *Core) idleModel(ep *endpointState, r *recordState) (model, bool) {
+	for i := range r.Record.Groups {
+		a := &r.Record.Groups[i]
+		if a.Standby != nil && a.Standby.Endpoint == ep.Endpoint {
+			return a.model(), true
+		}
+	}
+	for _, pool := range c.pools() {
+		if c.wanted(pool) > 0 {
+			return model{base: pool.Base, version: pool.Version}, true
+		}
+	}
+	return model{}, false
+}
+
+// keeps reports whether ep need not load to follow an order about a, as far as this core knows.
+func (ep *endpointState) keeps(a *Assignment) bool {
+	return ep.has(a.model()) || ep.Loaded && ep.Group == a.Group && ep.BundleVersion == a.BundleVersion
+}
+
+// has reports whether ep's present process has loaded m, as far as this core ordered it.
+func (ep *endpointState) has(m model) bool {
+	return ep.Loaded && ep.model == m && ep.modelRun == ep.ProcessStart
+}
--- a/grouper/plan.go
+++ b/grouper/plan.go
@@ -27,8 +27,14 @@
 			p.free = append(p.free, ep)
 		}
 	}
+	if c.policy.Strategy != StrategyWeighted {
+		return p
+	}
 	slices.SortStableFunc(p.free, func(a, b *endpointState) int {
-		return cmp.Or(cmp.Compare(len(a.returns), len(b.returns)), cmp.Compare(p.promises(a), p.promises(b)))
+		return cmp.Or(
+			cmp.Compare(len(a.returns)/flapping, len(b.returns)/flapping), cmp.Compare(p.cold(a), p.cold(b)),
+			cmp.Compare(len(a.returns), len(b.returns)), cmp.Compare(p.promises(a), p.promises(b)),
+		)
 	})
 	return p
 }
@@ -69,6 +75,14 @@
 	p.notes = append(p.notes, Note{FabricDomain: p.rec.FabricDomain, Group: g, Endpoint: ep, Decision: d})
 }
 
+// cold returns 1 if ep has yet to load the model that it would need, and 0 otherwise.
+func (p *planner) cold(ep *endpointState) int {
+	if m, ok := p.core.idleModel(ep, p.state); ok && ep.has(m) {
+		return 0
+	}
+	return 1
+}
+
 // promises returns 1 if ep is some group's standby, and 0 otherwise.
 func (p *planner) promises(ep *endpointState) int {
 	for i := range p.rec.Groups {
@@ -82,10 +96,7 @@
 // take removes a free endpoint for group a: its standby if that is free, else the first
 // choice, which is nobody's standby any more.
 func (p *planner) take(a *Assignment) Member {
-	i := 0
-	if a.Standby != nil {
-		i = max(0, slices.IndexFunc(p.free, func(ep *endpointState) bool { return ep.Endpoint == a.Standby.Endpoint }))
-	}
+	i := p.choice(a)
 	ep := p.free[i]
 	p.free = slices.Delete(p.free, i, i+1)
 	for j := range p.rec.Groups {
@@ -99,6 +110,14 @@
 	return ep.member()
 }
 
+// choice returns which of the free endpoints a would take.
+func (p *planner) choice(a *Assignment) int {
+	if a.Standby == nil {
+		return 0
+	}
+	return max(0, slices.IndexFunc(p.free, func(ep *endpointState) bool { return ep.Endpoint == a.Standby.Endpoint }))
+}
+
 func (ep *endpointState) member() Member {
 	return Member{Endpoint: ep.Endpoint, Address: ep.Address, ProcessStart: ep.ProcessStart}
 }
--- a/grouper/policy.go
+++ b/grouper/policy.go
@@ -6,10 +6,25 @@
 	"amaranthmill/internal/identifier"
 )
 
+// Strategy is how a Core repairs groups.
+type Strategy uint8
+
+// The strategies. Those other than StrategyWeighted are the plain ones that it is measured against.
+const (
+	// StrategyWeighted waits as long as pauses last, replaces the rest, and breaks groups up.
+	StrategyWeighted Strategy = iota
+	// StrategyWait waits for every lost member, however long it takes.
+	StrategyWait
+	// StrategyRebuild replaces every lost member at once, by any free endpoint.
+	StrategyRebuild
+)
+
 // Policy configures a Core. FailureDomain is required; other zero fields take the defaults named.
 type Policy struct {
 	FailureDomain identifier.FailureDomain
 
+	// Strategy is how groups are repaired; StrategyWeighted.
+	Strategy Strategy
 	// OrderLife is how long after its decision an order may still be sent and obeyed; 2 s.
 	OrderLife time.Duration
 	// LeaseTTL is the life of a repair lease without renewal; 10 s.
@@ -23,8 +38,8 @@
 	SuccessionAfter time.Duration
 	// NoStandby turns the promises of standbys off.
 	NoStandby bool
-	// Wait fixes how long to wait for a member that is away; nil weighs the absences seen.
-	Wait *time.Duration
+	// ColdSpares keeps free endpoints from loading a model before they are needed.
+	ColdSpares bool
 	// DarkAfter is how long all members of a group are away before others may be built for it; 2 min.
 	DarkAfter time.Duration
 	// SlowPatience is how long a member is a straggler before it is replaced; 5 min.
--- a/grouper/record.go
+++ b/grouper/record.go
@@ -39,6 +39,11 @@
 	Draining      bool                     `json:"draining,omitempty"` // gets no new requests
 }
 
+// model is what an endpoint loads from the weight store.
+type model struct{ base, version string }
+
+func (a *Assignment) model() model { return model{base: a.Base, version: a.Version} }
+
 // Member is one endpoint of a group in one run of its process.
 type Member struct {
 	Endpoint     identifier.Endpoint     `json:"endpoint"`
--- a/grouper/repair.go
+++ b/grouper/repair.go
@@ -21,7 +21,7 @@
 	for _, a := range broken {
 		p.repairGroup(a)
 	}
-	if !p.changed {
+	if !p.changed && p.core.policy.Strategy == StrategyWeighted {
 		p.breakUp(broken)
 	}
 }
@@ -66,7 +66,7 @@
 	m := &a.Members[i]
 	ep := p.core.endpoints[m.Endpoint]
 	returned := ep != nil && ep.Fresh && !ep.Leaving
-	if len(p.free) > 0 && p.worthReplacing(ep, returned) {
+	if len(p.free) > 0 && p.worthReplacing(a, ep, returned) {
 		*m = p.take(a)
 		p.note(a.Group, m.Endpoint, DecisionReplace)
 		return true
@@ -81,14 +81,30 @@
 
 // worthReplacing reports whether a free endpoint should take the place of the lost ep now. One
 // whose process is gone must load its model again like any other, so there is nothing to wait for.
-func (p *planner) worthReplacing(ep *endpointState, returned bool) bool {
+func (p *planner) worthReplacing(a *Assignment, ep *endpointState, returned bool) bool {
 	switch {
+	case p.core.policy.Strategy == StrategyWait:
+		return false
+	case p.core.policy.Strategy == StrategyRebuild:
+		return !returned
 	case ep == nil, ep.Leaving, ep.Gone:
 		return true
 	case returned:
-		return len(ep.returns) >= flapping
+		return len(ep.returns) >= flapping || p.ready(a) && !ep.has(a.model())
+	}
+	load := p.core.loadTime()
+	if p.ready(a) {
+		load = swapTime
 	}
-	return p.overdue(ep)
+	return p.now.Sub(ep.awaySince) >= p.core.returns.wait(load)
+}
+
+// swapTime is how long a group is down while a loaded endpoint takes a member's place.
+const swapTime = 2 * time.Second
+
+// ready reports whether the next free endpoint for a has a's model.
+func (p *planner) ready(a *Assignment) bool {
+	return len(p.free) > 0 && p.free[p.choice(a)].has(a.model())
 }
 
 // overdue reports whether ep is away for longer than it pays to wait.
@@ -107,7 +123,7 @@
 
 // settle returns how long ep must be back before it is readmitted.
 func (p *planner) settle(ep *endpointState) time.Duration {
-	if len(ep.returns) < flapping {
+	if len(ep.returns) < flapping || p.core.policy.Strategy != StrategyWeighted {
 		return 0
 	}
 	return min(settleLimit, settleStep*time.Duration(len(ep.returns)-flapping+1))
--- a/grouper/returns.go
+++ b/grouper/returns.go
@@ -78,9 +78,6 @@
 
 // waitTime returns how long to wait for an endpoint that is away.
 func (c *Core) waitTime() time.Duration {
-	if c.policy.Wait != nil {
-		return *c.policy.Wait
-	}
 	return c.returns.wait(c.loadTime())
 }
 
--- a/grouper/rollout.go
+++ b/grouper/rollout.go
@@ -241,6 +241,9 @@
 // relieve drains a group with a straggler if a free endpoint can take its place and enough
 // other groups serve.
 func (p *planner) relieve() {
+	if p.core.policy.Strategy != StrategyWeighted {
+		return
+	}
 	for i := range p.rec.Groups {
 		a := &p.rec.Groups[i]
 		pool := p.core.pool(a.Pool)
--- a/grouper/wire.go
+++ b/grouper/wire.go
@@ -89,7 +89,7 @@
 		w.Members = append(w.Members, memberWire{Endpoint: m.Endpoint, Address: m.Address})
 	}
 	w.Group, w.Epoch, w.BundleVersion = o.Group.Group, o.Group.Epoch, o.Group.BundleVersion
-	w.Base, w.Version = o.Group.Base, o.Group.Version
+	w.Base, w.Version = o.Group.Base, o.Group.Version // of a load all else is empty
 	w.Adapters = append(w.Adapters, o.Group.Adapters...)
 	return w
 }
--- a/internal/modeler/engine.go
+++ b/internal/modeler/engine.go
@@ -60,8 +60,8 @@
 		return false
 	}
 	e.fence = o.Fence
+	e.Group, e.Epoch, e.BundleVersion = "", 0, 0
 	if o.Kind == grouper.OrderRelease {
-		e.Group, e.Epoch, e.BundleVersion, e.Loaded = "", 0, 0, false
 		return true
 	}
 	e.Group, e.Epoch, e.BundleVersion = o.Group.Group, o.Group.Epoch, o.Group.BundleVersion
@@ -75,7 +75,7 @@
 // load lets d of loading at full rate pass.
 func (e *Engine) load(d time.Duration) {
 	e.ToLoad = max(0, e.ToLoad-d)
-	e.Loaded = e.Group != "" && e.ToLoad == 0
+	e.Loaded = e.ToLoad == 0 && (e.model != "" || e.Loaded)
 }
 
 // status returns what the engine says of itself.
--- a/internal/modeler/fleet.go
+++ b/internal/modeler/fleet.go
@@ -33,6 +33,7 @@
 	Platform  Platform
 	Instances []*Instance
 	cfg       Config
+	byName    map[identifier.Endpoint]*Engine
 	unseen    map[identifier.Endpoint]time.Time // since when an engine cannot be reached
 }
 
@@ -55,6 +56,10 @@
 	f := &Fleet{Now: start, cfg: cfg, unseen: map[identifier.Endpoint]time.Time{}, Platform: Platform{
 		Records: map[identifier.FabricDomain]grouper.Stored{}, leases: map[identifier.FabricDomain]lease{},
 	}}
+	f.byName = make(map[identifier.Endpoint]*Engine, len(cfg.Engines))
+	for _, e := range cfg.Engines {
+		f.byName[e.Name] = e
+	}
 	cfg.Policy.FailureDomain = cfg.FailureDomain
 	for i := range cfg.Instances {
 		in := &Instance{Name: identifier.Instance(rune('a' + i))}
@@ -89,14 +94,7 @@
 }
 
 // Engine returns the engine of that name, or nil.
-func (f *Fleet) Engine(name identifier.Endpoint) *Engine {
-	for _, e := range f.cfg.Engines {
-		if e.Name == name {
-			return e
-		}
-	}
-	return nil
-}
+func (f *Fleet) Engine(name identifier.Endpoint) *Engine { return f.byName[name] }
 
 // Engines returns all engines.
 func (f *Fleet) Engines() []*Engine { return f.cfg.Engines }
@@ -266,5 +264,5 @@
 func (f *Fleet) order(in *Instance, o grouper.Order) {
 	e := f.Engine(o.Endpoint)
 	ok := e.Obey(f.Now, o, f.cfg.Load)
-	f.group(in, grouper.OrderDone{Endpoint: o.Endpoint, Kind: o.Kind, Fence: o.Fence, Accepted: ok, ProcessStart: e.ProcessStart})
+	f.group(in, grouper.OrderDone{Order: o, Accepted: ok, ProcessStart: e.ProcessStart})
 }
