--- a/standin/experiment/repair/main.go
+++ b/standin/experiment/repair/main.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"os"
+	"slices"
 	"sync"
 	"time"
 
@@ -35,7 +36,7 @@
 
 // withCurve returns the variants and the policy at each weight of the curve.
 func withCurve() []variant {
-	out := variants
+	out := slices.Clone(variants[:len(variants)-1]) // the bound knows one size of group only
 	for _, w := range curve {
 		out = append(out, variant{
 			name:    fmt.Sprintf("weighted, weights %g to %g", w[0], w[1]),
@@ -74,7 +75,7 @@
 		if err != nil {
 			return err
 		}
-		print(u, vs, results)
+		printTable(u, vs, results)
 	}
 	return nil
 }
@@ -102,8 +103,8 @@
 	return out, nil
 }
 
-// print writes a user's table: mean and range over the seeds.
-func print(u user, variants []variant, results [][]measure) {
+// printTable writes a user's table: mean and range over the seeds.
+func printTable(u user, variants []variant, results [][]measure) {
 	fmt.Printf("\n%s: weights downtime %g, stranded %g; %d seeds; mean (least to most)\n\n", u.name,
 		u.weights.GroupDowntime, u.weights.StrandedAccelerators, len(results[0]))
 	fmt.Println("| policy | group downtime, min | of it of the lower priority | stranded accelerators, min |")
