prober: digests as deltas; publishing once a tick but for urgent changes

Changes are shared at once and in full; what did not change is told by the first prober only, without group and address.

--- a/prober/core.go
+++ b/prober/core.go
@@ -24,6 +24,8 @@
 	published map[string]targetKey
 	reports   []grouper.Report
 	nextShare time.Time
+	byName    []*endpoint // all endpoints by name; nil if one was added since
+	urgent    bool        // something changed that must not wait for the next tick
 }
 
 // NewCore returns a Core for cfg; its functions and clients are not used.
@@ -43,10 +45,13 @@
 		c.peers = e.Instances
 	case Probed:
 		c.probed(now, e)
+		return c.publishUrgent(now)
 	case ProbeFailed:
 		c.probeFailed(e)
+		return c.publishUrgent(now)
 	case DigestReceived:
 		c.digest(now, e)
+		return c.publishUrgent(now)
 	case Tick:
 		c.judge()
 		return slices.Concat(c.probes(now), c.publish(now), c.share(now))
@@ -54,6 +59,16 @@
 	return c.publish(now)
 }
 
+// publishUrgent publishes if an endpoint's role or leaving changed, or its process is gone. Load
+// and freshness wait for the next tick.
+func (c *Core) publishUrgent(now time.Time) []Action {
+	if !c.urgent {
+		return nil
+	}
+	c.urgent = false
+	return c.publish(now)
+}
+
 // list takes over the endpoints of the own failure domain. One that went from the list is
 // kept unlisted, so that its leaving is not forgotten if the list lags.
 func (c *Core) list(listings []keeper.Listing) {
@@ -79,6 +94,7 @@
 	if ep == nil {
 		ep = &endpoint{name: name, leaving: map[identifier.ProcessStart]bool{}}
 		c.endpoints[name] = ep
+		c.byName = nil
 	}
 	return ep
 }
@@ -88,8 +104,15 @@
 	ep.probing = false
 	ep.latency = now.Sub(e.SentAt)
 	ep.slow.observe(ep.latency)
-	ep.unshared = true
-	ep.see(e.Status, e.SentAt)
+	ep.sharing.due = true
+	c.see(ep, e.Status, e.SentAt)
+}
+
+// see takes over an account of ep and notes whether it is urgent.
+func (c *Core) see(ep *endpoint, s Status, at time.Time) {
+	before, left := ep.status, ep.isLeaving()
+	ep.see(s, at)
+	c.urgent = c.urgent || !before.sameRole(ep.status) || left != ep.isLeaving()
 }
 
 func (c *Core) probeFailed(e ProbeFailed) {
@@ -97,6 +120,7 @@
 	ep.probing = false
 	if e.Refused && e.SentAt.After(ep.seenAt) {
 		ep.refused = e.SentAt
+		c.urgent = true
 	}
 }
 
@@ -106,7 +130,7 @@
 	var out []Action
 	for _, ep := range c.sorted() {
 		mine := ranker.Chosen(ep.name, c.peers, c.cfg.Instance, probersEach)
-		late := now.Sub(ep.seenAt) > c.cfg.FreshFor/2
+		late := now.Sub(ep.seenAt) > c.cfg.FreshFor*3/4
 		if !ep.listed || ep.probing || now.Before(ep.nextProbe) || !mine && !late {
 			continue
 		}
@@ -117,7 +141,10 @@
 	return out
 }
 
-// sorted returns the endpoints by name.
+// sorted returns the endpoints by name. The caller must not change the slice.
 func (c *Core) sorted() []*endpoint {
-	return slices.SortedFunc(maps.Values(c.endpoints), func(a, b *endpoint) int { return cmp.Compare(a.name, b.name) })
+	if c.byName == nil {
+		c.byName = slices.SortedFunc(maps.Values(c.endpoints), func(a, b *endpoint) int { return cmp.Compare(a.name, b.name) })
+	}
+	return c.byName
 }
--- a/prober/endpoint.go
+++ b/prober/endpoint.go
@@ -24,7 +24,7 @@
 	nextProbe time.Time
 	probing   bool
 	slow      slowness
-	unshared  bool // an own probe succeeded since the last digest
+	sharing   sharing
 }
 
 // see takes over an account of the endpoint's status that is at least as recent as at.
--- a/prober/prober.go
+++ b/prober/prober.go
@@ -29,7 +29,7 @@
 	Interval      time.Duration            // between two probes of an endpoint; 500 ms
 	Timeout       time.Duration            // of a probe; 1 s
 	FreshFor      time.Duration            // how long an endpoint's own account counts; 2 s
-	ShareEvery    time.Duration            // between two digests; 500 ms
+	ShareEvery    time.Duration            // between two digests of what did not change; 750 ms
 	Transit       time.Duration            // added to the age of a peer's account for its way here; 100 ms
 	Tick          time.Duration            // between two decisions; 100 ms
 	Logger        zerolog.Logger           // the zero value logs nothing
@@ -40,7 +40,7 @@
 	orDefault(&c.Interval, 500*time.Millisecond)
 	orDefault(&c.Timeout, time.Second)
 	orDefault(&c.FreshFor, 2*time.Second)
-	orDefault(&c.ShareEvery, 500*time.Millisecond)
+	orDefault(&c.ShareEvery, 750*time.Millisecond)
 	orDefault(&c.Transit, 100*time.Millisecond)
 	orDefault(&c.Tick, 100*time.Millisecond)
 	return c
--- a/prober/straggler.go
+++ b/prober/straggler.go
@@ -35,7 +35,7 @@
 // judge sets stragglers aside. Hysteresis keeps an endpoint from going to and fro; the cap
 // keeps slowness that is everywhere from emptying the fleet.
 func (c *Core) judge() {
-	eps := slices.DeleteFunc(c.sorted(), func(e *endpoint) bool { return !e.listed || e.slow.mean == 0 })
+	eps := slices.DeleteFunc(slices.Clone(c.sorted()), func(e *endpoint) bool { return !e.listed || e.slow.mean == 0 })
 	if len(eps) < 3 {
 		return
 	}
