--- a/runner/claims.go
+++ b/runner/claims.go
@@ -19,7 +19,7 @@
 	scoped := claimer.Key{Account: key.Account, IdempotencyKey: key.Key}
 	switch d := c.claimer.Claim(ctx, scoped, digest).(type) {
 	case claimer.Granted:
-		return dispatcher.ClaimGranted{Token: string(d.Token)}
+		return dispatcher.ClaimGranted{Token: string(d.Token), SendBefore: d.SendBefore}
 	case claimer.Replay:
 		return replayed(d.Result)
 	case claimer.Open:
--- a/runner/instance.go
+++ b/runner/instance.go
@@ -142,7 +142,8 @@
 // newRequests builds the path of a request.
 func (i *instance) newRequests() {
 	i.dispatcher = dispatcher.New(dispatcher.Config{
-		Instance: i.settings.Instance, Forwarder: i.linker, Claims: claims{i.claimer}, Logger: i.logger,
+		Instance: i.settings.Instance, Forwarder: i.linker, Claims: claims{i.claimer}, Logger: i.logger, Meter: i.meter,
+		OnSuspicion: func(s linker.Suspicion) { i.linker.Broadcast(s) },
 	})
 	i.server = server.New(server.Config{
 		Bundle: i.bundles.Current, Dispatcher: i.dispatcher, Ready: i.ready,
@@ -208,14 +209,22 @@
 	i.prober.SetListings(l)
 }
 
-// peersChanged tells the slices which instances of the own failure domain are in reach.
+// peersChanged tells the slices which instances of the own failure domain are in reach,
+// and how many instances share the client accounts' limits. An instance that is out of
+// reach may still serve, so it keeps its share.
 func (i *instance) peersChanged() {
 	near := []identifier.Instance{i.settings.Instance}
+	all := 1
 	for _, p := range i.linker.Peers() {
-		if p.Reachable && !p.Leaving && p.FailureDomain == i.settings.FailureDomain {
+		if p.Leaving {
+			continue
+		}
+		all++
+		if p.Reachable && p.FailureDomain == i.settings.FailureDomain {
 			near = append(near, p.Instance)
 		}
 	}
+	i.dispatcher.SetInstances(len(near), all)
 	i.prober.SetPeers(near)
 	i.grouper.SetPeers(near)
 }
@@ -232,6 +241,7 @@
 	case linker.LoadSummary:
 		i.dispatcher.SetRemote(from, m)
 	case linker.Suspicion:
+		i.dispatcher.AddSuspicion(m)
 	}
 }
 
--- a/standin/trial/fleet.go
+++ b/standin/trial/fleet.go
@@ -36,14 +36,15 @@
 
 // fleet is all that runs.
 type fleet struct {
-	bin, dir  string
-	processes processes
-	platform  netip.AddrPort
-	entries   []*entry
-	engines   []*endpoint
-	service   *endpoint
-	keys      map[string]keyPair // tokens of operators and the bearer key of the client account
-	publicKey string
+	bin, dir   string
+	processes  processes
+	platform   netip.AddrPort
+	entries    []*entry
+	engines    []*endpoint
+	service    *endpoint
+	keys       map[string]keyPair // tokens of operators and the bearer key of the client account
+	publicKey  string
+	engineArgs []string // beyond those that every engine has
 }
 
 // keyPair is a bearer key or token with its digest, as millctl prints it.
@@ -103,8 +104,11 @@
 	}
 	var err error
 	for _, e := range f.engines {
-		e.process, err = f.processes.start(e.name, standin, "engine", "--name", e.name, "--listen", e.address.String(),
-			"--platform", f.platform.String(), "--failureDomain", e.domain, "--fabricDomain", e.domain+"-rack", "--checksFence")
+		args := append([]string{
+			"engine", "--name", e.name, "--listen", e.address.String(), "--platform", f.platform.String(),
+			"--failureDomain", e.domain, "--fabricDomain", e.domain + "-rack", "--checksFence",
+		}, f.engineArgs...)
+		e.process, err = f.processes.start(e.name, standin, args...)
 		if err != nil {
 			return err
 		}
--- /dev/null
+++ b/standin/trial/latency.go
@@ -0,0 +1,62 @@
+package trial
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/netip"
+	"time"
+
+	"amaranthmill/standin/load"
+)
+
+// LatencyConfig configures MeasureLatency. Bin, Dir and Concurrency are required.
+type LatencyConfig struct {
+	Bin, Dir    string
+	Concurrency []int
+	Duration    time.Duration // of each run
+	Tokens      int           // of each answer
+}
+
+// Latency is a pair of runs at one concurrency.
+type Latency struct {
+	Concurrency  int
+	Direct, Mill *load.Report
+}
+
+// MeasureLatency sends the same load straight to the first member of a replica group and
+// through an entry instance, one after the other at each concurrency.
+func MeasureLatency(cfg LatencyConfig) ([]Latency, error) {
+	f, err := newFleet(cfg.Bin, cfg.Dir)
+	if err != nil {
+		return nil, err
+	}
+	f.engineArgs = []string{"--capacity", "1024", "--tokenInterval", "20ms"}
+	defer f.processes.stopAll()
+	t := &trial{cfg: Config{Out: io.Discard}, f: f, start: time.Now(), reasons: map[string]int{}}
+	for _, step := range []func() error{t.bringUp, t.rollOut} {
+		if err := step(); err != nil {
+			return nil, err
+		}
+	}
+	groups, err := f.groups()
+	if err != nil {
+		return nil, err
+	}
+	base := load.Config{
+		Key: f.keys["observatory"].Key, Model: "mill-guides", Adapter: "patrons", Prompt: "latency", Tokens: cfg.Tokens,
+		Duration: cfg.Duration, Deadline: time.Minute,
+	}
+	var out []Latency
+	for _, n := range cfg.Concurrency {
+		l := Latency{Concurrency: n}
+		direct, mill := base, base
+		direct.Concurrency, mill.Concurrency = n, n
+		direct.Targets, direct.Epoch = []netip.AddrPort{f.engine(groups[0].Members[0]).address}, fmt.Sprint(groups[0].Epoch)
+		mill.Targets = []netip.AddrPort{f.entries[0].callers}
+		l.Direct = load.Run(context.Background(), direct)
+		l.Mill = load.Run(context.Background(), mill)
+		out = append(out, l)
+	}
+	return out, nil
+}
