--- a/prober/digest.go
+++ b/prober/digest.go
@@ -4,6 +4,7 @@
 	"net/netip"
 	"time"
 
+	"amaranthmill/internal/identifier"
 	"amaranthmill/internal/ranker"
 	"amaranthmill/linker"
 )
@@ -15,11 +16,12 @@
 type sharing struct {
 	due    bool // an own probe succeeded since the last digest
 	status Status
-	fullAt time.Time // when the report last went out in full; zero if never
+	fullAt time.Time               // when the report last went out in full; zero if never
+	left   identifier.ProcessStart // the run whose leaving peers were told or told of; zero if none
 }
 
-// share returns what this instance's own probes saw since the last digest. What changed goes
-// out at once and in full. That the rest is still as it was is told by the first of an
+// share returns what this instance's own probes saw since the last digest, and what it was the
+// first to learn of leaving. What changed goes out at once and in full. That the rest is still as it was is told by the first of an
 // endpoint's probers only, without group and address, which peers know by the epoch.
 func (c *Core) share(now time.Time) []Action {
 	if len(c.peers) < 2 {
@@ -31,10 +33,11 @@
 	}
 	var d linker.ProbeDigest
 	for _, ep := range c.sorted() {
-		if !ep.listed || !ep.sharing.due {
+		left := ep.leaving[ep.status.ProcessStart] && ep.sharing.left != ep.status.ProcessStart
+		if !ep.listed || !ep.sharing.due && !left {
 			continue
 		}
-		changed := ep.sharing.fullAt.IsZero() || !ep.sharing.status.sameRole(ep.status)
+		changed := left || ep.sharing.fullAt.IsZero() || !ep.sharing.status.sameRole(ep.status)
 		if !changed && !(round && ranker.Chosen(ep.name, c.peers, c.cfg.Instance, 1)) {
 			continue
 		}
@@ -55,6 +58,9 @@
 // share returns the endpoint's report for peers, in full or without what they know.
 func (e *endpoint) share(now time.Time, full bool) linker.ProbeReport {
 	e.sharing.due, e.sharing.status = false, e.status
+	if e.leaving[e.status.ProcessStart] {
+		e.sharing.left = e.status.ProcessStart
+	}
 	s := e.status
 	r := linker.ProbeReport{
 		Endpoint: e.name, Address: e.Address, ProcessStart: s.ProcessStart, Group: s.Group, Epoch: s.Epoch,
@@ -82,6 +88,9 @@
 		if r.Age < 0 || !known {
 			continue
 		}
+		if r.Leaving {
+			ep.sharing.left = r.ProcessStart
+		}
 		s := Status{
 			ProcessStart: r.ProcessStart, Group: group, Epoch: r.Epoch, BundleVersion: r.BundleVersion,
 			Loaded: r.Loaded, Leaving: r.Leaving, InFlight: r.InFlight, Queued: r.Queued, Capacity: r.Capacity,
