--- a/standin/experiment/repair/run.go
+++ b/standin/experiment/repair/run.go
@@ -95,10 +95,11 @@
 	switch {
 	case f.kind == "outage":
 		d.both(f, func(on bool) { d.fleet.Platform.Down = on })
-	case f.kind == "dark":
+	case f.kind == "dark", f.kind == "power":
+		kind := map[string]string{"dark": "pause", "power": "replace"}[f.kind]
 		for _, e := range d.fleet.Engines() {
 			if string(e.Fabric) == f.target {
-				d.both(f, func(on bool) { e.Reachable = !on })
+				d.both(f, func(on bool) { strike(e, kind, on) })
 			}
 		}
 	case strings.HasPrefix(f.target, d.name+"/"):
--- a/standin/experiment/repair/trace.go
+++ b/standin/experiment/repair/trace.go
@@ -17,7 +17,7 @@
 // fault is one line of a trace. Target is an engine's or fabric domain's name, or "platform".
 type fault struct {
 	at     time.Duration
-	kind   string // pause, restart, replace, slow, dark or outage
+	kind   string // pause, restart, replace, slow, dark, power or outage
 	target string
 	lasts  time.Duration
 }
@@ -70,7 +70,8 @@
 }
 
 // generate draws a bad day: engines that pause, restart, die for hours, flap and straggle, a
-// fabric domain that goes dark, and a platform outage in which members are lost too.
+// fabric domain that goes dark with or without its processes, and a platform outage in which
+// members are lost too.
 func generate(u user, r *rand.Rand) []fault {
 	engines := u.engineNames()
 	var out []fault
@@ -96,7 +97,8 @@
 		out = append(out, fault{at: outage.at + between(r, 0, 25*time.Minute), kind: kind, target: engines[r.IntN(len(engines))], lasts: lasts})
 	}
 	fabrics := u.fabricNames()
-	out = append(out, fault{at: between(r, warmUp, day-time.Hour), kind: "dark", target: fabrics[r.IntN(len(fabrics))], lasts: between(r, 15*time.Minute, 40*time.Minute)})
+	dark := []string{"dark", "power"}[r.IntN(2)]
+	out = append(out, fault{at: between(r, warmUp, day-time.Hour), kind: dark, target: fabrics[r.IntN(len(fabrics))], lasts: between(r, 15*time.Minute, 40*time.Minute)})
 	slices.SortStableFunc(out, func(a, b fault) int { return int(a.at - b.at) })
 	return out
 }
