--- a/grouper/order.go
+++ b/grouper/order.go
@@ -17,7 +17,7 @@
 	loading := c.loading(now, r.Record.FabricDomain)
 	for _, t := range c.tasks(r) {
 		o, ok := c.order(t.ep, t.a, r)
-		if !ok || now.Before(t.ep.ordered) {
+		if !ok || now.Before(t.ep.ordered) || o.Kind == OrderAssign && c.isLoading(now, t.ep, o.Group.model()) {
 			continue
 		}
 		if o.Kind != OrderRelease && !t.ep.keeps(&o.Group) {
@@ -88,14 +88,24 @@
 func (c *Core) loading(now time.Time, fd identifier.FabricDomain) int {
 	n := 0
 	for _, ep := range c.endpoints {
-		underWay := !ep.loadingSince.IsZero() && now.Sub(ep.loadingSince) < stuckLoads*c.loadTime()
-		if ep.FabricDomain == fd && ep.Fresh && underWay {
+		if ep.FabricDomain == fd && ep.Fresh && c.loadUnderWay(now, ep) {
 			n++
 		}
 	}
 	return n
 }
 
+// loadUnderWay reports whether ep loads a model and is not stuck.
+func (c *Core) loadUnderWay(now time.Time, ep *endpointState) bool {
+	return !ep.loadingSince.IsZero() && now.Sub(ep.loadingSince) < stuckLoads*c.loadTime()
+}
+
+// isLoading reports whether ep loads m already. A new role now might make it begin again, and
+// gains nothing before it has loaded.
+func (c *Core) isLoading(now time.Time, ep *endpointState, m model) bool {
+	return ep.model == m && ep.modelRun == ep.ProcessStart && c.loadUnderWay(now, ep)
+}
+
 // order returns what ep must be told so that its report comes to match r, if anything.
 func (c *Core) order(ep *endpointState, a *Assignment, r *recordState) (Order, bool) {
 	o := Order{Endpoint: ep.Endpoint, Address: ep.Address, Fence: r.Revision, Kind: OrderRelease}
