grouper: a new holder reads the records first; succession waits as long as a repair would

Cause: a holder whose watch lags could have ordered by old records; in an outage a loaded standby waited as long as one that must load. After: see the diff; the platform is asked for one list when a lease is got. Groups of pools that the bundle lacks are not repaired.

--- a/grouper/grouper.go
+++ b/grouper/grouper.go
@@ -56,9 +56,16 @@
 	peers   []identifier.Instance
 	fabrics map[identifier.FabricDomain]bool
 	leases  map[identifier.FabricDomain]context.CancelFunc
+	holds   map[identifier.FabricDomain]hold
 	records map[string]Stored // by key
 }
 
+// hold is until when a lease may be acted on, and whether the records were read since it was got.
+type hold struct {
+	until time.Time
+	read  bool
+}
+
 // New returns a Grouper for cfg. It does nothing until Run.
 func New(cfg Config) *Grouper {
 	cfg.Policy = cfg.Policy.withDefaults()
@@ -78,6 +85,7 @@
 		peers:   []identifier.Instance{cfg.Instance},
 		fabrics: map[identifier.FabricDomain]bool{},
 		leases:  map[identifier.FabricDomain]context.CancelFunc{},
+		holds:   map[identifier.FabricDomain]hold{},
 		records: map[string]Stored{},
 	}
 	g.step = stepper.New(stepper.Config[Event, Action]{Core: NewCore(cfg.Policy), Handle: g.handle})
@@ -158,14 +166,45 @@
 		Key:      "leases/repair/" + string(fd),
 		Token:    string(g.cfg.Instance),
 		TTL:      g.cfg.Policy.LeaseTTL,
-		OnHold: func(until time.Time) {
-			g.step.Submit(LeaseChanged{FabricDomain: fd, Until: until})
-		},
+		OnHold:   func(until time.Time) { g.setHold(fd, until) },
 	})
 	g.work.Go(func() { _ = l.Run(ctx) })
 	return stop
 }
 
+// setHold tells the core until when the lease of fd may be acted on. A new holder reads the
+// records first, so that it does not act on old ones.
+func (g *Grouper) setHold(fd identifier.FabricDomain, until time.Time) {
+	g.mu.Lock()
+	h := g.holds[fd]
+	h.until = until
+	h.read = h.read && !until.IsZero()
+	g.holds[fd] = h
+	g.mu.Unlock()
+	if until.IsZero() || h.read {
+		g.step.Submit(LeaseChanged{FabricDomain: fd, Until: until})
+		return
+	}
+	g.work.Go(func() { g.takeOver(fd, until) })
+}
+
+// takeOver reads the records, and tells the core of the hold unless it has changed meanwhile.
+func (g *Grouper) takeOver(fd identifier.FabricDomain, until time.Time) {
+	if _, err := g.list(g.ctx); err != nil {
+		g.cfg.Logger.Warn().Err(err).Str("fabricDomain", string(fd)).Msg("group records not read")
+		return
+	}
+	g.mu.Lock()
+	current := g.holds[fd].until.Equal(until)
+	if current {
+		g.holds[fd] = hold{until: until, read: true}
+	}
+	g.mu.Unlock()
+	if current {
+		g.step.Submit(LeaseChanged{FabricDomain: fd, Until: until})
+	}
+}
+
 func (g *Grouper) handle(a Action) {
 	switch a := a.(type) {
 	case Save:
--- a/grouper/policy.go
+++ b/grouper/policy.go
@@ -34,7 +34,7 @@
 	FencingEndpoints func(identifier.Endpoint) bool
 	// DrainSettle is how long after a group was recorded as draining a request may still reach it; 3 s.
 	DrainSettle time.Duration
-	// SuccessionAfter is how long after it was time for a repair standbys succeed on their own; 15 s.
+	// SuccessionAfter is how long after it was time for a repair standbys succeed on their own; 5 s.
 	SuccessionAfter time.Duration
 	// NoStandby turns the promises of standbys off.
 	NoStandby bool
@@ -58,7 +58,7 @@
 	orDefault(&p.OrderLife, 2*time.Second)
 	orDefault(&p.LeaseTTL, 10*time.Second)
 	orDefault(&p.DrainSettle, 3*time.Second)
-	orDefault(&p.SuccessionAfter, 15*time.Second)
+	orDefault(&p.SuccessionAfter, 5*time.Second)
 	orDefault(&p.DarkAfter, 2*time.Minute)
 	orDefault(&p.SlowPatience, 5*time.Minute)
 	orDefault(&p.LoadsAtOnce, 4)
--- a/grouper/repair.go
+++ b/grouper/repair.go
@@ -11,7 +11,7 @@
 	var broken []*Assignment
 	for i := range p.rec.Groups {
 		a := &p.rec.Groups[i]
-		if len(p.lost(a)) > 0 {
+		if p.core.pool(a.Pool) != nil && len(p.lost(a)) > 0 {
 			broken = append(broken, a)
 		}
 	}
@@ -92,16 +92,9 @@
 	case returned:
 		return len(ep.returns) >= flapping || p.ready(a) && !ep.has(a.model())
 	}
-	load := p.core.loadTime()
-	if p.ready(a) {
-		load = swapTime
-	}
-	return p.now.Sub(ep.awaySince) >= p.core.returns.wait(load)
+	return p.now.Sub(ep.awaySince) >= p.core.patience(p.ready(a))
 }
 
-// swapTime is how long a group is down while a loaded endpoint takes a member's place.
-const swapTime = 2 * time.Second
-
 // ready reports whether the next free endpoint for a has a's model.
 func (p *planner) ready(a *Assignment) bool {
 	return len(p.free) > 0 && p.free[p.choice(a)].has(a.model())
@@ -112,7 +105,7 @@
 	if ep == nil || ep.Gone {
 		return true
 	}
-	return !ep.awaySince.IsZero() && p.now.Sub(ep.awaySince) >= p.core.waitTime()
+	return !ep.awaySince.IsZero() && p.now.Sub(ep.awaySince) >= p.core.patience(false)
 }
 
 const (
--- a/grouper/returns.go
+++ b/grouper/returns.go
@@ -76,8 +76,15 @@
 	return sum
 }
 
-// waitTime returns how long to wait for an endpoint that is away.
-func (c *Core) waitTime() time.Duration {
+// swapTime is how long a group is down while a loaded endpoint takes a member's place.
+const swapTime = 2 * time.Second
+
+// patience returns how long to wait for an endpoint that is away before another takes its
+// place that is loaded, or must load first.
+func (c *Core) patience(loaded bool) time.Duration {
+	if loaded {
+		return c.returns.wait(swapTime)
+	}
 	return c.returns.wait(c.loadTime())
 }
 
--- a/grouper/store.go
+++ b/grouper/store.go
@@ -47,7 +47,14 @@
 			records[e.Key] = s
 		}
 	}
-	g.publish(func() { g.records = records })
+	g.publish(func() {
+		for key, s := range g.records {
+			if s.Revision > max(after, records[key].Revision) {
+				records[key] = s // saved here since the list was made
+			}
+		}
+		g.records = records
+	})
 	return after, nil
 }
 
--- a/grouper/succession.go
+++ b/grouper/succession.go
@@ -83,7 +83,7 @@
 		return Assignment{}, false
 	}
 	since := ep.lostSince
-	if since.IsZero() || now.Sub(since) < c.waitTime()+c.policy.SuccessionAfter {
+	if since.IsZero() || now.Sub(since) < c.patience(sp.has(a.model()))+c.policy.SuccessionAfter {
 		return Assignment{}, false
 	}
 	return successions[lost], true
@@ -114,5 +114,5 @@
 	}}}
 }
 
-// successors returns the fabric domains whose successions this instance carries out.
+// successor reports whether this instance carries out the successions of fd.
 func (c *Core) successor(fd identifier.FabricDomain) bool { return c.first[fd] && !c.policy.NoStandby }
--- a/prober/target.go
+++ b/prober/target.go
@@ -42,11 +42,11 @@
 	return out
 }
 
-// modelReports returns the state of all model endpoints by name.
+// modelReports returns the state of all model endpoints by name. One without a fabric domain can be in no group.
 func (c *Core) modelReports(now time.Time) []grouper.Report {
 	var out []grouper.Report
 	for _, ep := range c.sorted() {
-		if ep.listed && ep.Kind == keeper.KindEngine {
+		if ep.listed && ep.Kind == keeper.KindEngine && ep.FabricDomain != "" {
 			out = append(out, ep.report(now, c.cfg.FreshFor))
 		}
 	}
