grouper: a lost answer and a stop through the shells

After: the answer to a repair's write is lost and the group is mended; a stop gives the leases back. The fake engine keeps its model on a load order, as the contract says.

--- a/grouper/fake_test.go
+++ b/grouper/fake_test.go
@@ -209,7 +209,7 @@
 		}
 		e.fence = o.Fence
 		e.status.Group, e.status.Epoch, e.status.BundleVersion = o.Group, o.Epoch, o.BundleVersion
-		e.status.Loaded = o.Kind == "assign"
+		e.status.Loaded = e.status.Loaded || o.Kind != "release"
 	}
 	_ = json.NewEncoder(w).Encode(e.status)
 }
--- a/grouper/grouper_test.go
+++ b/grouper/grouper_test.go
@@ -120,3 +120,28 @@
 		is.Equal(len(f.ready("i2")), 2)
 	})
 }
+
+// TestLostAnswerAndStop loses the answer to the write of a repair: the group is mended all the
+// same. A stop gives the leases back.
+func TestLostAnswerAndStop(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(t, 5)
+		f.start("i1", 1)
+		f.start("i2", 1)
+		time.Sleep(30 * time.Second)
+		is.Equal(len(f.ready("i1")), 1)
+
+		f.platform.set(func(p *fakePlatform) { p.loseNext = true })
+		f.engines[0].set(func(e *fakeEngine) { e.dead = true })
+		time.Sleep(10 * time.Second)
+		is.Equal(len(f.ready("i1")), 1)
+		is.True(!slices.Contains(f.ready("i1")[0].Members, "e0"))
+		is.True(!f.platform.loseNext) // the answer was lost
+
+		f.stop()
+		leases, err := f.platform.List(t.Context(), "leases/")
+		is.NoErr(err)
+		is.Equal(len(leases), 0)
+	})
+}
