--- /dev/null
+++ b/grouper/bench_test.go
@@ -0,0 +1,61 @@
+package grouper_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"amaranthmill/bundler"
+	"amaranthmill/grouper"
+	"amaranthmill/internal/identifier"
+	"amaranthmill/internal/modeler"
+	"amaranthmill/internal/scripter"
+)
+
+// BenchmarkSecond is one second of the core that holds every lease of its failure domain: four
+// ticks and ten sets of reports, with all groups of four whole.
+func BenchmarkSecond(b *testing.B) {
+	for _, n := range []int{20, 60, 120} {
+		b.Run(fmt.Sprintf("endpoints=%d", n), func(b *testing.B) {
+			core := grouper.NewCore(grouper.Policy{FailureDomain: "alpine"})
+			now := scripter.Start
+			stored, reports := wholeGroups(engines(n, 1, false))
+			core.Step(now, grouper.BundleSet{Bundle: &bundler.Bundle{Version: 1, Pools: []bundler.Pool{{
+				Name: "guides", GroupSize: 4, Groups: []bundler.Placement{{FailureDomain: "alpine", Count: n / 4}},
+			}}}})
+			core.Step(now, grouper.RecordsRead{Records: []grouper.Stored{stored}})
+			b.ReportAllocs()
+			for b.Loop() {
+				core.Step(now, grouper.LeaseChanged{FabricDomain: "fab0", Until: now.Add(10 * time.Second)})
+				for i := range 10 {
+					now = now.Add(100 * time.Millisecond)
+					core.Step(now, grouper.ReportsSeen{Reports: reports})
+					if i%3 == 0 && len(core.Step(now, grouper.Tick{})) > 0 {
+						b.Fatal("a whole failure domain needs no action")
+					}
+				}
+			}
+		})
+	}
+}
+
+// wholeGroups returns a record of groups of four over all engines, and reports that match it.
+func wholeGroups(es []*modeler.Engine) (grouper.Stored, []grouper.Report) {
+	s := grouper.Stored{Revision: 1, Record: grouper.Record{FabricDomain: "fab0", FailureDomain: "alpine"}}
+	var reports []grouper.Report
+	for i, e := range es {
+		if i%4 == 0 {
+			s.Record.LastEpoch += grouper.EpochStep
+			s.Record.Groups = append(s.Record.Groups, grouper.Assignment{
+				Group: identifier.Group(fmt.Sprintf("g%03d", i)), Pool: "guides", Epoch: s.Record.LastEpoch, BundleVersion: 1,
+			})
+		}
+		a := &s.Record.Groups[i/4]
+		a.Members = append(a.Members, grouper.Member{Endpoint: e.Name, Address: e.Address, ProcessStart: 1})
+		reports = append(reports, grouper.Report{
+			Endpoint: e.Name, Address: e.Address, FabricDomain: "fab0", ProcessStart: 1, Group: a.Group, Epoch: a.Epoch,
+			BundleVersion: 1, Loaded: true, Fresh: true,
+		})
+	}
+	return s, reports
+}
