grouper: a free endpoint goes to a group that it makes whole

Cause: with two members lost and one endpoint free, the endpoint joined a group that could not serve, and another group that lacked one went without.

--- a/grouper/repair.go
+++ b/grouper/repair.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"amaranthmill/internal/identifier"
 )
 
 // repair mends groups that lost members: the highest priority first, then those that lack least.
@@ -65,8 +67,8 @@
 func (p *planner) mend(a *Assignment, i int) bool {
 	m := &a.Members[i]
 	ep := p.core.endpoints[m.Endpoint]
-	returned := ep != nil && ep.Fresh && !ep.Leaving
-	if len(p.free) > 0 && p.worthReplacing(a, ep, returned) {
+	returned := p.core.isBack(m.Endpoint)
+	if p.worthReplacing(a, ep, returned) && p.fillable(a) {
 		*m = p.take(a)
 		p.note(a.Group, m.Endpoint, DecisionReplace)
 		return true
@@ -95,6 +97,24 @@
 	return p.now.Sub(ep.awaySince) >= p.core.patience(p.ready(a))
 }
 
+// fillable reports whether there are free endpoints for all places of a whose members are not
+// back. A group that would lack a member all the same leaves them to another.
+func (p *planner) fillable(a *Assignment) bool {
+	absent := 0
+	for _, i := range p.lost(a) {
+		if !p.core.isBack(a.Members[i].Endpoint) {
+			absent++
+		}
+	}
+	return len(p.free) >= max(1, absent) || p.core.policy.Strategy == StrategyRebuild && len(p.free) > 0
+}
+
+// isBack reports whether a lost endpoint answers again and could be readmitted.
+func (c *Core) isBack(name identifier.Endpoint) bool {
+	ep := c.endpoints[name]
+	return ep != nil && ep.Fresh && !ep.Leaving
+}
+
 // ready reports whether the next free endpoint for a has a's model.
 func (p *planner) ready(a *Assignment) bool {
 	return len(p.free) > 0 && p.free[p.choice(a)].has(a.model())
@@ -157,7 +177,7 @@
 func (p *planner) stuck(a *Assignment) bool {
 	for _, i := range p.lost(a) {
 		ep := p.core.endpoints[a.Members[i].Endpoint]
-		if ep != nil && ep.Fresh && !ep.Leaving || !p.overdue(ep) {
+		if p.core.isBack(a.Members[i].Endpoint) || !p.overdue(ep) {
 			return false
 		}
 	}
