standin: scenarios of outage, cut, freeze, poison and doubled calls across real processes

Cause: the promises under kills, cuts, freezes and outages were shown by cores alone. Before: one scenario in separate processes. After: six, with the race detector, each checking outcomes, not times.

--- a/standin/cmd/standin/trial.go
+++ b/standin/cmd/standin/trial.go
@@ -10,8 +10,9 @@
 )
 
 type trialCommand struct {
-	Stay bool `long:"stay" description:"leave everything up until Ctrl-C"`
-	Keep bool `long:"keep" description:"keep the logs of a run that passed"`
+	Scenario string `long:"scenario" default:"path" description:"path, or cut, doubled, freeze, outage or poison"`
+	Stay     bool   `long:"stay" description:"leave everything up until Ctrl-C"`
+	Keep     bool   `long:"keep" description:"keep the logs of a run that passed"`
 }
 
 // Execute runs the whole path with the programs that lie beside this one.
@@ -27,5 +28,5 @@
 		<-signals
 		close(stop)
 	}()
-	return trial.Main(trial.Config{Bin: filepath.Dir(self), Stay: c.Stay, Keep: c.Keep, Stop: stop, Out: os.Stdout})
+	return trial.Main(trial.Config{Bin: filepath.Dir(self), Scenario: c.Scenario, Stay: c.Stay, Keep: c.Keep, Stop: stop, Out: os.Stdout})
 }
--- /dev/null
+++ b/standin/trial/call.go
@@ -0,0 +1,82 @@
+package trial
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+)
+
+// callersProblem is the problem document of a refusal.
+type callersProblem struct {
+	Outcome    string `json:"outcome"`
+	Reason     string `json:"reason"`
+	RetryAfter int    `json:"retryAfter"`
+}
+
+// confirmation is the answer to one booking call.
+type confirmation struct {
+	callersProblem
+	status int
+	err    error
+}
+
+// kind names the answer for counting.
+func (c confirmation) kind() string {
+	switch {
+	case c.err != nil:
+		return "no answer"
+	case c.status == http.StatusOK:
+		return "200"
+	default:
+		return fmt.Sprintf("%d %s %s", c.status, c.Outcome, c.Reason)
+	}
+}
+
+// confirm confirms a hold under a key at one entry instance.
+func (t *trial) confirm(e *entry, key, query string) confirmation {
+	url := fmt.Sprintf("http://%s/services/pad-ledger/holds/12/confirm%s", e.callers, query)
+	res, err := t.post(url, `{"pad": 12}`, key)
+	if err != nil {
+		return confirmation{err: err}
+	}
+	defer res.Body.Close()
+	c := confirmation{status: res.StatusCode}
+	if res.StatusCode != http.StatusOK {
+		c.err = json.NewDecoder(res.Body).Decode(&c.callersProblem)
+	}
+	return c
+}
+
+// complete sends one model request, not streamed.
+func (t *trial) complete(e *entry, prompt string) (int, callersProblem) {
+	body := fmt.Sprintf(`{"model":"mill-guides","messages":[{"role":"user","content":%q}]}`, prompt)
+	var p callersProblem
+	res, err := t.post(fmt.Sprintf("http://%s/v1/chat/completions", e.callers), body, "")
+	if err != nil {
+		return 0, p
+	}
+	defer res.Body.Close()
+	if res.StatusCode != http.StatusOK {
+		_ = json.NewDecoder(res.Body).Decode(&p) // an answer without a problem document has none
+		return res.StatusCode, p
+	}
+	_, err = io.Copy(io.Discard, res.Body)
+	if err != nil {
+		return 0, p
+	}
+	return res.StatusCode, p
+}
+
+func (t *trial) post(url, body, key string) (*http.Response, error) {
+	req, err := http.NewRequest(http.MethodPost, url, strings.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	req.Header.Set("Authorization", "Bearer "+t.f.keys["observatory"].Key)
+	if key != "" {
+		req.Header.Set("Idempotency-Key", key)
+	}
+	return http.DefaultClient.Do(req)
+}
--- a/standin/trial/fleet.go
+++ b/standin/trial/fleet.go
@@ -25,6 +25,8 @@
 	name, domain          string
 	callers, admin, peers netip.AddrPort
 	process               *process
+	platform              *link            // on its way to the platform
+	toPeer                map[string]*link // on its way to each other entry instance, by name
 }
 
 // endpoint is one engine or plain service.
@@ -132,6 +134,9 @@
 	if err := a.Write(f.dir, members); err != nil {
 		return err
 	}
+	if err := f.newLinks(); err != nil {
+		return err
+	}
 	for _, e := range f.entries {
 		path := filepath.Join(f.dir, e.name+".json")
 		if err := f.writeSettings(e, path); err != nil {
@@ -150,7 +155,7 @@
 	var peers []object
 	for _, p := range f.entries {
 		if p != e {
-			peers = append(peers, object{"instance": p.name, "failureDomain": p.domain, "address": p.peers})
+			peers = append(peers, object{"instance": p.name, "failureDomain": p.domain, "address": e.toPeer[p.name].address()})
 		}
 	}
 	operator := func(name, role string) object {
@@ -159,7 +164,7 @@
 	settings := object{
 		"instance": e.name, "failureDomain": e.domain,
 		"listen":   object{"callers": e.callers, "administration": e.admin, "peers": e.peers},
-		"platform": object{"address": f.platform},
+		"platform": object{"address": e.platform.address()},
 		"peers":    peers,
 		"tls": object{
 			"certificate": filepath.Join(f.dir, e.name+".pem"), "key": filepath.Join(f.dir, e.name+".key"),
@@ -175,3 +180,50 @@
 	}
 	return os.WriteFile(path, b, 0o600)
 }
+
+// newLinks makes the links between the entry instances and to the platform.
+func (f *fleet) newLinks() error {
+	var err error
+	for _, e := range f.entries {
+		if e.platform, err = newLink(f.platform); err != nil {
+			return err
+		}
+		e.toPeer = map[string]*link{}
+		for _, p := range f.entries {
+			if e.toPeer[p.name], err = newLink(p.peers); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// entriesOf returns the entry instances of a failure domain.
+func (f *fleet) entriesOf(domain string) []*entry {
+	var out []*entry
+	for _, e := range f.entries {
+		if e.domain == domain {
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
+// cutOff cuts every link that leaves or enters a failure domain.
+func (f *fleet) cutOff(domain string) { f.eachLink(domain, (*link).cut) }
+
+// mend mends every link that leaves or enters a failure domain.
+func (f *fleet) mend(domain string) { f.eachLink(domain, (*link).mend) }
+
+func (f *fleet) eachLink(domain string, do func(*link)) {
+	for _, e := range f.entries {
+		if e.domain == domain {
+			do(e.platform)
+		}
+		for _, p := range f.entries {
+			if (e.domain == domain) != (p.domain == domain) {
+				do(e.toPeer[p.name])
+			}
+		}
+	}
+}
--- a/standin/trial/process.go
+++ b/standin/trial/process.go
@@ -70,6 +70,12 @@
 	}
 }
 
+// freeze stops the process without its knowledge.
+func (p *process) freeze() error { return p.cmd.Process.Signal(syscall.SIGSTOP) }
+
+// thaw lets a frozen process go on.
+func (p *process) thaw() error { return p.cmd.Process.Signal(syscall.SIGCONT) }
+
 // running reports whether the process has not ended.
 func (p *process) running() bool {
 	select {
