--- a/claimer/claimer.go
+++ b/claimer/claimer.go
@@ -22,6 +22,8 @@
 	step   *stepper.Stepper[Event, Action]
 	meters meters
 
+	life string // the instance and when this process made the Claimer; begins each token
+
 	mu        sync.Mutex // guards the fields below; never held while the core steps
 	random    *rand.Rand
 	calls     Call
@@ -35,6 +37,7 @@
 	c := &Claimer{
 		cfg:       cfg,
 		core:      NewCore(cfg.Instance, cfg.Limits),
+		life:      fmt.Sprintf("%s/%x", cfg.Instance, cfg.Now().UnixNano()),
 		random:    rand.New(cfg.Random),
 		decisions: map[Call]chan Decision{},
 		finishes:  map[Token]chan error{},
@@ -104,14 +107,15 @@
 	}
 }
 
-// newCall returns a new call with a token of its own and the channel of its decision.
+// newCall returns a new call with a token of its own and the channel of its decision. No
+// other instance or run of this one has such a token, even with an equal source of randomness.
 func (c *Claimer) newCall() (Call, Token, <-chan Decision) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.calls++
 	decided := make(chan Decision, 1)
 	c.decisions[c.calls] = decided
-	return c.calls, Token(fmt.Sprintf("%016x%016x", c.random.Uint64(), c.random.Uint64())), decided
+	return c.calls, Token(fmt.Sprintf("%s/%d/%016x", c.life, c.calls, c.random.Uint64())), decided
 }
 
 // dropCall forgets who waits for the decision of call.
--- a/keeper/client.go
+++ b/keeper/client.go
@@ -14,6 +14,7 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"golang.org/x/time/rate"
 )
 
@@ -26,6 +27,7 @@
 	reads  *rate.Limiter
 	writes *rate.Limiter
 	meters meters
+	life   uint64 // of the instance and when this process made the Client; begins each write's name
 
 	mu      sync.Mutex // guards the fields below
 	random  *rand.Rand
@@ -39,6 +41,7 @@
 		cfg:     cfg,
 		reads:   rate.NewLimiter(rate.Limit(cfg.ReadsPerSecond), cfg.Burst),
 		writes:  rate.NewLimiter(rate.Limit(cfg.WritesPerSecond), cfg.Burst),
+		life:    xxhash.Sum64String(fmt.Sprintf("%s/%d", cfg.Instance, cfg.Now().UnixNano())),
 		random:  rand.New(cfg.Random),
 		circuit: circuit{threshold: cfg.CircuitFailures, base: cfg.CircuitOpen},
 	}
@@ -219,11 +222,12 @@
 	}
 }
 
-// writeName returns a new name for a write.
+// writeName returns a new name for a write. Another instance or run of this one has other
+// names, even with an equal source of randomness.
 func (c *Client) writeName() string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return fmt.Sprintf("%016x%016x", c.random.Uint64(), c.random.Uint64())
+	return fmt.Sprintf("%016x%016x", c.life, c.random.Uint64())
 }
 
 // unexpected is the error of an answer whose status or body makes no sense for r. A
