--- /dev/null
+++ b/sharer/config.go
@@ -0,0 +1,42 @@
+package sharer
+
+import (
+	"time"
+
+	"amaranthmill/internal/identifier"
+)
+
+// Config configures a Core. Instance is required; every other zero value means the default named.
+type Config struct {
+	Instance identifier.Instance
+
+	// Divergence is the time of an account's whole limit by which the demand of all instances
+	// together may differ from what they announced; default 2 s.
+	Divergence time.Duration
+	// EqualPart is the part of a limit that is divided equally, in (0, 1]; default 0.1.
+	EqualPart float64
+	// Smoothing is the time constant of the predicted demand; default 1 s.
+	Smoothing time.Duration
+	// Pause is the shortest time between two announcements; default 250 ms.
+	Pause time.Duration
+	// Refresh is the longest time between two announcements; default 1 min.
+	Refresh time.Duration
+}
+
+// withDefaults returns cfg with its zero values replaced.
+func withDefaults(cfg Config) Config {
+	setDefault(&cfg.Divergence, 2*time.Second)
+	setDefault(&cfg.EqualPart, 0.1)
+	setDefault(&cfg.Smoothing, time.Second)
+	setDefault(&cfg.Pause, 250*time.Millisecond)
+	setDefault(&cfg.Refresh, time.Minute)
+	return cfg
+}
+
+// setDefault sets *v to def if it is zero.
+func setDefault[T comparable](v *T, def T) {
+	var zero T
+	if *v == zero {
+		*v = def
+	}
+}
--- /dev/null
+++ b/sharer/core.go
@@ -0,0 +1,181 @@
+package sharer
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"amaranthmill/internal/identifier"
+)
+
+// Core divides the limits for one instance. It is deterministic and not safe for concurrent use.
+type Core struct {
+	cfg       Config
+	accounts  []*account                     // by name
+	members   []identifier.Instance          // this instance and its peers, by name
+	sequences map[identifier.Instance]uint64 // of the last announcement from each peer
+	sequence  uint64
+	tickedAt  time.Time
+	sentAt    time.Time // of the last announcement
+	refreshAt time.Time // of the next one in any case
+}
+
+// New returns a Core for cfg that knows no account and no peer.
+func New(cfg Config) *Core {
+	return &Core{
+		cfg:       withDefaults(cfg),
+		members:   []identifier.Instance{cfg.Instance},
+		sequences: map[identifier.Instance]uint64{},
+	}
+}
+
+// Step applies e at now and returns the actions that it causes.
+func (c *Core) Step(now time.Time, e Event) []Action {
+	switch e := e.(type) {
+	case AccountsSet:
+		return c.setAccounts(now, e.Accounts)
+	case RequestArrived:
+		c.arrive(e.Account)
+		return nil
+	case PeerSeen:
+		return c.addPeer(e.Instance)
+	case PeerRemoved:
+		return c.removePeer(e.Instance)
+	case AnnouncementReceived:
+		return c.receive(e.From, e.Announcement)
+	case Ticked:
+		return c.tick(now)
+	}
+	return nil
+}
+
+// setAccounts replaces the accounts. One that stays keeps its demand.
+func (c *Core) setAccounts(now time.Time, accounts []Account) []Action {
+	old := c.accounts
+	c.accounts = nil
+	for _, acct := range accounts {
+		a := find(old, acct.Name)
+		if a == nil {
+			a = &account{name: acct.Name, announced: map[identifier.Instance]float64{}, announcedAt: now}
+		}
+		a.limit = acct.RequestsPerSecond
+		a.rate = 0
+		c.accounts = append(c.accounts, a)
+	}
+	slices.SortFunc(c.accounts, func(a, b *account) int { return cmp.Compare(a.name, b.name) })
+	return c.rates()
+}
+
+// arrive counts a request of an account that has a limit.
+func (c *Core) arrive(name identifier.ClientAccount) {
+	if a := find(c.accounts, name); a != nil {
+		a.arrived++
+		a.recent++
+	}
+}
+
+// addPeer takes a peer in, and tells it the own announcements. A peer that comes again may be
+// a new process, which counts its announcements from the start.
+func (c *Core) addPeer(peer identifier.Instance) []Action {
+	var acts []Action
+	if i, ok := slices.BinarySearch(c.members, peer); !ok {
+		c.members = slices.Insert(c.members, i, peer)
+		acts = c.rates()
+	}
+	c.sequences[peer] = 0
+	c.sequence++
+	an := Announcement{Sequence: c.sequence}
+	for _, a := range c.accounts {
+		an.Demands = append(an.Demands, Demand{Account: a.name, RequestsPerSecond: a.announced[c.cfg.Instance]})
+	}
+	return append(acts, Announce{To: peer, Announcement: an})
+}
+
+// removePeer forgets a peer and divides its share.
+func (c *Core) removePeer(peer identifier.Instance) []Action {
+	i, ok := slices.BinarySearch(c.members, peer)
+	if !ok || peer == c.cfg.Instance {
+		return nil
+	}
+	c.members = slices.Delete(c.members, i, i+1)
+	delete(c.sequences, peer)
+	for _, a := range c.accounts {
+		delete(a.announced, peer)
+	}
+	return c.rates()
+}
+
+// receive takes a peer's announcement for its demand.
+func (c *Core) receive(from identifier.Instance, an Announcement) []Action {
+	if _, ok := slices.BinarySearch(c.members, from); !ok || an.Sequence <= c.sequences[from] {
+		return nil
+	}
+	c.sequences[from] = an.Sequence
+	for _, d := range an.Demands {
+		if a := find(c.accounts, d.Account); a != nil {
+			a.announced[from] = max(d.RequestsPerSecond, 0)
+		}
+	}
+	return c.rates()
+}
+
+// tick predicts the demand and announces that of the accounts that diverge from what was announced.
+func (c *Core) tick(now time.Time) []Action {
+	elapsed := now.Sub(c.tickedAt)
+	first := c.tickedAt.IsZero()
+	c.tickedAt = now
+	if first {
+		c.refreshAt = now.Add(c.cfg.Refresh)
+		return nil
+	}
+	for _, a := range c.accounts {
+		a.predict(elapsed, c.cfg.Smoothing)
+	}
+	if now.Sub(c.sentAt) < c.cfg.Pause {
+		return nil
+	}
+	return c.announce(now)
+}
+
+// announce announces the accounts that diverge, or, when a refresh is due, all.
+func (c *Core) announce(now time.Time) []Action {
+	refresh := !now.Before(c.refreshAt)
+	var demands []Demand
+	for _, a := range c.accounts {
+		bound := a.limit * c.cfg.Divergence.Seconds() / float64(len(c.members))
+		if refresh || a.diverges(now, c.cfg.Instance, bound) {
+			demands = append(demands, a.announce(now, c.cfg.Instance))
+		}
+	}
+	if refresh {
+		c.refreshAt = now.Add(c.cfg.Refresh)
+	}
+	if len(demands) == 0 {
+		return nil
+	}
+	c.sequence++
+	c.sentAt = now
+	return append(c.rates(), Announce{Announcement: Announcement{Sequence: c.sequence, Demands: demands}})
+}
+
+// rates gives the limiter the rates that changed.
+func (c *Core) rates() []Action {
+	var acts []Action
+	for _, a := range c.accounts {
+		part := a.share(c.cfg.Instance, c.members, c.cfg.EqualPart)
+		if rate := part * a.limit; rate != a.rate {
+			a.rate = rate
+			acts = append(acts, SetRate{Account: a.name, RequestsPerSecond: rate, Part: part})
+		}
+	}
+	return acts
+}
+
+// find returns the account of the given name in accounts sorted by name, or nil.
+func find(accounts []*account, name identifier.ClientAccount) *account {
+	i, ok := slices.BinarySearchFunc(accounts, name, func(a *account, n identifier.ClientAccount) int { return cmp.Compare(a.name, n) })
+	if !ok {
+		return nil
+	}
+	return accounts[i]
+}
