linker: failures of links, certificates and frames under test

A request over a link that dies at any of 80 byte positions gives NotRun only if it did not run; a stuck link gives way to the caller's context; the sending of the end mark and giving up exclude each other.

--- a/linker/action.go
+++ b/linker/action.go
@@ -45,7 +45,7 @@
 	// setStatus replaces what Peers shows of one peer.
 	setStatus struct {
 		status PeerStatus
-		reason string // of a change of reachability; empty otherwise
+		reason string // of a change of reachability or leaving; empty otherwise
 	}
 
 	// forgetPeer removes a peer from what Peers shows.
--- a/linker/config.go
+++ b/linker/config.go
@@ -35,7 +35,7 @@
 	// Bundle returns the signed bundle in force for a peer that asks for it. A version
 	// of zero means none.
 	Bundle func() (identifier.BundleVersion, []byte)
-	// OnPeers runs after the set of reachable peers changed. It must not block.
+	// OnPeers runs after a peer came into reach, went out of it or began to leave.
 	OnPeers func()
 
 	// DrainLimit bounds how long Run waits for forwarded requests once its context has
--- a/linker/credentials.go
+++ b/linker/credentials.go
@@ -87,8 +87,8 @@
 // Error implements error.
 func (e *CertificateError) Error() string { return "linker: certificate: " + e.Problem }
 
-// serverConfig returns the settings of a listener. Each handshake uses the latest texts.
-func (c *Credentials) serverConfig() *tls.Config {
+// listenConfig returns the settings of a listener. Each handshake uses the latest texts.
+func (c *Credentials) listenConfig() *tls.Config {
 	return &tls.Config{
 		MinVersion: tls.VersionTLS13,
 		GetConfigForClient: func(*tls.ClientHelloInfo) (*tls.Config, error) {
@@ -104,9 +104,9 @@
 	}
 }
 
-// clientConfig returns the settings of one dialled connection. An instance has no DNS
+// dialConfig returns the settings of one dialled connection. An instance has no DNS
 // name, so the chain is verified here and the name by the caller.
-func (c *Credentials) clientConfig() *tls.Config {
+func (c *Credentials) dialConfig() *tls.Config {
 	m := c.current.Load()
 	return &tls.Config{
 		MinVersion:         tls.VersionTLS13,
--- a/linker/forward.go
+++ b/linker/forward.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/yamux"
@@ -20,7 +21,7 @@
 // one link at most. The outcome is the peer's own unless the link fails: then it is
 // NotRun if the end of the request was never written, and else Unknown, whatever the
 // kind of the request. Forward returns soon after ctx or the request's deadline ends, and
-// uses w no more once it has returned.
+// uses w no more once it has returned. The body of req must not change afterwards either.
 func (l *Linker) Forward(ctx context.Context, to identifier.Instance, req router.Request, w router.Writer) router.Outcome {
 	if !req.Deadline.IsZero() {
 		var cancel context.CancelFunc
@@ -66,6 +67,13 @@
 	return router.Unknown{Status: 502, Reason: reason, Detail: detail, RetryAfter: retryAfter}
 }
 
+// The phases of a request until its end mark. Only one of ending and abandoned follows.
+const (
+	sending int32 = iota
+	ending
+	abandoned
+)
+
 // forward is one request on its way over a link.
 type forward struct {
 	ctx     context.Context
@@ -73,22 +81,27 @@
 	out     *frameWriter
 	in      *frameReader
 	w       router.Writer
+	phase   atomic.Int32
 	sent    uint64 // frames
 	got     uint64 // frames
 	started bool
 }
 
 func (f *forward) run(req router.Request, now time.Time) router.Outcome {
-	// Closing the stream tells the peer to cancel, and the deadline wakes a blocked call.
-	defer f.stream.Close()
+	// The end of the stream tells the peer to cancel. Close waits on a stuck link.
+	defer func() { go f.stream.Close() }()
+	// The deadline wakes a call that waits for the peer.
 	stop := context.AfterFunc(f.ctx, func() { _ = f.stream.SetDeadline(time.Unix(1, 0)) })
 	defer stop()
-	if err := f.sendRequest(req, now); err != nil {
-		return notRun("linkLost", "the link broke before the whole request was sent")
-	}
-	// From here on the peer may have the whole request.
-	if err := f.send(&wire.RequestFrame{Body: &wire.RequestFrame_RequestEnd{RequestEnd: true}}); err != nil {
-		return f.lost(err)
+	sent := make(chan error, 1)
+	go func() { sent <- f.sendRequest(req, now) }()
+	select {
+	case err := <-sent:
+		if err != nil {
+			return f.unsent(err)
+		}
+	case <-f.ctx.Done():
+		return f.unsent(f.ctx.Err())
 	}
 	for {
 		outcome, err := f.receive()
@@ -101,7 +114,7 @@
 	}
 }
 
-// sendRequest sends all of req but its end mark.
+// sendRequest sends req up to its end mark, which is not sent once the request is abandoned.
 func (f *forward) sendRequest(req router.Request, now time.Time) error {
 	head := requestToWire(req, now)
 	if err := f.out.write(&wire.Opening{Purpose: &wire.Opening_Request{Request: head}}); err != nil {
@@ -114,7 +127,19 @@
 			return err
 		}
 	}
-	return f.ctx.Err()
+	if !f.phase.CompareAndSwap(sending, ending) {
+		return context.Canceled
+	}
+	return f.send(&wire.RequestFrame{Body: &wire.RequestFrame_RequestEnd{RequestEnd: true}})
+}
+
+// unsent returns the outcome of a request that could not be sent. It did not run if its
+// end mark is not on the way and never will be.
+func (f *forward) unsent(err error) router.Outcome {
+	if f.phase.CompareAndSwap(sending, abandoned) {
+		return notRun("linkLost", "the whole request could not be sent to the other instance")
+	}
+	return f.lost(err)
 }
 
 func (f *forward) send(frame *wire.RequestFrame) error {
--- a/linker/lifecycle.go
+++ b/linker/lifecycle.go
@@ -164,7 +164,7 @@
 	l := c.links[e.session]
 	if e.leaving && m.link == l && !m.leaving {
 		m.leaving = true
-		c.status(m, "")
+		c.status(m, "leaving")
 	}
 	c.retire(l)
 	if m.link == l && !m.leaving {
--- a/linker/mailbox.go
+++ b/linker/mailbox.go
@@ -12,6 +12,9 @@
 // maxSuspicions bounds the suspicions that wait for one slow peer; the oldest go first.
 const maxSuspicions = 256
 
+// maxReports bounds the reports in one frame, so that it stays below maxControlFrame.
+const maxReports = 1024
+
 // mailbox holds what waits to be sent to one peer. It is bounded: a newer message
 // replaces an older one of the same subject. It is safe for concurrent use.
 type mailbox struct {
@@ -131,11 +134,15 @@
 	}
 	reports := make([]ProbeReport, 0, len(m.reports))
 	for _, endpoint := range sortedKeys(m.reports) {
+		if len(reports) == maxReports {
+			signal(m.ready)
+			break
+		}
 		waiting := m.reports[endpoint]
 		waiting.Age += now.Sub(waiting.since)
 		reports = append(reports, waiting.ProbeReport)
+		delete(m.reports, endpoint)
 	}
-	clear(m.reports)
 	return m.encoder.encode(reports)
 }
 
--- a/linker/serve.go
+++ b/linker/serve.go
@@ -11,6 +11,9 @@
 	"amaranthmill/router"
 )
 
+// bodyTimeout bounds how long the body of a forwarded request may take to arrive.
+const bodyTimeout = 30 * time.Second
+
 // serveRequest carries out one request that a peer forwarded on stream.
 func (l *Linker) serveRequest(s *session, stream *yamux.Stream, in *frameReader, head *wire.RequestHead) {
 	defer stream.Close()
@@ -20,10 +23,12 @@
 		return
 	}
 	var got uint64
+	_ = stream.SetReadDeadline(time.Now().Add(bodyTimeout))
 	if req.Body, err = readBody(in, &got, l.cfg.MaxBody); err != nil {
 		// Without the end mark of the request nothing runs.
 		return
 	}
+	_ = stream.SetReadDeadline(time.Time{})
 	ctx, cancel := context.WithCancel(l.run)
 	defer cancel()
 	go func() {
--- a/linker/session.go
+++ b/linker/session.go
@@ -130,15 +130,15 @@
 
 // handshake does TLS on conn and returns the instance that the peer's certificate
 // names. Without credentials that is the zero identity.
-func (l *Linker) handshake(ctx context.Context, conn net.Conn, client bool) (identity, net.Conn, error) {
+func (l *Linker) handshake(ctx context.Context, conn net.Conn, dials bool) (identity, net.Conn, error) {
 	if l.cfg.Credentials == nil {
 		return identity{}, conn, nil
 	}
 	var secure *tls.Conn
-	if client {
-		secure = tls.Client(conn, l.cfg.Credentials.clientConfig())
+	if dials {
+		secure = tls.Client(conn, l.cfg.Credentials.dialConfig())
 	} else {
-		secure = tls.Server(conn, l.cfg.Credentials.serverConfig())
+		secure = tls.Server(conn, l.cfg.Credentials.listenConfig())
 	}
 	if err := secure.HandshakeContext(ctx); err != nil {
 		return identity{}, nil, eris.Wrap(err, "linker: TLS handshake")
