linker: a session is used only once both sides have accepted it

Cause, three faults found by repeating the certificate test under -race: (1) the connection was read while a failed handshake set it to nil (a crash at a stop); (2) the side that listens used a session before the other had checked its Hello; (3) a session that the membership core refused still accepted a stream, so that a peer listed in another failure domain was served once.

--- a/linker/effect.go
+++ b/linker/effect.go
@@ -66,6 +66,7 @@
 	if s == nil {
 		return
 	}
+	s.closing.Store(true)
 	l.metrics.end(l.run, a.reason)
 	l.cfg.Logger.Info().Str("peer", string(s.peer.Instance)).Str("reason", a.reason).Msg("session closed")
 	go s.close()
--- a/linker/exchange.go
+++ b/linker/exchange.go
@@ -111,15 +111,22 @@
 		attempt:     s.attempt,
 		dialed:      s.dialed,
 	})
+	if !s.closing.Load() {
+		l.carry(s)
+	}
+	s.close()
+	l.remove(s)
+	l.core.Submit(ended{session: s.id})
+}
+
+// carry reads and writes on s until the control stream ends.
+func (l *Linker) carry(s *session) {
 	ctx, cancel := context.WithCancel(l.run)
+	defer cancel()
 	go l.writeControl(ctx, s)
 	go l.writeBulk(ctx, s)
 	go l.acceptStreams(s)
 	l.readControl(s)
-	cancel()
-	s.close()
-	l.remove(s)
-	l.core.Submit(ended{session: s.id})
 }
 
 func (l *Linker) add(s *session) {
@@ -197,7 +204,7 @@
 func (l *Linker) acceptStreams(s *session) {
 	for {
 		stream, err := s.mux.AcceptStream()
-		if err != nil {
+		if err != nil || s.closing.Load() {
 			return
 		}
 		go l.acceptStream(s, stream)
--- a/linker/session.go
+++ b/linker/session.go
@@ -5,6 +5,7 @@
 	"crypto/tls"
 	"io"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/yamux"
@@ -34,6 +35,7 @@
 	box     *mailbox
 	digests digestDecoder
 	use     usage
+	closing atomic.Bool // the membership core has closed the session
 }
 
 // close ends the connection and all its streams.
@@ -68,17 +70,22 @@
 		s.close()
 		return nil, &CertificateError{Problem: "the peer is " + string(s.peer.Instance) + " of " + string(s.peer.FailureDomain)}
 	}
+	// The peer uses the session only once this instance has accepted its Hello.
+	if err := s.out.write(&wire.ControlFrame{}); err != nil {
+		s.close()
+		return nil, err
+	}
 	return s, nil
 }
 
 func (l *Linker) open(ctx context.Context, conn net.Conn, attempt uint64) (*session, error) {
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	defer stop()
-	certified, conn, err := l.handshake(ctx, conn, true)
+	certified, secured, err := l.handshake(ctx, conn, true)
 	if err != nil {
 		return nil, err
 	}
-	mux, err := yamux.Client(conn, muxConfig())
+	mux, err := yamux.Client(secured, muxConfig())
 	if err != nil {
 		return nil, eris.Wrap(err, "linker: session")
 	}
@@ -97,11 +104,11 @@
 	defer cancel()
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	defer stop()
-	certified, conn, err := l.handshake(ctx, &countedConn{Conn: conn, metrics: l.metrics}, false)
+	certified, secured, err := l.handshake(ctx, &countedConn{Conn: conn, metrics: l.metrics}, false)
 	if err != nil {
 		return nil, err
 	}
-	mux, err := yamux.Server(conn, muxConfig())
+	mux, err := yamux.Server(secured, muxConfig())
 	if err != nil {
 		return nil, eris.Wrap(err, "linker: session")
 	}
@@ -114,7 +121,7 @@
 		return nil, err
 	}
 	s.attempt = s.hello.GetAttempt()
-	return s, nil
+	return s, s.frames.read(&wire.ControlFrame{})
 }
 
 func newSession(mux *yamux.Session, control *yamux.Stream, dialed bool) *session {
