--- a/bundler/core.go
+++ b/bundler/core.go
@@ -42,6 +42,12 @@
 	switch e := e.(type) {
 	case Offered:
 		return c.offered(e)
+	case Accepted:
+		d, err := c.higher(e.Document)
+		if err != nil {
+			return c.refuse("", err)
+		}
+		return c.apply(d)
 	case PlatformRead:
 		return c.platformRead(now, e)
 	case Ticked:
@@ -106,13 +112,19 @@
 	return c.current != nil && bytes.Equal(encoded, c.current.Encoded)
 }
 
-// accept opens a document and returns it if it is above the one in force. The error is
-// an *OutdatedError only for a document whose sign-off counts.
+// accept opens a document and returns what higher does. The error is an *OutdatedError
+// only for a document whose sign-off counts.
 func (c *Core) accept(encoded []byte) (*Document, error) {
 	d, err := c.signers.Open(encoded)
 	if err != nil {
 		return nil, err
 	}
+	return c.higher(d)
+}
+
+// higher returns d if its version is above the one in force, and nil if d's content is in
+// force. Otherwise the error is an *OutdatedError or a *ReusedVersionError.
+func (c *Core) higher(d *Document) (*Document, error) {
 	if c.current == nil || d.Bundle.Version > c.current.Bundle.Version {
 		return d, nil
 	}
--- a/bundler/event.go
+++ b/bundler/event.go
@@ -6,7 +6,7 @@
 	"amaranthmill/internal/identifier"
 )
 
-// Event is what a Core is told: Offered, PlatformRead or Ticked.
+// Event is what a Core is told: Offered, Accepted, PlatformRead or Ticked.
 type Event interface{ event() }
 
 // Offered is a signed document from a peer.
@@ -15,6 +15,9 @@
 	Document []byte
 }
 
+// Accepted is a document that this instance has opened with the same signers and accepted.
+type Accepted struct{ Document *Document }
+
 // PlatformRead is the platform's value of the key CurrentKey. A nil Document means that
 // the key is absent, a zero Revision then included.
 type PlatformRead struct {
@@ -26,6 +29,7 @@
 type Ticked struct{}
 
 func (Offered) event()      {}
+func (Accepted) event()     {}
 func (PlatformRead) event() {}
 func (Ticked) event()       {}
 
--- a/bundler/shape.go
+++ b/bundler/shape.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"reflect"
 	"slices"
 	"strings"
@@ -19,32 +20,57 @@
 // json it finds every fault, and takes names exactly and once each.
 type shapeChecker struct {
 	dec      *json.Decoder
+	path     []pathStep // to the value being checked
+	fields   map[reflect.Type]map[string]reflect.Type
 	problems []Problem
 }
 
+// pathStep is a field's name or, if that is empty, a place in a list.
+type pathStep struct {
+	name  string
+	index int
+}
+
 // checkShape returns the faults of text as the JSON form of like's type: unknown and
 // repeated names, values of a wrong kind, text that is no JSON.
 func checkShape(text []byte, like any) []Problem {
-	c := &shapeChecker{dec: json.NewDecoder(bytes.NewReader(text))}
+	c := &shapeChecker{dec: json.NewDecoder(bytes.NewReader(text)), fields: map[reflect.Type]map[string]reflect.Type{}}
 	c.dec.UseNumber()
-	if err := c.value("", reflect.TypeOf(like)); err != nil {
-		c.add("", "not valid JSON at byte %d: %v", c.dec.InputOffset(), err)
+	if err := c.value(reflect.TypeOf(like)); err != nil {
+		c.path = nil
+		c.add("not valid JSON at byte %d: %v", c.dec.InputOffset(), err)
 		return c.problems
 	}
 	if _, err := c.dec.Token(); !errors.Is(err, io.EOF) {
-		c.add("", "text follows the end of the JSON value; remove it")
+		c.add("text follows the end of the JSON value; remove it")
 	}
 	return c.problems
 }
 
-func (c *shapeChecker) add(path, format string, args ...any) {
+// add adds a fault of the value being checked.
+func (c *shapeChecker) add(format string, args ...any) {
 	if len(c.problems) < maxShapeProblems {
-		c.problems = append(c.problems, Problem{Path: path, Message: fmt.Sprintf(format, args...)})
+		c.problems = append(c.problems, Problem{Path: c.pathText(), Message: fmt.Sprintf(format, args...)})
+	}
+}
+
+func (c *shapeChecker) pathText() string {
+	var text strings.Builder
+	for i, step := range c.path {
+		switch {
+		case step.name == "":
+			fmt.Fprintf(&text, "[%d]", step.index)
+		case i == 0:
+			text.WriteString(step.name)
+		default:
+			text.WriteString("." + step.name)
+		}
 	}
+	return text.String()
 }
 
 // value checks the next value against t. It returns an error only if the text is no JSON.
-func (c *shapeChecker) value(path string, t reflect.Type) error {
+func (c *shapeChecker) value(t reflect.Type) error {
 	token, err := c.dec.Token()
 	if err != nil {
 		return err
@@ -52,58 +78,64 @@
 	switch token {
 	case json.Delim('{'):
 		if t.Kind() != reflect.Struct {
-			c.add(path, "is an object; want %s", kindName(t))
+			c.add("is an object; want %s", kindName(t))
 			return c.skipRest(1)
 		}
-		return c.object(path, t)
+		return c.object(t)
 	case json.Delim('['):
 		if t.Kind() != reflect.Slice || t.Elem().Kind() == reflect.Uint8 {
-			c.add(path, "is a list; want %s", kindName(t))
+			c.add("is a list; want %s", kindName(t))
 			return c.skipRest(1)
 		}
-		return c.list(path, t)
+		return c.list(t)
 	}
-	c.scalar(path, t, token)
+	c.scalar(t, token)
 	return nil
 }
 
-func (c *shapeChecker) object(path string, t reflect.Type) error {
-	fields := fieldTypes(t)
-	seen := map[string]bool{}
+func (c *shapeChecker) object(t reflect.Type) error {
+	fields := c.fieldTypes(t)
+	seen := make(map[string]bool, len(fields))
+	depth := len(c.path)
 	for c.dec.More() {
 		token, err := c.dec.Token()
 		if err != nil {
 			return err
 		}
 		name, _ := token.(string)
-		at := strings.TrimPrefix(path+"."+name, ".")
+		c.path = append(c.path[:depth], pathStep{name: name})
 		if seen[name] {
-			c.add(at, "is given twice; keep one")
+			c.add("is given twice; keep one")
 		}
 		seen[name] = true
-		field, ok := fields[name]
-		if !ok {
-			c.add(at, "unknown field; remove it or use one of: %s", strings.Join(sortedNames(fields), ", "))
-			var skipped json.RawMessage
-			if err := c.dec.Decode(&skipped); err != nil {
-				return err
-			}
-			continue
-		}
-		if err := c.value(at, field); err != nil {
+		if err := c.field(fields, name); err != nil {
 			return err
 		}
 	}
+	c.path = c.path[:depth]
 	_, err := c.dec.Token()
 	return err
 }
 
-func (c *shapeChecker) list(path string, t reflect.Type) error {
+// field checks the value of a field by name.
+func (c *shapeChecker) field(fields map[string]reflect.Type, name string) error {
+	if t, ok := fields[name]; ok {
+		return c.value(t)
+	}
+	c.add("unknown field; remove it or use one of: %s", strings.Join(slices.Sorted(maps.Keys(fields)), ", "))
+	var skipped json.RawMessage
+	return c.dec.Decode(&skipped)
+}
+
+func (c *shapeChecker) list(t reflect.Type) error {
+	depth := len(c.path)
 	for i := 0; c.dec.More(); i++ {
-		if err := c.value(fmt.Sprintf("%s[%d]", path, i), t.Elem()); err != nil {
+		c.path = append(c.path[:depth], pathStep{index: i})
+		if err := c.value(t.Elem()); err != nil {
 			return err
 		}
 	}
+	c.path = c.path[:depth]
 	_, err := c.dec.Token()
 	return err
 }
@@ -125,7 +157,10 @@
 	return nil
 }
 
-func (c *shapeChecker) scalar(path string, t reflect.Type, token json.Token) {
+func (c *shapeChecker) scalar(t reflect.Type, token json.Token) {
+	if _, ok := token.(string); ok && t.Kind() == reflect.String {
+		return
+	}
 	if token == nil && t.Kind() == reflect.Slice { // as package json writes an empty list
 		return
 	}
@@ -134,28 +169,24 @@
 		err = json.Unmarshal(text, reflect.New(t).Interface())
 	}
 	if err != nil || token == nil {
-		c.add(path, "is %s; want %s", text, kindName(t))
+		c.add("is %s; want %s", text, kindName(t))
 	}
 }
 
-func fieldTypes(t reflect.Type) map[string]reflect.Type {
+// fieldTypes returns the types of t's fields by their names in JSON.
+func (c *shapeChecker) fieldTypes(t reflect.Type) map[string]reflect.Type {
+	if fields, ok := c.fields[t]; ok {
+		return fields
+	}
 	fields := map[string]reflect.Type{}
 	for field := range t.Fields() {
 		name, _, _ := strings.Cut(field.Tag.Get("json"), ",")
 		fields[name] = field.Type
 	}
+	c.fields[t] = fields
 	return fields
 }
 
-func sortedNames(fields map[string]reflect.Type) []string {
-	names := make([]string, 0, len(fields))
-	for name := range fields {
-		names = append(names, name)
-	}
-	slices.Sort(names)
-	return names
-}
-
 // kindName says in words what JSON value fills t.
 func kindName(t reflect.Type) string {
 	if reflect.PointerTo(t).Implements(reflect.TypeFor[encoding.TextUnmarshaler]()) {
--- a/bundler/signoff.go
+++ b/bundler/signoff.go
@@ -1,6 +1,7 @@
 package bundler
 
 import (
+	"bytes"
 	"context"
 	"errors"
 
@@ -43,7 +44,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := r.cfg.Store.Offer(d.Encoded); err != nil {
+	if err := r.cfg.Store.submit(Accepted{Document: d}); err != nil {
 		r.cfg.Logger.Warn().Err(err).Msg("bundler: accepted bundle not applied here")
 	}
 	r.recordAcceptance(ctx, d)
@@ -65,8 +66,14 @@
 	if err != nil {
 		return nil, err
 	}
-	_, err = r.Check(ctx, content)
-	return d, err
+	inv, err := r.cfg.Inventory(ctx)
+	if err != nil {
+		return nil, eris.Wrap(err, "read the fleet")
+	}
+	if problems := Validate(d.Bundle, inv); len(problems) > 0 {
+		return nil, &InvalidError{Problems: problems}
+	}
+	return d, nil
 }
 
 // content returns the bytes of a proposal, or of an accepted version whose proposal is
@@ -161,6 +168,9 @@
 		return at, eris.Wrap(err, "read the current bundle")
 	}
 	at.revision = entry.Revision
+	if at.document != nil && bytes.Equal(entry.Value, at.document.Encoded) {
+		return at, nil
+	}
 	d, err := r.cfg.Signers.Open(entry.Value)
 	if err != nil {
 		r.cfg.Logger.Error().Err(err).Msg("bundler: current bundle of the platform does not count")
--- a/bundler/validate.go
+++ b/bundler/validate.go
@@ -105,3 +105,16 @@
 	}
 	seen[name] = path
 }
+
+// unique adds a fault for each of names that an earlier one repeats. The names stand in
+// the list at path.
+func unique[T ~string](v *validator, path string, names []T) {
+	first := make(map[T]int, len(names))
+	for i, name := range names {
+		if j, ok := first[name]; ok {
+			v.add(fmt.Sprintf("%s[%d]", path, i), "repeats %q of %s[%d]; choose another", string(name), path, j)
+			continue
+		}
+		first[name] = i
+	}
+}
--- a/bundler/validate_parts.go
+++ b/bundler/validate_parts.go
@@ -30,12 +30,10 @@
 }
 
 func (v *validator) adapters(at string, p Pool) {
-	seen := map[string]string{}
 	for i, adapter := range p.Adapters {
-		place := fmt.Sprintf("%s.adapters[%d]", at, i)
-		v.modelName(place, adapter)
-		v.firstUse(seen, place, adapter)
+		v.modelName(fmt.Sprintf("%s.adapters[%d]", at, i), adapter)
 	}
+	unique(v, at+".adapters", p.Adapters)
 }
 
 func (v *validator) placements(at string, p Pool) {
@@ -163,12 +161,10 @@
 }
 
 func (v *validator) accountServices(at string, a Account, callable map[identifier.Service]bool) {
-	seen := map[string]string{}
 	for j, s := range a.Services {
-		place := fmt.Sprintf("%s.services[%d]", at, j)
-		v.firstUse(seen, place, string(s))
 		if !callable[s] {
-			v.add(place, "no model or service is named %q; add it or correct the name", s)
+			v.add(fmt.Sprintf("%s.services[%d]", at, j), "no model or service is named %q; add it or correct the name", s)
 		}
 	}
+	unique(v, at+".services", a.Services)
 }
