bundler: bundles are compressed in documents and proposals

Ruled out: references in place of lists, which make a bundle harder to read and review. The signature stays over the digest of the plain bytes.

--- a/administrator/handler.go
+++ b/administrator/handler.go
@@ -64,7 +64,7 @@
 			h.fail(w, r, "", err)
 			return
 		}
-		r.Body = http.MaxBytesReader(w, r.Body, bundler.MaxDocumentSize)
+		r.Body = http.MaxBytesReader(w, r.Body, bundler.MaxContentSize)
 		status, body, err := op(ctx, request{Request: r, operator: operator})
 		if err != nil {
 			h.fail(w, r, operator.Name, err)
@@ -179,7 +179,7 @@
 func body(r request) ([]byte, error) {
 	content, err := io.ReadAll(r.Body)
 	if errors.As(err, new(*http.MaxBytesError)) {
-		return nil, &Problem{Status: http.StatusRequestEntityTooLarge, Reason: "tooLarge", Detail: fmt.Sprintf("the body exceeds %d bytes", bundler.MaxDocumentSize)}
+		return nil, &Problem{Status: http.StatusRequestEntityTooLarge, Reason: "tooLarge", Detail: fmt.Sprintf("the body exceeds %d bytes", bundler.MaxContentSize)}
 	}
 	if err != nil {
 		return nil, &Problem{Status: http.StatusBadRequest, Reason: "badBody", Detail: "the body was cut off"}
--- a/bundler/document.go
+++ b/bundler/document.go
@@ -7,8 +7,9 @@
 	"strings"
 )
 
-// MaxDocumentSize is the largest signed document in bytes, which the platform's value size bounds.
-const MaxDocumentSize = 1_000_000
+// MaxDocumentSize is the largest signed document in bytes. It leaves the platform's client
+// some room within the platform's value size of a megabyte.
+const MaxDocumentSize = 990_000
 
 // signingContext separates the signatures of bundles from others by the same key.
 const signingContext = "amaranthmill bundle 1\x00"
@@ -25,7 +26,7 @@
 
 // documentWire is a signed document in JSON.
 type documentWire struct {
-	Bundle    []byte `json:"bundle"`
+	Bundle    []byte `json:"bundle"` // compressed
 	Signer    string `json:"signer"`
 	Signature []byte `json:"signature"`
 }
@@ -38,9 +39,14 @@
 	return ed25519.Sign(key, signedMessage(d))
 }
 
-// EncodeDocument returns the signed document of a bundle's bytes. It checks nothing.
+// EncodeDocument returns the signed document of a bundle's bytes. It checks only the size,
+// and returns a *DocumentError if that is over its limit.
 func EncodeDocument(content []byte, signer string, signature []byte) ([]byte, error) {
-	return json.Marshal(documentWire{Bundle: content, Signer: signer, Signature: signature})
+	packed, err := pack(content)
+	if err != nil {
+		return nil, err
+	}
+	return json.Marshal(documentWire{Bundle: packed, Signer: signer, Signature: signature})
 }
 
 // Open decodes a signed document and checks its sign-off and its bundle as far as the
@@ -50,11 +56,15 @@
 	if err != nil {
 		return nil, err
 	}
-	digest := DigestOf(wire.Bundle)
+	content, err := unpack(wire.Bundle)
+	if err != nil {
+		return nil, err
+	}
+	digest := DigestOf(content)
 	if err := s.verify(wire, digest); err != nil {
 		return nil, err
 	}
-	b, err := Parse(wire.Bundle)
+	b, err := Parse(content)
 	if err != nil {
 		return nil, err
 	}
@@ -64,7 +74,7 @@
 	if problems := Validate(b, nil); len(problems) > 0 {
 		return nil, &InvalidError{Problems: problems}
 	}
-	return &Document{Bundle: b, Content: wire.Bundle, Digest: digest, Signer: wire.Signer, Encoded: encoded}, nil
+	return &Document{Bundle: b, Content: content, Digest: digest, Signer: wire.Signer, Encoded: encoded}, nil
 }
 
 func decodeWire(encoded []byte) (documentWire, error) {
--- a/bundler/registrar.go
+++ b/bundler/registrar.go
@@ -58,7 +58,7 @@
 }
 
 // Propose checks a bundle and stores it for sign-off. Proposing the same content again is
-// no error. Its errors are *InvalidError, *ConflictError, *ReusedVersionError and those
+// no error. Its errors are *InvalidError, *ConflictError, *DocumentError, *ConflictError, *ReusedVersionError and those
 // of the platform.
 func (r *Registrar) Propose(ctx context.Context, actor string, content []byte) (*Bundle, error) {
 	b, err := r.Check(ctx, content)
@@ -93,7 +93,10 @@
 	if errors.As(err, &missing) {
 		return nil, &MissingError{Version: v}
 	}
-	return entry.Value, eris.Wrap(err, "read the proposal")
+	if err != nil {
+		return nil, eris.Wrap(err, "read the proposal")
+	}
+	return unpack(entry.Value)
 }
 
 // Accepted returns the signed document of an accepted version. Its errors are
@@ -130,7 +133,11 @@
 	inForce, _ := r.cfg.Store.Document()
 	var proposals []*Bundle
 	for _, e := range entries {
-		b, err := Parse(e.Value)
+		content, err := unpack(e.Value)
+		if err != nil {
+			continue
+		}
+		b, err := Parse(content)
 		if err == nil && b.Version > inForce {
 			proposals = append(proposals, b)
 		}
--- a/bundler/signoff.go
+++ b/bundler/signoff.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 
 	"github.com/rotisserie/eris"
 
@@ -13,6 +14,8 @@
 )
 
 const (
+	// documentOverhead is the room in bytes for a document's names and signature.
+	documentOverhead = 1000
 	// keptVersions is how many accepted versions stay readable behind the one in force.
 	keptVersions = 500
 	// keptProposals is how many versions' proposals stay readable up to the one in force,
@@ -225,7 +228,14 @@
 
 // createProposal stores content under its version once. The same content again is no error.
 func (r *Registrar) createProposal(ctx context.Context, v identifier.BundleVersion, content []byte) error {
-	_, err := r.cfg.Platform.Create(ctx, proposalKey(v), content, "")
+	packed, err := pack(content)
+	if err != nil {
+		return err
+	}
+	if len(packed)*4/3 > MaxDocumentSize-documentOverhead {
+		return &DocumentError{Reason: fmt.Sprintf("the bundle has %d bytes compressed, too many for a signed document of %d", len(packed), MaxDocumentSize)}
+	}
+	_, err = r.cfg.Platform.Create(ctx, proposalKey(v), packed, "")
 	if !errors.As(err, new(*keeper.ConflictError)) {
 		return eris.Wrap(err, "store the proposal")
 	}
