--- /dev/null
+++ b/bundler/example_test.go
@@ -0,0 +1,22 @@
+package bundler_test
+
+import (
+	"errors"
+	"fmt"
+
+	"amaranthmill/bundler"
+)
+
+// Every fault of a bundle is found at once, with its place and the mend.
+func ExampleCheck() {
+	_, err := bundler.Check([]byte(`{"version": 1, "author": "ada", "models": [{"name": "guide", "pool": "a", "deadline": "0s"}]}`), nil)
+	var invalid *bundler.InvalidError
+	if errors.As(err, &invalid) {
+		for _, p := range invalid.Problems {
+			fmt.Println(p)
+		}
+	}
+	// Output:
+	// models[0].deadline: is 0s; want more than 0s and at most 1h0m0s
+	// models[0].pool: no pool is named "a"; add it to pools or correct the name
+}
--- a/standin/experiment/spread/instance.go
+++ b/standin/experiment/spread/instance.go
@@ -28,6 +28,7 @@
 	peer      linker.Peer
 	store     *bundler.Store
 	registrar *bundler.Registrar
+	trail     *auditor.Trail
 	linker    *linker.Linker
 	received  *atomic.Int64 // documents from peers, over all instances
 }
@@ -38,10 +39,10 @@
 	source := func(salt uint64) rand.Source { return rand.NewPCG(seed, uint64(number)<<8|salt) }
 	client := keeper.New(keeper.Config{Address: platform, Instance: name, Random: source(1)})
 	signers, _ := signer()
-	i := &instance{received: received}
+	i := &instance{received: received, trail: auditor.New(auditor.Config{Platform: client, Instance: name})}
 	i.store = bundler.NewStore(bundler.Config{Signers: signers, Platform: client, Random: source(2)})
 	i.registrar = bundler.NewRegistrar(bundler.RegistrarConfig{
-		Signers: signers, Platform: client, Store: i.store, Trail: auditor.New(auditor.Config{Platform: client, Instance: name}),
+		Signers: signers, Platform: client, Store: i.store, Trail: i.trail,
 		Inventory: func(context.Context) (*bundler.Inventory, error) { return nil, nil },
 	})
 	if err := i.link(name, number, source(3)); err != nil {
--- a/standin/experiment/spread/main.go
+++ b/standin/experiment/spread/main.go
@@ -77,6 +77,20 @@
 		}
 	}
 	report(s, times, subtract(f.calls(), before), f.received.Load()-received)
+	return f.reportTrail(ctx)
+}
+
+// reportTrail prints how large the entries of the audit trail are.
+func (f *fleet) reportTrail(ctx context.Context) error {
+	page, err := f.instances[0].trail.Last(ctx)
+	if err != nil {
+		return err
+	}
+	text, err := json.Marshal(page)
+	if err != nil {
+		return err
+	}
+	fmt.Printf("audit trail bytes an entry: %d\n", len(text)/len(page.Entries))
 	return nil
 }
 
