--- a/bundler/store.go
+++ b/bundler/store.go
@@ -99,7 +99,7 @@
 
 // OnChange has f called with each bundle that comes into force, in rising versions, and
 // at once with the one in force if there is one. A version may be left out if a higher
-// one follows at once. Calls do not overlap; f must not call OnChange.
+// one follows at once. Calls do not overlap; f must not call OnChange, Offer or OfferFrom.
 func (s *Store) OnChange(f func(*Bundle)) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/cmd/millctl/script_test.go
+++ b/cmd/millctl/script_test.go
@@ -19,7 +19,7 @@
 	"amaranthmill/internal/identifier"
 )
 
-// fleet reports the one instance of the test and one beside it that is always behind.
+// fleet reports the one instance of the test.
 type fleet struct{ store *bundler.Store }
 
 func (f fleet) Instances(context.Context) ([]administrator.InstanceStatus, error) {
