--- a/internal/modeler/engine.go
+++ b/internal/modeler/engine.go
@@ -16,6 +16,7 @@
 	Fabric       identifier.FabricDomain
 	Fences       bool // refuses orders with an old fencing number
 	Late         bool // obeys orders past their deadline
+	Pretends     bool // a new process says that it is in the group of the one before
 	ProcessStart identifier.ProcessStart
 	Running      bool // its process runs
 	Reachable    bool // its network works
@@ -37,9 +38,11 @@
 
 // Stop ends the engine's process; all that it had is lost.
 func (e *Engine) Stop() {
-	e.Running = false
-	e.Group, e.Epoch, e.BundleVersion, e.model, e.fence = "", 0, 0, "", 0
-	e.Loaded, e.Leaving, e.ToLoad, e.InFlight = false, false, 0, 0
+	e.Running, e.Leaving = false, false
+	e.model, e.fence, e.ToLoad, e.InFlight = "", 0, 0, 0
+	if !e.Pretends {
+		e.Group, e.Epoch, e.BundleVersion, e.Loaded = "", 0, 0, false
+	}
 }
 
 // Start runs a new process of the engine.
@@ -57,8 +60,8 @@
 		return false
 	}
 	e.fence = o.Fence
+	e.Group, e.Epoch, e.BundleVersion = "", 0, 0
 	if o.Kind == grouper.OrderRelease {
-		e.Group, e.Epoch, e.BundleVersion, e.Loaded = "", 0, 0, false
 		return true
 	}
 	e.Group, e.Epoch, e.BundleVersion = o.Group.Group, o.Group.Epoch, o.Group.BundleVersion
@@ -72,7 +75,7 @@
 // load lets d of loading at full rate pass.
 func (e *Engine) load(d time.Duration) {
 	e.ToLoad = max(0, e.ToLoad-d)
-	e.Loaded = e.Group != "" && e.ToLoad == 0
+	e.Loaded = e.ToLoad == 0 && (e.model != "" || e.Loaded)
 }
 
 // status returns what the engine says of itself.
