--- a/runner/instance.go
+++ b/runner/instance.go
@@ -33,15 +33,16 @@
 	meter    metric.Meter
 	metrics  http.Handler
 
-	platform   *keeper.Client
-	bundles    *bundler.Store
-	linker     *linker.Linker
-	claimer    *claimer.Claimer
-	dispatcher *dispatcher.Dispatcher
-	prober     *prober.Prober
-	grouper    *grouper.Grouper
-	server     *server.Server
-	admin      http.Handler
+	platform    *keeper.Client
+	bundles     *bundler.Store
+	linker      *linker.Linker
+	credentials *linker.Credentials
+	claimer     *claimer.Claimer
+	dispatcher  *dispatcher.Dispatcher
+	prober      *prober.Prober
+	grouper     *grouper.Grouper
+	server      *server.Server
+	admin       http.Handler
 
 	directory *directory
 	fleet     *fleet
@@ -122,14 +123,15 @@
 // newLinker builds the sessions with other instances.
 func (i *instance) newLinker() error {
 	s := i.settings
-	credentials, err := linker.NewCredentials(linker.CredentialsConfig{
+	var err error
+	i.credentials, err = linker.NewCredentials(linker.CredentialsConfig{
 		Certificate: s.TLS.Certificate, Key: s.TLS.Key, Authorities: s.TLS.Authorities,
 	})
 	if err != nil {
 		return eris.Wrap(err, "settings: tls")
 	}
 	i.linker, err = linker.New(linker.Config{
-		Instance: s.Instance, FailureDomain: s.FailureDomain, Listen: s.Listen.Peers, Credentials: credentials,
+		Instance: s.Instance, FailureDomain: s.FailureDomain, Listen: s.Listen.Peers, Credentials: i.credentials,
 		OnMessage: i.receive, OnPeers: i.peersChanged, Bundle: i.bundles.Document,
 		Serve: func(ctx context.Context, q router.Request, w router.Writer) router.Outcome {
 			return i.dispatcher.Serve(ctx, q, w)
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -4,6 +4,9 @@
 	"context"
 	"errors"
 	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
 
 	"amaranthmill/configurer"
 
@@ -23,7 +26,10 @@
 	i.peersChanged()
 	callers := newHTTP(s.Listen.Callers.String(), i.server.Handler())
 	var g run.Group
-	st := newStopper()
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+	defer signal.Stop(signals)
+	st := newStopper(signals)
 	st.notice, st.limit, st.logger = s.Limits.StopNotice.Std(), s.Limits.StopLimit.Std(), logger
 	st.drain = i.server.Drain
 	st.finish = callers.Shutdown
@@ -32,7 +38,7 @@
 	g.Add(served(newHTTP(s.Listen.Administration.String(), i.administration()), nil))
 	for _, actor := range []func(context.Context) error{
 		i.linker.Run, i.bundles.Run, i.prober.Run, i.grouper.Run, i.claimer.Run,
-		i.directory.run, i.records.run, i.reports.run, i.shareSummaries,
+		i.directory.run, i.records.run, i.reports.run, i.shareSummaries, i.renewCertificates,
 	} {
 		g.Add(until(actor))
 	}
--- a/runner/stop.go
+++ b/runner/stop.go
@@ -4,8 +4,6 @@
 	"context"
 	"fmt"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -28,15 +26,14 @@
 	drain   func()        // makes the instance not ready
 	finish  func(context.Context) error
 	logger  zerolog.Logger
-	signals chan os.Signal
+	signals <-chan os.Signal
 	done    chan struct{} // closed when another actor has failed
 	stopped chan struct{} // closed when the stop has ended
 }
 
-func newStopper() *stopper {
-	s := &stopper{signals: make(chan os.Signal, 2), done: make(chan struct{}), stopped: make(chan struct{})}
-	signal.Notify(s.signals, syscall.SIGTERM, os.Interrupt)
-	return s
+// newStopper returns a stopper that takes its signals from a channel.
+func newStopper(signals <-chan os.Signal) *stopper {
+	return &stopper{signals: signals, done: make(chan struct{}), stopped: make(chan struct{})}
 }
 
 // run waits for a signal and stops the instance. It returns nil after a graceful stop.
@@ -83,7 +80,6 @@
 
 // interrupt ends the actor when another one has failed.
 func (s *stopper) interrupt(error) {
-	signal.Stop(s.signals)
 	select {
 	case <-s.done:
 	default:
