--- a/standin/trial/fleet.go
+++ b/standin/trial/fleet.go
@@ -138,17 +138,25 @@
 		return err
 	}
 	for _, e := range f.entries {
-		path := filepath.Join(f.dir, e.name+".json")
-		if err := f.writeSettings(e, path); err != nil {
+		if err := f.writeSettings(e, f.settingsOf(e)); err != nil {
 			return err
 		}
-		if e.process, err = f.processes.start(e.name, filepath.Join(f.bin, "amaranthmill"), path); err != nil {
+		if err := f.startEntry(e); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
+func (f *fleet) settingsOf(e *entry) string { return filepath.Join(f.dir, e.name+".json") }
+
+// startEntry starts an entry instance whose settings are written.
+func (f *fleet) startEntry(e *entry) error {
+	var err error
+	e.process, err = f.processes.start(e.name, filepath.Join(f.bin, "amaranthmill"), f.settingsOf(e))
+	return err
+}
+
 // writeSettings writes the settings file of one entry instance.
 func (f *fleet) writeSettings(e *entry, path string) error {
 	type object = map[string]any
--- a/standin/trial/scenario.go
+++ b/standin/trial/scenario.go
@@ -79,6 +79,9 @@
 		return err
 	}
 	t.say("the group serves again with the platform down")
+	if err := t.restartEntry(); err != nil {
+		return err
+	}
 	if err := t.setPlatform(false); err != nil {
 		return err
 	}
@@ -86,6 +89,28 @@
 	return within(repairLimit, "a booking call is answered again", func() bool { return t.confirm(t.f.entries[0], "after-outage", "").status == http.StatusOK })
 }
 
+// restartEntry kills an entry instance and starts it again. With the platform down it has
+// its bundle from a peer.
+func (t *trial) restartEntry() error {
+	e := t.f.entries[len(t.f.entries)-1]
+	e.process.kill()
+	if err := t.f.startEntry(e); err != nil {
+		return err
+	}
+	err := within(startLimit, "an entry instance that starts in an outage has the bundle from a peer", func() bool {
+		res, err := http.Get(fmt.Sprintf("http://%s/readyz", e.callers))
+		if err != nil {
+			return false
+		}
+		res.Body.Close()
+		return res.StatusCode == http.StatusOK && t.version(e) == 1
+	})
+	if err == nil {
+		t.say("%s, killed and started again, is ready with the bundle of a peer", e.name)
+	}
+	return err
+}
+
 // expectRefusal checks that a call that needs a claim is refused as not run, with when to
 // come back, at once.
 func (t *trial) expectRefusal() error {
