claimer: count the results that wait to be stored, log each once, say when one is given up

Before: an outage logged each waiting result at each tick, a given-up one silently, and a stop could not tell whether results were left. After: Unsettled, the gauge claimer.unsettled, one log line at the first failure and one at the end.

--- a/claimer/claimer.go
+++ b/claimer/claimer.go
@@ -29,6 +29,7 @@
 	calls     Call
 	decisions map[Call]chan Decision
 	finishes  map[Token]chan error
+	unsettled map[Token]bool // claims whose result or removal is tried anew
 }
 
 // New returns a Claimer for cfg. Run must run for results to be tried anew.
@@ -41,8 +42,9 @@
 		random:    rand.New(cfg.Random),
 		decisions: map[Call]chan Decision{},
 		finishes:  map[Token]chan error{},
+		unsettled: map[Token]bool{},
 	}
-	c.meters = newMeters(cfg.Meter)
+	c.meters = newMeters(cfg.Meter, c.Unsettled)
 	c.step = stepper.New(stepper.Config[Event, Action]{Core: c.core, Handle: c.handle, Now: cfg.Now})
 	return c
 }
@@ -158,12 +160,34 @@
 func (c *Claimer) finish(a Finish) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	finished, ok := c.finishes[a.Token]
-	if ok {
+	if finished, ok := c.finishes[a.Token]; ok {
 		finished <- a.Err
 		delete(c.finishes, a.Token)
 	}
-	if a.Err != nil {
-		c.cfg.Logger.Warn().Str("token", string(a.Token)).Err(a.Err).Msg("claimer: result not stored")
+	c.note(a)
+}
+
+// note keeps count of the results that are not stored, and logs the first failure of each and its giving up.
+func (c *Claimer) note(a Finish) {
+	switch a.Err.(type) {
+	case nil:
+		delete(c.unsettled, a.Token)
+		return
+	case *UnsettledError:
+		if c.unsettled[a.Token] {
+			return
+		}
+		c.unsettled[a.Token] = true
+	case *GivenUpError:
+		delete(c.unsettled, a.Token)
 	}
+	c.cfg.Logger.Warn().Str("token", string(a.Token)).Err(a.Err).Msg("claimer: result not stored")
+}
+
+// Unsettled returns the number of claims whose result or removal could not be stored yet.
+// Those that are left when the process ends become unknown.
+func (c *Claimer) Unsettled() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.unsettled)
 }
--- a/claimer/claimer_test.go
+++ b/claimer/claimer_test.go
@@ -148,11 +148,13 @@
 		s.setDown(true)
 		var unsettled *claimer.UnsettledError
 		is.True(errors.As(all[0].Settle(ctx, g.Token, claimer.Unknown{}), &unsettled)) // the result is kept in memory
+		is.Equal(all[0].Unsettled(), 1)
 		other := claimer.Key{Account: "family", IdempotencyKey: "renewal-4712"}
 		_, refused := all[1].Claim(ctx, other, digest).(claimer.Unavailable)
 		is.True(refused) // a new key is refused as not run
 		s.setDown(false)
 		time.Sleep(3 * time.Second) // of the synthetic clock: ticks store the result
+		is.Equal(all[0].Unsettled(), 0)
 		is.Equal(all[1].Claim(ctx, key, digest), claimer.Replay{Result: claimer.Unknown{}})
 		_, granted := all[1].Claim(ctx, other, digest).(claimer.Granted)
 		is.True(granted)
--- a/claimer/meters.go
+++ b/claimer/meters.go
@@ -14,9 +14,15 @@
 }
 
 // newMeters registers the instruments with m. A failed registration leaves one that records nothing.
-func newMeters(m metric.Meter) meters {
+func newMeters(m metric.Meter, unsettled func() int) meters {
 	decisions, _ := m.Int64Counter("claimer.decisions", metric.WithDescription("Decisions on calls with an Idempotency-Key, by decision."))
 	settlements, _ := m.Int64Counter("claimer.settlements", metric.WithDescription("Results of dispatched calls, by result and by whether they were stored at once."))
+	_, _ = m.Int64ObservableGauge("claimer.unsettled",
+		metric.WithDescription("Claims whose result or removal could not be stored yet."),
+		metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
+			o.Observe(int64(unsettled()))
+			return nil
+		}))
 	return meters{decisions: decisions, settlements: settlements}
 }
 
--- a/claimer/settle.go
+++ b/claimer/settle.go
@@ -13,6 +13,14 @@
 	return fmt.Sprintf("claimer: the result of claim %s is not stored yet", e.Token)
 }
 
+// GivenUpError says that a result, or the removal of a claim, was not stored in time and
+// is not tried any more. The claim ends as that of a dead claimant.
+type GivenUpError struct{ Token Token }
+
+func (e *GivenUpError) Error() string {
+	return fmt.Sprintf("claimer: the result of claim %s is given up", e.Token)
+}
+
 // TokenError says that a token is not of an open claim of this instance.
 type TokenError struct{ Token Token }
 
@@ -112,6 +120,7 @@
 		}
 		if cl.phase >= phaseGranted && now.After(cl.record.ClosesAt.Add(c.limits.ForgetAfter)) {
 			c.forget(cl)
+			acts = append(acts, Finish{Token: token, Err: &GivenUpError{Token: token}})
 			continue
 		}
 		if cl.phase != phaseBacklog || len(tried) == c.limits.Backlog {
