--- a/sharer/account.go
+++ b/sharer/account.go
@@ -13,7 +13,6 @@
 	limit float64 // requests a second over all instances
 
 	announced   map[identifier.Instance]float64 // requests a second; absent means none yet
-	agreed      map[identifier.Instance]float64 // as announced before the first peer that is out of reach was lost; nil if none is
 	arrived     float64                         // requests here since the own announcement
 	announcedAt time.Time
 	recent      float64 // requests here since the last tick
@@ -46,23 +45,13 @@
 	return Demand{Account: a.name, RequestsPerSecond: a.predicted}
 }
 
-// share returns the part of the limit that self may admit: of the part that the reachable
-// members have together, in proportion to their announced demand, with equalPart of the limit
-// divided equally among all members.
-func (a *account) share(self identifier.Instance, members, reachable []identifier.Instance, equalPart float64) float64 {
+// share returns the part of the limit that self may admit among members: in proportion
+// to the announced demand, with equalPart of the limit divided equally.
+func (a *account) share(self identifier.Instance, members []identifier.Instance, equalPart float64) float64 {
 	floor := equalPart * a.limit / float64(len(members))
-	together := 1.0
-	if a.agreed != nil {
-		together = weight(a.agreed, reachable, floor) / weight(a.agreed, members, floor)
-	}
-	return together * (a.announced[self] + floor) / weight(a.announced, reachable, floor)
-}
-
-// weight returns the demand of members, with floor added for each.
-func weight(demand map[identifier.Instance]float64, members []identifier.Instance, floor float64) float64 {
 	total := 0.0
 	for _, m := range members {
-		total += demand[m] + floor
+		total += a.announced[m] + floor
 	}
-	return total
+	return (a.announced[self] + floor) / total
 }
--- a/sharer/core.go
+++ b/sharer/core.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"time"
 
@@ -14,7 +13,6 @@
 	cfg       Config
 	accounts  []*account                     // by name
 	members   []identifier.Instance          // this instance and its peers, by name
-	lost      []identifier.Instance          // the members that are out of reach
 	sequences map[identifier.Instance]uint64 // of the last announcement from each peer
 	sequence  uint64
 	tickedAt  time.Time
@@ -41,8 +39,6 @@
 		return nil
 	case PeerSeen:
 		return c.addPeer(e.Instance)
-	case PeerLost:
-		return c.losePeer(e.Instance)
 	case PeerRemoved:
 		return c.removePeer(e.Instance)
 	case AnnouncementReceived:
@@ -61,7 +57,6 @@
 		a := find(old, acct.Name)
 		if a == nil {
 			a = &account{name: acct.Name, announced: map[identifier.Instance]float64{}, announcedAt: now}
-			c.agree(a)
 		}
 		a.limit = acct.RequestsPerSecond
 		a.rate = 0
@@ -85,7 +80,6 @@
 	if i, ok := slices.BinarySearch(c.members, peer); !ok {
 		c.members = slices.Insert(c.members, i, peer)
 	}
-	c.regain(peer)
 	acts := c.rates()
 	c.sequences[peer] = 0
 	c.sequence++
@@ -96,36 +90,6 @@
 	return append(acts, Announce{To: peer, Announcement: an})
 }
 
-// losePeer keeps this instance, and those in reach, to the part of each limit that they had before the loss.
-func (c *Core) losePeer(peer identifier.Instance) []Action {
-	if _, ok := slices.BinarySearch(c.members, peer); !ok || peer == c.cfg.Instance || slices.Contains(c.lost, peer) {
-		return nil
-	}
-	c.lost = append(c.lost, peer)
-	for _, a := range c.accounts {
-		c.agree(a)
-	}
-	return c.rates()
-}
-
-// agree keeps the present announcements of a as those agreed with the peers out of reach, if there are any.
-func (c *Core) agree(a *account) {
-	if len(c.lost) > 0 && a.agreed == nil {
-		a.agreed = maps.Clone(a.announced)
-	}
-}
-
-// regain takes peer off the lost ones. When none is left, the announcements count again as they come.
-func (c *Core) regain(peer identifier.Instance) {
-	c.lost = slices.DeleteFunc(c.lost, func(m identifier.Instance) bool { return m == peer })
-	if len(c.lost) > 0 {
-		return
-	}
-	for _, a := range c.accounts {
-		a.agreed = nil
-	}
-}
-
 // removePeer forgets a peer and divides its share.
 func (c *Core) removePeer(peer identifier.Instance) []Action {
 	i, ok := slices.BinarySearch(c.members, peer)
@@ -134,10 +98,8 @@
 	}
 	c.members = slices.Delete(c.members, i, i+1)
 	delete(c.sequences, peer)
-	c.regain(peer)
 	for _, a := range c.accounts {
 		delete(a.announced, peer)
-		delete(a.agreed, peer)
 	}
 	return c.rates()
 }
@@ -210,10 +172,9 @@
 
 // rates gives the limiter the rates that changed.
 func (c *Core) rates() []Action {
-	reachable := slices.DeleteFunc(slices.Clone(c.members), func(m identifier.Instance) bool { return slices.Contains(c.lost, m) })
 	var acts []Action
 	for _, a := range c.accounts {
-		part := a.share(c.cfg.Instance, c.members, reachable, c.cfg.EqualPart)
+		part := a.share(c.cfg.Instance, c.members, c.cfg.EqualPart)
 		if rate := part * a.limit; rate != a.rate {
 			a.rate = rate
 			acts = append(acts, SetRate{Account: a.name, RequestsPerSecond: rate, Part: part})
--- a/sharer/doc.go
+++ b/sharer/doc.go
@@ -13,12 +13,8 @@
 // With equal announcements the shares add up to the limit. While announcements are on their
 // way they may add up to more or less.
 //
-// An instance that is out of reach cannot hear announcements, so nothing may be taken for
-// agreed with it. Once a peer is lost, the instances within reach of each other keep together to
-// the part of the limit that they had by the announcements before the loss, and divide
-// that part by the announcements since. So both sides of a network partition keep within the limit
-// together, but for announcements that crossed the loss. The share of a peer that died is unused until
-// the peer is removed.
+// An instance that is out of reach keeps the share of its last announcement until it is removed.
+// While a network partition lasts, each side's part of the limit grows only as far as its own demand does.
 //
 // Core is a deterministic state machine; its process wires announcements to peers and rates to the limiter.
 package sharer
--- a/sharer/event.go
+++ b/sharer/event.go
@@ -20,10 +20,8 @@
 // PeerSeen says that an instance came into reach, for the first time or again.
 type PeerSeen struct{ Instance identifier.Instance }
 
-// PeerLost says that an instance went out of reach. Its share stays its own.
-type PeerLost struct{ Instance identifier.Instance }
-
-// PeerRemoved says that an instance is no longer part of the system. Its share is divided.
+// PeerRemoved says that an instance is no longer part of the system, and its share is divided. One
+// that is only out of reach is not removed.
 type PeerRemoved struct{ Instance identifier.Instance }
 
 // AnnouncementReceived is a peer's announcement.
@@ -38,7 +36,6 @@
 func (AccountsSet) event()          {}
 func (RequestArrived) event()       {}
 func (PeerSeen) event()             {}
-func (PeerLost) event()             {}
 func (PeerRemoved) event()          {}
 func (AnnouncementReceived) event() {}
 func (Ticked) event()               {}
