--- a/bundler/signoff.go
+++ b/bundler/signoff.go
@@ -1,8 +1,10 @@
 package bundler
 
 import (
+	"bytes"
 	"context"
 	"errors"
+	"fmt"
 
 	"github.com/rotisserie/eris"
 
@@ -12,6 +14,8 @@
 )
 
 const (
+	// documentOverhead is the room in bytes for a document's names and signature.
+	documentOverhead = 1000
 	// keptVersions is how many accepted versions stay readable behind the one in force.
 	keptVersions = 500
 	// keptProposals is how many versions' proposals stay readable up to the one in force,
@@ -43,7 +47,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := r.cfg.Store.Offer(d.Encoded); err != nil {
+	if err := r.cfg.Store.submit(Accepted{Document: d}); err != nil {
 		r.cfg.Logger.Warn().Err(err).Msg("bundler: accepted bundle not applied here")
 	}
 	r.recordAcceptance(ctx, d)
@@ -65,8 +69,14 @@
 	if err != nil {
 		return nil, err
 	}
-	_, err = r.Check(ctx, content)
-	return d, err
+	inv, err := r.cfg.Inventory(ctx)
+	if err != nil {
+		return nil, eris.Wrap(err, "read the fleet")
+	}
+	if problems := Validate(d.Bundle, inv); len(problems) > 0 {
+		return nil, &InvalidError{Problems: problems}
+	}
+	return d, nil
 }
 
 // content returns the bytes of a proposal, or of an accepted version whose proposal is
@@ -161,6 +171,9 @@
 		return at, eris.Wrap(err, "read the current bundle")
 	}
 	at.revision = entry.Revision
+	if at.document != nil && bytes.Equal(entry.Value, at.document.Encoded) {
+		return at, nil
+	}
 	d, err := r.cfg.Signers.Open(entry.Value)
 	if err != nil {
 		r.cfg.Logger.Error().Err(err).Msg("bundler: current bundle of the platform does not count")
@@ -215,7 +228,14 @@
 
 // createProposal stores content under its version once. The same content again is no error.
 func (r *Registrar) createProposal(ctx context.Context, v identifier.BundleVersion, content []byte) error {
-	_, err := r.cfg.Platform.Create(ctx, proposalKey(v), content, "")
+	packed, err := pack(content)
+	if err != nil {
+		return err
+	}
+	if len(packed)*4/3 > MaxDocumentSize-documentOverhead {
+		return &DocumentError{Reason: fmt.Sprintf("the bundle has %d bytes compressed, too many for a signed document of %d", len(packed), MaxDocumentSize)}
+	}
+	_, err = r.cfg.Platform.Create(ctx, proposalKey(v), packed, "")
 	if !errors.As(err, new(*keeper.ConflictError)) {
 		return eris.Wrap(err, "store the proposal")
 	}
