linker: one write a frame, and digests paced by the number of sessions

Cause: yamux writes the header and the body of a frame apart, which makes two TLS records and two segments; and a digest each 500 ms on 36 sessions takes more than a node may spend. Ruled out: relaying digests through aggregators (the aggregator would send all reports to all), a bounded mesh (saves under half, adds a hop and duplicates).

--- a/linker/exchange.go
+++ b/linker/exchange.go
@@ -97,10 +97,21 @@
 	case e.offer != nil:
 		s.box.putOffer(*e.offer)
 	case len(e.digest.Reports) > 0:
-		s.box.putDigest(l.cfg.Now(), e.digest)
+		s.box.putDigest(l.cfg.Now(), digestDelay(len(l.current)), e.digest)
 	}
 }
 
+// digestDelay returns how long reports of load may wait with so many sessions. It grows
+// with them, so that the bytes of a node stay bounded; in a large failure domain reports
+// ride on the heartbeats.
+func digestDelay(sessions int) time.Duration {
+	const each = 100 * time.Millisecond
+	if delay := time.Duration(sessions) * each; delay < heartbeatInterval/2 {
+		return delay
+	}
+	return heartbeatInterval
+}
+
 // runSession carries s until it ends.
 func (l *Linker) runSession(s *session) {
 	l.add(s)
--- a/linker/frame_test.go
+++ b/linker/frame_test.go
@@ -184,7 +184,7 @@
 	for i := range 3 * maxSuspicions {
 		r := report(i % 10)
 		r.InFlight = i
-		m.putDigest(now, ProbeDigest{Reports: []ProbeReport{r}})
+		m.putDigest(now, heartbeatInterval, ProbeDigest{Reports: []ProbeReport{r}})
 		m.putHeartbeat(&wire.Heartbeat{Sequence: uint64(i)})
 		m.putRelayed(&wire.Relayed{Sequence: uint64(i), Message: &wire.Relayed_Suspicion{Suspicion: &wire.Suspicion{Fingerprint: uint64(i)}}})
 		m.putRelayed(&wire.Relayed{Sequence: uint64(i), Message: &wire.Relayed_Load{Load: &wire.LoadSummary{FailureDomain: "west"}}})
--- a/linker/mailbox.go
+++ b/linker/mailbox.go
@@ -30,6 +30,7 @@
 	request    *wire.BundleRequest
 	leaving    bool
 	retired    bool
+	timed      bool // a timer will wake the writer for reports
 	offer      *BundleOffer
 }
 
@@ -65,10 +66,14 @@
 func (m *mailbox) putRetired() { m.put(func() { m.retired = true }) }
 
 // putDigest keeps the newest report of each endpoint. Reports that show only another load
-// wait for the next heartbeat, others leave at once.
-func (m *mailbox) putDigest(now time.Time, d ProbeDigest) {
+// wait up to delay for others or for the next heartbeat, the rest leave at once.
+func (m *mailbox) putDigest(now time.Time, delay time.Duration, d ProbeDigest) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if !m.timed && delay < heartbeatInterval {
+		m.timed = true
+		time.AfterFunc(delay, m.wakeTimed)
+	}
 	for _, r := range d.Reports {
 		m.reports[r.Endpoint] = waitingReport{ProbeReport: r, since: now}
 		if m.encoder.isUrgent(r) {
@@ -77,6 +82,13 @@
 	}
 }
 
+func (m *mailbox) wakeTimed() {
+	m.mu.Lock()
+	m.timed = false
+	m.mu.Unlock()
+	signal(m.ready)
+}
+
 func (m *mailbox) putRelayed(r *wire.Relayed) {
 	m.put(func() {
 		if load := r.GetLoad(); load != nil {
--- a/linker/session.go
+++ b/linker/session.go
@@ -85,7 +85,7 @@
 	if err != nil {
 		return nil, err
 	}
-	mux, err := yamux.Client(secured, muxConfig())
+	mux, err := yamux.Client(&coalescer{Conn: secured}, muxConfig())
 	if err != nil {
 		return nil, eris.Wrap(err, "linker: session")
 	}
@@ -108,7 +108,7 @@
 	if err != nil {
 		return nil, err
 	}
-	mux, err := yamux.Server(secured, muxConfig())
+	mux, err := yamux.Server(&coalescer{Conn: secured}, muxConfig())
 	if err != nil {
 		return nil, eris.Wrap(err, "linker: session")
 	}
