--- a/claimer/claimer.go
+++ b/claimer/claimer.go
@@ -22,11 +22,14 @@
 	step   *stepper.Stepper[Event, Action]
 	meters meters
 
+	life string // the instance and when this process made the Claimer; begins each token
+
 	mu        sync.Mutex // guards the fields below; never held while the core steps
 	random    *rand.Rand
 	calls     Call
 	decisions map[Call]chan Decision
 	finishes  map[Token]chan error
+	unsettled map[Token]bool // claims whose result or removal is tried anew
 }
 
 // New returns a Claimer for cfg. Run must run for results to be tried anew.
@@ -35,11 +38,13 @@
 	c := &Claimer{
 		cfg:       cfg,
 		core:      NewCore(cfg.Instance, cfg.Limits),
+		life:      fmt.Sprintf("%s/%x", cfg.Instance, cfg.Now().UnixNano()),
 		random:    rand.New(cfg.Random),
 		decisions: map[Call]chan Decision{},
 		finishes:  map[Token]chan error{},
+		unsettled: map[Token]bool{},
 	}
-	c.meters = newMeters(cfg.Meter)
+	c.meters = newMeters(cfg.Meter, c.Unsettled)
 	c.step = stepper.New(stepper.Config[Event, Action]{Core: c.core, Handle: c.handle, Now: cfg.Now})
 	return c
 }
@@ -104,14 +109,15 @@
 	}
 }
 
-// newCall returns a new call with a token of its own and the channel of its decision.
+// newCall returns a new call with a token of its own and the channel of its decision. No
+// other instance or run of this one has such a token, even with an equal source of randomness.
 func (c *Claimer) newCall() (Call, Token, <-chan Decision) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.calls++
 	decided := make(chan Decision, 1)
 	c.decisions[c.calls] = decided
-	return c.calls, Token(fmt.Sprintf("%016x%016x", c.random.Uint64(), c.random.Uint64())), decided
+	return c.calls, Token(fmt.Sprintf("%s/%d/%016x", c.life, c.calls, c.random.Uint64())), decided
 }
 
 // dropCall forgets who waits for the decision of call.
@@ -154,12 +160,34 @@
 func (c *Claimer) finish(a Finish) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	finished, ok := c.finishes[a.Token]
-	if ok {
+	if finished, ok := c.finishes[a.Token]; ok {
 		finished <- a.Err
 		delete(c.finishes, a.Token)
 	}
-	if a.Err != nil {
-		c.cfg.Logger.Warn().Str("token", string(a.Token)).Err(a.Err).Msg("claimer: result not stored")
+	c.note(a)
+}
+
+// note keeps count of the results that are not stored, and logs the first failure of each and its giving up.
+func (c *Claimer) note(a Finish) {
+	switch a.Err.(type) {
+	case nil:
+		delete(c.unsettled, a.Token)
+		return
+	case *UnsettledError:
+		if c.unsettled[a.Token] {
+			return
+		}
+		c.unsettled[a.Token] = true
+	case *GivenUpError:
+		delete(c.unsettled, a.Token)
 	}
+	c.cfg.Logger.Warn().Str("token", string(a.Token)).Err(a.Err).Msg("claimer: result not stored")
+}
+
+// Unsettled returns the number of claims whose result or removal could not be stored yet.
+// Those that are left when the process ends become unknown.
+func (c *Claimer) Unsettled() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.unsettled)
 }
