--- a/linker/exchange.go
+++ b/linker/exchange.go
@@ -93,7 +93,7 @@
 func (l *Linker) post(s *session, e envelope) {
 	switch {
 	case e.relayed != nil:
-		s.box.putRelayed(e.relayed)
+		s.box.putRelayed(digestDelay(len(l.current)), e.relayed)
 	case e.offer != nil:
 		s.box.putOffer(*e.offer)
 	case len(e.digest.Reports) > 0:
@@ -101,7 +101,7 @@
 	}
 }
 
-// digestDelay returns how long reports of load may wait with so many sessions. It grows
+// digestDelay returns how long reports and summaries of load may wait with so many sessions. It grows
 // with them, so that the bytes of a node stay bounded; in a large failure domain reports
 // ride on the heartbeats.
 func digestDelay(sessions int) time.Duration {
@@ -359,7 +359,7 @@
 			continue
 		}
 		if to != s {
-			to.box.putRelayed(r)
+			to.box.putRelayed(digestDelay(len(l.current)), r)
 		}
 	}
 	return from, true
--- a/linker/frame_test.go
+++ b/linker/frame_test.go
@@ -186,8 +186,8 @@
 		r.InFlight = i
 		m.putDigest(now, heartbeatInterval, ProbeDigest{Reports: []ProbeReport{r}})
 		m.putHeartbeat(&wire.Heartbeat{Sequence: uint64(i)})
-		m.putRelayed(&wire.Relayed{Sequence: uint64(i), Message: &wire.Relayed_Suspicion{Suspicion: &wire.Suspicion{Fingerprint: uint64(i)}}})
-		m.putRelayed(&wire.Relayed{Sequence: uint64(i), Message: &wire.Relayed_Load{Load: &wire.LoadSummary{FailureDomain: "west"}}})
+		m.putRelayed(heartbeatInterval, &wire.Relayed{Sequence: uint64(i), Message: &wire.Relayed_Suspicion{Suspicion: &wire.Suspicion{Fingerprint: uint64(i)}}})
+		m.putRelayed(heartbeatInterval, &wire.Relayed{Sequence: uint64(i), Message: &wire.Relayed_Load{Load: &wire.LoadSummary{FailureDomain: "west"}}})
 		m.putOffer(BundleOffer{Version: identifier.BundleVersion(i % 100)})
 	}
 	frame := m.take(now.Add(2 * time.Second))
--- a/linker/mailbox.go
+++ b/linker/mailbox.go
@@ -30,7 +30,7 @@
 	request    *wire.BundleRequest
 	leaving    bool
 	retired    bool
-	timed      bool // a timer will wake the writer for reports
+	timed      bool // a timer will wake the writer
 	offer      *BundleOffer
 }
 
@@ -70,10 +70,7 @@
 func (m *mailbox) putDigest(now time.Time, delay time.Duration, d ProbeDigest) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if !m.timed && delay < heartbeatInterval {
-		m.timed = true
-		time.AfterFunc(delay, m.wakeTimed)
-	}
+	m.wakeAfter(delay)
 	for _, r := range d.Reports {
 		m.reports[r.Endpoint] = waitingReport{ProbeReport: r, since: now}
 		if m.encoder.isUrgent(r) {
@@ -82,6 +79,14 @@
 	}
 }
 
+// wakeAfter wakes the writer after delay, or leaves that to the next heartbeat.
+func (m *mailbox) wakeAfter(delay time.Duration) {
+	if !m.timed && delay < heartbeatInterval {
+		m.timed = true
+		time.AfterFunc(delay, m.wakeTimed)
+	}
+}
+
 func (m *mailbox) wakeTimed() {
 	m.mu.Lock()
 	m.timed = false
@@ -89,14 +94,18 @@
 	signal(m.ready)
 }
 
-func (m *mailbox) putRelayed(r *wire.Relayed) {
-	m.put(func() {
-		if load := r.GetLoad(); load != nil {
-			m.loads[identifier.FailureDomain(load.GetFailureDomain())] = r
-			return
-		}
-		m.putSuspicion(r)
-	})
+// putRelayed keeps the newest summary of each failure domain, which waits like a digest,
+// and the suspicions, which leave at once.
+func (m *mailbox) putRelayed(delay time.Duration, r *wire.Relayed) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if load := r.GetLoad(); load != nil {
+		m.loads[identifier.FailureDomain(load.GetFailureDomain())] = r
+		m.wakeAfter(delay)
+		return
+	}
+	m.putSuspicion(r)
+	signal(m.ready)
 }
 
 func (m *mailbox) putSuspicion(r *wire.Relayed) {
