bundler: an instance that starts looks at the platform's value after a second

Cause: an instance that started while the platform's service was set back had the older version in force until a peer's offer came, which for the fleet is a reversal. Ruled out: asking all peers first, which hangs on one that does not answer. Price: a second at each start without a peer.

--- a/bundler/core.go
+++ b/bundler/core.go
@@ -17,7 +17,10 @@
 	jitter   *rand.Rand
 	current  *Document
 	platform platformState
-	alarmed  string // the last alarm's text
+	settle   time.Duration
+	settled  time.Time     // when the platform's value counts without a bundle in force; zero before the first event
+	held     *PlatformRead // until then
+	alarmed  string        // the last alarm's text
 }
 
 // platformState is what the platform holds that has to be restored.
@@ -28,10 +31,12 @@
 	restoreAt time.Time
 }
 
-// NewCore returns a Core without a bundle. The source spreads the instances' writes in
-// time; it must not be shared.
-func NewCore(signers Signers, source rand.Source) *Core {
-	return &Core{signers: signers, jitter: rand.New(source)}
+// NewCore returns a Core without a bundle. For the time settle after its first event it
+// leaves the platform's value aside, so that a peer with a higher version comes first if
+// the platform was set back. The source spreads the instances' writes in time; it must
+// not be shared.
+func NewCore(signers Signers, settle time.Duration, source rand.Source) *Core {
+	return &Core{signers: signers, settle: settle, jitter: rand.New(source)}
 }
 
 // Current returns the document in force, or nil.
@@ -39,6 +44,9 @@
 
 // Step applies e at now and returns what is to be done, in order.
 func (c *Core) Step(now time.Time, e Event) []Action {
+	if c.settled.IsZero() {
+		c.settled = now.Add(c.settle)
+	}
 	switch e := e.(type) {
 	case Offered:
 		return c.offered(e)
@@ -68,6 +76,11 @@
 }
 
 func (c *Core) platformRead(now time.Time, e PlatformRead) []Action {
+	c.held = nil
+	if c.current == nil && now.Before(c.settled) {
+		c.held = &e
+		return nil
+	}
 	if c.isCurrent(e.Document) {
 		c.platform = platformState{}
 		return nil
@@ -100,6 +113,9 @@
 }
 
 func (c *Core) ticked(now time.Time) []Action {
+	if c.held != nil && !now.Before(c.settled) {
+		return c.platformRead(now, *c.held)
+	}
 	if !c.platform.behind || now.Before(c.platform.restoreAt) {
 		return nil
 	}
--- a/bundler/doc.go
+++ b/bundler/doc.go
@@ -17,6 +17,6 @@
 // accepted can always be read back.
 //
 // Limits: who the author is, is known from the administration API's tokens and not from a
-// signature; an instance that starts while the service is set back, and reaches no peer,
-// begins with the older version.
+// signature; an instance that starts while the service is set back, and reaches no peer
+// within a second, begins with the older version.
 package bundler
--- a/bundler/store.go
+++ b/bundler/store.go
@@ -18,6 +18,8 @@
 // CurrentKey is the platform's key of the signed document in force.
 const CurrentKey = "bundles/current"
 
+const defaultSettle = time.Second
+
 // Platform is the part of the platform's service that a Store and a Registrar use. keeper.Client is one.
 type Platform interface {
 	Get(ctx context.Context, key string) (keeper.Entry, error)
@@ -34,6 +36,11 @@
 	Signers  Signers // the names and public keys of those who may sign bundles off
 	Platform Platform
 
+	// Settle is the time from the start in which a bundle comes into force from peers only,
+	// so that an instance that starts while the platform's service is set back gets the
+	// higher version first. Default 1 s; a negative value means none.
+	Settle time.Duration
+
 	// Restored is told of a bundle that this instance wrote back to the platform. Default: none.
 	Restored func(ctx context.Context, r Restore)
 
@@ -68,7 +75,10 @@
 	s := &Store{cfg: cfg, restore: make(chan Restore, 1)}
 	s.jitter = rand.New(rand.NewPCG(cfg.Random.Uint64(), cfg.Random.Uint64()))
 	s.meters = newMeters(cfg.Meter, s.version)
-	core := NewCore(cfg.Signers, cfg.Random)
+	if cfg.Settle == 0 {
+		cfg.Settle = defaultSettle
+	}
+	core := NewCore(cfg.Signers, cfg.Settle, cfg.Random)
 	s.steps = stepper.New(stepper.Config[Event, Action]{Core: core, Handle: s.handle, Now: cfg.Now})
 	return s
 }
