--- a/grouper/repair.go
+++ b/grouper/repair.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"amaranthmill/internal/identifier"
 )
 
 // repair mends groups that lost members: the highest priority first, then those that lack least.
@@ -11,7 +13,7 @@
 	var broken []*Assignment
 	for i := range p.rec.Groups {
 		a := &p.rec.Groups[i]
-		if len(p.lost(a)) > 0 {
+		if p.core.pool(a.Pool) != nil && len(p.lost(a)) > 0 {
 			broken = append(broken, a)
 		}
 	}
@@ -65,8 +67,8 @@
 func (p *planner) mend(a *Assignment, i int) bool {
 	m := &a.Members[i]
 	ep := p.core.endpoints[m.Endpoint]
-	returned := ep != nil && ep.Fresh && !ep.Leaving
-	if len(p.free) > 0 && p.worthReplacing(a, ep, returned) {
+	returned := p.core.isBack(m.Endpoint)
+	if p.worthReplacing(a, ep, returned) && p.fillable(a) {
 		*m = p.take(a)
 		p.note(a.Group, m.Endpoint, DecisionReplace)
 		return true
@@ -92,15 +94,26 @@
 	case returned:
 		return len(ep.returns) >= flapping || p.ready(a) && !ep.has(a.model())
 	}
-	load := p.core.loadTime()
-	if p.ready(a) {
-		load = swapTime
+	return p.now.Sub(ep.awaySince) >= p.core.patience(p.ready(a))
+}
+
+// fillable reports whether there are free endpoints for all places of a whose members are not
+// back. A group that would lack a member all the same leaves them to another.
+func (p *planner) fillable(a *Assignment) bool {
+	absent := 0
+	for _, i := range p.lost(a) {
+		if !p.core.isBack(a.Members[i].Endpoint) {
+			absent++
+		}
 	}
-	return p.now.Sub(ep.awaySince) >= p.core.returns.wait(load)
+	return len(p.free) >= max(1, absent) || p.core.policy.Strategy == StrategyRebuild && len(p.free) > 0
 }
 
-// swapTime is how long a group is down while a loaded endpoint takes a member's place.
-const swapTime = 2 * time.Second
+// isBack reports whether a lost endpoint answers again and could be readmitted.
+func (c *Core) isBack(name identifier.Endpoint) bool {
+	ep := c.endpoints[name]
+	return ep != nil && ep.Fresh && !ep.Leaving
+}
 
 // ready reports whether the next free endpoint for a has a's model.
 func (p *planner) ready(a *Assignment) bool {
@@ -112,7 +125,7 @@
 	if ep == nil || ep.Gone {
 		return true
 	}
-	return !ep.awaySince.IsZero() && p.now.Sub(ep.awaySince) >= p.core.waitTime()
+	return !ep.awaySince.IsZero() && p.now.Sub(ep.awaySince) >= p.core.patience(false)
 }
 
 const (
@@ -164,7 +177,7 @@
 func (p *planner) stuck(a *Assignment) bool {
 	for _, i := range p.lost(a) {
 		ep := p.core.endpoints[a.Members[i].Endpoint]
-		if ep != nil && ep.Fresh && !ep.Leaving || !p.overdue(ep) {
+		if p.core.isBack(a.Members[i].Endpoint) || !p.overdue(ep) {
 			return false
 		}
 	}
