--- a/bundler/core.go
+++ b/bundler/core.go
@@ -51,10 +51,7 @@
 	case Offered:
 		return c.offered(e)
 	case Accepted:
-		d, err := c.higher(e.Document)
-		if err != nil {
-			return c.refuse("", err)
-		}
+		d, _ := c.higher(e.Document) // a later version may be in force by now
 		return c.apply(d)
 	case PlatformRead:
 		return c.platformRead(now, e)
--- a/bundler/core_test.go
+++ b/bundler/core_test.go
@@ -28,6 +28,12 @@
 		return s.step(now, Offered{From: identifier.Instance(ev.Str("from")), Document: scriptDocument(ev)}), nil
 	case "platform":
 		return s.step(now, PlatformRead{Revision: uint64(ev.Int("revision")), Document: scriptDocument(ev)}), nil
+	case "accepted":
+		d, err := testSigners().Open(scriptDocument(ev))
+		if err != nil {
+			return nil, err
+		}
+		return s.step(now, Accepted{Document: d}), nil
 	case "absent":
 		return s.step(now, PlatformRead{}), nil
 	case "tick":
--- a/bundler/signoff.go
+++ b/bundler/signoff.go
@@ -47,9 +47,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := r.cfg.Store.submit(Accepted{Document: d}); err != nil {
-		r.cfg.Logger.Warn().Err(err).Msg("bundler: accepted bundle not applied here")
-	}
+	_ = r.cfg.Store.submit(Accepted{Document: d}) // an accepted document is never refused
 	r.recordAcceptance(ctx, d)
 	r.prune(ctx, d.Bundle)
 	return d, nil
--- a/bundler/validate.go
+++ b/bundler/validate.go
@@ -18,6 +18,7 @@
 	maxBurst             = 1_000_000
 	maxDeadline          = time.Hour
 	maxWeight            = 1_000_000
+	maxNote              = 1000 // bytes; the audit trail repeats it
 )
 
 var (
@@ -65,6 +66,9 @@
 		v.add("previous", "is %d, not below version %d; set it to the version that this bundle was made from", b.Previous, b.Version)
 	}
 	v.name("author", b.Author)
+	if len(b.Note) > maxNote {
+		v.add("note", "has %d bytes; want at most %d", len(b.Note), maxNote)
+	}
 }
 
 func (v *validator) name(path, name string) {
