router: compare four targets, and let a prefix count only while a slot is free

Ruled out: more weight for prefixes, a relative load bound alone (both worse). Change: a prefix counts below 0.85 of a target's capacity or 1.1 of the mean, four targets are compared, reports fade in 250 ms, own counts are sampled each 100 ms.

--- a/router/choose.go
+++ b/router/choose.go
@@ -84,7 +84,7 @@
 // preferCached returns the target that holds the most of f's prompt if that outweighs its
 // load and the load is below the bound, and otherwise best.
 func (r *Router) preferCached(now time.Time, f *flight, pool *poolTargets, best *target, bestLoad float64) *target {
-	bound := pool.meanLoad()*r.cfg.LoadBound + 1/float64(best.Capacity)
+	bound := max(pool.meanLoad()*r.cfg.LoadBound, r.cfg.FreeLoad)
 	score := bestLoad
 	r.cached = r.prefixes.find(r.cached[:0], f.Prefix)
 	for _, c := range r.cached {
@@ -94,7 +94,7 @@
 		}
 		load := t.load(now, pool.meanOthers(), r.cfg.ReportHalfLife)
 		gain := r.cfg.AffinityWeight * float64(c.blocks) / float64(len(f.Prefix))
-		if load <= bound && load-gain < score {
+		if load+1/float64(t.Capacity) <= bound && load-gain < score {
 			best, score = t, load-gain
 		}
 	}
--- a/router/router.go
+++ b/router/router.go
@@ -12,10 +12,11 @@
 	defaultMaxAttempts     = 3
 	defaultRetryShare      = 0.1
 	defaultRetryBurst      = 16
-	defaultChoices         = 2
-	defaultLoadBound       = 1.25
+	defaultChoices         = 4
+	defaultLoadBound       = 1.1
+	defaultFreeLoad        = 0.85
 	defaultAffinityWeight  = 0.5
-	defaultReportHalfLife  = 2 * time.Second
+	defaultReportHalfLife  = 250 * time.Millisecond
 	defaultPrefixBlocks    = 1 << 16
 	defaultCapacity        = 64
 	defaultSuspicionFor    = time.Hour
@@ -30,10 +31,11 @@
 	RetryShare  float64 // retries that each first attempt allows; zero means 0.1
 	RetryBurst  int     // retries that a time without any saves up; zero means 16
 
-	Choices        int           // targets that are compared by load for one request; zero means 2
-	LoadBound      float64       // of the load of a target chosen by prefix, in parts of the mean; zero means 1.25
+	Choices        int           // targets that are compared by load for one request; zero means 4
+	LoadBound      float64       // of the load of a target chosen by prefix, in parts of the mean; zero means 1.1
+	FreeLoad       float64       // at which a target may be chosen by prefix whatever the mean is; zero means 0.85
 	AffinityWeight float64       // of a wholly cached prompt, in parts of a target's capacity; zero means 0.5, negative none
-	ReportHalfLife time.Duration // in which half of a load report's weight goes over to the mean; zero means 2 s
+	ReportHalfLife time.Duration // in which half of a load report's weight goes over to the mean; zero means 250 ms
 	PrefixBlocks   int           // prompt blocks remembered; zero means 65536
 	Capacity       int           // of a target that reports none; zero means 64
 
@@ -123,6 +125,7 @@
 	setDefault(&c.RetryBurst, defaultRetryBurst)
 	setDefault(&c.Choices, defaultChoices)
 	setDefault(&c.LoadBound, defaultLoadBound)
+	setDefault(&c.FreeLoad, defaultFreeLoad)
 	setDefault(&c.AffinityWeight, defaultAffinityWeight)
 	setDefault(&c.ReportHalfLife, defaultReportHalfLife)
 	setDefault(&c.PrefixBlocks, defaultPrefixBlocks)
--- a/router/target.go
+++ b/router/target.go
@@ -11,10 +11,10 @@
 )
 
 // sampleEvery is the least time between two samples of a target's own count.
-const sampleEvery = 500 * time.Millisecond
+const sampleEvery = 100 * time.Millisecond
 
 // sampleCount times sampleEvery is the longest lag of a report that is corrected for.
-const sampleCount = 16
+const sampleCount = 64
 
 // targetTable has the targets of the own failure domain.
 type targetTable struct {
