--- a/standin/experiment/overload/main.go
+++ b/standin/experiment/overload/main.go
@@ -78,8 +78,8 @@
 		}
 	}
 	fmt.Printf("\n### A stop of %v at %g of capacity\n\n", t.Outage.To.Std()-t.Outage.From.Std(), t.Outage.Factor)
-	fmt.Println("| admission | seconds until 95 in 100 are on time again | tries to requests, during the stop |")
-	fmt.Println("|---|---|---|")
+	fmt.Println("| admission | seconds until 95 in 100 of priority 5 are on time again | of all | tries a request during the stop |")
+	fmt.Println("|---|---|---|---|")
 	for _, v := range variants {
 		row := over(*seeds, func(seed uint64) []float64 {
 			return run(t, t.Outage.Factor, t.Outage, t.Outage.Length.Std(), v, seed).recovery(t.Outage)
--- a/standin/experiment/overload/measure.go
+++ b/standin/experiment/overload/measure.go
@@ -56,16 +56,14 @@
 }
 
 // recovery returns the seconds after a stop from which on every window of arrivals has its
-// share on time for the rest of the run, and the tries to a request while it lasted.
+// share on time for the rest of the run, for the highest priority and for all, and the
+// tries to a request while it lasted.
 func (w *world) recovery(stop outage) []float64 {
-	from, to := stop.From.Std(), stop.To.Std()
-	end := w.length - w.trace.Deadline.Std()
-	recovered := to
-	for at := to; at+recoveryWindow <= end; at += recoveryWindow {
-		if w.windowShare(at) < recoveredShare {
-			recovered = at + recoveryWindow
-		}
+	highest := 0
+	for _, a := range w.trace.Accounts {
+		highest = max(highest, a.Priority)
 	}
+	from, to := stop.From.Std(), stop.To.Std()
 	tries, requests := 0, 0
 	for _, at := range w.starts {
 		if since(at) >= from && since(at) < to {
@@ -77,18 +75,33 @@
 			requests++
 		}
 	}
-	return []float64{(recovered - to).Seconds(), float64(tries) / float64(max(requests, 1))}
+	return []float64{w.recoveryOf(to, highest), w.recoveryOf(to, 0), float64(tries) / float64(max(requests, 1))}
+}
+
+// recoveryOf returns the seconds after a stop that ended at to until the requests of at
+// least a priority are on time again.
+func (w *world) recoveryOf(to time.Duration, priority int) float64 {
+	recovered := to
+	for at := to; at+recoveryWindow <= w.length-w.trace.Deadline.Std(); at += recoveryWindow {
+		if w.windowShare(at, priority) < recoveredShare {
+			recovered = at + recoveryWindow
+		}
+	}
+	return (recovered - to).Seconds()
 }
 
-// windowShare returns the share on time of the requests that came in the window from at.
-func (w *world) windowShare(at time.Duration) float64 {
+// windowShare returns the share on time of the requests of at least a priority that came
+// in the window from at.
+func (w *world) windowShare(at time.Duration, priority int) float64 {
 	all, onTime := 0, 0
 	for _, q := range w.requests {
-		if came := since(q.came); came >= at && came < at+recoveryWindow {
-			all++
-			if q.onTime {
-				onTime++
-			}
+		came := since(q.came)
+		if came < at || came >= at+recoveryWindow || w.trace.Accounts[q.account].Priority < priority {
+			continue
+		}
+		all++
+		if q.onTime {
+			onTime++
 		}
 	}
 	return float64(onTime) / float64(max(all, 1))
