--- a/bundler/parse.go
+++ b/bundler/parse.go
@@ -2,8 +2,9 @@
 
 import (
 	"encoding/json"
-
-	"amaranthmill/internal/identifier"
+	"errors"
+	"slices"
+	"strings"
 )
 
 // Parse decodes a bundle's bytes strictly: unknown and repeated fields, values of a
@@ -21,26 +22,33 @@
 }
 
 // Check parses and validates a bundle's bytes against what is deployed and returns every
-// fault. A nil inventory leaves out the checks that need it.
+// fault. A nil inventory leaves out the checks that need it. The error is an *InvalidError.
 func Check(content []byte, inv *Inventory) (*Bundle, error) {
-	b, err := Parse(content)
-	if err != nil {
-		return nil, err
+	problems := checkShape(content, Bundle{})
+	var b Bundle
+	err := json.Unmarshal(content, &b) // fills what has the right form, whatever else has not
+	if err != nil && len(problems) == 0 {
+		problems = append(problems, Problem{Message: err.Error()})
 	}
-	if problems := Validate(b, inv); len(problems) > 0 {
+	if err != nil && !errors.As(err, new(*json.UnmarshalTypeError)) {
 		return nil, &InvalidError{Problems: problems}
 	}
-	return b, nil
-}
-
-// Inventory is what the fleet has to run a bundle on.
-type Inventory struct {
-	FabricDomains []FabricDomain
+	for _, p := range Validate(&b, inv) {
+		if !isPartOf(p, problems) {
+			problems = append(problems, p)
+		}
+	}
+	if len(problems) > 0 {
+		return nil, &InvalidError{Problems: problems}
+	}
+	return &b, nil
 }
 
-// FabricDomain is the engines of one fabric domain.
-type FabricDomain struct {
-	Name          identifier.FabricDomain
-	FailureDomain identifier.FailureDomain
-	Engines       int
+// isPartOf reports whether a fault of meaning only follows from a fault of form: of the
+// same value, or of one that it is part of.
+func isPartOf(p Problem, form []Problem) bool {
+	return slices.ContainsFunc(form, func(f Problem) bool {
+		rest, ok := strings.CutPrefix(p.Path, f.Path)
+		return ok && (f.Path == "" || rest == "" || rest[0] == '.' || rest[0] == '[')
+	})
 }
--- a/grouper/grouper_test.go
+++ b/grouper/grouper_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -96,7 +97,7 @@
 }
 
 // TestGroupsForm runs two instances over the shells: groups form, a member dies, its group is
-// no target within the bound, and the spare takes its place.
+// no target within the bound, and the endpoint that was free takes its place.
 func TestGroupsForm(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
@@ -111,9 +112,36 @@
 		f.engines[0].set(func(e *fakeEngine) { e.dead = true })
 		time.Sleep(2100 * time.Millisecond) // prober.Config.FreshFor and Tick
 		synctest.Wait()
-		is.Equal(len(f.ready("i1")), 1)
+		for _, target := range slices.Concat(f.ready("i1"), f.ready("i2")) {
+			is.True(!slices.Contains(target.Members, "e0")) // no dispatch to the dead member's group
+		}
 		time.Sleep(4 * time.Minute)
 		is.Equal(len(f.ready("i1")), 2)
 		is.Equal(len(f.ready("i2")), 2)
 	})
 }
+
+// TestLostAnswerAndStop loses the answer to the write of a repair: the group is mended all the
+// same. A stop gives the leases back.
+func TestLostAnswerAndStop(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(t, 5)
+		f.start("i1", 1)
+		f.start("i2", 1)
+		time.Sleep(30 * time.Second)
+		is.Equal(len(f.ready("i1")), 1)
+
+		f.platform.set(func(p *fakePlatform) { p.loseNext = true })
+		f.engines[0].set(func(e *fakeEngine) { e.dead = true })
+		time.Sleep(10 * time.Second)
+		is.Equal(len(f.ready("i1")), 1)
+		is.True(!slices.Contains(f.ready("i1")[0].Members, "e0"))
+		is.True(!f.platform.loseNext) // the answer was lost
+
+		f.stop()
+		leases, err := f.platform.List(t.Context(), "leases/")
+		is.NoErr(err)
+		is.Equal(len(leases), 0)
+	})
+}
--- a/grouper/repair.go
+++ b/grouper/repair.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"amaranthmill/internal/identifier"
 )
 
 // repair mends groups that lost members: the highest priority first, then those that lack least.
@@ -11,7 +13,7 @@
 	var broken []*Assignment
 	for i := range p.rec.Groups {
 		a := &p.rec.Groups[i]
-		if len(p.lost(a)) > 0 {
+		if p.core.pool(a.Pool) != nil && len(p.lost(a)) > 0 {
 			broken = append(broken, a)
 		}
 	}
@@ -21,7 +23,7 @@
 	for _, a := range broken {
 		p.repairGroup(a)
 	}
-	if !p.changed {
+	if !p.changed && p.core.policy.Strategy == StrategyWeighted {
 		p.breakUp(broken)
 	}
 }
@@ -55,6 +57,7 @@
 func (p *planner) refit(a *Assignment) {
 	a.Epoch = p.rec.nextEpoch()
 	a.Draining = false
+	a.Standby = nil // its promise was for the old members
 	if pool := p.core.pool(a.Pool); pool != nil {
 		p.core.fit(a, pool)
 	}
@@ -64,8 +67,8 @@
 func (p *planner) mend(a *Assignment, i int) bool {
 	m := &a.Members[i]
 	ep := p.core.endpoints[m.Endpoint]
-	returned := ep != nil && ep.Fresh && !ep.Leaving
-	if len(p.free) > 0 && p.worthReplacing(ep, returned) {
+	returned := p.core.isBack(m.Endpoint)
+	if p.worthReplacing(a, ep, returned) && p.fillable(a) {
 		*m = p.take(a)
 		p.note(a.Group, m.Endpoint, DecisionReplace)
 		return true
@@ -80,14 +83,41 @@
 
 // worthReplacing reports whether a free endpoint should take the place of the lost ep now. One
 // whose process is gone must load its model again like any other, so there is nothing to wait for.
-func (p *planner) worthReplacing(ep *endpointState, returned bool) bool {
+func (p *planner) worthReplacing(a *Assignment, ep *endpointState, returned bool) bool {
 	switch {
+	case p.core.policy.Strategy == StrategyWait:
+		return false
+	case p.core.policy.Strategy == StrategyRebuild:
+		return !returned
 	case ep == nil, ep.Leaving, ep.Gone:
 		return true
 	case returned:
-		return len(ep.returns) >= flapping
+		return len(ep.returns) >= flapping || p.ready(a) && !ep.has(a.model())
 	}
-	return p.overdue(ep)
+	return p.now.Sub(ep.awaySince) >= p.core.patience(p.ready(a))
+}
+
+// fillable reports whether there are free endpoints for all places of a whose members are not
+// back. A group that would lack a member all the same leaves them to another.
+func (p *planner) fillable(a *Assignment) bool {
+	absent := 0
+	for _, i := range p.lost(a) {
+		if !p.core.isBack(a.Members[i].Endpoint) {
+			absent++
+		}
+	}
+	return len(p.free) >= max(1, absent) || p.core.policy.Strategy == StrategyRebuild && len(p.free) > 0
+}
+
+// isBack reports whether a lost endpoint answers again and could be readmitted.
+func (c *Core) isBack(name identifier.Endpoint) bool {
+	ep := c.endpoints[name]
+	return ep != nil && ep.Fresh && !ep.Leaving
+}
+
+// ready reports whether the next free endpoint for a has a's model.
+func (p *planner) ready(a *Assignment) bool {
+	return len(p.free) > 0 && p.free[p.choice(a)].has(a.model())
 }
 
 // overdue reports whether ep is away for longer than it pays to wait.
@@ -95,7 +125,7 @@
 	if ep == nil || ep.Gone {
 		return true
 	}
-	return !ep.awaySince.IsZero() && p.now.Sub(ep.awaySince) >= p.core.waitTime()
+	return !ep.awaySince.IsZero() && p.now.Sub(ep.awaySince) >= p.core.patience(false)
 }
 
 const (
@@ -106,7 +136,7 @@
 
 // settle returns how long ep must be back before it is readmitted.
 func (p *planner) settle(ep *endpointState) time.Duration {
-	if len(ep.returns) < flapping {
+	if len(ep.returns) < flapping || p.core.policy.Strategy != StrategyWeighted {
 		return 0
 	}
 	return min(settleLimit, settleStep*time.Duration(len(ep.returns)-flapping+1))
@@ -147,7 +177,7 @@
 func (p *planner) stuck(a *Assignment) bool {
 	for _, i := range p.lost(a) {
 		ep := p.core.endpoints[a.Members[i].Endpoint]
-		if ep != nil && ep.Fresh && !ep.Leaving || !p.overdue(ep) {
+		if p.core.isBack(a.Members[i].Endpoint) || !p.overdue(ep) {
 			return false
 		}
 	}
--- a/linker/exchange.go
+++ b/linker/exchange.go
@@ -97,10 +97,21 @@
 	case e.offer != nil:
 		s.box.putOffer(*e.offer)
 	case len(e.digest.Reports) > 0:
-		s.box.putDigest(l.cfg.Now(), e.digest)
+		s.box.putDigest(l.cfg.Now(), digestDelay(len(l.current)), e.digest)
 	}
 }
 
+// digestDelay returns how long reports of load may wait with so many sessions. It grows
+// with them, so that the bytes of a node stay bounded; in a large failure domain reports
+// ride on the heartbeats.
+func digestDelay(sessions int) time.Duration {
+	const each = 100 * time.Millisecond
+	if delay := time.Duration(sessions) * each; delay < heartbeatInterval/2 {
+		return delay
+	}
+	return heartbeatInterval
+}
+
 // runSession carries s until it ends.
 func (l *Linker) runSession(s *session) {
 	l.add(s)
@@ -111,15 +122,22 @@
 		attempt:     s.attempt,
 		dialed:      s.dialed,
 	})
+	if !s.closing.Load() {
+		l.carry(s)
+	}
+	s.close()
+	l.remove(s)
+	l.core.Submit(ended{session: s.id})
+}
+
+// carry reads and writes on s until the control stream ends.
+func (l *Linker) carry(s *session) {
 	ctx, cancel := context.WithCancel(l.run)
+	defer cancel()
 	go l.writeControl(ctx, s)
 	go l.writeBulk(ctx, s)
 	go l.acceptStreams(s)
 	l.readControl(s)
-	cancel()
-	s.close()
-	l.remove(s)
-	l.core.Submit(ended{session: s.id})
 }
 
 func (l *Linker) add(s *session) {
@@ -197,7 +215,7 @@
 func (l *Linker) acceptStreams(s *session) {
 	for {
 		stream, err := s.mux.AcceptStream()
-		if err != nil {
+		if err != nil || s.closing.Load() {
 			return
 		}
 		go l.acceptStream(s, stream)
--- a/runner/instance.go
+++ b/runner/instance.go
@@ -33,15 +33,16 @@
 	meter    metric.Meter
 	metrics  http.Handler
 
-	platform   *keeper.Client
-	bundles    *bundler.Store
-	linker     *linker.Linker
-	claimer    *claimer.Claimer
-	dispatcher *dispatcher.Dispatcher
-	prober     *prober.Prober
-	grouper    *grouper.Grouper
-	server     *server.Server
-	admin      http.Handler
+	platform    *keeper.Client
+	bundles     *bundler.Store
+	linker      *linker.Linker
+	credentials *linker.Credentials
+	claimer     *claimer.Claimer
+	dispatcher  *dispatcher.Dispatcher
+	prober      *prober.Prober
+	grouper     *grouper.Grouper
+	server      *server.Server
+	admin       http.Handler
 
 	directory *directory
 	fleet     *fleet
@@ -122,14 +123,15 @@
 // newLinker builds the sessions with other instances.
 func (i *instance) newLinker() error {
 	s := i.settings
-	credentials, err := linker.NewCredentials(linker.CredentialsConfig{
+	var err error
+	i.credentials, err = linker.NewCredentials(linker.CredentialsConfig{
 		Certificate: s.TLS.Certificate, Key: s.TLS.Key, Authorities: s.TLS.Authorities,
 	})
 	if err != nil {
 		return eris.Wrap(err, "settings: tls")
 	}
 	i.linker, err = linker.New(linker.Config{
-		Instance: s.Instance, FailureDomain: s.FailureDomain, Listen: s.Listen.Peers, Credentials: credentials,
+		Instance: s.Instance, FailureDomain: s.FailureDomain, Listen: s.Listen.Peers, Credentials: i.credentials,
 		OnMessage: i.receive, OnPeers: i.peersChanged, Bundle: i.bundles.Document,
 		Serve: func(ctx context.Context, q router.Request, w router.Writer) router.Outcome {
 			return i.dispatcher.Serve(ctx, q, w)
@@ -142,7 +144,8 @@
 // newRequests builds the path of a request.
 func (i *instance) newRequests() {
 	i.dispatcher = dispatcher.New(dispatcher.Config{
-		Instance: i.settings.Instance, Forwarder: i.linker, Claims: claims{i.claimer}, Logger: i.logger,
+		Instance: i.settings.Instance, Forwarder: i.linker, Claims: claims{i.claimer}, Logger: i.logger, Meter: i.meter,
+		OnSuspicion: func(s linker.Suspicion) { i.linker.Broadcast(s) },
 	})
 	i.server = server.New(server.Config{
 		Bundle: i.bundles.Current, Dispatcher: i.dispatcher, Ready: i.ready,
@@ -208,14 +211,22 @@
 	i.prober.SetListings(l)
 }
 
-// peersChanged tells the slices which instances of the own failure domain are in reach.
+// peersChanged tells the slices which instances of the own failure domain are in reach,
+// and how many instances share the client accounts' limits. An instance that is out of
+// reach may still serve, so it keeps its share.
 func (i *instance) peersChanged() {
 	near := []identifier.Instance{i.settings.Instance}
+	all := 1
 	for _, p := range i.linker.Peers() {
-		if p.Reachable && !p.Leaving && p.FailureDomain == i.settings.FailureDomain {
+		if p.Leaving {
+			continue
+		}
+		all++
+		if p.Reachable && p.FailureDomain == i.settings.FailureDomain {
 			near = append(near, p.Instance)
 		}
 	}
+	i.dispatcher.SetInstances(len(near), all)
 	i.prober.SetPeers(near)
 	i.grouper.SetPeers(near)
 }
@@ -232,6 +243,7 @@
 	case linker.LoadSummary:
 		i.dispatcher.SetRemote(from, m)
 	case linker.Suspicion:
+		i.dispatcher.AddSuspicion(m)
 	}
 }
 
