--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"amaranthmill/bundler"
+	"amaranthmill/internal/identifier"
 	"amaranthmill/internal/stepper"
 	"amaranthmill/limiter"
 	"amaranthmill/linker"
@@ -65,6 +66,12 @@
 	d.admit.Submit(limiter.InstancesSet{Count: all})
 }
 
+// SetPart says which part of an account's limit this instance may admit. Until then, and
+// with a part of zero, it is an equal part.
+func (d *Dispatcher) SetPart(account identifier.ClientAccount, part float64) {
+	d.admit.Submit(limiter.PartSet{Account: account, Part: part})
+}
+
 // SetRemote replaces what peer last said of the load that its failure domain can take.
 func (d *Dispatcher) SetRemote(peer linker.Peer, load linker.LoadSummary) {
 	pools := make([]router.RemotePool, len(load.Services))
--- a/limiter/event.go
+++ b/limiter/event.go
@@ -16,7 +16,7 @@
 	Burst             int     // requests saved up; less than 1 means 1
 }
 
-// Event is what a Limiter learns: AccountsSet, InstancesSet, SlotsSet, Arrived, Released or Ticked.
+// Event is what a Limiter learns: AccountsSet, InstancesSet, PartSet, SlotsSet, Arrived, Released or Ticked.
 type Event interface{ event() }
 
 // AccountsSet replaces the client accounts. An account that is not among them has no limit.
@@ -25,6 +25,13 @@
 // InstancesSet says how many instances share the accounts' limits, this one included.
 type InstancesSet struct{ Count int }
 
+// PartSet says which part of an account's limit this instance may admit. Until then it
+// is an equal part. A part that is not above zero goes back to that.
+type PartSet struct {
+	Account identifier.ClientAccount
+	Part    float64
+}
+
 // SlotsSet says how many requests of a pool may be under way at this instance at once.
 type SlotsSet struct {
 	Pool  identifier.Pool
@@ -52,6 +59,7 @@
 
 func (AccountsSet) event()  {}
 func (InstancesSet) event() {}
+func (PartSet) event()      {}
 func (SlotsSet) event()     {}
 func (Arrived) event()      {}
 func (Released) event()     {}
--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -68,6 +68,11 @@
 		l.setAccounts(now, e.Accounts)
 	case InstancesSet:
 		l.instances = max(e.Count, 1)
+	case PartSet:
+		if b := l.accounts[e.Account]; b != nil {
+			b.refill(now, l.instances)
+			b.part = max(e.Part, 0)
+		}
 	case SlotsSet:
 		l.setSlots(now, e)
 	case Arrived:
--- a/limiter/limiter_test.go
+++ b/limiter/limiter_test.go
@@ -48,6 +48,8 @@
 		return limiter.AccountsSet{Accounts: []limiter.Account{limit}}, nil
 	case "instances":
 		return limiter.InstancesSet{Count: ev.Int("count")}, nil
+	case "part":
+		return limiter.PartSet{Account: account, Part: float64(ev.Int("percent")) / 100}, nil
 	case "slots":
 		return limiter.SlotsSet{Pool: pool, Slots: ev.Int("count")}, nil
 	case "request":
