runner, linker: client accounts' limits are divided by announced demand

Before: sharer was measured but not wired. After: announcements go to the instances in reach; an instance that never had one of the others in reach stays with its equal share, since it cannot know what that one admits. Ruled out: passing announcements on, which would multiply them by the sessions of a failure domain.

--- a/linker/convert.go
+++ b/linker/convert.go
@@ -57,6 +57,28 @@
 	return out
 }
 
+func demandToWire(d DemandAnnouncement) *wire.DemandAnnouncement {
+	out := &wire.DemandAnnouncement{Sequence: d.Sequence}
+	for _, a := range d.Demands {
+		out.Demands = append(out.Demands, &wire.AccountDemand{
+			Account:           string(a.Account),
+			RequestsPerSecond: a.RequestsPerSecond,
+		})
+	}
+	return out
+}
+
+func demandFromWire(w *wire.DemandAnnouncement) DemandAnnouncement {
+	out := DemandAnnouncement{Sequence: w.GetSequence()}
+	for _, a := range w.GetDemands() {
+		out.Demands = append(out.Demands, AccountDemand{
+			Account:           identifier.ClientAccount(a.GetAccount()),
+			RequestsPerSecond: a.GetRequestsPerSecond(),
+		})
+	}
+	return out
+}
+
 func headerToWire(h http.Header) []*wire.Header {
 	names := make([]string, 0, len(h))
 	for name := range h {
--- a/linker/exchange.go
+++ b/linker/exchange.go
@@ -28,7 +28,8 @@
 // Broadcast spreads m. A ProbeDigest goes to the instances of the own failure domain. A
 // Suspicion goes to every instance, each of which passes it on once. A LoadSummary goes
 // to the other failure domains if this instance is among those that hold the sessions
-// with them, and to all there. A BundleOffer is announced: each instance that has an
+// with them, and to all there. A DemandAnnouncement goes to every instance in reach and is
+// not passed on. A BundleOffer is announced: each instance that has an
 // older version asks one that has it.
 func (l *Linker) Broadcast(m Message) {
 	if offer, ok := m.(BundleOffer); ok {
@@ -62,6 +63,7 @@
 	relayed *wire.Relayed
 	digest  ProbeDigest
 	offer   *BundleOffer
+	demand  *wire.DemandAnnouncement
 }
 
 // envelope numbers m if instances pass it on.
@@ -75,6 +77,8 @@
 		r := l.numbered()
 		r.Message = &wire.Relayed_Suspicion{Suspicion: suspicionToWire(m)}
 		return envelope{relayed: r}
+	case DemandAnnouncement:
+		return envelope{demand: demandToWire(m)}
 	case LoadSummary:
 		r := l.numbered()
 		r.Message = &wire.Relayed_Load{Load: loadToWire(m)}
@@ -96,6 +100,8 @@
 		s.box.putRelayed(digestDelay(len(l.current)), e.relayed)
 	case e.offer != nil:
 		s.box.putOffer(*e.offer)
+	case e.demand != nil:
+		s.box.putDemand(e.demand)
 	case len(e.digest.Reports) > 0:
 		s.box.putDigest(l.cfg.Now(), digestDelay(len(l.current)), e.digest)
 	}
@@ -300,6 +306,9 @@
 			return err
 		}
 	}
+	for _, d := range frame.GetDemand() {
+		l.cfg.OnMessage(s.peer, demandFromWire(d))
+	}
 	if ask := frame.GetBundleRequest(); ask != nil {
 		l.offer(s, identifier.BundleVersion(ask.GetVersion()))
 	}
--- a/linker/mailbox.go
+++ b/linker/mailbox.go
@@ -12,6 +12,9 @@
 // maxSuspicions bounds the suspicions that wait for one slow peer; the oldest go first.
 const maxSuspicions = 256
 
+// maxDemands bounds the announcements that wait for one slow peer; the oldest go first.
+const maxDemands = 64
+
 // maxReports bounds the reports in one frame, so that it stays below maxControlFrame.
 const maxReports = 1024
 
@@ -27,6 +30,7 @@
 	encoder    digestEncoder
 	loads      map[identifier.FailureDomain]*wire.Relayed
 	suspicions []*wire.Relayed
+	demands    []*wire.DemandAnnouncement
 	request    *wire.BundleRequest
 	leaving    bool
 	retired    bool
@@ -118,6 +122,16 @@
 	}
 }
 
+// putDemand keeps the newest announcements.
+func (m *mailbox) putDemand(d *wire.DemandAnnouncement) {
+	m.put(func() {
+		m.demands = append(m.demands, d)
+		if extra := len(m.demands) - maxDemands; extra > 0 {
+			m.demands = slices.Delete(m.demands, 0, extra)
+		}
+	})
+}
+
 // putOffer keeps the offer of the highest version for the bulk stream.
 func (m *mailbox) putOffer(o BundleOffer) {
 	m.mu.Lock()
@@ -136,13 +150,14 @@
 		Heartbeat:     m.heartbeat,
 		Digest:        m.takeReports(now),
 		Relayed:       m.takeRelayed(),
+		Demand:        m.demands,
 		BundleRequest: m.request,
 		Leaving:       m.leaving,
 		Retired:       m.retired,
 	}
-	empty := frame.Heartbeat == nil && frame.Digest == nil && frame.Relayed == nil &&
+	empty := frame.Heartbeat == nil && frame.Digest == nil && frame.Relayed == nil && frame.Demand == nil &&
 		frame.BundleRequest == nil && !frame.Leaving && !frame.Retired
-	m.heartbeat, m.request, m.leaving, m.retired = nil, nil, false, false
+	m.heartbeat, m.demands, m.request, m.leaving, m.retired = nil, nil, nil, false, false
 	if empty {
 		return nil
 	}
--- a/linker/message.go
+++ b/linker/message.go
@@ -7,7 +7,8 @@
 	"amaranthmill/internal/identifier"
 )
 
-// Message is what one instance tells another: BundleOffer, ProbeDigest, Suspicion or LoadSummary.
+// Message is what one instance tells another: BundleOffer, ProbeDigest, Suspicion,
+// LoadSummary or DemandAnnouncement.
 type Message interface{ message() }
 
 // BundleOffer offers a signed bundle document to a peer that has an older one.
@@ -60,10 +61,24 @@
 	Capacity int // requests that can run at once; zero if nothing is ready
 }
 
-func (BundleOffer) message() {}
-func (ProbeDigest) message() {}
-func (Suspicion) message()   {}
-func (LoadSummary) message() {}
+// DemandAnnouncement says what demand an instance predicts for some client accounts. A
+// lower Sequence than the last from the same instance is old.
+type DemandAnnouncement struct {
+	Sequence uint64
+	Demands  []AccountDemand
+}
+
+// AccountDemand is the predicted demand for one client account at one instance.
+type AccountDemand struct {
+	Account           identifier.ClientAccount
+	RequestsPerSecond float64
+}
+
+func (BundleOffer) message()        {}
+func (ProbeDigest) message()        {}
+func (Suspicion) message()          {}
+func (LoadSummary) message()        {}
+func (DemandAnnouncement) message() {}
 
 // Peer describes another instance as the platform's list or the settings give it.
 type Peer struct {
--- a/runner/instance.go
+++ b/runner/instance.go
@@ -42,6 +42,7 @@
 	prober      *prober.Prober
 	grouper     *grouper.Grouper
 	server      *server.Server
+	shares      *shares
 	admin       http.Handler
 
 	directory *directory
@@ -143,14 +144,16 @@
 
 // newRequests builds the path of a request.
 func (i *instance) newRequests() {
+	s := i.settings
 	i.dispatcher = dispatcher.New(dispatcher.Config{
-		Instance: i.settings.Instance, Forwarder: i.linker, Claims: claims{i.claimer}, Logger: i.logger, Meter: i.meter,
+		Instance: s.Instance, Forwarder: i.linker, Claims: claims{i.claimer}, Logger: i.logger, Meter: i.meter,
 		OnSuspicion: func(s linker.Suspicion) { i.linker.Broadcast(s) },
 	})
+	i.shares = newShares(s.Instance, i.linker, i.dispatcher)
 	i.server = server.New(server.Config{
-		Bundle: i.bundles.Current, Dispatcher: i.dispatcher, Ready: i.ready,
+		Bundle: i.bundles.Current, Dispatcher: observed{i.dispatcher, i.shares}, Ready: i.ready,
 		NewRequest: func() identifier.Request { return identifier.Request(rand.Text()) },
-		BodySize:   i.settings.Limits.BodySize, Logger: i.logger,
+		BodySize:   s.Limits.BodySize, Logger: i.logger,
 	})
 }
 
@@ -200,6 +203,7 @@
 func (i *instance) bundleChanged(b *bundler.Bundle) {
 	i.logger.Info().Uint64("version", uint64(b.Version)).Str("author", b.Author).Msg("bundle in force")
 	i.dispatcher.SetBundle(b)
+	i.shares.setBundle(b)
 	i.grouper.SetBundle(b)
 	version, document := i.bundles.Document()
 	i.linker.Broadcast(linker.BundleOffer{Version: version, Document: document})
@@ -227,6 +231,7 @@
 		}
 	}
 	i.dispatcher.SetInstances(len(near), all)
+	i.shares.setPeers(i.linker.Peers())
 	i.prober.SetPeers(near)
 	i.grouper.SetPeers(near)
 }
@@ -240,6 +245,8 @@
 		}
 	case linker.ProbeDigest:
 		i.prober.AddDigest(from.Instance, m)
+	case linker.DemandAnnouncement:
+		i.shares.receive(from.Instance, m)
 	case linker.LoadSummary:
 		i.dispatcher.SetRemote(from, m)
 	case linker.Suspicion:
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -38,7 +38,7 @@
 	g.Add(served(newHTTP(s.Listen.Administration.String(), i.administration()), nil))
 	for _, actor := range []func(context.Context) error{
 		i.linker.Run, i.bundles.Run, i.prober.Run, i.grouper.Run, i.claimer.Run,
-		i.directory.run, i.records.run, i.reports.run, i.shareSummaries, i.renewCertificates,
+		i.directory.run, i.records.run, i.reports.run, i.shareSummaries, i.renewCertificates, i.shares.run,
 	} {
 		g.Add(until(actor))
 	}
--- /dev/null
+++ b/runner/shares.go
@@ -0,0 +1,173 @@
+package runner
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"amaranthmill/bundler"
+	"amaranthmill/dispatcher"
+	"amaranthmill/internal/identifier"
+	"amaranthmill/internal/stepper"
+	"amaranthmill/linker"
+	"amaranthmill/router"
+	"amaranthmill/sharer"
+)
+
+// shareTick is the time between two ticks of the sharer.
+const shareTick = 250 * time.Millisecond
+
+// shares divides the client accounts' limits with the other instances. Only an instance
+// that was in reach of every other one takes more than its equal share.
+type shares struct {
+	linker     *linker.Linker
+	dispatcher *dispatcher.Dispatcher
+	step       *stepper.Stepper[sharer.Event, sharer.Action]
+
+	mu    sync.Mutex
+	known map[identifier.Instance]reach
+	parts map[identifier.ClientAccount]float64 // as the sharer divided them last
+}
+
+// reach is what is known of one peer.
+type reach struct {
+	now  bool // in reach
+	ever bool
+}
+
+func newShares(self identifier.Instance, l *linker.Linker, d *dispatcher.Dispatcher) *shares {
+	s := &shares{linker: l, dispatcher: d, known: map[identifier.Instance]reach{}, parts: map[identifier.ClientAccount]float64{}}
+	s.step = stepper.New(stepper.Config[sharer.Event, sharer.Action]{
+		Core: sharer.New(sharer.Config{Instance: self}), Handle: s.handle,
+	})
+	return s
+}
+
+// run lets time pass until ctx ends.
+func (s *shares) run(ctx context.Context) error {
+	t := time.NewTicker(shareTick)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-t.C:
+			s.step.Submit(sharer.Ticked{})
+		}
+	}
+}
+
+// setBundle takes the accounts that have a limit.
+func (s *shares) setBundle(b *bundler.Bundle) {
+	var accounts []sharer.Account
+	for _, a := range b.Accounts {
+		if a.RequestsPerSecond > 0 {
+			accounts = append(accounts, sharer.Account{Name: a.Name, RequestsPerSecond: a.RequestsPerSecond})
+		}
+	}
+	s.step.Submit(sharer.AccountsSet{Accounts: accounts})
+}
+
+// setPeers tells the sharer which instances came into reach and which are gone. One that
+// is only out of reach keeps its share.
+func (s *shares) setPeers(peers []linker.PeerStatus) {
+	for _, e := range s.changes(peers) {
+		s.step.Submit(e)
+	}
+	s.apply()
+}
+
+func (s *shares) changes(peers []linker.PeerStatus) []sharer.Event {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []sharer.Event
+	listed := map[identifier.Instance]bool{}
+	for _, p := range peers {
+		if p.Leaving {
+			continue
+		}
+		listed[p.Instance] = true
+		was := s.known[p.Instance]
+		if p.Reachable && !was.now {
+			out = append(out, sharer.PeerSeen{Instance: p.Instance})
+		}
+		s.known[p.Instance] = reach{now: p.Reachable, ever: was.ever || p.Reachable}
+	}
+	for name := range s.known {
+		if !listed[name] {
+			delete(s.known, name)
+			out = append(out, sharer.PeerRemoved{Instance: name})
+		}
+	}
+	return out
+}
+
+// receive takes a peer's announcement.
+func (s *shares) receive(from identifier.Instance, m linker.DemandAnnouncement) {
+	a := sharer.Announcement{Sequence: m.Sequence}
+	for _, d := range m.Demands {
+		a.Demands = append(a.Demands, sharer.Demand(d))
+	}
+	s.step.Submit(sharer.AnnouncementReceived{From: from, Announcement: a})
+}
+
+// handle carries out the sharer's actions.
+func (s *shares) handle(a sharer.Action) {
+	switch a := a.(type) {
+	case sharer.Announce:
+		s.announce(a)
+	case sharer.SetRate:
+		s.mu.Lock()
+		s.parts[a.Account] = a.Part
+		s.mu.Unlock()
+		s.apply()
+	}
+}
+
+// apply gives the dispatcher the parts, or equal parts while there is an instance that
+// was never in reach: what that one admits is not known here.
+func (s *shares) apply() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	complete := s.isComplete()
+	for account, part := range s.parts {
+		if !complete {
+			part = 0
+		}
+		s.dispatcher.SetPart(account, part)
+	}
+}
+
+func (s *shares) announce(a sharer.Announce) {
+	m := linker.DemandAnnouncement{Sequence: a.Announcement.Sequence}
+	for _, d := range a.Announcement.Demands {
+		m.Demands = append(m.Demands, linker.AccountDemand(d))
+	}
+	if a.To == "" {
+		s.linker.Broadcast(m)
+		return
+	}
+	_ = s.linker.Send(a.To, m) // a peer that is gone again is told when it comes back
+}
+
+// isComplete reports whether every other instance was in reach at some time; s.mu is held.
+func (s *shares) isComplete() bool {
+	for _, peer := range s.known {
+		if !peer.ever {
+			return false
+		}
+	}
+	return true
+}
+
+// observed is a dispatcher whose callers' requests the shares count.
+type observed struct {
+	*dispatcher.Dispatcher
+	shares *shares
+}
+
+// Serve counts q for its client account and carries it out.
+func (o observed) Serve(ctx context.Context, q router.Request, w router.Writer) router.Outcome {
+	o.shares.step.Submit(sharer.RequestArrived{Account: q.Account})
+	return o.Dispatcher.Serve(ctx, q, w)
+}
