--- a/claimer/claim.go
+++ b/claimer/claim.go
@@ -28,13 +28,15 @@
 	return decide(cl.call, Granted{Token: cl.record.Token, SendBefore: cl.sendBefore})
 }
 
-// giveUp refuses the call of cl, which was not dispatched. A claim that may stand is removed later.
+// giveUp refuses the call of cl, which was not dispatched. A claim that may stand is removed
+// later; meanwhile another call of this instance may ask for the key, as at any other instance.
 func (c *Core) giveUp(cl *claim) []Action {
 	acts := decide(cl.call, Unavailable{RetryAfter: c.limits.RetryAfter})
 	if !cl.mayExist {
 		c.forget(cl)
 		return acts
 	}
+	c.release(cl)
 	cl.result = NotRun{}
 	cl.phase = phaseBacklog
 	return acts
--- a/claimer/config.go
+++ b/claimer/config.go
@@ -34,7 +34,7 @@
 	RetryAfter   time.Duration // longest wait asked of a caller; default 2 s
 	ForgetAfter  time.Duration // from a claim's closing time until its claimant gives up settling it; default 1 h
 	BodyLimit    int           // bytes of an answer's body that are kept; default 64 KiB
-	Backlog      int           // settlements tried anew at each tick; default 5
+	Backlog      int           // settlements tried anew at each tick; default 10
 	Attempts     int           // conflicts that one call or settlement goes through at once; default 4
 }
 
@@ -76,7 +76,7 @@
 	setDefault(&l.RetryAfter, 2*time.Second)
 	setDefault(&l.ForgetAfter, time.Hour)
 	setDefault(&l.BodyLimit, 64<<10)
-	setDefault(&l.Backlog, 5)
+	setDefault(&l.Backlog, 10)
 	setDefault(&l.Attempts, 4)
 	return l
 }
--- a/claimer/settle.go
+++ b/claimer/settle.go
@@ -94,9 +94,9 @@
 }
 
 // reviewedAbsent goes on after there was no claim to write the result of cl over. A
-// claim whose write may still appear is looked for again until its closing time.
+// claim whose write may still appear is looked for again until its send limit.
 func (c *Core) reviewedAbsent(now time.Time, cl *claim) []Action {
-	if cl.mayExist && now.Before(cl.record.ClosesAt) {
+	if cl.mayExist && now.Before(cl.sendBefore) {
 		cl.phase = phaseBacklog
 		return nil
 	}
