--- a/auditor/read.go
+++ b/auditor/read.go
@@ -19,6 +19,9 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	e, err := t.end(ctx)
+	if err == nil {
+		t.see(e)
+	}
 	return e.page, err
 }
 
--- a/auditor/trail.go
+++ b/auditor/trail.go
@@ -79,6 +79,7 @@
 		if err != nil {
 			return Entry{}, eris.Wrap(cmp.Or(unknown, err), "read the end of the audit trail")
 		}
+		t.see(end)
 		if e, ok := end.find(r.ID); ok {
 			return e, nil
 		}
@@ -153,3 +154,10 @@
 	}
 	return true
 }
+
+// see keeps the newest entry of the trail if the trail still has the one seen before.
+func (t *Trail) see(at end) {
+	if last := at.page.last(); last.Sequence > t.seen.Sequence && t.holdsSeen(at) {
+		t.seen = last
+	}
+}
--- a/auditor/trail_test.go
+++ b/auditor/trail_test.go
@@ -36,6 +36,9 @@
 			return []string{err.Error()}, nil
 		}
 		return []string{fmt.Sprintf("entry %d", e.Sequence)}, nil
+	case "last":
+		p, err := s.trail(ev.Str("at")).Last(s.t.Context())
+		return []string{fmt.Sprintf("page %d", p.Number)}, err
 	case "lose":
 		s.platform.LoseAnswers("audit/", ev.Int("answers"), ev.Bool("effect"))
 	case "down":
--- a/bundler/registrar.go
+++ b/bundler/registrar.go
@@ -58,8 +58,8 @@
 }
 
 // Propose checks a bundle and stores it for sign-off. Proposing the same content again is
-// no error. Its errors are *InvalidError, *ConflictError, *DocumentError, *ConflictError, *ReusedVersionError and those
-// of the platform.
+// no error. Its errors are *InvalidError, *DocumentError, *ConflictError,
+// *ReusedVersionError and those of the platform.
 func (r *Registrar) Propose(ctx context.Context, actor string, content []byte) (*Bundle, error) {
 	b, err := r.Check(ctx, content)
 	if err != nil {
