--- a/cmd/millctl/audit.go
+++ b/cmd/millctl/audit.go
@@ -21,18 +21,11 @@
 
 // Execute carries the command out.
 func (c *auditCommand) Execute([]string) error {
-	client, err := c.app.client()
-	if err != nil {
-		return err
-	}
 	if c.Verify || len(c.Anchor) > 0 {
-		return c.verify(client)
+		return c.verify()
 	}
-	p, err := client.AuditPage(c.app.ctx, c.Page)
-	if err != nil {
-		return err
-	}
-	return c.app.show(p, func() { c.app.printTrail(p) })
+	call := func(client *administrator.Client) (auditor.Page, error) { return client.AuditPage(c.app.ctx, c.Page) }
+	return ask(c.app, call, c.app.printTrail)
 }
 
 // verified is the result of a verification in JSON.
@@ -42,7 +35,11 @@
 	Faults  []auditor.Fault `json:"faults"`
 }
 
-func (c *auditCommand) verify(client *administrator.Client) error {
+func (c *auditCommand) verify() error {
+	client, err := c.app.client()
+	if err != nil {
+		return err
+	}
 	v := &auditor.Verifier{Faults: []auditor.Fault{}}
 	for _, text := range c.Anchor {
 		anchor, err := parseAnchor(text)
--- a/cmd/millctl/bundle.go
+++ b/cmd/millctl/bundle.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 
+	"amaranthmill/administrator"
 	"amaranthmill/bundler"
 	"amaranthmill/internal/identifier"
 )
@@ -100,15 +101,10 @@
 
 // Execute carries the command out.
 func (c *showCommand) Execute([]string) error {
-	client, err := c.app.client()
-	if err != nil {
-		return err
+	call := func(client *administrator.Client) (administrator.Content, error) {
+		return client.Bundle(c.app.ctx, c.Args.Version)
 	}
-	b, err := client.Bundle(c.app.ctx, c.Args.Version)
-	if err != nil {
-		return err
-	}
-	return c.app.show(b, func() { c.app.printf("%s", b.Bytes) })
+	return ask(c.app, call, func(b administrator.Content) { c.app.printf("%s", b.Bytes) })
 }
 
 // listCommand lists bundles.
@@ -116,13 +112,6 @@
 
 // Execute carries the command out.
 func (c *listCommand) Execute([]string) error {
-	client, err := c.app.client()
-	if err != nil {
-		return err
-	}
-	l, err := client.Bundles(c.app.ctx)
-	if err != nil {
-		return err
-	}
-	return c.app.show(l, func() { c.app.printListing(l) })
+	call := func(client *administrator.Client) (administrator.Listing, error) { return client.Bundles(c.app.ctx) }
+	return ask(c.app, call, c.app.printListing)
 }
--- a/cmd/millctl/fleet.go
+++ b/cmd/millctl/fleet.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"strings"
+
+	"amaranthmill/administrator"
 )
 
 func fleetCommands(a *app) []command {
@@ -18,29 +20,24 @@
 
 // Execute carries the command out.
 func (c *groupsCommand) Execute([]string) error {
-	client, err := c.app.client()
-	if err != nil {
-		return err
-	}
-	g, err := client.Groups(c.app.ctx)
-	if err != nil {
-		return err
-	}
-	return c.app.show(g, func() {
-		var rows []string
-		for _, g := range g.Groups {
-			state := "ready"
-			if !g.Ready {
-				state = "not ready: " + g.Reason
-			}
-			members := make([]string, len(g.Members))
-			for i, m := range g.Members {
-				members[i] = string(m)
-			}
-			rows = append(rows, fmt.Sprintf("%s\t%s\t%s\t%s\t%d\t%d\t%s\t%s", g.Group, g.Pool, g.FailureDomain, g.FabricDomain, g.Epoch, g.BundleVersion, strings.Join(members, ","), state))
+	call := func(client *administrator.Client) (administrator.Groups, error) { return client.Groups(c.app.ctx) }
+	return ask(c.app, call, c.app.printGroups)
+}
+
+func (a *app) printGroups(groups administrator.Groups) {
+	var rows []string
+	for _, g := range groups.Groups {
+		state := "ready"
+		if !g.Ready {
+			state = "not ready: " + g.Reason
+		}
+		members := make([]string, len(g.Members))
+		for i, m := range g.Members {
+			members[i] = string(m)
 		}
-		c.app.table("GROUP\tPOOL\tFAILURE DOMAIN\tFABRIC DOMAIN\tEPOCH\tVERSION\tMEMBERS\tSTATE", rows)
-	})
+		rows = append(rows, fmt.Sprintf("%s\t%s\t%s\t%s\t%d\t%d\t%s\t%s", g.Group, g.Pool, g.FailureDomain, g.FabricDomain, g.Epoch, g.BundleVersion, strings.Join(members, ","), state))
+	}
+	a.table("GROUP\tPOOL\tFAILURE DOMAIN\tFABRIC DOMAIN\tEPOCH\tVERSION\tMEMBERS\tSTATE", rows)
 }
 
 // instancesCommand shows the instances.
@@ -48,21 +45,16 @@
 
 // Execute carries the command out.
 func (c *instancesCommand) Execute([]string) error {
-	client, err := c.app.client()
-	if err != nil {
-		return err
-	}
-	census, err := client.Census(c.app.ctx)
-	if err != nil {
-		return err
+	call := func(client *administrator.Client) (administrator.Census, error) { return client.Census(c.app.ctx) }
+	return ask(c.app, call, c.app.printCensus)
+}
+
+func (a *app) printCensus(census administrator.Census) {
+	a.printInstances(census.Instances)
+	var rows []string
+	for _, e := range census.Endpoints {
+		rows = append(rows, fmt.Sprintf("%s\t%s\t%s\t%s\t%s\t%s\t%s\t%d of %d", e.Endpoint, e.Kind, e.FailureDomain, e.FabricDomain, e.Address, e.State, e.Group, e.InFlight, e.Capacity))
 	}
-	return c.app.show(census, func() {
-		c.app.printInstances(census.Instances)
-		var rows []string
-		for _, e := range census.Endpoints {
-			rows = append(rows, fmt.Sprintf("%s\t%s\t%s\t%s\t%s\t%s\t%s\t%d of %d", e.Endpoint, e.Kind, e.FailureDomain, e.FabricDomain, e.Address, e.State, e.Group, e.InFlight, e.Capacity))
-		}
-		c.app.printf("\n")
-		c.app.table("ENDPOINT\tKIND\tFAILURE DOMAIN\tFABRIC DOMAIN\tADDRESS\tSTATE\tGROUP\tIN FLIGHT", rows)
-	})
+	a.printf("\n")
+	a.table("ENDPOINT\tKIND\tFAILURE DOMAIN\tFABRIC DOMAIN\tADDRESS\tSTATE\tGROUP\tIN FLIGHT", rows)
 }
--- a/cmd/millctl/output.go
+++ b/cmd/millctl/output.go
@@ -39,6 +39,19 @@
 	return enc.Encode(v)
 }
 
+// ask makes one call of the API and shows its result, which text writes for people.
+func ask[T any](a *app, call func(*administrator.Client) (T, error), text func(T)) error {
+	client, err := a.client()
+	if err != nil {
+		return err
+	}
+	result, err := call(client)
+	if err != nil {
+		return err
+	}
+	return a.show(result, func() { text(result) })
+}
+
 func (a *app) printf(format string, args ...any) {
 	fmt.Fprintf(a.stdout, format, args...)
 }
