--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"flag"
 	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"os"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -19,6 +21,12 @@
 	"amaranthmill/router"
 )
 
+// TestMain fixes the seed of property tests; -rapid.seed overrides it.
+func TestMain(m *testing.M) {
+	_ = flag.Set("rapid.seed", "20260105")
+	os.Exit(m.Run())
+}
+
 // recorder is a Writer that holds what a caller got.
 type recorder struct {
 	status int
--- a/dispatcher/sink.go
+++ b/dispatcher/sink.go
@@ -1,21 +1,13 @@
 package dispatcher
 
 import (
-	"bytes"
-	"encoding/json"
 	"errors"
 	"net/http"
 	"strings"
-	"unicode/utf8"
 
 	"amaranthmill/router"
 )
 
-var (
-	dataField = []byte("data:")
-	endMark   = []byte("[DONE]")
-)
-
 // callerError wraps an error of the caller's Writer.
 type callerError struct{ err error }
 
@@ -44,6 +36,7 @@
 	started  bool
 	streams  bool // the answer is a stream of server-sent events
 	fixed    bool // parts went out that no position counts
+	chunk    chunk
 }
 
 // begin starts an attempt that resumes at a position.
@@ -73,7 +66,7 @@
 // event passes one server-sent event on, its final blank line included, unless the
 // caller has it already.
 func (s *sink) event(event []byte) error {
-	part, err := parseEvent(event)
+	part, err := s.chunk.parse(event)
 	if err != nil {
 		return err
 	}
@@ -111,60 +104,3 @@
 	}
 	return nil
 }
-
-// part is what one event means for the answer.
-type part struct {
-	length  int  // content characters
-	end     bool // the end mark
-	opening bool // names the role only, as the first event of each attempt does
-	fixed   bool // has a part that no position counts, such as a tool call
-}
-
-// chunk has the fields of a streamed part of an answer that the position depends on.
-type chunk struct {
-	Error   json.RawMessage `json:"error"`
-	Choices []struct {
-		Delta struct {
-			Role      string          `json:"role"`
-			Content   string          `json:"content"`
-			ToolCalls json.RawMessage `json:"tool_calls"`
-		} `json:"delta"`
-	} `json:"choices"`
-}
-
-// parseEvent returns what an event means. It returns errEngine for an error of the engine.
-func parseEvent(event []byte) (part, error) {
-	data := eventData(event)
-	if len(data) == 0 {
-		return part{}, nil
-	}
-	if bytes.Equal(data, endMark) {
-		return part{end: true}, nil
-	}
-	var c chunk
-	if err := json.Unmarshal(data, &c); err != nil {
-		return part{fixed: true}, nil
-	}
-	if len(c.Error) > 0 {
-		return part{}, errEngine
-	}
-	if len(c.Choices) == 0 {
-		return part{}, nil
-	}
-	delta := &c.Choices[0].Delta
-	return part{
-		length:  utf8.RuneCountInString(delta.Content),
-		opening: delta.Role != "" && delta.Content == "" && len(delta.ToolCalls) == 0,
-		fixed:   len(delta.ToolCalls) > 0 || len(c.Choices) > 1,
-	}, nil
-}
-
-// eventData returns the text of the data field of event.
-func eventData(event []byte) []byte {
-	for line := range bytes.Lines(event) {
-		if data, ok := bytes.CutPrefix(line, dataField); ok {
-			return bytes.TrimSpace(data)
-		}
-	}
-	return nil
-}
--- a/limiter/pool.go
+++ b/limiter/pool.go
@@ -15,7 +15,8 @@
 const (
 	holdWeight     = 0.05             // of one measurement in the mean time of a request and its deviation
 	holdDeviations = 2                // beyond the mean that a request must have left when it starts
-	rateWindow     = 10 * time.Second // over which arrivals are averaged
+	rateWindow     = 20 * time.Second // over which arrivals are averaged
+	minRateAge     = 5 * time.Second  // over which the first arrivals are averaged
 	maxRetryAfter  = 30 * time.Second
 )
 
@@ -85,15 +86,16 @@
 // rate is the decaying mean rate of the arrivals of one priority.
 type rate struct {
 	priority  int
-	perSecond float64
+	perSecond float64 // as if there had been no arrival before began
 	at        time.Time
+	began     time.Time
 }
 
 // count counts an arrival.
 func (p *pool) count(now time.Time, priority int) {
 	i := slices.IndexFunc(p.rates, func(r rate) bool { return r.priority == priority })
 	if i < 0 {
-		p.rates = append(p.rates, rate{priority: priority, at: now})
+		p.rates = append(p.rates, rate{priority: priority, at: now, began: now})
 		i = len(p.rates) - 1
 	}
 	r := &p.rates[i]
@@ -105,13 +107,19 @@
 	return r.perSecond * math.Exp(-now.Sub(r.at).Seconds()/rateWindow.Seconds())
 }
 
+// estimate returns the mean rate over the window, or since the first arrival if that is shorter.
+func (r *rate) estimate(now time.Time) float64 {
+	age := max(now.Sub(r.began), minRateAge).Seconds()
+	return r.decayed(now) / (1 - math.Exp(-age/rateWindow.Seconds()))
+}
+
 // shareBelow returns the part of the slots that requests of higher priorities, as they
 // arrive now, leave to a priority: at least the share of its turns.
 func (p *pool) shareBelow(now time.Time, priority, floorEvery int) float64 {
 	taken := 0.0
 	for i := range p.rates {
 		if p.rates[i].priority > priority {
-			taken += p.rates[i].decayed(now) * p.hold.Seconds() / float64(max(p.slots, 1))
+			taken += p.rates[i].estimate(now) * p.hold.Seconds() / float64(max(p.slots, 1))
 		}
 	}
 	return max(1-taken, 1/float64(floorEvery))
--- a/standin/experiment/overload/run.go
+++ b/standin/experiment/overload/run.go
@@ -130,7 +130,9 @@
 // refuse turns a try away; its caller tries again after the time told, or a little later.
 func (w *world) refuse(j *job, retryAfter time.Duration) {
 	j.over = true
-	w.refusals = append(w.refusals, w.Now.Sub(j.came))
+	if since(j.came) >= warmUp {
+		w.refusals = append(w.refusals, w.Now.Sub(j.came))
+	}
 	w.again(j.request, time.Duration((1+w.rng.Float64()/2)*float64(retryAfter)))
 }
 
