--- a/grouper/core.go
+++ b/grouper/core.go
@@ -46,7 +46,7 @@
 	modelRun     identifier.ProcessStart // the process that accepted that
 	fence        uint64                  // of the last order to leave its group that it accepted
 	fencedRun    identifier.ProcessStart // the process that accepted it
-	ordered      time.Time               // until when its last order may still take effect
+	orderedUntil time.Time               // until when its last order may still take effect
 }
 
 // NewCore returns a Core with policy; its zero fields take their defaults.
--- a/grouper/order.go
+++ b/grouper/order.go
@@ -17,7 +17,7 @@
 	loading := c.loading(now, r.Record.FabricDomain)
 	for _, t := range c.tasks(r) {
 		o, ok := c.order(t.ep, t.a, r)
-		if !ok || now.Before(t.ep.ordered) || o.Kind == OrderAssign && c.isLoading(now, t.ep, o.Group.model()) {
+		if !ok || now.Before(t.ep.orderedUntil) || o.Kind == OrderAssign && c.isLoading(now, t.ep, o.Group.model()) {
 			continue
 		}
 		if o.Kind != OrderRelease && !t.ep.keeps(&o.Group) {
@@ -27,7 +27,7 @@
 			loading++
 		}
 		o.Deadline = now.Add(c.policy.OrderLife)
-		t.ep.ordered = o.Deadline
+		t.ep.orderedUntil = o.Deadline
 		out = append(out, Send{Order: o})
 	}
 	return out
--- a/grouper/succession.go
+++ b/grouper/succession.go
@@ -105,12 +105,12 @@
 
 // send orders ep to join s, unless an order to it may still be under way.
 func (c *Core) send(now time.Time, r *recordState, ep *endpointState, s *Assignment) []Action {
-	if now.Before(ep.ordered) {
+	if now.Before(ep.orderedUntil) {
 		return nil
 	}
-	ep.ordered = now.Add(c.policy.OrderLife)
+	ep.orderedUntil = now.Add(c.policy.OrderLife)
 	return []Action{Send{Order: Order{
-		Endpoint: ep.Endpoint, Address: ep.Address, Kind: OrderAssign, Fence: r.Revision, Deadline: ep.ordered, Group: *s,
+		Endpoint: ep.Endpoint, Address: ep.Address, Kind: OrderAssign, Fence: r.Revision, Deadline: ep.orderedUntil, Group: *s,
 	}}}
 }
 
