--- a/claimer/lease.go
+++ b/claimer/lease.go
@@ -23,6 +23,7 @@
 		return nil
 	}
 	c.granting = true
+	c.lease = ""
 	c.leaseFrom = now
 	return []Action{GrantLease{TTL: c.limits.leaseTTL()}}
 }
