--- a/standin/experiment/limits/run.go
+++ b/standin/experiment/limits/run.go
@@ -105,9 +105,7 @@
 			in.buckets = append(in.buckets, full(a.RequestsPerSecond*part, max(a.RequestsPerSecond*burst.Seconds()*part, 1)))
 		}
 		if p.settings != nil {
-			cfg := *p.settings
-			cfg.Instance = in.name
-			in.core = sharer.New(cfg)
+			in.core = sharer.NewCore(in.name, *p.settings)
 		}
 		f.instances = append(f.instances, in)
 	}
