--- a/linker/exchange.go
+++ b/linker/exchange.go
@@ -28,7 +28,8 @@
 // Broadcast spreads m. A ProbeDigest goes to the instances of the own failure domain. A
 // Suspicion goes to every instance, each of which passes it on once. A LoadSummary goes
 // to the other failure domains if this instance is among those that hold the sessions
-// with them, and to all there. A BundleOffer is announced: each instance that has an
+// with them, and to all there. A DemandAnnouncement goes to every instance in reach and is
+// not passed on. A BundleOffer is announced: each instance that has an
 // older version asks one that has it.
 func (l *Linker) Broadcast(m Message) {
 	if offer, ok := m.(BundleOffer); ok {
@@ -62,6 +63,7 @@
 	relayed *wire.Relayed
 	digest  ProbeDigest
 	offer   *BundleOffer
+	demand  *wire.DemandAnnouncement
 }
 
 // envelope numbers m if instances pass it on.
@@ -75,6 +77,8 @@
 		r := l.numbered()
 		r.Message = &wire.Relayed_Suspicion{Suspicion: suspicionToWire(m)}
 		return envelope{relayed: r}
+	case DemandAnnouncement:
+		return envelope{demand: demandToWire(m)}
 	case LoadSummary:
 		r := l.numbered()
 		r.Message = &wire.Relayed_Load{Load: loadToWire(m)}
@@ -93,14 +97,27 @@
 func (l *Linker) post(s *session, e envelope) {
 	switch {
 	case e.relayed != nil:
-		s.box.putRelayed(e.relayed)
+		s.box.putRelayed(digestDelay(len(l.current)), e.relayed)
 	case e.offer != nil:
 		s.box.putOffer(*e.offer)
+	case e.demand != nil:
+		s.box.putDemand(e.demand)
 	case len(e.digest.Reports) > 0:
-		s.box.putDigest(l.cfg.Now(), e.digest)
+		s.box.putDigest(l.cfg.Now(), digestDelay(len(l.current)), e.digest)
 	}
 }
 
+// digestDelay returns how long reports and summaries of load may wait with so many sessions. It grows
+// with them, so that the bytes of a node stay bounded; in a large failure domain reports
+// ride on the heartbeats.
+func digestDelay(sessions int) time.Duration {
+	const each = 100 * time.Millisecond
+	if delay := time.Duration(sessions) * each; delay < heartbeatInterval/2 {
+		return delay
+	}
+	return heartbeatInterval
+}
+
 // runSession carries s until it ends.
 func (l *Linker) runSession(s *session) {
 	l.add(s)
@@ -289,6 +306,9 @@
 			return err
 		}
 	}
+	for _, d := range frame.GetDemand() {
+		l.cfg.OnMessage(s.peer, demandFromWire(d))
+	}
 	if ask := frame.GetBundleRequest(); ask != nil {
 		l.offer(s, identifier.BundleVersion(ask.GetVersion()))
 	}
@@ -348,7 +368,7 @@
 			continue
 		}
 		if to != s {
-			to.box.putRelayed(r)
+			to.box.putRelayed(digestDelay(len(l.current)), r)
 		}
 	}
 	return from, true
--- a/linker/mailbox.go
+++ b/linker/mailbox.go
@@ -12,6 +12,9 @@
 // maxSuspicions bounds the suspicions that wait for one slow peer; the oldest go first.
 const maxSuspicions = 256
 
+// maxDemands bounds the announcements that wait for one slow peer; the oldest go first.
+const maxDemands = 64
+
 // maxReports bounds the reports in one frame, so that it stays below maxControlFrame.
 const maxReports = 1024
 
@@ -27,9 +30,11 @@
 	encoder    digestEncoder
 	loads      map[identifier.FailureDomain]*wire.Relayed
 	suspicions []*wire.Relayed
+	demands    []*wire.DemandAnnouncement
 	request    *wire.BundleRequest
 	leaving    bool
 	retired    bool
+	timed      bool // a timer will wake the writer
 	offer      *BundleOffer
 }
 
@@ -65,10 +70,11 @@
 func (m *mailbox) putRetired() { m.put(func() { m.retired = true }) }
 
 // putDigest keeps the newest report of each endpoint. Reports that show only another load
-// wait for the next heartbeat, others leave at once.
-func (m *mailbox) putDigest(now time.Time, d ProbeDigest) {
+// wait up to delay for others or for the next heartbeat, the rest leave at once.
+func (m *mailbox) putDigest(now time.Time, delay time.Duration, d ProbeDigest) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.wakeAfter(delay)
 	for _, r := range d.Reports {
 		m.reports[r.Endpoint] = waitingReport{ProbeReport: r, since: now}
 		if m.encoder.isUrgent(r) {
@@ -77,14 +83,33 @@
 	}
 }
 
-func (m *mailbox) putRelayed(r *wire.Relayed) {
-	m.put(func() {
-		if load := r.GetLoad(); load != nil {
-			m.loads[identifier.FailureDomain(load.GetFailureDomain())] = r
-			return
-		}
-		m.putSuspicion(r)
-	})
+// wakeAfter wakes the writer after delay, or leaves that to the next heartbeat.
+func (m *mailbox) wakeAfter(delay time.Duration) {
+	if !m.timed && delay < heartbeatInterval {
+		m.timed = true
+		time.AfterFunc(delay, m.wakeTimed)
+	}
+}
+
+func (m *mailbox) wakeTimed() {
+	m.mu.Lock()
+	m.timed = false
+	m.mu.Unlock()
+	signal(m.ready)
+}
+
+// putRelayed keeps the newest summary of each failure domain, which waits like a digest,
+// and the suspicions, which leave at once.
+func (m *mailbox) putRelayed(delay time.Duration, r *wire.Relayed) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if load := r.GetLoad(); load != nil {
+		m.loads[identifier.FailureDomain(load.GetFailureDomain())] = r
+		m.wakeAfter(delay)
+		return
+	}
+	m.putSuspicion(r)
+	signal(m.ready)
 }
 
 func (m *mailbox) putSuspicion(r *wire.Relayed) {
@@ -97,6 +122,16 @@
 	}
 }
 
+// putDemand keeps the newest announcements.
+func (m *mailbox) putDemand(d *wire.DemandAnnouncement) {
+	m.put(func() {
+		m.demands = append(m.demands, d)
+		if extra := len(m.demands) - maxDemands; extra > 0 {
+			m.demands = slices.Delete(m.demands, 0, extra)
+		}
+	})
+}
+
 // putOffer keeps the offer of the highest version for the bulk stream.
 func (m *mailbox) putOffer(o BundleOffer) {
 	m.mu.Lock()
@@ -115,13 +150,14 @@
 		Heartbeat:     m.heartbeat,
 		Digest:        m.takeReports(now),
 		Relayed:       m.takeRelayed(),
+		Demand:        m.demands,
 		BundleRequest: m.request,
 		Leaving:       m.leaving,
 		Retired:       m.retired,
 	}
-	empty := frame.Heartbeat == nil && frame.Digest == nil && frame.Relayed == nil &&
+	empty := frame.Heartbeat == nil && frame.Digest == nil && frame.Relayed == nil && frame.Demand == nil &&
 		frame.BundleRequest == nil && !frame.Leaving && !frame.Retired
-	m.heartbeat, m.request, m.leaving, m.retired = nil, nil, false, false
+	m.heartbeat, m.demands, m.request, m.leaving, m.retired = nil, nil, nil, false, false
 	if empty {
 		return nil
 	}
