--- a/sharer/config.go
+++ b/sharer/config.go
@@ -6,18 +6,10 @@
 	"amaranthmill/internal/identifier"
 )
 
-// Config configures a Sharer. Instance, Announce and SetRate are required. The functions
-// must not block and must not call the Sharer.
+// Config configures a Core. Instance is required; every other zero value means the default named.
 type Config struct {
 	Instance identifier.Instance
-	Settings Settings
-	Announce func(Announce)
-	SetRate  func(SetRate)
-	Now      func() time.Time // default time.Now
-}
 
-// Settings are what a Core decides by. Each zero value means the default named.
-type Settings struct {
 	// Divergence is the time of an account's whole limit by which the demand of all instances
 	// together may differ from what they announced; default 1 s.
 	Divergence time.Duration
@@ -34,15 +26,15 @@
 	Refresh time.Duration
 }
 
-// withDefaults returns s with its zero values replaced.
-func (s Settings) withDefaults() Settings {
-	setDefault(&s.Divergence, time.Second)
-	setDefault(&s.Least, 4)
-	setDefault(&s.EqualPart, 0.1)
-	setDefault(&s.Smoothing, time.Second)
-	setDefault(&s.Pause, 250*time.Millisecond)
-	setDefault(&s.Refresh, time.Minute)
-	return s
+// withDefaults returns cfg with its zero values replaced.
+func withDefaults(cfg Config) Config {
+	setDefault(&cfg.Divergence, time.Second)
+	setDefault(&cfg.Least, 4)
+	setDefault(&cfg.EqualPart, 0.1)
+	setDefault(&cfg.Smoothing, time.Second)
+	setDefault(&cfg.Pause, 250*time.Millisecond)
+	setDefault(&cfg.Refresh, time.Minute)
+	return cfg
 }
 
 // setDefault sets *v to def if it is zero.
--- a/sharer/core.go
+++ b/sharer/core.go
@@ -10,8 +10,7 @@
 
 // Core divides the limits for one instance. It is deterministic and not safe for concurrent use.
 type Core struct {
-	self      identifier.Instance
-	settings  Settings
+	cfg       Config
 	accounts  []*account                     // by name
 	members   []identifier.Instance          // this instance and its peers, by name
 	sequences map[identifier.Instance]uint64 // of the last announcement from each peer
@@ -21,12 +20,11 @@
 	refreshAt time.Time // of the next one in any case
 }
 
-// NewCore returns a Core of the given instance that knows no account and no peer.
-func NewCore(self identifier.Instance, settings Settings) *Core {
+// New returns a Core for cfg that knows no account and no peer.
+func New(cfg Config) *Core {
 	return &Core{
-		self:      self,
-		settings:  settings.withDefaults(),
-		members:   []identifier.Instance{self},
+		cfg:       withDefaults(cfg),
+		members:   []identifier.Instance{cfg.Instance},
 		sequences: map[identifier.Instance]uint64{},
 	}
 }
@@ -87,7 +85,7 @@
 	c.sequence++
 	an := Announcement{Sequence: c.sequence}
 	for _, a := range c.accounts {
-		an.Demands = append(an.Demands, Demand{Account: a.name, RequestsPerSecond: a.announced[c.self]})
+		an.Demands = append(an.Demands, Demand{Account: a.name, RequestsPerSecond: a.announced[c.cfg.Instance]})
 	}
 	return append(acts, Announce{To: peer, Announcement: an})
 }
@@ -95,7 +93,7 @@
 // removePeer forgets a peer and divides its share.
 func (c *Core) removePeer(peer identifier.Instance) []Action {
 	i, ok := slices.BinarySearch(c.members, peer)
-	if !ok || peer == c.self {
+	if !ok || peer == c.cfg.Instance {
 		return nil
 	}
 	c.members = slices.Delete(c.members, i, i+1)
@@ -126,13 +124,13 @@
 	first := c.tickedAt.IsZero()
 	c.tickedAt = now
 	if first {
-		c.refreshAt = now.Add(c.settings.Refresh)
+		c.refreshAt = now.Add(c.cfg.Refresh)
 		return nil
 	}
 	for _, a := range c.accounts {
-		a.predict(elapsed, c.settings.Smoothing)
+		a.predict(elapsed, c.cfg.Smoothing)
 	}
-	if now.Sub(c.sentAt) < c.settings.Pause {
+	if now.Sub(c.sentAt) < c.cfg.Pause {
 		return nil
 	}
 	return c.announce(now)
@@ -147,12 +145,12 @@
 	}
 	var demands []Demand
 	for _, a := range c.accounts {
-		if refresh || a.diverges(now, c.self, c.bound(a)/2) {
-			demands = append(demands, a.announce(now, c.self))
+		if refresh || a.diverges(now, c.cfg.Instance, c.bound(a)/2) {
+			demands = append(demands, a.announce(now, c.cfg.Instance))
 		}
 	}
 	if refresh {
-		c.refreshAt = now.Add(c.settings.Refresh)
+		c.refreshAt = now.Add(c.cfg.Refresh)
 	}
 	c.sequence++
 	c.sentAt = now
@@ -162,21 +160,21 @@
 // anyDiverges reports whether an account diverges by its bound.
 func (c *Core) anyDiverges(now time.Time) bool {
 	return slices.ContainsFunc(c.accounts, func(a *account) bool {
-		return a.diverges(now, c.self, c.bound(a))
+		return a.diverges(now, c.cfg.Instance, c.bound(a))
 	})
 }
 
 // bound returns the requests by which the demand for a may differ from the announced one
 // here: an equal part of the bound for all instances.
 func (c *Core) bound(a *account) float64 {
-	return max(a.limit*c.settings.Divergence.Seconds()/float64(len(c.members)), c.settings.Least)
+	return max(a.limit*c.cfg.Divergence.Seconds()/float64(len(c.members)), c.cfg.Least)
 }
 
 // rates gives the limiter the rates that changed.
 func (c *Core) rates() []Action {
 	var acts []Action
 	for _, a := range c.accounts {
-		part := a.share(c.self, c.members, c.settings.EqualPart)
+		part := a.share(c.cfg.Instance, c.members, c.cfg.EqualPart)
 		if rate := part * a.limit; rate != a.rate {
 			a.rate = rate
 			acts = append(acts, SetRate{Account: a.name, RequestsPerSecond: rate, Part: part})
--- a/sharer/doc.go
+++ b/sharer/doc.go
@@ -16,6 +16,5 @@
 // An instance that is out of reach keeps the share of its last announcement until it is removed.
 // While a network partition lasts, each side's part of the limit grows only as far as its own demand does.
 //
-// Core is a deterministic state machine and Sharer the process around it, which hands announcements to
-// the links and rates to the limiter.
+// Core is a deterministic state machine; its process wires announcements to peers and rates to the limiter.
 package sharer
--- a/standin/experiment/limits/run.go
+++ b/standin/experiment/limits/run.go
@@ -105,7 +105,9 @@
 			in.buckets = append(in.buckets, full(a.RequestsPerSecond*part, max(a.RequestsPerSecond*burst.Seconds()*part, 1)))
 		}
 		if p.settings != nil {
-			in.core = sharer.NewCore(in.name, *p.settings)
+			cfg := *p.settings
+			cfg.Instance = in.name
+			in.core = sharer.New(cfg)
 		}
 		f.instances = append(f.instances, in)
 	}
