sharer: a peer whose process was replaced unseen is heard at once

Fault found by reading; TestRestartedPeerIsHeard seen failing first: a new process counted its announcements from one, and peers that had not seen the loss took them for old until the count had caught up. The count now follows the milliseconds since 1970.

--- a/sharer/core.go
+++ b/sharer/core.go
@@ -38,7 +38,7 @@
 		c.arrive(e.Account)
 		return nil
 	case PeerSeen:
-		return c.addPeer(e.Instance)
+		return c.addPeer(now, e.Instance)
 	case PeerRemoved:
 		return c.removePeer(e.Instance)
 	case AnnouncementReceived:
@@ -74,16 +74,14 @@
 	}
 }
 
-// addPeer takes a peer in, and tells it the own announcements. A peer that comes again may be
-// a new process, which counts its announcements from the start.
-func (c *Core) addPeer(peer identifier.Instance) []Action {
+// addPeer takes a peer in, and tells it the own announcements.
+func (c *Core) addPeer(now time.Time, peer identifier.Instance) []Action {
 	if i, ok := slices.BinarySearch(c.members, peer); !ok {
 		c.members = slices.Insert(c.members, i, peer)
 	}
 	acts := c.rates()
-	c.sequences[peer] = 0
-	c.sequence++
-	an := Announcement{Sequence: c.sequence}
+	c.sequences[peer] = 0 // its clock may have been set back meanwhile
+	an := Announcement{Sequence: c.next(now)}
 	for _, a := range c.accounts {
 		an.Demands = append(an.Demands, Demand{Account: a.name, RequestsPerSecond: a.announced[c.cfg.Instance]})
 	}
@@ -152,9 +150,15 @@
 	if refresh {
 		c.refreshAt = now.Add(c.cfg.Refresh)
 	}
-	c.sequence++
 	c.sentAt = now
-	return append(c.rates(), Announce{Announcement: Announcement{Sequence: c.sequence, Demands: demands}})
+	return append(c.rates(), Announce{Announcement: Announcement{Sequence: c.next(now), Demands: demands}})
+}
+
+// next returns the sequence of a new announcement. It follows the milliseconds since 1970, so
+// that a new process of this instance goes on above the one before.
+func (c *Core) next(now time.Time) uint64 {
+	c.sequence = max(c.sequence+1, uint64(now.UnixMilli()))
+	return c.sequence
 }
 
 // anyDiverges reports whether an account diverges by its bound.
--- a/sharer/session_test.go
+++ b/sharer/session_test.go
@@ -6,6 +6,8 @@
 	"testing"
 	"time"
 
+	"github.com/matryer/is"
+
 	"amaranthmill/internal/identifier"
 	"amaranthmill/internal/scripter"
 	"amaranthmill/sharer"
@@ -59,7 +61,7 @@
 		for _, d := range a.Announcement.Demands {
 			demands = append(demands, fmt.Sprintf("%s:%.2f", d.Account, d.RequestsPerSecond))
 		}
-		return fmt.Sprintf("announce to=%s sequence=%d %s", a.To, a.Announcement.Sequence, strings.Join(demands, ","))
+		return fmt.Sprintf("announce to=%s sequence=%d %s", a.To, int64(a.Announcement.Sequence)-scripter.Start.UnixMilli(), strings.Join(demands, ","))
 	}
 	return fmt.Sprintf("%T", a)
 }
@@ -69,3 +71,30 @@
 		return session{sharer.New(sharer.Config{Instance: "own"})}
 	})
 }
+
+// TestRestartedPeerIsHeard replaces a peer's process between two announcements, unseen by the receiver.
+func TestRestartedPeerIsHeard(t *testing.T) {
+	is := is.New(t)
+	own := sharer.New(sharer.Config{Instance: "own"})
+	set := sharer.AccountsSet{Accounts: []sharer.Account{{Name: "post", RequestsPerSecond: 40}}}
+	own.Step(scripter.Start, set)
+	own.Step(scripter.Start, sharer.PeerSeen{Instance: "a"})
+	for life := range 2 {
+		from := scripter.Start.Add(time.Duration(life) * time.Minute)
+		peer := sharer.New(sharer.Config{Instance: "a"})
+		peer.Step(from, set)
+		peer.Step(from, sharer.Ticked{})
+		heard := 0
+		for second := range 3 - 2*life { // the first life announces more often than the second
+			for range 100 {
+				peer.Step(from, sharer.RequestArrived{Account: "post"})
+			}
+			for _, a := range peer.Step(from.Add(time.Duration(second+1)*time.Second), sharer.Ticked{}) {
+				if an, ok := a.(sharer.Announce); ok {
+					heard += len(own.Step(from, sharer.AnnouncementReceived{From: "a", Announcement: an.Announcement}))
+				}
+			}
+		}
+		is.True(heard > 0) // the share here changes by the peer's announcements
+	}
+}
