claimer: a write of unknown outcome is not taken for one with a lapsed lease

Fault found by reading; TestUnknownCreateIsReadBack seen failing first: where the keeper's read-back found no key, the cause of its UnknownError is a NotFoundError, which the claimer took for a lapsed lease, so the call was refused and its claim stayed open until it closed as unknown.

--- a/claimer/claimer_test.go
+++ b/claimer/claimer_test.go
@@ -185,3 +185,19 @@
 	is.True(!g.MaySend(now.Add(time.Second)))
 	is.True(!g.MaySend(now.Add(time.Second).Round(0))) // a wall clock that went on while the monotonic one stood
 }
+
+// doubtful is a store whose creates take effect and then seem to have found nothing to read back.
+type doubtful struct{ *store }
+
+func (d doubtful) Create(ctx context.Context, key string, value []byte, lease keeper.LeaseID) (keeper.Entry, error) {
+	_, _ = d.store.Create(ctx, key, value, lease)
+	return keeper.Entry{}, &keeper.UnknownError{Call: "create", Key: key, Cause: &keeper.NotFoundError{Key: key}}
+}
+
+func TestUnknownCreateIsReadBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := claimer.New(claimer.Config{Keeper: doubtful{&store{entries: map[string]keeper.Entry{}}}, Instance: "entry-0"})
+		_, granted := c.Claim(t.Context(), key, digest).(claimer.Granted)
+		is.New(t).True(granted) // by its own token
+	})
+}
--- a/claimer/performer.go
+++ b/claimer/performer.go
@@ -61,7 +61,7 @@
 	return err
 }
 
-// wrote tells the core how a write went.
+// wrote tells the core how a write went. The cause of an unknown one may be any other error.
 func (c *Claimer) wrote(token Token, revision uint64, err error) {
 	var conflict *keeper.ConflictError
 	var lapsed *keeper.NotFoundError
@@ -71,10 +71,12 @@
 		c.step.Submit(Stored{Token: token, Revision: revision})
 	case errors.As(err, &conflict):
 		c.step.Submit(Refused{Token: token})
+	case errors.As(err, &unknown):
+		c.step.Submit(Failed{Token: token, MayApply: true})
 	case errors.As(err, &lapsed):
 		c.step.Submit(LeaseLapsed{Token: token})
 	default:
-		c.step.Submit(Failed{Token: token, MayApply: errors.As(err, &unknown)})
+		c.step.Submit(Failed{Token: token})
 	}
 }
 
