--- /dev/null
+++ b/standin/experiment/spread/setback_test.go
@@ -0,0 +1,126 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"amaranthmill/bundler"
+	"amaranthmill/internal/identifier"
+	"amaranthmill/linker"
+	"amaranthmill/standin/platform"
+)
+
+// stored is a key of the stand-in platform as its API answers.
+type stored struct {
+	Value    []byte `json:"value"`
+	Revision uint64 `json:"revision"`
+}
+
+// TestServiceSetBack has the platform's service set back to an older version, over HTTP and
+// links: the instances keep the higher one and write it back, and one that starts
+// meanwhile never has the older one in force.
+func TestServiceSetBack(t *testing.T) {
+	is := is.New(t)
+	f := &fleet{service: httptest.NewServer(platform.New(platform.Config{}).Handler())}
+	t.Cleanup(f.service.CloseClientConnections)
+	is.NoErr(f.start(t.Context(), settings{instances: 3, seed: 1}))
+	for v := identifier.BundleVersion(1); v <= 2; v++ {
+		_, err := f.change(t.Context(), v)
+		is.NoErr(err)
+	}
+	older := f.get(t, "bundles/versions/1")
+	current := f.get(t, bundler.CurrentKey)
+	f.put(t, bundler.CurrentKey, current.Revision, older.Value)
+
+	newcomer, versions := f.join(t, len(f.instances))
+	f.eventually(t, "the platform has version 2 again", func() bool {
+		now := f.get(t, bundler.CurrentKey)
+		return now.Revision > current.Revision+1 && !bytes.Equal(now.Value, older.Value)
+	})
+	f.eventually(t, "the newcomer has version 2", func() bool { return newcomer.store.Current() != nil })
+	is.True(f.everywhere(2))
+	is.Equal(versions(), []identifier.BundleVersion{2})
+}
+
+// join starts one more instance, and returns it with what it had in force.
+func (f *fleet) join(t *testing.T, number int) (*instance, func() []identifier.BundleVersion) {
+	t.Helper()
+	i, err := newInstance(t.Context(), number, netip.MustParseAddrPort(f.service.Listener.Addr().String()), 1, &f.received)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var mu sync.Mutex
+	var versions []identifier.BundleVersion
+	i.store.OnChange(func(b *bundler.Bundle) {
+		mu.Lock()
+		defer mu.Unlock()
+		versions = append(versions, b.Version)
+	})
+	peers := []linker.Peer{i.peer}
+	for _, other := range f.instances {
+		peers = append(peers, other.peer)
+	}
+	for _, other := range f.instances {
+		other.linker.SetPeers(peers)
+	}
+	i.linker.SetPeers(peers)
+	return i, func() []identifier.BundleVersion {
+		mu.Lock()
+		defer mu.Unlock()
+		return versions
+	}
+}
+
+func (f *fleet) get(t *testing.T, key string) stored {
+	t.Helper()
+	resp, err := http.Get(f.service.URL + "/kv/" + key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	var s stored
+	if err := json.NewDecoder(resp.Body).Decode(&s); err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+func (f *fleet) put(t *testing.T, key string, revision uint64, value []byte) {
+	t.Helper()
+	body, err := json.Marshal(stored{Value: value})
+	if err != nil {
+		t.Fatal(err)
+	}
+	req, err := http.NewRequest(http.MethodPut, fmt.Sprintf("%s/kv/%s?revision=%d", f.service.URL, key, revision), bytes.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	if text, _ := io.ReadAll(resp.Body); resp.StatusCode != http.StatusOK {
+		t.Fatalf("put %s: %d %s", key, resp.StatusCode, text)
+	}
+}
+
+// eventually waits until done reports true, for at most everywhereWithin.
+func (f *fleet) eventually(t *testing.T, what string, done func() bool) {
+	t.Helper()
+	for end := time.Now().Add(everywhereWithin); !done(); time.Sleep(pollEvery) {
+		if time.Now().After(end) {
+			t.Fatalf("not within %s: %s", everywhereWithin, what)
+		}
+	}
+}
