dispatcher: count the bytes that a connection took as evidence

Cause: a request that met an idle connection as its endpoint closed it ended as broken though no byte went out: unknown for a non-idempotent call, a suspicion for a model request. Ruled out: the transport's own replay, which also repeats what was written. After: not sent if the connection took no byte and the transport has ended writing; a connection is enough after a deadline.

--- a/dispatcher/attempt.go
+++ b/dispatcher/attempt.go
@@ -6,7 +6,6 @@
 	"net/http"
 	"net/http/httptrace"
 	"strconv"
-	"sync/atomic"
 	"time"
 
 	"amaranthmill/router"
@@ -20,17 +19,16 @@
 	}
 	req, s := c.req, &c.sink
 	s.begin(a.Attempt, a.Resume)
-	var connected atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	var evidence sendEvidence
 	out, err := newRequest(req, a)
 	if err != nil {
 		return router.Refused{Status: http.StatusBadRequest}
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	resp, err := d.cfg.Transport.RoundTrip(out.WithContext(httptrace.WithClientTrace(ctx, trace)))
+	resp, err := d.cfg.Transport.RoundTrip(out.WithContext(httptrace.WithClientTrace(ctx, evidence.trace())))
 	if err != nil {
-		return sendEnding(ctx, connected.Load())
+		return sendEnding(ctx, evidence.mayBeSent(ctx))
 	}
 	defer resp.Body.Close()
 	if refused, ok := refusal(resp); ok {
@@ -43,11 +41,11 @@
 }
 
 // sendEnding returns the ending of an attempt that got no answer.
-func sendEnding(ctx context.Context, connected bool) router.Ending {
+func sendEnding(ctx context.Context, mayBeSent bool) router.Ending {
 	switch {
 	case errors.Is(ctx.Err(), context.Canceled):
 		return router.CallerGone{}
-	case !connected:
+	case !mayBeSent:
 		return router.NotSent{}
 	case ctx.Err() != nil:
 		return router.Expired{}
--- a/dispatcher/transport.go
+++ b/dispatcher/transport.go
@@ -2,11 +2,14 @@
 
 import (
 	"bytes"
+	"context"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"amaranthmill/router"
@@ -19,16 +22,73 @@
 }
 
 func newTransport(c Config) *http.Transport {
+	dialer := &net.Dialer{Timeout: c.DialTimeout}
 	return &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: c.DialTimeout}).DialContext,
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			return countWrites(dialer.DialContext(ctx, network, address))
+		},
 		MaxIdleConnsPerHost: c.IdleConnections,
-		IdleConnTimeout:     time.Minute,
+		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
 		ReadBufferSize:      16 << 10,
 		WriteBufferSize:     16 << 10,
 	}
 }
 
+// idleTimeout is shorter than most endpoints' own, so that they seldom close a
+// connection while a request is written to it.
+const idleTimeout = 10 * time.Second
+
+// countingConn counts the bytes written to a connection.
+type countingConn struct {
+	net.Conn
+	written atomic.Int64
+}
+
+func countWrites(conn net.Conn, err error) (net.Conn, error) {
+	if err != nil {
+		return nil, err
+	}
+	return &countingConn{Conn: conn}, nil
+}
+
+// Write writes to the connection and counts what it took.
+func (c *countingConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.written.Add(int64(n))
+	return n, err
+}
+
+// sendEvidence tells whether a byte of one request may have been written.
+type sendEvidence struct {
+	conn   atomic.Pointer[countingConn]
+	before atomic.Int64 // bytes written to conn before this request
+	other  atomic.Bool  // a connection that does not count was used
+}
+
+// trace returns the hooks that gather the evidence.
+func (e *sendEvidence) trace() *httptrace.ClientTrace {
+	return &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		conn, ok := info.Conn.(*countingConn)
+		if !ok || e.conn.Load() != nil {
+			e.other.Store(true)
+			return
+		}
+		e.before.Store(conn.written.Load())
+		e.conn.Store(conn)
+	}}
+}
+
+// mayBeSent reports whether a byte of the request may have been written. After the end of
+// ctx the transport may still write, so that then a connection is enough.
+func (e *sendEvidence) mayBeSent(ctx context.Context) bool {
+	conn := e.conn.Load()
+	if conn == nil || ctx.Err() != nil {
+		return conn != nil || e.other.Load()
+	}
+	return e.other.Load() || conn.written.Load() != e.before.Load()
+}
+
 // onceBody is a request body that the transport can't rewind. http.Transport replays a
 // request on another connection if its body is absent, http.NoBody or has GetBody, and
 // its method is idempotent or it carries an Idempotency-Key. An onceBody is none of
--- /dev/null
+++ b/dispatcher/transport_test.go
@@ -0,0 +1,67 @@
+package dispatcher
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"amaranthmill/router"
+)
+
+// deadConn is a connection whose writes fail after some bytes.
+type deadConn struct {
+	net.Conn
+	takes int
+}
+
+func (c deadConn) Write(p []byte) (int, error) {
+	return min(c.takes, len(p)), errors.New("reset")
+}
+
+func (deadConn) Close() error                { return nil }
+func (deadConn) SetDeadline(time.Time) error { return nil }
+func (deadConn) RemoteAddr() net.Addr        { return &net.TCPAddr{} }
+func (c deadConn) Read([]byte) (int, error)  { return 0, errors.New("reset") }
+func (c deadConn) countedBy(counts bool) net.Conn {
+	if !counts {
+		return c
+	}
+	counting, _ := countWrites(c, nil)
+	return counting
+}
+
+// TestNotSentNeedsEvidence holds that an attempt counts as not sent only if the
+// connection took no byte of it.
+func TestNotSentNeedsEvidence(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		takes  int
+		counts bool
+		within time.Duration
+		want   router.Ending
+	}{
+		{"no byte", 0, true, time.Minute, router.NotSent{}},
+		{"one byte", 1, true, time.Minute, router.Broken{}},
+		{"not known", 0, false, time.Minute, router.Broken{}},
+		{"too late for any connection", 0, true, -time.Minute, router.NotSent{}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			dial := func(context.Context, string, string) (net.Conn, error) {
+				return deadConn{takes: c.takes}.countedBy(c.counts), nil
+			}
+			d := New(Config{Transport: &http.Transport{DialContext: dial}})
+			req := &router.Request{Kind: router.KindNonIdempotent, Method: http.MethodPost, Path: "/holds", Body: []byte("{}"), Deadline: time.Now().Add(time.Minute)}
+			a := router.Dispatch{Attempt: 1, Target: router.Target{Address: netip.MustParseAddrPort("127.0.0.1:9")}}
+			ctx, cancel := context.WithTimeout(context.Background(), c.within)
+			defer cancel()
+			is.Equal(d.dispatch(ctx, &call{req: req}, a, false), c.want)
+		})
+	}
+}
