--- a/dispatcher/transport_test.go
+++ b/dispatcher/transport_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"sync"
 	"testing"
 	"time"
 
@@ -14,20 +15,28 @@
 	"amaranthmill/router"
 )
 
-// deadConn is a connection whose writes fail after some bytes.
+// deadConn is a connection whose writes fail after some bytes and whose reads wait for its end.
 type deadConn struct {
 	net.Conn
 	takes int
+	ended chan struct{}
+	end   *sync.Once
 }
 
 func (c deadConn) Write(p []byte) (int, error) {
 	return min(c.takes, len(p)), errors.New("reset")
 }
 
-func (deadConn) Close() error                { return nil }
-func (deadConn) SetDeadline(time.Time) error { return nil }
-func (deadConn) RemoteAddr() net.Addr        { return &net.TCPAddr{} }
-func (c deadConn) Read([]byte) (int, error)  { return 0, errors.New("reset") }
+func (c deadConn) Read([]byte) (int, error) {
+	<-c.ended
+	return 0, net.ErrClosed
+}
+
+func (c deadConn) Close() error {
+	c.end.Do(func() { close(c.ended) })
+	return nil
+}
+
 func (c deadConn) countedBy(counts bool) net.Conn {
 	if !counts {
 		return c
@@ -54,7 +63,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
 			dial := func(context.Context, string, string) (net.Conn, error) {
-				return deadConn{takes: c.takes}.countedBy(c.counts), nil
+				return deadConn{takes: c.takes, ended: make(chan struct{}), end: &sync.Once{}}.countedBy(c.counts), nil
 			}
 			d := New(Config{Transport: &http.Transport{DialContext: dial}})
 			req := &router.Request{Kind: router.KindNonIdempotent, Method: http.MethodPost, Path: "/holds", Body: []byte("{}"), Deadline: time.Now().Add(time.Minute)}
