--- a/router/flight.go
+++ b/router/flight.go
@@ -6,8 +6,8 @@
 	"amaranthmill/internal/identifier"
 )
 
-// suspectPoll is how often a suspected request looks for a target of its own.
-const suspectPoll = 250 * time.Millisecond
+// targetPoll is how often a request that waits looks for a target.
+const targetPoll = 250 * time.Millisecond
 
 // flight is one request between its Arrived event and its Finish action.
 type flight struct {
@@ -17,13 +17,14 @@
 	instance     identifier.Instance // that the running attempt was forwarded to; empty for none
 	loss         loss                // what a crash of the running attempt's target loses
 	suspected    bool                // the running attempt is the second run of a suspect
-	tried        []string            // targets and instances that earlier attempts used
+	tried        []uint32            // numbers of the targets that earlier attempts used
+	triedPeers   []identifier.Instance
 	mayHaveRun   bool
 	unloaded     bool // the last attempt put no load on an endpoint
 	delivered    int
 	started      bool
 	fixed        bool
-	patientUntil time.Time // of a suspected request that waits; zero before
+	patientUntil time.Time // of a request that waits for a target; zero before
 	refusal      Refused   // the last refusal of an endpoint
 }
 
@@ -55,6 +56,9 @@
 			return
 		}
 	}
+	if t == nil && f.mayHaveRun && r.await(now, f, now.Add(targetPoll)) {
+		return
+	}
 	if t == nil || !r.affordable(f) {
 		r.giveUp(now, f)
 		return
@@ -62,6 +66,20 @@
 	r.dispatch(now, f, t)
 }
 
+// await makes f wait until the given time, or reports false if its patience or deadline ends
+// before. A request that was begun waits for a target to come back rather than end
+// without its whole answer; one that was not is refused at once.
+func (r *Router) await(now time.Time, f *flight, until time.Time) bool {
+	if f.patientUntil.IsZero() {
+		f.patientUntil = now.Add(r.cfg.Patience)
+	}
+	if until.After(f.patientUntil) || !until.Before(f.Request.Deadline) {
+		return false
+	}
+	r.act(Wait{Ref: f.Ref, Until: until})
+	return true
+}
+
 // affordable reports whether the retry budget allows another attempt of f, and counts it.
 func (r *Router) affordable(f *flight) bool {
 	return f.attempt == 0 || f.unloaded || r.budget.spend()
@@ -70,7 +88,7 @@
 func (r *Router) forward(f *flight, to identifier.Instance) {
 	f.attempt++
 	f.instance = to
-	f.tried = append(f.tried, string(to))
+	f.triedPeers = append(f.triedPeers, to)
 	r.act(Forward{Ref: f.Ref, Attempt: f.attempt, Instance: to})
 }
 
@@ -79,7 +97,7 @@
 	f.attempt++
 	f.target = t.ID
 	f.loss = loss{name: t.lossName(), fingerprint: f.Fingerprint}
-	f.tried = append(f.tried, t.ID)
+	f.tried = append(f.tried, t.num)
 	r.prefixes.add(f.Prefix, t.num)
 	if f.Fingerprint != 0 {
 		c := r.running[f.Fingerprint]
@@ -101,8 +119,10 @@
 		return
 	}
 	t, settled := r.chooseForSuspect(now, f, s)
-	if !settled || (t != nil && (s.running || t.suspectRuns > 0)) {
-		r.waitAsSuspect(now, f, s, now.Add(suspectPoll))
+	if !settled || s.running || (t == nil && f.mayHaveRun) || (t != nil && t.suspectRuns > 0) {
+		if !r.await(now, f, now.Add(targetPoll)) {
+			r.refuseSuspect(now, f, s)
+		}
 		return
 	}
 	if t == nil || !r.affordable(f) {
@@ -114,18 +134,6 @@
 	r.dispatch(now, f, t)
 }
 
-// waitAsSuspect waits until the given time, if the request's patience and deadline allow it.
-func (r *Router) waitAsSuspect(now time.Time, f *flight, s *suspect, until time.Time) {
-	if f.patientUntil.IsZero() {
-		f.patientUntil = now.Add(r.cfg.SuspectPatience)
-	}
-	if until.After(f.patientUntil) || !until.Before(f.Request.Deadline) {
-		r.refuseSuspect(now, f, s)
-		return
-	}
-	r.act(Wait{Ref: f.Ref, Until: until})
-}
-
 // isOwnLoss reports whether a target of the own failure domain is among the losses of s.
 // A suspect is run a second time only where it was lost first.
 func (r *Router) isOwnLoss(s *suspect) bool {
--- a/router/remote.go
+++ b/router/remote.go
@@ -31,7 +31,7 @@
 	for i := range r.remotes {
 		p := r.remotes[i].pool(f.Request.Pool)
 		free := p.Free - r.remotes[i].sent*r.table.instances
-		if p.Capacity <= 0 || slices.Contains(f.tried, string(r.remotes[i].Instance)) || (needFree && free <= 0) {
+		if p.Capacity <= 0 || slices.Contains(f.triedPeers, r.remotes[i].Instance) || (needFree && free <= 0) {
 			continue
 		}
 		if best < 0 || free > bestFree {
--- a/router/router.go
+++ b/router/router.go
@@ -21,7 +21,7 @@
 	defaultCapacity        = 64
 	defaultSuspicionFor    = time.Hour
 	defaultSuspicionSettle = 500 * time.Millisecond
-	defaultSuspectPatience = 5 * time.Second
+	defaultPatience        = 5 * time.Second
 	defaultSuspendFor      = 5 * time.Second
 )
 
@@ -41,7 +41,7 @@
 
 	SuspicionFor    time.Duration // how long a fingerprint stays suspected; zero means 1 h
 	SuspicionSettle time.Duration // between a crash and the second run of what ran there; zero means 500 ms
-	SuspectPatience time.Duration // that a suspected request waits for a target of its own; zero means 5 s
+	Patience        time.Duration // that a begun or suspected request waits for a target; zero means 5 s
 	SuspendFor      time.Duration // that a target which broke an attempt is left alone without a newer report; zero means 5 s
 
 	Rand rand.Source // nil means a fixed seed
@@ -132,7 +132,7 @@
 	setDefault(&c.Capacity, defaultCapacity)
 	setDefault(&c.SuspicionFor, defaultSuspicionFor)
 	setDefault(&c.SuspicionSettle, defaultSuspicionSettle)
-	setDefault(&c.SuspectPatience, defaultSuspectPatience)
+	setDefault(&c.Patience, defaultPatience)
 	setDefault(&c.SuspendFor, defaultSuspendFor)
 	if c.Rand == nil {
 		c.Rand = rand.NewPCG(1, 1)
--- a/router/target.go
+++ b/router/target.go
@@ -186,10 +186,10 @@
 	}
 }
 
-// serves reports whether t has what f asks for and is not among the targets that f tried.
+// serves reports whether t has what f asks for and did not run an earlier attempt of f.
 func (t *target) serves(f *flight) bool {
 	adapter := f.Request.Adapter
-	return (adapter == "" || slices.Contains(t.Adapters, adapter)) && !slices.Contains(f.tried, t.ID)
+	return (adapter == "" || slices.Contains(t.Adapters, adapter)) && !slices.Contains(f.tried, t.num)
 }
 
 // load estimates the requests that run or wait at t in parts of its capacity. The own
