router: attempts of which no byte was sent do not use up a request

With a fabric domain dark and not reported yet, three dead targets in a row ended a request as not run while others served. Each such target is left alone at once, so that the tries end.

--- a/router/flight.go
+++ b/router/flight.go
@@ -13,6 +13,7 @@
 type flight struct {
 	Arrived
 	attempt      int
+	loaded       int                 // attempts that may have put load on an endpoint
 	target       string              // of the running attempt; empty for none
 	instance     identifier.Instance // that the running attempt was forwarded to; empty for none
 	loss         loss                // what a crash of the running attempt's target loses
@@ -41,7 +42,7 @@
 // next starts the next attempt of f, waits or finishes it.
 func (r *Router) next(now time.Time, f *flight) {
 	mayNotRepeat := f.mayHaveRun && (f.Request.Kind == KindNonIdempotent || f.fixed)
-	if mayNotRepeat || f.attempt >= r.cfg.MaxAttempts || !now.Before(f.Request.Deadline) {
+	if mayNotRepeat || f.loaded >= r.cfg.MaxAttempts || !now.Before(f.Request.Deadline) {
 		r.giveUp(now, f)
 		return
 	}
@@ -87,6 +88,7 @@
 
 func (r *Router) forward(f *flight, to identifier.Instance) {
 	f.attempt++
+	f.loaded++
 	f.instance = to
 	f.triedPeers = append(f.triedPeers, to)
 	r.act(Forward{Ref: f.Ref, Attempt: f.attempt, Instance: to})
@@ -95,6 +97,7 @@
 func (r *Router) dispatch(now time.Time, f *flight, t *target) {
 	r.table.addOwn(now, t, 1)
 	f.attempt++
+	f.loaded++
 	f.target = t.ID
 	f.loss = loss{name: t.lossName(), fingerprint: f.Fingerprint}
 	f.tried = append(f.tried, t.num)
@@ -159,6 +162,7 @@
 		r.exonerate(now, f.Fingerprint)
 		r.finish(f, Answered{})
 	case NotSent:
+		f.loaded--
 		f.unloaded = true
 		t.suspend(now)
 		r.next(now, f)
--- a/router/router.go
+++ b/router/router.go
@@ -27,7 +27,7 @@
 
 // Config configures a Router. The zero value is usable.
 type Config struct {
-	MaxAttempts int     // of one request, the first included; zero means 3
+	MaxAttempts int     // of one request, without those of which no byte was sent; zero means 3
 	RetryShare  float64 // retries that each first attempt allows; zero means 0.1
 	RetryBurst  int     // retries that a time without any saves up; zero means 16
 
