--- a/dispatcher/sink.go
+++ b/dispatcher/sink.go
@@ -34,7 +34,6 @@
 	attempt  int
 	position int // content characters before the next event of this attempt
 	started  bool
-	streams  bool // the answer is a stream of server-sent events
 	fixed    bool // parts went out that no position counts
 	chunk    chunk
 }
@@ -51,7 +50,6 @@
 		return nil
 	}
 	s.started = true
-	s.streams = isStream(header)
 	if err := s.w.Start(status, header); err != nil {
 		return &callerError{err}
 	}
--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -153,7 +153,7 @@
 
 func (l *Limiter) admit(now time.Time, q *request) {
 	q.admittedAt = now
-	q.pool.running++
+	q.pool.start(now)
 	l.act(Admit{Ref: q.Ref})
 }
 
--- a/limiter/pool.go
+++ b/limiter/pool.go
@@ -29,7 +29,7 @@
 	bound   int           // of waiting
 	hold    time.Duration // mean time that a request holds its slot
 	spread  time.Duration // mean deviation from it
-	freedAt time.Time     // when a slot was last freed by a request that ran to its end
+	movedAt time.Time     // when a request last ran to its end, or the slots became full
 	rates   []rate        // of arrivals, by priority
 	classes []*class      // in the order of their first request
 	turn    turn
@@ -56,9 +56,17 @@
 // through, since no wait helps them and the router refuses them at once.
 func (p *pool) isFree() bool { return p.slots <= 0 || p.running < p.slots }
 
+// start takes a slot for a request. A pool that had a free one did not stand still.
+func (p *pool) start(now time.Time) {
+	if p.waiting == 0 {
+		p.movedAt = now
+	}
+	p.running++
+}
+
 // measure takes the time of one request into the estimates.
 func (p *pool) measure(now time.Time, took time.Duration) {
-	p.freedAt = now
+	p.movedAt = now
 	deviation := (took - p.hold).Abs()
 	p.spread += time.Duration(holdWeight * float64(deviation-p.spread))
 	p.hold += time.Duration(holdWeight * float64(took-p.hold))
@@ -71,8 +79,8 @@
 // nothing else arrives. A pool that frees no slots is late by the time that it stands still.
 func (p *pool) startAfter(now time.Time, ahead int) time.Duration {
 	late := time.Duration(0)
-	if !p.freedAt.IsZero() && p.running > 0 {
-		late = max(0, now.Sub(p.freedAt)-p.need())
+	if !p.movedAt.IsZero() && p.running > 0 {
+		late = max(0, now.Sub(p.movedAt)-p.need())
 	}
 	return late + p.hold*time.Duration(ahead+1)/time.Duration(max(p.slots, 1))
 }
