--- /dev/null
+++ b/standin/experiment/capacity/fleet.go
@@ -0,0 +1,293 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"crypto/ed25519"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"time"
+
+	"amaranthmill/bundler"
+	"amaranthmill/standin/authority"
+	"amaranthmill/standin/engine"
+	"amaranthmill/standin/platform"
+)
+
+// Sizes of the fleet of one failure domain.
+const (
+	domain       = "alpine"
+	groupSize    = 4
+	rackEngines  = 24 // engines of one fabric domain
+	clockTick    = 10 * time.Millisecond
+	readyTimeout = time.Minute
+)
+
+type object = map[string]any
+
+// entry is one entry instance as a process of its own.
+type entry struct {
+	name         string
+	admin, peers netip.AddrPort
+	callers      netip.AddrPort
+	cmd          *exec.Cmd
+}
+
+// fleet is one failure domain: entry instances as processes, engines and the platform here.
+type fleet struct {
+	dir      string
+	platform string
+	calls    traffic // with the platform
+	probes   traffic // with the engines
+	entries  []*entry
+	racks    []string
+	stops    []func()
+}
+
+func startFleet(dir string, instances, engines int) (*fleet, error) {
+	f := &fleet{dir: dir}
+	if err := f.startPlatform(); err != nil {
+		return f, err
+	}
+	for i := range engines {
+		if err := f.startEngine(i); err != nil {
+			return f, err
+		}
+	}
+	signer, err := f.putBundle(engines / groupSize)
+	if err != nil {
+		return f, err
+	}
+	for i := 0; i < engines; i += rackEngines {
+		f.racks = append(f.racks, rackOf(i))
+	}
+	return f, f.startEntries(instances, signer)
+}
+
+func (f *fleet) stop() {
+	for _, e := range f.entries {
+		if e.cmd != nil && e.cmd.Process != nil {
+			_ = e.cmd.Process.Kill()
+			_ = e.cmd.Wait()
+		}
+	}
+	for _, stop := range f.stops {
+		stop()
+	}
+}
+
+// serve serves h on a free port of the loopback interface and counts its traffic.
+func (f *fleet) serve(h func(netip.AddrPort) http.Handler, t *traffic) (netip.AddrPort, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return netip.AddrPort{}, err
+	}
+	address := l.Addr().(*net.TCPAddr).AddrPort()
+	s := &http.Server{Handler: h(address)}
+	go func() { _ = s.Serve(countedListener{Listener: l, traffic: t}) }()
+	f.stops = append(f.stops, func() { _ = s.Close() })
+	return address, nil
+}
+
+func (f *fleet) startPlatform() error {
+	p := platform.New(platform.Config{})
+	ctx, cancel := context.WithCancel(context.Background())
+	f.stops = append(f.stops, cancel)
+	go func() { _ = p.Run(ctx) }()
+	address, err := f.serve(func(netip.AddrPort) http.Handler { return p.Handler() }, &f.calls)
+	f.platform = "http://" + address.String()
+	return err
+}
+
+func (f *fleet) startEngine(i int) error {
+	name := fmt.Sprintf("engine-%03d", i)
+	at, err := netip.ParseAddrPort(strings.TrimPrefix(f.platform, "http://"))
+	if err != nil {
+		return err
+	}
+	address, err := f.serve(func(a netip.AddrPort) http.Handler {
+		return engine.New(engine.Config{Name: name, Address: a, Platform: at, ChecksFence: true}).Handler()
+	}, &f.probes)
+	if err != nil {
+		return err
+	}
+	return f.put("/instances/"+name, object{
+		"name": name, "kind": "engine", "address": address, "failureDomain": domain,
+		"fabricDomain": rackOf(i), "state": "live", "accelerators": 1,
+	})
+}
+
+func rackOf(engine int) string { return fmt.Sprintf("rack-%d", engine/rackEngines) }
+
+func (f *fleet) put(path string, body any) error {
+	b, err := json.Marshal(body)
+	if err != nil {
+		return err
+	}
+	req, err := http.NewRequest(http.MethodPut, f.platform+path, bytes.NewReader(b))
+	if err != nil {
+		return err
+	}
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return err
+	}
+	defer res.Body.Close()
+	if res.StatusCode >= http.StatusBadRequest {
+		return fmt.Errorf("capacity: PUT %s: %s", path, res.Status)
+	}
+	return nil
+}
+
+// putBundle puts a signed bundle into force and returns the signer's public key.
+func (f *fleet) putBundle(groups int) (string, error) {
+	public, private, err := ed25519.GenerateKey(nil)
+	if err != nil {
+		return "", err
+	}
+	content, err := json.Marshal(object{
+		"version": 1, "previous": 0, "author": "abel", "note": "capacity",
+		"pools": []object{{
+			"name": "guides", "base": "guide-70b", "version": "2026-11", "groupSize": groupSize, "priority": 5,
+			"groups": []object{{"failureDomain": domain, "count": groups}},
+		}},
+		"models":   []object{{"name": "mill-guides", "pool": "guides", "deadline": "20s"}},
+		"services": []object{},
+		"accounts": []object{},
+		"repair":   object{"groupDowntime": 2, "strandedAccelerators": 1},
+	})
+	if err != nil {
+		return "", err
+	}
+	document, err := bundler.EncodeDocument(content, "vera", bundler.Sign(private, bundler.DigestOf(content)))
+	if err != nil {
+		return "", err
+	}
+	return bundler.EncodePublicKey(public), f.put("/kv/bundles/current?revision=0", object{"value": document})
+}
+
+func (f *fleet) startEntries(n int, signer string) error {
+	a, err := authority.New()
+	if err != nil {
+		return err
+	}
+	var members []authority.Member
+	for i := range n {
+		e := &entry{name: fmt.Sprintf("entry-%02d", i)}
+		for _, port := range []*netip.AddrPort{&e.admin, &e.peers, &e.callers} {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				return err
+			}
+			*port = l.Addr().(*net.TCPAddr).AddrPort()
+			defer l.Close()
+		}
+		f.entries = append(f.entries, e)
+		members = append(members, authority.Member{Instance: e.name, FailureDomain: domain})
+	}
+	if err := a.Write(f.dir, members); err != nil {
+		return err
+	}
+	for _, e := range f.entries {
+		if err := f.writeSettings(e, signer); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (f *fleet) writeSettings(e *entry, signer string) error {
+	var peers []object
+	for _, p := range f.entries {
+		if p != e {
+			peers = append(peers, object{"instance": p.name, "failureDomain": domain, "address": p.peers})
+		}
+	}
+	b, err := json.Marshal(object{
+		"instance": e.name, "failureDomain": domain,
+		"listen":   object{"callers": e.callers, "administration": e.admin, "peers": e.peers},
+		"platform": object{"address": strings.TrimPrefix(f.platform, "http://")},
+		"peers":    peers,
+		"tls": object{
+			"certificate": filepath.Join(f.dir, e.name+".pem"), "key": filepath.Join(f.dir, e.name+".key"),
+			"authorities": filepath.Join(f.dir, "authorities.pem"),
+		},
+		"fenceChecked": f.racks,
+		"signers":      []object{{"name": "vera", "publicKey": signer}},
+		"operators":    []object{{"name": "ruth", "roles": []string{"reader"}, "tokenDigest": strings.Repeat("0", 64)}},
+	})
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(filepath.Join(f.dir, e.name+".json"), b, 0o600)
+}
+
+// runEntries starts the processes and waits until all are ready and the groups serve.
+func (f *fleet) runEntries(program string) error {
+	for _, e := range f.entries {
+		log, err := os.Create(filepath.Join(f.dir, e.name+".log"))
+		if err != nil {
+			return err
+		}
+		e.cmd = exec.Command(program, filepath.Join(f.dir, e.name+".json"))
+		e.cmd.Stdout, e.cmd.Stderr = log, log
+		if err := e.cmd.Start(); err != nil {
+			return err
+		}
+	}
+	deadline := time.Now().Add(readyTimeout)
+	for _, e := range f.entries {
+		for !e.isReady() {
+			if time.Now().After(deadline) {
+				return errors.New("capacity: an instance did not become ready: " + e.name)
+			}
+			time.Sleep(200 * time.Millisecond)
+		}
+	}
+	return nil
+}
+
+func (e *entry) isReady() bool {
+	res, err := http.Get("http://" + e.admin.String() + "/readyz")
+	if err != nil {
+		return false
+	}
+	defer res.Body.Close()
+	return res.StatusCode == http.StatusOK
+}
+
+// metric returns the sum of a metric's samples whose labels contain text.
+func (e *entry) metric(name, text string) (float64, error) {
+	res, err := http.Get("http://" + e.admin.String() + "/metrics")
+	if err != nil {
+		return 0, err
+	}
+	defer res.Body.Close()
+	body, err := io.ReadAll(res.Body)
+	if err != nil {
+		return 0, err
+	}
+	var sum float64
+	for line := range strings.Lines(string(body)) {
+		if !strings.HasPrefix(line, name) || !strings.Contains(line, text) {
+			continue
+		}
+		fields := strings.Fields(line)
+		v, err := strconv.ParseFloat(fields[len(fields)-1], 64)
+		if err != nil {
+			return 0, err
+		}
+		sum += v
+	}
+	return sum, nil
+}
--- a/standin/experiment/capacity/links.go
+++ b/standin/experiment/capacity/links.go
@@ -120,6 +120,9 @@
 		processor = append(processor, 100*r.processor)
 		mem = append(mem, r.memory/1024)
 	}
+	if len(x) < 2 {
+		return
+	}
 	w, p, m := fit(x, wire), fit(x, processor), fit(x, mem)
 	fmt.Printf("Slopes: bytes/s with headers %.0f + %.1f each; %% of a core %.4f + %.5f each; KiB %.0f + %.1f each.\n",
 		w.base, w.per, p.base, p.per, m.base, m.per)
--- a/standin/experiment/capacity/main.go
+++ b/standin/experiment/capacity/main.go
@@ -14,9 +14,10 @@
 )
 
 type options struct {
-	Only       string        `long:"only" description:"measure one part: inside, across, forward or cores; all without it"`
+	Only       string        `long:"only" description:"measure one part: inside, across or instances; all without it"`
 	Sizes      []int         `long:"size" default:"4" default:"12" default:"20" default:"37" default:"60" description:"nodes of a failure domain; may be repeated"`
 	Domains    []int         `long:"domains" default:"2" default:"4" default:"7" default:"10" description:"failure domains; may be repeated"`
+	Instances  []int         `long:"instances" default:"4" default:"12" default:"37" description:"entry instances of a failure domain as processes; may be repeated"`
 	AcrossSize int           `long:"across-size" default:"12" description:"nodes of a failure domain when several are measured"`
 	Warm       time.Duration `long:"warm" default:"6s" description:"before each measurement"`
 	Duration   time.Duration `long:"duration" default:"10s" description:"of each measurement"`
@@ -45,6 +46,7 @@
 	}{
 		{"inside", insideDomain},
 		{"across", acrossDomains},
+		{"instances", measureInstances},
 	} {
 		if o.Only != "" && o.Only != part.name {
 			continue
