--- a/standin/experiment/capacity/cluster.go
+++ b/standin/experiment/capacity/cluster.go
@@ -42,8 +42,10 @@
 
 // cluster is a number of nodes of one process on the loopback interface.
 type cluster struct {
-	nodes []*node
-	stop  func()
+	nodes            []*node
+	stop             func()
+	opening          time.Duration // until all sessions were open, from a start of all at once
+	openingProcessor time.Duration // of all nodes meanwhile
 }
 
 // startCluster starts size nodes in each of a number of failure domains and waits until
@@ -63,6 +65,7 @@
 		c.nodes = append(c.nodes, n)
 		peers = append(peers, n.peer)
 	}
+	begin, used := time.Now(), processorTime()
 	ctx, cancel := context.WithCancel(context.Background())
 	var running sync.WaitGroup
 	for _, n := range c.nodes {
@@ -75,8 +78,9 @@
 		running.Wait()
 	}
 	for !c.connected(size) {
-		time.Sleep(100 * time.Millisecond)
+		time.Sleep(20 * time.Millisecond)
 	}
+	c.opening, c.openingProcessor = time.Since(begin), processorTime()-used
 	return c, nil
 }
 
--- a/standin/experiment/capacity/links.go
+++ b/standin/experiment/capacity/links.go
@@ -21,6 +21,8 @@
 	processor float64 // share of a core
 	memory    float64 // bytes
 	spread    time.Duration
+	opening   time.Duration // until all sessions were open
+	burst     time.Duration // of processor meanwhile
 }
 
 // measureLinks runs a cluster and returns what one node takes.
@@ -50,6 +52,8 @@
 		processor: (after.processor - before.processor).Seconds() / seconds,
 		memory:    float64(memory()-empty) / nodes,
 		spread:    c.spread(20 << 10),
+		opening:   c.opening,
+		burst:     c.openingProcessor / time.Duration(len(c.nodes)),
 	}
 	row.wire = row.bytes + 4*headers*row.writes
 	return row, nil
@@ -107,11 +111,11 @@
 
 // printRows prints the rows and the slopes of those from least on.
 func printRows(name string, least float64, rows []linkRow) {
-	fmt.Printf("| %s | bytes/s | with headers | writes/s | %% of a core | memory KiB | bundle everywhere |\n|---|---|---|---|---|---|---|\n", name)
+	fmt.Printf("| %s | bytes/s | with headers | writes/s | %% of a core | memory KiB | bundle everywhere | all start: open in | processor of a node |\n|---|---|---|---|---|---|---|---|---|\n", name)
 	var x, wire, processor, mem []float64
 	for _, r := range rows {
-		fmt.Printf("| %.0f | %.0f | %.0f | %.1f | %.3f | %.0f | %s |\n",
-			r.x, r.bytes, r.wire, r.writes, 100*r.processor, r.memory/1024, r.spread.Round(time.Millisecond))
+		fmt.Printf("| %.0f | %.0f | %.0f | %.1f | %.3f | %.0f | %s | %s | %s |\n",
+			r.x, r.bytes, r.wire, r.writes, 100*r.processor, r.memory/1024, r.spread.Round(time.Millisecond), r.opening.Round(time.Millisecond), r.burst.Round(time.Millisecond))
 		if r.x < least {
 			continue
 		}
