--- a/limiter/pool.go
+++ b/limiter/pool.go
@@ -15,7 +15,8 @@
 const (
 	holdWeight     = 0.05             // of one measurement in the mean time of a request and its deviation
 	holdDeviations = 2                // beyond the mean that a request must have left when it starts
-	rateWindow     = 10 * time.Second // over which arrivals are averaged
+	rateWindow     = 20 * time.Second // over which arrivals are averaged
+	minRateAge     = 5 * time.Second  // over which the first arrivals are averaged
 	maxRetryAfter  = 30 * time.Second
 )
 
@@ -28,7 +29,7 @@
 	bound   int           // of waiting
 	hold    time.Duration // mean time that a request holds its slot
 	spread  time.Duration // mean deviation from it
-	freedAt time.Time     // when a slot was last freed by a request that ran to its end
+	movedAt time.Time     // when a request last ran to its end, or the slots became full
 	rates   []rate        // of arrivals, by priority
 	classes []*class      // in the order of their first request
 	turn    turn
@@ -55,9 +56,17 @@
 // through, since no wait helps them and the router refuses them at once.
 func (p *pool) isFree() bool { return p.slots <= 0 || p.running < p.slots }
 
+// start takes a slot for a request. A pool that had a free one did not stand still.
+func (p *pool) start(now time.Time) {
+	if p.waiting == 0 {
+		p.movedAt = now
+	}
+	p.running++
+}
+
 // measure takes the time of one request into the estimates.
 func (p *pool) measure(now time.Time, took time.Duration) {
-	p.freedAt = now
+	p.movedAt = now
 	deviation := (took - p.hold).Abs()
 	p.spread += time.Duration(holdWeight * float64(deviation-p.spread))
 	p.hold += time.Duration(holdWeight * float64(took-p.hold))
@@ -70,8 +79,8 @@
 // nothing else arrives. A pool that frees no slots is late by the time that it stands still.
 func (p *pool) startAfter(now time.Time, ahead int) time.Duration {
 	late := time.Duration(0)
-	if !p.freedAt.IsZero() && p.running > 0 {
-		late = max(0, now.Sub(p.freedAt)-p.need())
+	if !p.movedAt.IsZero() && p.running > 0 {
+		late = max(0, now.Sub(p.movedAt)-p.need())
 	}
 	return late + p.hold*time.Duration(ahead+1)/time.Duration(max(p.slots, 1))
 }
@@ -85,15 +94,16 @@
 // rate is the decaying mean rate of the arrivals of one priority.
 type rate struct {
 	priority  int
-	perSecond float64
+	perSecond float64 // as if there had been no arrival before began
 	at        time.Time
+	began     time.Time
 }
 
 // count counts an arrival.
 func (p *pool) count(now time.Time, priority int) {
 	i := slices.IndexFunc(p.rates, func(r rate) bool { return r.priority == priority })
 	if i < 0 {
-		p.rates = append(p.rates, rate{priority: priority, at: now})
+		p.rates = append(p.rates, rate{priority: priority, at: now, began: now})
 		i = len(p.rates) - 1
 	}
 	r := &p.rates[i]
@@ -105,13 +115,19 @@
 	return r.perSecond * math.Exp(-now.Sub(r.at).Seconds()/rateWindow.Seconds())
 }
 
+// estimate returns the mean rate over the window, or since the first arrival if that is shorter.
+func (r *rate) estimate(now time.Time) float64 {
+	age := max(now.Sub(r.began), minRateAge).Seconds()
+	return r.decayed(now) / (1 - math.Exp(-age/rateWindow.Seconds()))
+}
+
 // shareBelow returns the part of the slots that requests of higher priorities, as they
 // arrive now, leave to a priority: at least the share of its turns.
 func (p *pool) shareBelow(now time.Time, priority, floorEvery int) float64 {
 	taken := 0.0
 	for i := range p.rates {
 		if p.rates[i].priority > priority {
-			taken += p.rates[i].decayed(now) * p.hold.Seconds() / float64(max(p.slots, 1))
+			taken += p.rates[i].estimate(now) * p.hold.Seconds() / float64(max(p.slots, 1))
 		}
 	}
 	return max(1-taken, 1/float64(floorEvery))
