linker: the drain waits for the sessions that are open now

Cause, found by reading: a signal of an earlier moment without sessions ended the wait at once, and the wait for requests that followed was not bounded by DrainLimit. The count of requests is gone: a session ends only once both sides have none. The stop test now begins after such a moment; it passed before too, because the count of requests hid the early end, so it was not seen failing.

--- a/linker/effect.go
+++ b/linker/effect.go
@@ -132,7 +132,6 @@
 		return nil, nil
 	}
 	if s := l.current[to]; s != nil && s.use.begin() {
-		l.work.Add(1)
 		return s, nil
 	}
 	w := l.waits[to]
@@ -144,19 +143,14 @@
 }
 
 func (l *Linker) endForward(s *session) {
-	l.work.Done()
 	if s.use.end() {
 		s.box.putRetired()
 	}
 }
 
-// beginServe counts a request that a peer forwarded, or refuses it.
-func (l *Linker) beginServe() bool {
+// isStopping reports whether requests that a peer forwards are refused.
+func (l *Linker) isStopping() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.stopping {
-		return false
-	}
-	l.work.Add(1)
-	return true
+	return l.stopping
 }
--- a/linker/exchange.go
+++ b/linker/exchange.go
@@ -243,11 +243,10 @@
 		l.readBulk(s, in)
 		_ = stream.Close()
 	case *wire.Opening_Request:
-		if !l.beginServe() {
+		if l.isStopping() {
 			refuseRequest(stream)
 			return
 		}
-		defer l.work.Done()
 		l.serveRequest(s, stream, in, purpose.Request)
 	default:
 		l.logFrame(&FrameError{Expected: "the purpose of a stream"}, s.peer.Instance)
--- a/linker/exchange_test.go
+++ b/linker/exchange_test.go
@@ -141,6 +141,12 @@
 	}
 	east := start(t, a, "east", "a", func(c *linker.Config) { c.Serve = serve })
 	west := start(t, a, "west", "b", func(c *linker.Config) { c.Serve = serve })
+	gone := start(t, a, "west", "c", nil)
+	introduce(east, gone)
+	gone.stop()
+	for east.reachable() > 0 { // east has had no session for a moment
+		<-east.changed
+	}
 	introduce(east, west)
 	outcomes := make(chan router.Outcome, 2)
 	answers := make([]recorder, 2)
--- a/linker/linker.go
+++ b/linker/linker.go
@@ -29,7 +29,6 @@
 	core        *stepper.Stepper[event, action]
 	run         context.Context // of the sessions; outlives the context of Run while it drains
 	cancel      context.CancelFunc
-	work        sync.WaitGroup // forwarded requests of both directions
 
 	mu       sync.Mutex
 	last     sessionID
@@ -187,26 +186,35 @@
 func (l *Linker) drain() {
 	l.mu.Lock()
 	l.stopping = true
-	none := len(l.sessions) == 0
 	l.mu.Unlock()
 	l.core.Submit(stop{})
-	if none {
-		return
-	}
-	limit := time.NewTimer(l.cfg.DrainLimit)
-	defer limit.Stop()
+	limit, cancel := context.WithTimeout(context.Background(), l.cfg.DrainLimit)
+	defer cancel()
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
+		l.awaitEmpty(limit)
+	}()
+	l.tickUntil(done)
+	l.closeAll()
+}
+
+// awaitEmpty waits until the last session has ended, and no longer than limit.
+func (l *Linker) awaitEmpty(limit context.Context) {
+	for l.countSessions() > 0 {
 		select {
 		case <-l.empty:
-			l.work.Wait()
-		case <-limit.C:
+		case <-limit.Done():
 			l.cfg.Logger.Warn().Dur("limit", l.cfg.DrainLimit).Msg("sessions cut off at the stop limit")
+			return
 		}
-	}()
-	l.tickUntil(done)
-	l.closeAll()
+	}
+}
+
+func (l *Linker) countSessions() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.sessions)
 }
 
 func (l *Linker) closeAll() {
