standin: a load that a new epoch gave up begins again; runner: the stop waits for results of claimed calls

Cause: an order with a new epoch ended the load under way, and the same base and version began no other. The engine then never served. Seen failing first: TestLoadSurvivesNewEpoch, no load under epoch 2. After: it passes. The stop ended while results of claimed calls waited in memory; they are now stored first, within the stop limit.

--- a/runner/runner.go
+++ b/runner/runner.go
@@ -32,7 +32,7 @@
 	st := newStopper(signals)
 	st.notice, st.limit, st.logger = s.Limits.StopNotice.Std(), s.Limits.StopLimit.Std(), logger
 	st.drain = i.server.Drain
-	st.finish = callers.Shutdown
+	st.finish = func(ctx context.Context) error { return i.finish(ctx, callers) }
 	g.Add(st.run, st.interrupt)
 	g.Add(served(callers, st.stopped))
 	g.Add(served(newHTTP(s.Listen.Administration.String(), i.administration()), nil))
--- a/standin/engine/order.go
+++ b/standin/engine/order.go
@@ -66,7 +66,7 @@
 		e.state.Group, e.state.Epoch, e.state.Members = "", 0, nil
 		return
 	}
-	reload := e.state.Base != o.Base || e.state.Version != o.Version
+	reload := !e.state.Loaded || e.state.Base != o.Base || e.state.Version != o.Version
 	if reload {
 		e.state.Loaded = false
 	}
