prober: the interval of probes grows with the failure domain as freshness does

Cause: with accounts that count for 6 s, probes every 500 ms bring nothing that the heartbeats pass on.

--- a/prober/core.go
+++ b/prober/core.go
@@ -12,9 +12,9 @@
 	"amaranthmill/keeper"
 )
 
-// The freshness that counts grows with the instances of a failure domain, since their links
-// hold reports of load back longer: Config.FreshFor up to smallDomain instances, and
-// largeDomainFactor times as long from largeDomain instances on.
+// Probes and the freshness that counts slow down with the instances of a failure domain,
+// since their links hold reports of load back longer: Config.Interval and Config.FreshFor hold
+// up to smallDomain instances, and largeDomainFactor times as long from largeDomain instances on.
 const (
 	smallDomain       = 5
 	largeDomain       = 11
@@ -144,17 +144,20 @@
 			continue
 		}
 		ep.probing = true
-		ep.nextProbe = now.Add(c.cfg.Interval)
+		ep.nextProbe = now.Add(c.slowed(c.cfg.Interval))
 		out = append(out, Probe{Endpoint: ep.name, Address: ep.Address})
 	}
 	return out
 }
 
 // freshFor returns how long an endpoint's own account counts among the present instances.
-func (c *Core) freshFor() time.Duration {
+func (c *Core) freshFor() time.Duration { return c.slowed(c.cfg.FreshFor) }
+
+// slowed returns d as it is among the present instances.
+func (c *Core) slowed(d time.Duration) time.Duration {
 	const steps = largeDomain - smallDomain
 	above := min(max(len(c.peers)-smallDomain, 0), steps)
-	return c.cfg.FreshFor + c.cfg.FreshFor*(largeDomainFactor-1)*time.Duration(above)/steps
+	return d + d*(largeDomainFactor-1)*time.Duration(above)/steps
 }
 
 // sorted returns the endpoints by name. The caller must not change the slice.
--- a/prober/prober.go
+++ b/prober/prober.go
@@ -26,7 +26,7 @@
 	OnReports     func([]grouper.Report)   // gets the state of all model endpoints of the failure domain
 	OnDigest      func(linker.ProbeDigest) // gets what peers of the failure domain should know
 	HTTP          *http.Client             // for probes; a client of its own without proxy
-	Interval      time.Duration            // between two probes of an endpoint; 500 ms
+	Interval      time.Duration            // between two probes of an endpoint among up to 5 instances, 3 times as long from 11 on; 500 ms
 	Timeout       time.Duration            // of a probe; 1 s
 	FreshFor      time.Duration            // how long an endpoint's own account counts among up to 5 instances, 3 times as long from 11 on; 2 s
 	ShareEvery    time.Duration            // between two digests of what did not change; 750 ms
