decoder: one check of a document's form serves bundles and settings

Cause: internal/decoder and bundler's shape check stood twice; the first named one type fault at a time and took names in any case. Before: two walks. After: bundler's walk, moved, with every fault at once for settings too.

--- a/bundler/parse.go
+++ b/bundler/parse.go
@@ -5,6 +5,8 @@
 	"errors"
 	"slices"
 	"strings"
+
+	"amaranthmill/internal/decoder"
 )
 
 // Parse decodes a bundle's bytes strictly: unknown and repeated fields, values of a
@@ -44,6 +46,15 @@
 	return &b, nil
 }
 
+// checkShape returns the faults of form of text as the JSON form of like's type.
+func checkShape(text []byte, like any) []Problem {
+	var out []Problem
+	for _, f := range decoder.Check(text, like) {
+		out = append(out, Problem{Path: f.Path, Message: f.Mend})
+	}
+	return out
+}
+
 // isPartOf reports whether a fault of meaning only follows from a fault of form: of the
 // same value, or of one that it is part of.
 func isPartOf(p Problem, form []Problem) bool {
--- a/bundler/shape.go
+++ b/internal/decoder/shape.go
@@ -1,4 +1,4 @@
-package bundler
+package decoder
 
 import (
 	"bytes"
@@ -8,21 +8,22 @@
 	"fmt"
 	"io"
 	"maps"
+	"net/netip"
 	"reflect"
 	"slices"
 	"strings"
 )
 
-// maxShapeProblems bounds the faults that a garbled file reports.
-const maxShapeProblems = 100
+// maxFaults bounds the faults that a garbled file reports.
+const maxFaults = 100
 
 // shapeChecker walks a JSON text beside the Go type that it should fill. Unlike package
 // json it finds every fault, and takes names exactly and once each.
 type shapeChecker struct {
-	dec      *json.Decoder
-	path     []pathStep // to the value being checked
-	fields   map[reflect.Type]map[string]reflect.Type
-	problems []Problem
+	dec    *json.Decoder
+	path   []pathStep // to the value being checked
+	fields map[reflect.Type]map[string]reflect.Type
+	faults []Fault
 }
 
 // pathStep is a field's name or, if that is empty, a place in a list.
@@ -31,26 +32,26 @@
 	index int
 }
 
-// checkShape returns the faults of text as the JSON form of like's type: unknown and
+// Check returns the faults of text as the JSON form of like's type: unknown and
 // repeated names, values of a wrong kind, text that is no JSON.
-func checkShape(text []byte, like any) []Problem {
+func Check(text []byte, like any) []Fault {
 	c := &shapeChecker{dec: json.NewDecoder(bytes.NewReader(text)), fields: map[reflect.Type]map[string]reflect.Type{}}
 	c.dec.UseNumber()
 	if err := c.value(reflect.TypeOf(like)); err != nil {
 		c.path = nil
 		c.add("not valid JSON at byte %d: %v", c.dec.InputOffset(), err)
-		return c.problems
+		return c.faults
 	}
 	if _, err := c.dec.Token(); !errors.Is(err, io.EOF) {
 		c.add("text follows the end of the JSON value; remove it")
 	}
-	return c.problems
+	return c.faults
 }
 
 // add adds a fault of the value being checked.
 func (c *shapeChecker) add(format string, args ...any) {
-	if len(c.problems) < maxShapeProblems {
-		c.problems = append(c.problems, Problem{Path: c.pathText(), Message: fmt.Sprintf(format, args...)})
+	if len(c.faults) < maxFaults {
+		c.faults = append(c.faults, Fault{Path: c.pathText(), Mend: fmt.Sprintf(format, args...)})
 	}
 }
 
@@ -189,6 +190,9 @@
 
 // kindName says in words what JSON value fills t.
 func kindName(t reflect.Type) string {
+	if t == reflect.TypeFor[netip.AddrPort]() {
+		return "an address such as \"10.0.0.1:8080\""
+	}
 	if reflect.PointerTo(t).Implements(reflect.TypeFor[encoding.TextUnmarshaler]()) {
 		return "a duration such as \"1.5s\""
 	}
@@ -204,7 +208,7 @@
 		return "text"
 	case reflect.Uint64:
 		return "a whole number from 0"
-	case reflect.Int:
+	case reflect.Int, reflect.Int64:
 		return "a whole number"
 	default:
 		return "a number"
