--- a/bundler/meters.go
+++ b/bundler/meters.go
@@ -22,10 +22,10 @@
 		meter = noop.NewMeterProvider().Meter("bundler")
 	}
 	var m meters
-	m.applies, _ = meter.Int64Counter("bundle_applied", metric.WithDescription("bundles that came into force"))
-	m.refusals, _ = meter.Int64Counter("bundle_refused", metric.WithDescription("documents that were not applied"))
-	m.restores, _ = meter.Int64Counter("bundle_restored", metric.WithDescription("bundles written back to the platform"))
-	_, _ = meter.Int64ObservableGauge("bundle_version", metric.WithDescription("version in force, 0 for none"),
+	m.applies, _ = meter.Int64Counter("bundler.applied", metric.WithDescription("bundles that came into force"))
+	m.refusals, _ = meter.Int64Counter("bundler.refused", metric.WithDescription("documents that were not applied"))
+	m.restores, _ = meter.Int64Counter("bundler.restored", metric.WithDescription("bundles written back to the platform"))
+	_, _ = meter.Int64ObservableGauge("bundler.version", metric.WithDescription("version in force, 0 for none"),
 		metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
 			o.Observe(int64(version()))
 			return nil
--- a/grouper/meters.go
+++ b/grouper/meters.go
@@ -26,9 +26,9 @@
 		return c
 	}
 	return meters{
-		decisions: counter("mill.group.decisions", "decisions of the repair policy"),
-		orders:    counter("mill.group.orders", "orders to endpoints by result"),
-		saves:     counter("mill.group.saves", "writes of group records by result"),
+		decisions: counter("grouper.decisions", "decisions of the repair policy"),
+		orders:    counter("grouper.orders", "orders to endpoints by result"),
+		saves:     counter("grouper.saves", "writes of group records by result"),
 	}
 }
 
--- a/prober/meters.go
+++ b/prober/meters.go
@@ -24,13 +24,13 @@
 		m = noop.NewMeterProvider().Meter("prober")
 	}
 	out := meters{ready: &atomic.Int64{}, lost: &atomic.Int64{}}
-	probes, err := m.Float64Histogram("mill.probe.duration", metric.WithUnit("s"), metric.WithDescription("time of a probe by result"))
+	probes, err := m.Float64Histogram("prober.probe.duration", metric.WithUnit("s"), metric.WithDescription("time of a probe by result"))
 	if err != nil {
 		probes = noop.Float64Histogram{}
 	}
 	out.probes = probes
-	gauge(m, "mill.targets.ready", "targets that take requests", out.ready)
-	gauge(m, "mill.targets.lost", "targets that lack a member or a fresh report", out.lost)
+	gauge(m, "prober.targets.ready", "targets that take requests", out.ready)
+	gauge(m, "prober.targets.lost", "targets that lack a member or a fresh report", out.lost)
 	return out
 }
 
