--- a/administrator/status.go
+++ b/administrator/status.go
@@ -44,6 +44,7 @@
 	Members       []identifier.Endpoint    `json:"members"`
 	BundleVersion identifier.BundleVersion `json:"bundleVersion"`
 	Ready         bool                     `json:"ready"`
+	Remote        bool                     `json:"remote,omitempty"` // in a failure domain that the instance asked does not probe; Ready says nothing
 	Reason        string                   `json:"reason,omitempty"` // why it is not ready
 	Since         time.Time                `json:"since,omitzero"`
 }
--- a/cmd/millctl/fleet.go
+++ b/cmd/millctl/fleet.go
@@ -24,18 +24,26 @@
 	return ask(c.app, call, c.app.printGroups)
 }
 
+// groupState says in words whether a group serves, as far as the instance asked knows.
+func groupState(g administrator.GroupStatus) string {
+	switch {
+	case g.Ready:
+		return "ready"
+	case g.Remote:
+		return fmt.Sprintf("not probed from here; ask an instance in %s", g.FailureDomain)
+	default:
+		return "not ready: " + g.Reason
+	}
+}
+
 func (a *app) printGroups(groups administrator.Groups) {
 	var rows []string
 	for _, g := range groups.Groups {
-		state := "ready"
-		if !g.Ready {
-			state = "not ready: " + g.Reason
-		}
 		members := make([]string, len(g.Members))
 		for i, m := range g.Members {
 			members[i] = string(m)
 		}
-		rows = append(rows, fmt.Sprintf("%s\t%s\t%s\t%s\t%d\t%d\t%s\t%s", g.Group, g.Pool, g.FailureDomain, g.FabricDomain, g.Epoch, g.BundleVersion, strings.Join(members, ","), state))
+		rows = append(rows, fmt.Sprintf("%s\t%s\t%s\t%s\t%d\t%d\t%s\t%s", g.Group, g.Pool, g.FailureDomain, g.FabricDomain, g.Epoch, g.BundleVersion, strings.Join(members, ","), groupState(g)))
 	}
 	a.table("GROUP\tPOOL\tFAILURE DOMAIN\tFABRIC DOMAIN\tEPOCH\tVERSION\tMEMBERS\tSTATE", rows)
 }
--- a/runner/fleet.go
+++ b/runner/fleet.go
@@ -139,7 +139,7 @@
 		st.Members = append(st.Members, m.Endpoint)
 	}
 	if r.FailureDomain != f.i.settings.FailureDomain {
-		st.Reason = "another failure domain; ask an instance there"
+		st.Remote = true
 		return st
 	}
 	i := slices.IndexFunc(f.targets, func(t router.Target) bool { return t.ID == string(a.Group) })
