--- /dev/null
+++ b/keeper/example_test.go
@@ -0,0 +1,25 @@
+package keeper_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/netip"
+
+	"amaranthmill/keeper"
+)
+
+// A write that lost a race says which revision stands now; one that may have taken effect
+// has an error of its own, which is looked for first.
+func ExampleClient_Swap() {
+	c := keeper.New(keeper.Config{Address: netip.MustParseAddrPort("127.0.0.1:7000"), Instance: "entry-1"})
+	_, err := c.Swap(context.Background(), "groups/alpine/rack-1", 7, []byte("record"))
+	var unknown *keeper.UnknownError
+	var conflict *keeper.ConflictError
+	switch {
+	case errors.As(err, &unknown):
+		fmt.Println("read the key to see whether the write took effect")
+	case errors.As(err, &conflict):
+		fmt.Println("read revision", conflict.Revision, "and decide again")
+	}
+}
