grouper: an empty record gives a new fabric domain its first fencing number

Cause: without a record there is no fencing number, so engines that check it waited out the orders of a holder that never was: 12 s without groups on a fresh platform. Ruled out: the load of weights (the first order came after 12.1 s). An engine that refuses the number of a platform set back keeps the old wait.

--- a/grouper/plan.go
+++ b/grouper/plan.go
@@ -67,9 +67,20 @@
 	if !p.changed {
 		p.promise()
 	}
+	if !p.changed {
+		p.begin()
+	}
 	return p.changed && p.rec.Check() == nil // a fault of the planner must not reach the platform
 }
 
+// begin writes an empty record where there is none. Its revision is the first fencing number, by
+// which endpoints that check it become assignable without a wait for the orders of a holder that never was.
+func (p *planner) begin() {
+	p.changed = p.state.Revision == 0 && slices.ContainsFunc(p.core.sorted(p.rec.FabricDomain), func(ep *endpointState) bool {
+		return p.core.policy.FencingEndpoints(ep.Endpoint)
+	})
+}
+
 func (p *planner) note(g identifier.Group, ep identifier.Endpoint, d Decision) {
 	p.changed = true
 	p.notes = append(p.notes, Note{FabricDomain: p.rec.FabricDomain, Group: g, Endpoint: ep, Decision: d})
