--- a/runner/directory.go
+++ b/runner/directory.go
@@ -28,18 +28,7 @@
 
 // run looks at the list until ctx ends. While the platform cannot be reached the last
 // list stands.
-func (d *directory) run(ctx context.Context) error {
-	t := time.NewTicker(listEvery)
-	defer t.Stop()
-	for {
-		d.look(ctx)
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-t.C:
-		}
-	}
-}
+func (d *directory) run(ctx context.Context) error { return every(ctx, listEvery, d.look) }
 
 func (d *directory) look(ctx context.Context) {
 	listings, err := d.platform.Listed(ctx)
--- a/runner/fleet.go
+++ b/runner/fleet.go
@@ -31,6 +31,13 @@
 	f.targets = t
 }
 
+// lastTargets returns the targets of the own failure domain as they were set last.
+func (f *fleet) lastTargets() []router.Target {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.targets
+}
+
 func (f *fleet) setReports(r []grouper.Report) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/runner/renew.go
+++ b/runner/renew.go
@@ -11,16 +11,9 @@
 // renewCertificates takes up renewed certificates until ctx ends. Files that cannot be
 // used are logged and the former ones stay.
 func (i *instance) renewCertificates(ctx context.Context) error {
-	t := time.NewTicker(renewEvery)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-t.C:
-		}
+	return every(ctx, renewEvery, func(context.Context) {
 		if err := i.credentials.Reload(); err != nil {
 			i.logger.Error().Err(err).Msg("certificates not renewed")
 		}
-	}
+	})
 }
--- a/runner/shares.go
+++ b/runner/shares.go
@@ -45,16 +45,7 @@
 
 // run lets time pass until ctx ends.
 func (s *shares) run(ctx context.Context) error {
-	t := time.NewTicker(shareTick)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-t.C:
-			s.step.Submit(sharer.Ticked{})
-		}
-	}
+	return every(ctx, shareTick, func(context.Context) { s.step.Submit(sharer.Ticked{}) })
 }
 
 // setBundle takes the accounts that have a limit.
--- a/runner/summary.go
+++ b/runner/summary.go
@@ -38,17 +38,7 @@
 
 // shareSummaries sends the load summary to peers until ctx ends.
 func (i *instance) shareSummaries(ctx context.Context) error {
-	t := time.NewTicker(summaryEvery)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-t.C:
-			i.fleet.mu.Lock()
-			targets := i.fleet.targets
-			i.fleet.mu.Unlock()
-			i.linker.Broadcast(summarize(i.settings.FailureDomain, targets))
-		}
-	}
+	return every(ctx, summaryEvery, func(context.Context) {
+		i.linker.Broadcast(summarize(i.settings.FailureDomain, i.fleet.lastTargets()))
+	})
 }
