linker: a demand that is no number or out of range is not believed

Cause: a peer's announcement was taken as it came; NaN would have spread into the division of an account's limit. Seen failing first: FuzzFrames/seed#2, demand out of range: NaN.

--- a/linker/convert.go
+++ b/linker/convert.go
@@ -1,6 +1,7 @@
 package linker
 
 import (
+	"math"
 	"net/http"
 	"slices"
 	"time"
@@ -68,12 +69,15 @@
 	return out
 }
 
+// maxDemand is the largest demand that is believed, in requests a second.
+const maxDemand = 1e9
+
 func demandFromWire(w *wire.DemandAnnouncement) DemandAnnouncement {
 	out := DemandAnnouncement{Sequence: w.GetSequence()}
 	for _, a := range w.GetDemands() {
 		out.Demands = append(out.Demands, AccountDemand{
 			Account:           identifier.ClientAccount(a.GetAccount()),
-			RequestsPerSecond: a.GetRequestsPerSecond(),
+			RequestsPerSecond: clampDemand(a.GetRequestsPerSecond()),
 		})
 	}
 	return out
@@ -112,3 +116,11 @@
 	const limit = 1 << 36
 	return int(min(n, limit))
 }
+
+// clampDemand returns a demand between zero and maxDemand; what is no number is zero.
+func clampDemand(perSecond float64) float64 {
+	if math.IsNaN(perSecond) {
+		return 0
+	}
+	return min(max(perSecond, 0), maxDemand)
+}
--- a/linker/frame_test.go
+++ b/linker/frame_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"fmt"
+	"math"
 	"net/netip"
 	"testing"
 	"time"
@@ -34,6 +35,9 @@
 	for _, m := range []proto.Message{
 		&wire.ControlFrame{Heartbeat: &wire.Heartbeat{Sequence: 3, Echo: 2, BundleVersion: 9}},
 		&wire.ControlFrame{Digest: (&digestEncoder{}).encode([]ProbeReport{{Endpoint: "g1"}, {Endpoint: "g2"}})},
+		&wire.ControlFrame{Demand: []*wire.DemandAnnouncement{{Sequence: 1, Demands: []*wire.AccountDemand{
+			{Account: "a", RequestsPerSecond: math.NaN()}, {Account: "b", RequestsPerSecond: -1}, {Account: "c", RequestsPerSecond: math.Inf(1)},
+		}}}},
 		&wire.Opening{Purpose: &wire.Opening_Request{Request: requestToWire(router.Request{ID: "r"}, scripter.Start)}},
 		&wire.RequestFrame{Sequence: 1, Body: &wire.RequestFrame_Outcome{Outcome: outcomeToWire(router.Unknown{Status: 502})}},
 		&wire.RequestFrame{Sequence: 1, Body: &wire.RequestFrame_RequestEnd{RequestEnd: true}},
@@ -70,6 +74,13 @@
 				t.Fatalf("report out of range: %+v", r)
 			}
 		}
+		for _, d := range frame.GetDemand() {
+			for _, a := range demandFromWire(d).Demands {
+				if !(a.RequestsPerSecond >= 0 && a.RequestsPerSecond <= maxDemand) {
+					t.Fatalf("demand out of range: %+v", a)
+				}
+			}
+		}
 		for _, r := range frame.GetRelayed() {
 			_ = suspicionFromWire(r.GetSuspicion())
 			_ = loadFromWire(r.GetLoad())
