--- a/claimer/config.go
+++ b/claimer/config.go
@@ -9,6 +9,7 @@
 	"go.opentelemetry.io/otel/metric"
 	"go.opentelemetry.io/otel/metric/noop"
 
+	"amaranthmill/internal/defaulter"
 	"amaranthmill/internal/identifier"
 	"amaranthmill/keeper"
 )
@@ -52,7 +53,7 @@
 
 // withDefaults returns cfg with its zero values replaced.
 func withDefaults(cfg Config) Config {
-	setDefault(&cfg.Timeout, 5*time.Second)
+	defaulter.Set(&cfg.Timeout, 5*time.Second)
 	if cfg.Random == nil {
 		cfg.Random = rand.NewPCG(rand.Uint64(), rand.Uint64())
 	}
@@ -67,24 +68,16 @@
 
 // withDefaults returns l with its zero values replaced.
 func (l Limits) withDefaults() Limits {
-	setDefault(&l.Window, 24*time.Hour)
-	setDefault(&l.ClockSkew, 10*time.Second)
-	setDefault(&l.LeaseShared, time.Hour)
-	setDefault(&l.SendFor, 10*time.Second)
-	setDefault(&l.MaxOpen, time.Minute)
-	setDefault(&l.SettleFor, 10*time.Second)
-	setDefault(&l.RetryAfter, 2*time.Second)
-	setDefault(&l.ForgetAfter, time.Hour)
-	setDefault(&l.BodyLimit, 64<<10)
-	setDefault(&l.Backlog, 10)
-	setDefault(&l.Attempts, 4)
+	defaulter.Set(&l.Window, 24*time.Hour)
+	defaulter.Set(&l.ClockSkew, 10*time.Second)
+	defaulter.Set(&l.LeaseShared, time.Hour)
+	defaulter.Set(&l.SendFor, 10*time.Second)
+	defaulter.Set(&l.MaxOpen, time.Minute)
+	defaulter.Set(&l.SettleFor, 10*time.Second)
+	defaulter.Set(&l.RetryAfter, 2*time.Second)
+	defaulter.Set(&l.ForgetAfter, time.Hour)
+	defaulter.Set(&l.BodyLimit, 64<<10)
+	defaulter.Set(&l.Backlog, 10)
+	defaulter.Set(&l.Attempts, 4)
 	return l
 }
-
-// setDefault sets *v to def if it is zero.
-func setDefault[T comparable](v *T, def T) {
-	var zero T
-	if *v == zero {
-		*v = def
-	}
-}
--- a/configurer/read.go
+++ b/configurer/read.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"amaranthmill/internal/decoder"
+	"amaranthmill/internal/defaulter"
 	"amaranthmill/internal/formatter"
 
 	"github.com/go-playground/validator/v10"
@@ -51,20 +52,13 @@
 }
 
 func (s *Settings) setDefaults() {
-	orDefault(&s.Platform.Timeout, formatter.Duration(defaultPlatformTimeout))
-	orDefault(&s.Platform.ReadsPerSecond, defaultReadsPerSecond)
-	orDefault(&s.Platform.WritesPerSecond, defaultWritesPerSecond)
-	orDefault(&s.Limits.BodySize, defaultBodySize)
-	orDefault(&s.Limits.StopNotice, formatter.Duration(defaultStopNotice))
-	orDefault(&s.Limits.StopLimit, formatter.Duration(defaultStopLimit))
-	orDefault(&s.Log.Level, defaultLogLevel)
-}
-
-func orDefault[T comparable](v *T, value T) {
-	var zero T
-	if *v == zero {
-		*v = value
-	}
+	defaulter.Set(&s.Platform.Timeout, formatter.Duration(defaultPlatformTimeout))
+	defaulter.Set(&s.Platform.ReadsPerSecond, defaultReadsPerSecond)
+	defaulter.Set(&s.Platform.WritesPerSecond, defaultWritesPerSecond)
+	defaulter.Set(&s.Limits.BodySize, defaultBodySize)
+	defaulter.Set(&s.Limits.StopNotice, formatter.Duration(defaultStopNotice))
+	defaulter.Set(&s.Limits.StopLimit, formatter.Duration(defaultStopLimit))
+	defaulter.Set(&s.Log.Level, defaultLogLevel)
 }
 
 // check returns a *decoder.DocumentError with every field that breaks its rule.
--- a/dispatcher/claim.go
+++ b/dispatcher/claim.go
@@ -2,10 +2,9 @@
 
 import (
 	"context"
-	"crypto/sha256"
-	"io"
 	"time"
 
+	"amaranthmill/claimer"
 	"amaranthmill/router"
 )
 
@@ -68,10 +67,5 @@
 
 // callDigest returns the digest of what the endpoint would run.
 func callDigest(req *router.Request) [32]byte {
-	h := sha256.New()
-	for _, part := range []string{req.Method, string(req.Service), req.Path} {
-		_, _ = io.WriteString(h, part+"\x00")
-	}
-	_, _ = h.Write(req.Body)
-	return [32]byte(h.Sum(nil))
+	return claimer.DigestOf(req.Method, string(req.Service)+req.Path, req.Body)
 }
--- a/grouper/grouper.go
+++ b/grouper/grouper.go
@@ -10,6 +10,7 @@
 	"go.opentelemetry.io/otel/metric"
 
 	"amaranthmill/bundler"
+	"amaranthmill/internal/defaulter"
 	"amaranthmill/internal/identifier"
 	"amaranthmill/internal/ranker"
 	"amaranthmill/internal/stepper"
@@ -69,7 +70,7 @@
 // New returns a Grouper for cfg. It does nothing until Run.
 func New(cfg Config) *Grouper {
 	cfg.Policy = cfg.Policy.withDefaults()
-	orDefault(&cfg.Tick, 250*time.Millisecond)
+	defaulter.Set(&cfg.Tick, 250*time.Millisecond)
 	if cfg.HTTP == nil {
 		cfg.HTTP = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}}
 	}
--- a/grouper/policy.go
+++ b/grouper/policy.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"amaranthmill/internal/defaulter"
 	"amaranthmill/internal/identifier"
 )
 
@@ -55,25 +56,18 @@
 }
 
 func (p Policy) withDefaults() Policy {
-	orDefault(&p.OrderLife, 2*time.Second)
-	orDefault(&p.LeaseTTL, 10*time.Second)
-	orDefault(&p.DrainSettle, 3*time.Second)
-	orDefault(&p.SuccessionAfter, 5*time.Second)
-	orDefault(&p.DarkAfter, 2*time.Minute)
-	orDefault(&p.SlowPatience, 5*time.Minute)
-	orDefault(&p.LoadsAtOnce, 4)
-	orDefault(&p.LoadTime, 2*time.Minute)
-	orDefault(&p.FlapWindow, 30*time.Minute)
-	orDefault(&p.RolloutFloor, 0.5)
+	defaulter.Set(&p.OrderLife, 2*time.Second)
+	defaulter.Set(&p.LeaseTTL, 10*time.Second)
+	defaulter.Set(&p.DrainSettle, 3*time.Second)
+	defaulter.Set(&p.SuccessionAfter, 5*time.Second)
+	defaulter.Set(&p.DarkAfter, 2*time.Minute)
+	defaulter.Set(&p.SlowPatience, 5*time.Minute)
+	defaulter.Set(&p.LoadsAtOnce, 4)
+	defaulter.Set(&p.LoadTime, 2*time.Minute)
+	defaulter.Set(&p.FlapWindow, 30*time.Minute)
+	defaulter.Set(&p.RolloutFloor, 0.5)
 	if p.FencingEndpoints == nil {
 		p.FencingEndpoints = func(identifier.Endpoint) bool { return false }
 	}
 	return p
 }
-
-func orDefault[T comparable](v *T, value T) {
-	var zero T
-	if *v == zero {
-		*v = value
-	}
-}
--- /dev/null
+++ b/internal/defaulter/doc.go
@@ -0,0 +1,3 @@
+// Package defaulter fills in the documented defaults of settings whose zero value means
+// the default.
+package defaulter
--- a/keeper/config.go
+++ b/keeper/config.go
@@ -10,6 +10,7 @@
 	"go.opentelemetry.io/otel/metric"
 	"go.opentelemetry.io/otel/metric/noop"
 
+	"amaranthmill/internal/defaulter"
 	"amaranthmill/internal/identifier"
 )
 
@@ -40,15 +41,15 @@
 
 // withDefaults returns cfg with its zero values replaced.
 func withDefaults(cfg Config) Config {
-	setDefault(&cfg.ReadsPerSecond, 50)
-	setDefault(&cfg.WritesPerSecond, 20)
-	setDefault(&cfg.Burst, 40)
-	setDefault(&cfg.CallTimeout, 2*time.Second)
-	setDefault(&cfg.Attempts, 3)
-	setDefault(&cfg.BackoffBase, 50*time.Millisecond)
-	setDefault(&cfg.BackoffMax, 2*time.Second)
-	setDefault(&cfg.CircuitFailures, 5)
-	setDefault(&cfg.CircuitOpen, time.Second)
+	defaulter.Set(&cfg.ReadsPerSecond, 50)
+	defaulter.Set(&cfg.WritesPerSecond, 20)
+	defaulter.Set(&cfg.Burst, 40)
+	defaulter.Set(&cfg.CallTimeout, 2*time.Second)
+	defaulter.Set(&cfg.Attempts, 3)
+	defaulter.Set(&cfg.BackoffBase, 50*time.Millisecond)
+	defaulter.Set(&cfg.BackoffMax, 2*time.Second)
+	defaulter.Set(&cfg.CircuitFailures, 5)
+	defaulter.Set(&cfg.CircuitOpen, time.Second)
 	if cfg.HTTP == nil {
 		cfg.HTTP = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 8, IdleConnTimeout: time.Minute}}
 	}
@@ -63,11 +64,3 @@
 	}
 	return cfg
 }
-
-// setDefault sets *v to def if it is zero.
-func setDefault[T comparable](v *T, def T) {
-	var zero T
-	if *v == zero {
-		*v = def
-	}
-}
--- a/prober/prober.go
+++ b/prober/prober.go
@@ -10,6 +10,7 @@
 	"go.opentelemetry.io/otel/metric"
 
 	"amaranthmill/grouper"
+	"amaranthmill/internal/defaulter"
 	"amaranthmill/internal/identifier"
 	"amaranthmill/internal/stepper"
 	"amaranthmill/keeper"
@@ -37,21 +38,15 @@
 }
 
 func (c Config) withDefaults() Config {
-	orDefault(&c.Interval, 500*time.Millisecond)
-	orDefault(&c.Timeout, time.Second)
-	orDefault(&c.FreshFor, 2*time.Second)
-	orDefault(&c.ShareEvery, 750*time.Millisecond)
-	orDefault(&c.Transit, 100*time.Millisecond)
-	orDefault(&c.Tick, 100*time.Millisecond)
+	defaulter.Set(&c.Interval, 500*time.Millisecond)
+	defaulter.Set(&c.Timeout, time.Second)
+	defaulter.Set(&c.FreshFor, 2*time.Second)
+	defaulter.Set(&c.ShareEvery, 750*time.Millisecond)
+	defaulter.Set(&c.Transit, 100*time.Millisecond)
+	defaulter.Set(&c.Tick, 100*time.Millisecond)
 	return c
 }
 
-func orDefault(v *time.Duration, value time.Duration) {
-	if *v == 0 {
-		*v = value
-	}
-}
-
 // Prober probes the endpoints of one failure domain. It is safe for concurrent use.
 type Prober struct {
 	cfg    Config
--- a/router/router.go
+++ b/router/router.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"time"
 
+	"amaranthmill/internal/defaulter"
 	"amaranthmill/internal/identifier"
 )
 
@@ -120,30 +121,22 @@
 func (r *Router) act(a Action) { r.actions = append(r.actions, a) }
 
 func (c Config) withDefaults() Config {
-	setDefault(&c.MaxAttempts, defaultMaxAttempts)
-	setDefault(&c.RetryShare, defaultRetryShare)
-	setDefault(&c.RetryBurst, defaultRetryBurst)
-	setDefault(&c.Choices, defaultChoices)
-	setDefault(&c.LoadBound, defaultLoadBound)
-	setDefault(&c.FreeLoad, defaultFreeLoad)
-	setDefault(&c.AffinityWeight, defaultAffinityWeight)
-	setDefault(&c.ReportHalfLife, defaultReportHalfLife)
-	setDefault(&c.PrefixBlocks, defaultPrefixBlocks)
-	setDefault(&c.Capacity, defaultCapacity)
-	setDefault(&c.SuspicionFor, defaultSuspicionFor)
-	setDefault(&c.SuspicionSettle, defaultSuspicionSettle)
-	setDefault(&c.Patience, defaultPatience)
-	setDefault(&c.SuspendFor, defaultSuspendFor)
+	defaulter.Set(&c.MaxAttempts, defaultMaxAttempts)
+	defaulter.Set(&c.RetryShare, defaultRetryShare)
+	defaulter.Set(&c.RetryBurst, defaultRetryBurst)
+	defaulter.Set(&c.Choices, defaultChoices)
+	defaulter.Set(&c.LoadBound, defaultLoadBound)
+	defaulter.Set(&c.FreeLoad, defaultFreeLoad)
+	defaulter.Set(&c.AffinityWeight, defaultAffinityWeight)
+	defaulter.Set(&c.ReportHalfLife, defaultReportHalfLife)
+	defaulter.Set(&c.PrefixBlocks, defaultPrefixBlocks)
+	defaulter.Set(&c.Capacity, defaultCapacity)
+	defaulter.Set(&c.SuspicionFor, defaultSuspicionFor)
+	defaulter.Set(&c.SuspicionSettle, defaultSuspicionSettle)
+	defaulter.Set(&c.Patience, defaultPatience)
+	defaulter.Set(&c.SuspendFor, defaultSuspendFor)
 	if c.Rand == nil {
 		c.Rand = rand.NewPCG(1, 1)
 	}
 	return c
 }
-
-// setDefault gives *field the value of its zero.
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
--- a/runner/shares.go
+++ b/runner/shares.go
@@ -108,25 +108,36 @@
 	case sharer.Announce:
 		s.announce(a)
 	case sharer.SetRate:
-		s.mu.Lock()
-		s.parts[a.Account] = a.Part
-		s.mu.Unlock()
-		s.apply()
+		s.setPart(a.Account, a.Part)
 	}
 }
 
-// apply gives the dispatcher the parts, or equal parts while there is an instance that
-// was never in reach: what that one admits is not known here.
+// setPart keeps the part of one account and gives it to the dispatcher.
+func (s *shares) setPart(account identifier.ClientAccount, part float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.parts[account] = part
+	s.give(account, s.isComplete())
+}
+
+// apply gives the dispatcher the parts of all accounts after the peers changed.
 func (s *shares) apply() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	complete := s.isComplete()
-	for account, part := range s.parts {
-		if !complete {
-			part = 0
-		}
-		s.dispatcher.SetPart(account, part)
+	for account := range s.parts {
+		s.give(account, complete)
+	}
+}
+
+// give gives the dispatcher the part of an account, or an equal part while there is an
+// instance that was never in reach: what that one admits is not known here. s.mu is held.
+func (s *shares) give(account identifier.ClientAccount, complete bool) {
+	part := s.parts[account]
+	if !complete {
+		part = 0
 	}
+	s.dispatcher.SetPart(account, part)
 }
 
 func (s *shares) announce(a sharer.Announce) {
--- a/sharer/config.go
+++ b/sharer/config.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"amaranthmill/internal/defaulter"
 	"amaranthmill/internal/identifier"
 )
 
@@ -28,19 +29,11 @@
 
 // withDefaults returns cfg with its zero values replaced.
 func withDefaults(cfg Config) Config {
-	setDefault(&cfg.Divergence, time.Second)
-	setDefault(&cfg.Least, 4)
-	setDefault(&cfg.EqualPart, 0.1)
-	setDefault(&cfg.Smoothing, time.Second)
-	setDefault(&cfg.Pause, 250*time.Millisecond)
-	setDefault(&cfg.Refresh, time.Minute)
+	defaulter.Set(&cfg.Divergence, time.Second)
+	defaulter.Set(&cfg.Least, 4)
+	defaulter.Set(&cfg.EqualPart, 0.1)
+	defaulter.Set(&cfg.Smoothing, time.Second)
+	defaulter.Set(&cfg.Pause, 250*time.Millisecond)
+	defaulter.Set(&cfg.Refresh, time.Minute)
 	return cfg
 }
-
-// setDefault sets *v to def if it is zero.
-func setDefault[T comparable](v *T, def T) {
-	var zero T
-	if *v == zero {
-		*v = def
-	}
-}
--- a/standin/cmd/standin/serve.go
+++ b/standin/cmd/standin/serve.go
@@ -50,11 +50,7 @@
 
 // Execute runs the engine until a signal.
 func (c *engineCommand) Execute([]string) error {
-	listen, err := netip.ParseAddrPort(c.Listen)
-	if err != nil {
-		return err
-	}
-	plat, err := netip.ParseAddrPort(c.Platform)
+	listen, plat, err := addresses(c.Listen, c.Platform)
 	if err != nil {
 		return err
 	}
@@ -83,11 +79,7 @@
 
 // Execute runs the plain service until a signal.
 func (c *serviceCommand) Execute([]string) error {
-	listen, err := netip.ParseAddrPort(c.Listen)
-	if err != nil {
-		return err
-	}
-	plat, err := netip.ParseAddrPort(c.Platform)
+	listen, plat, err := addresses(c.Listen, c.Platform)
 	if err != nil {
 		return err
 	}
@@ -98,6 +90,15 @@
 	return serve(c.Listen, s.Handler(), nil)
 }
 
+// addresses reads the address to listen on and that of the platform.
+func addresses(listen, platform string) (l, p netip.AddrPort, err error) {
+	if l, err = netip.ParseAddrPort(listen); err != nil {
+		return l, p, err
+	}
+	p, err = netip.ParseAddrPort(platform)
+	return l, p, err
+}
+
 type listing struct {
 	Name          string         `json:"name"`
 	Kind          string         `json:"kind"`
