--- a/standin/trial/process.go
+++ b/standin/trial/process.go
@@ -1,6 +1,7 @@
 package trial
 
 import (
+	"errors"
 	"fmt"
 	"os"
 	"os/exec"
@@ -13,9 +14,25 @@
 // stopWait is how long a process may take to end after a signal.
 const stopWait = 70 * time.Second
 
+// lastLinesSize is how many bytes of a log an EndedError holds at most.
+const lastLinesSize = 2 << 10
+
+// EndedError says that a process ended which the trial had not ended.
+type EndedError struct {
+	Process   string
+	State     string // the exit code or the signal
+	LastLines string // of the process's log
+}
+
+// Error returns the process, how it ended and the end of its log.
+func (e *EndedError) Error() string {
+	return fmt.Sprintf("trial: %s ended by itself (%s); the end of its log:\n%s", e.Process, e.State, e.LastLines)
+}
+
 // process is one process that the trial started.
 type process struct {
 	name string
+	log  string // the path of its log file
 	cmd  *exec.Cmd
 	done chan struct{}
 	err  error // of the process, once done is closed
@@ -31,11 +48,12 @@
 
 // start starts a program with its output in a log file of its name.
 func (ps *processes) start(name, program string, args ...string) (*process, error) {
-	log, err := os.Create(filepath.Join(ps.dir, name+".log"))
+	path := filepath.Join(ps.dir, name+".log")
+	log, err := os.Create(path)
 	if err != nil {
 		return nil, err
 	}
-	p := &process{name: name, cmd: exec.Command(program, args...), done: make(chan struct{})}
+	p := &process{name: name, log: path, cmd: exec.Command(program, args...), done: make(chan struct{})}
 	p.cmd.Stdout, p.cmd.Stderr = log, log
 	if err := p.cmd.Start(); err != nil {
 		return nil, fmt.Errorf("trial: start %s: %w", name, err)
@@ -73,8 +91,24 @@
 // freeze stops the process without its knowledge.
 func (p *process) freeze() error { return p.cmd.Process.Signal(syscall.SIGSTOP) }
 
-// thaw lets a frozen process go on.
-func (p *process) thaw() error { return p.cmd.Process.Signal(syscall.SIGCONT) }
+// thaw lets a frozen process go on. It fails with an EndedError if the process ended meanwhile.
+func (p *process) thaw() error {
+	err := p.cmd.Process.Signal(syscall.SIGCONT)
+	if errors.Is(err, os.ErrProcessDone) {
+		<-p.done
+		return &EndedError{Process: p.name, State: p.cmd.ProcessState.String(), LastLines: p.lastLines()}
+	}
+	return err
+}
+
+// lastLines returns the end of the process's log, or why it can't be read.
+func (p *process) lastLines() string {
+	b, err := os.ReadFile(p.log)
+	if err != nil {
+		return err.Error()
+	}
+	return string(b[max(0, len(b)-lastLinesSize):])
+}
 
 // running reports whether the process has not ended.
 func (p *process) running() bool {
--- /dev/null
+++ b/standin/trial/process_test.go
@@ -0,0 +1,20 @@
+package trial
+
+import (
+	"errors"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// A process that ended before it is to go on is reported with its signal and the end of its log.
+func TestThawOfEndedProcess(t *testing.T) {
+	is := is.New(t)
+	ps := &processes{dir: t.TempDir()}
+	p, err := ps.start("entry-1", "/bin/sh", "-c", "echo lease lost; kill -KILL $$")
+	is.NoErr(err)
+	<-p.done
+	var ended *EndedError
+	is.True(errors.As(p.thaw(), &ended))
+	is.Equal(*ended, EndedError{Process: "entry-1", State: "signal: killed", LastLines: "lease lost\n"})
+}
