--- a/standin/trial/process.go
+++ b/standin/spawner/process.go
@@ -1,4 +1,4 @@
-package trial
+package spawner
 
 import (
 	"errors"
@@ -17,7 +17,7 @@
 // lastLinesSize is how many bytes of a log an EndedError holds at most.
 const lastLinesSize = 2 << 10
 
-// EndedError says that a process ended which the trial had not ended.
+// EndedError says that a process ended that was not to end.
 type EndedError struct {
 	Process   string
 	State     string // the exit code or the signal
@@ -26,11 +26,11 @@
 
 // Error returns the process, how it ended and the end of its log.
 func (e *EndedError) Error() string {
-	return fmt.Sprintf("trial: %s ended by itself (%s); the end of its log:\n%s", e.Process, e.State, e.LastLines)
+	return fmt.Sprintf("spawner: %s ended by itself (%s); the end of its log:\n%s", e.Process, e.State, e.LastLines)
 }
 
-// process is one process that the trial started.
-type process struct {
+// Process is one process that was started.
+type Process struct {
 	name string
 	log  string // the path of its log file
 	cmd  *exec.Cmd
@@ -38,25 +38,25 @@
 	err  error // of the process, once done is closed
 }
 
-// processes are all that the trial started. It is safe for concurrent use.
-type processes struct {
-	dir string // of the log files
+// Processes are all that were started. It is safe for concurrent use.
+type Processes struct {
+	Dir string // of the log files
 
 	mu  sync.Mutex
-	all []*process
+	all []*Process
 }
 
-// start starts a program with its output in a log file of its name.
-func (ps *processes) start(name, program string, args ...string) (*process, error) {
-	path := filepath.Join(ps.dir, name+".log")
+// Start starts a program with its output in a log file of its name.
+func (ps *Processes) Start(name, program string, args ...string) (*Process, error) {
+	path := filepath.Join(ps.Dir, name+".log")
 	log, err := os.Create(path)
 	if err != nil {
 		return nil, err
 	}
-	p := &process{name: name, log: path, cmd: exec.Command(program, args...), done: make(chan struct{})}
+	p := &Process{name: name, log: path, cmd: exec.Command(program, args...), done: make(chan struct{})}
 	p.cmd.Stdout, p.cmd.Stderr = log, log
 	if err := p.cmd.Start(); err != nil {
-		return nil, fmt.Errorf("trial: start %s: %w", name, err)
+		return nil, fmt.Errorf("spawner: start %s: %w", name, err)
 	}
 	go func() {
 		p.err = p.cmd.Wait()
@@ -69,14 +69,14 @@
 	return p, nil
 }
 
-// kill ends a process at once.
-func (p *process) kill() {
+// Kill ends a process at once.
+func (p *Process) Kill() {
 	_ = p.cmd.Process.Kill()
 	<-p.done
 }
 
-// terminate asks a process to stop and returns its exit code.
-func (p *process) terminate() (int, error) {
+// Terminate asks a process to stop and returns its exit code.
+func (p *Process) Terminate() (int, error) {
 	if err := p.cmd.Process.Signal(syscall.SIGTERM); err != nil {
 		return -1, err
 	}
@@ -84,15 +84,15 @@
 	case <-p.done:
 		return p.cmd.ProcessState.ExitCode(), nil
 	case <-time.After(stopWait):
-		return -1, fmt.Errorf("trial: %s did not stop within %s", p.name, stopWait)
+		return -1, fmt.Errorf("spawner: %s did not stop within %s", p.name, stopWait)
 	}
 }
 
-// freeze stops the process without its knowledge.
-func (p *process) freeze() error { return p.cmd.Process.Signal(syscall.SIGSTOP) }
+// Freeze stops the process without its knowledge.
+func (p *Process) Freeze() error { return p.cmd.Process.Signal(syscall.SIGSTOP) }
 
-// thaw lets a frozen process go on. It fails with an EndedError if the process ended meanwhile.
-func (p *process) thaw() error {
+// Thaw lets a frozen process go on. It fails with an EndedError if the process ended meanwhile.
+func (p *Process) Thaw() error {
 	err := p.cmd.Process.Signal(syscall.SIGCONT)
 	if errors.Is(err, os.ErrProcessDone) {
 		<-p.done
@@ -102,7 +102,7 @@
 }
 
 // lastLines returns the end of the process's log, or why it can't be read.
-func (p *process) lastLines() string {
+func (p *Process) lastLines() string {
 	b, err := os.ReadFile(p.log)
 	if err != nil {
 		return err.Error()
@@ -110,8 +110,8 @@
 	return string(b[max(0, len(b)-lastLinesSize):])
 }
 
-// running reports whether the process has not ended.
-func (p *process) running() bool {
+// Running reports whether the process has not ended.
+func (p *Process) Running() bool {
 	select {
 	case <-p.done:
 		return false
@@ -120,13 +120,13 @@
 	}
 }
 
-// stopAll kills what still runs.
-func (ps *processes) stopAll() {
+// StopAll kills what still runs.
+func (ps *Processes) StopAll() {
 	ps.mu.Lock()
 	defer ps.mu.Unlock()
 	for _, p := range ps.all {
-		if p.running() {
-			p.kill()
+		if p.Running() {
+			p.Kill()
 		}
 	}
 }
--- a/standin/trial/process_test.go
+++ b/standin/spawner/process_test.go
@@ -1,4 +1,4 @@
-package trial
+package spawner
 
 import (
 	"errors"
@@ -10,11 +10,11 @@
 // A process that ended before it is to go on is reported with its signal and the end of its log.
 func TestThawOfEndedProcess(t *testing.T) {
 	is := is.New(t)
-	ps := &processes{dir: t.TempDir()}
-	p, err := ps.start("entry-1", "/bin/sh", "-c", "echo lease lost; kill -KILL $$")
+	ps := &Processes{Dir: t.TempDir()}
+	p, err := ps.Start("entry-1", "/bin/sh", "-c", "echo lease lost; kill -KILL $$")
 	is.NoErr(err)
 	<-p.done
 	var ended *EndedError
-	is.True(errors.As(p.thaw(), &ended))
+	is.True(errors.As(p.Thaw(), &ended))
 	is.Equal(*ended, EndedError{Process: "entry-1", State: "signal: killed", LastLines: "lease lost\n"})
 }
--- a/standin/trial/fault.go
+++ b/standin/trial/fault.go
@@ -36,7 +36,7 @@
 	}()
 	time.Sleep(loadTime / 4)
 	t.say("killing %s, a member of group %s", victim.name, g.Group)
-	victim.process.kill()
+	victim.process.Kill()
 	killed := time.Now()
 	err = within(repairLimit, "the broken group serves again", func() bool { return t.serving() == len(failureDomains)*groupsPerDomain && t.repaired(g) })
 	t.say("the group serves again after %s", time.Since(killed).Round(100*time.Millisecond))
@@ -139,7 +139,7 @@
 	}()
 	time.Sleep(loadTime / 4)
 	t.say("stopping %s under load", e.name)
-	code, err := e.process.terminate()
+	code, err := e.process.Terminate()
 	if err != nil {
 		return err
 	}
@@ -158,12 +158,12 @@
 	codes := make(chan int)
 	running := 0
 	for _, e := range t.f.entries {
-		if !e.process.running() {
+		if !e.process.Running() {
 			continue
 		}
 		running++
 		go func() {
-			code, err := e.process.terminate()
+			code, err := e.process.Terminate()
 			if err != nil {
 				code = -1
 			}
--- a/standin/trial/fleet.go
+++ b/standin/trial/fleet.go
@@ -9,6 +9,9 @@
 	"os"
 	"path/filepath"
 
+	"amaranthmill/standin/relayer"
+	"amaranthmill/standin/spawner"
+
 	"amaranthmill/standin/authority"
 )
 
@@ -25,22 +28,22 @@
 type entry struct {
 	name, domain          string
 	callers, admin, peers netip.AddrPort
-	process               *process
-	platform              *link            // on its way to the platform
-	toPeer                map[string]*link // on its way to each other entry instance, by name
+	process               *spawner.Process
+	platform              *relayer.Link            // on its way to the platform
+	toPeer                map[string]*relayer.Link // on its way to each other entry instance, by name
 }
 
 // endpoint is one engine or plain service.
 type endpoint struct {
 	name, domain string
 	address      netip.AddrPort
-	process      *process
+	process      *spawner.Process
 }
 
 // fleet is all that runs.
 type fleet struct {
 	bin, dir   string
-	processes  processes
+	processes  spawner.Processes
 	platform   netip.AddrPort
 	entries    []*entry
 	engines    []*endpoint
@@ -86,7 +89,7 @@
 
 // newFleet lays out names and addresses. Nothing runs yet.
 func newFleet(bin, dir string) (*fleet, error) {
-	f := &fleet{bin: bin, dir: dir, processes: processes{dir: dir}, keys: map[string]keyPair{}}
+	f := &fleet{bin: bin, dir: dir, processes: spawner.Processes{Dir: dir}, keys: map[string]keyPair{}}
 	perDomain := groupsPerDomain*groupSize + sparesPerDomain
 	ports, err := freePorts(2 + len(failureDomains)*perDomain + 3*4)
 	if err != nil {
@@ -116,7 +119,7 @@
 // startEndpoints starts the platform, the engines and the plain service.
 func (f *fleet) startEndpoints() error {
 	standin := filepath.Join(f.bin, "standin")
-	if _, err := f.processes.start("platform", standin, "platform", "--listen", f.platform.String(), "--weightsPerSecond", "20"); err != nil {
+	if _, err := f.processes.Start("platform", standin, "platform", "--listen", f.platform.String(), "--weightsPerSecond", "20"); err != nil {
 		return err
 	}
 	var err error
@@ -125,13 +128,13 @@
 			"engine", "--name", e.name, "--listen", e.address.String(), "--platform", f.platform.String(),
 			"--failureDomain", e.domain, "--fabricDomain", e.domain + "-rack", "--checksFence",
 		}, f.engineArgs...)
-		e.process, err = f.processes.start(e.name, standin, args...)
+		e.process, err = f.processes.Start(e.name, standin, args...)
 		if err != nil {
 			return err
 		}
 	}
 	s := f.service
-	s.process, err = f.processes.start(s.name, standin, "service", "--name", s.name, "--service", "pad-ledger",
+	s.process, err = f.processes.Start(s.name, standin, "service", "--name", s.name, "--service", "pad-ledger",
 		"--listen", s.address.String(), "--platform", f.platform.String(), "--failureDomain", s.domain)
 	return err
 }
@@ -168,7 +171,7 @@
 // startEntry starts an entry instance whose settings are written.
 func (f *fleet) startEntry(e *entry) error {
 	var err error
-	e.process, err = f.processes.start(e.name, filepath.Join(f.bin, "amaranthmill"), f.settingsOf(e))
+	e.process, err = f.processes.Start(e.name, filepath.Join(f.bin, "amaranthmill"), f.settingsOf(e))
 	return err
 }
 
@@ -178,7 +181,7 @@
 	var peers []object
 	for _, p := range f.entries {
 		if p != e {
-			peers = append(peers, object{"instance": p.name, "failureDomain": p.domain, "address": e.toPeer[p.name].address()})
+			peers = append(peers, object{"instance": p.name, "failureDomain": p.domain, "address": e.toPeer[p.name].Address()})
 		}
 	}
 	operator := func(name, role string) object {
@@ -187,7 +190,7 @@
 	settings := object{
 		"instance": e.name, "failureDomain": e.domain,
 		"listen":   object{"callers": e.callers, "administration": e.admin, "peers": e.peers},
-		"platform": object{"address": e.platform.address()},
+		"platform": object{"address": e.platform.Address()},
 		"peers":    peers,
 		"tls": object{
 			"certificate": filepath.Join(f.dir, e.name+".pem"), "key": filepath.Join(f.dir, e.name+".key"),
@@ -208,12 +211,12 @@
 func (f *fleet) newLinks() error {
 	var err error
 	for _, e := range f.entries {
-		if e.platform, err = newLink(f.platform); err != nil {
+		if e.platform, err = relayer.New(f.platform); err != nil {
 			return err
 		}
-		e.toPeer = map[string]*link{}
+		e.toPeer = map[string]*relayer.Link{}
 		for _, p := range f.entries {
-			if e.toPeer[p.name], err = newLink(p.peers); err != nil {
+			if e.toPeer[p.name], err = relayer.New(p.peers); err != nil {
 				return err
 			}
 		}
@@ -233,12 +236,12 @@
 }
 
 // cutOff cuts every link that leaves or enters a failure domain.
-func (f *fleet) cutOff(domain string) { f.eachLink(domain, (*link).cut) }
+func (f *fleet) cutOff(domain string) { f.eachLink(domain, (*relayer.Link).Cut) }
 
 // mend mends every link that leaves or enters a failure domain.
-func (f *fleet) mend(domain string) { f.eachLink(domain, (*link).mend) }
+func (f *fleet) mend(domain string) { f.eachLink(domain, (*relayer.Link).Mend) }
 
-func (f *fleet) eachLink(domain string, do func(*link)) {
+func (f *fleet) eachLink(domain string, do func(*relayer.Link)) {
 	for _, e := range f.entries {
 		if e.domain == domain {
 			do(e.platform)
--- a/standin/trial/scenario.go
+++ b/standin/trial/scenario.go
@@ -72,7 +72,7 @@
 			return err
 		}
 		t.say("killing a member of group %s", g.Group)
-		t.f.engine(g.Members[len(g.Members)-1]).process.kill()
+		t.f.engine(g.Members[len(g.Members)-1]).process.Kill()
 		return within(successionLimit, "the standby takes the member's place with the platform down", func() bool { return t.repaired(g) })
 	})
 	if err != nil {
@@ -93,7 +93,7 @@
 // its bundle from a peer.
 func (t *trial) restartEntry() error {
 	e := t.f.entries[len(t.f.entries)-1]
-	e.process.kill()
+	e.process.Kill()
 	if err := t.f.startEntry(e); err != nil {
 		return err
 	}
@@ -165,12 +165,12 @@
 		return err
 	}
 	t.say("freezing %s", frozen.name)
-	if err := frozen.process.freeze(); err != nil {
+	if err := frozen.process.Freeze(); err != nil {
 		return err
 	}
 	victim := t.f.engine(g.Members[len(g.Members)-1])
 	t.say("killing %s, a member of group %s", victim.name, g.Group)
-	victim.process.kill()
+	victim.process.Kill()
 	err = within(2*repairLimit, "the other instance repairs the group", func() bool {
 		now, err := t.groupNamed(other, g.Group)
 		return err == nil && now.Ready && now.Epoch > g.Epoch
@@ -178,7 +178,7 @@
 	if err != nil {
 		return err
 	}
-	if err := frozen.process.thaw(); err != nil {
+	if err := frozen.process.Thaw(); err != nil {
 		return err
 	}
 	t.say("%s goes on; the load goes to all", frozen.name)
@@ -223,7 +223,7 @@
 	}
 	dead := 0
 	for _, e := range t.f.engines {
-		if !e.process.running() {
+		if !e.process.Running() {
 			dead++
 		}
 	}
