--- a/informer/informer.go
+++ b/informer/informer.go
@@ -18,6 +18,7 @@
 	"amaranthmill/internal/defaulter"
 	"amaranthmill/internal/identifier"
 	"amaranthmill/keeper"
+	"amaranthmill/replicator"
 )
 
 // defaultTimeout bounds one exchange with a peer.
@@ -28,9 +29,12 @@
 
 // Config configures an Informer. All fields but Timeout and Logger are required.
 type Config struct {
+	Instance      identifier.Instance
+	FailureDomain identifier.FailureDomain
+
 	Peers     *Peers
 	Changes   func(ctx context.Context, after uint64, wait time.Duration) (keeper.Changes, error) // of this instance's replica, as they come
-	Replica   func(after uint64) keeper.Snapshot                                                  // this instance's replica if it is newer; a Revision of zero otherwise
+	News      func(after uint64) replicator.News                                                  // what this instance's replica has beyond a revision
 	Report    func(ctx context.Context, id identifier.Endpoint) (former.Reported, error)
 	OnStalled func(head identifier.Endpoint) // a peer says that a group stands still; must not block
 	HTTP      *http.Client
@@ -39,12 +43,15 @@
 }
 
 // Informer tells peers and answers them. It is safe for concurrent use.
-type Informer struct{ cfg Config }
+type Informer struct {
+	cfg   Config
+	turns turns
+}
 
 // New returns an Informer for cfg.
 func New(cfg Config) *Informer {
 	defaulter.Set(&cfg.Timeout, defaultTimeout)
-	return &Informer{cfg: cfg}
+	return &Informer{cfg: cfg, turns: newTurns(cfg.Instance, cfg.FailureDomain)}
 }
 
 // StatusError says that a peer answered with an unexpected status.
@@ -57,19 +64,19 @@
 // Handler answers peers.
 func (i *Informer) Handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET "+pathReplica, i.serveReplica)
+	mux.HandleFunc("GET "+pathNews, i.serveNews)
 	mux.HandleFunc("GET "+pathChanges, i.serveChanges)
 	mux.HandleFunc("POST "+pathStalled, i.serveStalled)
 	mux.HandleFunc("POST "+pathReport, i.serveReport)
 	return mux
 }
 
-func (i *Informer) serveReplica(w http.ResponseWriter, r *http.Request) {
+func (i *Informer) serveNews(w http.ResponseWriter, r *http.Request) {
 	after, ok := readAfter(w, r)
 	if !ok {
 		return
 	}
-	i.write(w, encodeReplica(i.cfg.Replica(after)))
+	i.write(w, encodeNews(i.cfg.News(after)))
 }
 
 // readAfter reads the revision that a peer stands at, or refuses the request.
@@ -147,24 +154,26 @@
 	}
 }
 
-// Newer returns the newest replica that a peer has beyond revision after. A Revision of
-// zero says that none has.
-func (i *Informer) Newer(ctx context.Context, after uint64) keeper.Snapshot {
-	var best keeper.Snapshot
-	var mu sync.Mutex
-	i.each(ctx, func(ctx context.Context, p Peer) {
-		var w replicaWire
-		if err := i.exchange(ctx, p, http.MethodGet, withAfter(pathReplica, after), nil, &w); err != nil {
-			i.cfg.Logger.Debug().Err(err).Str("peer", string(p.Instance)).Msg("no replica from peer")
-			return
-		}
-		mu.Lock()
-		defer mu.Unlock()
-		if w.Revision > best.Revision {
-			best = w.snapshot()
-		}
-	})
-	return best
+// Newer asks one peer for what its replica has beyond revision after: one of the own
+// failure domain, if any has had something newer of late. A Revision of zero says that it
+// has nothing newer or did not answer; the next call then asks another.
+func (i *Informer) Newer(ctx context.Context, after uint64) replicator.News {
+	now := time.Now()
+	p, ok := i.turns.next(now, i.cfg.Peers.All())
+	if !ok {
+		return replicator.News{}
+	}
+	ctx, cancel := context.WithTimeout(ctx, i.cfg.Timeout)
+	defer cancel()
+	var w newsWire
+	if err := i.exchange(ctx, p, http.MethodGet, withAfter(pathNews, after), nil, &w); err != nil {
+		i.cfg.Logger.Debug().Err(err).Str("peer", string(p.Instance)).Msg("no news from peer")
+	}
+	if w.Revision <= after {
+		i.turns.pass(now, p.Instance)
+		return replicator.News{}
+	}
+	return w.news()
 }
 
 // Stalled tells the instance that forms groups that one stands still, or every peer if that instance is not known.
--- a/informer/informer_test.go
+++ b/informer/informer_test.go
@@ -16,6 +16,7 @@
 	"amaranthmill/internal/identifier"
 	"amaranthmill/keeper"
 	"amaranthmill/lister"
+	"amaranthmill/replicator"
 )
 
 var errStale = errors.New("stale")
@@ -30,11 +31,11 @@
 			}
 			return keeper.Changes{Revision: 9, Entries: []keeper.Change{{Entry: keeper.Entry{Key: "a", Value: []byte("x"), Revision: 8}}, {Entry: keeper.Entry{Key: "b", Revision: 9}, Deleted: true}}}, nil
 		},
-		Replica: func(after uint64) keeper.Snapshot {
+		News: func(after uint64) replicator.News {
 			if after >= 9 {
-				return keeper.Snapshot{}
+				return replicator.News{}
 			}
-			return keeper.Snapshot{Revision: 9, Entries: []keeper.Entry{{Key: "a", Value: []byte("x"), Revision: 8}}}
+			return replicator.News{Revision: 9, Entries: []keeper.Change{{Entry: keeper.Entry{Key: "a", Value: []byte("x"), Revision: 8}}}}
 		},
 		Report: func(_ context.Context, id identifier.Endpoint) (former.Reported, error) {
 			if id != "e1" {
--- a/informer/wire.go
+++ b/informer/wire.go
@@ -7,11 +7,12 @@
 	"amaranthmill/internal/identifier"
 	"amaranthmill/keeper"
 	"amaranthmill/lister"
+	"amaranthmill/replicator"
 )
 
 // Paths of the exchanges.
 const (
-	pathReplica = "/replica"
+	pathNews    = "/news"
 	pathChanges = "/changes"
 	pathStalled = "/stalled"
 	pathReport  = "/report"
@@ -22,32 +23,19 @@
 	return path + "?after=" + strconv.FormatUint(after, 10)
 }
 
-// replicaWire is a replica of the store.
-type replicaWire struct {
-	Revision uint64      `json:"revision"`
-	Entries  []entryWire `json:"entries"`
-}
-
-type entryWire struct {
-	Key      string `json:"key"`
-	Value    []byte `json:"value"`
-	Revision uint64 `json:"revision"`
+// newsWire is what a replica of the store has beyond another.
+type newsWire struct {
+	Revision uint64       `json:"revision"`
+	Whole    bool         `json:"whole,omitempty"`
+	Entries  []changeWire `json:"entries,omitempty"`
 }
 
-func encodeReplica(s keeper.Snapshot) replicaWire {
-	w := replicaWire{Revision: s.Revision}
-	for _, e := range s.Entries {
-		w.Entries = append(w.Entries, entryWire(e))
-	}
-	return w
+func encodeNews(n replicator.News) newsWire {
+	return newsWire{Revision: n.Revision, Whole: n.Whole, Entries: encodeEntries(n.Entries)}
 }
 
-func (w replicaWire) snapshot() keeper.Snapshot {
-	s := keeper.Snapshot{Revision: w.Revision}
-	for _, e := range w.Entries {
-		s.Entries = append(s.Entries, keeper.Entry(e))
-	}
-	return s
+func (w newsWire) news() replicator.News {
+	return replicator.News{Revision: w.Revision, Whole: w.Whole, Entries: decodeEntries(w.Entries)}
 }
 
 // changesWire is what changed in a replica of the store.
@@ -64,19 +52,27 @@
 }
 
 func encodeChanges(c keeper.Changes) changesWire {
-	w := changesWire{Revision: c.Revision}
-	for _, e := range c.Entries {
-		w.Entries = append(w.Entries, changeWire{Key: e.Key, Value: e.Value, Revision: e.Revision, Deleted: e.Deleted})
-	}
-	return w
+	return changesWire{Revision: c.Revision, Entries: encodeEntries(c.Entries)}
 }
 
 func (w changesWire) changes() keeper.Changes {
-	c := keeper.Changes{Revision: w.Revision}
-	for _, e := range w.Entries {
-		c.Entries = append(c.Entries, keeper.Change{Entry: keeper.Entry{Key: e.Key, Value: e.Value, Revision: e.Revision}, Deleted: e.Deleted})
+	return keeper.Changes{Revision: w.Revision, Entries: decodeEntries(w.Entries)}
+}
+
+func encodeEntries(entries []keeper.Change) []changeWire {
+	var out []changeWire
+	for _, e := range entries {
+		out = append(out, changeWire{Key: e.Key, Value: e.Value, Revision: e.Revision, Deleted: e.Deleted})
+	}
+	return out
+}
+
+func decodeEntries(entries []changeWire) []keeper.Change {
+	var out []keeper.Change
+	for _, e := range entries {
+		out = append(out, keeper.Change{Entry: keeper.Entry{Key: e.Key, Value: e.Value, Revision: e.Revision}, Deleted: e.Deleted})
 	}
-	return c
+	return out
 }
 
 // stalledWire says that the requests of a group's head stand still.
--- a/replicator/core.go
+++ b/replicator/core.go
@@ -1,7 +1,6 @@
 package replicator
 
 import (
-	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -35,8 +34,8 @@
 // Failed says that the call under way brought nothing. Compacted says that the history it asked for is gone.
 type Failed struct{ Compacted bool }
 
-// PeerAnswered is a peer's replica, in answer to an AskPeers action. A Revision of zero says that the peer has none newer.
-type PeerAnswered struct{ Snapshot keeper.Snapshot }
+// PeerAnswered is what a peer's replica has beyond this one, in answer to an AskPeers action.
+type PeerAnswered struct{ News News }
 
 // Hurried says whether changes are wanted as soon as they come, rather than several at a time.
 type Hurried struct{ On bool }
@@ -61,7 +60,7 @@
 // Watch asks the store for the changes after a revision.
 type Watch struct{ After uint64 }
 
-// AskPeers asks peers for replicas that are newer than a revision.
+// AskPeers asks a peer for what its replica has beyond a revision.
 type AskPeers struct{ After uint64 }
 
 // WakeAt asks for a Ticked event at At. It replaces the WakeAt before it.
@@ -147,7 +146,7 @@
 	case Failed:
 		return c.failed(now, e.Compacted)
 	case PeerAnswered:
-		return c.peerAnswered(e.Snapshot)
+		return c.peerAnswered(e.News)
 	case Ticked:
 		return c.ticked(now)
 	}
@@ -157,54 +156,11 @@
 // Revision returns the store's revision that the replica stands at, or zero before the first list.
 func (c *Core) Revision() uint64 { return c.revision }
 
-// rememberedRemovals bounds the removals that are kept for peers that follow this replica.
-const rememberedRemovals = 4096
-
-// remember keeps a removal.
-func (c *Core) remember(ch keeper.Change) {
-	if len(c.removed) >= rememberedRemovals {
-		c.floor = c.removed[0].Revision
-		c.removed = slices.Delete(c.removed, 0, 1)
-	}
-	c.removed = append(c.removed, ch)
-}
-
-// Since returns the changes after a revision, sorted by revision, or false if some of them are not known any more.
-func (c *Core) Since(after uint64) (keeper.Changes, bool) {
-	if after < c.floor || !c.listed {
-		return keeper.Changes{}, false
-	}
-	out := keeper.Changes{Revision: c.revision}
-	for _, e := range c.entries {
-		if e.Revision > after {
-			out.Entries = append(out.Entries, keeper.Change{Entry: e})
-		}
-	}
-	for _, ch := range c.removed {
-		if ch.Revision > after {
-			out.Entries = append(out.Entries, ch)
-		}
-	}
-	slices.SortFunc(out.Entries, func(a, b keeper.Change) int {
-		return cmp.Or(cmp.Compare(a.Revision, b.Revision), cmp.Compare(a.Key, b.Key))
-	})
-	return out, true
-}
-
 // IsFresh reports whether the store answered within the last age, itself or by a peer that follows it.
 func (c *Core) IsFresh(now time.Time, age time.Duration) bool {
 	return c.listed && !c.lost && now.Sub(c.answered) <= age
 }
 
-// Snapshot returns the replica, sorted by key.
-func (c *Core) Snapshot() keeper.Snapshot {
-	s := keeper.Snapshot{Revision: c.revision}
-	for _, key := range slices.Sorted(maps.Keys(c.entries)) {
-		s.Entries = append(s.Entries, c.entries[key])
-	}
-	return s
-}
-
 // call makes the call that the replica needs.
 func (c *Core) call(now time.Time) []Action {
 	c.called, c.callAt = now, time.Time{}
@@ -251,12 +207,15 @@
 	return append(out, c.ticked(now)...)
 }
 
-func (c *Core) peerAnswered(s keeper.Snapshot) []Action {
-	if !c.lost || s.Revision <= c.revision {
+func (c *Core) peerAnswered(n News) []Action {
+	if !c.lost || n.Revision <= c.revision {
 		return nil
 	}
+	if !n.Whole {
+		return c.apply(keeper.Changes{Revision: n.Revision, Entries: n.Entries})
+	}
 	c.fromPeer = true
-	return c.replace(s)
+	return c.replace(n.snapshot())
 }
 
 func (c *Core) ticked(now time.Time) []Action {
--- a/replicator/replicator.go
+++ b/replicator/replicator.go
@@ -20,9 +20,9 @@
 
 // Peers answers for the other instances.
 type Peers interface {
-	// Newer returns the replica of a peer that is newer than revision after. A Revision
-	// of zero says that no peer in reach has one.
-	Newer(ctx context.Context, after uint64) keeper.Snapshot
+	// Newer asks one peer for what its replica has beyond revision after. A Revision of
+	// zero says that it has nothing newer or did not answer; the next call asks another.
+	Newer(ctx context.Context, after uint64) News
 }
 
 // Upstream is a peer whose replica this one may follow in place of the store.
@@ -60,7 +60,7 @@
 	Logger zerolog.Logger
 }
 
-// Replicator runs a Core. Snapshot is safe for concurrent use.
+// Replicator runs a Core. News and Watch are safe for concurrent use.
 type Replicator struct {
 	cfg    Config
 	events chan Event
@@ -76,14 +76,11 @@
 	return &Replicator{cfg: cfg.withDefaults(), events: make(chan Event, 4), core: NewCore(cfg), moved: make(chan struct{})}
 }
 
-// Snapshot returns the replica if it is newer than revision after, and one with a Revision of zero otherwise.
-func (r *Replicator) Snapshot(after uint64) keeper.Snapshot {
+// News returns what the replica has beyond a revision.
+func (r *Replicator) News(after uint64) News {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.core.Revision() <= after {
-		return keeper.Snapshot{}
-	}
-	return r.core.Snapshot()
+	return r.core.News(after)
 }
 
 // Watch waits up to wait for changes after a revision and returns them, for a peer that
@@ -159,7 +156,7 @@
 		go r.submit(ctx, func() Event { return r.watch(ctx, a.After) })
 	case AskPeers:
 		if r.cfg.Peers != nil {
-			go r.submit(ctx, func() Event { return PeerAnswered{Snapshot: r.cfg.Peers.Newer(ctx, a.After)} })
+			go r.submit(ctx, func() Event { return PeerAnswered{News: r.cfg.Peers.Newer(ctx, a.After)} })
 		}
 	case WakeAt:
 		r.timer.Reset(time.Until(a.At))
--- a/replicator/session_test.go
+++ b/replicator/session_test.go
@@ -42,9 +42,11 @@
 	case "failed":
 		e = replicator.Failed{Compacted: ev.Bool("compacted")}
 	case "peer":
-		e = replicator.PeerAnswered{Snapshot: snapshot(ev)}
+		e = replicator.PeerAnswered{News: replicator.News{Revision: uint64(ev.Int("revision")), Whole: !ev.Bool("changes"), Entries: entries(ev)}}
 	case "pass":
 		return out, nil
+	case "news":
+		return append(out, s.news(uint64(ev.Int("revision")))), nil
 	case "since":
 		return append(out, s.since(uint64(ev.Int("revision")))), nil
 	default:
@@ -62,6 +64,12 @@
 	return fmt.Sprintf("since: %s at %d", describe(ch.Entries), ch.Revision)
 }
 
+// news says what a peer that has lost the store would get.
+func (s *session) news(revision uint64) string {
+	n := s.core.News(revision)
+	return fmt.Sprintf("news: %s at %d whole=%t", describe(n.Entries), n.Revision, n.Whole)
+}
+
 // entries reads "key@revision" words joined by "+"; one that begins with "-" is a removal.
 func entries(ev scripter.Event) []keeper.Change {
 	var out []keeper.Change
--- a/runner/hosted.go
+++ b/runner/hosted.go
@@ -99,12 +99,12 @@
 	h.forming = newForming(h)
 	h.view = newView(h)
 	h.informer = informer.New(informer.Config{
-		Peers: &h.peers,
+		Instance: s.Instance, FailureDomain: s.FailureDomain, Peers: &h.peers,
 		Changes: func(ctx context.Context, after uint64, wait time.Duration) (keeper.Changes, error) {
 			return h.replica.Watch(ctx, after, wait)
 		},
-		Replica: func(after uint64) keeper.Snapshot { return h.replica.Snapshot(after) },
-		Report:  h.forming.report, OnStalled: h.forming.suspect, HTTP: newQuickHTTP(peerTimeout), Timeout: peerTimeout, Logger: logger,
+		News:   func(after uint64) replicator.News { return h.replica.News(after) },
+		Report: h.forming.report, OnStalled: h.forming.suspect, HTTP: newQuickHTTP(peerTimeout), Timeout: peerTimeout, Logger: logger,
 	})
 	h.upstream = &upstream{h: h, failedAt: map[identifier.Instance]time.Time{}}
 	h.replica = replicator.New(replicator.Config{
