--- a/configurer/hosted.go
+++ b/configurer/hosted.go
@@ -51,6 +51,7 @@
 // Bounds are the times and rates that the platform's operator asks for.
 type Bounds struct {
 	StopLimit  formatter.Duration `json:"stopLimit"`                   // from SIGTERM to the end of the process
+	DrainTime  formatter.Duration `json:"drainTime"`                   // for which an endpoint that drains still serves; 2 s if zero
 	RetryRatio float64            `json:"retryRatio" validate:"gte=0"` // repeats a request, over all instances
 	RetrySlack float64            `json:"retrySlack" validate:"gte=0"` // repeats beyond that in one window
 }
--- a/former/engine.go
+++ b/former/engine.go
@@ -17,7 +17,8 @@
 	accepted   uint64          // orders that it has accepted, as far as is known
 	pending    *Order
 	pendingAt  time.Time
-	uncertain  bool // an order had no answer, or the state does not fit: it is asked before the next order
+	drainsAt   time.Time // when it was first seen to drain; zero if it does not
+	uncertain  bool      // an order had no answer, or the state does not fit: it is asked before the next order
 	asking     bool
 	askedAt    time.Time
 	suspected  bool      // something hints that it is gone: it is asked until it answers or counts as dead
@@ -87,6 +88,12 @@
 		e.suspected, e.dead, e.failures = false, false, 0
 	}
 	e.listed, e.listing = true, l
+	switch {
+	case !l.Draining:
+		e.drainsAt = time.Time{}
+	case e.drainsAt.IsZero():
+		e.drainsAt = now
+	}
 	before := e.Membership
 	if !now.Before(e.assumed) || e.agrees(l.Membership) {
 		e.assumed = time.Time{}
--- a/former/form.go
+++ b/former/form.go
@@ -124,7 +124,7 @@
 	}
 	for _, g := range f.groups {
 		first := f.firstKnown(g)
-		if g.phase == phaseDissolving || first == nil {
+		if g.phase == phaseDissolving || f.isLeaving(g) || first == nil {
 			continue
 		}
 		if s := out[place{g.service, first.FailureDomain}]; s != nil {
@@ -134,6 +134,14 @@
 	return out
 }
 
+// isLeaving reports whether g ends soon because a member drains.
+func (f *Former) isLeaving(g *group) bool {
+	return slices.ContainsFunc(g.members, func(id identifier.Endpoint) bool {
+		e := f.engines[id]
+		return e != nil && e.Draining
+	})
+}
+
 // fairGroups returns the groups that a model's share of d's engines would make, of which so many are alive.
 func (f *Former) fairGroups(d *domain, m resolver.Model, alive int) float64 {
 	return f.shareOf(d.service, d.profile, m) * float64(alive) / float64(m.Size)
--- a/former/former.go
+++ b/former/former.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"amaranthmill/internal/defaulter"
 	"amaranthmill/internal/identifier"
 	"amaranthmill/lister"
 	"amaranthmill/resolver"
@@ -12,11 +13,16 @@
 
 // Config configures a Former. The zero value is usable.
 type Config struct {
-	Fresh bool // the whole system starts for the first time, so that no request has come yet
+	Fresh     bool          // the whole system starts for the first time, so that no request has come yet
+	DrainTime time.Duration // for which an engine that drains goes on; zero means 2 s
 }
 
+// defaultDrainTime is the shortest that the platform's operators grant.
+const defaultDrainTime = 2 * time.Second
+
 // Former is the deterministic core of forming groups. It is not safe for concurrent use.
 type Former struct {
+	drainTime   time.Duration
 	services    map[identifier.Service]*resolver.Profile
 	engines     map[identifier.Endpoint]*engine
 	sorted      []identifier.Endpoint // the engines' names; nil after engines came or went
@@ -39,8 +45,10 @@
 
 // New returns a Former for cfg.
 func New(cfg Config) *Former {
+	defaulter.Set(&cfg.DrainTime, defaultDrainTime)
 	return &Former{
-		fresh: cfg.Fresh, services: map[identifier.Service]*resolver.Profile{}, engines: map[identifier.Endpoint]*engine{},
+		drainTime: cfg.DrainTime,
+		fresh:     cfg.Fresh, services: map[identifier.Service]*resolver.Profile{}, engines: map[identifier.Endpoint]*engine{},
 		groups: map[identifier.Group]*group{}, freed: map[identifier.Group]freedGroup{}, loads: map[identifier.Service]*loadBudget{},
 		demands: map[poolKey]*demand{},
 	}
--- a/former/former_test.go
+++ b/former/former_test.go
@@ -182,3 +182,63 @@
 	is.True(now["large"] >= 7) // 60 engines, half of them in groups of 4
 	is.True(now["small"] >= 10)
 }
+
+// TestMemberDrains holds that a group goes on for the time that a member takes to leave, and ends after it,
+// and that one whose head leaves ends at once.
+func TestMemberDrains(t *testing.T) {
+	for rank, left := range map[int]int{0: 0, 1: 1} {
+		t.Run(fmt.Sprintf("rank=%d", rank), func(t *testing.T) {
+			is := is.New(t)
+			f := newFleet(1, 1, 1, 4) // a group of four, or two of two
+			f.run(8 * time.Second)
+			f.request()
+			before := f.serving()["small"] + f.serving()["large"]
+			is.True(before > 0)
+			f.leave(rank)
+			f.run(1500 * time.Millisecond)
+			now := f.serving()["small"] + f.serving()["large"]
+			is.Equal(now, before-1+left)
+			f.run(3 * time.Second)
+			f.check(t)
+			is.Equal(f.serving()["small"]+f.serving()["large"], before-1)
+		})
+	}
+}
+
+// leave lets one engine of that rank in an open group drain.
+func (f *fleet) leave(rank int) {
+	for _, id := range f.ids() {
+		e := f.engines[id]
+		if e.Membership.Group != "" && e.Membership.Rank == rank {
+			e.Draining, f.changed = true, true
+			f.after(6*time.Second, func() { e.dead, e.listed, f.changed = true, false, true })
+			return
+		}
+	}
+}
+
+// TestRelease plays the replacement of half of the engines, some at a time, by empty ones.
+func TestRelease(t *testing.T) {
+	for seed := range uint64(8) {
+		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
+			is := is.New(t)
+			f := newFleet(seed, 3, 2, 10)
+			f.run(10 * time.Second)
+			f.request()
+			const rounds = 12
+			large, small := 0, 0
+			for range rounds {
+				f.addPair()
+				f.drain(2)
+				f.run(800 * time.Millisecond)
+				now := f.serving()
+				large += now["large"]
+				small += now["small"]
+			}
+			f.check(t)
+			t.Logf("mean groups: large %.1f, small %.1f", float64(large)/rounds, float64(small)/rounds)
+			is.True(float64(large)/rounds >= supplyTarget*7.5)
+			is.True(float64(small)/rounds >= supplyTarget*15)
+		})
+	}
+}
--- a/former/group.go
+++ b/former/group.go
@@ -86,7 +86,7 @@
 
 // advance takes a group's next step.
 func (f *Former) advance(now time.Time, g *group) {
-	if lost, why := f.lostMember(g); lost != "" && g.phase != phaseDissolving {
+	if lost, why := f.lostMember(now, g); lost != "" && g.phase != phaseDissolving {
 		g.orderly = why == "draining"
 		f.dissolve(now, g, lost, why)
 	}
@@ -110,8 +110,9 @@
 	}
 }
 
-// lostMember returns a member that g can't go on with, and why.
-func (f *Former) lostMember(g *group) (identifier.Endpoint, string) {
+// lostMember returns a member that g can't go on with, and why. A member that drains stays
+// while its head has work, so that a group that serves need not end before the drain time does.
+func (f *Former) lostMember(now time.Time, g *group) (identifier.Endpoint, string) {
 	for rank, id := range g.members {
 		e := f.engines[id]
 		switch {
@@ -119,7 +120,7 @@
 			continue // the head of a group that was taken up, which is not listed yet
 		case e.dead:
 			return id, "dead"
-		case e.Draining:
+		case e.Draining && (rank == 0 || g.phase != phaseServing || now.Sub(e.drainsAt) >= f.drainTime):
 			return id, "draining"
 		case rank == 0 && !e.listed && e.heardAt.After(e.unlisted):
 			return id, "unlisted"
--- a/runner/hosted_forming.go
+++ b/runner/hosted_forming.go
@@ -42,7 +42,7 @@
 
 func newForming(h *hosted) *forming {
 	f := &forming{h: h, engines: platform.Engines{Sender: h.sender}, ctx: context.Background(), meters: newFormingMeters(h.meter)}
-	core := former.New(former.Config{Fresh: h.settings.FirstStart})
+	core := former.New(former.Config{Fresh: h.settings.FirstStart, DrainTime: h.settings.Bounds.DrainTime.Std()})
 	f.step = stepper.New(stepper.Config[former.Event, former.Action]{Core: core, Handle: f.handle})
 	return f
 }
--- a/runner/hosted_view.go
+++ b/runner/hosted_view.go
@@ -191,7 +191,8 @@
 }
 
 // targets returns what requests can be placed at: the endpoints of plain services and the
-// heads of open replica groups, unless they or a member of the group are draining.
+// heads of open replica groups, unless they are draining. A member that drains stays while
+// its head has work.
 func targets(endpoints []lister.Endpoint, services *resolver.Resolver) []placer.Target {
 	type forming struct {
 		group identifier.Group
@@ -221,22 +222,17 @@
 		}
 		t.Pool, t.Group, t.Epoch = forwarder.PoolOf(e.Service, e.Models[0]), e.Membership.Group, e.Membership.Epoch
 		model, _ := service.Engine.Model(e.Models[0]) // one that is not known needs no size
-		if addMembers(&t, members[forming{t.Group, t.Epoch}], model.Size) {
-			out = append(out, t)
-		}
+		addMembers(&t, members[forming{t.Group, t.Epoch}], model.Size)
+		out = append(out, t)
 	}
 	return out
 }
 
-// addMembers adds the group's members to t and reports whether t may get requests.
-func addMembers(t *placer.Target, members []lister.Endpoint, size int) bool {
+// addMembers adds the group's members to t.
+func addMembers(t *placer.Target, members []lister.Endpoint, size int) {
 	for _, m := range members {
-		if m.Draining {
-			return false
-		}
 		t.Members = append(t.Members, m.ID)
 		t.Far = t.Far || m.FabricDomain != members[0].FabricDomain
 	}
 	t.Doubtful = len(t.Members) < size
-	return true
 }
