--- a/standin/cmd/standin/main.go
+++ b/standin/cmd/standin/main.go
@@ -22,6 +22,7 @@
 	add("service", "Run a plain service", &serviceCommand{logger: logger})
 	add("load", "Send a load of streamed model requests and report on it", &loadCommand{})
 	add("certificates", "Make an authority and certificates of instances", &certificatesCommand{})
+	add("soak", "Let faults come by chance upon instances on the users' platform and hold them against the promises", &soakCommand{})
 	add("trial", "Run the whole path as separate processes and report on it", &trialCommand{})
 	if _, err := p.Parse(); err != nil {
 		var fe *flags.Error
--- /dev/null
+++ b/standin/cmd/standin/soak.go
@@ -0,0 +1,94 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"time"
+
+	"amaranthmill/standin/soak"
+)
+
+type soakCommand struct {
+	First     uint64        `long:"first" default:"1" description:"the first seed"`
+	Seeds     uint64        `long:"seeds" default:"10" description:"how many seeds"`
+	Jobs      int           `long:"jobs" default:"2" description:"seeds at once"`
+	Instances int           `long:"instances" default:"3" description:"instances of each run"`
+	Engines   int           `long:"engines" default:"6" description:"engines of each of two domains"`
+	Callers   int           `long:"callers" default:"12" description:"callers of each run"`
+	Length    time.Duration `long:"length" default:"8s" description:"how long faults come"`
+	Logs      string        `long:"logs" description:"a folder in which the logs of runs that failed are kept"`
+	Verbose   bool          `long:"verbose" description:"print the faults of each run"`
+}
+
+// Execute plays the seeds with the program amaranthmill that lies beside this one.
+func (c *soakCommand) Execute([]string) error {
+	self, err := os.Executable()
+	if err != nil {
+		return err
+	}
+	base, err := os.MkdirTemp(c.Logs, "soak")
+	if err != nil {
+		return err
+	}
+	seeds := make(chan uint64)
+	var mu sync.Mutex
+	var failed []string
+	var wg sync.WaitGroup
+	for range c.Jobs {
+		wg.Go(func() {
+			for seed := range seeds {
+				ok := c.play(filepath.Join(filepath.Dir(self), "amaranthmill"), base, seed, &mu)
+				mu.Lock()
+				if !ok {
+					failed = append(failed, fmt.Sprint(seed))
+				}
+				mu.Unlock()
+			}
+		})
+	}
+	for n := range c.Seeds {
+		seeds <- c.First + n
+	}
+	close(seeds)
+	wg.Wait()
+	if len(failed) > 0 {
+		return fmt.Errorf("%d of %d seeds failed: %s; their logs are in %s", len(failed), c.Seeds, strings.Join(failed, " "), base)
+	}
+	fmt.Printf("%d seeds, no broken promise\n", c.Seeds)
+	return os.RemoveAll(base)
+}
+
+// play plays one seed, prints what came of it and reports whether all promises were kept.
+func (c *soakCommand) play(binary, base string, seed uint64, mu *sync.Mutex) bool {
+	dir := filepath.Join(base, fmt.Sprint(seed))
+	if err := os.Mkdir(dir, 0o700); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return false
+	}
+	report, err := soak.Run(soak.Config{
+		Binary: binary, Dir: dir, Seed: seed, Instances: c.Instances, Engines: c.Engines, Callers: c.Callers, Length: c.Length,
+	})
+	mu.Lock()
+	defer mu.Unlock()
+	if err != nil {
+		fmt.Fprintf(os.Stderr, "seed %d: %v\n", seed, err)
+		return false
+	}
+	fmt.Printf("seed %d: %d faults, %d requests, %d answered whole, %d refused, %d promises broken\n",
+		seed, len(report.Steps), report.Sent, report.Answered, report.NotRun, len(report.Broken))
+	if c.Verbose || len(report.Broken) > 0 {
+		for _, s := range report.Steps {
+			fmt.Printf("  %s\n", s)
+		}
+	}
+	for _, b := range report.Broken {
+		fmt.Printf("  broken: %s\n", b)
+	}
+	if len(report.Broken) == 0 {
+		_ = os.RemoveAll(dir) // what is left lies in a temporary folder
+	}
+	return len(report.Broken) == 0
+}
--- a/standin/hosted/platform.go
+++ b/standin/hosted/platform.go
@@ -1,8 +1,10 @@
 package hosted
 
 import (
+	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 )
 
@@ -16,12 +18,14 @@
 type Platform struct {
 	Store  *Store
 	Models []Model
+	Reach  func(id, address string) (string, error) // the address to list for an engine that listens at one; nil lists that itself
 
 	server  *http.Server
 	address string
 
 	mu      sync.Mutex
 	engines []*Engine
+	faults  []string
 }
 
 // Names of the services, the host and the key in the stand-in's configuration.
@@ -67,7 +71,44 @@
 	p.mu.Lock()
 	p.engines = append(p.engines, e)
 	p.mu.Unlock()
-	return e, e.start(p.Store, p.members)
+	return e, e.start(p)
+}
+
+// fault notes that an instance broke a rule of groups.
+func (p *Platform) fault(format string, args ...any) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.faults = append(p.faults, fmt.Sprintf(format, args...))
+}
+
+// Faults returns the rules of groups that the instances broke, in the order in which they did.
+func (p *Platform) Faults() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.Clone(p.faults)
+}
+
+// engine returns an engine by its ID, or nil.
+func (p *Platform) engine(id string) *Engine {
+	for _, e := range p.Engines() {
+		if e.ID == id {
+			return e
+		}
+	}
+	return nil
+}
+
+// Runs returns how often engines ran each request, by its identity.
+func (p *Platform) Runs() map[string]int {
+	out := map[string]int{}
+	for _, e := range p.Engines() {
+		e.mu.Lock()
+		for id, n := range e.ran {
+			out[id] += n
+		}
+		e.mu.Unlock()
+	}
+	return out
 }
 
 // Engines returns all engines and endpoints.
@@ -90,8 +131,8 @@
 	return out
 }
 
-// Configure puts a version of the configuration with one key into the store.
-func (p *Platform) Configure(version int, key string) {
+// Configure puts a version of the configuration with some keys into the store.
+func (p *Platform) Configure(version int, keys ...string) {
 	var models []map[string]any
 	for _, m := range p.Models {
 		models = append(models, map[string]any{"name": m.Name, "size": m.Size, "share": 1 / float64(len(p.Models)), "pace": 1, "loadS": loadTime.Seconds(), "warmS": warmTime.Seconds()})
@@ -112,6 +153,6 @@
 			map[string]any{"name": PlainService, "maxConns": 100},
 		},
 		"limits":  map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 20, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
-		"tenants": []any{map[string]any{"name": Account, "apiKeys": []string{key}}},
+		"tenants": []any{map[string]any{"name": Account, "apiKeys": keys}},
 	})
 }
--- /dev/null
+++ b/standin/soak/caller.go
@@ -0,0 +1,145 @@
+package soak
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"time"
+
+	"amaranthmill/standin/hosted"
+)
+
+// How callers send.
+const (
+	deadline     = 3 * time.Second
+	patience     = 2 * time.Second // beyond the deadline, after which a caller gives up
+	longestThink = 60 * time.Millisecond
+	events       = 25 // of a stream
+	secondKey    = "k2"
+)
+
+// caller sends one request after the other over connections that it keeps, to any instance.
+type caller struct {
+	soak   *soak
+	name   string
+	rand   *rand.Rand
+	client *http.Client
+	count  int
+}
+
+func (s *soak) newCaller(n int, r *rand.Rand) *caller {
+	return &caller{soak: s, name: fmt.Sprintf("c%d", n), rand: r, client: &http.Client{Transport: &http.Transport{DisableCompression: true}}}
+}
+
+// run sends until ctx ends. A request that is under way then is finished.
+func (c *caller) run(ctx context.Context) {
+	defer c.client.CloseIdleConnections()
+	for ctx.Err() == nil {
+		c.soak.record.add(c.send(c.rand.IntN(len(c.soak.instances)), c.rand.IntN(3) == 0, c.rand.IntN(8) == 0))
+		select {
+		case <-time.After(span(c.rand, longestThink)):
+		case <-ctx.Done():
+		}
+	}
+}
+
+// send sends one request and returns what came of it.
+func (c *caller) send(instance int, plain, second bool) sent {
+	c.count++
+	s := sent{id: fmt.Sprintf("%s-%d", c.name, c.count), instance: instance, plain: plain, second: second, at: time.Now()}
+	ctx, cancel := context.WithTimeout(context.Background(), deadline+patience)
+	defer cancel()
+	resp, err := c.client.Do(c.request(ctx, s))
+	if err == nil {
+		s.status, s.retry = resp.StatusCode, resp.Header.Get("Retry-After")
+		s.whole, s.wrong = read(resp, s)
+		_ = resp.Body.Close()
+	}
+	s.end = time.Now()
+	return s
+}
+
+func (c *caller) request(ctx context.Context, s sent) *http.Request {
+	path, key := "/guides/brief", hosted.Key
+	if s.plain {
+		path = "/holds/7"
+	}
+	if s.second {
+		key = secondKey
+	}
+	url := "http://" + c.soak.instances[s.instance].callers.Address().String() + path
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, url, strings.NewReader("hold "+s.id))
+	if err != nil {
+		panic(err) // the address is our own
+	}
+	r.GetBody = nil // a caller's request is sent once
+	r.Host = hosted.Host
+	r.Header.Set("X-Attempt-Id", s.id)
+	r.Header.Set("X-Deadline-Remaining", fmt.Sprint(deadline.Milliseconds()))
+	r.Header.Set("X-Model", modelName)
+	r.Header.Set("X-Token-Counts", "100,200")
+	r.Header.Set("Authorization", "Token "+key)
+	return r
+}
+
+// read reads an answer to its end and says what is wrong with it. One that breaks off is not
+// wrong, as long as it does not look complete.
+func read(resp *http.Response, s sent) (whole bool, wrong string) {
+	if resp.StatusCode != http.StatusOK {
+		_, err := io.Copy(io.Discard, resp.Body)
+		return err == nil, ""
+	}
+	if resp.Header.Get("X-Server-Seal") == "" {
+		return false, "a success without the engine's signature"
+	}
+	if id := resp.Header.Get("X-Attempt-Id"); id != s.id {
+		return false, "the answer is of request " + id
+	}
+	if s.plain {
+		return readPlain(resp.Body)
+	}
+	return readStream(resp.Body, s.id)
+}
+
+func readPlain(body io.Reader) (whole bool, wrong string) {
+	text, err := io.ReadAll(body)
+	if err != nil {
+		return false, ""
+	}
+	if want := "POST /holds/7 for " + hosted.Account; string(text) != want {
+		return false, fmt.Sprintf("the body is %q", text)
+	}
+	return true, ""
+}
+
+// readStream checks that each event comes once, in order, and that a stream that ends does so after the last.
+func readStream(body io.Reader, id string) (whole bool, wrong string) {
+	in := bufio.NewReader(body)
+	next := 0
+	for {
+		line, err := in.ReadString('\n')
+		if errors.Is(err, io.EOF) && next == events {
+			return true, ""
+		}
+		if errors.Is(err, io.EOF) {
+			return false, fmt.Sprintf("the stream ends as complete after %d events", next)
+		}
+		if err != nil {
+			return false, ""
+		}
+		if got, ok := strings.CutPrefix(line, "id: "); ok {
+			if strings.TrimSpace(got) != fmt.Sprint(next) {
+				return false, fmt.Sprintf("event %s comes after %d events", strings.TrimSpace(got), next)
+			}
+			next++
+		}
+		if got, ok := strings.CutPrefix(line, "data: "); ok && strings.TrimSpace(got) != id {
+			return false, "an event is of request " + strings.TrimSpace(got)
+		}
+	}
+}
--- /dev/null
+++ b/standin/soak/soak.go
@@ -0,0 +1,326 @@
+package soak
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"amaranthmill/standin/hosted"
+	"amaranthmill/standin/relayer"
+	"amaranthmill/standin/spawner"
+)
+
+// Config configures a run. Binary and Dir are required.
+type Config struct {
+	Binary    string // the program amaranthmill
+	Dir       string // an empty folder for settings and logs
+	Seed      uint64
+	Instances int           // zero means 3
+	Engines   int           // of each of two domains; zero means 6
+	Callers   int           // zero means 12
+	Length    time.Duration // of the faults; zero means 8 s
+}
+
+// Names and sizes of the deployment.
+const (
+	modelName   = "small"
+	modelSize   = 2
+	firstKey    = hosted.Key
+	plainCount  = 3
+	stopLimit   = 8 * time.Second
+	startTime   = 20 * time.Second // in which every instance must serve at first
+	recoverTime = 15 * time.Second // in which every instance must serve after the last fault
+	lookTime    = 50 * time.Millisecond
+)
+
+var domains = []string{"d1", "d2"}
+
+// Report is what a run found.
+type Report struct {
+	Seed     uint64
+	Steps    []Step
+	Sent     int
+	Answered int      // whole
+	NotRun   int      // refused
+	Broken   []string // promises; none if all were kept
+}
+
+// instance is one process and its links.
+type instance struct {
+	number   int
+	settings string
+	callers  *relayer.Link
+	store    *relayer.Link
+
+	mu      sync.Mutex // held while the process changes
+	process *spawner.Process
+}
+
+// soak is one run.
+type soak struct {
+	cfg       Config
+	platform  *hosted.Platform
+	processes spawner.Processes
+	instances []*instance
+	record    record
+	version   int
+	work      sync.WaitGroup // of the faults
+
+	mu      sync.Mutex               // guards the fields below
+	links   map[string]*relayer.Link // to engines, by ID
+	engines []*hosted.Engine         // that were not ended by a fault
+	added   int
+}
+
+// Run plays one seed. Its error says that the run could not be set up; broken promises are
+// in the report.
+func Run(cfg Config) (Report, error) {
+	cfg = cfg.withDefaults()
+	p, err := hosted.Start([]hosted.Model{{Name: modelName, Size: modelSize}})
+	if err != nil {
+		return Report{}, err
+	}
+	defer p.Close()
+	s := &soak{cfg: cfg, platform: p, processes: spawner.Processes{Dir: cfg.Dir}, links: map[string]*relayer.Link{}, version: 1}
+	p.Reach = s.reach
+	defer s.close()
+	if err := s.bringUp(); err != nil {
+		return Report{}, err
+	}
+	return s.play(), nil
+}
+
+func (c Config) withDefaults() Config {
+	if c.Instances == 0 {
+		c.Instances = 3
+	}
+	if c.Engines == 0 {
+		c.Engines = 6
+	}
+	if c.Callers == 0 {
+		c.Callers = 12
+	}
+	if c.Length == 0 {
+		c.Length = 8 * time.Second
+	}
+	return c
+}
+
+// bringUp starts engines and instances.
+func (s *soak) bringUp() error {
+	for _, d := range domains {
+		for range s.cfg.Engines {
+			s.add(d)
+		}
+	}
+	for range plainCount {
+		s.add("")
+	}
+	for n := range s.cfg.Instances {
+		if err := s.newInstance(n); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// play lets the faults come while callers send, and holds what was seen against the promises.
+func (s *soak) play() Report {
+	r := rand.New(rand.NewPCG(s.cfg.Seed, s.cfg.Seed))
+	out := Report{Seed: s.cfg.Seed, Steps: Plan(r, s.cfg.Length)}
+	s.awaitService("at the start", startTime, r)
+	ctx, stop := context.WithCancel(context.Background())
+	var callers sync.WaitGroup
+	for n := range s.cfg.Callers {
+		c := s.newCaller(n, rand.New(rand.NewPCG(s.cfg.Seed, uint64(n))))
+		callers.Go(func() { c.run(ctx) })
+	}
+	start := time.Now()
+	for _, step := range out.Steps {
+		s.wait(time.Until(start.Add(step.At)))
+		s.apply(step.Fault)
+	}
+	s.work.Wait()
+	stop()
+	callers.Wait()
+	s.awaitService("after the last fault", recoverTime, r)
+	s.finish(&out)
+	return out
+}
+
+// finish sums up the record.
+func (s *soak) finish(out *Report) {
+	for _, i := range s.instances {
+		if !i.process.Running() {
+			s.record.fault("instance %d ended by itself", i.number)
+		}
+	}
+	out.Broken = append(s.record.verdict(s.platform.Runs()), s.platform.Faults()...)
+	out.Sent = len(s.record.all)
+	for _, one := range s.record.all {
+		if one.whole && one.status == 200 {
+			out.Answered++
+		}
+		if saysNotRun(one.status) {
+			out.NotRun++
+		}
+	}
+}
+
+// awaitService waits until every instance has served a stream and a plain request.
+func (s *soak) awaitService(when string, limit time.Duration, r *rand.Rand) {
+	end := time.Now().Add(limit)
+	c := s.newCaller(s.cfg.Callers, r)
+	c.name = "wait-" + when[:2]
+	defer c.client.CloseIdleConnections()
+	for n := range s.instances {
+		for _, plain := range []bool{false, true} {
+			for {
+				one := c.send(n, plain, false)
+				s.record.add(one)
+				if one.whole && one.status == 200 {
+					break
+				}
+				if time.Now().After(end) {
+					s.record.fault("instance %d does not serve %s: plain=%t status=%d", n, when, plain, one.status)
+					break
+				}
+				s.wait(lookTime)
+			}
+		}
+	}
+}
+
+// background runs a fault in the background.
+func (s *soak) background(f func()) { s.work.Go(f) }
+
+// wait lets time pass.
+func (s *soak) wait(d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	<-timer.C
+}
+
+// reach puts a link before an engine.
+func (s *soak) reach(id, address string) (string, error) {
+	to, err := netip.ParseAddrPort(address)
+	if err != nil {
+		return "", err
+	}
+	l, err := relayer.New(to)
+	if err != nil {
+		return "", err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.links[id] = l
+	return l.Address().String(), nil
+}
+
+// add starts an empty engine of a domain, or an endpoint of the plain service for none.
+func (s *soak) add(domain string) {
+	s.mu.Lock()
+	s.added++
+	id := fmt.Sprintf("e%d", s.added)
+	s.mu.Unlock()
+	e, err := s.platform.Add(id, "here", domain, events)
+	if err != nil {
+		s.record.fault("engine %s: %v", id, err)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.engines = append(s.engines, e)
+}
+
+// engine returns an engine that lives, by number. It may be one of the plain service.
+func (s *soak) engine(n int) *hosted.Engine {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var alive []*hosted.Engine
+	for _, e := range s.engines {
+		if !e.IsDead() {
+			alive = append(alive, e)
+		}
+	}
+	return alive[n%len(alive)]
+}
+
+func (s *soak) instance(n int) *instance { return s.instances[n%len(s.instances)] }
+
+// link returns a link, and the instance that is in trouble if it is.
+func (s *soak) link(l Link) (*relayer.Link, int) {
+	switch l.Kind {
+	case ToCallers:
+		i := s.instance(l.Number)
+		return i.callers, i.number
+	case ToStore:
+		i := s.instance(l.Number)
+		return i.store, i.number
+	default:
+		e := s.engine(l.Number)
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return s.links[e.ID], allInstances
+	}
+}
+
+// newInstance writes the settings of an instance, makes its links and starts it.
+func (s *soak) newInstance(n int) error {
+	ports, err := spawner.FreePorts(4)
+	if err != nil {
+		return err
+	}
+	i := &instance{number: n, settings: filepath.Join(s.cfg.Dir, fmt.Sprintf("entry-%d.json", n))}
+	if i.callers, err = relayer.New(ports[0]); err != nil {
+		return err
+	}
+	if i.store, err = relayer.New(netip.MustParseAddrPort(s.platform.Address())); err != nil {
+		return err
+	}
+	type object = map[string]any
+	text, err := json.Marshal(object{
+		"instance": fmt.Sprintf("entry-%d", n), "failureDomain": "here",
+		"listen":  object{"callers": ports[0], "readiness": ports[1], "readinessPath": "/ready", "peers": ports[2], "metrics": ports[3]},
+		"store":   object{"address": i.store.Address(), "readsPerSecond": 2000, "writesPerSecond": 400, "leaseMin": "1s"},
+		"machine": object{"cores": 1, "memoryMB": 300},
+		"bounds":  object{"stopLimit": stopLimit.String(), "retryRatio": 0.2, "retrySlack": 100},
+		"log":     object{"level": "info"},
+	})
+	if err != nil {
+		return err
+	}
+	if err := os.WriteFile(i.settings, text, 0o600); err != nil {
+		return err
+	}
+	s.instances = append(s.instances, i)
+	s.start(i)
+	return nil
+}
+
+// start starts an instance's process.
+func (s *soak) start(i *instance) {
+	p, err := s.processes.Start(fmt.Sprintf("entry-%d", i.number), s.cfg.Binary, "--hosted", i.settings)
+	if err != nil {
+		s.record.fault("instance %d: %v", i.number, err)
+		return
+	}
+	i.process = p
+}
+
+func (s *soak) close() {
+	s.processes.StopAll()
+	for _, i := range s.instances {
+		i.callers.Close()
+		i.store.Close()
+	}
+	for _, l := range s.links {
+		l.Close()
+	}
+}
--- /dev/null
+++ b/standin/soak/soak_test.go
@@ -0,0 +1,83 @@
+package soak_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"reflect"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"amaranthmill/standin/soak"
+)
+
+// binary is the built instance.
+var binary string
+
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "soak")
+	if err != nil {
+		panic(err)
+	}
+	binary = filepath.Join(dir, "amaranthmill")
+	if out, err := exec.Command("go", "build", "-o", binary, "amaranthmill/cmd/amaranthmill").CombinedOutput(); err != nil {
+		fmt.Fprintf(os.Stderr, "build: %v\n%s", err, out)
+		os.Exit(1)
+	}
+	code := m.Run()
+	_ = os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+// regression is a seed that failed once.
+type regression struct {
+	Seed  uint64 `json:"seed"`
+	Cause string `json:"cause"`
+}
+
+// TestSeeds plays some seeds and each one that ever failed.
+func TestSeeds(t *testing.T) {
+	text, err := os.ReadFile("testdata/regressions.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var regressions []regression
+	if err := json.Unmarshal(text, &regressions); err != nil {
+		t.Fatal(err)
+	}
+	seeds := []uint64{1, 2}
+	for _, r := range regressions {
+		seeds = append(seeds, r.Seed)
+	}
+	for _, seed := range seeds {
+		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
+			report, err := soak.Run(soak.Config{Binary: binary, Dir: t.TempDir(), Seed: seed, Length: 6 * time.Second})
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Logf("%d requests, %d answered whole, %d refused", report.Sent, report.Answered, report.NotRun)
+			for _, b := range report.Broken {
+				t.Error(b)
+			}
+		})
+	}
+}
+
+// TestPlan holds that a seed always gives the same faults, in order of their series, and that many seeds give every kind.
+func TestPlan(t *testing.T) {
+	is := is.New(t)
+	seen := map[reflect.Type]bool{}
+	for seed := range uint64(60) {
+		plan := func() []soak.Step { return soak.Plan(rand.New(rand.NewPCG(seed, seed)), 8*time.Second) }
+		is.Equal(plan(), plan())
+		for _, step := range plan() {
+			seen[reflect.TypeOf(step.Fault)] = true
+		}
+	}
+	is.Equal(len(seen), 17)
+}
--- a/standin/spawner/process.go
+++ b/standin/spawner/process.go
@@ -1,6 +1,7 @@
 package spawner
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
 	"os"
@@ -33,6 +34,7 @@
 type Process struct {
 	name string
 	log  string // the path of its log file
+	from int64  // where its own part of the log begins
 	cmd  *exec.Cmd
 	done chan struct{}
 	err  error // of the process, once done is closed
@@ -49,11 +51,15 @@
 // Start starts a program with its output in a log file of its name.
 func (ps *Processes) Start(name, program string, args ...string) (*Process, error) {
 	path := filepath.Join(ps.Dir, name+".log")
-	log, err := os.Create(path)
+	log, err := os.OpenFile(path, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600) // a program that starts again goes on in its log
 	if err != nil {
 		return nil, err
 	}
-	p := &Process{name: name, log: path, cmd: exec.Command(program, args...), done: make(chan struct{})}
+	info, err := log.Stat()
+	if err != nil {
+		return nil, err
+	}
+	p := &Process{name: name, log: path, from: info.Size(), cmd: exec.Command(program, args...), done: make(chan struct{})}
 	p.cmd.Stdout, p.cmd.Stderr = log, log
 	if err := p.cmd.Start(); err != nil {
 		return nil, fmt.Errorf("spawner: start %s: %w", name, err)
@@ -88,6 +94,11 @@
 	}
 }
 
+// Signal sends a signal to the process, if it still runs.
+func (p *Process) Signal(s os.Signal) {
+	_ = p.cmd.Process.Signal(s)
+}
+
 // Freeze stops the process without its knowledge.
 func (p *Process) Freeze() error { return p.cmd.Process.Signal(syscall.SIGSTOP) }
 
@@ -101,6 +112,12 @@
 	return err
 }
 
+// HasWritten reports whether the process has written a text.
+func (p *Process) HasWritten(text string) bool {
+	b, err := os.ReadFile(p.log)
+	return err == nil && int64(len(b)) >= p.from && bytes.Contains(b[p.from:], []byte(text))
+}
+
 // lastLines returns the end of the process's log, or why it can't be read.
 func (p *Process) lastLines() string {
 	b, err := os.ReadFile(p.log)
