--- /dev/null
+++ b/cmd/millctl/explain.go
@@ -0,0 +1,73 @@
+package main
+
+import (
+	"errors"
+	"os"
+
+	"amaranthmill/explainer"
+)
+
+// explainCommand explains one request from log files.
+type explainCommand struct {
+	app        *app
+	Positional struct {
+		Request string   `positional-arg-name:"REQUEST" description:"what the caller sent as the identity of its request, or can read in the answer"`
+		Logs    []string `positional-arg-name:"LOG" description:"log files of instances; - is standard input" required:"1"`
+	} `positional-args:"yes" required:"yes"`
+}
+
+// Execute carries the command out.
+func (c *explainCommand) Execute([]string) error {
+	var all []explainer.Line
+	unread := 0
+	for _, path := range c.Positional.Logs {
+		lines, n, err := readLog(path)
+		if err != nil {
+			return err
+		}
+		all = append(all, lines...)
+		unread += n
+	}
+	e, err := explainer.Explain(c.Positional.Request, all)
+	if err != nil {
+		return err
+	}
+	return c.app.show(explained{Verdict: e.Verdict, Unread: unread, Lines: texts(e.Lines)}, func() { c.print(e, unread) })
+}
+
+func (c *explainCommand) print(e explainer.Explanation, unread int) {
+	for _, l := range e.Lines {
+		c.app.printf("%s %s\n", l.Time.Format("15:04:05.000"), l.Text)
+	}
+	c.app.printf("\n%s\n", e.Verdict)
+	if unread > 0 {
+		c.app.printf("%d lines could not be read\n", unread)
+	}
+}
+
+// explained is an explanation in JSON.
+type explained struct {
+	Verdict string   `json:"verdict"`
+	Unread  int      `json:"unread"`
+	Lines   []string `json:"lines"`
+}
+
+func texts(lines []explainer.Line) []string {
+	var out []string
+	for _, l := range lines {
+		out = append(out, l.Text)
+	}
+	return out
+}
+
+func readLog(path string) (lines []explainer.Line, unread int, err error) {
+	if path == "-" {
+		return explainer.Read(os.Stdin)
+	}
+	f, err := os.Open(path)
+	if err != nil {
+		return nil, 0, err
+	}
+	defer func() { err = errors.Join(err, f.Close()) }()
+	return explainer.Read(f)
+}
--- a/cmd/millctl/fleet.go
+++ b/cmd/millctl/fleet.go
@@ -11,6 +11,7 @@
 	return []command{
 		{"groups", "show the replica groups", "Shows the replica groups, their members and whether they serve.", &groupsCommand{app: a}},
 		{"instances", "show the instances", "Shows the entry instances, and the engines and plain services.", &instancesCommand{app: a}},
+		{"explain", "explain a request from log files", "Finds in log files of instances the lines of one request and those on what it depended on, by time, and says in words what became of it. It calls no instance.", &explainCommand{app: a}},
 		{"audit", "read and verify the audit trail", "Prints the audit trail. With --verify it reads the whole trail, checks its chain of hashes and prints an anchor to be kept elsewhere; --anchor checks against one that was kept.", &auditCommand{app: a}},
 	}
 }
--- a/cmd/millctl/script_test.go
+++ b/cmd/millctl/script_test.go
@@ -85,7 +85,7 @@
 func exits(ts *testscript.TestScript, _ bool, args []string) {
 	line := []string{"--address", ts.Getenv("ADDRESS"), "--token", args[1] + "-token"}
 	for _, arg := range args[2:] {
-		if strings.HasSuffix(arg, ".json") {
+		if strings.HasSuffix(arg, ".json") || strings.HasSuffix(arg, ".log") {
 			arg = ts.MkAbs(arg)
 		}
 		line = append(line, arg)
--- /dev/null
+++ b/explainer/explainer_test.go
@@ -0,0 +1,80 @@
+package explainer_test
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"amaranthmill/explainer"
+)
+
+// lines are the log of four instances around three requests.
+func lines(t *testing.T) []explainer.Line {
+	t.Helper()
+	f, err := os.Open("testdata/three.log")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.Close()
+	all, unread, err := explainer.Read(f)
+	if err != nil {
+		t.Fatal(err)
+	}
+	is.New(t).Equal(unread, 1) // the last line is cut off
+	return all
+}
+
+// Each request is explained by its own lines and by those on what it depended on, and by no others.
+func TestExplain(t *testing.T) {
+	all := lines(t)
+	tests := map[string]struct {
+		messages []string
+		verdict  string
+	}{
+		"full-1":    {[]string{"groups", "queued", "ended"}, "its turn would have come too late"},
+		"paused-1":  {[]string{"placed", "target stands still", "attempt given up", "placed", "group", "ended"}, "the whole answer"},
+		"revoked-1": {[]string{"configuration in force", "configuration in force", "refused"}, "refused by what the configuration says (unknownKey)"},
+		"killed-1":  {[]string{"placed", "instance runs"}, "no line says how it ended"},
+	}
+	for request, test := range tests {
+		t.Run(request, func(t *testing.T) {
+			is := is.New(t)
+			e, err := explainer.Explain(request, all)
+			is.NoErr(err)
+			var messages []string
+			for _, l := range e.Lines {
+				messages = append(messages, l.Message)
+			}
+			is.Equal(messages, test.messages)
+			is.True(strings.Contains(e.Verdict, test.verdict))
+		})
+	}
+}
+
+func TestExplainUnknown(t *testing.T) {
+	is := is.New(t)
+	_, err := explainer.Explain("none", lines(t))
+	var missing *explainer.NotFoundError
+	is.True(errors.As(err, &missing))
+	is.Equal(missing.Request, "none")
+}
+
+func ExampleExplain() {
+	log := `{"time":1000,"instance":"alpine-1","request":"r1","pool":"guides/large","age":6.2,"outcome":"notRun","reason":"full","message":"ended"}
+{"time":900,"instance":"marfa-1","model":"large","serving":2,"share":7.5,"message":"groups"}
+{"time":900,"instance":"marfa-1","model":"small","serving":15,"share":15,"message":"groups"}`
+	all, _, _ := explainer.Read(strings.NewReader(log))
+	e, _ := explainer.Explain("r1", all)
+	for _, l := range e.Lines {
+		fmt.Println(l.Instance, l.Message)
+	}
+	fmt.Println(e.Verdict)
+	// Output:
+	// marfa-1 groups
+	// alpine-1 ended
+	// refused, not run: its turn would have come too late; look at groups, serving against share
+}
