--- a/former/fleet_test.go
+++ b/former/fleet_test.go
@@ -22,6 +22,15 @@
 	},
 }
 
+// wideProfile has a model of eight engines beside the small one.
+var wideProfile = resolver.Profile{
+	Slots: 15, LoadsPerSecond: 18, LoadsAtOnce: 27, StagedModels: 1, Form: 300 * time.Millisecond,
+	Models: []resolver.Model{
+		{Name: "large", Size: 8, Share: 0.5, Load: 16 * time.Second, Warm: 1600 * time.Millisecond},
+		{Name: "small", Size: 2, Share: 0.5, Load: 12 * time.Second, Warm: 1100 * time.Millisecond},
+	},
+}
+
 // Times of the fleet.
 const (
 	fleetStep    = 20 * time.Millisecond
@@ -34,6 +43,7 @@
 // fleet is engines that carry out a Former's orders as the users' pages describe them, and
 // checks what must never happen.
 type fleet struct {
+	profile  *resolver.Profile
 	core     *former.Former
 	rand     *rand.Rand
 	now      time.Time
@@ -69,8 +79,13 @@
 }
 
 func newFleet(seed uint64, zones, domains, perDomain int) *fleet {
+	return newFleetOf(&profile, seed, zones, domains, perDomain)
+}
+
+func newFleetOf(p *resolver.Profile, seed uint64, zones, domains, perDomain int) *fleet {
 	f := &fleet{
-		core: former.New(former.Config{Fresh: true}), rand: rand.New(rand.NewPCG(seed, seed)), now: time.Date(2026, 1, 5, 20, 0, 0, 0, time.UTC),
+		profile: p,
+		core:    former.New(former.Config{Fresh: true}), rand: rand.New(rand.NewPCG(seed, seed)), now: time.Date(2026, 1, 5, 20, 0, 0, 0, time.UTC),
 		engines: map[identifier.Endpoint]*fakeEngine{}, fresh: true, cut: map[identifier.FailureDomain]bool{},
 		members: map[identifier.Group][]identifier.Endpoint{}, wasReady: map[string]bool{},
 	}
@@ -81,7 +96,7 @@
 			}
 		}
 	}
-	f.step(former.ServicesSet{Services: []resolver.Service{{Name: "guides", Engine: &profile}}})
+	f.step(former.ServicesSet{Services: []resolver.Service{{Name: "guides", Engine: f.profile}}})
 	f.tell()
 	f.step(former.HoldSet{Until: f.now.Add(24 * time.Hour), Fence: 1})
 	return f
@@ -216,7 +231,7 @@
 			return former.ResultConflict
 		}
 		e.orders++
-		f.later(e, profile.Form, *m, func() {
+		f.later(e, f.profile.Form, *m, func() {
 			f.checkWhole(e)
 			e.Membership.State = lister.MemberOpen
 		})
@@ -263,15 +278,15 @@
 }
 
 func (f *fleet) loadTime(model string) time.Duration {
-	d := findModel(model).Load
+	d := f.findModel(model).Load
 	if f.fresh {
 		d /= freshFactor
 	}
 	return d
 }
 
-func findModel(name string) resolver.Model {
-	return profile.Models[slices.IndexFunc(profile.Models, func(m resolver.Model) bool { return m.Name == name })]
+func (f *fleet) findModel(name string) resolver.Model {
+	return f.profile.Models[slices.IndexFunc(f.profile.Models, func(m resolver.Model) bool { return m.Name == name })]
 }
 
 func (f *fleet) join(e *fakeEngine, op former.Join) former.Result {
@@ -287,7 +302,7 @@
 	case slices.Contains(e.Models, op.Model):
 		d = rejoinTime
 	case slices.Contains(e.Staged, op.Model):
-		d = findModel(op.Model).Warm
+		d = f.findModel(op.Model).Warm
 	}
 	loads := !slices.Contains(e.Models, op.Model) && !slices.Contains(e.Staged, op.Model)
 	e.Membership = lister.Membership{Group: op.Group, Epoch: op.Epoch, Rank: slices.Index(op.Members, e.ID), State: lister.MemberJoining}
@@ -469,7 +484,7 @@
 // succeed replaces the former by another instance's, which knows nothing but the list.
 func (f *fleet) succeed(fence uint64) {
 	f.core = former.New(former.Config{})
-	f.step(former.ServicesSet{Services: []resolver.Service{{Name: "guides", Engine: &profile}}})
+	f.step(former.ServicesSet{Services: []resolver.Service{{Name: "guides", Engine: f.profile}}})
 	f.tell()
 	f.step(former.HoldSet{Until: f.now.Add(24 * time.Hour), Fence: fence})
 }
--- a/former/form.go
+++ b/former/form.go
@@ -327,11 +327,11 @@
 // borrow breaks up groups of other models whose engines complete one of m, if those models
 // stay better supplied than m is. It reports whether it did.
 func (f *Former) borrow(now time.Time, d *domain, s *supply, m resolver.Model, have int) bool {
-	lacking := m.Size - have
+	lacking, room := m.Size-have, f.lendingRoom(d.service)
 	left := map[string]float64{} // groups given so far, by model
 	var lent []*group
 	for _, g := range f.lenders(d, m) {
-		if lacking <= 0 {
+		if lacking <= 0 || len(lent) >= room {
 			break
 		}
 		if !f.isFar(g) && !s.spares(g.model, left[g.model.Name]+1, m) {
@@ -352,6 +352,25 @@
 	return true
 }
 
+// lentPart is the part of a service's groups that may be out of service at once to complete
+// groups of other models.
+const lentPart = 1.0 / 20
+
+// lendingRoom returns how many groups of a service may be broken up now to complete others.
+func (f *Former) lendingRoom(service identifier.Service) int {
+	groups, lent := 0, 0
+	for _, g := range f.groups {
+		if g.service != service {
+			continue
+		}
+		groups++
+		if g.phase == phaseDissolving && g.lentTo != "" {
+			lent++
+		}
+	}
+	return max(int(lentPart*float64(groups)), 1) - lent
+}
+
 // lenders returns the serving groups of d that have engines for m, the smallest first.
 func (f *Former) lenders(d *domain, m resolver.Model) []*group {
 	var out []*group
--- a/former/former_test.go
+++ b/former/former_test.go
@@ -242,3 +242,43 @@
 		})
 	}
 }
+
+// keptTarget is the part of the groups that must stay in service while entries are missing for
+// some seconds and another instance takes over.
+const keptTarget = 0.8
+
+// TestTakeOverKeepsGroups plays the loss of some entries of engines that live, and a new holder
+// of the lease in the midst of it: it must not break up groups because it knows of few engines yet.
+func TestTakeOverKeepsGroups(t *testing.T) {
+	for seed := range uint64(8) {
+		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
+			is := is.New(t)
+			f := newFleetOf(&wideProfile, seed, 4, 3, 18)
+			f.run(12 * time.Second)
+			f.request()
+			for range 3 {
+				f.kill(3)
+				f.run(3 * time.Second)
+			}
+			before := f.serving()
+			f.hide(25, 5*time.Second)
+			f.run(200 * time.Millisecond)
+			f.succeed(2)
+			least := before
+			for i := range 40 {
+				if i%10 == 0 {
+					f.step(former.Pressed{Service: "guides", Model: "small", Answered: 100})
+					f.step(former.Pressed{Service: "guides", Model: "large", Answered: 100, Late: 60})
+				}
+				f.run(100 * time.Millisecond)
+				now := f.serving()
+				if now["small"] < least["small"] {
+					least = now
+				}
+			}
+			f.check(t)
+			t.Log(before, least)
+			is.True(float64(least["small"]) >= keptTarget*float64(before["small"]))
+		})
+	}
+}
