--- a/former/adopt.go
+++ b/former/adopt.go
@@ -15,8 +15,7 @@
 // of such groups that are listed later.
 func (f *Former) discover(now time.Time) {
 	found := map[identifier.Group][]*engine{}
-	for _, id := range f.sortedEngines() {
-		e := f.engines[id]
+	for _, e := range f.sortedEngines() {
 		m := e.Membership
 		if m.Group == "" || !e.listed || f.isFreed(e) {
 			continue
@@ -38,7 +37,7 @@
 		return
 	}
 	g.members = append(g.members, e.ID)
-	f.planned = nil
+	f.counted = false
 }
 
 // adopt takes up a group from the members that are listed. Its name tells the head, so
@@ -61,7 +60,7 @@
 		f.addMember(g, m)
 	}
 	f.groups[name] = g
-	f.planned = nil
+	f.counted = false
 	head := f.engines[g.members[0]]
 	switch {
 	case head == nil || !head.listed: // it may be listed soon
--- a/former/engine.go
+++ b/former/engine.go
@@ -27,6 +27,7 @@
 	movedAt    time.Time // when the list last gave it another place
 	refusedAt  time.Time // of the first ask that was refused while it may be leaving
 	dead       bool
+	planned    bool      // a group has it
 	tied       bool      // it must leave its group before it joins another
 	staging    string    // the model that was ordered to its host
 	stagingEnd time.Time // when the order counts as failed
@@ -81,7 +82,7 @@
 // list takes in the endpoint as it is listed.
 func (e *engine) list(now time.Time, l lister.Endpoint) {
 	if e.ProcessStart != l.ProcessStart {
-		*e = engine{Endpoint: l, listing: l, listed: true, idleSince: now}
+		*e = engine{Endpoint: l, listing: l, listed: true, idleSince: now, planned: e.planned}
 		return
 	}
 	if !e.listed {
--- a/former/form.go
+++ b/former/form.go
@@ -27,8 +27,7 @@
 		name    identifier.FabricDomain
 	}
 	found := map[key]*domain{}
-	for _, id := range f.sortedEngines() {
-		e := f.engines[id]
+	for _, e := range f.sortedEngines() {
 		profile := f.services[e.Service]
 		if profile == nil || !e.listed {
 			continue
@@ -57,21 +56,32 @@
 
 // isPlanned reports whether a group has e, forms with it or has not given it free.
 func (f *Former) isPlanned(e *engine) bool {
-	if f.planned == nil {
-		f.planned = map[identifier.Endpoint]bool{}
-		for _, g := range f.groups {
-			for _, id := range g.members {
-				f.planned[id] = true
-			}
-		}
-	}
-	if f.planned[e.ID] {
+	f.count()
+	if e.planned {
 		return true
 	}
 	g := f.groups[e.Membership.Group]
 	return g != nil && g.epoch == e.Membership.Epoch
 }
 
+// count notes at the engines whether a group has them.
+func (f *Former) count() {
+	if f.counted {
+		return
+	}
+	f.counted = true
+	for _, e := range f.engines {
+		e.planned = false
+	}
+	for _, g := range f.groups {
+		for _, id := range g.members {
+			if e := f.engines[id]; e != nil {
+				e.planned = true
+			}
+		}
+	}
+}
+
 // bySize returns the models, the largest groups first, which are the hardest to complete.
 func (d *domain) bySize() []resolver.Model {
 	out := slices.Clone(d.profile.Models)
--- a/former/former.go
+++ b/former/former.go
@@ -1,6 +1,7 @@
 package former
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -25,10 +26,10 @@
 	drainTime   time.Duration
 	services    map[identifier.Service]*resolver.Profile
 	engines     map[identifier.Endpoint]*engine
-	sorted      []identifier.Endpoint // the engines' names; nil after engines came or went
+	sorted      []*engine // by name; nil after engines came or went
 	groups      map[identifier.Group]*group
 	freed       map[identifier.Group]freedGroup // groups that were broken up, whose members may report them yet
-	planned     map[identifier.Endpoint]bool    // the members of all groups; nil after groups changed
+	counted     bool                            // the engines say whether a group has them; false after groups or engines changed
 	until       time.Time                       // of the lease
 	fence       uint64
 	epochs      uint64 // given out under this fence
@@ -94,7 +95,7 @@
 func (f *Former) setHold(h HoldSet) {
 	if h.Fence > f.fence {
 		f.fence, f.epochs = h.Fence, 0
-		f.groups, f.planned = map[identifier.Group]*group{}, nil
+		f.groups, f.counted = map[identifier.Group]*group{}, false
 		f.freed = map[identifier.Group]freedGroup{}
 		for _, e := range f.engines {
 			e.pending, e.staging = nil, ""
@@ -136,7 +137,7 @@
 		listed[l.ID] = true
 		e := f.engines[l.ID]
 		if e == nil {
-			f.sorted = nil
+			f.sorted, f.counted = nil, false
 			f.engines[l.ID] = &engine{Endpoint: l, listing: l, listed: true, idleSince: now}
 			f.newestAt = now
 			continue
@@ -299,18 +300,17 @@
 	return true
 }
 
-// sortedEngines returns the engines' names in order. The caller must not change it.
-func (f *Former) sortedEngines() []identifier.Endpoint {
+// sortedEngines returns the engines in the order of their names. The caller must not change it.
+func (f *Former) sortedEngines() []*engine {
 	if f.sorted == nil {
-		f.sorted = slices.Sorted(maps.Keys(f.engines))
+		f.sorted = slices.SortedFunc(maps.Values(f.engines), func(a, b *engine) int { return cmp.Compare(a.ID, b.ID) })
 	}
 	return f.sorted
 }
 
 // ask asks the engines whose state has to be learned.
 func (f *Former) ask(now time.Time) {
-	for _, id := range f.sortedEngines() {
-		e := f.engines[id]
+	for _, e := range f.sortedEngines() {
 		wait, reason := time.Duration(0), ""
 		switch {
 		case e.asking:
@@ -318,7 +318,7 @@
 		case e.dead && !e.listed:
 			if now.Sub(e.unlisted) > forgetAfter && f.groups[e.Membership.Group] == nil {
 				f.sorted = nil
-				delete(f.engines, id)
+				delete(f.engines, e.ID)
 			}
 			continue
 		case e.dead:
@@ -337,7 +337,7 @@
 			continue
 		}
 		e.asking, e.askedAt = true, now
-		f.act(Ask{ID: id, Reason: reason, Again: e.failures > 0 && !e.dead})
+		f.act(Ask{ID: e.ID, Reason: reason, Again: e.failures > 0 && !e.dead})
 	}
 }
 
--- a/former/group.go
+++ b/former/group.go
@@ -308,8 +308,7 @@
 
 // untie orders engines to leave groups that they are tied to.
 func (f *Former) untie(now time.Time) {
-	for _, id := range f.sortedEngines() {
-		e := f.engines[id]
+	for _, e := range f.sortedEngines() {
 		e.tied = f.isTied(e)
 		if e.tied && e.listed && !e.dead && !e.Draining {
 			f.order(now, e, Leave{Group: e.Membership.Group, Epoch: e.Membership.Epoch})
@@ -320,7 +319,7 @@
 // free gives the members of g free for other groups.
 func (f *Former) free(now time.Time, g *group) {
 	delete(f.groups, g.name)
-	f.planned = nil
+	f.counted = false
 	f.freed[g.name] = freedGroup{epoch: g.epoch}
 	for _, id := range g.members {
 		if e := f.engines[id]; e != nil {
@@ -350,7 +349,7 @@
 		f.loads[service].spend(loads)
 	}
 	f.groups[g.name] = g
-	f.planned = nil
+	f.counted = false
 	f.act(Note{Group: g.name, Epoch: epoch, Model: model.Name, Decision: "form", Members: len(members)})
 	f.advanceForming(now, g)
 }
