--- a/leaser/core.go
+++ b/leaser/core.go
@@ -179,8 +179,12 @@
 		if e.Call == CallGrant && e.Result == ResultOK {
 			c.lease = e.Lease
 		}
+		if e.Call == CallRevoke && e.Result == ResultUnknown {
+			c.next = now.Add(c.ttl / 10) // a platform that is away may keep the lease from lapsing as well
+			return nil
+		}
 		if e.Call == CallRevoke {
-			c.lease = "" // a revocation that failed is not repeated: the lease lapses
+			c.lease = ""
 		}
 		return c.ask(now)
 	}
--- a/leaser/leaser.go
+++ b/leaser/leaser.go
@@ -33,6 +33,7 @@
 	Pause    time.Duration // between two ticks that counts as a pause; TTL/5
 	Look     time.Duration // between two looks at a key that another holder has; TTL/2
 	Tick     time.Duration // between two ticks; 200 ms
+	GiveBack time.Duration // for which a run that ends tries to give the lease back; TTL/5
 }
 
 func (c Config) withDefaults() Config {
@@ -51,6 +52,9 @@
 	if c.Tick == 0 {
 		c.Tick = 200 * time.Millisecond
 	}
+	if c.GiveBack == 0 {
+		c.GiveBack = c.TTL / 5
+	}
 	return c
 }
 
@@ -94,10 +98,14 @@
 	}()
 	l.tickLoop(ctx)
 	l.step.Submit(Stop{})
-	stop := time.AfterFunc(l.cfg.TTL/5, cancel)
-	defer stop.Stop()
-	<-done
+	last, stop := context.WithTimeout(calls, l.cfg.GiveBack)
+	go func() {
+		<-done
+		stop()
+	}()
+	l.tickLoop(last)
 	cancel()
+	<-done
 	return nil
 }
 
--- a/runner/hosted.go
+++ b/runner/hosted.go
@@ -121,11 +121,11 @@
 	h.ownLease = leaser.New(leaser.Config{
 		Platform: h.store, Key: instancePrefix + string(s.Instance), Owner: string(s.Instance) + "/",
 		Token: fmt.Sprintf("%s %s %s", run, s.Listen.Peers, s.FailureDomain), TTL: max(instanceTTL, s.Store.LeaseMin.Std()),
-		OnHold: func(leaser.Hold) {},
+		OnHold: func(leaser.Hold) {}, GiveBack: s.Bounds.StopLimit.Std(),
 	})
 	h.formLease = leaser.New(leaser.Config{
 		Platform: h.store, Key: formingKey, Owner: string(s.Instance) + "/", Token: run, Look: formingLook,
-		TTL: max(formingTTL, s.Store.LeaseMin.Std()), OnHold: h.forming.hold,
+		TTL: max(formingTTL, s.Store.LeaseMin.Std()), OnHold: h.forming.hold, GiveBack: s.Bounds.StopLimit.Std(),
 	})
 }
 
@@ -197,8 +197,8 @@
 	return err
 }
 
-// untilDrained returns the actor of a function that ends when the stop begins. The actor
-// itself ends with the others.
+// untilDrained returns the actor of a function that is told to end when the stop begins. The
+// actor itself ends with the others, also if the function has not.
 func untilDrained(f func(context.Context) error, draining <-chan struct{}) (execute func() error, interrupt func(error)) {
 	ctx, cancel := context.WithCancel(context.Background())
 	execute = func() error {
@@ -210,9 +210,15 @@
 			}
 			stop()
 		}()
-		err := f(work)
+		ended := make(chan error, 1)
+		go func() { ended <- f(work) }()
 		<-ctx.Done()
-		return err
+		select {
+		case err := <-ended:
+			return err
+		default:
+			return nil
+		}
 	}
 	return execute, func(error) { cancel() }
 }
