--- /dev/null
+++ b/former/ask.go
@@ -0,0 +1,118 @@
+package former
+
+import (
+	"time"
+
+	"amaranthmill/internal/identifier"
+)
+
+// suspect asks every member of a head's group whether it lives.
+func (f *Former) suspect(head identifier.Endpoint) {
+	e := f.engines[head]
+	if e == nil {
+		return
+	}
+	e.suspected = true
+	g := f.groups[e.Membership.Group]
+	if g == nil {
+		return
+	}
+	for _, id := range g.members {
+		if m := f.engines[id]; m != nil && !m.dead {
+			m.suspected = true
+		}
+	}
+}
+
+// reported takes in an engine's own report. One of another process start shows that the
+// process that was asked for has ended: another engine has its address, or it starts
+// anew and will be listed so.
+func (f *Former) reported(now time.Time, r Reported) {
+	e := f.engines[r.ID]
+	if e == nil {
+		return
+	}
+	if r.Endpoint.ProcessStart == e.ProcessStart {
+		e.report(now, r)
+		return
+	}
+	e.asking = false
+	if !e.dead {
+		e.dead = true
+		f.act(Note{Group: e.Membership.Group, Epoch: e.Membership.Epoch, Endpoint: e.ID, Decision: "replaced"})
+	}
+}
+
+// unreachable counts an ask without an answer, from here and from every peer in reach. An
+// engine that nobody near it has tried may be cut off from here and go on serving there.
+func (f *Former) unreachable(now time.Time, u Unreachable) {
+	e := f.engines[u.ID]
+	if e == nil || !e.asking {
+		return
+	}
+	e.asking = false
+	e.suspected = true
+	e.failures++
+	if e.dead {
+		return
+	}
+	switch {
+	case !u.Everywhere:
+	case u.Refused && (f.mayFinish(now, e) || !e.refusedAt.IsZero()):
+		if e.refusedAt.IsZero() {
+			e.refusedAt = now
+		}
+		e.dead = now.Sub(e.refusedAt) >= finishLimit
+	case u.Near:
+		e.dead = e.failures >= deadFailures
+	default:
+		e.dead = !e.listed && now.Sub(e.unlisted) >= farSilence
+	}
+	if e.dead {
+		f.act(Note{Group: e.Membership.Group, Epoch: e.Membership.Epoch, Endpoint: e.ID, Decision: "dead"})
+	}
+}
+
+// mayFinish reports whether e may have stopped to listen because it is leaving, and still
+// serve what it has. An engine that leaves says so, or takes its entry away, some
+// seconds before that, unless the store was not well.
+func (f *Former) mayFinish(now time.Time, e *engine) bool {
+	isHead := e.Membership.Rank == 0 && e.Membership.Group != ""
+	return isHead && (e.Draining || !e.listed || f.storeLost || now.Sub(f.storeSince) < calmTime)
+}
+
+// ask asks the engines whose state has to be learned.
+func (f *Former) ask(now time.Time) {
+	for _, e := range f.sortedEngines() {
+		wait, reason := time.Duration(0), ""
+		switch {
+		case e.asking:
+			continue
+		case e.dead && !e.listed:
+			if now.Sub(e.unlisted) > forgetAfter && f.groups[e.Membership.Group] == nil {
+				f.sorted = nil
+				delete(f.engines, e.ID)
+			}
+			continue
+		case e.dead:
+			wait, reason = askDead, "dead"
+		case e.suspected:
+			wait, reason = askAgain, "suspected"
+			if e.failures > deadFailures {
+				wait = askFar
+			}
+		case e.uncertain:
+			wait, reason = 4*askAgain, "uncertain"
+		default:
+			continue
+		}
+		if now.Sub(e.askedAt) < wait {
+			continue
+		}
+		e.asking, e.askedAt = true, now
+		f.act(Ask{ID: e.ID, Reason: reason, Again: e.failures > 0 && !e.dead})
+	}
+}
+
+// forgetAfter is how long an engine that left the list is remembered.
+const forgetAfter = 10 * time.Second
--- /dev/null
+++ b/former/dissolve.go
@@ -0,0 +1,129 @@
+package former
+
+import (
+	"time"
+
+	"amaranthmill/internal/identifier"
+	"amaranthmill/lister"
+)
+
+// lostMember returns a member that g can't go on with, and why. A member that drains stays
+// while its head has work, so that a group that serves need not end before the drain time does.
+func (f *Former) lostMember(now time.Time, g *group) (identifier.Endpoint, string) {
+	for rank, id := range g.members {
+		e := f.engines[id]
+		switch {
+		case e == nil:
+			continue // the head of a group that was taken up, which is not listed yet
+		case e.dead:
+			return id, "dead"
+		case e.Draining && (rank == 0 || g.phase != phaseServing || now.Sub(e.drainsAt) >= f.drainTime):
+			return id, "draining"
+		case rank == 0 && !e.listed && e.heardAt.After(e.unlisted):
+			return id, "unlisted"
+		case g.phase != phaseForming && !e.uncertain && e.listed && !g.has(e) && e.confirms():
+			return id, "elsewhere"
+		}
+	}
+	return "", ""
+}
+
+// dissolve begins to break g up.
+func (f *Former) dissolve(now time.Time, g *group, by identifier.Endpoint, why string) {
+	f.act(Note{Group: g.name, Epoch: g.epoch, Model: g.model.Name, Endpoint: by, Decision: "dissolve:" + why, Members: len(g.members), Took: now.Sub(g.since)})
+	g.phase, g.since = phaseDissolving, now
+}
+
+// advanceDissolving closes the head, takes it out of the group, and frees the members.
+func (f *Former) advanceDissolving(now time.Time, g *group) {
+	head := f.engines[g.members[0]]
+	switch {
+	case head == nil:
+		if now.Sub(g.since) > headLimit {
+			f.sever(now, g)
+		}
+		return
+	case head.dead:
+		f.sever(now, g)
+		return
+	case !g.has(head):
+		if !head.uncertain && head.pending == nil && (g.left || head.confirms()) {
+			f.free(now, g)
+		}
+		return
+	}
+	switch head.Membership.State {
+	case lister.MemberOpen:
+		if g.orderly && now.Sub(g.since) <= closeLimit {
+			f.order(now, head, Close{Group: g.name, Epoch: g.epoch})
+			return
+		}
+		f.order(now, head, Leave{Group: g.name, Epoch: g.epoch})
+	case lister.MemberClosing:
+		f.hurryClosing(now, g, head)
+	default:
+		f.order(now, head, Leave{Group: g.name, Epoch: g.epoch})
+	}
+}
+
+// hurryClosing cuts what still runs after the time for it, and asks a head that does not report.
+func (f *Former) hurryClosing(now time.Time, g *group, head *engine) {
+	if g.orderly && now.Sub(g.since) > closeLimit {
+		g.orderly = false
+		f.order(now, head, Close{Group: g.name, Epoch: g.epoch, Cut: true})
+		return
+	}
+	if !g.orderly && now.Sub(head.pendingAt) > closeTimeout {
+		head.uncertain = true
+	}
+}
+
+// sever gives the members of g free whose head does not answer, which need not mean that
+// it is dead.
+func (f *Former) sever(now time.Time, g *group) {
+	f.free(now, g)
+	f.freed[g.name] = freedGroup{epoch: g.epoch, severed: true}
+}
+
+// freedGroup is a group that was broken up.
+type freedGroup struct {
+	epoch   identifier.Epoch
+	severed bool // its head is not known to have left it
+}
+
+// isTied reports whether e has a place in a group whose head may serve, and which f does
+// not keep. Once e has left it, the head can't go on.
+func (f *Former) isTied(e *engine) bool {
+	m := e.Membership
+	if m.Group == "" || f.services[e.Service] == nil {
+		return false
+	}
+	if g := f.groups[m.Group]; g != nil && g.epoch == m.Epoch {
+		return false
+	}
+	freed, ok := f.freed[m.Group]
+	return !ok || freed.severed || m.Epoch > freed.epoch
+}
+
+// untie orders engines to leave groups that they are tied to.
+func (f *Former) untie(now time.Time) {
+	for _, e := range f.sortedEngines() {
+		e.tied = f.isTied(e)
+		if e.tied && e.listed && !e.dead && !e.Draining {
+			f.order(now, e, Leave{Group: e.Membership.Group, Epoch: e.Membership.Epoch})
+		}
+	}
+}
+
+// free gives the members of g free for other groups.
+func (f *Former) free(now time.Time, g *group) {
+	delete(f.groups, g.name)
+	f.counted = false
+	f.freed[g.name] = freedGroup{epoch: g.epoch}
+	for _, id := range g.members {
+		if e := f.engines[id]; e != nil {
+			e.idleSince = now
+		}
+	}
+	f.act(Note{Group: g.name, Epoch: g.epoch, Model: g.model.Name, Decision: "freed", Members: len(g.members), Took: now.Sub(g.since)})
+}
--- /dev/null
+++ b/former/order.go
@@ -0,0 +1,81 @@
+package former
+
+import (
+	"slices"
+	"time"
+
+	"amaranthmill/internal/identifier"
+	"amaranthmill/lister"
+)
+
+// answered takes in what became of an order.
+func (f *Former) answered(now time.Time, a Answered) {
+	e := f.engines[a.ID]
+	if e == nil || e.pending == nil || e.pending.Number != a.Number {
+		return
+	}
+	order := e.pending
+	e.pending = nil
+	switch a.Result {
+	case ResultAccepted:
+		e.accepted = max(e.accepted, order.Expected+1)
+		f.assume(now, e, order.Operation)
+	case ResultHolds, ResultConflict, ResultRefused, ResultReplaced, ResultUnanswered:
+		e.uncertain = true
+	case ResultStale:
+		e.uncertain = true
+		if g := f.groups[groupOf(order.Operation)]; g != nil {
+			f.dissolve(now, g, e.ID, "stale")
+		}
+	}
+	if a.Result == ResultUnanswered || a.Result == ResultReplaced {
+		e.suspected = true
+	}
+}
+
+// assume takes the state that an accepted order leads to, until the engine reports it.
+func (f *Former) assume(now time.Time, e *engine, o Operation) {
+	switch o := o.(type) {
+	case Join:
+		rank := slices.Index(o.Members, e.ID)
+		e.assume(now, lister.Membership{Group: o.Group, Epoch: o.Epoch, Rank: rank, State: lister.MemberJoining})
+		e.lastModel = o.Model
+	case Close:
+		m := e.Membership
+		m.State = lister.MemberClosing
+		e.assume(now, m)
+	case Leave:
+		e.assume(now, lister.Membership{})
+		if g := f.groups[o.Group]; g != nil && g.epoch == o.Epoch && g.members[0] == e.ID {
+			g.left = true
+		}
+	case Stage:
+		e.staging, e.stagingEnd = o.Model, now.Add(stageLimit)
+	}
+}
+
+func groupOf(o Operation) identifier.Group {
+	switch o := o.(type) {
+	case Join:
+		return o.Group
+	case Open:
+		return o.Group
+	case Close:
+		return o.Group
+	case Leave:
+		return o.Group
+	}
+	return ""
+}
+
+// order sends an order to e unless one is under way or its state is not certain, and reports whether it did.
+func (f *Former) order(now time.Time, e *engine, o Operation) bool {
+	if e.pending != nil || e.uncertain {
+		return false
+	}
+	f.orders++
+	order := Order{ID: e.ID, Number: f.orders, Expected: e.accepted, Operation: o}
+	e.pending, e.pendingAt = &order, now
+	f.act(order)
+	return true
+}
