--- /dev/null
+++ b/former/example_test.go
@@ -0,0 +1,34 @@
+package former_test
+
+import (
+	"fmt"
+	"time"
+
+	"amaranthmill/former"
+	"amaranthmill/internal/identifier"
+	"amaranthmill/lister"
+	"amaranthmill/resolver"
+)
+
+// Two empty engines of one fabric domain are told to join one group.
+func ExampleFormer() {
+	f := former.New(former.Config{Fresh: true})
+	now := time.Unix(0, 0)
+	profile := &resolver.Profile{Models: []resolver.Model{{Name: "small", Size: 2, Share: 1, Load: time.Second}}}
+	f.Step(now, former.ServicesSet{Services: []resolver.Service{{Name: "guides", Engine: profile}}})
+	var engines []lister.Endpoint
+	for _, id := range []identifier.Endpoint{"e1", "e2"} {
+		engines = append(engines, lister.Endpoint{ID: id, Service: "guides", FailureDomain: "alpine", FabricDomain: "rack-1"})
+	}
+	f.Step(now, former.EndpointsSet{Endpoints: engines})
+	f.Step(now, former.HoldSet{Until: now.Add(time.Minute), Fence: 1})
+	for _, a := range f.Step(now.Add(2*time.Second), former.Ticked{}) {
+		if order, ok := a.(former.Order); ok {
+			join := order.Operation.(former.Join)
+			fmt.Println(order.ID, "joins", join.Model, join.Members)
+		}
+	}
+	// Output:
+	// e1 joins small [e1 e2]
+	// e2 joins small [e1 e2]
+}
--- /dev/null
+++ b/replicator/example_test.go
@@ -0,0 +1,34 @@
+package replicator_test
+
+import (
+	"fmt"
+	"time"
+
+	"amaranthmill/keeper"
+	"amaranthmill/replicator"
+)
+
+// A Core lists the store once and then watches it. While the store does not answer, it asks peers.
+func ExampleCore() {
+	c := replicator.NewCore(replicator.Config{})
+	now := time.Unix(0, 0)
+	show := func(actions []replicator.Action) {
+		for _, a := range actions {
+			fmt.Printf("%T\n", a)
+		}
+	}
+	show(c.Step(now, replicator.Started{}))
+	show(c.Step(now, replicator.Listed{Snapshot: keeper.Snapshot{Revision: 7, Entries: []keeper.Entry{{Key: "a", Revision: 7}}}}))
+	c.Step(now.Add(time.Second), replicator.Ticked{}) // the watch goes out
+	c.Step(now.Add(2*time.Second), replicator.Failed{})
+	show(c.Step(now.Add(3*time.Second), replicator.Failed{}))
+	fmt.Println("stands at", c.Revision())
+	// Output:
+	// replicator.List
+	// replicator.Change
+	// replicator.WakeAt
+	// replicator.Health
+	// replicator.AskPeers
+	// replicator.WakeAt
+	// stands at 7
+}
--- /dev/null
+++ b/sender/example_test.go
@@ -0,0 +1,37 @@
+package sender_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+
+	"amaranthmill/sender"
+)
+
+// A request that was not sent certainly did not run; one whose answer broke off may have.
+func ExampleSender_Send() {
+	endpoint := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		fmt.Fprintf(w, "%s %s", r.Method, r.URL.Path)
+	}))
+	s := sender.New(sender.Config{})
+	request := &sender.Request{Address: netip.MustParseAddrPort(endpoint.Listener.Addr().String()), Method: "GET", Target: "/holds/7", Host: "ledger"}
+	answer, err := s.Send(context.Background(), request)
+	if err != nil {
+		fmt.Println(err)
+		return
+	}
+	body, err := io.ReadAll(answer)
+	fmt.Println(answer.Status, string(body), err)
+	endpoint.Close()
+	s.Prune()
+	_, err = s.Send(context.Background(), &sender.Request{Address: request.Address, Method: "GET", Target: "/", Host: "ledger", Fresh: true})
+	var notSent *sender.NotSentError
+	fmt.Println("not sent:", errors.As(err, &notSent))
+	// Output:
+	// 200 GET /holds/7 <nil>
+	// not sent: true
+}
