--- a/standin/spawner/process.go
+++ b/standin/spawner/process.go
@@ -137,6 +137,19 @@
 	}
 }
 
+// Ended returns how each process ended that does not run any more.
+func (ps *Processes) Ended() []EndedError {
+	ps.mu.Lock()
+	defer ps.mu.Unlock()
+	var out []EndedError
+	for _, p := range ps.all {
+		if !p.Running() {
+			out = append(out, EndedError{Process: p.name, State: p.cmd.ProcessState.String(), LastLines: p.lastLines()})
+		}
+	}
+	return out
+}
+
 // StopAll kills what still runs.
 func (ps *Processes) StopAll() {
 	ps.mu.Lock()
--- a/standin/trial/trial.go
+++ b/standin/trial/trial.go
@@ -77,9 +77,9 @@
 	if cfg.Stay {
 		steps = []step{(*trial).bringUp, (*trial).rollOut, (*trial).serveRequests, (*trial).stay}
 	}
-	for _, step := range steps {
+	for n, step := range steps {
 		if err := step(t); err != nil {
-			return err
+			return &StepError{Step: nameOf(step), Number: n + 1, Of: len(steps), Seen: t.seen(), Cause: err}
 		}
 	}
 	return nil
