--- a/standin/hosted/engine.go
+++ b/standin/hosted/engine.go
@@ -19,6 +19,7 @@
 	loadTime   = 80 * time.Millisecond
 	formTime   = 30 * time.Millisecond
 	eventTime  = 20 * time.Millisecond // between two events of a stream
+	workTime   = 15 * time.Millisecond // of a plain request
 	entryTime  = time.Second           // after which the store forgets an engine that it does not hear of
 )
 
@@ -37,6 +38,8 @@
 	dead     bool
 	hidden   bool // cut off from the store
 	slow     int  // factor on the time between events; zero means 1
+	deaf     int  // of so many plain requests one runs and is not answered; zero for none
+	plain    int  // plain requests so far
 	draining bool
 	born     int64
 	orders   uint64
@@ -133,6 +136,21 @@
 	e.slow = factor
 }
 
+// LoseAnswers leaves one in so many plain requests unanswered, though it ran; zero ends that.
+func (e *Engine) LoseAnswers(in int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.deaf = in
+}
+
+// isLost reports whether the answer of this plain request gets lost.
+func (e *Engine) isLost() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.plain++
+	return e.deaf > 0 && e.plain%e.deaf == 0
+}
+
 // IsHead reports whether the engine serves as the head of a group.
 func (e *Engine) IsHead() bool {
 	e.mu.Lock()
@@ -316,6 +334,10 @@
 	}
 	w.Header().Set("X-Server-Seal", e.ID)
 	if e.Domain == "" {
+		time.Sleep(workTime)
+		if e.isLost() {
+			panic(http.ErrAbortHandler) // breaks the connection off
+		}
 		_, _ = fmt.Fprintf(w, "%s %s for %s", r.Method, r.URL.Path, r.Header.Get("X-Tenant"))
 		return
 	}
--- a/standin/hosted/platform.go
+++ b/standin/hosted/platform.go
@@ -145,7 +145,7 @@
 	}
 	p.Store.Put("op/config", map[string]any{
 		"version": version,
-		"routes":  []any{route("guides", "/guides/", "stream", ModelService, 2), route("holds", "/holds/", "unsafe", PlainService, 1)},
+		"routes":  []any{route("guides", "/guides/", "stream", ModelService, 2), route("holds", "/holds/", "unsafe", PlainService, 2)},
 		"services": []any{
 			map[string]any{"name": ModelService, "maxConns": 100, "engine": map[string]any{
 				"slots": 8, "models": models, "loadsPerS": 50, "loads_at_once": 20, "keeps": 1, "formMs": formTime.Milliseconds(),
--- a/standin/soak/apply.go
+++ b/standin/soak/apply.go
@@ -48,6 +48,9 @@
 	case SlowEngine:
 		e := s.engine(f.Engine)
 		s.lasting(allInstances, f.For, func() { e.Slow(f.Factor) }, func() { e.Slow(1) })
+	case DeafEngine:
+		e := s.plainEngine(f.Engine)
+		s.lasting(allInstances, f.For, func() { e.LoseAnswers(f.In) }, func() { e.LoseAnswers(0) })
 	case StoreDown:
 		s.lasting(allInstances, f.For, func() { s.platform.Store.SetDown(true) }, func() { s.platform.Store.SetDown(false) })
 	case StoreSlow:
--- a/standin/soak/fault.go
+++ b/standin/soak/fault.go
@@ -66,6 +66,12 @@
 		For            time.Duration
 	}
 
+	// DeafEngine leaves one in so many plain requests of an endpoint run and unanswered for a while.
+	DeafEngine struct {
+		Engine, In int
+		For        time.Duration
+	}
+
 	// StoreDown makes the store refuse all calls for a while.
 	StoreDown struct{ For time.Duration }
 
@@ -97,6 +103,7 @@
 func (DrainEngine) fault()    {}
 func (HideEngine) fault()     {}
 func (SlowEngine) fault()     {}
+func (DeafEngine) fault()     {}
 func (StoreDown) fault()      {}
 func (StoreSlow) fault()      {}
 func (StoreDeaf) fault()      {}
--- a/standin/soak/plan.go
+++ b/standin/soak/plan.go
@@ -72,6 +72,9 @@
 	func(r *rand.Rand) Fault {
 		return SlowEngine{Engine: number(r), Factor: 2 + r.IntN(6), For: span(r, longestSpan)}
 	},
+	func(r *rand.Rand) Fault {
+		return DeafEngine{Engine: number(r), In: 2 + r.IntN(4), For: span(r, longestSpan)}
+	},
 	func(r *rand.Rand) Fault { return StoreDown{For: span(r, longestSpan)} },
 	func(r *rand.Rand) Fault { return StoreSlow{Delay: span(r, longestDelay), For: span(r, longestSpan)} },
 	func(r *rand.Rand) Fault { return StoreDeaf{In: 2 + r.IntN(4), For: span(r, longestSpan)} },
--- a/standin/soak/soak.go
+++ b/standin/soak/soak.go
@@ -239,16 +239,28 @@
 	s.engines = append(s.engines, e)
 }
 
-// engine returns an engine that lives, by number. It may be one of the plain service.
+// engine returns an engine that lives, by number, or the first one of all. It may be one of the plain service.
 func (s *soak) engine(n int) *hosted.Engine {
+	return s.alive(n, func(*hosted.Engine) bool { return true })
+}
+
+// plainEngine returns an endpoint of the plain service that lives, by number, or the first engine of all.
+func (s *soak) plainEngine(n int) *hosted.Engine {
+	return s.alive(n, func(e *hosted.Engine) bool { return e.Domain == "" })
+}
+
+func (s *soak) alive(n int, fits func(*hosted.Engine) bool) *hosted.Engine {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var alive []*hosted.Engine
 	for _, e := range s.engines {
-		if !e.IsDead() {
+		if !e.IsDead() && fits(e) {
 			alive = append(alive, e)
 		}
 	}
+	if len(alive) == 0 {
+		return s.engines[0]
+	}
 	return alive[n%len(alive)]
 }
 
--- a/standin/soak/soak_test.go
+++ b/standin/soak/soak_test.go
@@ -79,5 +79,5 @@
 			seen[reflect.TypeOf(step.Fault)] = true
 		}
 	}
-	is.Equal(len(seen), 17)
+	is.Equal(len(seen), 18)
 }
--- a/standin/spawner/port.go
+++ b/standin/spawner/port.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net"
 	"net/netip"
+	"sync"
 )
 
 // The ports that a trial chooses from. They lie below those that systems give to outgoing
@@ -22,7 +23,25 @@
 	return fmt.Sprintf("spawner: not %d free ports from %d to %d", e.Count, firstPort, lastPort)
 }
 
-// FreePorts returns n loopback addresses whose ports were free at the same moment. It
+// given are the ports that this process has handed out. What they are for may not listen yet.
+var given = struct {
+	sync.Mutex
+	ports map[uint16]bool
+}{ports: map[uint16]bool{}}
+
+// take reports whether a port was not handed out before, and notes that it is now.
+func take(port uint16) bool {
+	given.Lock()
+	defer given.Unlock()
+	if given.ports[port] {
+		return false
+	}
+	given.ports[port] = true
+	return true
+}
+
+// FreePorts returns n loopback addresses whose ports were free at the same moment and which
+// it has not returned before. It
 // begins at a port by chance, so that trials side by side seldom meet.
 func FreePorts(n int) ([]netip.AddrPort, error) {
 	var out []netip.AddrPort
@@ -38,6 +57,9 @@
 			continue
 		}
 		defer l.Close()
+		if !take(address.Port()) {
+			continue
+		}
 		out = append(out, address)
 	}
 	return out, nil
