--- a/standin/soak/soak_test.go
+++ b/standin/soak/soak_test.go
@@ -56,6 +56,7 @@
 	}
 	for _, seed := range seeds {
 		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
+			t.Parallel()
 			report, err := soak.Run(soak.Config{Binary: binary, Dir: t.TempDir(), Seed: seed, Length: 6 * time.Second})
 			if err != nil {
 				t.Fatal(err)
