--- a/former/fleet_test.go
+++ b/former/fleet_test.go
@@ -370,16 +370,21 @@
 			continue
 		}
 		n--
-		e.dead = true
-		f.after(entryLife, func() { e.listed, f.changed = false, true })
-		f.after(400*time.Millisecond, func() {
-			if e.Membership.Group != "" {
-				f.step(former.Suspected{Head: f.members[e.Membership.Group][0]})
-			}
-		})
+		f.end(e)
 	}
 }
 
+// end ends an engine without a word. Its group stands still, which is noticed.
+func (f *fleet) end(e *fakeEngine) {
+	e.dead = true
+	f.after(entryLife, func() { e.listed, f.changed = false, true })
+	f.after(400*time.Millisecond, func() {
+		if e.Membership.Group != "" {
+			f.step(former.Suspected{Head: f.members[e.Membership.Group][0]})
+		}
+	})
+}
+
 func joined(e *fakeEngine) int {
 	if e.Membership.Group != "" {
 		return 1
--- a/former/former_test.go
+++ b/former/former_test.go
@@ -282,3 +282,26 @@
 		})
 	}
 }
+
+// TestLendSeveral holds that a model whose last group lost most of its members gets as many groups of the other
+// model as it needs for one of its own.
+func TestLendSeveral(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(1, 1, 1, 10)
+	f.run(8 * time.Second)
+	f.request()
+	f.run(90 * time.Second) // the hosts get the other model
+	before := f.serving()
+	is.Equal(before["large"], 1)
+	is.True(before["small"] >= 3)
+	lost := 0
+	for _, id := range f.ids() {
+		if e := f.engines[id]; lost < 3 && len(e.Models) > 0 && e.Models[0] == "large" && e.Membership.Group != "" {
+			lost++
+			f.end(e)
+		}
+	}
+	f.run(12 * time.Second)
+	f.check(t)
+	is.Equal(f.serving()["large"], 1)
+}
--- a/former/lend.go
+++ b/former/lend.go
@@ -32,11 +32,11 @@
 // borrow breaks up groups of other models whose engines complete one of m, if those models
 // stay better supplied than m is. It reports whether it did.
 func (f *Former) borrow(now time.Time, d *domain, s *supply, m resolver.Model, have int) bool {
-	lacking, room := m.Size-have, f.lendingRoom(d.service)
+	lacking := m.Size - have
 	left := map[string]float64{} // groups given so far, by model
 	var lent []*group
 	for _, g := range f.lenders(d, m) {
-		if lacking <= 0 || len(lent) >= room {
+		if lacking <= 0 {
 			break
 		}
 		if !f.isFar(g) && !s.spares(g.model, left[g.model.Name]+1, m) {
@@ -46,7 +46,7 @@
 		lacking -= f.gains(g, d, m)
 		lent = append(lent, g)
 	}
-	if lacking > 0 {
+	if lacking > 0 || !f.mayLend(d.service, len(lent)) {
 		return false
 	}
 	for _, g := range lent {
@@ -57,12 +57,15 @@
 	return true
 }
 
-// lentPart is the part of a service's groups that may be out of service at once to complete
-// groups of other models.
-const lentPart = 1.0 / 20
+// Bounds of the groups of a service that may be out of service at once to complete groups of
+// other models. What a single one needs may be lent in any case.
+const (
+	lentPart  = 1.0 / 20 // of its groups
+	lentLeast = 2
+)
 
-// lendingRoom returns how many groups of a service may be broken up now to complete others.
-func (f *Former) lendingRoom(service identifier.Service) int {
+// mayLend reports whether n more groups of a service may be broken up to complete another one.
+func (f *Former) mayLend(service identifier.Service, n int) bool {
 	groups, lent := 0, 0
 	for _, g := range f.groups {
 		if g.service != service {
@@ -73,7 +76,7 @@
 			lent++
 		}
 	}
-	return max(int(lentPart*float64(groups)), 1) - lent
+	return lent == 0 || lent+n <= max(int(lentPart*float64(groups)), lentLeast)
 }
 
 // lenders returns the serving groups of d that have engines for m, the smallest first.
