--- a/cmd/millctl/explain.go
+++ b/cmd/millctl/explain.go
@@ -4,7 +4,7 @@
 	"errors"
 	"os"
 
-	"amaranthmill/explainer"
+	"amaranthmill/diagnoser"
 )
 
 // explainCommand explains one request from log files.
@@ -18,7 +18,7 @@
 
 // Execute carries the command out.
 func (c *explainCommand) Execute([]string) error {
-	var all []explainer.Line
+	var all []diagnoser.Line
 	unread := 0
 	for _, path := range c.Positional.Logs {
 		lines, n, err := readLog(path)
@@ -28,14 +28,14 @@
 		all = append(all, lines...)
 		unread += n
 	}
-	e, err := explainer.Explain(c.Positional.Request, all)
+	e, err := diagnoser.Diagnose(c.Positional.Request, all)
 	if err != nil {
 		return err
 	}
 	return c.app.show(explained{Verdict: e.Verdict, Unread: unread, Lines: texts(e.Lines)}, func() { c.print(e, unread) })
 }
 
-func (c *explainCommand) print(e explainer.Explanation, unread int) {
+func (c *explainCommand) print(e diagnoser.Diagnosis, unread int) {
 	for _, l := range e.Lines {
 		c.app.printf("%s %s\n", l.Time.Format("15:04:05.000"), l.Text)
 	}
@@ -52,7 +52,7 @@
 	Lines   []string `json:"lines"`
 }
 
-func texts(lines []explainer.Line) []string {
+func texts(lines []diagnoser.Line) []string {
 	var out []string
 	for _, l := range lines {
 		out = append(out, l.Text)
@@ -60,14 +60,14 @@
 	return out
 }
 
-func readLog(path string) (lines []explainer.Line, unread int, err error) {
+func readLog(path string) (lines []diagnoser.Line, unread int, err error) {
 	if path == "-" {
-		return explainer.Read(os.Stdin)
+		return diagnoser.Read(os.Stdin)
 	}
 	f, err := os.Open(path)
 	if err != nil {
 		return nil, 0, err
 	}
 	defer func() { err = errors.Join(err, f.Close()) }()
-	return explainer.Read(f)
+	return diagnoser.Read(f)
 }
--- a/explainer/explainer.go
+++ b/diagnoser/diagnosis.go
@@ -1,4 +1,4 @@
-package explainer
+package diagnoser
 
 import (
 	"fmt"
@@ -18,17 +18,17 @@
 
 // Error says what was looked for and what may hide it.
 func (e *NotFoundError) Error() string {
-	return fmt.Sprintf("explainer: no line of request %q; it may not have reached these instances, or its lines were dropped (see \"log lines dropped\")", e.Request)
+	return fmt.Sprintf("diagnoser: no line of request %q; it may not have reached these instances, or its lines were dropped (see \"log lines dropped\")", e.Request)
 }
 
-// Explanation is what became of a request.
-type Explanation struct {
+// Diagnosis is what became of a request.
+type Diagnosis struct {
 	Lines   []Line // of the request and of what it depended on, by time
 	Verdict string // the outcome in words
 }
 
-// Explain finds what became of a request. Its error is *NotFoundError.
-func Explain(request string, lines []Line) (Explanation, error) {
+// Diagnose finds what became of a request. Its error is *NotFoundError.
+func Diagnose(request string, lines []Line) (Diagnosis, error) {
 	var own []Line
 	for _, l := range lines {
 		if l.Request == request {
@@ -36,7 +36,7 @@
 		}
 	}
 	if len(own) == 0 {
-		return Explanation{}, &NotFoundError{Request: request}
+		return Diagnosis{}, &NotFoundError{Request: request}
 	}
 	slices.SortStableFunc(own, compare)
 	w := newWindow(own)
@@ -47,7 +47,7 @@
 		}
 	}
 	slices.SortStableFunc(out, compare)
-	return Explanation{Lines: out, Verdict: verdict(own[len(own)-1])}, nil
+	return Diagnosis{Lines: out, Verdict: verdict(own[len(own)-1])}, nil
 }
 
 func compare(a, b Line) int { return a.Time.Compare(b.Time) }
--- a/explainer/explainer_test.go
+++ b/diagnoser/diagnosis_test.go
@@ -1,4 +1,4 @@
-package explainer_test
+package diagnoser_test
 
 import (
 	"errors"
@@ -9,18 +9,18 @@
 
 	"github.com/matryer/is"
 
-	"amaranthmill/explainer"
+	"amaranthmill/diagnoser"
 )
 
 // lines are the log of four instances around three requests.
-func lines(t *testing.T) []explainer.Line {
+func lines(t *testing.T) []diagnoser.Line {
 	t.Helper()
 	f, err := os.Open("testdata/three.log")
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer f.Close()
-	all, unread, err := explainer.Read(f)
+	all, unread, err := diagnoser.Read(f)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -29,7 +29,7 @@
 }
 
 // Each request is explained by its own lines and by those on what it depended on, and by no others.
-func TestExplain(t *testing.T) {
+func TestDiagnose(t *testing.T) {
 	all := lines(t)
 	tests := map[string]struct {
 		messages []string
@@ -43,7 +43,7 @@
 	for request, test := range tests {
 		t.Run(request, func(t *testing.T) {
 			is := is.New(t)
-			e, err := explainer.Explain(request, all)
+			e, err := diagnoser.Diagnose(request, all)
 			is.NoErr(err)
 			var messages []string
 			for _, l := range e.Lines {
@@ -55,20 +55,20 @@
 	}
 }
 
-func TestExplainUnknown(t *testing.T) {
+func TestDiagnoseUnknown(t *testing.T) {
 	is := is.New(t)
-	_, err := explainer.Explain("none", lines(t))
-	var missing *explainer.NotFoundError
+	_, err := diagnoser.Diagnose("none", lines(t))
+	var missing *diagnoser.NotFoundError
 	is.True(errors.As(err, &missing))
 	is.Equal(missing.Request, "none")
 }
 
-func ExampleExplain() {
+func ExampleDiagnose() {
 	log := `{"time":1000,"instance":"alpine-1","request":"r1","pool":"guides/large","age":6.2,"outcome":"notRun","reason":"full","message":"ended"}
 {"time":900,"instance":"marfa-1","model":"large","serving":2,"share":7.5,"message":"groups"}
 {"time":900,"instance":"marfa-1","model":"small","serving":15,"share":15,"message":"groups"}`
-	all, _, _ := explainer.Read(strings.NewReader(log))
-	e, _ := explainer.Explain("r1", all)
+	all, _, _ := diagnoser.Read(strings.NewReader(log))
+	e, _ := diagnoser.Diagnose("r1", all)
 	for _, l := range e.Lines {
 		fmt.Println(l.Instance, l.Message)
 	}
--- a/explainer/line.go
+++ b/diagnoser/line.go
@@ -1,4 +1,4 @@
-package explainer
+package diagnoser
 
 import (
 	"bufio"
@@ -9,7 +9,7 @@
 	"time"
 )
 
-// Line is one log line. Fields that the explanation does not go by are in Text.
+// Line is one log line. Fields that the diagnosis does not go by are in Text.
 type Line struct {
 	Time     time.Time
 	Instance string
--- a/standin/hosted/hosted_test.go
+++ b/standin/hosted/hosted_test.go
@@ -20,6 +20,7 @@
 	"github.com/matryer/is"
 
 	"amaranthmill/standin/hosted"
+	"amaranthmill/standin/internal/builder"
 )
 
 // binary is the built instance.
@@ -30,9 +31,8 @@
 	if err != nil {
 		panic(err)
 	}
-	binary = filepath.Join(dir, "amaranthmill")
-	if out, err := exec.Command("go", "build", "-o", binary, "amaranthmill/cmd/amaranthmill").CombinedOutput(); err != nil {
-		fmt.Fprintf(os.Stderr, "build: %v\n%s", err, out)
+	if binary, err = builder.Instance(dir); err != nil {
+		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
 	}
 	code := m.Run()
--- /dev/null
+++ b/standin/internal/builder/builder.go
@@ -0,0 +1,17 @@
+// Package builder builds the program of an instance for tests that run it as a process.
+package builder
+
+import (
+	"fmt"
+	"os/exec"
+	"path/filepath"
+)
+
+// Instance builds the program into a folder and returns its path.
+func Instance(dir string) (string, error) {
+	binary := filepath.Join(dir, "amaranthmill")
+	if out, err := exec.Command("go", "build", "-o", binary, "amaranthmill/cmd/amaranthmill").CombinedOutput(); err != nil {
+		return "", fmt.Errorf("builder: %w\n%s", err, out)
+	}
+	return binary, nil
+}
--- a/standin/soak/soak_test.go
+++ b/standin/soak/soak_test.go
@@ -5,14 +5,13 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
-	"os/exec"
-	"path/filepath"
 	"reflect"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
+	"amaranthmill/standin/internal/builder"
 	"amaranthmill/standin/soak"
 )
 
@@ -24,9 +23,8 @@
 	if err != nil {
 		panic(err)
 	}
-	binary = filepath.Join(dir, "amaranthmill")
-	if out, err := exec.Command("go", "build", "-o", binary, "amaranthmill/cmd/amaranthmill").CombinedOutput(); err != nil {
-		fmt.Fprintf(os.Stderr, "build: %v\n%s", err, out)
+	if binary, err = builder.Instance(dir); err != nil {
+		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
 	}
 	code := m.Run()
