--- a/standin/engine/complete.go
+++ b/standin/engine/complete.go
@@ -56,7 +56,7 @@
 	}
 	asked := e.report()
 	if epoch, _ := strconv.ParseUint(r.Header.Get("Mill-Epoch"), 10, 64); epoch != 0 {
-		e.count(asked.Group, epoch, false)
+		e.countAsked(asked.Group, epoch)
 	}
 	group, status, code := e.admit(r)
 	if code != "" {
@@ -89,7 +89,7 @@
 	}
 	g.id = "chatcmpl-" + r.Header.Get("Mill-Request")
 	g.run()
-	e.count(rep.Group, rep.Epoch, true)
+	e.countAnswer(rep.Group, rep.Epoch, g.madeAt)
 }
 
 // admit returns the membership's context, or why the request is refused.
@@ -158,6 +158,7 @@
 	adapter string
 	resume  int
 	id      string
+	madeAt  time.Time // of the last token
 }
 
 // run produces the tokens and ends without an end mark if the group breaks.
@@ -208,6 +209,7 @@
 		case <-g.group.Done():
 		}
 	}
+	g.madeAt = time.Now()
 	return g.ctx.Err() == nil && g.group.Err() == nil
 }
 
--- a/standin/engine/engine_test.go
+++ b/standin/engine/engine_test.go
@@ -1,6 +1,7 @@
 package engine_test
 
 import (
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"net/http/httptest"
@@ -43,3 +44,46 @@
 		}
 	}
 }
+
+// slowWriter takes the time at which it is given the end mark of a stream.
+type slowWriter struct {
+	*httptest.ResponseRecorder
+	endedAt time.Time
+}
+
+func (w *slowWriter) Write(p []byte) (int, error) {
+	if strings.Contains(string(p), "[DONE]") {
+		w.endedAt = time.Now()
+	}
+	return w.ResponseRecorder.Write(p)
+}
+
+// TestAnswerCountsFromLastToken holds that an answer counts as made when its last token is there, however long its
+// caller takes to read it: a member that ends between the two has done its part.
+func TestAnswerCountsFromLastToken(t *testing.T) {
+	is := is.New(t)
+	weights := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) }))
+	defer weights.Close()
+	platform := netip.MustParseAddrPort(strings.TrimPrefix(weights.URL, "http://"))
+	e := engine.New(engine.Config{Name: "e1", Platform: platform}).Handler()
+	call := func(method, path, body string, w http.ResponseWriter) {
+		r := httptest.NewRequest(method, path, strings.NewReader(body))
+		r.Header.Set("Mill-Epoch", "1")
+		e.ServeHTTP(w, r)
+	}
+	call(http.MethodPost, "/orders", `{"kind":"assign","group":"g","epoch":1,"members":[{"endpoint":"e1"}],"base":"b","version":"v"}`, httptest.NewRecorder())
+	var w *slowWriter
+	for end := time.Now().Add(10 * time.Second); w == nil || w.Code != http.StatusOK; {
+		is.True(time.Now().Before(end)) // the weights load
+		w = &slowWriter{ResponseRecorder: httptest.NewRecorder()}
+		call(http.MethodPost, "/v1/chat/completions", `{"model":"m","messages":[{"role":"user","content":"rules"}],"max_tokens":2,"stream":true}`, w)
+	}
+	told := httptest.NewRecorder()
+	call(http.MethodGet, "/served", "", told)
+	var served []struct {
+		LastAnswer time.Time `json:"lastAnswer"`
+	}
+	is.NoErr(json.Unmarshal(told.Body.Bytes(), &served))
+	is.Equal(len(served), 1)
+	is.True(!served[0].LastAnswer.IsZero() && served[0].LastAnswer.Before(w.endedAt))
+}
