--- a/diagnoser/diagnosis.go
+++ b/diagnoser/diagnosis.go
@@ -40,7 +40,7 @@
 	}
 	slices.SortStableFunc(own, compare)
 	w := newWindow(own)
-	out := own
+	out := slices.Clone(own)
 	for _, l := range lines {
 		if l.Request == "" && w.concerns(l) {
 			out = append(out, l)
--- a/diagnoser/diagnosis_test.go
+++ b/diagnoser/diagnosis_test.go
@@ -38,6 +38,7 @@
 		"full-1":    {[]string{"groups", "queued", "ended"}, "its turn would have come too late"},
 		"paused-1":  {[]string{"placed", "target stands still", "attempt given up", "placed", "group", "ended"}, "the whole answer"},
 		"revoked-1": {[]string{"configuration in force", "configuration in force", "refused"}, "refused by what the configuration says (unknownKey)"},
+		"moved-1":   {[]string{"placed", "attempt ended", "group", "ended"}, "each target refused it"},
 		"killed-1":  {[]string{"placed", "instance runs"}, "no line says how it ended"},
 	}
 	for request, test := range tests {
