--- a/standin/soak/apply.go
+++ b/standin/soak/apply.go
@@ -44,7 +44,8 @@
 	case DrainEngine:
 		s.drain(f.Engine)
 	case HideEngine:
-		s.lasting(allInstances, f.For, s.engine(f.Engine).Hide, s.engine(f.Engine).Show)
+		e := s.engine(f.Engine)
+		s.lasting(allInstances, f.For, e.Hide, e.Show)
 	case SlowEngine:
 		e := s.engine(f.Engine)
 		s.lasting(allInstances, f.For, func() { e.Slow(f.Factor) }, func() { e.Slow(1) })
