--- a/leaser/leaser.go
+++ b/leaser/leaser.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"amaranthmill/internal/defaulter"
 	"amaranthmill/internal/stepper"
 	"amaranthmill/keeper"
 )
@@ -37,24 +38,12 @@
 }
 
 func (c Config) withDefaults() Config {
-	if c.TTL == 0 {
-		c.TTL = 10 * time.Second
-	}
-	if c.Margin == 0 {
-		c.Margin = c.TTL / 4
-	}
-	if c.Pause == 0 {
-		c.Pause = c.TTL / 5
-	}
-	if c.Look == 0 {
-		c.Look = c.TTL / 2
-	}
-	if c.Tick == 0 {
-		c.Tick = 200 * time.Millisecond
-	}
-	if c.GiveBack == 0 {
-		c.GiveBack = c.TTL / 5
-	}
+	defaulter.Set(&c.TTL, 10*time.Second)
+	defaulter.Set(&c.Margin, c.TTL/4)
+	defaulter.Set(&c.Pause, c.TTL/5)
+	defaulter.Set(&c.Look, c.TTL/2)
+	defaulter.Set(&c.Tick, 200*time.Millisecond)
+	defaulter.Set(&c.GiveBack, c.TTL/5)
 	return c
 }
 
--- a/standin/hosted/engine.go
+++ b/standin/hosted/engine.go
@@ -38,8 +38,7 @@
 	dead     bool
 	hidden   bool // cut off from the store
 	slow     int  // factor on the time between events; zero means 1
-	deaf     int  // of so many plain requests one runs and is not answered; zero for none
-	plain    int  // plain requests so far
+	deaf     loss // of answers to plain requests that ran
 	draining bool
 	born     int64
 	orders   uint64
@@ -140,15 +139,14 @@
 func (e *Engine) LoseAnswers(in int) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.deaf = in
+	e.deaf.in = in
 }
 
 // isLost reports whether the answer of this plain request gets lost.
 func (e *Engine) isLost() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.plain++
-	return e.deaf > 0 && e.plain%e.deaf == 0
+	return e.deaf.next()
 }
 
 // IsHead reports whether the engine serves as the head of a group.
--- a/standin/hosted/hosted_test.go
+++ b/standin/hosted/hosted_test.go
@@ -3,11 +3,10 @@
 import (
 	"bufio"
 	"bytes"
-	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
+	"net/netip"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -21,6 +20,7 @@
 
 	"amaranthmill/standin/hosted"
 	"amaranthmill/standin/internal/builder"
+	"amaranthmill/standin/spawner"
 )
 
 // binary is the built instance.
@@ -120,17 +120,12 @@
 
 // start runs an instance on free ports of loopback.
 func (f *fixture) start(name string) *instance {
-	ports := freePorts(f.t, 4)
-	i := &instance{name: name, callers: ports[0], readiness: ports[1], ended: make(chan error, 1)}
-	settings := map[string]any{
-		"instance": name, "failureDomain": "here",
-		"listen":  map[string]any{"callers": ports[0], "readiness": ports[1], "readinessPath": "/ready", "peers": ports[2], "metrics": ports[3]},
-		"store":   map[string]any{"address": f.platform.Address(), "readsPerSecond": 2000, "writesPerSecond": 400, "leaseMin": "1s"},
-		"machine": map[string]any{"cores": 1, "memoryMB": 500},
-		"bounds":  map[string]any{"stopLimit": "8s", "retryRatio": 0.2, "retrySlack": 100},
-		"log":     map[string]any{"level": "info"},
+	ports, err := spawner.FreePorts(hosted.PortsOfInstance)
+	if err != nil {
+		f.t.Fatal(err)
 	}
-	text, err := json.Marshal(settings)
+	i := &instance{name: name, callers: ports[0].String(), readiness: ports[1].String(), ended: make(chan error, 1)}
+	text, err := hosted.Settings(name, ports, netip.MustParseAddrPort(f.platform.Address()), 8*time.Second)
 	if err != nil {
 		f.t.Fatal(err)
 	}
@@ -148,19 +143,6 @@
 	return i
 }
 
-func freePorts(t *testing.T, n int) []string {
-	var out []string
-	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		out = append(out, l.Addr().String())
-		defer l.Close()
-	}
-	return out
-}
-
 // await waits until ok holds.
 func (f *fixture) await(what string, ok func() bool) {
 	f.t.Helper()
--- a/standin/hosted/store.go
+++ b/standin/hosted/store.go
@@ -17,8 +17,7 @@
 	mu       sync.Mutex
 	down     bool
 	delay    time.Duration // of each answer
-	deaf     int           // of so many writes one is done and not answered; zero for none
-	writes   int
+	deaf     loss          // of answers to writes that are done
 	revision uint64
 	floor    uint64 // up to which history is dropped
 	items    map[string]item
@@ -65,15 +64,14 @@
 func (s *Store) LoseAnswers(in int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.deaf = in
+	s.deaf.in = in
 }
 
 // isLost reports whether the answer of this write gets lost.
 func (s *Store) isLost() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.writes++
-	return s.deaf > 0 && s.writes%s.deaf == 0
+	return s.deaf.next()
 }
 
 // Compact drops the history.
--- a/standin/soak/deployment.go
+++ b/standin/soak/deployment.go
@@ -1,7 +1,6 @@
 package soak
 
 import (
-	"encoding/json"
 	"fmt"
 	"net/netip"
 	"os"
@@ -102,7 +101,7 @@
 
 // newInstance writes the settings of an instance, makes its links and starts it.
 func (s *soak) newInstance(n int) error {
-	ports, err := spawner.FreePorts(4)
+	ports, err := spawner.FreePorts(hosted.PortsOfInstance)
 	if err != nil {
 		return err
 	}
@@ -113,15 +112,7 @@
 	if i.store, err = relayer.New(netip.MustParseAddrPort(s.platform.Address())); err != nil {
 		return err
 	}
-	type object = map[string]any
-	text, err := json.Marshal(object{
-		"instance": fmt.Sprintf("entry-%d", n), "failureDomain": "here",
-		"listen":  object{"callers": ports[0], "readiness": ports[1], "readinessPath": "/ready", "peers": ports[2], "metrics": ports[3]},
-		"store":   object{"address": i.store.Address(), "readsPerSecond": 2000, "writesPerSecond": 400, "leaseMin": "1s"},
-		"machine": object{"cores": 1, "memoryMB": 300},
-		"bounds":  object{"stopLimit": stopLimit.String(), "retryRatio": 0.2, "retrySlack": 100},
-		"log":     object{"level": "info"},
-	})
+	text, err := hosted.Settings(fmt.Sprintf("entry-%d", n), ports, i.store.Address(), stopLimit)
 	if err != nil {
 		return err
 	}
--- a/standin/soak/record.go
+++ b/standin/soak/record.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"sync"
 	"time"
 )
@@ -19,6 +20,9 @@
 	retry    string // the time after which to come back
 }
 
+// isServed reports whether the caller got the whole answer.
+func (s sent) isServed() bool { return s.whole && s.status == http.StatusOK }
+
 // spell is a time in which an instance, or all of them, were in trouble.
 type spell struct {
 	instance   int // allInstances for all
--- a/standin/soak/soak.go
+++ b/standin/soak/soak.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"math/rand/v2"
+	"strings"
 	"sync"
 	"time"
 
+	"amaranthmill/internal/defaulter"
 	"amaranthmill/standin/hosted"
 	"amaranthmill/standin/relayer"
 	"amaranthmill/standin/spawner"
@@ -81,18 +83,10 @@
 }
 
 func (c Config) withDefaults() Config {
-	if c.Instances == 0 {
-		c.Instances = 3
-	}
-	if c.Engines == 0 {
-		c.Engines = 6
-	}
-	if c.Callers == 0 {
-		c.Callers = 12
-	}
-	if c.Length == 0 {
-		c.Length = 8 * time.Second
-	}
+	defaulter.Set(&c.Instances, 3)
+	defaulter.Set(&c.Engines, 6)
+	defaulter.Set(&c.Callers, 12)
+	defaulter.Set(&c.Length, 8*time.Second)
 	return c
 }
 
@@ -148,7 +142,7 @@
 	out.Broken = append(s.record.verdict(s.platform.Runs()), s.platform.Faults()...)
 	out.Sent = len(s.record.all)
 	for _, one := range s.record.all {
-		if one.whole && one.status == 200 {
+		if one.isServed() {
 			out.Answered++
 		}
 		if saysNotRun(one.status) {
@@ -161,14 +155,14 @@
 func (s *soak) awaitService(when string, limit time.Duration, r *rand.Rand) {
 	end := time.Now().Add(limit)
 	c := s.newCaller(s.cfg.Callers, r)
-	c.name = "wait-" + when[:2]
+	c.name = "wait-" + strings.ReplaceAll(when, " ", "-")
 	defer c.client.CloseIdleConnections()
 	for n := range s.instances {
 		for _, plain := range []bool{false, true} {
 			for {
 				one := c.send(n, plain, false)
 				s.record.add(one)
-				if one.whole && one.status == 200 {
+				if one.isServed() {
 					break
 				}
 				if time.Now().After(end) {
--- a/standin/spawner/process.go
+++ b/standin/spawner/process.go
@@ -107,7 +107,7 @@
 	err := p.cmd.Process.Signal(syscall.SIGCONT)
 	if errors.Is(err, os.ErrProcessDone) {
 		<-p.done
-		return &EndedError{Process: p.name, State: p.cmd.ProcessState.String(), LastLines: p.lastLines()}
+		return p.ended()
 	}
 	return err
 }
@@ -118,6 +118,11 @@
 	return err == nil && int64(len(b)) >= p.from && bytes.Contains(b[p.from:], []byte(text))
 }
 
+// ended describes the end of the process.
+func (p *Process) ended() *EndedError {
+	return &EndedError{Process: p.name, State: p.cmd.ProcessState.String(), LastLines: p.lastLines()}
+}
+
 // lastLines returns the end of the process's log, or why it can't be read.
 func (p *Process) lastLines() string {
 	b, err := os.ReadFile(p.log)
@@ -144,7 +149,7 @@
 	var out []EndedError
 	for _, p := range ps.all {
 		if !p.Running() {
-			out = append(out, EndedError{Process: p.name, State: p.cmd.ProcessState.String(), LastLines: p.lastLines()})
+			out = append(out, *p.ended())
 		}
 	}
 	return out
