standin/hosted: requests that crash the engine that runs them

An engine that begins to run a marked request is now killed and, after a time, replaced. Each such run is recorded.

--- /dev/null
+++ b/standin/hosted/crash.go
@@ -0,0 +1,69 @@
+package hosted
+
+import (
+	"io"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+)
+
+// crashDelay is the time from the start of a run until the run crashes its engine.
+const crashDelay = 20 * time.Millisecond
+
+// CrashRun is a run of a request that crashes the engine that runs it.
+type CrashRun struct {
+	Engine  string // ID of the engine
+	Request string // ID of the caller's attempt
+	At      time.Time
+}
+
+// CrashOn makes each request whose body contains marker crash the engine that begins to run
+// it. The engine is killed and, after restart, replaced by an engine with a new ID. If onCrash
+// is not nil, it is called instead of the replacement and must not block.
+func (p *Platform) CrashOn(marker string, restart time.Duration, onCrash func(*Engine)) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if onCrash == nil {
+		onCrash = func(e *Engine) {
+			time.AfterFunc(restart, func() { _, _ = p.AddEngine(e.ID+"r", e.Zone, e.Domain, e.Events) }) // without the engine the test fails
+		}
+	}
+	p.crashMarker, p.onCrash = marker, onCrash
+}
+
+// CrashRuns returns the runs of requests that crash their engine, in order of time.
+func (p *Platform) CrashRuns() []CrashRun {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.Clone(p.crashRuns)
+}
+
+// crashes reports whether a request crashes the engine e, and records its run.
+func (p *Platform) crashes(e *Engine, r *http.Request) bool {
+	body, err := io.ReadAll(r.Body)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if err != nil || p.crashMarker == "" || !strings.Contains(string(body), p.crashMarker) {
+		return false
+	}
+	p.crashRuns = append(p.crashRuns, CrashRun{Engine: e.ID, Request: r.Header.Get("X-Attempt-Id"), At: time.Now()})
+	return true
+}
+
+// crash kills the engine after crashDelay. The connections of its requests break.
+func (e *Engine) crash() {
+	time.Sleep(crashDelay)
+	e.mu.Lock()
+	wasDead := e.dead
+	e.dead = true
+	e.mu.Unlock()
+	if wasDead {
+		return
+	}
+	e.Kill()
+	e.platform.mu.Lock()
+	onCrash := e.platform.onCrash
+	e.platform.mu.Unlock()
+	onCrash(e)
+}
--- a/standin/hosted/engine.go
+++ b/standin/hosted/engine.go
@@ -344,6 +344,10 @@
 	if e.Domain != "" {
 		e.checkGroupReady(group, members)
 	}
+	if e.platform.crashes(e, r) {
+		e.crash()
+		panic(http.ErrAbortHandler)
+	}
 	w.Header().Set("X-Server-Seal", e.ID)
 	if e.Domain == "" {
 		time.Sleep(workTime)
--- a/standin/hosted/platform.go
+++ b/standin/hosted/platform.go
@@ -24,9 +24,12 @@
 	server  *http.Server
 	address string
 
-	mu         sync.Mutex
-	engines    []*Engine
-	violations []string
+	mu          sync.Mutex
+	engines     []*Engine
+	violations  []string
+	crashMarker string        // part of the body of requests that crash their engine; empty for none
+	onCrash     func(*Engine) // replaces an engine that a request crashed
+	crashRuns   []CrashRun
 }
 
 // Names of the services, the host, the API key and the client account in the configuration.
