forwarder: log lines on attempts carry a fingerprint of the request

No line said that the attempts of two callers' tries carry the same request, so that the hypotheses of docs/incidents/crashing-request.md looked alike. The lines on attempts now have the fingerprint of method, host, path, query, client account and body, and those on ended attempts the process start of the endpoint.

--- /dev/null
+++ b/forwarder/fingerprint.go
@@ -0,0 +1,21 @@
+package forwarder
+
+import (
+	"github.com/cespare/xxhash/v2"
+
+	"amaranthmill/internal/identifier"
+)
+
+// fingerprintOf returns the identity of a request over all tries of its callers and over all
+// instances. Requests with the same method, host, path, query, client account and body have
+// the same fingerprint.
+func fingerprintOf(x *exchange) identifier.Fingerprint {
+	h := xxhash.New()
+	r := x.request
+	for _, part := range []string{r.Method, r.Host, r.RequestURI, string(x.match.Account)} {
+		_, _ = h.WriteString(part) // never fails
+		_, _ = h.Write([]byte{0})
+	}
+	_, _ = h.Write(x.body)
+	return identifier.Fingerprint(h.Sum64())
+}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -155,6 +155,7 @@
 	arrivedAt time.Time
 	match     resolver.Match
 	fields    RequestFields
+	identity  identifier.Fingerprint // the same for all tries of the request
 	request   *http.Request
 	body      []byte
 	hasBody   bool
--- a/forwarder/log.go
+++ b/forwarder/log.go
@@ -25,7 +25,7 @@
 	if a.Attempt > 1 {
 		e = f.cfg.Logger.Warn()
 	}
-	x.addRequest(e).Str("account", string(x.match.Account)).Int("attempt", a.Attempt).Str("endpoint", string(a.Target.ID)).
+	x.addRequest(e).Str("account", string(x.match.Account)).Stringer("fingerprint", x.identity).Int("attempt", a.Attempt).Str("endpoint", string(a.Target.ID)).
 		Str("group", string(a.Target.Group)).Uint64("epoch", uint64(a.Target.Epoch)).Float64("load", a.Load).
 		Int("lastEvent", x.relay.lastEventID).Dur("left", time.Until(x.deadline)).Msg("placed")
 }
@@ -46,8 +46,8 @@
 	if _, ok := end.(scheduler.Completed); ok {
 		return
 	}
-	x.addRequest(f.cfg.Logger.Warn()).Int("attempt", a.Attempt).Str("endpoint", string(a.Target.ID)).Str("ending", scheduler.EndingName(end)).
-		Int("status", x.relay.heldStatus).Msg("attempt ended")
+	x.addRequest(f.cfg.Logger.Warn()).Stringer("fingerprint", x.identity).Int("attempt", a.Attempt).Str("endpoint", string(a.Target.ID)).
+		Int64("processStart", int64(a.Target.ProcessStart)).Str("ending", scheduler.EndingName(end)).Int("status", x.relay.heldStatus).Msg("attempt ended")
 }
 
 func (f *Forwarder) logStalled(a scheduler.Stalled) {
--- a/forwarder/serve.go
+++ b/forwarder/serve.go
@@ -61,6 +61,7 @@
 	if fields.Timeout > 0 && fields.Timeout < match.Route.Timeout {
 		x.deadline = arrivedAt.Add(max(fields.Timeout, minTimeout))
 	}
+	x.identity = fingerprintOf(x)
 	x.service = match.Route.PickService(f.drawFraction())
 	x.relay = newRelay(w, fields.LastEventID)
 	return x, nil
--- a/internal/identifier/identifier.go
+++ b/internal/identifier/identifier.go
@@ -1,5 +1,7 @@
 package identifier
 
+import "fmt"
+
 // Instance names one entry instance of the system. It is unique in the fleet.
 type Instance string
 
@@ -34,5 +36,12 @@
 // BundleVersion numbers the bundles. It only increases; zero means "no bundle".
 type BundleVersion uint64
 
+// Fingerprint is a hash of what identifies a request over all tries of its callers. Requests
+// with the same Fingerprint ask endpoints for the same work.
+type Fingerprint uint64
+
+// String returns the fingerprint as 16 hexadecimal digits.
+func (f Fingerprint) String() string { return fmt.Sprintf("%016x", uint64(f)) }
+
 // Request identifies one request from its arrival to its outcome, across all hops.
 type Request string
