--- a/standin/hosted/hosted_test.go
+++ b/standin/hosted/hosted_test.go
@@ -182,13 +182,18 @@
 	if err != nil {
 		return nil, err
 	}
+	setRequestHeader(r, id, key)
+	return http.DefaultClient.Do(r)
+}
+
+// setRequestHeader sets the host and the header fields of a request of a caller.
+func setRequestHeader(r *http.Request, id, key string) {
 	r.Host = hosted.Host
 	r.Header.Set("X-Attempt-Id", id)
 	r.Header.Set("X-Deadline-Remaining", "8000")
 	r.Header.Set("X-Model", "small")
 	r.Header.Set("X-Token-Counts", "100,200")
 	r.Header.Set("Authorization", "Token "+key)
-	return http.DefaultClient.Do(r)
 }
 
 // readCompleteStream reads a stream to its end and checks that each event occurs once and in
