--- a/standin/hosted/crash_test.go
+++ b/standin/hosted/crash_test.go
@@ -45,7 +45,7 @@
 	for n := 0; end.IsZero() || time.Now().Before(end); n++ {
 		senders.Go(func() { f.sendCrashing(f.instances[n%len(f.instances)], fmt.Sprintf("crash-%d", n)) })
 		<-tick.C
-		if end.IsZero() && (len(f.platform.CrashRuns()) >= crashesBeforeBound || time.Duration(n)*crashInterval > sendLimit) {
+		if end.IsZero() && (len(f.platform.CrashRuns()) > crashesBeforeBound || time.Duration(n)*crashInterval > sendLimit) {
 			end = time.Now().Add(2 * boundDelay)
 		}
 	}
@@ -64,13 +64,15 @@
 
 // countLateRuns returns the number of runs to which the bound applies.
 func countLateRuns(runs []hosted.CrashRun) int {
-	if len(runs) <= crashesBeforeBound {
-		return 0
-	}
-	bound := runs[crashesBeforeBound-1].At.Add(boundDelay)
+	engines := map[string]bool{}
+	var bound time.Time
 	late := 0
-	for _, r := range runs[crashesBeforeBound:] {
-		if r.At.After(bound) {
+	for _, r := range runs {
+		engines[r.Engine] = true
+		if bound.IsZero() && len(engines) == crashesBeforeBound {
+			bound = r.At.Add(boundDelay)
+		}
+		if !bound.IsZero() && r.At.After(bound) {
 			late++
 		}
 	}
