--- a/requester/requester.go
+++ b/requester/requester.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/netip"
 	"sync"
 	"syscall"
 	"time"
@@ -197,6 +198,17 @@
 	r.idle[addr] = append(r.idle[addr], conn)
 }
 
+// AcceptsConnections reports whether addr accepts a new connection before ctx ends. It opens a
+// connection and closes it.
+func (r *Requester) AcceptsConnections(ctx context.Context, addr netip.AddrPort) bool {
+	conn, err := r.dialer.DialContext(ctx, "tcp4", addr.String())
+	if err != nil {
+		return false
+	}
+	_ = conn.Close()
+	return true
+}
+
 // Prune closes the idle connections that have expired.
 func (r *Requester) Prune() {
 	now := time.Now()
--- a/requester/requester_test.go
+++ b/requester/requester_test.go
@@ -130,3 +130,15 @@
 	_, err := send(requester.New(requester.Config{}), address, false)
 	is.True(err != nil)
 }
+
+// TestAcceptsConnections checks that an address without a process accepts no connection.
+func TestAcceptsConnections(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	address := netip.MustParseAddrPort(l.Addr().String())
+	r := requester.New(requester.Config{})
+	is.True(r.AcceptsConnections(context.Background(), address))
+	is.NoErr(l.Close())
+	is.True(!r.AcceptsConnections(context.Background(), address))
+}
