quarantiner: decide which requests are quarantined because endpoints ended under them

A deterministic core collects, by fingerprint, the processes of endpoints that ended while they ran a request: from its own attempts, from peers and from the store. One loss lets the request run one copy at a time, two quarantine it; an answer clears it everywhere.

--- /dev/null
+++ b/quarantiner/doc.go
@@ -0,0 +1,30 @@
+// Package quarantiner keeps requests that crash endpoints from running again.
+//
+// A request that crashes each endpoint that runs it comes again under new request IDs and at
+// any instance. It is recognized by its fingerprint, which is the same for all its tries. The
+// core, Quarantiner, is a deterministic state machine. It collects the losses of each
+// fingerprint: the processes of endpoints that ended while they ran the request. An instance
+// learns of losses in three ways:
+//
+//   - Its own attempts. After an attempt whose connection broke, the endpoint's address is
+//     checked; if it accepts no connection, that is a loss. After any attempt without a complete
+//     answer, the disappearance of the endpoint's process from the list within ExposureTTL is a
+//     loss, unless the endpoint was draining or has answered another request since.
+//   - Reports of peers. An instance announces its losses once no copy of the request runs there
+//     any more, after AnnounceDelay, or at once if they suffice for a quarantine.
+//   - The store. Losses that no answer refutes are stored, so that they outlive all processes.
+//
+// A fingerprint with one loss is suspected: an instance runs one copy of it at a time. While
+// two endpoints may have ended under a fingerprint, an instance accepts no further copy of it. A
+// fingerprint with two losses is quarantined: no instance sends it to an endpoint until QuarantineTTL
+// has passed since the last loss.
+//
+// Requests that share an endpoint with the cause of its crash are suspected too. Their next
+// complete answer clears them at all instances, and a fingerprint that was answered recently
+// is not suspected at all. A loss that rests on the check of a connection alone is withdrawn if the
+// list, read from a healthy store, still has the process after DisproofDelay.
+//
+// Losses arrive late at instances that neither a peer nor the store reaches, and copies that
+// are sent before the news has arrived may crash further endpoints. See
+// docs/design/0013-quarantine.md.
+package quarantiner
--- /dev/null
+++ b/quarantiner/event.go
@@ -0,0 +1,174 @@
+package quarantiner
+
+import (
+	"net/netip"
+	"time"
+
+	"amaranthmill/endpointlister"
+	"amaranthmill/internal/identifier"
+	"amaranthmill/scheduler"
+)
+
+// Process is one process of an endpoint.
+type Process struct {
+	Endpoint identifier.Endpoint
+	Start    identifier.ProcessStart
+}
+
+// Event is an input of a Quarantiner: AttemptStarted, AttemptEnded, ConnectionChecked,
+// EndpointsSet, StoreHealthSet, ReportReceived, LossStored, LossDeleted, RequestRefused or Ticked.
+type Event interface{ event() }
+
+// AttemptStarted reports that a request is sent to an endpoint.
+type AttemptStarted struct{ Fingerprint identifier.Fingerprint }
+
+// AttemptEnded reports the end of an attempt.
+type AttemptEnded struct {
+	Fingerprint identifier.Fingerprint
+	Process     Process
+	Result      Result
+}
+
+// Result is what the end of an attempt says about its endpoint.
+type Result uint8
+
+// The results.
+const (
+	ResultNotRun     Result = iota // the endpoint did not run the request
+	ResultAnswered                 // the endpoint ran the request and survived
+	ResultUnanswered               // the endpoint may have run the request; whether it survived is unknown
+	ResultBroken                   // the same, and the connection broke
+)
+
+// ConnectionChecked reports the result of a CheckConnection action.
+type ConnectionChecked struct {
+	Process  Process
+	Accepted bool // the address accepted the connection
+}
+
+// EndpointsSet replaces the list of endpoints, which is sorted by ID and must not be modified.
+type EndpointsSet struct{ Endpoints []endpointlister.Endpoint }
+
+// StoreHealthSet reports whether the store is unreachable.
+type StoreHealthSet struct{ Lost bool }
+
+// Report is what an instance knows about a fingerprint.
+type Report struct {
+	Fingerprint identifier.Fingerprint
+	Losses      []Process
+	Cleared     bool // the request was answered, so that it has no losses
+}
+
+// ReportReceived reports the announcement of a peer.
+type ReportReceived struct{ Report Report }
+
+// LossStored reports that the store holds a loss.
+type LossStored struct {
+	Fingerprint identifier.Fingerprint
+	Process     Process
+	Revision    uint64 // of the loss in the store
+}
+
+// LossDeleted reports that the store no longer holds a loss.
+type LossDeleted struct {
+	Fingerprint identifier.Fingerprint
+	Process     Process
+}
+
+// RequestRefused reports that a request was refused because of its restriction.
+type RequestRefused struct{ Fingerprint identifier.Fingerprint }
+
+// Ticked follows a WakeAt action at its time.
+type Ticked struct{}
+
+func (AttemptStarted) event()    {}
+func (AttemptEnded) event()      {}
+func (ConnectionChecked) event() {}
+func (EndpointsSet) event()      {}
+func (StoreHealthSet) event()    {}
+func (ReportReceived) event()    {}
+func (LossStored) event()        {}
+func (LossDeleted) event()       {}
+func (RequestRefused) event()    {}
+func (Ticked) event()            {}
+
+// Action is an output of a Quarantiner: CheckConnection, Restrict, Announce, StoreLoss,
+// DeleteLoss, LogDecision or WakeAt.
+type Action interface{ action() }
+
+// CheckConnection requests that a connection to the process is opened and closed again, and a
+// ConnectionChecked event with the result.
+type CheckConnection struct {
+	Process Process
+	Address netip.AddrPort
+}
+
+// Restrict sets the restriction of a fingerprint at this instance.
+type Restrict struct {
+	Fingerprint identifier.Fingerprint
+	Restriction scheduler.Restriction
+	Until       time.Time // end of a quarantine; zero for the other restrictions
+}
+
+// Announce requests that all peers receive the report.
+type Announce struct{ Report Report }
+
+// StoreLoss requests that the store receives a loss that it does not hold.
+type StoreLoss struct {
+	Fingerprint identifier.Fingerprint
+	Process     Process
+}
+
+// DeleteLoss requests that a loss is deleted from the store, if its revision there is unchanged.
+type DeleteLoss struct {
+	Fingerprint identifier.Fingerprint
+	Process     Process
+	Revision    uint64
+}
+
+// LogDecision reports a decision about a fingerprint.
+type LogDecision struct {
+	Fingerprint identifier.Fingerprint
+	Decision    Decision
+	Process     Process // of the loss that the decision follows from; zero if none
+	Source      Source  // of that loss
+	Losses      int     // of the fingerprint, after the decision
+}
+
+// WakeAt requests a Ticked event at At. It replaces the previous WakeAt.
+type WakeAt struct{ At time.Time }
+
+func (CheckConnection) action() {}
+func (Restrict) action()        {}
+func (Announce) action()        {}
+func (StoreLoss) action()       {}
+func (DeleteLoss) action()      {}
+func (LogDecision) action()     {}
+func (WakeAt) action()          {}
+
+// Decision is the name of a decision in logs and metrics.
+type Decision string
+
+// The decisions.
+const (
+	DecisionSuspect    Decision = "suspect"    // a first loss
+	DecisionQuarantine Decision = "quarantine" // as many losses as a quarantine takes, or more
+	DecisionClear      Decision = "clear"      // the request was answered
+	DecisionWithdraw   Decision = "withdraw"   // the process of a loss lives
+	DecisionExpire     Decision = "expire"     // no loss for the TTL
+	DecisionEvict      Decision = "evict"      // too many fingerprints are suspected
+)
+
+// Source is how an instance learned of a loss.
+type Source string
+
+// The sources.
+const (
+	SourceUnreachable Source = "unreachable" // the endpoint's address accepted no connection after a connection of this instance broke
+	SourceDelisted    Source = "delisted"    // the process disappeared from the list after an attempt of this instance
+	SourcePeer        Source = "peer"
+	SourceStore       Source = "store"
+)
+
+// isOwn reports whether the loss follows from an attempt of this instance.
+func (s Source) isOwn() bool { return s == SourceUnreachable || s == SourceDelisted }
--- /dev/null
+++ b/quarantiner/exposure.go
@@ -0,0 +1,174 @@
+package quarantiner
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"amaranthmill/endpointlister"
+	"amaranthmill/internal/identifier"
+)
+
+// maxExposures bounds the exposures of an instance; further attempts are not followed.
+const maxExposures = 8192
+
+// exposure is an attempt without a complete answer whose endpoint may end because of it.
+type exposure struct {
+	fingerprint identifier.Fingerprint
+	endedAt     time.Time
+	checking    bool // a check of the connection is pending
+}
+
+// exposureCounts counts the exposures of one fingerprint.
+type exposureCounts struct {
+	processes map[Process]int // by process
+	checking  int             // with a pending check
+}
+
+// expose follows the endpoint of an attempt without a complete answer. An endpoint that is
+// draining or no longer listed ends for another reason.
+func (q *Quarantiner) expose(now time.Time, e AttemptEnded) {
+	endpoint, ok := q.find(e.Process)
+	if !ok || endpoint.Draining || q.exposureCount >= maxExposures {
+		return
+	}
+	x := exposure{fingerprint: e.Fingerprint, endedAt: now, checking: e.Result == ResultBroken}
+	q.count(x, e.Process, 1)
+	if x.checking {
+		if _, pending := q.checks[e.Process]; !pending {
+			q.checks[e.Process] = now
+			q.emit(CheckConnection{Process: e.Process, Address: endpoint.Address})
+		}
+	}
+	q.exposures[e.Process] = append(q.exposures[e.Process], x)
+}
+
+// count adds n, which is 1 or -1, to the counts of exposures to which x contributes.
+func (q *Quarantiner) count(x exposure, p Process, n int) {
+	q.exposureCount += n
+	c := q.counts[x.fingerprint]
+	if c == nil {
+		c = &exposureCounts{processes: map[Process]int{}}
+		q.counts[x.fingerprint] = c
+	}
+	if c.processes[p] += n; c.processes[p] == 0 {
+		delete(c.processes, p)
+	}
+	if x.checking {
+		c.checking += n
+	}
+	if len(c.processes) == 0 {
+		delete(q.counts, x.fingerprint)
+	}
+}
+
+// endCheck ends the check of a process. If its address accepted no connection, the process
+// counts as ended under the requests whose connections broke. The other exposures, and all
+// those of an address that accepted the connection, remain until the list shows the end of the
+// process: a process that accepts connections may be about to end.
+func (q *Quarantiner) endCheck(now time.Time, p Process, accepted bool) {
+	delete(q.checks, p)
+	for _, x := range q.removeExposures(p) {
+		if x.checking && !accepted {
+			q.addLoss(now, x.fingerprint, p, SourceUnreachable)
+		} else {
+			x.checking = false
+			q.exposures[p] = append(q.exposures[p], x)
+			q.count(x, p, 1)
+		}
+		q.update(now, x.fingerprint)
+	}
+}
+
+// setEndpoints replaces the list. The processes that have disappeared from it have ended.
+func (q *Quarantiner) setEndpoints(now time.Time, endpoints []endpointlister.Endpoint) {
+	q.endpoints = endpoints
+	for _, p := range slices.SortedFunc(maps.Keys(q.exposures), Process.compare) {
+		switch endpoint, ok := q.find(p); {
+		case !ok:
+			for _, x := range q.removeExposures(p) {
+				q.addLoss(now, x.fingerprint, p, SourceDelisted)
+				q.update(now, x.fingerprint)
+			}
+		case endpoint.Draining:
+			for _, x := range q.removeExposures(p) {
+				q.update(now, x.fingerprint)
+			}
+		}
+	}
+	for _, s := range q.suspects {
+		for i := range s.losses {
+			s.losses[i].confirmed = s.losses[i].confirmed || !q.isListed(s.losses[i].process)
+		}
+	}
+}
+
+// expireExposures forgets the exposures older than ExposureTTL, and the checks whose result
+// did not come within CheckTimeout.
+func (q *Quarantiner) expireExposures(now time.Time) {
+	for _, p := range slices.SortedFunc(maps.Keys(q.checks), Process.compare) {
+		if now.Sub(q.checks[p]) >= q.cfg.CheckTimeout {
+			q.endCheck(now, p, true)
+		}
+	}
+	for _, p := range slices.SortedFunc(maps.Keys(q.exposures), Process.compare) {
+		list := q.exposures[p]
+		expired := 0
+		for expired < len(list) && now.Sub(list[expired].endedAt) >= q.cfg.ExposureTTL {
+			expired++
+		}
+		if expired == 0 {
+			continue
+		}
+		if q.exposures[p] = list[expired:]; expired == len(list) {
+			delete(q.exposures, p)
+		}
+		for _, x := range list[:expired] {
+			q.count(x, p, -1)
+			q.restrict(x.fingerprint)
+		}
+	}
+}
+
+// removeExposures removes and returns the exposures of a process.
+func (q *Quarantiner) removeExposures(p Process) []exposure {
+	list := q.exposures[p]
+	delete(q.exposures, p)
+	delete(q.checks, p)
+	for _, x := range list {
+		q.count(x, p, -1)
+	}
+	return list
+}
+
+// find returns the listed endpoint of a process.
+func (q *Quarantiner) find(p Process) (*endpointlister.Endpoint, bool) {
+	i, ok := slices.BinarySearchFunc(q.endpoints, p.Endpoint, func(e endpointlister.Endpoint, id identifier.Endpoint) int {
+		return cmp.Compare(e.ID, id)
+	})
+	if !ok || q.endpoints[i].ProcessStart != p.Start {
+		return nil, false
+	}
+	return &q.endpoints[i], true
+}
+
+func (q *Quarantiner) isListed(p Process) bool {
+	_, ok := q.find(p)
+	return ok
+}
+
+// compare orders processes by endpoint and start.
+func (p Process) compare(o Process) int {
+	return cmp.Or(cmp.Compare(p.Endpoint, o.Endpoint), cmp.Compare(p.Start, o.Start))
+}
+
+// proveAlive forgets the exposures of a process that has answered a request.
+func (q *Quarantiner) proveAlive(p Process) {
+	if len(q.exposures[p]) == 0 {
+		return
+	}
+	for _, x := range q.removeExposures(p) {
+		q.restrict(x.fingerprint)
+	}
+}
--- /dev/null
+++ b/quarantiner/fleet_test.go
@@ -0,0 +1,435 @@
+package quarantiner_test
+
+import (
+	"cmp"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"time"
+
+	"amaranthmill/endpointlister"
+	"amaranthmill/internal/identifier"
+	"amaranthmill/internal/scripter"
+	"amaranthmill/quarantiner"
+	"amaranthmill/scheduler"
+)
+
+// Sizes and times of a simulated fleet.
+const (
+	fleetInstances = 4
+	fleetEndpoints = 12
+	listingDelay   = 3600 * time.Millisecond // from a crash until the store removes the endpoint's entry
+	benignRunTime  = 400 * time.Millisecond
+	announceRetry  = 250 * time.Millisecond
+	announceTTL    = 10 * time.Second
+	stableTime     = 3 * time.Second // without a disruption, after which an instance is bound by time limits
+	crashing       = identifier.Fingerprint(1)
+)
+
+// fleet simulates instances, each with the cores scheduler.Scheduler and
+// quarantiner.Quarantiner, in front of endpoints of one plain service. A run of the crashing
+// request ends its endpoint, which returns as a new process. Peers' links, the store and the
+// instances' ways to it fail, and instances restart.
+type fleet struct {
+	rand      *rand.Rand
+	now       time.Time
+	queue     []task // sorted by time
+	instances []*simInstance
+	endpoints map[identifier.Endpoint]*simEndpoint
+	listed    []endpointlister.Endpoint // the entries in the store, sorted by ID
+	stored    map[quarantiner.StoreLoss]uint64
+	revision  uint64
+	cut       map[[2]int]bool // links between instances
+	storeDown bool
+	nextRef   scheduler.Ref
+
+	crashTime                                     time.Duration // from the start of the crashing run
+	repeatable                                    bool          // requests are repeatable
+	accepts                                       bool          // addresses without a process accept connections, as those of a relay do
+	crashSends                                    []crashSend
+	crashes                                       []time.Time
+	quarantinedBenign, servedBenign, brokenBenign int
+}
+
+type task struct {
+	at time.Time
+	do func()
+}
+
+// crashSend is an attempt of the crashing request that reached an endpoint.
+type crashSend struct {
+	at      time.Time
+	inTouch bool // the instance had not been disrupted for stableTime
+}
+
+type simEndpoint struct {
+	id    identifier.Endpoint
+	start identifier.ProcessStart
+	up    bool
+	runs  map[runKey]bool
+}
+
+// runKey identifies an attempt of one run of an instance's process.
+type runKey struct {
+	instance, process int
+	ref               scheduler.Ref
+	attempt           int
+}
+
+// simInstance is an instance and the runs of its process.
+type simInstance struct {
+	number      int
+	process     int // counts the runs of the process
+	up          bool
+	storeCut    bool
+	scheduler   *scheduler.Scheduler
+	quarantiner *quarantiner.Quarantiner
+	requests    map[scheduler.Ref]simRequest
+	known       map[quarantiner.StoreLoss]uint64 // losses of the store that the instance has applied
+	disruptedAt time.Time                        // end of the last disruption
+}
+
+type simRequest struct {
+	fingerprint identifier.Fingerprint
+	processes   map[quarantiner.Process]bool // to which a benign request was sent
+	onEnd       func(scheduler.Outcome)
+}
+
+func newFleet(seed uint64) *fleet {
+	r := rand.New(rand.NewPCG(seed, 17))
+	f := &fleet{
+		rand: r, now: scripter.Start, endpoints: map[identifier.Endpoint]*simEndpoint{}, stored: map[quarantiner.StoreLoss]uint64{}, cut: map[[2]int]bool{},
+		crashTime: time.Duration(1+r.IntN(400)) * time.Millisecond, repeatable: r.IntN(3) > 0, accepts: r.IntN(4) == 0,
+	}
+	for i := range fleetEndpoints {
+		f.addEndpoint(identifier.Endpoint(fmt.Sprintf("e%02d", i)))
+	}
+	for i := range fleetInstances {
+		f.instances = append(f.instances, &simInstance{number: i})
+		f.startInstance(f.instances[i])
+	}
+	return f
+}
+
+func (f *fleet) after(d time.Duration, do func()) {
+	t := task{f.now.Add(d), do}
+	i, _ := slices.BinarySearchFunc(f.queue, t, func(a, b task) int { return cmp.Or(a.at.Compare(b.at), -1) })
+	f.queue = slices.Insert(f.queue, i, t)
+}
+
+// run carries out the tasks in the order of their times until end.
+func (f *fleet) run(length time.Duration) {
+	for end := scripter.Start.Add(length); len(f.queue) > 0 && f.queue[0].at.Before(end); {
+		next := f.queue[0]
+		f.queue = f.queue[1:]
+		f.now = next.at
+		next.do()
+	}
+}
+
+// random returns a random time of at least one and at most limit milliseconds.
+func (f *fleet) random(limit int) time.Duration {
+	return time.Duration(1+f.rand.IntN(limit)) * time.Millisecond
+}
+
+func (f *fleet) addEndpoint(id identifier.Endpoint) {
+	e := f.endpoints[id]
+	if e == nil {
+		e = &simEndpoint{id: id}
+		f.endpoints[id] = e
+	}
+	e.start = identifier.ProcessStart(f.now.UnixMilli())
+	e.up, e.runs = true, map[runKey]bool{}
+	f.list(func(entries []endpointlister.Endpoint) []endpointlister.Endpoint {
+		return append(deleteEntry(entries, id), endpointlister.Endpoint{ID: id, ProcessStart: e.start, Slots: 8, Address: netip.MustParseAddrPort("10.1.0.7:9000")})
+	})
+}
+
+func deleteEntry(entries []endpointlister.Endpoint, id identifier.Endpoint) []endpointlister.Endpoint {
+	return slices.DeleteFunc(entries, func(e endpointlister.Endpoint) bool { return e.ID == id })
+}
+
+// list changes the entries in the store and propagates the list to the instances.
+func (f *fleet) list(change func([]endpointlister.Endpoint) []endpointlister.Endpoint) {
+	f.listed = change(slices.Clone(f.listed))
+	slices.SortFunc(f.listed, func(a, b endpointlister.Endpoint) int { return cmp.Compare(a.ID, b.ID) })
+	f.propagate()
+}
+
+// propagate lets each instance read the store after a delay.
+func (f *fleet) propagate() {
+	for _, i := range f.instances {
+		f.after(f.random(300), func() { f.readStore(i) })
+	}
+}
+
+// readStore applies the content of the store at an instance, if the store can be reached.
+func (f *fleet) readStore(i *simInstance) {
+	if !i.up || i.storeCut || f.storeDown {
+		return
+	}
+	f.stepQuarantiner(i, quarantiner.EndpointsSet{Endpoints: f.listed})
+	var targets []scheduler.Target
+	for _, e := range f.listed {
+		targets = append(targets, scheduler.Target{ID: e.ID, Pool: "ledger", ProcessStart: e.ProcessStart, Slots: e.Slots})
+	}
+	f.stepScheduler(i, scheduler.TargetsSet{Targets: targets})
+	for _, l := range sortedLosses(f.stored) {
+		if i.known[l] != f.stored[l] {
+			i.known[l] = f.stored[l]
+			f.stepQuarantiner(i, quarantiner.LossStored{Fingerprint: l.Fingerprint, Process: l.Process, Revision: f.stored[l]})
+		}
+	}
+	for _, l := range sortedLosses(i.known) {
+		if f.stored[l] == 0 {
+			delete(i.known, l)
+			f.stepQuarantiner(i, quarantiner.LossDeleted(l))
+		}
+	}
+}
+
+func sortedLosses(m map[quarantiner.StoreLoss]uint64) []quarantiner.StoreLoss {
+	var out []quarantiner.StoreLoss
+	for l := range m {
+		out = append(out, l)
+	}
+	slices.SortFunc(out, func(a, b quarantiner.StoreLoss) int {
+		return cmp.Or(cmp.Compare(a.Fingerprint, b.Fingerprint), cmp.Compare(a.Process.Endpoint, b.Process.Endpoint), cmp.Compare(a.Process.Start, b.Process.Start))
+	})
+	return out
+}
+
+// startInstance starts the process of an instance without any memory.
+func (f *fleet) startInstance(i *simInstance) {
+	i.process++
+	i.up = true
+	i.scheduler = scheduler.New(scheduler.Config{RetrySlack: 10000})
+	i.quarantiner = quarantiner.New(quarantiner.Config{})
+	i.requests, i.known = map[scheduler.Ref]simRequest{}, map[quarantiner.StoreLoss]uint64{}
+	f.readStore(i)
+}
+
+// restartInstance kills the process of an instance and starts it after a time. Its runs go on
+// at the endpoints.
+func (f *fleet) restartInstance(i *simInstance) {
+	if !i.up {
+		return
+	}
+	i.up = false
+	for _, r := range i.requests {
+		r.onEnd(scheduler.Unknown{Reason: scheduler.ReasonCallerGone})
+	}
+	i.requests = nil
+	f.after(f.random(2000), func() {
+		f.startInstance(i)
+		i.disruptedAt = f.now
+	})
+}
+
+func (f *fleet) send(i *simInstance, r simRequest) {
+	if !i.up || len(f.listed) == 0 {
+		r.onEnd(scheduler.NotRun{})
+		return
+	}
+	f.nextRef++
+	i.requests[f.nextRef] = r
+	f.stepScheduler(i, scheduler.Arrived{Ref: f.nextRef, Request: scheduler.Request{
+		Fingerprint: r.fingerprint, Service: "ledger", Pool: "ledger", Repeatable: f.repeatable, ArrivedAt: f.now,
+		LatencyGoal: time.Second, Deadline: f.now.Add(6 * time.Second), MaxAttempts: 2,
+	}})
+}
+
+func (f *fleet) stepScheduler(i *simInstance, e scheduler.Event) {
+	process := i.process
+	for _, a := range slices.Clone(i.scheduler.Step(f.now, e)) {
+		switch a := a.(type) {
+		case scheduler.Send:
+			f.stepQuarantiner(i, quarantiner.AttemptStarted{Fingerprint: i.requests[a.Ref].fingerprint})
+			target := *a.Target
+			key := runKey{instance: i.number, process: process, ref: a.Ref, attempt: a.Attempt}
+			f.after(f.random(5), func() { f.begin(i, key, target) })
+		case scheduler.Abandon:
+			key := runKey{instance: i.number, process: process, ref: a.Ref, attempt: a.Attempt}
+			f.after(f.random(3), func() { f.abandon(i, key) })
+		case scheduler.Finish:
+			r := i.requests[a.Ref]
+			delete(i.requests, a.Ref)
+			if n, ok := a.Outcome.(scheduler.NotRun); ok && n.Reason == scheduler.ReasonQuarantined {
+				f.stepQuarantiner(i, quarantiner.RequestRefused{Fingerprint: r.fingerprint})
+			}
+			r.onEnd(a.Outcome)
+		case scheduler.WakeAt:
+			f.after(a.At.Sub(f.now), func() {
+				if i.up && i.process == process {
+					f.stepScheduler(i, scheduler.Ticked{})
+				}
+			})
+		}
+	}
+}
+
+// begin starts a run at the endpoint of an attempt.
+func (f *fleet) begin(i *simInstance, key runKey, target scheduler.Target) {
+	e := f.endpoints[target.ID]
+	if !i.up || i.process != key.process {
+		return
+	}
+	if !e.up || e.start != target.ProcessStart {
+		f.end(i, key, target, scheduler.NotSent{}, quarantiner.ResultNotRun)
+		return
+	}
+	e.runs[key] = true
+	start := e.start
+	if r := i.requests[key.ref]; r.processes != nil {
+		r.processes[quarantiner.Process{Endpoint: e.id, Start: start}] = true
+	}
+	if i.requests[key.ref].fingerprint == crashing {
+		f.crashSends = append(f.crashSends, crashSend{at: f.now, inTouch: f.isInTouch(i)})
+		f.after(f.crashTime, func() { f.crash(e, start) })
+		return
+	}
+	f.after(benignRunTime, func() {
+		if e.up && e.start == start && e.runs[key] {
+			delete(e.runs, key)
+			f.end(i, key, target, scheduler.Completed{}, quarantiner.ResultAnswered)
+		}
+	})
+}
+
+// isInTouch reports whether neither an instance nor its way to the store was disrupted for stableTime.
+func (f *fleet) isInTouch(i *simInstance) bool {
+	return i.up && !i.storeCut && !f.storeDown && f.now.Sub(i.disruptedAt) >= stableTime
+}
+
+// abandon ends a run whose instance has given it up. The endpoint does not notice.
+func (f *fleet) abandon(i *simInstance, key runKey) {
+	for _, e := range f.endpoints {
+		if e.runs[key] {
+			delete(e.runs, key)
+			f.end(i, key, scheduler.Target{ID: e.id, ProcessStart: e.start}, scheduler.Abandoned{}, quarantiner.ResultUnanswered)
+			return
+		}
+	}
+}
+
+func (f *fleet) end(i *simInstance, key runKey, target scheduler.Target, ending scheduler.Ending, result quarantiner.Result) {
+	if !i.up || i.process != key.process {
+		return
+	}
+	r, known := i.requests[key.ref]
+	if !known {
+		return
+	}
+	process := quarantiner.Process{Endpoint: target.ID, Start: target.ProcessStart}
+	f.stepQuarantiner(i, quarantiner.AttemptEnded{Fingerprint: r.fingerprint, Process: process, Result: result})
+	f.stepScheduler(i, scheduler.Ended{Ref: key.ref, Attempt: key.attempt, Ending: ending})
+}
+
+// crash ends a process of an endpoint. A new process comes, mostly under the same ID.
+func (f *fleet) crash(e *simEndpoint, start identifier.ProcessStart) {
+	if !e.up || e.start != start {
+		return
+	}
+	e.up = false
+	f.crashes = append(f.crashes, f.now)
+	target := scheduler.Target{ID: e.id, ProcessStart: start}
+	var keys []runKey
+	for key := range e.runs {
+		keys = append(keys, key)
+	}
+	slices.SortFunc(keys, func(a, b runKey) int {
+		return cmp.Or(cmp.Compare(a.instance, b.instance), cmp.Compare(a.ref, b.ref), cmp.Compare(a.attempt, b.attempt))
+	})
+	for _, key := range keys {
+		i := f.instances[key.instance]
+		f.after(f.random(5), func() { f.end(i, key, target, scheduler.Broken{}, quarantiner.ResultBroken) })
+	}
+	f.after(listingDelay, func() {
+		if !e.up {
+			f.list(func(entries []endpointlister.Endpoint) []endpointlister.Endpoint { return deleteEntry(entries, e.id) })
+		}
+	})
+	f.after(time.Second+f.random(4000), func() { f.addEndpoint(e.id) })
+}
+
+// countEnded returns the number of processes that have ended.
+func (f *fleet) countEnded(processes map[quarantiner.Process]bool) int {
+	n := 0
+	for p := range processes {
+		if e := f.endpoints[p.Endpoint]; !e.up || e.start != p.Start {
+			n++
+		}
+	}
+	return n
+}
+
+func (f *fleet) stepQuarantiner(i *simInstance, e quarantiner.Event) {
+	process := i.process
+	for _, a := range slices.Clone(i.quarantiner.Step(f.now, e)) {
+		switch a := a.(type) {
+		case quarantiner.CheckConnection:
+			f.after(f.random(5), func() { f.check(i, process, a) })
+		case quarantiner.Restrict:
+			f.stepScheduler(i, scheduler.RestrictionSet(a))
+		case quarantiner.Announce:
+			for _, to := range f.instances {
+				if to != i {
+					f.announce(i, to, process, a.Report, f.now)
+				}
+			}
+		case quarantiner.StoreLoss:
+			f.after(f.random(20), func() { f.storeLoss(i, a) })
+		case quarantiner.DeleteLoss:
+			f.after(f.random(20), func() { f.deleteLoss(i, a) })
+		case quarantiner.WakeAt:
+			f.after(a.At.Sub(f.now), func() {
+				if i.up && i.process == process {
+					f.stepQuarantiner(i, quarantiner.Ticked{})
+				}
+			})
+		}
+	}
+}
+
+func (f *fleet) check(i *simInstance, process int, a quarantiner.CheckConnection) {
+	e := f.endpoints[a.Process.Endpoint]
+	if i.up && i.process == process {
+		f.stepQuarantiner(i, quarantiner.ConnectionChecked{Process: a.Process, Accepted: f.accepts || e.up})
+	}
+}
+
+// announce sends a report to a peer after a delay, and again while the link between the two is
+// cut or the message is lost.
+func (f *fleet) announce(from, to *simInstance, process int, r quarantiner.Report, first time.Time) {
+	f.after(f.random(120), func() {
+		if !from.up || from.process != process || f.now.Sub(first) >= announceTTL {
+			return
+		}
+		if f.cut[link(from, to)] || !to.up || f.rand.IntN(10) == 0 {
+			f.after(announceRetry, func() { f.announce(from, to, process, r, first) })
+			return
+		}
+		f.stepQuarantiner(to, quarantiner.ReportReceived{Report: r})
+	})
+}
+
+func link(a, b *simInstance) [2]int { return [2]int{min(a.number, b.number), max(a.number, b.number)} }
+
+func (f *fleet) storeLoss(i *simInstance, l quarantiner.StoreLoss) {
+	if !i.up || i.storeCut || f.storeDown || f.stored[l] != 0 {
+		return
+	}
+	f.revision++
+	f.stored[l] = f.revision
+	f.propagate()
+}
+
+func (f *fleet) deleteLoss(i *simInstance, a quarantiner.DeleteLoss) {
+	l := quarantiner.StoreLoss{Fingerprint: a.Fingerprint, Process: a.Process}
+	if !i.up || i.storeCut || f.storeDown || f.stored[l] != a.Revision {
+		return
+	}
+	delete(f.stored, l)
+	f.propagate()
+}
