--- /dev/null
+++ b/messenger/announcer_test.go
@@ -0,0 +1,46 @@
+package messenger_test
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"sync/atomic"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"amaranthmill/internal/identifier"
+	"amaranthmill/messenger"
+	"amaranthmill/quarantiner"
+)
+
+// TestAnnounceAgainAfterFailure announces losses while a peer refuses the first exchange. The
+// peer must receive the newest report of each fingerprint, and the other peer must not wait.
+func TestAnnounceAgainAfterFailure(t *testing.T) {
+	is := is.New(t)
+	received := map[identifier.Instance]chan quarantiner.Report{"alpine-1": make(chan quarantiner.Report, 8), "marfa-1": make(chan quarantiner.Report, 8)}
+	var peers messenger.Peers
+	var failures atomic.Int32
+	failures.Store(1)
+	for name, reports := range received {
+		answering := messenger.New(messenger.Config{Peers: &messenger.Peers{}, OnLosses: func(r quarantiner.Report) { reports <- r }})
+		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if name == "marfa-1" && failures.Add(-1) >= 0 {
+				w.WriteHeader(http.StatusServiceUnavailable)
+				return
+			}
+			answering.Handler().ServeHTTP(w, r)
+		}))
+		t.Cleanup(s.Close)
+		peers.Set(messenger.Peer{Instance: name, Address: netip.MustParseAddrPort(s.Listener.Addr().String())})
+	}
+	m := messenger.New(messenger.Config{Peers: &peers, HTTP: http.DefaultClient})
+	want := quarantiner.Report{Fingerprint: 7, Losses: []quarantiner.Process{{Endpoint: "e1", Start: 3}}}
+	m.Announce(want)
+	is.Equal(<-received["alpine-1"], want)
+	is.Equal(<-received["marfa-1"], want)
+	cleared := quarantiner.Report{Fingerprint: 7, Cleared: true}
+	m.Announce(cleared)
+	is.Equal(<-received["alpine-1"], cleared)
+	is.Equal(<-received["marfa-1"], cleared)
+}
--- a/messenger/doc.go
+++ b/messenger/doc.go
@@ -1,6 +1,6 @@
 // Package messenger exchanges messages between the instances of a hosted system.
 //
-// There are four kinds of message, each one small HTTP exchange:
+// There are five kinds of message, each one small HTTP exchange:
 //   - A stall notice says that the requests of a replica group are stalled, so that the instance
 //     that forms groups checks the group at once. It goes to all peers if that instance is not known.
 //   - A report request asks all peers for the report of an endpoint that this instance can't reach.
@@ -8,4 +8,6 @@
 //     can't reach the store.
 //   - A watch waits for changes of a peer's replica. Instances that follow another instance
 //     rather than the store use it.
+//   - An announcement tells all peers which processes of endpoints ended while they ran a
+//     request. It is repeated to a peer that does not acknowledge it.
 package messenger
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -17,6 +17,7 @@
 	"amaranthmill/groupformer"
 	"amaranthmill/internal/defaulter"
 	"amaranthmill/internal/identifier"
+	"amaranthmill/quarantiner"
 	"amaranthmill/replicator"
 	"amaranthmill/storeclient"
 )
@@ -36,6 +37,7 @@
 	Watch       func(ctx context.Context, after uint64, wait time.Duration) (storeclient.Changes, error) // waits for changes of the local replica
 	UpdateSince func(after uint64) replicator.Update                                                     // what the local replica holds beyond a revision
 	Report      func(ctx context.Context, id identifier.Endpoint) (groupformer.Reported, error)          // queries an endpoint for its report
+	OnLosses    func(r quarantiner.Report)                                                               // a peer announces losses; must not block
 	OnStalled   func(head identifier.Endpoint)                                                           // a peer reports that the group with this head is stalled; must not block
 	HTTP        *http.Client
 	Timeout     time.Duration // of one exchange with a peer; zero selects 600 ms
@@ -44,14 +46,18 @@
 
 // Messenger sends messages to peers and answers those of peers. It is safe for concurrent use.
 type Messenger struct {
-	cfg      Config
-	selector peerSelector
+	cfg       Config
+	selector  peerSelector
+	announcer announcer
 }
 
 // New returns a Messenger for cfg.
 func New(cfg Config) *Messenger {
 	defaulter.Set(&cfg.Timeout, defaultTimeout)
-	return &Messenger{cfg: cfg, selector: newPeerSelector(cfg.Instance, cfg.FailureDomain)}
+	return &Messenger{
+		cfg: cfg, selector: newPeerSelector(cfg.Instance, cfg.FailureDomain),
+		announcer: announcer{pending: map[identifier.Instance]map[identifier.Fingerprint]announcement{}},
+	}
 }
 
 // StatusError reports that a peer answered with an HTTP status of 400 or higher.
@@ -61,6 +67,13 @@
 	return fmt.Sprintf("messenger: peer answered with status %d", e.Status)
 }
 
+// UnknownPeerError reports that an instance is not listed as a peer.
+type UnknownPeerError struct{ Instance identifier.Instance }
+
+func (e *UnknownPeerError) Error() string {
+	return fmt.Sprintf("messenger: instance %q is not a listed peer", e.Instance)
+}
+
 // Handler returns the handler that answers peers.
 func (m *Messenger) Handler() http.Handler {
 	mux := http.NewServeMux()
@@ -68,6 +81,7 @@
 	mux.HandleFunc("GET "+pathChanges, m.serveChanges)
 	mux.HandleFunc("POST "+pathStalled, m.serveStalled)
 	mux.HandleFunc("POST "+pathReport, m.serveReport)
+	mux.HandleFunc("POST "+pathLosses, m.serveLosses)
 	return mux
 }
 
--- a/messenger/wire.go
+++ b/messenger/wire.go
@@ -6,6 +6,7 @@
 	"amaranthmill/endpointlister"
 	"amaranthmill/groupformer"
 	"amaranthmill/internal/identifier"
+	"amaranthmill/quarantiner"
 	"amaranthmill/replicator"
 	"amaranthmill/storeclient"
 )
@@ -16,6 +17,7 @@
 	pathChanges = "/changes"
 	pathStalled = "/stalled"
 	pathReport  = "/report"
+	pathLosses  = "/losses"
 )
 
 // withAfter returns path with the revision of the local replica as query parameter.
@@ -114,3 +116,32 @@
 		Membership: endpointlister.Membership{Group: w.Group, Epoch: w.Epoch, Rank: w.Rank, State: w.State},
 	}}
 }
+
+// lossReportWire is the wire form of quarantiner.Report.
+type lossReportWire struct {
+	Fingerprint identifier.Fingerprint `json:"fingerprint"`
+	Losses      []processWire          `json:"losses,omitempty"`
+	Cleared     bool                   `json:"cleared,omitempty"`
+}
+
+// processWire is the wire form of quarantiner.Process.
+type processWire struct {
+	Endpoint     identifier.Endpoint     `json:"endpoint"`
+	ProcessStart identifier.ProcessStart `json:"processStart"`
+}
+
+func encodeLossReport(r quarantiner.Report) lossReportWire {
+	w := lossReportWire{Fingerprint: r.Fingerprint, Cleared: r.Cleared}
+	for _, p := range r.Losses {
+		w.Losses = append(w.Losses, processWire{Endpoint: p.Endpoint, ProcessStart: p.Start})
+	}
+	return w
+}
+
+func (w lossReportWire) report() quarantiner.Report {
+	r := quarantiner.Report{Fingerprint: w.Fingerprint, Cleared: w.Cleared}
+	for _, p := range w.Losses {
+		r.Losses = append(r.Losses, quarantiner.Process{Endpoint: p.Endpoint, Start: p.ProcessStart})
+	}
+	return r
+}
