runner, forwarder: quarantine requests that crash their endpoints

Cause: the path on the users' platform does not start the router, whose suspicions bound such requests on the product's own path, and nothing took its place. What an attempt had shown ended with the caller's try.

The forwarder now reports each attempt to a quarantiner, which restricts requests at the scheduler, announces losses to the peers and stores them under mill/losses/.

--- a/forwarder/fingerprint.go
+++ b/forwarder/fingerprint.go
@@ -4,6 +4,8 @@
 	"github.com/cespare/xxhash/v2"
 
 	"amaranthmill/internal/identifier"
+	"amaranthmill/quarantiner"
+	"amaranthmill/scheduler"
 )
 
 // fingerprintOf returns the identity of a request over all tries of its callers and over all
@@ -19,3 +21,17 @@
 	_, _ = h.Write(x.body)
 	return identifier.Fingerprint(h.Sum64())
 }
+
+// attemptResult returns what the ending of an attempt says about the endpoint. An endpoint
+// that answers with its own error may be about to end.
+func attemptResult(e scheduler.Ending) quarantiner.Result {
+	switch e.(type) {
+	case scheduler.Completed:
+		return quarantiner.ResultAnswered
+	case scheduler.NotSent, scheduler.Refused:
+		return quarantiner.ResultNotRun
+	case scheduler.Broken:
+		return quarantiner.ResultBroken
+	}
+	return quarantiner.ResultUnanswered
+}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -13,6 +13,7 @@
 
 	"amaranthmill/internal/identifier"
 	"amaranthmill/internal/stepper"
+	"amaranthmill/quarantiner"
 	"amaranthmill/requester"
 	"amaranthmill/resolver"
 	"amaranthmill/scheduler"
@@ -32,6 +33,7 @@
 	Scheduler       scheduler.Config
 	OnStalled       func(t scheduler.Target)        // called when a target stalls; must not block
 	OnLatencyReport func(p scheduler.LatencyReport) // called about once a second for each pool with requests; must not block
+	OnAttempt       func(e quarantiner.Event)       // called for each attempt and for each request that a restriction refuses, before the scheduler learns of it; must not block
 	Random          rand.Source                     // source for the split of routes over services; nil means a randomly seeded source
 	Logger          zerolog.Logger
 	Meter           metric.Meter // nil disables metrics
@@ -57,6 +59,9 @@
 	if cfg.Random == nil {
 		cfg.Random = rand.NewPCG(rand.Uint64(), rand.Uint64())
 	}
+	if cfg.OnAttempt == nil {
+		cfg.OnAttempt = func(quarantiner.Event) {}
+	}
 	f := &Forwarder{cfg: cfg, core: scheduler.New(cfg.Scheduler), random: rand.New(cfg.Random), exchanges: map[scheduler.Ref]*exchange{}}
 	f.step = stepper.New(stepper.Config[scheduler.Event, scheduler.Action]{Core: f.core, Handle: f.handle})
 	f.meters = newMeters(cfg.Meter, cfg.Scheduler.FailureDomain)
@@ -76,6 +81,9 @@
 	f.step.Submit(scheduler.RetryBudgetSet{Ratio: ratio, Slack: slack})
 }
 
+// SetRestriction replaces the restriction of the requests with a fingerprint.
+func (f *Forwarder) SetRestriction(r scheduler.RestrictionSet) { f.step.Submit(r) }
+
 // Drain makes each further answer ask its caller to close the connection. Requests are still served.
 func (f *Forwarder) Drain() { f.draining.Store(true) }
 
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -19,6 +19,7 @@
 
 	"amaranthmill/forwarder"
 	"amaranthmill/internal/identifier"
+	"amaranthmill/quarantiner"
 	"amaranthmill/requester"
 	"amaranthmill/resolver"
 	"amaranthmill/scheduler"
@@ -64,7 +65,10 @@
 	targets []scheduler.Target
 }
 
-func newFixture(t *testing.T) *fixture {
+func newFixture(t *testing.T) *fixture { return newObservedFixture(t, nil) }
+
+// newObservedFixture returns a fixture whose Forwarder reports its attempts to onAttempt.
+func newObservedFixture(t *testing.T, onAttempt func(quarantiner.Event)) *fixture {
 	r := &resolver.Resolver{}
 	r.Set(&resolver.Configuration{
 		Version: 1, Limits: resolver.Limits{BodyBytes: 1000},
@@ -77,7 +81,7 @@
 	})
 	f := forwarder.New(forwarder.Config{
 		Resolver: r, Requester: requester.New(requester.Config{IdentityHeader: "Id"}), Dialect: dialect{},
-		Scheduler: scheduler.Config{MaxTargetWait: 200 * time.Millisecond, RetrySlack: 100},
+		Scheduler: scheduler.Config{MaxTargetWait: 200 * time.Millisecond, RetrySlack: 100}, OnAttempt: onAttempt,
 	})
 	s := httptest.NewServer(f)
 	t.Cleanup(s.Close)
--- a/forwarder/serve.go
+++ b/forwarder/serve.go
@@ -10,6 +10,7 @@
 
 	"amaranthmill/internal/identifier"
 	"amaranthmill/internal/problemwriter"
+	"amaranthmill/quarantiner"
 	"amaranthmill/resolver"
 	"amaranthmill/scheduler"
 )
@@ -132,7 +133,11 @@
 			if a.Attempt == 1 && x.hasWaited.Load() {
 				f.meters.recordQueueTime(x)
 			}
+			f.cfg.OnAttempt(quarantiner.AttemptStarted{Fingerprint: x.identity})
 			ending, load := f.runAttempt(x, a)
+			f.cfg.OnAttempt(quarantiner.AttemptEnded{
+				Fingerprint: x.identity, Process: quarantiner.Process{Endpoint: a.Target.ID, Start: a.Target.ProcessStart}, Result: attemptResult(ending),
+			})
 			f.logEnded(x, a, ending)
 			f.meters.countAttempt(x, ending)
 			f.step.Submit(scheduler.Ended{Ref: x.ref, Attempt: a.Attempt, Ending: ending, Load: load})
@@ -151,7 +156,7 @@
 		x.pool = PoolOf(x.service, x.fields.Model)
 	}
 	return scheduler.Request{
-		Service: x.service, Pool: x.pool, Repeatable: route.IsRepeatable(), Stream: route.Kind == resolver.KindStream,
+		Fingerprint: x.identity, Service: x.service, Pool: x.pool, Repeatable: route.IsRepeatable(), Stream: route.Kind == resolver.KindStream,
 		ArrivedAt: x.arrivedAt, PromptTokens: x.fields.PromptTokens, LatencyGoal: route.LatencyGoal, GapGoal: route.GapGoal, Deadline: x.deadline, MaxAttempts: route.MaxAttempts, Priority: x.match.Priority,
 	}
 }
@@ -175,6 +180,9 @@
 // that began and is incomplete, so that the stream does not look complete.
 func (f *Forwarder) finish(w http.ResponseWriter, x *exchange, o scheduler.Outcome) {
 	f.logFinished(x, o)
+	if _, reason := outcomeName(o); reason == scheduler.ReasonQuarantined {
+		f.cfg.OnAttempt(quarantiner.RequestRefused{Fingerprint: x.identity})
+	}
 	f.meters.recordOutcome(x, o)
 	switch o := o.(type) {
 	case scheduler.Delivered, scheduler.PassedThrough:
--- a/runner/hosted.go
+++ b/runner/hosted.go
@@ -17,6 +17,7 @@
 	"amaranthmill/leaser"
 	"amaranthmill/messenger"
 	"amaranthmill/platform"
+	"amaranthmill/quarantiner"
 	"amaranthmill/replicator"
 	"amaranthmill/requester"
 	"amaranthmill/resolver"
@@ -29,7 +30,7 @@
 )
 
 // Keys in the platform's store that the instances write: one key for each instance, and the key
-// of the group-forming lease.
+// of the group-forming lease. Those of losses begin with lossPrefix.
 const (
 	instancePrefix = "mill/instances/"
 	formingKey     = "mill/forming"
@@ -68,6 +69,7 @@
 	forwarder     *forwarder.Forwarder
 	view          *view
 	groupFormer   *groupFormer
+	quarantine    *quarantine
 	peers         messenger.Peers
 	messenger     *messenger.Messenger
 	upstream      *upstream
@@ -96,8 +98,10 @@
 		},
 		OnStalled:       h.reportStall,
 		OnLatencyReport: func(p scheduler.LatencyReport) { go h.groupFormer.submitLatency(p) },
+		OnAttempt:       func(e quarantiner.Event) { h.quarantine.step.Submit(e) },
 	})
 	h.groupFormer = newGroupFormer(h)
+	h.quarantine = newQuarantine(h)
 	h.view = newView(h)
 	h.messenger = messenger.New(messenger.Config{
 		Instance: s.Instance, FailureDomain: s.FailureDomain, Peers: &h.peers,
@@ -105,7 +109,8 @@
 			return h.replica.Watch(ctx, after, wait)
 		},
 		UpdateSince: func(after uint64) replicator.Update { return h.replica.UpdateSince(after) },
-		Report:      h.groupFormer.queryEngine, OnStalled: h.groupFormer.submitStall, HTTP: newHTTPClient(peerTimeout), Timeout: peerTimeout, Logger: logger,
+		Report:      h.groupFormer.queryEngine, OnStalled: h.groupFormer.submitStall,
+		OnLosses: func(r quarantiner.Report) { h.quarantine.step.Submit(quarantiner.ReportReceived{Report: r}) }, HTTP: newHTTPClient(peerTimeout), Timeout: peerTimeout, Logger: logger,
 	})
 	h.upstream = &upstream{hosted: h, failedAt: map[identifier.Instance]time.Time{}}
 	h.replica = replicator.New(replicator.Config{
@@ -189,7 +194,7 @@
 	g.Add(newHTTPActor(newHTTPServer(s.Listen.Metrics.String(), h.metrics), nil))
 	g.Add(newHTTPActor(newHTTPServer(s.Listen.Peers.String(), h.messenger.Handler()), nil))
 	reload := newReloader(path, s, logger, h.apply)
-	for _, actor := range []func(context.Context) error{h.replica.Run, h.view.run, h.groupFormer.run, h.pruneConnections, reload.run} {
+	for _, actor := range []func(context.Context) error{h.replica.Run, h.view.run, h.groupFormer.run, h.quarantine.run, h.pruneConnections, reload.run} {
 		g.Add(newActor(actor))
 	}
 	for _, lease := range []*leaser.Leaser{h.formingLease, h.instanceLease} {
--- /dev/null
+++ b/runner/hosted_quarantine.go
@@ -0,0 +1,204 @@
+package runner
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"amaranthmill/endpointlister"
+	"amaranthmill/internal/identifier"
+	"amaranthmill/internal/stepper"
+	"amaranthmill/quarantiner"
+	"amaranthmill/scheduler"
+	"amaranthmill/storeclient"
+
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/metric"
+)
+
+// lossPrefix is the prefix of the keys of losses in the platform's store. A key is
+// "<prefix><fingerprint>/<process start>/<endpoint>".
+const lossPrefix = "mill/losses/"
+
+// Times of quarantines.
+const (
+	connectionCheckTimeout = 300 * time.Millisecond // endpoints accept connections within milliseconds
+	lossLeaseTTL           = 10 * time.Minute       // the longest that the platform grants
+	lossLeaseReuse         = 5 * time.Minute        // from the grant, in which further losses are stored under the same lease
+	lossStoreTimeout       = 3 * time.Second        // of storing or deleting a loss, with all attempts
+)
+
+// quarantine drives a quarantiner.Quarantiner: it checks connections, announces losses to
+// peers, stores them, and passes restrictions on to the forwarder.
+type quarantine struct {
+	hosted    *hosted
+	step      *stepper.Stepper[quarantiner.Event, quarantiner.Action]
+	tick      *time.Timer
+	decisions metric.Int64Counter
+
+	leaseMu   sync.Mutex // guards the fields below
+	lease     storeclient.LeaseID
+	grantedAt time.Time
+}
+
+func newQuarantine(h *hosted) *quarantine {
+	q := &quarantine{hosted: h}
+	// A counter whose registration fails records nothing.
+	q.decisions, _ = h.meter.Int64Counter("quarantiner.decisions", metric.WithDescription("Decisions on requests under which endpoints ended, by decision and source of the loss."))
+	q.step = stepper.New(stepper.Config[quarantiner.Event, quarantiner.Action]{Core: quarantiner.New(quarantiner.Config{}), Handle: q.handle})
+	q.tick = time.AfterFunc(time.Hour, func() { q.step.Submit(quarantiner.Ticked{}) })
+	return q
+}
+
+// run waits until ctx is done and then stops the timer. It returns nil.
+func (q *quarantine) run(ctx context.Context) error {
+	<-ctx.Done()
+	q.tick.Stop()
+	return nil
+}
+
+// setEndpoints submits the list of endpoints.
+func (q *quarantine) setEndpoints(e []endpointlister.Endpoint) {
+	q.step.Submit(quarantiner.EndpointsSet{Endpoints: e})
+}
+
+// setStoreLost submits whether the store is unreachable.
+func (q *quarantine) setStoreLost(lost bool) { q.step.Submit(quarantiner.StoreHealthSet{Lost: lost}) }
+
+// applyChange submits a change of a loss in the store. A key that can't be parsed is ignored.
+func (q *quarantine) applyChange(c storeclient.Change) {
+	fp, p, err := parseLossKey(c.Key)
+	switch {
+	case err != nil:
+		q.hosted.logger.Warn().Err(err).Uint64("revision", c.Revision).Msg("key of a loss can't be parsed, the loss is ignored")
+	case c.Deleted:
+		q.step.Submit(quarantiner.LossDeleted{Fingerprint: fp, Process: p})
+	default:
+		q.step.Submit(quarantiner.LossStored{Fingerprint: fp, Process: p, Revision: c.Revision})
+	}
+}
+
+// handle executes one action of the core. It must not block, because the stepper holds its lock.
+func (q *quarantine) handle(a quarantiner.Action) {
+	switch a := a.(type) {
+	case quarantiner.CheckConnection:
+		go q.checkConnection(a)
+	case quarantiner.Restrict:
+		q.hosted.forwarder.SetRestriction(scheduler.RestrictionSet{Fingerprint: a.Fingerprint, Restriction: a.Restriction, Until: a.Until})
+	case quarantiner.Announce:
+		q.hosted.messenger.Announce(a.Report)
+	case quarantiner.StoreLoss:
+		go q.storeLoss(a)
+	case quarantiner.DeleteLoss:
+		go q.deleteLoss(a)
+	case quarantiner.LogDecision:
+		q.logDecision(a)
+	case quarantiner.WakeAt:
+		q.tick.Reset(time.Until(a.At))
+	}
+}
+
+func (q *quarantine) checkConnection(a quarantiner.CheckConnection) {
+	ctx, cancel := context.WithTimeout(context.Background(), connectionCheckTimeout)
+	defer cancel()
+	q.step.Submit(quarantiner.ConnectionChecked{Process: a.Process, Accepted: q.hosted.requester.AcceptsConnections(ctx, a.Address)})
+}
+
+// storeLoss writes a loss to the store. The core learns of it from the replica, and requests
+// it again if that does not happen.
+func (q *quarantine) storeLoss(a quarantiner.StoreLoss) {
+	ctx, cancel := context.WithTimeout(context.Background(), lossStoreTimeout)
+	defer cancel()
+	key := lossKey(a.Fingerprint, a.Process)
+	lease, err := q.currentLease(ctx)
+	if err == nil {
+		_, err = q.hosted.store.Create(ctx, key, []byte(q.hosted.settings.Instance), lease)
+	}
+	var conflict *storeclient.ConflictError
+	var ended *storeclient.NotFoundError
+	if errors.As(err, &conflict) {
+		return // another instance has stored the loss
+	}
+	if errors.As(err, &ended) {
+		q.dropLease(lease)
+	}
+	if err != nil {
+		q.hosted.logger.Warn().Err(err).Str("key", key).Msg("loss was not stored, it is stored again while the request is suspected")
+	}
+}
+
+func (q *quarantine) deleteLoss(a quarantiner.DeleteLoss) {
+	ctx, cancel := context.WithTimeout(context.Background(), lossStoreTimeout)
+	defer cancel()
+	key := lossKey(a.Fingerprint, a.Process)
+	if err := q.hosted.store.Delete(ctx, key, a.Revision); err != nil {
+		q.hosted.logger.Warn().Err(err).Str("key", key).Msg("loss was not deleted, it stays in the store until its lease ends")
+	}
+}
+
+// currentLease returns the lease of the losses that this instance stores, and grants one if there is none.
+func (q *quarantine) currentLease(ctx context.Context) (storeclient.LeaseID, error) {
+	q.leaseMu.Lock()
+	defer q.leaseMu.Unlock()
+	now := time.Now()
+	if q.lease != "" && now.Sub(q.grantedAt) < lossLeaseReuse {
+		return q.lease, nil
+	}
+	lease, err := q.hosted.store.Grant(ctx, lossLeaseTTL)
+	if err != nil {
+		return "", err
+	}
+	q.lease, q.grantedAt = lease, now
+	return lease, nil
+}
+
+// dropLease makes the next loss be stored under a new lease.
+func (q *quarantine) dropLease(ended storeclient.LeaseID) {
+	q.leaseMu.Lock()
+	defer q.leaseMu.Unlock()
+	if q.lease == ended {
+		q.lease = ""
+	}
+}
+
+func (q *quarantine) logDecision(a quarantiner.LogDecision) {
+	e := q.hosted.logger.Info()
+	if a.Decision == quarantiner.DecisionQuarantine {
+		e = q.hosted.logger.Warn()
+	}
+	e.Stringer("fingerprint", a.Fingerprint).Str("decision", string(a.Decision)).Str("endpoint", string(a.Process.Endpoint)).
+		Int64("processStart", int64(a.Process.Start)).Str("source", string(a.Source)).Int("losses", a.Losses).Msg("request under which endpoints ended")
+	q.decisions.Add(context.Background(), 1, metric.WithAttributes(attribute.String("decision", string(a.Decision)), attribute.String("source", string(a.Source))))
+}
+
+func lossKey(fp identifier.Fingerprint, p quarantiner.Process) string {
+	return fmt.Sprintf("%s%s/%d/%s", lossPrefix, fp, p.Start, p.Endpoint)
+}
+
+// lossKeyError reports that a key is not the key of a loss.
+type lossKeyError struct{ Key string }
+
+func (e *lossKeyError) Error() string {
+	return fmt.Sprintf("runner: key %q is not %s<fingerprint>/<process start>/<endpoint>", e.Key, lossPrefix)
+}
+
+// parseLossKey parses the key of a loss. Its error is *lossKeyError.
+func parseLossKey(key string) (identifier.Fingerprint, quarantiner.Process, error) {
+	parts := strings.SplitN(strings.TrimPrefix(key, lossPrefix), "/", 3)
+	if len(parts) != 3 || parts[2] == "" {
+		return 0, quarantiner.Process{}, &lossKeyError{Key: key}
+	}
+	fp, err := strconv.ParseUint(parts[0], 16, 64)
+	if err != nil {
+		return 0, quarantiner.Process{}, &lossKeyError{Key: key}
+	}
+	start, err := strconv.ParseInt(parts[1], 10, 64)
+	if err != nil {
+		return 0, quarantiner.Process{}, &lossKeyError{Key: key}
+	}
+	return identifier.Fingerprint(fp), quarantiner.Process{Endpoint: identifier.Endpoint(parts[2]), Start: identifier.ProcessStart(start)}, nil
+}
--- a/runner/hosted_view.go
+++ b/runner/hosted_view.go
@@ -58,6 +58,8 @@
 			v.setFormingHolder(c)
 		case strings.HasPrefix(c.Key, instancePrefix):
 			v.updateInstance(c)
+		case strings.HasPrefix(c.Key, lossPrefix):
+			v.hosted.quarantine.applyChange(c)
 		default:
 			listChanged = v.updateEndpoint(c) || listChanged
 		}
@@ -157,6 +159,7 @@
 // setStoreHealth passes on whether the store answers.
 func (v *view) setStoreHealth(health replicator.Health) {
 	v.hosted.groupFormer.setStoreLost(health.Lost)
+	v.hosted.quarantine.setStoreLost(health.Lost)
 	if health.Lost {
 		v.stepAndPublish(endpointlister.StoreLost{})
 		return
@@ -191,6 +194,7 @@
 
 // publish passes the endpoints on to the forwarder and the group former. v.mu is held.
 func (v *view) publish() {
+	v.hosted.quarantine.setEndpoints(v.endpoints) // before the forwarder places requests at new targets
 	v.hosted.forwarder.SetTargets(newTargets(v.endpoints, v.hosted.resolver))
 	v.hosted.groupFormer.setEndpoints(v.endpoints)
 }
