scheduler: copies of a request share a target

The product's own path lets them share a target (design 0012, rule 6); now the scheduler does so too, up to half of the target's slots. On the platform no innocent requests share a fingerprint, hot keys included.

--- a/scheduler/flight.go
+++ b/scheduler/flight.go
@@ -49,6 +49,9 @@
 func (s *Scheduler) handleArrival(now time.Time, e Arrived) {
 	f := &flight{Request: e.Request, ref: e.Ref}
 	s.flights[f.ref] = f
+	if f.Fingerprint != 0 {
+		s.copies[f.Fingerprint]++
+	}
 	s.budget.credit(f.Service)
 	s.ratesOf(f.Pool).countArrival(now)
 	s.place(now, f)
@@ -279,6 +282,9 @@
 func (s *Scheduler) finish(f *flight, o Outcome) {
 	s.dequeue(f)
 	delete(s.flights, f.ref)
+	if s.copies[f.Fingerprint]--; s.copies[f.Fingerprint] <= 0 {
+		delete(s.copies, f.Fingerprint)
+	}
 	s.emit(Finish{Ref: f.ref, Outcome: o})
 }
 
--- a/scheduler/restriction.go
+++ b/scheduler/restriction.go
@@ -11,16 +11,15 @@
 
 // The restrictions.
 const (
-	Unrestricted  Restriction = iota
-	OneAtATime                // one attempt at a time, because an endpoint ended while it ran the request
-	NoNewRequests             // attempts of the requests in flight only, because several endpoints may have ended
-	Held                      // no attempt until the restriction changes, because it is being checked whether several endpoints have ended
-	Quarantined               // no attempt
+	Unrestricted Restriction = iota
+	OneAtATime               // one attempt at a time, because an endpoint ended while it ran the request
+	Held                     // no attempt until the restriction changes, because it is being checked whether several endpoints have ended
+	Quarantined              // no attempt
 )
 
 // String returns the name of the restriction in logs.
 func (r Restriction) String() string {
-	return [...]string{"unrestricted", "oneAtATime", "noNewRequests", "held", "quarantined"}[r]
+	return [...]string{"unrestricted", "oneAtATime", "held", "quarantined"}[r]
 }
 
 // restriction is a Restriction with its end.
@@ -29,6 +28,25 @@
 	until time.Time // end of a quarantine
 }
 
+// maxCopyLoad is the load as a fraction of a target's slots up to which copies of a request
+// share the target of the first copy.
+const maxCopyLoad = 0.5
+
+// targetOfCopy returns the target of another request with the fingerprint of f, or nil. Copies
+// that arrive before the first has ended share its target, so that at most one endpoint ends if
+// they crash it.
+func (s *Scheduler) targetOfCopy(f *flight) *target {
+	if s.copies[f.Fingerprint] < 2 {
+		return nil
+	}
+	for _, o := range sortedFlights(s.flights) {
+		if o != f && o.Fingerprint == f.Fingerprint && o.target != nil && s.targets[o.target.ID] == o.target {
+			return o.target
+		}
+	}
+	return nil
+}
+
 // setRestriction replaces the restriction of a fingerprint.
 func (s *Scheduler) setRestriction(e RestrictionSet) {
 	if e.Restriction == Unrestricted {
@@ -46,7 +64,7 @@
 		return ""
 	case r.Restriction == Quarantined:
 		return ReasonQuarantined
-	case r.Restriction == Held, r.Restriction == NoNewRequests && f.attempt == 0, s.runsCopyOf(f):
+	case r.Restriction == Held, s.runsCopyOf(f):
 		return ReasonSuspected
 	}
 	return ""
@@ -54,6 +72,9 @@
 
 // runsCopyOf reports whether another request with the fingerprint of f runs at a target.
 func (s *Scheduler) runsCopyOf(f *flight) bool {
+	if s.copies[f.Fingerprint] < 2 {
+		return false
+	}
 	for _, o := range s.flights {
 		if o != f && o.Fingerprint == f.Fingerprint && o.target != nil {
 			return true
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -52,6 +52,7 @@
 	latency latencyCounter
 
 	restrictions map[identifier.Fingerprint]restriction
+	copies       map[identifier.Fingerprint]int // number of flights with a fingerprint
 
 	wakeAt  time.Time
 	actions []Action
@@ -71,7 +72,7 @@
 	defaulter.Set(&cfg.TickInterval, defaultTickInterval)
 	return &Scheduler{
 		cfg: cfg, targets: map[identifier.Endpoint]*target{}, pools: map[identifier.Pool]*pool{},
-		flights: map[Ref]*flight{}, rates: map[identifier.Pool]*poolRates{}, restrictions: map[identifier.Fingerprint]restriction{}, budget: newRetryBudget(cfg.RetryRatio, cfg.RetrySlack),
+		flights: map[Ref]*flight{}, rates: map[identifier.Pool]*poolRates{}, restrictions: map[identifier.Fingerprint]restriction{}, copies: map[identifier.Fingerprint]int{}, budget: newRetryBudget(cfg.RetryRatio, cfg.RetrySlack),
 	}
 }
 
@@ -146,6 +147,11 @@
 		return nil, 0, ReasonNoTarget
 	}
 	meanOtherRequests, poolMeanGap := pl.meanOtherRequests(now), pl.meanGap(now)
+	if t := s.targetOfCopy(f); t != nil && !f.hasTried(now, t) && s.isEligible(now, t) {
+		if load := t.load(now, meanOtherRequests); load < maxCopyLoad {
+			return t, load, ""
+		}
+	}
 	var best *target
 	bestScore, bestLoad, reason := 0.0, 0.0, ReasonNoTarget
 	for _, t := range pl.targets {
