--- a/messenger/announcer.go
+++ b/messenger/announcer.go
@@ -53,6 +53,9 @@
 		}
 		if err := m.sendLosses(to, batch); err != nil {
 			m.cfg.Logger.Debug().Err(err).Str("peer", string(to)).Int("reports", len(batch)).Msg("peer did not acknowledge losses, they are sent again")
+			for _, a := range batch {
+				m.cfg.OnUnacknowledged(a.report.Fingerprint)
+			}
 			time.Sleep(announceRetryDelay)
 			continue
 		}
--- a/messenger/announcer_test.go
+++ b/messenger/announcer_test.go
@@ -34,11 +34,13 @@
 		t.Cleanup(s.Close)
 		peers.Set(messenger.Peer{Instance: name, Address: netip.MustParseAddrPort(s.Listener.Addr().String())})
 	}
-	m := messenger.New(messenger.Config{Peers: &peers, HTTP: http.DefaultClient})
+	unacknowledged := make(chan identifier.Fingerprint, 8)
+	m := messenger.New(messenger.Config{Peers: &peers, HTTP: http.DefaultClient, OnUnacknowledged: func(fp identifier.Fingerprint) { unacknowledged <- fp }})
 	want := quarantiner.Report{Fingerprint: 7, Losses: []quarantiner.Process{{Endpoint: "e1", Start: 3}}}
 	m.Announce(want)
 	is.Equal(<-received["alpine-1"], want)
 	is.Equal(<-received["marfa-1"], want)
+	is.Equal(<-unacknowledged, identifier.Fingerprint(7))
 	cleared := quarantiner.Report{Fingerprint: 7, Cleared: true}
 	m.Announce(cleared)
 	is.Equal(<-received["alpine-1"], cleared)
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -33,15 +33,16 @@
 	Instance      identifier.Instance
 	FailureDomain identifier.FailureDomain
 
-	Peers       *Peers
-	Watch       func(ctx context.Context, after uint64, wait time.Duration) (storeclient.Changes, error) // waits for changes of the local replica
-	UpdateSince func(after uint64) replicator.Update                                                     // what the local replica holds beyond a revision
-	Report      func(ctx context.Context, id identifier.Endpoint) (groupformer.Reported, error)          // queries an endpoint for its report
-	OnLosses    func(r quarantiner.Report)                                                               // a peer announces losses; must not block
-	OnStalled   func(head identifier.Endpoint)                                                           // a peer reports that the group with this head is stalled; must not block
-	HTTP        *http.Client
-	Timeout     time.Duration // of one exchange with a peer; zero selects 600 ms
-	Logger      zerolog.Logger
+	Peers            *Peers
+	Watch            func(ctx context.Context, after uint64, wait time.Duration) (storeclient.Changes, error) // waits for changes of the local replica
+	UpdateSince      func(after uint64) replicator.Update                                                     // what the local replica holds beyond a revision
+	Report           func(ctx context.Context, id identifier.Endpoint) (groupformer.Reported, error)          // queries an endpoint for its report
+	OnLosses         func(r quarantiner.Report)                                                               // a peer announces losses; must not block
+	OnUnacknowledged func(fp identifier.Fingerprint)                                                          // a peer did not acknowledge an announcement, which is sent again; must not block
+	OnStalled        func(head identifier.Endpoint)                                                           // a peer reports that the group with this head is stalled; must not block
+	HTTP             *http.Client
+	Timeout          time.Duration // of one exchange with a peer; zero selects 600 ms
+	Logger           zerolog.Logger
 }
 
 // Messenger sends messages to peers and answers those of peers. It is safe for concurrent use.
--- a/quarantiner/doc.go
+++ b/quarantiner/doc.go
@@ -12,10 +12,11 @@
 //     loss, unless the endpoint was draining or has answered another request since.
 //   - Reports of peers. An instance announces its losses once no copy of the request runs there
 //     any more, after AnnounceDelay, or at once if they suffice for a quarantine.
-//   - The store. Losses that no answer refutes are stored, so that they outlive all processes.
+//   - The store. The losses of a quarantine are stored, so that they outlive all processes, and
+//     a single loss if a peer has not acknowledged it.
 //
-// A fingerprint with one loss is suspected: an instance runs one copy of it at a time. While
-// two endpoints may have ended under a fingerprint, an instance accepts no further copy of it. A
+// A fingerprint with one loss is suspected: an instance runs one copy of it at a time, and none
+// while it is being checked whether a second endpoint has ended. A
 // fingerprint with two losses is quarantined: no instance sends it to an endpoint until QuarantineTTL
 // has passed since the last loss.
 //
--- a/quarantiner/event.go
+++ b/quarantiner/event.go
@@ -16,7 +16,8 @@
 }
 
 // Event is an input of a Quarantiner: AttemptStarted, AttemptEnded, ConnectionChecked,
-// EndpointsSet, StoreHealthSet, ReportReceived, LossStored, LossDeleted, RequestRefused or Ticked.
+// EndpointsSet, StoreHealthSet, ReportReceived, LossStored, LossDeleted, AnnouncementFailed,
+// RequestRefused or Ticked.
 type Event interface{ event() }
 
 // AttemptStarted reports that a request is sent to an endpoint.
@@ -75,22 +76,27 @@
 	Process     Process
 }
 
+// AnnouncementFailed reports that a peer did not acknowledge an Announce action. It may
+// acknowledge it later.
+type AnnouncementFailed struct{ Fingerprint identifier.Fingerprint }
+
 // RequestRefused reports that a request was refused because of its restriction.
 type RequestRefused struct{ Fingerprint identifier.Fingerprint }
 
 // Ticked follows a WakeAt action at its time.
 type Ticked struct{}
 
-func (AttemptStarted) event()    {}
-func (AttemptEnded) event()      {}
-func (ConnectionChecked) event() {}
-func (EndpointsSet) event()      {}
-func (StoreHealthSet) event()    {}
-func (ReportReceived) event()    {}
-func (LossStored) event()        {}
-func (LossDeleted) event()       {}
-func (RequestRefused) event()    {}
-func (Ticked) event()            {}
+func (AttemptStarted) event()     {}
+func (AttemptEnded) event()       {}
+func (ConnectionChecked) event()  {}
+func (EndpointsSet) event()       {}
+func (StoreHealthSet) event()     {}
+func (ReportReceived) event()     {}
+func (LossStored) event()         {}
+func (LossDeleted) event()        {}
+func (AnnouncementFailed) event() {}
+func (RequestRefused) event()     {}
+func (Ticked) event()             {}
 
 // Action is an output of a Quarantiner: CheckConnection, Restrict, Announce, StoreLoss,
 // DeleteLoss, LogDecision or WakeAt.
--- a/quarantiner/exposure.go
+++ b/quarantiner/exposure.go
@@ -20,12 +20,6 @@
 	checking    bool // a check of the connection is pending
 }
 
-// exposureCounts counts the exposures of one fingerprint.
-type exposureCounts struct {
-	processes map[Process]int // by process
-	checking  int             // with a pending check
-}
-
 // expose follows the endpoint of an attempt without a complete answer. An endpoint that is
 // draining or no longer listed ends for another reason.
 func (q *Quarantiner) expose(now time.Time, e AttemptEnded) {
@@ -34,7 +28,7 @@
 		return
 	}
 	x := exposure{fingerprint: e.Fingerprint, endedAt: now, checking: e.Result == ResultBroken}
-	q.count(x, e.Process, 1)
+	q.count(x, 1)
 	if x.checking {
 		if _, pending := q.checks[e.Process]; !pending {
 			q.checks[e.Process] = now
@@ -45,21 +39,13 @@
 }
 
 // count adds n, which is 1 or -1, to the counts of exposures to which x contributes.
-func (q *Quarantiner) count(x exposure, p Process, n int) {
+func (q *Quarantiner) count(x exposure, n int) {
 	q.exposureCount += n
-	c := q.counts[x.fingerprint]
-	if c == nil {
-		c = &exposureCounts{processes: map[Process]int{}}
-		q.counts[x.fingerprint] = c
-	}
-	if c.processes[p] += n; c.processes[p] == 0 {
-		delete(c.processes, p)
-	}
-	if x.checking {
-		c.checking += n
+	if !x.checking {
+		return
 	}
-	if len(c.processes) == 0 {
-		delete(q.counts, x.fingerprint)
+	if q.checking[x.fingerprint] += n; q.checking[x.fingerprint] == 0 {
+		delete(q.checking, x.fingerprint)
 	}
 }
 
@@ -75,7 +61,7 @@
 		} else {
 			x.checking = false
 			q.exposures[p] = append(q.exposures[p], x)
-			q.count(x, p, 1)
+			q.count(x, 1)
 		}
 		q.update(now, x.fingerprint)
 	}
@@ -125,8 +111,7 @@
 			delete(q.exposures, p)
 		}
 		for _, x := range list[:expired] {
-			q.count(x, p, -1)
-			q.restrict(x.fingerprint)
+			q.count(x, -1)
 		}
 	}
 }
@@ -134,10 +119,13 @@
 // removeExposures removes and returns the exposures of a process.
 func (q *Quarantiner) removeExposures(p Process) []exposure {
 	list := q.exposures[p]
+	if len(list) == 0 {
+		return nil
+	}
 	delete(q.exposures, p)
 	delete(q.checks, p)
 	for _, x := range list {
-		q.count(x, p, -1)
+		q.count(x, -1)
 	}
 	return list
 }
@@ -165,9 +153,6 @@
 
 // proveAlive forgets the exposures of a process that has answered a request.
 func (q *Quarantiner) proveAlive(p Process) {
-	if len(q.exposures[p]) == 0 {
-		return
-	}
 	for _, x := range q.removeExposures(p) {
 		q.restrict(x.fingerprint)
 	}
--- a/quarantiner/fleet_test.go
+++ b/quarantiner/fleet_test.go
@@ -170,11 +170,16 @@
 		return
 	}
 	f.stepQuarantiner(i, quarantiner.EndpointsSet{Endpoints: f.listed})
+	f.readLosses(i)
 	var targets []scheduler.Target
 	for _, e := range f.listed {
 		targets = append(targets, scheduler.Target{ID: e.ID, Pool: "ledger", ProcessStart: e.ProcessStart, Slots: e.Slots})
 	}
 	f.stepScheduler(i, scheduler.TargetsSet{Targets: targets})
+}
+
+// readLosses applies the losses in the store at an instance.
+func (f *fleet) readLosses(i *simInstance) {
 	for _, l := range sortedLosses(f.stored) {
 		if i.known[l] != f.stored[l] {
 			i.known[l] = f.stored[l]
@@ -407,6 +412,7 @@
 			return
 		}
 		if f.cut[link(from, to)] || !to.up || f.rand.IntN(10) == 0 {
+			f.stepQuarantiner(from, quarantiner.AnnouncementFailed{Fingerprint: r.Fingerprint})
 			f.after(announceRetry, func() { f.announce(from, to, process, r, first) })
 			return
 		}
--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -33,7 +33,7 @@
 	DisproofDelay   time.Duration // after which a listed process counts as alive although its address refused a connection; longer than endpoints that have ended stay listed; zero means 6 s
 	CheckTimeout    time.Duration // after which a check of a connection has no result; zero means 1 s
 	AnnounceDelay   time.Duration // longest time for which a loss is not announced because a copy of the request runs; zero means 1.5 s
-	StoreDelay      time.Duration // after which a single announced loss is stored, unless an answer cleared it before; zero means 1 s
+	StoreDelay      time.Duration // after which a single loss that did not reach all peers is stored, unless an answer cleared it before; zero means 1 s
 	TakeOverDelay   time.Duration // after which an instance stores the losses of a quarantined request that other instances have not stored; zero means 3 s
 	StoreRetryDelay time.Duration // between two attempts to store a loss; zero means 5 s
 	TickInterval    time.Duration // between two checks of what is due; zero means 250 ms
@@ -49,8 +49,8 @@
 	running        map[identifier.Fingerprint]int
 	exposures      map[Process][]exposure // in order of time
 	exposureCount  int
-	checks         map[Process]time.Time // start of each pending check
-	counts         map[identifier.Fingerprint]*exposureCounts
+	checks         map[Process]time.Time          // start of each pending check
+	checking       map[identifier.Fingerprint]int // exposures with a pending check
 	suspects       map[identifier.Fingerprint]*suspect
 	order          []identifier.Fingerprint // of the suspects, by first loss
 	restrictions   map[identifier.Fingerprint]Restrict
@@ -74,7 +74,7 @@
 	defaulter.Set(&cfg.TickInterval, defaultTickInterval)
 	return &Quarantiner{
 		cfg: cfg, running: map[identifier.Fingerprint]int{}, exposures: map[Process][]exposure{}, checks: map[Process]time.Time{},
-		counts: map[identifier.Fingerprint]*exposureCounts{}, suspects: map[identifier.Fingerprint]*suspect{}, restrictions: map[identifier.Fingerprint]Restrict{},
+		checking: map[identifier.Fingerprint]int{}, suspects: map[identifier.Fingerprint]*suspect{}, restrictions: map[identifier.Fingerprint]Restrict{},
 		answered: answeredList{ttl: cfg.AnsweredTTL, at: map[identifier.Fingerprint]time.Time{}},
 	}
 }
@@ -103,6 +103,11 @@
 		q.handleStored(now, e)
 	case LossDeleted:
 		q.handleDeleted(now, e)
+	case AnnouncementFailed:
+		if s := q.suspects[e.Fingerprint]; s != nil {
+			s.unshared = true
+			q.store(now, s, false)
+		}
 	case RequestRefused:
 		if s := q.suspects[e.Fingerprint]; s != nil && s.isQuarantined() {
 			q.store(now, s, true)
--- a/quarantiner/session_test.go
+++ b/quarantiner/session_test.go
@@ -68,6 +68,8 @@
 		return quarantiner.LossStored{Fingerprint: fp, Process: process, Revision: uint64(ev.Int("revision"))}, nil
 	case "deleted":
 		return quarantiner.LossDeleted{Fingerprint: fp, Process: process}, nil
+	case "unacknowledged":
+		return quarantiner.AnnouncementFailed{Fingerprint: fp}, nil
 	case "refused":
 		return quarantiner.RequestRefused{Fingerprint: fp}, nil
 	case "store":
--- a/quarantiner/suspect.go
+++ b/quarantiner/suspect.go
@@ -19,6 +19,7 @@
 	fingerprint identifier.Fingerprint
 	losses      []loss // in the order in which this instance learned of them
 	lastLossAt  time.Time
+	unshared    bool // an announcement of the losses did not reach all peers
 }
 
 // loss is the end of a process that ran a request, as this instance knows it.
@@ -158,9 +159,9 @@
 	q.emit(Announce{s.report()})
 }
 
-// store requests that the store receives the losses of s that it does not hold. The losses
-// that follow from attempts of other instances are left to these instances, unless
-// takeOver is set.
+// store requests that the store receives the losses of s that it does not hold: those of a
+// quarantine, and a single loss that did not reach all peers. The losses that follow from
+// attempts of other instances are left to these instances, unless takeOver is set.
 func (q *Quarantiner) store(now time.Time, s *suspect, takeOver bool) {
 	if q.storeLost {
 		return
@@ -168,7 +169,7 @@
 	for i := range s.losses {
 		l := &s.losses[i]
 		age := now.Sub(l.learnedAt)
-		due := l.source.isOwn() && (s.isQuarantined() || l.announced && age >= q.cfg.StoreDelay) || takeOver && age >= q.cfg.TakeOverDelay
+		due := l.source.isOwn() && (s.isQuarantined() || s.unshared && age >= q.cfg.StoreDelay) || takeOver && age >= q.cfg.TakeOverDelay
 		if l.revision != 0 || !due || !l.storeTriedAt.IsZero() && now.Sub(l.storeTriedAt) < q.cfg.StoreRetryDelay {
 			continue
 		}
@@ -181,21 +182,11 @@
 func (q *Quarantiner) restrict(fp identifier.Fingerprint) {
 	next := Restrict{Fingerprint: fp, Restriction: scheduler.Unrestricted}
 	s := q.suspects[fp]
-	possibleLosses, checking := 0, false
-	if s != nil {
-		possibleLosses = len(s.losses)
-	}
-	if c := q.counts[fp]; c != nil {
-		possibleLosses += len(c.processes)
-		checking = c.checking > 0
-	}
 	switch {
 	case s != nil && s.isQuarantined():
 		next.Restriction, next.Until = scheduler.Quarantined, s.expiry(q.cfg)
-	case possibleLosses >= lossesToQuarantine && checking:
+	case q.checking[fp] > 0 && (s != nil || q.checking[fp] >= lossesToQuarantine):
 		next.Restriction = scheduler.Held
-	case possibleLosses >= lossesToQuarantine:
-		next.Restriction = scheduler.NoNewRequests
 	case s != nil:
 		next.Restriction = scheduler.OneAtATime
 	}
--- a/runner/hosted.go
+++ b/runner/hosted.go
@@ -110,7 +110,10 @@
 		},
 		UpdateSince: func(after uint64) replicator.Update { return h.replica.UpdateSince(after) },
 		Report:      h.groupFormer.queryEngine, OnStalled: h.groupFormer.submitStall,
-		OnLosses: func(r quarantiner.Report) { h.quarantine.step.Submit(quarantiner.ReportReceived{Report: r}) }, HTTP: newHTTPClient(peerTimeout), Timeout: peerTimeout, Logger: logger,
+		OnLosses: func(r quarantiner.Report) { h.quarantine.step.Submit(quarantiner.ReportReceived{Report: r}) },
+		OnUnacknowledged: func(fp identifier.Fingerprint) {
+			h.quarantine.step.Submit(quarantiner.AnnouncementFailed{Fingerprint: fp})
+		}, HTTP: newHTTPClient(peerTimeout), Timeout: peerTimeout, Logger: logger,
 	})
 	h.upstream = &upstream{hosted: h, failedAt: map[identifier.Instance]time.Time{}}
 	h.replica = replicator.New(replicator.Config{
