--- a/standin/cmd/standin/soak.go
+++ b/standin/cmd/standin/soak.go
@@ -18,6 +18,7 @@
 	Instances int           `long:"instances" default:"3" description:"instances of each run"`
 	Engines   int           `long:"engines" default:"6" description:"engines of each of two domains"`
 	Callers   int           `long:"callers" default:"12" description:"callers of each run"`
+	Crashing  bool          `long:"crashing" description:"send copies of a request that crashes the engines that run it"`
 	Length    time.Duration `long:"length" default:"8s" description:"how long faults come"`
 	Logs      string        `long:"logs" description:"a folder in which the logs of runs that failed are kept"`
 	Verbose   bool          `long:"verbose" description:"print the faults of each run"`
@@ -70,7 +71,7 @@
 		return false
 	}
 	report, err := soak.Run(soak.Config{
-		Binary: binary, Dir: dir, Seed: seed, Instances: c.Instances, Engines: c.Engines, Callers: c.Callers, Length: c.Length,
+		Binary: binary, Dir: dir, Seed: seed, Instances: c.Instances, Engines: c.Engines, Callers: c.Callers, Crashing: c.Crashing, Length: c.Length,
 	})
 	mu.Lock()
 	defer mu.Unlock()
@@ -78,8 +79,8 @@
 		fmt.Fprintf(os.Stderr, "seed %d: %v\n", seed, err)
 		return false
 	}
-	fmt.Printf("seed %d: %d faults, %d requests, %d answered whole, %d refused, %d promises broken\n",
-		seed, len(report.Steps), report.Sent, report.Answered, report.NotRun, len(report.Violations))
+	fmt.Printf("seed %d: %d faults, %d requests, %d answered whole, %d refused, %d runs that crash their engine, %d promises broken\n",
+		seed, len(report.Steps), report.Sent, report.Answered, report.NotRun, report.Crashes, len(report.Violations))
 	if c.Verbose || len(report.Violations) > 0 {
 		for _, s := range report.Steps {
 			fmt.Printf("  %s\n", s)
--- a/standin/soak/apply.go
+++ b/standin/soak/apply.go
@@ -46,13 +46,13 @@
 		s.drainEngine(f.Engine)
 	case HideEngine:
 		e := s.liveEngine(f.Engine)
-		s.applyFor(allInstances, f.For, e.Hide, e.Show)
+		s.applyFor(allEngines, f.For, e.Hide, e.Show)
 	case SlowEngine:
 		e := s.liveEngine(f.Engine)
-		s.applyFor(allInstances, f.For, func() { e.Slow(f.Factor) }, func() { e.Slow(1) })
+		s.applyFor(allEngines, f.For, func() { e.Slow(f.Factor) }, func() { e.Slow(1) })
 	case DeafEngine:
 		e := s.livePlainEndpoint(f.Engine)
-		s.applyFor(allInstances, f.For, func() { e.LoseAnswers(f.In) }, func() { e.LoseAnswers(0) })
+		s.applyFor(allEngines, f.For, func() { e.LoseAnswers(f.In) }, func() { e.LoseAnswers(0) })
 	case StoreDown:
 		s.applyFor(allInstances, f.For, func() { s.platform.Store.SetDown(true) }, func() { s.platform.Store.SetDown(false) })
 	case StoreSlow:
@@ -67,7 +67,7 @@
 }
 
 // applyFor begins a fault now and ends it in the background after d. The record counts the
-// instance as disrupted for that time.
+// instance, or all instances or engines, as disrupted for that time.
 func (s *soak) applyFor(instance int, d time.Duration, begin, end func()) {
 	endDisruption := s.record.startDisruption(instance)
 	begin()
@@ -149,7 +149,7 @@
 // crashEngine kills an engine and starts one without weights after replaceTime.
 func (s *soak) crashEngine(n int) {
 	e := s.liveEngine(n)
-	s.applyFor(allInstances, replaceTime, e.Kill, func() { s.addEngine(e.Domain) })
+	s.applyFor(allEngines, replaceTime, e.Kill, func() { s.addEngine(e.Domain) })
 }
 
 // drainEngine starts an engine without weights and drains another one, which is killed after
@@ -157,7 +157,7 @@
 func (s *soak) drainEngine(n int) {
 	e := s.liveEngine(n)
 	s.addEngine(e.Domain)
-	s.applyFor(allInstances, drainTime, e.Drain, e.Kill)
+	s.applyFor(allEngines, drainTime, e.Drain, e.Kill)
 }
 
 // changeKeys writes the next version of the configuration, with or without the second key.
--- a/standin/soak/caller.go
+++ b/standin/soak/caller.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -27,6 +28,7 @@
 type caller struct {
 	soak   *soak
 	name   string
+	body   string // of every request; if empty, each request has a body of its own
 	rand   *rand.Rand
 	client *http.Client
 	count  int
@@ -73,7 +75,7 @@
 		key = secondKey
 	}
 	url := "http://" + c.soak.instances[s.instance].callers.Address().String() + path
-	r, err := http.NewRequestWithContext(ctx, http.MethodPost, url, strings.NewReader("hold "+s.id))
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, url, strings.NewReader(cmp.Or(c.body, "hold "+s.id)))
 	if err != nil {
 		panic(err) // the address of a link always gives a valid URL
 	}
--- /dev/null
+++ b/standin/soak/crash.go
@@ -0,0 +1,93 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"amaranthmill/standin/hosted"
+)
+
+// Bounds of the operators' rule on requests that crash the engines that run them.
+const (
+	crashesBeforeBound = 3               // engines that the request crashes before the bound applies
+	crashBoundDelay    = 3 * time.Second // from that crash until the bound applies
+	maxLateCrashRuns   = 3               // runs after that, sent by instances without a disruption
+)
+
+// Times of the crashing request.
+const (
+	maxCrashPause   = 400 * time.Millisecond // between two copies
+	crashesAfterEnd = 8 * time.Second        // for which copies are sent after the last fault, so that instances without a disruption get some
+)
+
+// crashBody is the body of all copies of the crashing request.
+const crashBody = "this request crashes engines"
+
+// startCrashing makes the crashing request crash each engine that runs it, and sends copies of
+// it to random instances until the returned function is called. In runs with an odd seed it is
+// a request to the plain service, otherwise a stream.
+func (s *soak) startCrashing() (stop func()) {
+	s.platform.CrashOn(crashBody, 0, s.replaceCrashed)
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	c := s.newCaller(s.cfg.Callers+1, rand.New(rand.NewPCG(s.cfg.Seed, uint64(s.cfg.Callers+1))))
+	c.name, c.body = "crash", crashBody
+	go func() {
+		defer close(ended)
+		defer c.client.CloseIdleConnections()
+		for ctx.Err() == nil {
+			s.record.addRequest(c.send(c.rand.IntN(len(s.instances)), s.cfg.Seed%2 == 1, false))
+			s.sleep(randomDuration(c.rand, maxCrashPause))
+		}
+	}()
+	return func() {
+		s.sleep(crashesAfterEnd)
+		cancel()
+		<-ended
+	}
+}
+
+// replaceCrashed starts an engine in place of one that the request crashed. The address of the
+// crashed engine refuses connections from now on.
+func (s *soak) replaceCrashed(e *hosted.Engine) {
+	s.mu.Lock()
+	link := s.links[e.ID]
+	s.mu.Unlock()
+	link.Close()
+	endDisruption := s.record.startDisruption(allEngines)
+	time.AfterFunc(replaceTime, func() {
+		s.addEngine(e.Domain)
+		endDisruption()
+	})
+}
+
+// checkCrashRuns describes the violation of the bound on the runs of the crashing request, or
+// returns "". The bound holds for instances without a disruption for crashBoundDelay.
+func (r *record) checkCrashRuns(runs []hosted.CrashRun) string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	instances := map[string]sentRequest{}
+	for _, s := range r.requests {
+		instances[s.id] = s
+	}
+	engines := map[string]bool{}
+	var bound time.Time
+	late := 0
+	for _, run := range runs {
+		engines[run.Engine] = true
+		if bound.IsZero() && len(engines) == crashesBeforeBound {
+			bound = run.At.Add(crashBoundDelay)
+		}
+		sent := instances[run.Request]
+		if !bound.IsZero() && run.At.After(bound) && r.isUndisrupted(run.At.Add(-crashBoundDelay), run.At, sent.instance, allInstances) {
+			late++
+		}
+	}
+	if late <= maxLateCrashRuns {
+		return ""
+	}
+	return fmt.Sprintf("%d runs of the crashing request later than %s after it crashed engine %d, at most %d allowed; %d engines crashed in all",
+		late, crashBoundDelay, crashesBeforeBound, maxLateCrashRuns, len(engines))
+}
--- a/standin/soak/deployment.go
+++ b/standin/soak/deployment.go
@@ -89,7 +89,7 @@
 func (s *soak) instance(n int) *instance { return s.instances[n%len(s.instances)] }
 
 // link returns a link and the number of the instance that a fault of the link disrupts, or
-// allInstances.
+// allEngines.
 func (s *soak) link(l Link) (*relayer.Link, int) {
 	switch l.Kind {
 	case ToCallers:
@@ -102,7 +102,7 @@
 		e := s.liveEngine(l.Number)
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		return s.links[e.ID], allInstances
+		return s.links[e.ID], allEngines
 	}
 }
 
--- a/standin/soak/record.go
+++ b/standin/soak/record.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 )
@@ -25,12 +26,15 @@
 
 // disruption is a period in which a fault affected one instance or all instances.
 type disruption struct {
-	instance   int       // allInstances for all
+	instance   int       // or allInstances, or allEngines
 	start, end time.Time // end is zero while the fault lasts
 }
 
-// allInstances as the number of an instance means every instance.
-const allInstances = -1
+// Numbers that stand for more than one instance.
+const (
+	allInstances = -1 // every instance
+	allEngines   = -2 // engines, whose faults may delay the requests of every instance
+)
 
 // record holds the requests, disruptions, key changes and violations of a run. The methods that
 // add to it are safe for concurrent use.
@@ -81,11 +85,17 @@
 	r.keyChanges = append(r.keyChanges, keyChange{at: time.Now(), valid: valid})
 }
 
-// isStable reports whether no fault affected an instance between two times. The caller holds
-// the lock.
+// isStable reports whether no fault affected an instance or an engine between two times. The
+// caller holds the lock.
 func (r *record) isStable(instance int, from, to time.Time) bool {
+	return r.isUndisrupted(from, to, instance, allInstances, allEngines)
+}
+
+// isUndisrupted reports whether no fault affected any of the numbers between two times. The
+// caller holds the lock.
+func (r *record) isUndisrupted(from, to time.Time, numbers ...int) bool {
 	for _, s := range r.disruptions {
-		affected := s.instance == allInstances || s.instance == instance
+		affected := slices.Contains(numbers, s.instance)
 		if affected && s.start.Before(to) && (s.end.IsZero() || s.end.After(from)) {
 			return false
 		}
--- a/standin/soak/soak.go
+++ b/standin/soak/soak.go
@@ -21,6 +21,7 @@
 	Instances int           // zero means 3
 	Engines   int           // number of engines in each of two fabric domains; zero means 6
 	Callers   int           // zero means 12
+	Crashing  bool          // copies of a request that crashes the engines that run it are sent
 	Length    time.Duration // the period in which faults are injected; zero means 8 s
 }
 
@@ -44,6 +45,7 @@
 	Steps      []Step
 	Sent       int
 	Answered   int      // with a complete answer
+	Crashes    int      // runs of the crashing request
 	NotRun     int      // refused with a status that guarantees that the request was not run
 	Violations []string // of guarantees; empty if all were kept
 }
@@ -120,12 +122,17 @@
 		c := s.newCaller(n, rand.New(rand.NewPCG(s.cfg.Seed, uint64(n))))
 		callers.Go(func() { c.run(ctx) })
 	}
+	stopCrashing := func() {}
+	if s.cfg.Crashing {
+		stopCrashing = s.startCrashing()
+	}
 	start := time.Now()
 	for _, step := range out.Steps {
 		s.sleep(time.Until(start.Add(step.At)))
 		s.apply(step.Fault)
 	}
 	s.faultWork.Wait()
+	stopCrashing()
 	stop()
 	callers.Wait()
 	s.awaitService("after the last fault", recoveryTimeout, r)
@@ -141,6 +148,11 @@
 		}
 	}
 	out.Violations = append(s.record.findViolations(s.platform.RunCounts()), s.platform.Violations()...)
+	crashRuns := s.platform.CrashRuns()
+	out.Crashes = len(crashRuns)
+	if violation := s.record.checkCrashRuns(crashRuns); violation != "" {
+		out.Violations = append(out.Violations, violation)
+	}
 	out.Sent = len(s.record.requests)
 	for _, result := range s.record.requests {
 		if result.isServed() {
--- a/standin/soak/soak_test.go
+++ b/standin/soak/soak_test.go
@@ -67,6 +67,27 @@
 	}
 }
 
+// TestCrashingSeeds runs two fixed seeds with a request that crashes the engines that run it: a
+// stream and a request to the plain service.
+func TestCrashingSeeds(t *testing.T) {
+	for _, seed := range []uint64{10, 11} {
+		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
+			t.Parallel()
+			report, err := soak.Run(soak.Config{Binary: binary, Dir: t.TempDir(), Seed: seed, Crashing: true, Length: 4 * time.Second})
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Logf("%d requests, %d with a complete answer, %d refused, %d runs that crash their engine", report.Sent, report.Answered, report.NotRun, report.Crashes)
+			for _, b := range report.Violations {
+				t.Error(b)
+			}
+			if report.Crashes == 0 {
+				t.Error("the crashing request did not run")
+			}
+		})
+	}
+}
+
 // TestPlan checks that a seed always gives the same faults in the same order, and that 60
 // seeds give every kind of fault.
 func TestPlan(t *testing.T) {
