scheduler: a restarted instance has no slack for retries until a window has passed

Callers' requests got more retries than the operators allow (BUDGET, retries of a service within a window): an instance that starts took its whole part of the slack anew, however much its predecessor had spent, and the whole slack of all instances while it knew none of them.

The slack now counts as spent for one window after the start, except at the first start of the whole system; the retries that requests earn are there at once. The window comes from the operator's bounds as bounds.retryWindow, 10 s by default.

--- a/configurer/hosted.go
+++ b/configurer/hosted.go
@@ -51,10 +51,11 @@
 
 // Bounds are the times and rates that the platform's operator requires.
 type Bounds struct {
-	StopLimit  formatter.Duration `json:"stopLimit"`                   // from SIGTERM to the end of the process; default 8s
-	DrainTime  formatter.Duration `json:"drainTime"`                   // how long a draining endpoint still serves; default 2s
-	RetryRatio float64            `json:"retryRatio" validate:"gte=0"` // retries per request, over all instances
-	RetrySlack float64            `json:"retrySlack" validate:"gte=0"` // retries beyond that ratio in one window
+	StopLimit   formatter.Duration `json:"stopLimit"`                   // from SIGTERM to the end of the process; default 8s
+	DrainTime   formatter.Duration `json:"drainTime"`                   // how long a draining endpoint still serves; default 2s
+	RetryRatio  float64            `json:"retryRatio" validate:"gte=0"` // retries per request, over all instances
+	RetrySlack  float64            `json:"retrySlack" validate:"gte=0"` // retries beyond that ratio in one window
+	RetryWindow formatter.Duration `json:"retryWindow"`                 // over which retries are counted; default 10s
 }
 
 // The defaults of the optional hosted settings.
--- a/runner/hosted.go
+++ b/runner/hosted.go
@@ -95,6 +95,7 @@
 		Resolver: h.resolver, Requester: h.requester, Dialect: platform.Headers{}, Logger: logger, Meter: h.meter,
 		Scheduler: scheduler.Config{
 			FailureDomain: s.FailureDomain, RetryRatio: retryShare * s.Bounds.RetryRatio, RetrySlack: retryShare * s.Bounds.RetrySlack,
+			RetryWindow: s.Bounds.RetryWindow.Std(), FirstStart: s.FirstStart,
 		},
 		OnStalled:       h.reportStall,
 		OnLatencyReport: func(p scheduler.LatencyReport) { go h.groupFormer.submitLatency(p) },
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -12,6 +12,7 @@
 const (
 	defaultRetryRatio            = 0.18
 	defaultRetrySlack            = 40
+	defaultRetryWindow           = 10 * time.Second
 	defaultMaxTargetWait         = 1500 * time.Millisecond
 	defaultMinStreamStall        = 160 * time.Millisecond
 	defaultStreamStallFactor     = 5
@@ -29,6 +30,9 @@
 	RetryRatio float64 // retries that each request adds to the budget; zero means 0.18
 	RetrySlack float64 // retries that all instances together may accumulate; zero means 40
 
+	RetryWindow time.Duration // over which the operators count retries; zero means 10 s
+	FirstStart  bool          // the whole system starts for the first time, so that no earlier process of this instance has spent retries
+
 	MaxTargetWait         time.Duration // longest time that a request waits for a target; zero means 1.5 s
 	MinStreamStall        time.Duration // shortest time without an event after which a target with running streams is stalled; zero means 160 ms
 	StreamStallFactor     int           // the same time as a multiple of the pool's mean gap between events; the larger of the two applies; zero means 5
@@ -62,6 +66,7 @@
 func New(cfg Config) *Scheduler {
 	defaulter.Set(&cfg.RetryRatio, defaultRetryRatio)
 	defaulter.Set(&cfg.RetrySlack, defaultRetrySlack)
+	defaulter.Set(&cfg.RetryWindow, defaultRetryWindow)
 	defaulter.Set(&cfg.MaxTargetWait, defaultMaxTargetWait)
 	defaulter.Set(&cfg.MinStreamStall, defaultMinStreamStall)
 	defaulter.Set(&cfg.StreamStallFactor, defaultStreamStallFactor)
@@ -72,13 +77,14 @@
 	defaulter.Set(&cfg.TickInterval, defaultTickInterval)
 	return &Scheduler{
 		cfg: cfg, targets: map[identifier.Endpoint]*target{}, pools: map[identifier.Pool]*pool{},
-		flights: map[Ref]*flight{}, rates: map[identifier.Pool]*poolRates{}, restrictions: map[identifier.Fingerprint]restriction{}, copies: map[identifier.Fingerprint]int{}, budget: newRetryBudget(cfg.RetryRatio, cfg.RetrySlack),
+		flights: map[Ref]*flight{}, rates: map[identifier.Pool]*poolRates{}, restrictions: map[identifier.Fingerprint]restriction{}, copies: map[identifier.Fingerprint]int{}, budget: newRetryBudget(cfg),
 	}
 }
 
 // Step applies e at now and returns the actions that it causes.
 func (s *Scheduler) Step(now time.Time, e Event) []Action {
 	s.actions = s.actions[:0]
+	s.budget.advance(now)
 	switch e := e.(type) {
 	case TargetsSet:
 		s.setTargets(now, e.Targets)
--- a/standin/soak/deployment.go
+++ b/standin/soak/deployment.go
@@ -133,6 +133,9 @@
 
 // start starts an instance's process. It records a violation if that fails.
 func (s *soak) start(i *instance) {
+	if i.process != nil {
+		s.editSettings(i, `"firstStart":true`, `"firstStart":false`)
+	}
 	p, err := s.processes.Start(fmt.Sprintf("entry-%d", i.number), s.cfg.Binary, "--hosted", i.settings)
 	if err != nil {
 		s.record.addViolation("instance %d: %v", i.number, err)
