quarantiner: a process that disappears from the list during an attempt is a loss; a listed one lives

Found on reading: an attempt that ended only after the list had shown the end of its endpoint (a request that waits for its deadline at an endpoint that has gone silent) counted for nothing, and a loss learned by an instance whose list lagged could not be withdrawn there.

--- a/quarantiner/exposure.go
+++ b/quarantiner/exposure.go
@@ -20,10 +20,14 @@
 	checking    bool // a check of the connection is pending
 }
 
-// expose follows the endpoint of an attempt without a complete answer. An endpoint that is
-// draining or no longer listed ends for another reason.
+// expose follows the endpoint of an attempt without a complete answer. A process that
+// disappeared from the list during the attempt is a loss. An endpoint that drains ends for
+// another reason.
 func (q *Quarantiner) expose(now time.Time, e AttemptEnded) {
 	endpoint, ok := q.find(e.Process)
+	if endedAt, ended := q.ended[e.Process]; !ok && ended && now.Sub(endedAt) < q.cfg.ExposureTTL {
+		q.addLoss(now, e.Fingerprint, e.Process, SourceDelisted)
+	}
 	if !ok || endpoint.Draining || q.exposureCount >= maxExposures {
 		return
 	}
@@ -69,6 +73,7 @@
 
 // setEndpoints replaces the list. The processes that have disappeared from it have ended.
 func (q *Quarantiner) setEndpoints(now time.Time, endpoints []endpointlister.Endpoint) {
+	q.recordEnded(now, endpoints)
 	q.endpoints = endpoints
 	for _, p := range slices.SortedFunc(maps.Keys(q.exposures), Process.compare) {
 		switch endpoint, ok := q.find(p); {
@@ -83,9 +88,19 @@
 			}
 		}
 	}
-	for _, s := range q.suspects {
-		for i := range s.losses {
-			s.losses[i].confirmed = s.losses[i].confirmed || !q.isListed(s.losses[i].process)
+}
+
+// recordEnded records the processes that the next list no longer has, except those of draining
+// endpoints, and forgets those recorded more than ExposureTTL ago.
+func (q *Quarantiner) recordEnded(now time.Time, next []endpointlister.Endpoint) {
+	maps.DeleteFunc(q.ended, func(_ Process, at time.Time) bool { return now.Sub(at) >= q.cfg.ExposureTTL })
+	i := 0
+	for _, e := range q.endpoints {
+		for i < len(next) && next[i].ID < e.ID {
+			i++
+		}
+		if stays := i < len(next) && next[i].ID == e.ID && next[i].ProcessStart == e.ProcessStart; !stays && !e.Draining {
+			q.ended[Process{Endpoint: e.ID, Start: e.ProcessStart}] = now
 		}
 	}
 }
--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -49,6 +49,7 @@
 	running        map[identifier.Fingerprint]int
 	exposures      map[Process][]exposure // in order of time
 	exposureCount  int
+	ended          map[Process]time.Time          // when a process disappeared from the list within ExposureTTL
 	checks         map[Process]time.Time          // start of each pending check
 	checking       map[identifier.Fingerprint]int // exposures with a pending check
 	suspects       map[identifier.Fingerprint]*suspect
@@ -73,7 +74,7 @@
 	defaulter.Set(&cfg.StoreRetryDelay, defaultStoreRetryDelay)
 	defaulter.Set(&cfg.TickInterval, defaultTickInterval)
 	return &Quarantiner{
-		cfg: cfg, running: map[identifier.Fingerprint]int{}, exposures: map[Process][]exposure{}, checks: map[Process]time.Time{},
+		cfg: cfg, running: map[identifier.Fingerprint]int{}, exposures: map[Process][]exposure{}, ended: map[Process]time.Time{}, checks: map[Process]time.Time{},
 		checking: map[identifier.Fingerprint]int{}, suspects: map[identifier.Fingerprint]*suspect{}, restrictions: map[identifier.Fingerprint]Restrict{},
 		answered: answeredList{ttl: cfg.AnsweredTTL, at: map[identifier.Fingerprint]time.Time{}},
 	}
--- a/quarantiner/suspect.go
+++ b/quarantiner/suspect.go
@@ -27,7 +27,6 @@
 	process      Process
 	source       Source
 	learnedAt    time.Time
-	confirmed    bool      // the list does not have the process
 	announced    bool      // to the peers, or by a peer
 	revision     uint64    // in the store; zero if the store does not hold the loss
 	storeTriedAt time.Time // of the last StoreLoss action; zero for none
@@ -73,7 +72,7 @@
 	if l := s.find(p); l != nil {
 		return l
 	}
-	s.losses = append(s.losses, loss{process: p, source: source, learnedAt: now, announced: source == SourcePeer, confirmed: !q.isListed(p)})
+	s.losses = append(s.losses, loss{process: p, source: source, learnedAt: now, announced: source == SourcePeer})
 	s.lastLossAt = now
 	decision := DecisionSuspect
 	if s.isQuarantined() {
@@ -128,7 +127,7 @@
 	}
 	before := len(s.losses)
 	s.losses = slices.DeleteFunc(s.losses, func(l loss) bool {
-		if l.confirmed || now.Sub(l.learnedAt) < q.cfg.DisproofDelay || !q.isListed(l.process) {
+		if now.Sub(l.learnedAt) < q.cfg.DisproofDelay || !q.isListed(l.process) {
 			return false
 		}
 		if l.revision != 0 && l.source.isOwn() {
