soak: a request on a connection that was silenced for good may stay unanswered

Trace: SilenceLink stops the existing connections over a link permanently, but was recorded as a disruption of no length. Instance 1's link to callers was silenced at 2.1 s; both callers used their kept connections over it again 11 s later, when the instance counted as stable. Its log has neither request: no byte of them reached it.

The check now leaves out exactly the requests on connections that the link silenced, by the address of the client's side, and holds for all others as before.

--- a/standin/relayer/link.go
+++ b/standin/relayer/link.go
@@ -26,6 +26,8 @@
 	open  [directionCount]chan struct{} // by direction; closed while bytes are forwarded
 	delay time.Duration
 	pairs map[*pair]bool
+
+	silenced map[netip.AddrPort]bool // addresses of the clients whose connections were silenced
 }
 
 // New returns a link from an address of loopback to the target, without faults.
@@ -34,7 +36,7 @@
 	if err != nil {
 		return nil, err
 	}
-	l := &Link{listener: listener, target: to, pairs: map[*pair]bool{}}
+	l := &Link{listener: listener, target: to, pairs: map[*pair]bool{}, silenced: map[netip.AddrPort]bool{}}
 	for d := range l.open {
 		l.open[d] = make(chan struct{})
 		close(l.open[d])
@@ -103,9 +105,19 @@
 func (l *Link) Silence() {
 	for _, p := range l.currentPairs() {
 		p.silence()
+		l.mu.Lock()
+		l.silenced[p.client.RemoteAddr().(*net.TCPAddr).AddrPort()] = true
+		l.mu.Unlock()
 	}
 }
 
+// IsSilenced reports whether Silence has stopped a connection of the client with this address.
+func (l *Link) IsSilenced(client netip.AddrPort) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.silenced[client]
+}
+
 func (l *Link) currentPairs() []*pair {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/standin/relayer/link_test.go
+++ b/standin/relayer/link_test.go
@@ -103,9 +103,11 @@
 	_, err = receive(old, waitLimit)
 	is.NoErr(err)
 	l.Silence()
+	is.True(l.IsSilenced(clientAddress(old)))
 	_, err = exchange(old, 'b')
 	is.True(err != nil)
 	fresh := dial()
+	is.True(!l.IsSilenced(clientAddress(fresh)))
 	_, err = fresh.Write([]byte("c"))
 	is.NoErr(err)
 	got, err := receive(fresh, waitLimit)
@@ -113,6 +115,8 @@
 	is.Equal(got, byte('c'))
 }
 
+func clientAddress(c net.Conn) netip.AddrPort { return c.LocalAddr().(*net.TCPAddr).AddrPort() }
+
 func TestReset(t *testing.T) {
 	is := is.New(t)
 	l, dial := newLink(t)
--- a/standin/soak/caller.go
+++ b/standin/soak/caller.go
@@ -8,7 +8,10 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
+	"net/http/httptrace"
+	"net/netip"
 	"strings"
 	"time"
 
@@ -56,6 +59,10 @@
 	s := sentRequest{id: fmt.Sprintf("%s-%d", c.name, c.count), instance: instance, plain: plain, withSecondKey: withSecondKey, sentAt: time.Now()}
 	ctx, cancel := context.WithTimeout(context.Background(), deadline+callerGrace)
 	defer cancel()
+	var client netip.AddrPort
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) {
+		client = i.Conn.LocalAddr().(*net.TCPAddr).AddrPort()
+	}})
 	resp, err := c.client.Do(c.request(ctx, s))
 	if err == nil {
 		s.status, s.retryAfter = resp.StatusCode, resp.Header.Get("Retry-After")
@@ -63,6 +70,7 @@
 		_ = resp.Body.Close()
 	}
 	s.endedAt = time.Now()
+	s.silenced = c.soak.instances[instance].callers.IsSilenced(client)
 	return s
 }
 
--- a/standin/soak/check_test.go
+++ b/standin/soak/check_test.go
@@ -37,6 +37,8 @@
 		"second key":       {sent: change(func(s *sentRequest) { s.status, s.withSecondKey = 401, true })},
 		"wrong answer":     {sent: change(func(s *sentRequest) { s.defect = "the body is spoilt" }), want: "spoilt"},
 		"late":             {sent: change(func(s *sentRequest) { s.endedAt = at(14 * time.Second) }), want: "answered after 4s"},
+		"late, silenced":   {sent: change(func(s *sentRequest) { s.endedAt, s.silenced = at(14*time.Second), true })},
+		"silenced, defect": {sent: change(func(s *sentRequest) { s.silenced, s.defect = true, "the body is spoilt" }), want: "spoilt"},
 		"late, disrupted":  {sent: change(func(s *sentRequest) { s.endedAt = at(14 * time.Second) }), disruptions: []*disruption{{instance: 0, start: at(7 * time.Second), end: at(8 * time.Second)}}},
 		"other disrupted":  {sent: change(func(s *sentRequest) { s.endedAt = at(14 * time.Second) }), disruptions: []*disruption{{instance: 1, start: at(7 * time.Second)}}, want: "answered after 4s"},
 		"disrupted before": {sent: change(func(s *sentRequest) { s.endedAt = at(14 * time.Second) }), disruptions: []*disruption{{instance: allInstances, start: at(1 * time.Second), end: at(5 * time.Second)}}, want: "answered after 4s"},
--- a/standin/soak/record.go
+++ b/standin/soak/record.go
@@ -18,6 +18,7 @@
 	status          int    // status code of the answer; zero if there was no answer
 	complete        bool   // the answer ended normally
 	defect          string // description of an invalid answer; empty if the answer is valid
+	silenced        bool   // its connection to the instance was silenced permanently, before or after it was sent
 	retryAfter      string // value of the Retry-After header
 }
 
