--- a/quarantiner/bench_test.go
+++ b/quarantiner/bench_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/netip"
+	"runtime"
 	"slices"
 	"testing"
 	"time"
@@ -60,3 +61,26 @@
 	q.Step(scripter.Start, quarantiner.EndpointsSet{Endpoints: slices.Clone(endpoints)})
 	return q, processes
 }
+
+// BenchmarkFullMemory reports the memory of a core that holds as much as its limits allow.
+func BenchmarkFullMemory(b *testing.B) {
+	var before, after runtime.MemStats
+	for b.Loop() {
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		q, processes := newBenchCore(1200)
+		for i := range 20000 {
+			now := scripter.Start.Add(time.Duration(i) * time.Microsecond)
+			fp := identifier.Fingerprint(i + 1)
+			q.Step(now, quarantiner.AttemptEnded{Fingerprint: fp, Process: processes[i%1200], Result: quarantiner.ResultUnanswered})
+			q.Step(now, quarantiner.AttemptEnded{Fingerprint: fp + 1<<20, Process: processes[0], Result: quarantiner.ResultAnswered})
+			q.Step(now, quarantiner.ReportReceived{Report: quarantiner.Report{
+				Fingerprint: fp + 1<<30, Losses: []quarantiner.Process{{Endpoint: "gone-1", Start: 1}, {Endpoint: "gone-2", Start: 1}},
+			}})
+		}
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/(1<<20), "MiB")
+		runtime.KeepAlive(q)
+	}
+}
