--- a/standin/hosted/crash.go
+++ b/standin/hosted/crash.go
@@ -11,6 +11,13 @@
 // crashDelay is the time from the start of a run until the run crashes its engine.
 const crashDelay = 20 * time.Millisecond
 
+// Bounds of the operators' rule on requests that crash the engines that run them.
+const (
+	CrashesBeforeBound = 3               // engines that the request crashes before the bound applies
+	CrashBoundDelay    = 3 * time.Second // from that crash until the bound applies
+	MaxLateCrashRuns   = 3               // runs after that
+)
+
 // CrashRun is a run of a request that crashes the engine that runs it.
 type CrashRun struct {
 	Engine  string // ID of the engine
@@ -67,3 +74,21 @@
 	e.platform.mu.Unlock()
 	onCrash(e)
 }
+
+// CountLateCrashRuns returns the number of runs to which the bound applies, of those that
+// counts selects. The runs are in order of time.
+func CountLateCrashRuns(runs []CrashRun, counts func(CrashRun) bool) int {
+	engines := map[string]bool{}
+	var bound time.Time
+	late := 0
+	for _, r := range runs {
+		engines[r.Engine] = true
+		if bound.IsZero() && len(engines) == CrashesBeforeBound {
+			bound = r.At.Add(CrashBoundDelay)
+		}
+		if !bound.IsZero() && r.At.After(bound) && counts(r) {
+			late++
+		}
+	}
+	return late
+}
--- a/standin/hosted/settings.go
+++ b/standin/hosted/settings.go
@@ -20,6 +20,6 @@
 		"store":   object{"address": store, "readsPerSecond": 2000, "writesPerSecond": 400, "leaseMin": "1s"},
 		"machine": object{"cores": 1, "memoryMB": 500},
 		"bounds":  object{"stopLimit": stopLimit.String(), "retryRatio": 0.2, "retrySlack": 100}, "firstStart": true,
-		"log":     object{"level": "info"},
+		"log": object{"level": "info"},
 	})
 }
--- a/standin/soak/crash.go
+++ b/standin/soak/crash.go
@@ -9,13 +9,6 @@
 	"amaranthmill/standin/hosted"
 )
 
-// Bounds of the operators' rule on requests that crash the engines that run them.
-const (
-	crashesBeforeBound = 3               // engines that the request crashes before the bound applies
-	crashBoundDelay    = 3 * time.Second // from that crash until the bound applies
-	maxLateCrashRuns   = 3               // runs after that, sent by instances without a disruption
-)
-
 // Times of the crashing request.
 const (
 	maxCrashPause   = 400 * time.Millisecond // between two copies
@@ -64,7 +57,7 @@
 }
 
 // checkCrashRuns describes the violation of the bound on the runs of the crashing request, or
-// returns "". The bound holds for instances without a disruption for crashBoundDelay.
+// returns "". The bound holds for instances without a disruption for hosted.CrashBoundDelay.
 func (r *record) checkCrashRuns(runs []hosted.CrashRun) string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -72,22 +65,12 @@
 	for _, s := range r.requests {
 		instances[s.id] = s
 	}
-	engines := map[string]bool{}
-	var bound time.Time
-	late := 0
-	for _, run := range runs {
-		engines[run.Engine] = true
-		if bound.IsZero() && len(engines) == crashesBeforeBound {
-			bound = run.At.Add(crashBoundDelay)
-		}
-		sent := instances[run.Request]
-		if !bound.IsZero() && run.At.After(bound) && r.isUndisrupted(run.At.Add(-crashBoundDelay), run.At, sent.instance, allInstances) {
-			late++
-		}
-	}
-	if late <= maxLateCrashRuns {
+	late := hosted.CountLateCrashRuns(runs, func(run hosted.CrashRun) bool {
+		return r.isUndisrupted(run.At.Add(-hosted.CrashBoundDelay), run.At, instances[run.Request].instance, allInstances)
+	})
+	if late <= hosted.MaxLateCrashRuns {
 		return ""
 	}
-	return fmt.Sprintf("%d runs of the crashing request later than %s after it crashed engine %d, at most %d allowed; %d engines crashed in all",
-		late, crashBoundDelay, crashesBeforeBound, maxLateCrashRuns, len(engines))
+	return fmt.Sprintf("%d runs of the crashing request later than %s after it crashed engine %d, at most %d allowed; %d runs in all",
+		late, hosted.CrashBoundDelay, hosted.CrashesBeforeBound, hosted.MaxLateCrashRuns, len(runs))
 }
