diagnoser, forwarder: explain what became of a quarantined request

millctl explain had no verdict for a request that was refused because endpoints ended under it, and its last line did not name the fingerprint, so that nothing led from the request's ID to the endpoints that ended. Both do now; the log lines of its quarantine count also if they are old.

--- a/diagnoser/diagnosis.go
+++ b/diagnoser/diagnosis.go
@@ -54,12 +54,13 @@
 func compareTime(a, b Line) int { return a.Time.Compare(b.Time) }
 
 // scope selects the log lines without a request that are relevant to one request: its time
-// span, and the instances, endpoints and groups that its lines name.
+// span, and the instances, endpoints, groups and fingerprints that its lines name.
 type scope struct {
 	from, to      time.Time
 	instances     map[string]bool
 	endpoints     map[string]bool
 	groups        map[string]bool
+	fingerprints  map[string]bool
 	model         string // model whose group counts are relevant; empty unless the request was not run
 	configRefused bool   // the configuration caused the refusal
 }
@@ -68,12 +69,13 @@
 	first, last := requestLines[0], requestLines[len(requestLines)-1]
 	s := scope{
 		from: first.Time.Add(-first.Age - marginBefore), to: last.Time.Add(marginAfter),
-		instances: map[string]bool{}, endpoints: map[string]bool{}, groups: map[string]bool{}, configRefused: last.Message == "refused",
+		instances: map[string]bool{}, endpoints: map[string]bool{}, groups: map[string]bool{}, fingerprints: map[string]bool{}, configRefused: last.Message == "refused",
 	}
 	for _, l := range requestLines {
 		s.instances[l.Instance] = true
 		s.endpoints[l.Endpoint] = l.Endpoint != ""
 		s.groups[l.Group] = l.Group != ""
+		s.fingerprints[l.Fingerprint] = l.Fingerprint != ""
 	}
 	if last.Outcome == "notRun" {
 		_, s.model, _ = strings.Cut(last.Pool, "/")
@@ -84,7 +86,13 @@
 // isRelevant reports whether l, a line that names no request, is about something that the
 // request depended on.
 func (s scope) isRelevant(l Line) bool {
-	if l.Time.Before(s.from) || l.Time.After(s.to) {
+	if l.Time.After(s.to) {
+		return false
+	}
+	if l.Message == "request under which endpoints ended" { // may date from an earlier try
+		return s.fingerprints[l.Fingerprint]
+	}
+	if l.Time.Before(s.from) {
 		return false
 	}
 	switch l.Message {
@@ -109,8 +117,11 @@
 	{"notRun", "noTarget", "refused, not run: no group or endpoint served this pool; look at groups and endpoint gone"},
 	{"notRun", "full", "refused, not run: its turn would have come too late; look at groups, serving against share"},
 	{"notRun", "allRefused", "refused, not run: each target refused it before running it; look at what became of their groups"},
+	{"notRun", "quarantined", "refused, not run: two endpoints ended while they ran this request, and it is held back for an hour; look at request under which endpoints ended"},
+	{"notRun", "suspected", "refused, not run: an endpoint ended while it ran this request, and another copy ran or a second endpoint was being checked"},
 	{"notRun", "", "refused, not run, and no further attempt was left"},
 	{"unknown", "answerLost", "it may have run and may run once only, so it was not repeated"},
+	{"unknown", "quarantined", "endpoints ended while they ran this request, so it was not sent to another one"},
 	{"unknown", "", "an attempt had no whole answer, and the reason kept another one from being made"},
 	{"callerGone", "", "the caller hung up"},
 }
--- a/diagnoser/diagnosis_test.go
+++ b/diagnoser/diagnosis_test.go
@@ -12,7 +12,7 @@
 	"amaranthmill/diagnoser"
 )
 
-// readLines returns the log of three instances around five requests.
+// readLines returns the log of three instances around seven requests.
 func readLines(t *testing.T) []diagnoser.Line {
 	t.Helper()
 	f, err := os.Open("testdata/three.log")
@@ -35,11 +35,13 @@
 		messages []string
 		verdict  string
 	}{
-		"full-1":    {[]string{"groups", "queued", "ended"}, "its turn would have come too late"},
-		"paused-1":  {[]string{"placed", "target stands still", "attempt given up", "placed", "group", "ended"}, "the whole answer"},
-		"revoked-1": {[]string{"configuration in force", "configuration in force", "refused"}, "refused by what the configuration says (unknownKey)"},
-		"moved-1":   {[]string{"placed", "attempt ended", "group", "ended"}, "each target refused it"},
-		"killed-1":  {[]string{"placed", "instance runs"}, "no line says how it ended"},
+		"full-1":        {[]string{"groups", "queued", "ended"}, "its turn would have come too late"},
+		"paused-1":      {[]string{"placed", "target stands still", "attempt given up", "placed", "group", "ended"}, "the whole answer"},
+		"revoked-1":     {[]string{"configuration in force", "configuration in force", "refused"}, "refused by what the configuration says (unknownKey)"},
+		"moved-1":       {[]string{"placed", "attempt ended", "group", "ended"}, "each target refused it"},
+		"quarantined-1": {[]string{"request under which endpoints ended", "request under which endpoints ended", "ended"}, "held back for an hour"},
+		"suspected-1":   {[]string{"request under which endpoints ended", "ended", "request under which endpoints ended"}, "another copy ran"},
+		"killed-1":      {[]string{"placed", "instance runs"}, "no line says how it ended"},
 	}
 	for request, test := range tests {
 		t.Run(request, func(t *testing.T) {
--- a/diagnoser/line.go
+++ b/diagnoser/line.go
@@ -11,33 +11,35 @@
 
 // Line is one log line. Fields that Diagnose does not use are only in Text.
 type Line struct {
-	Time     time.Time
-	Instance string
-	Message  string
-	Request  string
-	Pool     string
-	Endpoint string
-	Group    string
-	Model    string
-	Outcome  string
-	Reason   string
-	Age      time.Duration // age of the request at Time
-	Text     string        // the line from its first brace on
+	Time        time.Time
+	Instance    string
+	Message     string
+	Request     string
+	Pool        string
+	Endpoint    string
+	Group       string
+	Model       string
+	Fingerprint string // of a request, over all tries of its callers
+	Outcome     string
+	Reason      string
+	Age         time.Duration // age of the request at Time
+	Text        string        // the line from its first brace on
 }
 
 // lineWire is the JSON form of a line, with Time in Unix milliseconds and Age in milliseconds.
 type lineWire struct {
-	Time     int64   `json:"time"`
-	Instance string  `json:"instance"`
-	Message  string  `json:"message"`
-	Request  string  `json:"request"`
-	Pool     string  `json:"pool"`
-	Endpoint string  `json:"endpoint"`
-	Group    string  `json:"group"`
-	Model    string  `json:"model"`
-	Outcome  string  `json:"outcome"`
-	Reason   string  `json:"reason"`
-	Age      float64 `json:"age"`
+	Time        int64   `json:"time"`
+	Instance    string  `json:"instance"`
+	Message     string  `json:"message"`
+	Request     string  `json:"request"`
+	Pool        string  `json:"pool"`
+	Endpoint    string  `json:"endpoint"`
+	Group       string  `json:"group"`
+	Model       string  `json:"model"`
+	Fingerprint string  `json:"fingerprint"`
+	Outcome     string  `json:"outcome"`
+	Reason      string  `json:"reason"`
+	Age         float64 `json:"age"`
 }
 
 // parseLine parses a line. It ignores any text before the first brace, such as the prefix that a
@@ -54,7 +56,7 @@
 	}
 	return Line{
 		Time: time.UnixMilli(w.Time).UTC(), Instance: w.Instance, Message: w.Message, Request: w.Request, Pool: w.Pool, Endpoint: w.Endpoint,
-		Group: w.Group, Model: w.Model, Outcome: w.Outcome, Reason: w.Reason, Age: time.Duration(w.Age * float64(time.Millisecond)), Text: string(text),
+		Group: w.Group, Model: w.Model, Fingerprint: w.Fingerprint, Outcome: w.Outcome, Reason: w.Reason, Age: time.Duration(w.Age * float64(time.Millisecond)), Text: string(text),
 	}, true
 }
 
--- a/forwarder/log.go
+++ b/forwarder/log.go
@@ -62,6 +62,9 @@
 		e = f.cfg.Logger.Warn()
 	}
 	e = x.addRequest(e).Str("outcome", outcome).Str("reason", string(reason)).Int("lastEvent", x.relay.lastEventID)
+	if reason == scheduler.ReasonSuspected || reason == scheduler.ReasonQuarantined {
+		e = e.Stringer("fingerprint", x.identity)
+	}
 	if !x.relay.firstEventAt.IsZero() {
 		e = e.Dur("firstEvent", x.relay.firstEventAt.Sub(x.arrivedAt)).Dur("longestGap", x.relay.longestGap)
 	}
