relayer: a link goes on accepting connections after an accept has failed

Trace: its output says "accept4: too many open files" seven times; from then on every new connection over a link hung at all instances alike, while kept ones were answered. Again with the descriptors counted: 19,271 of 20,000 were open. The links' accept loops ended at the first such error and left their addresses open.

--- a/standin/relayer/link.go
+++ b/standin/relayer/link.go
@@ -1,6 +1,7 @@
 package relayer
 
 import (
+	"errors"
 	"net"
 	"net/netip"
 	"sync"
@@ -36,13 +37,18 @@
 	if err != nil {
 		return nil, err
 	}
+	return newLink(listener, to), nil
+}
+
+// newLink returns a link that accepts connections from listener.
+func newLink(listener net.Listener, to netip.AddrPort) *Link {
 	l := &Link{listener: listener, target: to, pairs: map[*pair]bool{}, silenced: map[netip.AddrPort]bool{}}
 	for d := range l.open {
 		l.open[d] = make(chan struct{})
 		close(l.open[d])
 	}
 	go l.accept()
-	return l, nil
+	return l
 }
 
 // Address returns the address on which the link accepts connections.
@@ -128,13 +134,22 @@
 	return out
 }
 
+// acceptRetryDelay is the delay after a failed accept, which usually means that the process has
+// too many open files.
+const acceptRetryDelay = 10 * time.Millisecond
+
+// accept forwards connections until the listener is closed.
 func (l *Link) accept() {
 	for {
 		c, err := l.listener.Accept()
-		if err != nil {
+		switch {
+		case errors.Is(err, net.ErrClosed):
 			return
+		case err != nil:
+			time.Sleep(acceptRetryDelay)
+		default:
+			go l.forward(c)
 		}
-		go l.forward(c)
 	}
 }
 
