--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -30,7 +30,7 @@
 	QuarantineTTL   time.Duration // of a quarantine, from its last loss; zero means 1 h
 	AnsweredTTL     time.Duration // after a complete answer, in which a fingerprint is not suspected; zero means 1 min
 	ExposureTTL     time.Duration // after an attempt without a complete answer, within which the end of its endpoint counts as a loss; longer than endpoints that have ended stay listed; zero means 6 s
-	DisproofDelay   time.Duration // after which a listed process counts as alive although its address refused a connection; longer than endpoints that have ended stay listed; zero means 6 s
+	DisproofDelay   time.Duration // after which a listed process counts as alive although its address accepted no connection; longer than endpoints that have ended stay listed; zero means 6 s
 	CheckTimeout    time.Duration // after which a check of a connection has no result; zero means 1 s
 	AnnounceDelay   time.Duration // longest time for which a loss is not announced because a copy of the request runs; zero means 1.5 s
 	StoreDelay      time.Duration // after which a single loss that did not reach all peers is stored, unless an answer cleared it before; zero means 1 s
