spawner: a port is reserved against other test processes too

Each returned port is now held by a UDP socket until the process ends; instances use TCP only. A test shows that a second reservation fails while a TCP listener can start.

--- a/standin/spawner/port.go
+++ b/standin/spawner/port.go
@@ -24,27 +24,29 @@
 	return fmt.Sprintf("spawner: fewer than %d free ports from %d to %d", e.Count, firstPort, lastPort)
 }
 
-// reserved holds the ports that FreePorts has returned in this process. The processes that
-// the ports are for may not listen on them yet.
+// reserved holds the UDP sockets on the ports that FreePorts has returned in this process. The
+// processes that the ports are for may not listen on them yet. They use TCP only, so that the
+// sockets reserve the ports against the FreePorts of all processes until this process ends.
 var reserved = struct {
 	sync.Mutex
-	ports map[uint16]bool
-}{ports: map[uint16]bool{}}
+	sockets []net.PacketConn
+}{}
 
-// reserve marks a port as reserved. It returns false if the port was reserved before.
-func reserve(port uint16) bool {
-	reserved.Lock()
-	defer reserved.Unlock()
-	if reserved.ports[port] {
+// reserve reserves a port. It returns false if this or another process has reserved it.
+func reserve(address netip.AddrPort) bool {
+	socket, err := net.ListenPacket("udp4", address.String())
+	if err != nil {
 		return false
 	}
-	reserved.ports[port] = true
+	reserved.Lock()
+	defer reserved.Unlock()
+	reserved.sockets = append(reserved.sockets, socket)
 	return true
 }
 
 // FreePorts returns n loopback addresses whose ports were free at the same moment and that it
-// has not returned before. It starts at a random port, so that trials in parallel processes
-// rarely choose the same ports.
+// has not returned before, in this or another running process. It starts at a random port, so
+// that trials in parallel processes rarely try the same ports.
 func FreePorts(n int) ([]netip.AddrPort, error) {
 	var out []netip.AddrPort
 	span := lastPort - firstPort
@@ -59,7 +61,7 @@
 			continue
 		}
 		defer l.Close()
-		if !reserve(address.Port()) {
+		if !reserve(address) {
 			continue
 		}
 		out = append(out, address)
--- a/standin/spawner/port_test.go
+++ b/standin/spawner/port_test.go
@@ -1,6 +1,7 @@
 package spawner
 
 import (
+	"net"
 	"net/netip"
 	"testing"
 
@@ -21,3 +22,16 @@
 		}
 	}
 }
+
+// TestPortIsReservedInOtherProcesses checks that another process, which reserves a port in the
+// same way, finds a returned port reserved although nothing listens on it yet.
+func TestPortIsReservedInOtherProcesses(t *testing.T) {
+	is := is.New(t)
+	ports, err := FreePorts(1)
+	is.NoErr(err)
+	_, err = net.ListenPacket("udp4", ports[0].String())
+	is.True(err != nil)
+	l, err := net.Listen("tcp", ports[0].String())
+	is.NoErr(err)
+	is.NoErr(l.Close())
+}
