scheduler: an event at the time of a due tick does not replace the tick

Callers of a silent or gone endpoint waited up to a tick (40 ms) longer for a successor if an event reached the core when the tick was due and had not come yet: the event requested the next tick, which replaced the due one.

A requested tick now stays due until it comes. TestEventPostponesDueTick failed before.

--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -118,9 +118,10 @@
 
 func (s *Scheduler) emit(a Action) { s.actions = append(s.actions, a) }
 
-// scheduleTick requests the next tick while any request is in flight.
+// scheduleTick requests the next tick while any request is in flight. A tick that was requested
+// and has not come yet stays due, also when its time has passed.
 func (s *Scheduler) scheduleTick(now time.Time) {
-	if len(s.flights) == 0 || s.wakeAt.After(now) {
+	if len(s.flights) == 0 || !s.wakeAt.IsZero() {
 		return
 	}
 	s.wakeAt = now.Add(s.cfg.TickInterval)
