hosted: engines can be silent for a while, and answer without a length

No engine of ours ever fell silent and went on, and none answered with neither a length nor chunks, so no test could show it.

Change: Engine.Silence keeps an engine's work, group and entry and sends nothing for a time, with answers waiting before their header, between header and first event, between two events or inside an event or body. Reports, orders and refusals wait too; orders are carried out after the silence. The kernel still acknowledges. Engine.SetUnframed makes answers end with their connections; killing the engine resets them. Engine.BreakStreams ends streams inside an event. A link that holds everything back and loses nothing is relayer.Link.Cut and Restore, which tests of hosted can now use. The tests' fixture has a configuration; the retry slack is a parameter of Settings.

--- a/standin/hosted/engine.go
+++ b/standin/hosted/engine.go
@@ -2,12 +2,10 @@
 
 import (
 	"encoding/json"
-	"fmt"
 	"net"
 	"net/http"
 	"slices"
 	"strconv"
-	"strings"
 	"sync"
 	"time"
 )
@@ -34,20 +32,24 @@
 	server   *http.Server
 	addr     string // published in the entry
 
-	mu             sync.Mutex
-	dead           bool
-	disconnected   bool        // does not write its entry to the store
-	slowdown       int         // factor on the time between events; zero means 1
-	answerLoss     lossCounter // answers to plain requests that were run
-	draining       bool
-	born           int64 // start time in Unix milliseconds
-	acceptedOrders uint64
-	models         []string
-	staged         []string
-	group          membership
-	runs           map[string]int  // number of runs, by request ID
-	members        []string        // IDs of the group's members by rank; the first is the head
-	wasReady       map[string]bool // whether the engine was ready in a group, by readyKey
+	mu              sync.Mutex
+	dead            bool
+	disconnected    bool        // does not write its entry to the store
+	slowdown        int         // factor on the time between events; zero means 1
+	answerLoss      lossCounter // answers to plain requests that were run
+	silence         silence
+	unframed        bool                     // answers end with their connections
+	unframedAnswers map[*unframedAnswer]bool // those that have not ended
+	brokenEvent     int                      // ID of the event in which each stream breaks off; zero means none
+	draining        bool
+	born            int64 // start time in Unix milliseconds
+	acceptedOrders  uint64
+	models          []string
+	staged          []string
+	group           membership
+	runs            map[string]int  // number of runs, by request ID
+	members         []string        // IDs of the group's members by rank; the first is the head
+	wasReady        map[string]bool // whether the engine was ready in a group, by readyKey
 }
 
 type membership struct {
@@ -73,14 +75,17 @@
 		return err
 	}
 	e.platform, e.store, e.addr, e.runs, e.born = p, p.Store, l.Addr().String(), map[string]int{}, time.Now().UnixMilli()
-	e.wasReady = map[string]bool{}
+	e.wasReady, e.unframedAnswers = map[string]bool{}, map[*unframedAnswer]bool{}
 	if p.ListedAddress != nil {
 		if e.addr, err = p.ListedAddress(e.ID, e.addr); err != nil {
 			return err
 		}
 	}
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /v1/report", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, http.StatusOK, e.report()) })
+	mux.HandleFunc("GET /v1/report", func(w http.ResponseWriter, _ *http.Request) {
+		e.awaitEndOfSilence()
+		writeJSON(w, http.StatusOK, e.report())
+	})
 	mux.HandleFunc("POST /v1/order", e.serveOrder)
 	mux.HandleFunc("/", e.serve)
 	e.server = &http.Server{Handler: mux}
@@ -95,6 +100,7 @@
 	e.dead = true
 	e.mu.Unlock()
 	_ = e.server.Close()
+	e.resetUnframedAnswers()
 	time.AfterFunc(entryTTL, func() { e.store.Remove("servers/" + e.ID) })
 }
 
@@ -209,6 +215,7 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	e.awaitEndOfSilence()
 	if id := r.Header.Get("X-Target-Instance"); id != "" && id != e.ID {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
@@ -327,69 +334,6 @@
 	})
 }
 
-// serve runs a caller's request, or refuses it if it is addressed to another engine or the
-// engine is not an open head.
-func (e *Engine) serve(w http.ResponseWriter, r *http.Request) {
-	id := r.Header.Get("X-Attempt-Id")
-	w.Header().Set("X-Attempt-Id", id)
-	if want := r.Header.Get("X-Target-Instance"); want != e.ID || e.Domain != "" && !e.IsHead() {
-		w.Header().Set("X-Not-Executed", "1")
-		w.WriteHeader(http.StatusMisdirectedRequest)
-		return
-	}
-	e.mu.Lock()
-	e.runs[id]++
-	group, members := e.group, e.members
-	e.mu.Unlock()
-	if e.Domain != "" {
-		e.checkGroupReady(group, members)
-	}
-	if e.platform.crashes(e, r) {
-		e.crash()
-		panic(http.ErrAbortHandler)
-	}
-	w.Header().Set("X-Server-Seal", e.ID)
-	if e.Domain == "" {
-		time.Sleep(workTime)
-		if e.losesAnswer() {
-			panic(http.ErrAbortHandler) // closes the connection without an answer
-		}
-		_, _ = fmt.Fprintf(w, "%s %s for %s", r.Method, r.URL.Path, r.Header.Get("X-Tenant"))
-		return
-	}
-	e.stream(w, r, group)
-}
-
-// stream sends the events after the last one that the caller received. It stalls until the
-// caller disconnects if a member of the group is killed.
-func (e *Engine) stream(w http.ResponseWriter, r *http.Request, group membership) {
-	last := -1
-	if text := r.Header.Get("Last-Event-Id"); text != "" {
-		last, _ = strconv.Atoi(strings.TrimSpace(text))
-	}
-	w.Header().Set("Content-Type", "text/event-stream")
-	for id := last + 1; id < e.Events; id++ {
-		for _, m := range e.platform.groupMembers(group.Name, group.Epoch) {
-			if m.IsDead() {
-				<-r.Context().Done()
-				return
-			}
-		}
-		_, _ = fmt.Fprintf(w, "id: %d\ndata: %s\n\n", id, r.Header.Get("X-Attempt-Id"))
-		if err := http.NewResponseController(w).Flush(); err != nil {
-			return
-		}
-		time.Sleep(e.eventInterval())
-	}
-}
-
-// eventInterval returns the time between two events of a stream.
-func (e *Engine) eventInterval() time.Duration {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return normalEventInterval * time.Duration(max(e.slowdown, 1))
-}
-
 // IsDead reports whether the engine was killed.
 func (e *Engine) IsDead() bool {
 	e.mu.Lock()
--- a/standin/hosted/hosted_test.go
+++ b/standin/hosted/hosted_test.go
@@ -20,6 +20,7 @@
 
 	"amaranthmill/standin/hosted"
 	"amaranthmill/standin/internal/builder"
+	"amaranthmill/standin/relayer"
 	"amaranthmill/standin/spawner"
 )
 
@@ -43,12 +44,20 @@
 // waitLimit bounds each wait of a test. It is not a guarantee of the system.
 const waitLimit = 20 * time.Second
 
-// fixture is a platform with instances, an endpoint of the plain service and six engines,
-// which are more than two groups of two engines need.
+// fixtureConfig holds the sizes of a fixture.
+type fixtureConfig struct {
+	instances, engines int // at least two groups of two engines each are formed
+	retrySlack         int
+	hasLinks           bool // the instances reach each engine over a link
+}
+
+// fixture is a platform with instances, engines and an endpoint of the plain service.
 type fixture struct {
 	t         *testing.T
 	platform  *hosted.Platform
 	instances []*instance
+	cfg       fixtureConfig
+	links     map[string]*relayer.Link // to engines, by engine ID
 }
 
 // instance is a process of the program.
@@ -73,18 +82,26 @@
 	return i.output.String()
 }
 
+// newFixture returns a fixture with six engines, which are more than two groups need.
 func newFixture(t *testing.T, instances int) *fixture {
+	return startFixture(t, fixtureConfig{instances: instances, engines: 6, retrySlack: hosted.RetrySlack})
+}
+
+func startFixture(t *testing.T, cfg fixtureConfig) *fixture {
 	p, err := hosted.Start([]hosted.Model{{Name: "small", GroupSize: 2}})
 	if err != nil {
 		t.Fatal(err)
 	}
-	f := &fixture{t: t, platform: p}
+	f := &fixture{t: t, platform: p, cfg: cfg, links: map[string]*relayer.Link{}}
 	t.Cleanup(f.close)
-	for i := range 6 {
+	if cfg.hasLinks {
+		p.ListedAddress = f.addLink
+	}
+	for i := range cfg.engines {
 		f.add(fmt.Sprintf("e%d", i), "d1")
 	}
 	f.add("ledger-1", "")
-	for i := range instances {
+	for i := range cfg.instances {
 		f.start(fmt.Sprintf("entry-%d", i+1))
 	}
 	for _, i := range f.instances {
@@ -108,6 +125,18 @@
 	return e
 }
 
+// addLink creates a link to an engine's address and returns the link's address.
+func (f *fixture) addLink(id, address string) (string, error) {
+	to, err := netip.ParseAddrPort(address)
+	if err != nil {
+		return "", err
+	}
+	if f.links[id], err = relayer.New(to); err != nil {
+		return "", err
+	}
+	return f.links[id].Address().String(), nil
+}
+
 func (f *fixture) close() {
 	for _, i := range f.instances {
 		_ = i.command.Process.Kill()
@@ -117,6 +146,9 @@
 		}
 	}
 	f.platform.Close()
+	for _, l := range f.links {
+		l.Close()
+	}
 }
 
 // start starts an instance on free ports of loopback.
@@ -126,7 +158,7 @@
 		f.t.Fatal(err)
 	}
 	i := &instance{name: name, callers: ports[0].String(), readiness: ports[1].String(), exit: make(chan error, 1)}
-	text, err := hosted.Settings(name, ports, netip.MustParseAddrPort(f.platform.Address()), 8*time.Second)
+	text, err := hosted.Settings(name, ports, netip.MustParseAddrPort(f.platform.Address()), 8*time.Second, f.cfg.retrySlack)
 	if err != nil {
 		f.t.Fatal(err)
 	}
