hosted: a failing test of answers that a silent endpoint's requests lose

The test runs real instances. The head of a group is silent for 1.2 s while the configuration changes, with fewer retries, or fewer slots elsewhere, than streams at that head. Each stream must arrive whole and in order.

About 170 ms after the last event the scheduler gives up all attempts at the head at one moment ("attempt given up", stalled).

--- a/standin/hosted/silence_test.go
+++ b/standin/hosted/silence_test.go
@@ -271,3 +271,50 @@
 	is.True(err != nil)
 	is.True(strings.HasSuffix(string(text), "\n\n")) // only whole events
 }
+
+// TestSilentEndpointCutsAnswersBesideConfigurationChange silences the head of a group while the
+// configuration changes, with fewer retries or slots left than streams. Attempts were ended in
+// the hope of another endpoint, and those for which none was left ended their answers, although
+// the silent endpoint went on a second later.
+func TestSilentEndpointCutsAnswersBesideConfigurationChange(t *testing.T) {
+	tests := map[string]struct {
+		streams, retrySlack int
+		point               hosted.SilencePoint
+		unframed            bool
+		beforeStreams       bool // the silence begins before the streams
+		holdsLink           bool // the link to the head holds its bytes back, and the head is not silent
+	}{
+		"few retries":        {streams: 10, retrySlack: 2},
+		"few slots":          {streams: 15, retrySlack: hosted.RetrySlack},
+		"unframed":           {streams: 10, retrySlack: 2, unframed: true},
+		"before header":      {streams: 10, retrySlack: 2, beforeStreams: true},
+		"before first event": {streams: 10, retrySlack: 2, point: hosted.BeforeFirstEvent, beforeStreams: true},
+		"inside event":       {streams: 10, retrySlack: 2, point: hosted.InsideEvent},
+		"link":               {streams: 10, retrySlack: 2, holdsLink: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			f := startFixture(t, fixtureConfig{instances: 1, engines: 4, retrySlack: test.retrySlack, hasLinks: test.holdsLink})
+			f.setUnframed(test.unframed)
+			head := f.openHeads()[0]
+			if test.beforeStreams {
+				head.Silence(test.point, silentTime)
+			}
+			s := f.startStreams("s", test.streams)
+			if !test.beforeStreams {
+				s.begun.Wait()
+				head = s.busiestHead()
+				t.Logf("%s of %v is silent for %s", head.ID, s.heads, silentTime)
+			}
+			switch {
+			case test.holdsLink:
+				f.links[head.ID].Cut()
+				time.AfterFunc(silentTime, f.links[head.ID].Restore)
+			case !test.beforeStreams:
+				head.Silence(test.point, silentTime)
+			}
+			f.platform.Configure(2, hosted.APIKey)
+			s.check()
+		})
+	}
+}
