scheduler, forwarder: hedge the requests of a silent endpoint instead of giving them up

Cause: abandonStalled asked of each attempt at a stalled target whether its request could run elsewhere, and ended all of them before one had been placed. All counted on the same slot and the same retry; those that got none had no endpoint any more. The endpoint was only silent for a second. abandonOrphans did the same at removed targets, and a refusal by the new target ended a request whose first attempt had been given up. Class: something is given up before its successor has begun.

Change: a request at a stalled or removed target is hedged. A second attempt starts if a target, a retry and an attempt are left for it, and takes them at once; the first goes on until the second has made progress, or answers if it goes on itself. The scheduler hears of each event before it is relayed and abandons the other attempt in the same step, so that events come from one run at a time. A refused hedge costs its retry only.

--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"amaranthmill/internal/eventreader"
+	"amaranthmill/quarantiner"
 	"amaranthmill/requester"
 	"amaranthmill/resolver"
 	"amaranthmill/scheduler"
@@ -24,13 +25,28 @@
 
 var streamBuffers = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, streamBufferSize) }}
 
-// runAttempt sends x to the target of a, and relays or holds the answer.
-func (f *Forwarder) runAttempt(x *exchange, a scheduler.Send) (scheduler.Ending, scheduler.Load) {
-	ctx, cancel := x.beginAttempt(context.WithoutCancel(x.request.Context()), a.Attempt)
-	defer cancel()
-	answer, err := f.cfg.Requester.Send(ctx, f.newRequest(x, a))
+// runAttempt runs an attempt and reports its end.
+func (f *Forwarder) runAttempt(x *exchange, a *attempt) {
+	defer a.cancel()
+	f.logSend(x, a)
+	if a.Attempt == 1 && x.hasWaited.Load() {
+		f.meters.recordQueueTime(x)
+	}
+	f.cfg.OnAttempt(quarantiner.AttemptStarted{Fingerprint: x.identity})
+	ending, load := f.send(x, a)
+	f.cfg.OnAttempt(quarantiner.AttemptEnded{
+		Fingerprint: x.identity, Process: quarantiner.Process{Endpoint: a.Target.ID, Start: a.Target.ProcessStart}, Result: attemptResult(ending),
+	})
+	f.logEnded(x, a, ending)
+	f.meters.countAttempt(x, ending)
+	f.step.Submit(scheduler.Ended{Ref: x.ref, Attempt: a.Attempt, Ending: ending, Load: load})
+}
+
+// send sends x to the target of a, and relays or holds the answer.
+func (f *Forwarder) send(x *exchange, a *attempt) (scheduler.Ending, scheduler.Load) {
+	answer, err := f.cfg.Requester.Send(a.ctx, f.newRequest(x, a))
 	if err != nil {
-		return f.sendErrorEnding(ctx, x, err), scheduler.Load{}
+		return f.sendErrorEnding(x, a, err), scheduler.Load{}
 	}
 	defer answer.Close()
 	fields := f.cfg.Dialect.ParseAnswer(answer.Status, answer.Header)
@@ -43,13 +59,13 @@
 	case impliesNotRun(answer.Status):
 		return scheduler.Broken{}, fields.Load
 	case x.match.Route.Kind == resolver.KindStream && isStream(answer):
-		return f.relayStream(ctx, x, a, answer, fields.Load), fields.Load
+		return f.relayStream(x, a, answer, fields.Load), fields.Load
 	}
-	return f.holdAnswer(ctx, x, answer), fields.Load
+	return f.holdAnswer(x, a, answer), fields.Load
 }
 
 // newRequest returns the request that attempt a sends to its target.
-func (f *Forwarder) newRequest(x *exchange, a scheduler.Send) *requester.Request {
+func (f *Forwarder) newRequest(x *exchange, a *attempt) *requester.Request {
 	header := x.request.Header.Clone()
 	for _, name := range strings.Split(header.Get("Connection"), ",") {
 		header.Del(strings.TrimSpace(name))
@@ -58,7 +74,7 @@
 		delete(header, name)
 	}
 	f.cfg.Dialect.SetFields(header, EndpointFields{
-		Endpoint: a.Target.ID, Account: x.match.Account, TimeLeft: time.Until(x.deadline), LastEventID: x.relay.lastEventID,
+		Endpoint: a.Target.ID, Account: x.match.Account, TimeLeft: time.Until(x.deadline), LastEventID: x.relay.position(),
 	})
 	return &requester.Request{
 		Address: a.Target.Address, Method: x.request.Method, Target: x.request.RequestURI, Host: x.request.Host,
@@ -87,38 +103,37 @@
 }
 
 // sendErrorEnding returns the ending of an attempt that received no answer header.
-func (f *Forwarder) sendErrorEnding(ctx context.Context, x *exchange, err error) scheduler.Ending {
+func (f *Forwarder) sendErrorEnding(x *exchange, a *attempt, err error) scheduler.Ending {
 	var notSent *requester.NotSentError
-	switch {
-	case errors.As(err, &notSent) && !errors.Is(ctx.Err(), context.DeadlineExceeded):
+	if errors.As(err, &notSent) && !errors.Is(a.ctx.Err(), context.DeadlineExceeded) {
 		return scheduler.NotSent{}
 	}
 	f.logBroken(x, err)
-	return x.brokenEnding(ctx)
+	return a.brokenEnding()
 }
 
 // brokenEnding returns the ending of an attempt that may have run and received no complete answer.
-func (x *exchange) brokenEnding(ctx context.Context) scheduler.Ending {
+func (a *attempt) brokenEnding() scheduler.Ending {
 	switch {
-	case x.isAbandoned():
+	case a.isAbandoned.Load():
 		return scheduler.Abandoned{}
-	case ctx.Err() != nil:
+	case a.ctx.Err() != nil:
 		return scheduler.Expired{}
 	}
 	return scheduler.Broken{}
 }
 
 // holdAnswer reads the complete answer before any byte of it is sent to the caller.
-func (f *Forwarder) holdAnswer(ctx context.Context, x *exchange, answer *requester.Answer) scheduler.Ending {
+func (f *Forwarder) holdAnswer(x *exchange, a *attempt, answer *requester.Answer) scheduler.Ending {
 	body, err := io.ReadAll(io.LimitReader(answer, answerLimit+1))
 	if err == nil && len(body) > answerLimit {
 		err = &eventreader.TooLargeError{Limit: answerLimit}
 	}
 	if err != nil {
 		f.logBroken(x, err)
-		return x.brokenEnding(ctx)
+		return a.brokenEnding()
 	}
-	x.relay.hold(answer.Status, answer.Header, body)
+	a.held = heldAnswer{status: answer.Status, header: answer.Header, body: body}
 	if answer.Status >= http.StatusInternalServerError {
 		return scheduler.Failed{Status: answer.Status}
 	}
@@ -128,20 +143,22 @@
 // completedStreamEnding returns the ending of a stream that ended without an error. A stream
 // without any event counts as broken unless the caller resumed it, because then the caller
 // may already have all events.
-func (x *exchange) completedStreamEnding(answer *requester.Answer) scheduler.Ending {
-	if x.relay.answerStarted {
+func (x *exchange) completedStreamEnding(a *attempt, answer *requester.Answer) scheduler.Ending {
+	if x.relay.hasStarted() {
 		return scheduler.Completed{}
 	}
 	if x.fields.LastEventID < 0 {
 		return scheduler.Broken{}
 	}
-	x.relay.hold(answer.Status, answer.Header, nil)
+	a.held = heldAnswer{status: answer.Status, header: answer.Header}
 	return scheduler.Completed{}
 }
 
 // relayStream relays events until the end of the stream. It reads the next event only after
-// the previous event was written to the caller. An incomplete event is never relayed.
-func (f *Forwarder) relayStream(ctx context.Context, x *exchange, a scheduler.Send, answer *requester.Answer, load scheduler.Load) scheduler.Ending {
+// the previous event was written to the caller. An incomplete event is never relayed, nor is an
+// event of an attempt that was abandoned: the scheduler learns of each event before it is
+// relayed, and abandons the request's other attempt then.
+func (f *Forwarder) relayStream(x *exchange, a *attempt, answer *requester.Answer, load scheduler.Load) scheduler.Ending {
 	in := streamBuffers.Get().(*bufio.Reader)
 	in.Reset(answer)
 	defer streamBuffers.Put(in)
@@ -150,19 +167,19 @@
 		var err error
 		event, err = eventreader.Read(event[:0], in, maxEventBytes)
 		if errors.Is(err, io.EOF) {
-			return x.completedStreamEnding(answer)
+			return x.completedStreamEnding(a, answer)
 		}
 		if err != nil {
 			f.logBroken(x, err)
-			return x.brokenEnding(ctx)
-		}
-		if x.isAbandoned() {
-			return scheduler.Abandoned{}
+			return a.brokenEnding()
 		}
 		f.step.Submit(scheduler.Progressed{Ref: x.ref, Attempt: a.Attempt, Event: true, Load: load})
 		load = scheduler.Load{}
+		if a.isAbandoned.Load() {
+			return scheduler.Abandoned{}
+		}
 		if err := x.relay.writeEvent(answer.Status, answer.Header, event); err != nil {
-			return x.brokenEnding(ctx)
+			return a.brokenEnding()
 		}
 	}
 }
--- /dev/null
+++ b/forwarder/exchange.go
@@ -0,0 +1,81 @@
+package forwarder
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"amaranthmill/internal/identifier"
+	"amaranthmill/resolver"
+	"amaranthmill/scheduler"
+)
+
+// exchange is a caller's request and its answer, from the request's arrival to its outcome.
+type exchange struct {
+	ref       scheduler.Ref
+	arrivedAt time.Time
+	match     resolver.Match
+	fields    RequestFields
+	identity  identifier.Fingerprint // the same for all tries of the request
+	request   *http.Request
+	body      []byte
+	hasBody   bool
+	service   identifier.Service
+	pool      identifier.Pool
+	deadline  time.Time
+	inbox     chan scheduler.Action
+	hedges    sync.WaitGroup // attempts that hedge others
+	hasWaited atomic.Bool    // the request waited for a target; read at its first attempt
+	relay     *relay
+
+	mu       sync.Mutex // guards the field below
+	attempts []*attempt // by number, from 1
+}
+
+// attempt is one attempt of an exchange's request. Only the goroutine that runs the attempt uses
+// held until it has reported the end.
+type attempt struct {
+	scheduler.Send
+	ctx    context.Context
+	cancel context.CancelFunc
+	held   heldAnswer // a complete answer that is not a stream
+
+	isAbandoned atomic.Bool
+}
+
+// heldAnswer is a complete answer that has not been sent to the caller.
+type heldAnswer struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// begin adds the attempt that a starts.
+func (x *exchange) begin(a scheduler.Send) *attempt {
+	ctx, cancel := context.WithDeadline(context.WithoutCancel(x.request.Context()), x.deadline)
+	t := &attempt{Send: a, ctx: ctx, cancel: cancel}
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.attempts = append(x.attempts, t)
+	return t
+}
+
+// attempt returns the attempt with a number.
+func (x *exchange) attempt(number int) *attempt {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.attempts[number-1]
+}
+
+// abandon cancels a running attempt. The attempt of a non-idempotent request continues after
+// its caller has left, because canceling it could leave the request partly executed.
+func (x *exchange) abandon(a scheduler.Abandon) {
+	if a.Reason == scheduler.ReasonCallerGone && x.match.Route.Kind == resolver.KindNonIdempotent {
+		return
+	}
+	t := x.attempt(a.Attempt)
+	t.isAbandoned.Store(true)
+	t.cancel()
+}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -1,9 +1,7 @@
 package forwarder
 
 import (
-	"context"
 	"math/rand/v2"
-	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -11,7 +9,6 @@
 	"github.com/rs/zerolog"
 	"go.opentelemetry.io/otel/metric"
 
-	"amaranthmill/internal/identifier"
 	"amaranthmill/internal/stepper"
 	"amaranthmill/quarantiner"
 	"amaranthmill/requester"
@@ -119,7 +116,7 @@
 func (f *Forwarder) handle(a scheduler.Action) {
 	switch a := a.(type) {
 	case scheduler.Send:
-		f.deliver(a.Ref, a)
+		f.startAttempt(a)
 	case scheduler.Finish:
 		f.deliver(a.Ref, a)
 	case scheduler.Wait:
@@ -151,62 +148,23 @@
 	}
 }
 
-func (f *Forwarder) deliver(ref scheduler.Ref, a scheduler.Action) {
-	if x := f.find(ref); x != nil {
-		x.inbox <- a // the capacity suffices: at most one Send or Finish is pending, and a Finish may follow it
-	}
-}
-
-// exchange is a caller's request and its answer, from the request's arrival to its outcome.
-type exchange struct {
-	ref       scheduler.Ref
-	arrivedAt time.Time
-	match     resolver.Match
-	fields    RequestFields
-	identity  identifier.Fingerprint // the same for all tries of the request
-	request   *http.Request
-	body      []byte
-	hasBody   bool
-	service   identifier.Service
-	pool      identifier.Pool
-	deadline  time.Time
-	inbox     chan scheduler.Action
-	hasWaited atomic.Bool // the request waited for a target; read at its first attempt
-	relay     relay
-
-	mu        sync.Mutex // guards the fields below
-	attempt   int
-	cancel    context.CancelFunc
-	abandoned scheduler.Reason // why the running attempt was abandoned; empty if it was not
-}
-
-// abandon cancels the running attempt. The attempt of a non-idempotent request continues
-// after its caller has left, because canceling it could leave the request partly executed.
-func (x *exchange) abandon(a scheduler.Abandon) {
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	if x.attempt != a.Attempt || x.cancel == nil {
+// startAttempt starts an attempt: one that hedges another in a goroutine of its own, any other
+// in the goroutine that serves the request.
+func (f *Forwarder) startAttempt(a scheduler.Send) {
+	x := f.find(a.Ref)
+	if x == nil {
 		return
 	}
-	if a.Reason == scheduler.ReasonCallerGone && x.match.Route.Kind == resolver.KindNonIdempotent {
+	t := x.begin(a)
+	if a.Hedges == "" {
+		f.deliver(a.Ref, a)
 		return
 	}
-	x.abandoned = a.Reason
-	x.cancel()
-}
-
-// beginAttempt records the running attempt and returns its context.
-func (x *exchange) beginAttempt(ctx context.Context, attempt int) (context.Context, context.CancelFunc) {
-	ctx, cancel := context.WithDeadline(ctx, x.deadline)
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	x.attempt, x.cancel, x.abandoned = attempt, cancel, ""
-	return ctx, cancel
+	x.hedges.Go(func() { f.runAttempt(x, t) })
 }
 
-// isAbandoned reports whether the running attempt was abandoned.
-func (x *exchange) isAbandoned() bool {
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	return x.abandoned != ""
+func (f *Forwarder) deliver(ref scheduler.Ref, a scheduler.Action) {
+	if x := f.find(ref); x != nil {
+		x.inbox <- a // the capacity suffices: at most one Send or Finish is pending, and a Finish may follow it
+	}
 }
--- /dev/null
+++ b/forwarder/hedge_test.go
@@ -0,0 +1,121 @@
+package forwarder_test
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// writeEvent writes one event of a stream and flushes it.
+func writeEvent(w http.ResponseWriter, id int) {
+	_, _ = fmt.Fprintf(w, "id: %d\ndata: %c\n\n", id, 'a'+id)
+	_ = http.NewResponseController(w).Flush()
+}
+
+// silentStream returns a handler whose first request gets event 0 and then nothing until speak
+// is closed, and then the other events up to event 3. Further requests are answered by next.
+func silentStream(speak <-chan struct{}, next http.HandlerFunc) http.HandlerFunc {
+	first := make(chan struct{}, 1)
+	first <- struct{}{}
+	return func(w http.ResponseWriter, r *http.Request) {
+		select {
+		case <-first:
+		default:
+			next(w, r)
+			return
+		}
+		w.Header().Set("Content-Type", "text/event-stream")
+		w.Header().Set("Signature", "first")
+		writeEvent(w, 0)
+		select {
+		case <-speak:
+		case <-r.Context().Done():
+		}
+		for id := 1; id <= 3; id++ {
+			writeEvent(w, id)
+		}
+	}
+}
+
+// TestSilentStreamIsTakenOver checks that the hedge of a stream whose endpoint stays silent
+// delivers the rest, and that no event of the endpoint reaches the caller after that.
+func TestSilentStreamIsTakenOver(t *testing.T) {
+	is := is.New(t)
+	x := newFixture(t)
+	speak := make(chan struct{})
+	h := silentStream(speak, func(w http.ResponseWriter, r *http.Request) {
+		is.Equal(r.Header.Get("Last-Event"), "0")
+		w.Header().Set("Content-Type", "text/event-stream")
+		w.Header().Set("Signature", "second")
+		writeEvent(w, 1)
+		close(speak)
+		events(w, r, 3, false)
+	})
+	for range 2 {
+		x.add(h)
+	}
+	resp := x.get("/stream/x")
+	is.Equal(body(resp), "id: 0\ndata: a\n\nid: 1\ndata: b\n\nid: 2\ndata: c\n\nid: 3\ndata: d\n\n")
+	is.Equal(resp.Header.Get("Signature"), "first")
+}
+
+// TestSilentStreamGoesOn checks that a stream whose endpoint goes on before its hedge has begun
+// is delivered by its endpoint, and that the hedge is canceled.
+func TestSilentStreamGoesOn(t *testing.T) {
+	is := is.New(t)
+	x := newFixture(t)
+	speak, canceled := make(chan struct{}), make(chan struct{})
+	h := silentStream(speak, func(_ http.ResponseWriter, r *http.Request) {
+		close(speak)
+		<-r.Context().Done()
+		close(canceled)
+	})
+	for range 2 {
+		x.add(h)
+	}
+	is.Equal(body(x.get("/stream/x")), "id: 0\ndata: a\n\nid: 1\ndata: b\n\nid: 2\ndata: c\n\nid: 3\ndata: d\n\n")
+	<-canceled
+}
+
+// TestSilentStreamWhoseHedgeIsRefused checks that a stream whose hedge is refused goes on where it is.
+func TestSilentStreamWhoseHedgeIsRefused(t *testing.T) {
+	is := is.New(t)
+	x := newFixture(t)
+	speak := make(chan struct{})
+	h := silentStream(speak, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Not-Run", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		close(speak)
+	})
+	for range 2 {
+		x.add(h)
+	}
+	is.Equal(body(x.get("/stream/x")), "id: 0\ndata: a\n\nid: 1\ndata: b\n\nid: 2\ndata: c\n\nid: 3\ndata: d\n\n")
+}
+
+// TestSilentLookupIsAnsweredOnce checks that a hedged request without a stream gets the answer
+// of the attempt that ends first.
+func TestSilentLookupIsAnsweredOnce(t *testing.T) {
+	is := is.New(t)
+	x := newFixture(t)
+	first := make(chan struct{}, 1)
+	first <- struct{}{}
+	h := func(w http.ResponseWriter, r *http.Request) {
+		select {
+		case <-first:
+			<-r.Context().Done()
+			return
+		default:
+		}
+		w.Header().Set("Signature", "second")
+		_, _ = fmt.Fprint(w, "answer of the hedge")
+	}
+	for range 2 {
+		x.add(h)
+	}
+	resp := x.get("/look/x")
+	is.Equal(body(resp), "answer of the hedge")
+	is.Equal(resp.Header.Get("Signature"), "second")
+}
--- a/forwarder/log.go
+++ b/forwarder/log.go
@@ -20,14 +20,17 @@
 		Uint64("version", uint64(f.cfg.Resolver.Version())).Str("reason", reason).AnErr("cause", err).Msg("refused")
 }
 
-func (f *Forwarder) logSend(x *exchange, a scheduler.Send) {
+func (f *Forwarder) logSend(x *exchange, a *attempt) {
 	e := f.cfg.Logger.Info()
 	if a.Attempt > 1 {
 		e = f.cfg.Logger.Warn()
 	}
+	if a.Hedges != "" {
+		e = e.Str("hedges", string(a.Hedges))
+	}
 	x.addRequest(e).Str("account", string(x.match.Account)).Stringer("fingerprint", x.identity).Int("attempt", a.Attempt).Str("endpoint", string(a.Target.ID)).
 		Str("group", string(a.Target.Group)).Uint64("epoch", uint64(a.Target.Epoch)).Float64("load", a.Load).
-		Int("lastEvent", x.relay.lastEventID).Dur("left", time.Until(x.deadline)).Msg("placed")
+		Int("lastEvent", x.relay.position()).Dur("left", time.Until(x.deadline)).Msg("placed")
 }
 
 func (f *Forwarder) logWait(x *exchange, a scheduler.Wait) {
@@ -42,12 +45,12 @@
 	x.addRequest(f.cfg.Logger.Warn()).AnErr("cause", err).Msg("no whole answer")
 }
 
-func (f *Forwarder) logEnded(x *exchange, a scheduler.Send, end scheduler.Ending) {
+func (f *Forwarder) logEnded(x *exchange, a *attempt, end scheduler.Ending) {
 	if _, ok := end.(scheduler.Completed); ok {
 		return
 	}
 	x.addRequest(f.cfg.Logger.Warn()).Stringer("fingerprint", x.identity).Int("attempt", a.Attempt).Str("endpoint", string(a.Target.ID)).
-		Int64("processStart", int64(a.Target.ProcessStart)).Str("ending", scheduler.EndingName(end)).Int("status", x.relay.heldStatus).Msg("attempt ended")
+		Int64("processStart", int64(a.Target.ProcessStart)).Str("ending", scheduler.EndingName(end)).Int("status", a.held.status).Msg("attempt ended")
 }
 
 func (f *Forwarder) logStalled(a scheduler.Stalled) {
--- a/forwarder/relay.go
+++ b/forwarder/relay.go
@@ -3,14 +3,16 @@
 import (
 	"net/http"
 	"strconv"
+	"sync"
 	"time"
 
 	"amaranthmill/internal/eventreader"
 )
 
 // relay writes the answer of a request to its caller, across all attempts, and tracks which
-// events the caller received.
+// events the caller received. It is safe for concurrent use.
 type relay struct {
+	mu            sync.Mutex // guards the fields below
 	w             http.ResponseWriter
 	controller    *http.ResponseController
 	lastEventID   int           // last event that the caller received; -1 for none
@@ -18,24 +20,31 @@
 	firstEventAt  time.Time     // time of the first event
 	lastEventAt   time.Time     // time of the last event
 	longestGap    time.Duration // longest time between two events
+}
 
-	heldStatus int // status of the held answer; zero for none
-	heldHeader http.Header
-	heldBody   []byte
+func newRelay(w http.ResponseWriter, lastEventID int) *relay {
+	return &relay{w: w, controller: http.NewResponseController(w), lastEventID: lastEventID}
 }
 
-func newRelay(w http.ResponseWriter, lastEventID int) relay {
-	return relay{w: w, controller: http.NewResponseController(w), lastEventID: lastEventID}
+// hasStarted reports whether the caller has received the header of a stream.
+func (r *relay) hasStarted() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.answerStarted
 }
 
-// hold stores a complete answer for the caller.
-func (r *relay) hold(status int, header http.Header, body []byte) {
-	r.heldStatus, r.heldHeader, r.heldBody = status, header, body
+// position returns the last event that the caller received, or -1 for none.
+func (r *relay) position() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.lastEventID
 }
 
 // writeEvent relays an event unless the caller already received it. The first event is preceded
 // by the header of its answer. The header stays the same if another endpoint resumes the stream.
 func (r *relay) writeEvent(status int, header http.Header, event []byte) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	id, numbered := eventreader.ID(event)
 	if numbered && id <= r.lastEventID {
 		return nil
@@ -54,7 +63,7 @@
 	return r.controller.Flush()
 }
 
-// recordEventTime records the time at which an event was written to the caller.
+// recordEventTime records the time at which an event was written to the caller. r.mu is held.
 func (r *relay) recordEventTime(now time.Time) {
 	if r.firstEventAt.IsZero() {
 		r.firstEventAt = now
@@ -64,7 +73,8 @@
 	r.lastEventAt = now
 }
 
-// startAnswer copies the endpoint's header fields to the caller's answer, except those of the connection.
+// startAnswer copies the endpoint's header fields to the caller's answer, except those of the
+// connection. r.mu is held.
 func (r *relay) startAnswer(header http.Header) {
 	r.answerStarted = true
 	out := r.w.Header()
@@ -78,19 +88,21 @@
 	}
 }
 
-// writeHeld writes the held answer to the caller. After a stream it does nothing.
-func (r *relay) writeHeld() error {
+// writeHeld writes a held answer to the caller. After a stream it does nothing.
+func (r *relay) writeHeld(a heldAnswer) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	if r.answerStarted {
 		return nil
 	}
 	connection := r.w.Header().Get("Connection")
-	r.startAnswer(r.heldHeader)
+	r.startAnswer(a.header)
 	r.w.Header().Del("Connection")
 	if connection != "" {
 		r.w.Header().Set("Connection", connection)
 	}
-	r.w.Header().Set("Content-Length", strconv.Itoa(len(r.heldBody)))
-	r.w.WriteHeader(r.heldStatus)
-	_, err := r.w.Write(r.heldBody)
+	r.w.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
+	r.w.WriteHeader(a.status)
+	_, err := r.w.Write(a.body)
 	return err
 }
--- a/forwarder/serve.go
+++ b/forwarder/serve.go
@@ -129,19 +129,9 @@
 	for {
 		switch a := (<-x.inbox).(type) {
 		case scheduler.Send:
-			f.logSend(x, a)
-			if a.Attempt == 1 && x.hasWaited.Load() {
-				f.meters.recordQueueTime(x)
-			}
-			f.cfg.OnAttempt(quarantiner.AttemptStarted{Fingerprint: x.identity})
-			ending, load := f.runAttempt(x, a)
-			f.cfg.OnAttempt(quarantiner.AttemptEnded{
-				Fingerprint: x.identity, Process: quarantiner.Process{Endpoint: a.Target.ID, Start: a.Target.ProcessStart}, Result: attemptResult(ending),
-			})
-			f.logEnded(x, a, ending)
-			f.meters.countAttempt(x, ending)
-			f.step.Submit(scheduler.Ended{Ref: x.ref, Attempt: a.Attempt, Ending: ending, Load: load})
+			f.runAttempt(x, x.attempt(a.Attempt))
 		case scheduler.Finish:
+			x.hedges.Wait() // a canceled attempt ends at once
 			f.finish(w, x, a.Outcome)
 			return
 		}
@@ -185,20 +175,21 @@
 	}
 	f.meters.recordOutcome(x, o)
 	switch o := o.(type) {
-	case scheduler.Delivered, scheduler.PassedThrough:
-		if err := x.relay.writeHeld(); err != nil {
-			panic(http.ErrAbortHandler)
-		}
+	case scheduler.Delivered:
+		x.writeHeld(o.Attempt)
+		return
+	case scheduler.PassedThrough:
+		x.writeHeld(o.Attempt)
 		return
 	case scheduler.CallerGone:
 		panic(http.ErrAbortHandler)
 	case scheduler.NotRun:
-		if !x.relay.answerStarted {
+		if !x.relay.hasStarted() {
 			f.writeNotRun(w, x, o)
 			return
 		}
 	case scheduler.Unknown:
-		if !x.relay.answerStarted {
+		if !x.relay.hasStarted() {
 			f.writeUnknown(w, x, o)
 			return
 		}
@@ -206,6 +197,13 @@
 	panic(http.ErrAbortHandler)
 }
 
+// writeHeld writes the held answer of an attempt to the caller.
+func (x *exchange) writeHeld(attempt int) {
+	if err := x.relay.writeHeld(x.attempt(attempt).held); err != nil {
+		panic(http.ErrAbortHandler)
+	}
+}
+
 func (f *Forwarder) writeNotRun(w http.ResponseWriter, x *exchange, o scheduler.NotRun) {
 	f.setRequestID(w, x.fields)
 	p := problemwriter.New(problemwriter.OutcomeNotRun, http.StatusServiceUnavailable, string(o.Reason), "The request has not run and will not.", identifier.Request(x.fields.ID))
--- /dev/null
+++ b/scheduler/attempt.go
@@ -0,0 +1,71 @@
+package scheduler
+
+import (
+	"slices"
+	"time"
+)
+
+// attempt is a running attempt of a request.
+type attempt struct {
+	flight         *flight
+	number         int // from 1
+	target         *target
+	sentAt         time.Time
+	hasEvent       bool      // an event of the attempt has been received
+	lastProgressAt time.Time // time of the last progress of the attempt, or of its start
+	hedges         Reason    // why the attempt was started beside another attempt; empty if it was not
+}
+
+// mayHaveRun reports whether a may have begun to run at its target. A stream begins with its
+// first event. A stream without an event has therefore not begun if the running streams at
+// the target have made no progress since it was sent. If the target had no running stream when
+// it stalled, a stream without an event may have begun.
+func (a *attempt) mayHaveRun() bool {
+	return a.hasEvent || !a.flight.Stream || !a.target.streamsStalled || a.target.lastProgressAt.After(a.sentAt)
+}
+
+// start starts an attempt of f at t. If hedges is not empty, it is the reason why the attempt
+// is started although another attempt of f runs.
+func (s *Scheduler) start(now time.Time, f *flight, t *target, load float64, hedges Reason) {
+	s.dequeue(f)
+	f.attempts++
+	a := &attempt{flight: f, number: f.attempts, target: t, sentAt: now, lastProgressAt: now, hedges: hedges}
+	f.running = append(f.running, a)
+	f.giveUpAt = time.Time{}
+	f.tried = append(f.tried, triedTarget{target: t, attempt: a.number})
+	t.attempts[f.ref] = a
+	if !t.stalledAt.IsZero() {
+		t.lastTrialAt = now
+	}
+	s.emit(Send{Ref: f.ref, Attempt: a.number, Target: &t.Target, Load: load, Hedges: hedges})
+}
+
+// drop removes a from the running attempts of its request and of its target.
+func (s *Scheduler) drop(a *attempt) {
+	delete(a.target.attempts, a.flight.ref)
+	a.flight.running = slices.DeleteFunc(a.flight.running, func(o *attempt) bool { return o == a })
+}
+
+// abandon ends a, whose request goes on with another attempt.
+func (s *Scheduler) abandon(a *attempt, reason Reason) {
+	f := a.flight
+	f.sentAttempts++
+	if a.mayHaveRun() {
+		f.possibleRuns++
+	}
+	s.drop(a)
+	s.emit(Abandon{Ref: f.ref, Attempt: a.number, Reason: reason})
+}
+
+// findRunning returns the attempt of the request ref with this number if it runs, or nil.
+func (s *Scheduler) findRunning(ref Ref, number int) *attempt {
+	f := s.flights[ref]
+	if f == nil {
+		return nil
+	}
+	i := slices.IndexFunc(f.running, func(a *attempt) bool { return a.number == number })
+	if i < 0 {
+		return nil
+	}
+	return f.running[i]
+}
--- a/scheduler/doc.go
+++ b/scheduler/doc.go
@@ -13,8 +13,10 @@
 //   - A request that no target is expected to serve in time is refused as soon as the
 //     estimate shows this.
 //
-// A target is stalled if none of its requests makes progress. The repeatable requests of a
-// stalled target resume at other targets after the last event that the caller received. A
-// stalled target gets no requests, except for one trial request at a time, until it makes
-// progress or its group is formed again.
+// A target is stalled if none of its requests makes progress. A stalled target may be gone, or
+// silent for a moment. Its repeatable requests are therefore hedged: a second attempt starts at
+// another target, after the last event that the caller received, and the first attempt is
+// abandoned only when the second has made progress. A request that can't be hedged, because no
+// target, retry or attempt is left for it, stays where it is. A stalled target gets no requests,
+// except for one trial request at a time, until it makes progress or its group is formed again.
 package scheduler
--- a/scheduler/flight.go
+++ b/scheduler/flight.go
@@ -14,25 +14,24 @@
 // flight is a request in flight, from its arrival to its outcome.
 type flight struct {
 	Request
-	ref             Ref
-	attempt         int     // number of the running or last attempt, from 1
-	target          *target // target of the running attempt; nil if none runs
-	tried           []triedTarget
-	sentAttempts    int       // attempts that may have reached a target
-	possibleRuns    int       // attempts that may have run
-	answerStarted   bool      // an event of the answer has been received
-	sentAt          time.Time // start of the running attempt
-	attemptHasEvent bool      // an event of the running attempt has been received
-	lastProgressAt  time.Time // time of the last progress of the running attempt, or of its start
-	abandoned       bool      // an Abandon action was issued for the running attempt
-	giveUpAt        time.Time // end of the wait for a target; zero if the request does not wait
-	refusedStatus   int       // status of the last refusal; zero if no target refused the request
-	failedStatus    int       // status of the endpoint's last own error, which can be passed through; zero for none
+	ref           Ref
+	attempts      int        // number of attempts so far
+	running       []*attempt // one attempt, or two while the request is hedged; none while it waits
+	tried         []triedTarget
+	sentAttempts  int       // ended attempts that may have reached a target
+	possibleRuns  int       // ended attempts that may have run
+	answerStarted bool      // an event of the answer has been received
+	giveUpAt      time.Time // end of the wait for a target; zero if the request does not wait
+	hedgeAfter    time.Time // f is not hedged before this time, because a target has refused a hedge
+	refusedStatus int       // status of the last refusal; zero if no target refused the request
+	failedStatus  int       // status of the endpoint's last own error, which can be passed through; zero for none
+	failedAttempt int       // attempt that ended with that error
 }
 
 // triedTarget is a target of an earlier attempt of a request.
 type triedTarget struct {
 	target  *target
+	attempt int       // number of the attempt
 	retryAt time.Time // when the request may be sent to the target again; zero for never
 }
 
@@ -80,20 +79,7 @@
 		s.giveUp(now, f, ReasonRetryBudget)
 		return
 	}
-	s.send(now, f, t, load)
-}
-
-func (s *Scheduler) send(now time.Time, f *flight, t *target, load float64) {
-	s.dequeue(f)
-	f.attempt++
-	f.target, f.sentAt, f.attemptHasEvent, f.lastProgressAt, f.abandoned = t, now, false, now, false
-	f.giveUpAt = time.Time{}
-	f.tried = append(f.tried, triedTarget{target: t})
-	t.flights[f.ref] = f
-	if !t.stalledAt.IsZero() {
-		t.lastTrialAt = now
-	}
-	s.emit(Send{Ref: f.ref, Attempt: f.attempt, Target: &t.Target, Load: load})
+	s.start(now, f, t, load, "")
 }
 
 // wait lets f wait for a target until f.giveUpAt. It gives f up at that time, or if waiting
@@ -124,22 +110,23 @@
 }
 
 func (s *Scheduler) handleProgress(now time.Time, e Progressed) {
-	f := s.findRunning(e.Ref, e.Attempt)
-	if f == nil {
+	a := s.findRunning(e.Ref, e.Attempt)
+	if a == nil {
 		return
 	}
-	t := f.target
+	f, t := a.flight, a.target
 	t.recordLoad(now, e.Load)
 	if e.Event {
-		if f.attemptHasEvent {
-			t.recordGap(now, now.Sub(f.lastProgressAt))
+		if a.hasEvent {
+			t.recordGap(now, now.Sub(a.lastProgressAt))
 		} else {
-			t.recordFirstEvent(now, now.Sub(f.sentAt))
+			t.recordFirstEvent(now, now.Sub(a.sentAt))
 			s.countAnswer(now, f)
 		}
-		f.attemptHasEvent, f.answerStarted = true, true
+		a.hasEvent, f.answerStarted = true, true
+		s.abandonOthers(a)
 	}
-	f.lastProgressAt = now
+	a.lastProgressAt = now
 	s.recordProgress(now, t)
 }
 
@@ -161,51 +148,41 @@
 	s.emit(Recovered{Target: &t.Target})
 }
 
-// findRunning returns the request ref if its running attempt has this number, or nil.
-func (s *Scheduler) findRunning(ref Ref, attempt int) *flight {
-	f := s.flights[ref]
-	if f == nil || f.target == nil || f.attempt != attempt {
-		return nil
-	}
-	return f
-}
-
 func (s *Scheduler) handleEnd(now time.Time, e Ended) {
-	f := s.findRunning(e.Ref, e.Attempt)
-	if f == nil {
+	a := s.findRunning(e.Ref, e.Attempt)
+	if a == nil {
 		return
 	}
-	t := f.target
-	delete(t.flights, f.ref)
-	f.target = nil
+	f, t := a.flight, a.target
+	s.drop(a)
 	s.ratesOf(f.Pool).endings.count(now)
 	t.recordLoad(now, e.Load)
 	switch end := e.Ending.(type) {
 	case Completed:
 		t.consecutiveFailures = 0
-		if !f.attemptHasEvent {
-			t.recordFirstEvent(now, now.Sub(f.sentAt))
+		if !a.hasEvent {
+			t.recordFirstEvent(now, now.Sub(a.sentAt))
 			s.countAnswer(now, f)
 		}
 		s.recordProgress(now, t)
-		s.finish(f, Delivered{})
+		s.finish(f, Delivered{Attempt: a.number})
 	case NotSent:
 		s.markFailed(now, t)
-		s.place(now, f)
+		s.goOn(now, f)
 	case Refused:
 		f.sentAttempts++
 		f.refusedStatus = end.Status
-		f.tried[len(f.tried)-1].retryAt = now.Add(refusalBackoff)
+		f.allowAgain(a, now.Add(refusalBackoff))
 		if end.Misdirected {
 			s.markFailed(now, t)
 		} else {
 			s.recordProgress(now, t)
 		}
-		s.place(now, f)
+		s.goOn(now, f)
 	case Failed:
 		f.sentAttempts++
 		f.possibleRuns++
-		f.failedStatus = end.Status
+		f.failedStatus, f.failedAttempt = end.Status, a.number
 		s.recordProgress(now, t)
 		s.retry(now, f, ReasonEndpointFail)
 	case Broken:
@@ -213,12 +190,7 @@
 		f.possibleRuns++
 		t.consecutiveFailures++
 		s.retry(now, f, ReasonAnswerLost)
-	case Abandoned:
-		f.sentAttempts++
-		if f.mayHaveRun(t) {
-			f.possibleRuns++
-		}
-		s.retry(now, f, ReasonAnswerLost)
+	case Abandoned: // the scheduler drops an attempt when it abandons it
 	case Expired:
 		f.sentAttempts++
 		f.possibleRuns++
@@ -226,14 +198,22 @@
 	}
 }
 
-// mayHaveRun reports whether the running attempt of f may have begun to run at t. A stream
-// begins with its first event. A stream without an event has therefore not begun if the
-// running streams at t have made no progress since it was sent. If t had no running stream
-// when it stalled, a stream without an event may have begun.
-func (f *flight) mayHaveRun(t *target) bool {
-	return f.attemptHasEvent || !f.Stream || !t.streamsStalled || t.lastProgressAt.After(f.sentAt)
+// allowAgain allows further attempts at the target of a, which refused f, from a time on. If
+// another attempt of f runs, f is hedged again only from that time on.
+func (f *flight) allowAgain(a *attempt, at time.Time) {
+	for i := range f.tried {
+		if f.tried[i].attempt == a.number {
+			f.tried[i].retryAt = at
+		}
+	}
+	if len(f.running) > 0 {
+		f.hedgeAfter = at
+	}
 }
 
+// maxRuns returns the number of targets that may run f.
+func (f *flight) maxRuns() int { return max(f.MaxAttempts, 1) }
+
 // markFailed counts a failure of t and treats t as stalled, because a connection to t failed
 // or its endpoint no longer serves at its address.
 func (s *Scheduler) markFailed(now time.Time, t *target) {
@@ -244,13 +224,21 @@
 	}
 }
 
+// goOn places f again after an attempt ended, unless another attempt of f runs.
+func (s *Scheduler) goOn(now time.Time, f *flight) {
+	if len(f.running) == 0 {
+		s.place(now, f)
+	}
+}
+
 // retry places a request that may have run again if it is repeatable and has attempts left,
-// and gives it up otherwise.
+// and gives it up otherwise. A request of which another attempt runs goes on with that attempt.
 func (s *Scheduler) retry(now time.Time, f *flight, reason Reason) {
 	switch {
+	case len(f.running) > 0:
 	case !f.Repeatable:
 		s.giveUp(now, f, reason)
-	case f.possibleRuns >= max(f.MaxAttempts, 1):
+	case f.possibleRuns >= f.maxRuns():
 		s.giveUp(now, f, ReasonAttempts)
 	default:
 		s.place(now, f)
@@ -262,7 +250,7 @@
 func (s *Scheduler) giveUp(now time.Time, f *flight, reason Reason) {
 	switch {
 	case f.failedStatus != 0 && !f.answerStarted:
-		s.finish(f, PassedThrough{Status: f.failedStatus})
+		s.finish(f, PassedThrough{Status: f.failedStatus, Attempt: f.failedAttempt})
 	case f.possibleRuns > 0 || f.answerStarted:
 		s.latency.count(f, true)
 		s.finish(f, Unknown{Reason: reason})
@@ -279,8 +267,12 @@
 	}
 }
 
+// finish ends f. Its running attempts are abandoned.
 func (s *Scheduler) finish(f *flight, o Outcome) {
 	s.dequeue(f)
+	for len(f.running) > 0 {
+		s.abandon(f.running[0], ReasonEnded)
+	}
 	delete(s.flights, f.ref)
 	if s.copies[f.Fingerprint]--; s.copies[f.Fingerprint] <= 0 {
 		delete(s.copies, f.Fingerprint)
@@ -294,9 +286,8 @@
 	if f == nil {
 		return
 	}
-	if f.target != nil {
-		delete(f.target.flights, ref)
-		s.emit(Abandon{Ref: ref, Attempt: f.attempt, Reason: ReasonCallerGone})
+	for len(f.running) > 0 {
+		s.abandon(f.running[0], ReasonCallerGone)
 	}
 	s.finish(f, CallerGone{})
 }
--- /dev/null
+++ b/scheduler/hedge.go
@@ -0,0 +1,66 @@
+package scheduler
+
+import "time"
+
+// hedgeStalled hedges the requests at t, whose attempts make no progress.
+func (s *Scheduler) hedgeStalled(now time.Time, t *target) {
+	for _, a := range sortedAttempts(t.attempts) {
+		s.hedge(now, a, ReasonStalled)
+	}
+}
+
+// hedgeOrphans hedges the requests at removed targets that make no progress.
+func (s *Scheduler) hedgeOrphans(now time.Time) {
+	for _, f := range sortedFlights(s.flights) {
+		if len(f.running) != 1 {
+			continue
+		}
+		a := f.running[0]
+		if s.targets[a.target.ID] != a.target && now.Sub(a.lastProgressAt) >= s.cfg.MinFirstEventStall {
+			s.hedge(now, a, ReasonReplaced)
+		}
+	}
+}
+
+// hedge starts a second attempt of a's request at another target, if one is available now. The
+// attempt a goes on: whichever of the two makes progress first answers the request, so that
+// neither a lack of targets or retries nor a refusal by the second target ends the answer.
+func (s *Scheduler) hedge(now time.Time, a *attempt, reason Reason) {
+	f := a.flight
+	if !s.mayHedge(now, a) {
+		return
+	}
+	t, load, _ := s.chooseTarget(now, f)
+	if t == nil || !s.budget.trySpend(f.Service) {
+		return
+	}
+	s.start(now, f, t, load, reason)
+}
+
+// mayHedge reports whether the request of a, its only running attempt, may run at a second target
+// too. A suspected request may not, because it may crash both. An attempt that goes on may run.
+func (s *Scheduler) mayHedge(now time.Time, a *attempt) bool {
+	f := a.flight
+	if !f.Repeatable || len(f.running) != 1 || f.Deadline.Sub(now) < minServeTime || now.Before(f.hedgeAfter) {
+		return false
+	}
+	if s.isRestricted(f) {
+		return false
+	}
+	return f.possibleRuns+1 < f.maxRuns()
+}
+
+// abandonOthers ends the other attempts of a's request, because a has made progress.
+func (s *Scheduler) abandonOthers(a *attempt) {
+	for len(a.flight.running) > 1 {
+		other := a.flight.running[0]
+		if other == a {
+			other = a.flight.running[1]
+		}
+		reason := a.hedges
+		if other.number > a.number {
+			reason = ReasonRecovered
+		}
+		s.abandon(other, reason)
+	}
+}
--- a/scheduler/request.go
+++ b/scheduler/request.go
@@ -105,7 +105,8 @@
 // Broken means that no complete and valid answer was received and that the request may have run.
 type Broken struct{}
 
-// Abandoned means that an Abandon action ended the attempt.
+// Abandoned means that an Abandon action ended the attempt. It has no effect, because the
+// request went on without the attempt when the action was issued.
 type Abandoned struct{}
 
 // Expired means that the deadline passed during the attempt.
@@ -144,16 +145,20 @@
 // LatencyReport or WakeAt.
 type Action interface{ action() }
 
-// Send starts an attempt: the request is sent to Target.
+// Send starts an attempt: the request is sent to Target. An attempt that hedges another one runs
+// beside it. Of the two, the first that makes progress answers the request, and the other is
+// abandoned; a stream resumes after the last event that the caller has received when the
+// attempt starts.
 type Send struct {
 	Ref     Ref
 	Attempt int
 	Target  *Target
 	Load    float64 // estimated load of the target when it was chosen, as a fraction of its slots
+	Hedges  Reason  // why the attempt hedges the attempt that runs; empty if none runs
 }
 
-// Abandon cancels the running attempt. The attempt then ends as Abandoned, unless it ends in
-// another way first.
+// Abandon cancels a running attempt, whose answer is no longer needed. No event of it may reach
+// the caller any more.
 type Abandon struct {
 	Ref     Ref
 	Attempt int
@@ -214,6 +219,8 @@
 	ReasonFull         Reason = "full"         // every available target is full
 	ReasonStalled      Reason = "stalled"      // the target is stalled
 	ReasonReplaced     Reason = "replaced"     // the target was removed, or replaced by another incarnation
+	ReasonRecovered    Reason = "recovered"    // the attempt that was hedged has made progress
+	ReasonEnded        Reason = "ended"        // the request ended while the attempt ran
 	ReasonRetryBudget  Reason = "retryBudget"  // this instance's part of the retry budget is used up
 	ReasonAttempts     Reason = "attempts"     // the request may have run at MaxAttempts targets
 	ReasonAnswerLost   Reason = "answerLost"   // the request may have run and is not repeatable
@@ -228,11 +235,14 @@
 // Outcome is how a request ended: Delivered, PassedThrough, NotRun, Unknown or CallerGone.
 type Outcome interface{ outcome() }
 
-// Delivered means that the caller gets the complete answer.
-type Delivered struct{}
+// Delivered means that the caller gets the complete answer, which ended with Attempt.
+type Delivered struct{ Attempt int }
 
-// PassedThrough means that the caller gets the endpoint's own error answer.
-type PassedThrough struct{ Status int }
+// PassedThrough means that the caller gets the endpoint's own error answer, which Attempt received.
+type PassedThrough struct {
+	Status  int
+	Attempt int
+}
 
 // NotRun means that the request has certainly not run.
 type NotRun struct {
--- a/scheduler/restriction.go
+++ b/scheduler/restriction.go
@@ -40,8 +40,13 @@
 		return nil
 	}
 	for _, o := range sortedFlights(s.flights) {
-		if o != f && o.Fingerprint == f.Fingerprint && o.target != nil && s.targets[o.target.ID] == o.target {
-			return o.target
+		if o == f || o.Fingerprint != f.Fingerprint {
+			continue
+		}
+		for _, a := range o.running {
+			if s.targets[a.target.ID] == a.target {
+				return a.target
+			}
 		}
 	}
 	return nil
@@ -70,13 +75,19 @@
 	return ""
 }
 
+// isRestricted reports whether the requests with the fingerprint of f have a restriction.
+func (s *Scheduler) isRestricted(f *flight) bool {
+	_, ok := s.restrictions[f.Fingerprint]
+	return ok
+}
+
 // runsCopyOf reports whether another request with the fingerprint of f runs at a target.
 func (s *Scheduler) runsCopyOf(f *flight) bool {
 	if s.copies[f.Fingerprint] < 2 {
 		return false
 	}
 	for _, o := range s.flights {
-		if o != f && o.Fingerprint == f.Fingerprint && o.target != nil {
+		if o != f && o.Fingerprint == f.Fingerprint && len(o.running) > 0 {
 			return true
 		}
 	}
@@ -87,7 +98,7 @@
 // whose connection broke in an earlier attempt waits, until it is known whether the endpoint
 // has ended.
 func (s *Scheduler) block(now time.Time, f *flight, reason Reason) {
-	if reason == ReasonQuarantined || f.attempt == 0 || f.failedStatus != 0 {
+	if reason == ReasonQuarantined || f.attempts == 0 || f.failedStatus != 0 {
 		s.giveUp(now, f, reason)
 		return
 	}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -136,7 +136,7 @@
 	for i := range targets {
 		t := old[targets[i].ID]
 		if t == nil || !t.isSameIncarnation(&targets[i]) {
-			t = &target{flights: map[Ref]*flight{}, addedAt: now}
+			t = &target{attempts: map[Ref]*attempt{}, addedAt: now}
 		}
 		t.Target = targets[i]
 		s.targets[t.ID] = t
@@ -221,7 +221,7 @@
 	if t.stalledAt.IsZero() {
 		return true
 	}
-	return len(t.flights) == 0 && now.Sub(t.lastTrialAt) >= s.cfg.TrialInterval && now.Sub(t.stalledAt) >= s.cfg.TrialInterval
+	return len(t.attempts) == 0 && now.Sub(t.lastTrialAt) >= s.cfg.TrialInterval && now.Sub(t.stalledAt) >= s.cfg.TrialInterval
 }
 
 // enqueue adds f to the queue, which is ordered by priority and, within a priority, by deadline.
--- a/scheduler/stall.go
+++ b/scheduler/stall.go
@@ -14,18 +14,17 @@
 	fullStallFactor = 3
 )
 
-// checkStalls finds stalled and removed targets and abandons the attempts there whose
-// requests can run elsewhere.
+// checkStalls finds stalled and removed targets and hedges the requests there.
 func (s *Scheduler) checkStalls(now time.Time) {
 	for _, id := range slices.Sorted(maps.Keys(s.targets)) {
 		s.checkTarget(now, s.targets[id])
 	}
-	s.abandonOrphans(now)
+	s.hedgeOrphans(now)
 }
 
-// checkTarget checks whether t is stalled. If it is, it abandons the attempts whose requests can run elsewhere.
+// checkTarget checks whether t is stalled. If it is, it hedges the requests there.
 func (s *Scheduler) checkTarget(now time.Time, t *target) {
-	if len(t.flights) == 0 {
+	if len(t.attempts) == 0 {
 		return
 	}
 	silence, streaming, isStalled := s.measureStall(now, t)
@@ -37,7 +36,7 @@
 		t.stalledAt, t.lastTrialAt = now, now
 		s.emit(Stalled{Target: &t.Target, Silence: silence})
 	}
-	s.abandonStalled(now, t)
+	s.hedgeStalled(now, t)
 }
 
 // measureStall returns the time for which t has made no progress although it has requests,
@@ -46,12 +45,12 @@
 // time to the first event.
 func (s *Scheduler) measureStall(now time.Time, t *target) (silence time.Duration, streaming, isStalled bool) {
 	oldest := now
-	for _, f := range t.flights {
-		if f.attemptHasEvent && f.Stream {
+	for _, a := range t.attempts {
+		if a.hasEvent && a.flight.Stream {
 			streaming = true
 		}
-		if f.sentAt.Before(oldest) {
-			oldest = f.sentAt
+		if a.sentAt.Before(oldest) {
+			oldest = a.sentAt
 		}
 	}
 	progressedAt := t.lastProgressAt
@@ -70,56 +69,22 @@
 	return silence, false, silence >= bound
 }
 
-// abandonStalled abandons the attempts at t whose requests can run elsewhere, by priority and arrival.
-func (s *Scheduler) abandonStalled(now time.Time, t *target) {
-	for _, f := range sortedFlights(t.flights) {
-		if !f.abandoned && s.canRunElsewhere(now, f) {
-			s.abandon(f, ReasonStalled)
-		}
-	}
-}
-
-// abandonOrphans abandons the attempts at removed targets that make no progress, if their requests can run elsewhere.
-func (s *Scheduler) abandonOrphans(now time.Time) {
-	for _, f := range sortedFlights(s.flights) {
-		if f.target == nil || f.abandoned || s.targets[f.target.ID] == f.target {
-			continue
-		}
-		if now.Sub(f.lastProgressAt) >= s.cfg.MinFirstEventStall && s.canRunElsewhere(now, f) {
-			s.abandon(f, ReasonReplaced)
-		}
-	}
-}
-
-func (s *Scheduler) abandon(f *flight, reason Reason) {
-	f.abandoned = true
-	s.emit(Abandon{Ref: f.ref, Attempt: f.attempt, Reason: reason})
-}
-
-// canRunElsewhere reports whether another target could run f now.
-func (s *Scheduler) canRunElsewhere(now time.Time, f *flight) bool {
-	if !f.Repeatable || f.Deadline.Sub(now) < minServeTime || s.budget.available(f.Service) < 1 {
-		return false
-	}
-	possibleRuns := f.possibleRuns
-	if f.mayHaveRun(f.target) {
-		possibleRuns++
-	}
-	if possibleRuns >= max(f.MaxAttempts, 1) {
-		return false
-	}
-	if s.blockingReason(f) != "" {
-		return false
-	}
-	t, _, _ := s.chooseTarget(now, f)
-	return t != nil
-}
-
 // sortedFlights returns flights ordered by priority and, within a priority, by arrival.
 func sortedFlights(flights map[Ref]*flight) []*flight {
 	out := slices.Collect(maps.Values(flights))
-	slices.SortFunc(out, func(a, b *flight) int {
-		return cmp.Or(cmp.Compare(a.Priority, b.Priority), cmp.Compare(a.ref, b.ref))
-	})
+	slices.SortFunc(out, compareFlights)
 	return out
 }
+
+// sortedAttempts returns attempts ordered by the priority of their requests and, within a
+// priority, by the arrival of their requests.
+func sortedAttempts(attempts map[Ref]*attempt) []*attempt {
+	out := slices.Collect(maps.Values(attempts))
+	slices.SortFunc(out, func(a, b *attempt) int { return compareFlights(a.flight, b.flight) })
+	return out
+}
+
+// compareFlights orders requests by priority and, within a priority, by arrival.
+func compareFlights(a, b *flight) int {
+	return cmp.Or(cmp.Compare(a.Priority, b.Priority), cmp.Compare(a.ref, b.ref))
+}
--- a/scheduler/target.go
+++ b/scheduler/target.go
@@ -50,13 +50,13 @@
 // target is a Target with the measurements of this instance.
 type target struct {
 	Target
-	flights              map[Ref]*flight
-	addedAt              time.Time // when this instance first saw this incarnation
-	lastProgressAt       time.Time // time of the last progress of any request at the target
-	stalledAt            time.Time // zero if the target is not stalled
-	streamsStalled       bool      // the target stalled while streams were running, so that no other stream has begun since
-	lastTrialAt          time.Time // time of the stall or of the last trial request after it
-	otherRequests        int       // requests of other instances at the target, from the last load report
+	attempts             map[Ref]*attempt // running attempts at the target
+	addedAt              time.Time        // when this instance first saw this incarnation
+	lastProgressAt       time.Time        // time of the last progress of any request at the target
+	stalledAt            time.Time        // zero if the target is not stalled
+	streamsStalled       bool             // the target stalled while streams were running, so that no other stream has begun since
+	lastTrialAt          time.Time        // time of the stall or of the last trial request after it
+	otherRequests        int              // requests of other instances at the target, from the last load report
 	otherRequestsAt      time.Time
 	meanGap              time.Duration // mean time between two events of one stream
 	gapMeasuredAt        time.Time
@@ -73,15 +73,15 @@
 		weight = 1 - float64(age)/float64(loadReportTTL)
 	}
 	otherRequests := weight*float64(t.otherRequests) + (1-weight)*meanOtherRequests
-	return (float64(len(t.flights)) + otherRequests) / float64(max(t.Slots, 1))
+	return (float64(len(t.attempts)) + otherRequests) / float64(max(t.Slots, 1))
 }
 
 // prefillBacklog returns the number of prompt tokens of this instance's requests that t has not yet prefilled.
 func (t *target) prefillBacklog() int {
 	n := 0
-	for _, f := range t.flights {
-		if !f.attemptHasEvent {
-			n += f.PromptTokens
+	for _, a := range t.attempts {
+		if !a.hasEvent {
+			n += a.flight.PromptTokens
 		}
 	}
 	return n
@@ -92,7 +92,7 @@
 	if l.Slots == 0 {
 		return
 	}
-	t.otherRequests = max(0, l.Running+l.Waiting-len(t.flights))
+	t.otherRequests = max(0, l.Running+l.Waiting-len(t.attempts))
 	t.otherRequestsAt = now
 }
 
