--- a/groupformer/fleet_test.go
+++ b/groupformer/fleet_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -50,10 +51,13 @@
 	engines            map[identifier.Endpoint]*fakeEngine
 	nextID             int
 	scheduled          []scheduledCall
+	orders             int                         // orders received so far
+	queries            map[identifier.Endpoint]int // queries received so far
 	beforeFirstRequest bool
 	openOrdersToLose   int                               // the next orders to open, which are lost
 	delayedOrderPart   float64                           // part of the orders that get no answer and are executed seconds later
 	partitioned        map[identifier.FailureDomain]bool // failure domains that neither the Former nor the store can reach
+	dissolved          map[identifier.Group]bool         // groups that the Former has begun to dissolve
 	violations         []string
 	listChanged        bool                                       // the list must be published again
 	members            map[identifier.Group][]identifier.Endpoint // as ordered
@@ -73,6 +77,7 @@
 	dead        bool
 	unreachable bool                    // it runs, but nobody can reach it and it cannot reach the store
 	finishing   bool                    // it refuses connections and completes its requests
+	refuses     bool                    // its host refuses connections, because its process has exited
 	replacedBy  identifier.ProcessStart // process start of the engine that now has the address; zero for none
 	listed      bool
 	minEpoch    identifier.Epoch // joins with a lower epoch are refused
@@ -90,7 +95,7 @@
 	f := &fleet{
 		profile: p,
 		core:    groupformer.New(groupformer.Config{FirstStart: true}), rand: rand.New(rand.NewPCG(seed, seed)), now: time.Date(2026, 1, 5, 20, 0, 0, 0, time.UTC),
-		engines: map[identifier.Endpoint]*fakeEngine{}, beforeFirstRequest: true, partitioned: map[identifier.FailureDomain]bool{},
+		engines: map[identifier.Endpoint]*fakeEngine{}, queries: map[identifier.Endpoint]int{}, dissolved: map[identifier.Group]bool{}, beforeFirstRequest: true, partitioned: map[identifier.FailureDomain]bool{},
 		members: map[identifier.Group][]identifier.Endpoint{}, wasReady: map[string]bool{},
 	}
 	for z := range failureDomains {
@@ -171,6 +176,10 @@
 			f.order(a)
 		case groupformer.FetchReport:
 			f.queryEngine(a)
+		case groupformer.LogDecision:
+			if strings.HasPrefix(a.Decision, "dissolve:") {
+				f.dissolved[a.Group] = true
+			}
 		}
 	}
 }
@@ -180,6 +189,7 @@
 }
 
 func (f *fleet) order(o groupformer.Order) {
+	f.orders++
 	e := f.engines[o.ID]
 	answer := func(r groupformer.Result) { f.step(groupformer.OrderEnded{ID: o.ID, Number: o.Number, Result: r}) }
 	if !f.canReach(e) {
@@ -200,6 +210,7 @@
 }
 
 func (f *fleet) queryEngine(a groupformer.FetchReport) {
+	f.queries[a.ID]++
 	e := f.engines[a.ID]
 	if e != nil && e.replacedBy != 0 && !f.partitioned[e.FailureDomain] {
 		f.schedule(orderLatency, func() {
@@ -208,7 +219,7 @@
 		return
 	}
 	if !f.canReach(e) {
-		refused := e != nil && e.finishing
+		refused := e != nil && (e.finishing || e.refuses)
 		triedInDomain := e == nil || !f.partitioned[e.FailureDomain]
 		f.schedule(220*time.Millisecond, func() {
 			f.step(groupformer.Unreachable{ID: a.ID, ConnectionRefused: refused, TriedInDomain: triedInDomain, TriedByPeers: a.ViaPeers})
@@ -383,7 +394,8 @@
 	}
 }
 
-// crash ends an engine without notice. The requests of its group stall, which is detected.
+// crash ends an engine and its host without notice. The requests of its group stall, which is
+// detected.
 func (f *fleet) crash(e *fakeEngine) {
 	e.dead = true
 	f.schedule(entryLife, func() { e.listed, f.listChanged = false, true })
