groupformer: an engine counts as dead after two seconds without an answer

In the former such an engine counted as dead after two queries of 220 ms; its group was dissolved, a silent head stayed open and its members were ordered to leave and to join others. On the users' platform a head whose member has left stalls for 4 s and then ends its answers.

Cause: two failed queries within 0.44 s count as proof that an engine has ended, whatever made them fail.

Change: queries that only fail count as proof after silenceLimit, 2 s from the sending of the first of the series. Evidence of an end acts as before, after two queries: the host refuses connections, or the entry is gone while the list is settled (while the store is away, and 6 s after, a missing entry shows nothing). Another process start at the address, a member that reports another group and a draining head act as before. A series of queries ends with the lease, since nothing is queried between two leases. Meanwhile the engine is suspected as before: no new group takes it, and no order goes to it. At most 6 queries go to a silent engine within those 2 s, three at once and then one each 700 ms; from the second on each peer is asked once a query. A query each 50 ms + its timeout (no 700 ms) breaks the test's bound of 7.

Cost: the group of an engine whose host has gone without refusing connections (a dark host, a partition for everyone) is dissolved 2.12 s after the stall is reported instead of 0.44 s, so it is out of service 1.68 s longer. Refused connections: 0.44 s before and after (TestExitedEngineLosesGroup). The scheduler places new requests elsewhere as soon as the head stalls, so callers don't wait for it.

New: a silent member whose entry expired with the store, and silences under two leases; each fails without its line of the change.

--- a/groupformer/doc.go
+++ b/groupformer/doc.go
@@ -6,7 +6,8 @@
 //   - A group is opened only after each of its members was observed ready under the group's
 //     name and epoch.
 //   - A member joins another group only after the head of its previous group was observed
-//     closed and out of that group, or is known to be dead.
+//     closed and out of that group, or counts as dead. An engine that only answers nothing
+//     counts as dead after a longer time than a live engine may be silent.
 //   - Epochs only increase, across all holders of the lease: the fence, which is the revision
 //     of the lease's key, forms their high-order part.
 //   - Each order carries the number of orders that the engine has accepted so far. An order
--- a/groupformer/engine.go
+++ b/groupformer/engine.go
@@ -23,6 +23,7 @@
 	queriedAt           time.Time
 	suspected           bool      // it may have exited: it is queried until it answers or counts as dead
 	failedQueries       int       // consecutive queries without an answer
+	silentSince         time.Time // when the first of these was sent
 	reportedAt          time.Time // when its last report arrived
 	membershipChangedAt time.Time // when the list last changed its membership
 	refusedSince        time.Time // when it first refused a connection while it may be completing requests before it exits
@@ -40,11 +41,12 @@
 	closeTimeout             = 350 * time.Millisecond   // after which a head that was ordered to close is queried
 	queryInterval            = 50 * time.Millisecond    // between two queries of a suspected engine
 	deadQueryInterval        = 2 * time.Second          // between two queries of an engine that counts as dead but is listed
-	unreachableQueryInterval = 700 * time.Millisecond   // between two queries of an engine that repeatedly did not answer but may live, because no instance in its failure domain can query it
+	unreachableQueryInterval = 700 * time.Millisecond   // between two queries of an engine that repeatedly did not answer but may live
 	unlistedDeadAfter        = 20 * time.Second         // time off the list after which such an engine counts as dead
 	drainFinishLimit         = 10500 * time.Millisecond // how long a leaving head completes its requests after it stopped listening
 	storeSettleTime          = 6 * time.Second          // after the store has recovered, in which engines may have left unobserved
-	deadAfterFailures        = 2                        // consecutive failed queries after which an engine counts as dead
+	deadAfterFailures        = 2                        // consecutive failed queries before which no engine counts as dead
+	silenceLimit             = 2 * time.Second          // a live engine may answer nothing for a shorter time
 )
 
 // isUsable reports whether a new group may include e.
--- a/groupformer/former.go
+++ b/groupformer/former.go
@@ -100,6 +100,7 @@
 		f.released = map[identifier.Group]releasedGroup{}
 		for _, e := range f.engines {
 			e.pending, e.stagingModel = nil, ""
+			e.failedQueries = 0                                         // nothing was queried since the previous lease ended
 			e.uncertain = e.Membership.Group != "" || len(e.Staged) > 0 // an engine with no membership and no staged weights has accepted no order
 		}
 	}
--- a/groupformer/query.go
+++ b/groupformer/query.go
@@ -47,7 +47,9 @@
 // reachable peers have tried to query it, too. A head that refuses connections may be
 // completing its requests, so it counts as dead only after drainFinishLimit. An engine that no
 // instance in its failure domain has tried may be partitioned from this instance and continue
-// to serve there, so it counts as dead only unlistedDeadAfter after it left the list.
+// to serve there, so it counts as dead only unlistedDeadAfter after it left the list. Any other
+// engine counts as dead after deadAfterFailures if its host refuses connections or its entry
+// was removed, and otherwise after silenceLimit.
 func (f *Former) handleUnreachable(now time.Time, u Unreachable) {
 	e := f.engines[u.ID]
 	if e == nil || !e.querying {
@@ -55,6 +57,9 @@
 	}
 	e.querying = false
 	e.suspected = true
+	if e.failedQueries == 0 {
+		e.silentSince = e.queriedAt
+	}
 	e.failedQueries++
 	if e.dead {
 		return
@@ -67,7 +72,8 @@
 		}
 		e.dead = now.Sub(e.refusedSince) >= drainFinishLimit
 	case u.TriedInDomain:
-		e.dead = e.failedQueries >= deadAfterFailures
+		hasEnded := u.ConnectionRefused || !e.listed && f.isListSettled(now)
+		e.dead = e.failedQueries >= deadAfterFailures && (hasEnded || now.Sub(e.silentSince) >= silenceLimit)
 	default:
 		e.dead = !e.listed && now.Sub(e.unlistedAt) >= unlistedDeadAfter
 	}
@@ -82,7 +88,13 @@
 // unhealthy.
 func (f *Former) mayBeFinishing(now time.Time, e *engine) bool {
 	isHead := e.Membership.Rank == 0 && e.Membership.Group != ""
-	return isHead && (e.Draining || !e.listed || f.storeLost || now.Sub(f.storeChangedAt) < storeSettleTime)
+	return isHead && (e.Draining || !e.listed || !f.isListSettled(now))
+}
+
+// isListSettled reports whether the list shows the engines that left, and no live engine is
+// missing from it because the store was unreachable.
+func (f *Former) isListSettled(now time.Time) bool {
+	return !f.storeLost && now.Sub(f.storeChangedAt) >= storeSettleTime
 }
 
 // queryEngines queries the engines whose state is unknown, and forgets dead engines that left
--- a/groupformer/silence_test.go
+++ b/groupformer/silence_test.go
@@ -77,6 +77,44 @@
 	}
 }
 
+// TestSilentUnlistedMemberKeepsGroup does the same with a member whose entry has expired because
+// the store is unreachable.
+func TestSilentUnlistedMemberKeepsGroup(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(1, 1, 1, 4)
+	f.run(8 * time.Second)
+	f.startRequests()
+	f.step(groupformer.StoreHealthSet{Lost: true})
+	e := f.findMember(1)
+	e.listed, f.listChanged = false, true
+	f.run(500 * time.Millisecond)
+	f.silence(e, maxSilence)
+	f.run(3 * time.Second)
+	e.listed, f.listChanged = true, true
+	f.run(3 * time.Second)
+	f.check(t)
+	is.Equal(len(f.dissolved), 0)
+}
+
+// TestSilencesUnderTwoLeases checks that the silence of an engine does not count from a query
+// under an earlier lease, because no engine is queried between two leases.
+func TestSilencesUnderTwoLeases(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(1, 1, 1, 4)
+	f.run(8 * time.Second)
+	f.startRequests()
+	e := f.findMember(1)
+	f.silence(e, 600*time.Millisecond)
+	f.run(400 * time.Millisecond) // one query has failed
+	f.step(groupformer.LeaseSet{Fence: 1})
+	f.run(3 * time.Second)
+	f.silence(e, maxSilence)
+	f.step(groupformer.LeaseSet{Until: f.now.Add(time.Hour), Fence: 2})
+	f.run(5 * time.Second)
+	f.check(t)
+	is.Equal(len(f.dissolved), 0)
+}
+
 // TestExitedEngineLosesGroup checks that the group of an engine is dissolved soon if its host
 // refuses connections, and after a longer time if its host does not answer.
 func TestExitedEngineLosesGroup(t *testing.T) {
