requester: an answer survives a silence of its endpoint's host

Where the host acknowledges nothing meanwhile, the client's kernel closed the connection 2.05 s after the last packet from the endpoint, with only 1.1 s of silence, if that covered the keep-alive probes at 1 s and 2 s.

Cause: TCP_USER_TIMEOUT of 2 s with probes each second. At a keep-alive timer Linux gives up when nothing was received for the user timeout and at least one probe is unanswered; the number of probes is ignored.

Change: the user timeout is 4 s. Probes go out 1, 2 and 3 s after the last packet, and only a silence of two seconds or more covers all three. The number of probes is 3, so that a kernel that counts them comes to the same 4 s.

Requests that may not be repeated learn 2 s later that the outcome is unknown. The clients of the store and of peers have their own shorter times, which don't change.

--- a/requester/requester.go
+++ b/requester/requester.go
@@ -18,7 +18,7 @@
 	defaultMaxIdle     = 16
 	defaultIdleTimeout = 8 * time.Second
 	defaultDialTimeout = 400 * time.Millisecond
-	defaultUserTimeout = 2 * time.Second
+	defaultUserTimeout = 4 * time.Second // a live endpoint that is silent for less than two seconds answers one of the keep-alive probes before
 )
 
 // maxStaleAnswers is the maximum number of answers to earlier requests that are skipped for one request.
@@ -33,7 +33,7 @@
 	MaxIdle        int           // maximum number of idle connections per address; zero means 16
 	IdleTimeout    time.Duration // after which an idle connection is closed, unless its endpoint announces a shorter time; zero means 8 s
 	DialTimeout    time.Duration // zero means 400 ms
-	UserTimeout    time.Duration // time for which sent bytes may stay unacknowledged; zero means 2 s
+	UserTimeout    time.Duration // time for which sent bytes may stay unacknowledged; zero means 4 s
 }
 
 // Requester sends requests to endpoints. It is safe for concurrent use.
@@ -58,12 +58,14 @@
 	return r
 }
 
-// NewDialer returns a dialer whose connections fail when sent bytes or probes of an idle
-// connection stay unacknowledged for about ackTimeout, and for at least a second.
+// NewDialer returns a dialer whose connections fail when sent bytes stay unacknowledged for about
+// ackTimeout. They also fail when nothing was received for ackTimeout and the last keep-alive
+// probe, which is sent each second, is not acknowledged; the kernel ignores the number of
+// probes if there is a user timeout.
 func NewDialer(ackTimeout time.Duration) *net.Dialer {
 	return &net.Dialer{
 		Timeout:         ackTimeout,
-		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2},
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 3},
 		Control:         func(_, _ string, raw syscall.RawConn) error { return setUserTimeout(raw, ackTimeout) },
 	}
 }
--- a/requester/silence_test.go
+++ b/requester/silence_test.go
@@ -16,8 +16,8 @@
 	"amaranthmill/requester"
 )
 
-// silence is how long the host of a sound endpoint may acknowledge nothing.
-const silence = 1600 * time.Millisecond
+// maxSilence is how long the host of a sound endpoint may acknowledge nothing.
+const maxSilence = 1600 * time.Millisecond
 
 // TestAnswerSurvivesSilence guards against the loss of a running answer because the kernel
 // closes the connection while the endpoint's host acknowledges nothing for a second or so and
@@ -40,7 +40,7 @@
 			l, err := net.Listen("tcp4", "127.0.0.1:0")
 			is.NoErr(err)
 			defer l.Close()
-			e := &silentEndpoint{before: tc.before, after: tc.after, ready: make(chan struct{})}
+			e := &silentEndpoint{before: tc.before, after: tc.after, silence: maxSilence, ready: make(chan struct{})}
 			go e.serve(t, l)
 			r := requester.New(requester.Config{})
 			address := l.Addr().(*net.TCPAddr).AddrPort()
@@ -51,10 +51,35 @@
 	}
 }
 
+// maxVanishDetection bounds the time after which the loss of an endpoint's host is noticed while
+// its answer is awaited.
+const maxVanishDetection = 5 * time.Second
+
+// TestVanishedHostEndsAttempt checks that a request does not wait until its deadline for a host
+// that acknowledges nothing any more.
+func TestVanishedHostEndsAttempt(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	is.NoErr(err)
+	defer l.Close()
+	e := &silentEndpoint{silence: 2 * maxVanishDetection, ready: make(chan struct{})}
+	go e.serve(t, l)
+	r := requester.New(requester.Config{})
+	address := l.Addr().(*net.TCPAddr).AddrPort()
+	is.NoErr(e.ask(r, address))
+	<-e.ready
+	start := time.Now()
+	is.True(e.ask(r, address) != nil)
+	t.Logf("noticed after %v", time.Since(start))
+	is.True(time.Since(start) < maxVanishDetection)
+}
+
 // silentEndpoint answers the first request on a connection at once. Its host acknowledges
 // nothing for some time before or after the second request arrives.
 type silentEndpoint struct {
 	before, after time.Duration
+	silence       time.Duration
 	ready         chan struct{} // closed when the second request may be sent
 }
 
@@ -77,7 +102,7 @@
 	in := bufio.NewReader(conn)
 	answer(in, conn)
 	if e.before < 0 {
-		ended := dropPackets(t, conn.(*net.TCPConn), silence)
+		ended := dropPackets(t, conn.(*net.TCPConn), e.silence)
 		close(e.ready)
 		<-ended
 		answer(in, conn)
@@ -88,7 +113,7 @@
 		return
 	}
 	<-time.After(e.before) // the endpoint works on the answer
-	<-dropPackets(t, conn.(*net.TCPConn), silence)
+	<-dropPackets(t, conn.(*net.TCPConn), e.silence)
 	<-time.After(e.after)
 	writeAnswer(conn)
 }
