hosted: a test of a group that is dissolved because its head is silent

A head that is silent for a second loses its group.

The test silences the head of a group, alone or with its member, for 1.2 s in the middle of streams that find slots and retries elsewhere, and then compares the groups of all engines with those before.

--- a/standin/hosted/silence_test.go
+++ b/standin/hosted/silence_test.go
@@ -318,3 +318,17 @@
 		})
 	}
 }
+
+// TestSilentHeadLosesGroup silences the head of a group, alone or with the other member, in the
+// middle of its streams. The head counted as dead after two unanswered queries, and its group was
+// dissolved, although it went on a second later.
+func TestSilentHeadLosesGroup(t *testing.T) {
+	t.Run("head", func(t *testing.T) {
+		checkGroupsStay(t, func(_ *fixture, head *hosted.Engine) []*hosted.Engine { return []*hosted.Engine{head} })
+	})
+	t.Run("head and member", func(t *testing.T) {
+		checkGroupsStay(t, func(f *fixture, head *hosted.Engine) []*hosted.Engine {
+			return []*hosted.Engine{head, f.memberOf(head)}
+		})
+	})
+}
