grouper: a silent member is replaced after the time that a live one may be silent

The grouper chose how long to wait for a silent member by downtime alone; with a standby that has loaded the model this was zero, so that a member whose reports are too old for a moment was replaced at once, and the new epoch ended the answers of the old one.

Change: a member that is only silent is waited for at least 2.5 s after its reports are too old, which is longer than reports of a live endpoint are missing (1.6 s, and up to 0.85 s that the report before and the digest with the next one may lie apart). A refused connection and another process start act as before: also in the succession, where an endpoint that exited is not waited for longer.

--- a/grouper/absence.go
+++ b/grouper/absence.go
@@ -82,13 +82,26 @@
 // member.
 const swapTime = 2 * time.Second
 
-// replaceDelay returns how long to wait for an unreachable endpoint before it is replaced by
-// an endpoint that has loaded the model, or by one that must load the model first.
-func (c *Core) replaceDelay(loaded bool) time.Duration {
+// maxSilence is how long reports of a live endpoint may be missing because it is silent for a
+// second or two. Its group still serves: answers that have begun continue afterwards.
+const maxSilence = 2500 * time.Millisecond
+
+// isSilent reports whether the reports of ep are missing and nothing else shows that its process
+// has ended.
+func (ep *endpointState) isSilent() bool { return !ep.Fresh && !ep.Exited }
+
+// replaceDelay returns how long to wait for the lost endpoint ep before it is replaced by an
+// endpoint that has loaded the model, or by one that must load the model first.
+func (c *Core) replaceDelay(ep *endpointState, loaded bool) time.Duration {
+	load := c.loadTime()
 	if loaded {
-		return c.absences.bestWait(swapTime)
+		load = swapTime
+	}
+	wait := c.absences.bestWait(load)
+	if ep.isSilent() {
+		return max(wait, maxSilence)
 	}
-	return c.absences.bestWait(c.loadTime())
+	return wait
 }
 
 // loadTime returns the average time of recent loads, or Policy.LoadTime before the first load.
--- a/grouper/repair.go
+++ b/grouper/repair.go
@@ -98,7 +98,7 @@
 	case returned:
 		return len(ep.recentReturns) >= unstableReturns || p.isReplacementLoaded(a) && !ep.hasModel(a.model())
 	}
-	return p.now.Sub(ep.unreachableSince) >= p.core.replaceDelay(p.isReplacementLoaded(a))
+	return p.now.Sub(ep.unreachableSince) >= p.core.replaceDelay(ep, p.isReplacementLoaded(a))
 }
 
 // canFill reports whether there are enough free endpoints to replace all lost members of a
@@ -131,7 +131,7 @@
 	if ep == nil || ep.Exited {
 		return true
 	}
-	return !ep.unreachableSince.IsZero() && p.now.Sub(ep.unreachableSince) >= p.core.replaceDelay(false)
+	return !ep.unreachableSince.IsZero() && p.now.Sub(ep.unreachableSince) >= p.core.replaceDelay(ep, false)
 }
 
 const (
--- a/grouper/succession.go
+++ b/grouper/succession.go
@@ -85,7 +85,7 @@
 		return Assignment{}, false
 	}
 	since := ep.lostSince
-	if since.IsZero() || now.Sub(since) < c.replaceDelay(standby.hasModel(a.model()))+c.policy.SuccessionDelay {
+	if since.IsZero() || now.Sub(since) < c.replaceDelay(ep, standby.hasModel(a.model()))+c.policy.SuccessionDelay {
 		return Assignment{}, false
 	}
 	return successions[lost], true
