grouper: a rollout drains a group whose member is silent for a second

Cause: a rollout took a report that is too old for the end of all work. A group with such a member counted as not serving and was updated or removed at once, and a draining group counted as drained although the last report had requests in flight.

A member that exited, or is silent for longer, acts as before.

No expectation of an existing test changes.

--- a/grouper/absence.go
+++ b/grouper/absence.go
@@ -90,6 +90,12 @@
 // has ended.
 func (ep *endpointState) isSilent() bool { return !ep.Fresh && !ep.Exited }
 
+// mayHaveWork reports whether the last report of ep still tells what the endpoint does: it is
+// fresh, or ep has been silent for no longer than a live endpoint may be.
+func (ep *endpointState) mayHaveWork(now time.Time) bool {
+	return ep.Fresh || ep.isSilent() && !ep.unreachableSince.IsZero() && now.Sub(ep.unreachableSince) < maxSilence
+}
+
 // replaceDelay returns how long to wait for the lost endpoint ep before it is replaced by an
 // endpoint that has loaded the model, or by one that must load the model first.
 func (c *Core) replaceDelay(ep *endpointState, loaded bool) time.Duration {
--- a/grouper/plan.go
+++ b/grouper/plan.go
@@ -151,6 +151,23 @@
 	return true
 }
 
+// mayServe reports whether every member of a serves a, or did so until it fell silent for no
+// longer than a live endpoint may be.
+func (c *Core) mayServe(now time.Time, a *Assignment) bool {
+	for _, m := range a.Members {
+		ep := c.endpoints[m.Endpoint]
+		if ep == nil || !ep.mayHaveWork(now) {
+			return false
+		}
+		last := ep.Report
+		last.Fresh = true
+		if !last.Serves(a, m) {
+			return false
+		}
+	}
+	return true
+}
+
 // poolsByPriority returns the bundle's pools, the highest priority first.
 func (c *Core) poolsByPriority() []*bundler.Pool {
 	out := make([]*bundler.Pool, len(c.bundle.Pools))
--- a/grouper/rollout.go
+++ b/grouper/rollout.go
@@ -40,7 +40,7 @@
 	}
 	return !slices.ContainsFunc(a.Members, func(m Member) bool {
 		ep := p.core.endpoints[m.Endpoint]
-		return ep != nil && ep.Fresh && (ep.InFlight > 0 || ep.Queued > 0)
+		return ep != nil && ep.mayHaveWork(p.now) && (ep.InFlight > 0 || ep.Queued > 0)
 	})
 }
 
@@ -97,11 +97,11 @@
 	})
 }
 
-// drain stops new requests to a, or removes a at once if it is not serving.
+// drain stops new requests to a, or removes a at once if no request can be in flight there.
 func (p *planner) drain(a *Assignment) {
 	switch {
 	case a.Draining:
-	case p.core.isServing(a):
+	case p.core.mayServe(p.now, a):
 		a.Draining = true
 		p.recordDecision(a.Group, "", DecisionDrain)
 	default:
@@ -189,7 +189,7 @@
 }
 
 // updateNextGroup starts the update of the next group of pool that differs from the bundle, if
-// this group is not serving or enough other groups serve.
+// no request can be in flight at this group or enough other groups serve.
 func (p *planner) updateNextGroup(pool *bundler.Pool) {
 	if p.core.firstOutdatedDomain(pool) != p.rec.FabricDomain {
 		return
@@ -199,17 +199,17 @@
 		if a.Pool != pool.Name || a.Draining || !p.core.isOutdated(a, pool) && len(a.Members) == pool.GroupSize {
 			continue
 		}
-		if !p.core.isServing(a) || p.core.countServing(pool) > p.core.minServing(pool) {
+		if !p.core.mayServe(p.now, a) || p.core.countServing(pool) > p.core.minServing(pool) {
 			p.updateGroup(a, pool)
 			return
 		}
 	}
 }
 
-// updateGroup updates a at once if it is not serving and has the right size. Otherwise it
-// drains a.
+// updateGroup updates a at once if no request can be in flight there and it has the right size.
+// Otherwise it drains a.
 func (p *planner) updateGroup(a *Assignment, pool *bundler.Pool) {
-	if p.core.isServing(a) || len(a.Members) != pool.GroupSize {
+	if p.core.mayServe(p.now, a) || len(a.Members) != pool.GroupSize {
 		p.drain(a)
 		return
 	}
