soak: engines that are silent for a while, and the answers that this cuts

The soak had no sound engine that falls silent and goes on, and counted no answer that ended early as a broken promise.

A request that an engine ran and that ended without a complete answer breaks a promise, unless seven tenths of its time were used or any other fault affected the instance or the engines since 4 s before it. The silences have a random generator of their own: the faults of the existing seeds stay the same.

--- a/standin/cmd/standin/soak.go
+++ b/standin/cmd/standin/soak.go
@@ -19,6 +19,7 @@
 	Engines   int           `long:"engines" default:"6" description:"engines of each of two domains"`
 	Callers   int           `long:"callers" default:"12" description:"callers of each run"`
 	Crashing  bool          `long:"crashing" description:"send copies of a request that crashes the engines that run it"`
+	Silences  bool          `long:"silences" description:"make engines silent for a while"`
 	Length    time.Duration `long:"length" default:"8s" description:"how long faults come"`
 	Logs      string        `long:"logs" description:"a folder in which the logs of runs that failed are kept"`
 	Verbose   bool          `long:"verbose" description:"print the faults of each run"`
@@ -71,7 +72,7 @@
 		return false
 	}
 	report, err := soak.Run(soak.Config{
-		Binary: binary, Dir: dir, Seed: seed, Instances: c.Instances, Engines: c.Engines, Callers: c.Callers, Crashing: c.Crashing, Length: c.Length,
+		Binary: binary, Dir: dir, Seed: seed, Instances: c.Instances, Engines: c.Engines, Callers: c.Callers, Crashing: c.Crashing, Silences: c.Silences, Length: c.Length,
 	})
 	mu.Lock()
 	defer mu.Unlock()
--- a/standin/soak/apply.go
+++ b/standin/soak/apply.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"os"
 	"syscall"
 	"time"
@@ -53,6 +54,9 @@
 	case DeafEngine:
 		e := s.livePlainEndpoint(f.Engine)
 		s.applyFor(allEngines, f.For, func() { e.LoseAnswers(f.In) }, func() { e.LoseAnswers(0) })
+	case SilenceEngine:
+		s.liveEngine(f.Engine).Silence(f.Point, f.For)
+		s.runInBackground(func() { s.sleep(f.For) })
 	case StoreDown:
 		s.applyFor(allInstances, f.For, func() { s.platform.Store.SetDown(true) }, func() { s.platform.Store.SetDown(false) })
 	case StoreSlow:
@@ -63,6 +67,8 @@
 		s.applyFor(allInstances, 0, s.platform.Store.Compact, func() {})
 	case ChangeKeys:
 		s.changeKeys(f.Add)
+	case Reconfigure:
+		s.configure()
 	}
 }
 
@@ -128,7 +134,8 @@
 
 // reload changes the settings file of an instance, which must keep serving.
 func (s *soak) reload(i *instance, signal bool) {
-	from, to := `"retrySlack":100`, `"retrySlack":101`
+	slack := s.cfg.retrySlack()
+	from, to := fmt.Sprintf(`"retrySlack":%d`, slack), fmt.Sprintf(`"retrySlack":%d`, slack+1)
 	if !s.editSettings(i, from, to) {
 		s.editSettings(i, to, from)
 	}
@@ -169,13 +176,19 @@
 	s.applyFor(allEngines, drainTime, e.Drain, e.Kill)
 }
 
-// changeKeys writes the next version of the configuration, with or without the second key.
+// changeKeys adds the second key to the configuration, or removes it.
 func (s *soak) changeKeys(add bool) {
+	s.secondKeyValid = add
+	s.configure()
+	s.record.addKeyChange(add)
+}
+
+// configure writes the next version of the configuration.
+func (s *soak) configure() {
 	s.version++
-	if add {
-		s.platform.Configure(s.version, firstKey, secondKey)
-	} else {
-		s.platform.Configure(s.version, firstKey)
+	keys := []string{firstKey}
+	if s.secondKeyValid {
+		keys = append(keys, secondKey)
 	}
-	s.record.addKeyChange(add)
+	s.platform.Configure(s.version, keys...)
 }
--- a/standin/soak/check_test.go
+++ b/standin/soak/check_test.go
@@ -60,3 +60,42 @@
 		})
 	}
 }
+
+// TestFindCutAnswers checks that a request that ran and ended early without a complete answer is
+// found, unless a fault other than a silence or the request's time may be the cause.
+func TestFindCutAnswers(t *testing.T) {
+	start := time.Date(2026, 1, 5, 20, 0, 0, 0, time.UTC)
+	at := func(d time.Duration) time.Time { return start.Add(d) }
+	cut := sentRequest{id: "c1-1", sentAt: at(10 * time.Second), endedAt: at(11 * time.Second), status: 200}
+	change := func(f func(*sentRequest)) sentRequest {
+		s := cut
+		f(&s)
+		return s
+	}
+	tests := map[string]struct {
+		sent        sentRequest
+		disruptions []*disruption
+		runs        int
+		found       bool
+	}{
+		"cut stream":         {sent: cut, runs: 1, found: true},
+		"no answer":          {sent: change(func(s *sentRequest) { s.status = 0 }), runs: 1, found: true},
+		"unknown outcome":    {sent: change(func(s *sentRequest) { s.plain, s.status, s.complete = true, 502, true }), runs: 1, found: true},
+		"served":             {sent: change(func(s *sentRequest) { s.complete = true }), runs: 1},
+		"not run":            {sent: change(func(s *sentRequest) { s.status = 0 })},
+		"refused":            {sent: change(func(s *sentRequest) { s.status = 503 }), runs: 1},
+		"silenced":           {sent: change(func(s *sentRequest) { s.silenced = true }), runs: 1},
+		"time used":          {sent: change(func(s *sentRequest) { s.endedAt = s.sentAt.Add(cutLimit) }), runs: 1},
+		"disrupted instance": {sent: cut, disruptions: []*disruption{{instance: 0, start: at(7 * time.Second), end: at(8 * time.Second)}}, runs: 1},
+		"disrupted engines":  {sent: cut, disruptions: []*disruption{{instance: allEngines, start: at(11050 * time.Millisecond)}}, runs: 1},
+		"disrupted later":    {sent: cut, disruptions: []*disruption{{instance: allEngines, start: at(12 * time.Second)}}, runs: 1, found: true},
+		"other disrupted":    {sent: cut, disruptions: []*disruption{{instance: 1, start: at(7 * time.Second)}}, runs: 1, found: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			r := &record{requests: []sentRequest{test.sent}, disruptions: test.disruptions}
+			is.Equal(len(r.findCutAnswers(map[string]int{"c1-1": test.runs})) == 1, test.found)
+		})
+	}
+}
--- a/standin/soak/deployment.go
+++ b/standin/soak/deployment.go
@@ -119,7 +119,7 @@
 	if i.store, err = relayer.New(netip.MustParseAddrPort(s.platform.Address())); err != nil {
 		return err
 	}
-	text, err := hosted.Settings(fmt.Sprintf("entry-%d", n), ports, i.store.Address(), stopLimit, hosted.RetrySlack)
+	text, err := hosted.Settings(fmt.Sprintf("entry-%d", n), ports, i.store.Address(), stopLimit, s.cfg.retrySlack())
 	if err != nil {
 		return err
 	}
--- a/standin/soak/fault.go
+++ b/standin/soak/fault.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"time"
 
+	"amaranthmill/standin/hosted"
 	"amaranthmill/standin/relayer"
 )
 
@@ -77,6 +78,13 @@
 		For        time.Duration
 	}
 
+	// SilenceEngine makes an engine or endpoint send nothing for a time, after which it goes on.
+	SilenceEngine struct {
+		Engine int
+		Point  hosted.SilencePoint
+		For    time.Duration
+	}
+
 	// StoreDown makes the store refuse all calls for a time.
 	StoreDown struct{ For time.Duration }
 
@@ -94,6 +102,9 @@
 
 	// ChangeKeys adds the second API key to the configuration, or removes it.
 	ChangeKeys struct{ Add bool }
+
+	// Reconfigure writes a new version of the configuration with the same content.
+	Reconfigure struct{}
 )
 
 func (KillInstance) fault()   {}
@@ -109,11 +120,13 @@
 func (HideEngine) fault()     {}
 func (SlowEngine) fault()     {}
 func (DeafEngine) fault()     {}
+func (SilenceEngine) fault()  {}
 func (StoreDown) fault()      {}
 func (StoreSlow) fault()      {}
 func (StoreDeaf) fault()      {}
 func (Compact) fault()        {}
 func (ChangeKeys) fault()     {}
+func (Reconfigure) fault()    {}
 
 // LinkKind is the kind of a link, by the two sides that it connects.
 type LinkKind uint8
--- a/standin/soak/soak.go
+++ b/standin/soak/soak.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"math/rand/v2"
 	"strings"
 	"sync"
@@ -22,6 +23,7 @@
 	Engines   int           // number of engines in each of two fabric domains; zero means 6
 	Callers   int           // zero means 12
 	Crashing  bool          // copies of a request that crashes the engines that run it are sent
+	Silences  bool          // engines are silent for a while, also before the period of the other faults, and few retries are allowed
 	Length    time.Duration // the period in which faults are injected; zero means 8 s
 }
 
@@ -57,9 +59,11 @@
 	processes spawner.Processes
 	instances []*instance
 	record    record
-	version   int
 	faultWork sync.WaitGroup // faults in the background
 
+	version        int  // of the configuration
+	secondKeyValid bool // in the configuration
+
 	mu           sync.Mutex               // guards the fields below
 	links        map[string]*relayer.Link // to engines, by engine ID
 	engines      []*hosted.Engine         // all engines and endpoints that were started, including killed ones
@@ -114,7 +118,7 @@
 // guarantees.
 func (s *soak) injectFaults() Report {
 	r := rand.New(rand.NewPCG(s.cfg.Seed, s.cfg.Seed))
-	out := Report{Seed: s.cfg.Seed, Steps: Plan(r, s.cfg.Length)}
+	out := Report{Seed: s.cfg.Seed, Steps: s.plan(r)}
 	s.awaitService("at the start", startTimeout, r)
 	ctx, stop := context.WithCancel(context.Background())
 	var callers sync.WaitGroup
@@ -140,6 +144,16 @@
 	return out
 }
 
+// plan returns the faults of the run. Silences have a generator of their own, so that a seed
+// gives the same other faults without them.
+func (s *soak) plan(r *rand.Rand) []Step {
+	steps := Plan(r, s.cfg.Length)
+	if s.cfg.Silences {
+		steps = AddSilences(steps, rand.New(rand.NewPCG(s.cfg.Seed, math.MaxUint64)), s.cfg.Length)
+	}
+	return steps
+}
+
 // summarize checks the record and writes the violations and counts to the report.
 func (s *soak) summarize(out *Report) {
 	for _, i := range s.instances {
@@ -147,7 +161,11 @@
 			s.record.addViolation("instance %d ended by itself", i.number)
 		}
 	}
-	out.Violations = append(s.record.findViolations(s.platform.RunCounts()), s.platform.Violations()...)
+	runs := s.platform.RunCounts()
+	out.Violations = append(s.record.findViolations(runs), s.platform.Violations()...)
+	if s.cfg.Silences {
+		out.Violations = append(out.Violations, s.record.findCutAnswers(runs)...)
+	}
 	crashRuns := s.platform.CrashRuns()
 	out.Crashes = len(crashRuns)
 	if violation := s.record.checkCrashRuns(crashRuns); violation != "" {
--- a/standin/soak/soak_test.go
+++ b/standin/soak/soak_test.go
@@ -1,11 +1,13 @@
 package soak_test
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"os"
 	"reflect"
+	"slices"
 	"testing"
 	"time"
 
@@ -88,6 +90,51 @@
 	}
 }
 
+// TestSilenceSeeds runs two fixed seeds with engines that are silent for a while, with nearly as
+// many callers as the groups have slots.
+func TestSilenceSeeds(t *testing.T) {
+	for _, seed := range []uint64{1, 6} {
+		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
+			t.Parallel()
+			report, err := soak.Run(soak.Config{Binary: binary, Dir: t.TempDir(), Seed: seed, Engines: 4, Callers: 36, Silences: true, Length: 3 * time.Second})
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Logf("%d requests, %d with a complete answer, %d refused", report.Sent, report.Answered, report.NotRun)
+			for _, b := range report.Violations {
+				t.Error(b)
+			}
+		})
+	}
+}
+
+// TestAddSilences checks that a seed always gives the same silences, beside the same other
+// faults as without them, and that some silences begin before all other faults.
+func TestAddSilences(t *testing.T) {
+	is := is.New(t)
+	const length = 3 * time.Second
+	for seed := range uint64(20) {
+		others := soak.Plan(rand.New(rand.NewPCG(seed, seed)), length)
+		plan := func() []soak.Step { return soak.AddSilences(others, rand.New(rand.NewPCG(seed, 0)), length) }
+		is.Equal(plan(), plan())
+		var rest []soak.Fault
+		for _, step := range plan() {
+			switch step.Fault.(type) {
+			case soak.SilenceEngine, soak.Reconfigure:
+			default:
+				rest = append(rest, step.Fault)
+			}
+		}
+		is.Equal(len(rest), len(others))
+		slices.SortStableFunc(others, func(a, b soak.Step) int { return cmp.Compare(a.At, b.At) })
+		for i, step := range others {
+			is.Equal(rest[i], step.Fault)
+		}
+		_, first := plan()[0].Fault.(soak.SilenceEngine)
+		is.True(first)
+	}
+}
+
 // TestPlan checks that a seed always gives the same faults in the same order, and that 60
 // seeds give every kind of fault.
 func TestPlan(t *testing.T) {
