groupformer: a head whose entry is removed closes after its requests are complete

What callers would see: an engine that exits without saying that it drains has its entry removed and serves on for some seconds.

Change: such a group is dissolved gracefully, as that of a draining head: the head closes, and has 2.5 s to complete its requests. A head that answers no query is not affected, it counts as dead.

TestUnlistedHeadLeavesOpenGroup failed before: 0.8 s after the removal the head had left its group.

--- a/groupformer/group.go
+++ b/groupformer/group.go
@@ -87,7 +87,7 @@
 // advance takes the next step in a group's life cycle, if one is possible now.
 func (f *Former) advance(now time.Time, g *group) {
 	if lost, reason := f.findLostMember(now, g); lost != "" && g.phase != phaseDissolving {
-		g.graceful = reason == "draining"
+		g.graceful = reason == "draining" || reason == "unlisted"
 		f.dissolve(now, g, lost, reason)
 	}
 	switch g.phase {
