forwarder: failing tests of streams that end as complete by an answer that is no stream

A stream that has begun and whose hedge (or retry) is answered with a 404 or with a 200 that is no stream ends as complete after the events so far, with the end mark of its chunks: the attempt ends as Completed, and the held answer is dropped because the stream has begun. With a hedge the first endpoint, which would go on, is abandoned besides. 5xx answers are not affected.

--- a/forwarder/hedge_test.go
+++ b/forwarder/hedge_test.go
@@ -2,12 +2,17 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 )
 
+// speakDelay is the time after which a silent endpoint goes on once its hedge has been answered.
+const speakDelay = 50 * time.Millisecond
+
 // writeEvent writes one event of a stream and flushes it.
 func writeEvent(w http.ResponseWriter, id int) {
 	_, _ = fmt.Fprintf(w, "id: %d\ndata: %c\n\n", id, 'a'+id)
@@ -119,3 +124,47 @@
 	is.Equal(body(resp), "answer of the hedge")
 	is.Equal(resp.Header.Get("Signature"), "second")
 }
+
+// TestStreamIsNotEndedByAnotherKindOfAnswer checks that a stream that has begun does not end as
+// complete because its hedge gets an answer that is no stream: the first endpoint goes on.
+func TestStreamIsNotEndedByAnotherKindOfAnswer(t *testing.T) {
+	for _, status := range []int{http.StatusOK, http.StatusNotFound, http.StatusInternalServerError} {
+		t.Run(http.StatusText(status), func(t *testing.T) {
+			is := is.New(t)
+			x := newFixture(t)
+			speak := make(chan struct{})
+			h := silentStream(speak, func(w http.ResponseWriter, _ *http.Request) {
+				time.AfterFunc(speakDelay, func() { close(speak) })
+				w.Header().Set("Signature", "second")
+				w.WriteHeader(status)
+				_, _ = fmt.Fprint(w, "no stream")
+			})
+			for range 2 {
+				x.add(h)
+			}
+			is.Equal(body(x.get("/stream/x")), "id: 0\ndata: a\n\nid: 1\ndata: b\n\nid: 2\ndata: c\n\nid: 3\ndata: d\n\n")
+		})
+	}
+}
+
+// TestBrokenStreamIsNotEndedByAnotherKindOfAnswer checks that a stream that breaks and whose
+// retry gets an answer that is no stream does not look complete.
+func TestBrokenStreamIsNotEndedByAnotherKindOfAnswer(t *testing.T) {
+	is := is.New(t)
+	x := newFixture(t)
+	first := make(chan struct{}, 1)
+	first <- struct{}{}
+	for range 2 {
+		x.add(func(w http.ResponseWriter, r *http.Request) {
+			select {
+			case <-first:
+				events(w, r, 1, true)
+			default:
+				w.Header().Set("Signature", "second")
+				w.WriteHeader(http.StatusNotFound)
+			}
+		})
+	}
+	_, err := io.ReadAll(x.get("/stream/x").Body)
+	is.True(err != nil)
+}
