forwarder: an answer that is no stream doesn't complete a stream that has begun

Cause: holdAnswer reports Completed for each answer below 500, and writeHeld writes nothing after a stream.

Change: once the caller has part of a stream, such an answer counts as the endpoint's error. A hedge then costs its retry only, and a stream without another attempt is retried or aborted.

--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -123,7 +123,8 @@
 	return scheduler.Broken{}
 }
 
-// holdAnswer reads the complete answer before any byte of it is sent to the caller.
+// holdAnswer reads the complete answer before any byte of it is sent to the caller. An answer that
+// is not a stream can't continue a stream that has begun, and counts as an error of its endpoint.
 func (f *Forwarder) holdAnswer(x *exchange, a *attempt, answer *requester.Answer) scheduler.Ending {
 	body, err := io.ReadAll(io.LimitReader(answer, answerLimit+1))
 	if err == nil && len(body) > answerLimit {
@@ -134,7 +135,7 @@
 		return a.brokenEnding()
 	}
 	a.held = heldAnswer{status: answer.Status, header: answer.Header, body: body}
-	if answer.Status >= http.StatusInternalServerError {
+	if answer.Status >= http.StatusInternalServerError || x.relay.hasStarted() {
 		return scheduler.Failed{Status: answer.Status}
 	}
 	return scheduler.Completed{}
