scheduler: all targets are checked for stalls before the first hedge

Cause: checkTarget hedged the requests of a target before the next target was checked.

Change: the targets are checked first, and the requests of the stalled ones are hedged then.

--- a/scheduler/stall.go
+++ b/scheduler/stall.go
@@ -14,29 +14,36 @@
 	fullStallFactor = 3
 )
 
-// checkStalls finds stalled and removed targets and hedges the requests there.
+// checkStalls finds stalled and removed targets and hedges the requests there. It checks all
+// targets first, so that no hedge goes to a target that stalls at the same time.
 func (s *Scheduler) checkStalls(now time.Time) {
+	var stalled []*target
 	for _, id := range slices.Sorted(maps.Keys(s.targets)) {
-		s.checkTarget(now, s.targets[id])
+		if t := s.targets[id]; s.checkTarget(now, t) {
+			stalled = append(stalled, t)
+		}
+	}
+	for _, t := range stalled {
+		s.hedgeStalled(now, t)
 	}
 	s.hedgeOrphans(now)
 }
 
-// checkTarget checks whether t is stalled. If it is, it hedges the requests there.
-func (s *Scheduler) checkTarget(now time.Time, t *target) {
+// checkTarget reports whether t is stalled now.
+func (s *Scheduler) checkTarget(now time.Time, t *target) bool {
 	if len(t.attempts) == 0 {
-		return
+		return false
 	}
 	silence, streaming, isStalled := s.measureStall(now, t)
 	if !isStalled {
-		return
+		return false
 	}
 	t.streamsStalled = streaming
 	if t.stalledAt.IsZero() {
 		t.stalledAt, t.lastTrialAt = now, now
 		s.emit(Stalled{Target: &t.Target, Silence: silence})
 	}
-	s.hedgeStalled(now, t)
+	return true
 }
 
 // measureStall returns the time for which t has made no progress although it has requests,
