scheduler: a hedge is no trial request of a stalled target

Cause: chooseTarget treats a stalled target as available once a trial request is due, and it looks free then.

Change: only a request that runs nowhere may be the trial request.

--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -154,7 +154,7 @@
 		return nil, 0, ReasonNoTarget
 	}
 	meanOtherRequests, poolMeanGap := pl.meanOtherRequests(now), pl.meanGap(now)
-	if t := s.targetOfCopy(f); t != nil && !f.hasTried(now, t) && s.isEligible(now, t) {
+	if t := s.targetOfCopy(f); t != nil && !f.hasTried(now, t) && s.isEligible(now, f, t) {
 		if load := t.load(now, meanOtherRequests); load < maxCopyLoad {
 			return t, load, ""
 		}
@@ -162,7 +162,7 @@
 	var best *target
 	bestScore, bestLoad, reason := 0.0, 0.0, ReasonNoTarget
 	for _, t := range pl.targets {
-		if f.hasTried(now, t) || !s.isEligible(now, t) {
+		if f.hasTried(now, t) || !s.isEligible(now, f, t) {
 			continue
 		}
 		load := t.load(now, meanOtherRequests)
@@ -216,12 +216,16 @@
 	return score + 0.25*float64(min(t.consecutiveFailures, 8))
 }
 
-// isEligible reports whether a request may be placed at t: either t is not stalled, or a trial request is due.
-func (s *Scheduler) isEligible(now time.Time, t *target) bool {
+// isEligible reports whether f may be placed at t: either t is not stalled, or a trial request is
+// due. A hedge is no trial request, because the first attempt of f may be at a silent target already.
+func (s *Scheduler) isEligible(now time.Time, f *flight, t *target) bool {
 	if t.stalledAt.IsZero() {
 		return true
 	}
-	return len(t.attempts) == 0 && now.Sub(t.lastTrialAt) >= s.cfg.TrialInterval && now.Sub(t.stalledAt) >= s.cfg.TrialInterval
+	if len(f.running) > 0 || len(t.attempts) > 0 {
+		return false
+	}
+	return now.Sub(t.lastTrialAt) >= s.cfg.TrialInterval && now.Sub(t.stalledAt) >= s.cfg.TrialInterval
 }
 
 // enqueue adds f to the queue, which is ordered by priority and, within a priority, by deadline.
