forwarder: an endpoint's connection fields don't reach the caller of a stream

What callers would see: while an instance drains, a stream's answer says "Connection: keep-alive" if its endpoint does, so that the caller keeps a connection that the instance is about to close.

Cause: startAnswer copied all of the endpoint's fields, and only writeHeld restored the instance's own Connection field.

Change: the fields of one connection, and those that the Connection field names, are removed in one place for both directions, and the instance's own field stays.

--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -67,12 +67,7 @@
 // newRequest returns the request that attempt a sends to its target.
 func (f *Forwarder) newRequest(x *exchange, a *attempt) *requester.Request {
 	header := x.request.Header.Clone()
-	for _, name := range strings.Split(header.Get("Connection"), ",") {
-		header.Del(strings.TrimSpace(name))
-	}
-	for _, name := range hopHeaders {
-		delete(header, name)
-	}
+	deleteHopFields(header)
 	f.cfg.Dialect.SetFields(header, EndpointFields{
 		Endpoint: a.Target.ID, Account: x.match.Account, TimeLeft: time.Until(x.deadline), LastEventID: x.relay.position(),
 	})
@@ -88,6 +83,17 @@
 	"Transfer-Encoding", "Upgrade", "Content-Length", "Expect",
 }
 
+// deleteHopFields deletes the header fields that apply to one connection only, and those that the
+// Connection field names.
+func deleteHopFields(header http.Header) {
+	for _, name := range strings.Split(header.Get("Connection"), ",") {
+		header.Del(strings.TrimSpace(name))
+	}
+	for _, name := range hopHeaders {
+		delete(header, name)
+	}
+}
+
 // impliesNotRun reports whether callers conclude from a status that the request has not run.
 // Such an answer is relayed only if the endpoint states this explicitly.
 func impliesNotRun(status int) bool {
--- a/forwarder/relay.go
+++ b/forwarder/relay.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"maps"
 	"net/http"
 	"strconv"
 	"sync"
@@ -78,13 +79,11 @@
 func (r *relay) startAnswer(header http.Header) {
 	r.answerStarted = true
 	out := r.w.Header()
-	for name, values := range header {
-		out[name] = values
-	}
-	for _, name := range hopHeaders {
-		if name != "Connection" {
-			delete(out, name)
-		}
+	connection := out.Get("Connection")
+	maps.Copy(out, header)
+	deleteHopFields(out)
+	if connection != "" {
+		out.Set("Connection", connection)
 	}
 }
 
@@ -95,12 +94,7 @@
 	if r.answerStarted {
 		return nil
 	}
-	connection := r.w.Header().Get("Connection")
 	r.startAnswer(a.header)
-	r.w.Header().Del("Connection")
-	if connection != "" {
-		r.w.Header().Set("Connection", connection)
-	}
 	r.w.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
 	r.w.WriteHeader(a.status)
 	_, err := r.w.Write(a.body)
