requester: failing test of a request whose context has ended before it is sent

Send then writes the request to an idle connection all the same: the endpoint begins a run that nobody needs, and the ending says that it may have run. New connections are not affected, because their dial fails.

--- a/requester/requester_test.go
+++ b/requester/requester_test.go
@@ -119,6 +119,27 @@
 	is.True(err != nil)
 }
 
+// TestEndedContextSendsNothing checks that a request whose context has ended before Send does not
+// reach the endpoint on an idle connection.
+func TestEndedContextSendsNothing(t *testing.T) {
+	is := is.New(t)
+	received := &atomic.Int32{}
+	address, _ := start(t, func(http.ResponseWriter, *http.Request) { received.Add(1) })
+	r := requester.New(requester.Config{})
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	for i := range 20 {
+		_, err := send(r, address, false)
+		is.NoErr(err)
+		_, err = r.Send(ctx, &requester.Request{Address: address, Method: http.MethodGet, Target: "/", Host: "h"})
+		var notSent *requester.NotSentError
+		is.True(errors.As(err, &notSent))
+		_, err = send(r, address, false)
+		is.NoErr(err)
+		is.Equal(received.Load(), int32(2*i+2))
+	}
+}
+
 // TestTruncatedAnswer checks that an answer shorter than its length is an error.
 func TestTruncatedAnswer(t *testing.T) {
 	is := is.New(t)
