requester: a request whose context has ended is not sent

Cause: only a dial looked at the context. On an idle connection the request was written before the context's end reached it.

Change: Send returns NotSentError at once if the context has ended.

--- a/requester/requester.go
+++ b/requester/requester.go
@@ -88,6 +88,9 @@
 // Send sends req and returns its answer once the header of the answer has arrived. If ctx ends,
 // the exchange is aborted, also while the body is read. The errors are *NotSentError and *BrokenError.
 func (r *Requester) Send(ctx context.Context, req *Request) (*Answer, error) {
+	if err := ctx.Err(); err != nil {
+		return nil, &NotSentError{Cause: err}
+	}
 	addr := req.Address.String()
 	conn, err := r.connect(ctx, addr, req.NewConnection)
 	if err != nil {
