forwarder: a failed write to the caller means that the caller has left

What callers would see: the next try of a request whose caller left during an event may be refused as suspected, while it is checked whether the endpoint has ended; endpoints got a second run of a request whose caller had gone (GONE), and the retry budget paid for it.

Cause: net/http cancels the request's context in another goroutine, so that the end of the attempt often reaches the scheduler before CallerLeft. brokenEnding then found neither an abandoned attempt nor an ended context.

Change: the attempt reports CallerLeft itself when the write fails, before it reports its end.

--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -186,6 +186,7 @@
 			return scheduler.Abandoned{}
 		}
 		if err := x.relay.writeEvent(answer.Status, answer.Header, event); err != nil {
+			f.step.Submit(scheduler.CallerLeft{Ref: x.ref}) // abandons a
 			return a.brokenEnding()
 		}
 	}
