scheduler: a hedge that makes no progress is hedged in turn

Cause: mayHedge asked for exactly one running attempt.

Change: the newest attempt of a request may be hedged; all attempts that go on count as runs, so that maxAttempts holds as before.

Streams with maxAttempts 2 still end with the second endpoint (see the design's limits).

--- a/scheduler/flight.go
+++ b/scheduler/flight.go
@@ -16,7 +16,7 @@
 	Request
 	ref           Ref
 	attempts      int        // number of attempts so far
-	running       []*attempt // one attempt, or two while the request is hedged; none while it waits
+	running       []*attempt // one attempt, or several while the request is hedged; none while it waits
 	tried         []triedTarget
 	sentAttempts  int       // ended attempts that may have reached a target
 	possibleRuns  int       // ended attempts that may have run
--- a/scheduler/hedge.go
+++ b/scheduler/hedge.go
@@ -12,19 +12,19 @@
 // hedgeOrphans hedges the requests at removed targets that make no progress.
 func (s *Scheduler) hedgeOrphans(now time.Time) {
 	for _, f := range sortedFlights(s.flights) {
-		if len(f.running) != 1 {
+		if len(f.running) == 0 {
 			continue
 		}
-		a := f.running[0]
+		a := f.running[len(f.running)-1]
 		if s.targets[a.target.ID] != a.target && now.Sub(a.lastProgressAt) >= s.cfg.MinFirstEventStall {
 			s.hedge(now, a, ReasonReplaced)
 		}
 	}
 }
 
-// hedge starts a second attempt of a's request at another target, if one is available now. The
-// attempt a goes on: whichever of the two makes progress first answers the request, so that
-// neither a lack of targets or retries nor a refusal by the second target ends the answer.
+// hedge starts another attempt of a's request at another target, if one is available now. The
+// attempt a goes on: whichever makes progress first answers the request, so that neither a lack
+// of targets or retries nor a refusal by the other target ends the answer.
 func (s *Scheduler) hedge(now time.Time, a *attempt, reason Reason) {
 	f := a.flight
 	if !s.mayHedge(now, a) {
@@ -37,17 +37,18 @@
 	s.start(now, f, t, load, reason)
 }
 
-// mayHedge reports whether the request of a, its only running attempt, may run at a second target
-// too. A suspected request may not, because it may crash both. An attempt that goes on may run.
+// mayHedge reports whether the request of a may run at a further target too. Only its newest
+// attempt is hedged, so that a third one starts if the second makes no progress either. A suspected
+// request is not hedged, because it may crash both targets. Attempts that go on may run.
 func (s *Scheduler) mayHedge(now time.Time, a *attempt) bool {
 	f := a.flight
-	if !f.Repeatable || len(f.running) != 1 || f.Deadline.Sub(now) < minServeTime || now.Before(f.hedgeAfter) {
+	if !f.Repeatable || a != f.running[len(f.running)-1] || f.Deadline.Sub(now) < minServeTime || now.Before(f.hedgeAfter) {
 		return false
 	}
 	if s.isRestricted(f) {
 		return false
 	}
-	return f.possibleRuns+1 < f.maxRuns()
+	return f.possibleRuns+len(f.running) < f.maxRuns()
 }
 
 // abandonOthers ends the other attempts of a's request, because a has made progress.
--- a/scheduler/request.go
+++ b/scheduler/request.go
@@ -145,8 +145,8 @@
 // LatencyReport or WakeAt.
 type Action interface{ action() }
 
-// Send starts an attempt: the request is sent to Target. An attempt that hedges another one runs
-// beside it. Of the two, the first that makes progress answers the request, and the other is
+// Send starts an attempt: the request is sent to Target. An attempt that hedges others runs
+// beside them. The first of them that makes progress answers the request, and the others are
 // abandoned; a stream resumes after the last event that the caller has received when the
 // attempt starts.
 type Send struct {
