scheduler: a request is not hedged at the process that runs it already

Cause: hasTried compares targets, and an endpoint that is removed and added again is another target.

Change: no attempt goes to a process at which another attempt of the request runs, whichever target it was sent to.

--- a/scheduler/flight.go
+++ b/scheduler/flight.go
@@ -40,11 +40,22 @@
 
 // hasTried reports whether f must not be sent to t now because of an earlier attempt there.
 func (f *flight) hasTried(now time.Time, t *target) bool {
+	if f.runsAtProcessOf(t) {
+		return true
+	}
 	return slices.ContainsFunc(f.tried, func(o triedTarget) bool {
 		return o.target == t && (o.retryAt.IsZero() || now.Before(o.retryAt))
 	})
 }
 
+// runsAtProcessOf reports whether f runs at the process of t, possibly as an earlier target that
+// was removed.
+func (f *flight) runsAtProcessOf(t *target) bool {
+	return slices.ContainsFunc(f.running, func(a *attempt) bool {
+		return a.target.ID == t.ID && a.target.ProcessStart == t.ProcessStart && a.target.Address == t.Address
+	})
+}
+
 func (s *Scheduler) handleArrival(now time.Time, e Arrived) {
 	f := &flight{Request: e.Request, ref: e.Ref}
 	s.flights[f.ref] = f
