scheduler: a hedge that can't have begun is replaced if no attempt is left beside it

Cause: every running attempt counts as a run. A hedge that has no event from a target whose streams stand still has not begun, and counted as not run when it was given up before hedging.

Change: such a hedge is abandoned in the step in which its replacement starts. The first attempt, of which the caller may have events, goes on as before.

TestSilenceCutsNoAnswer with 20,000 worlds passes.

--- a/scheduler/hedge.go
+++ b/scheduler/hedge.go
@@ -34,12 +34,16 @@
 	if t == nil || !s.budget.trySpend(f.Service) {
 		return
 	}
+	if f.possibleRuns+len(f.running) >= f.maxRuns() {
+		s.abandon(a, reason)
+	}
 	s.start(now, f, t, load, reason)
 }
 
 // mayHedge reports whether the request of a may run at a further target too. Only its newest
 // attempt is hedged, so that a third one starts if the second makes no progress either. A suspected
-// request is not hedged, because it may crash both targets. Attempts that go on may run.
+// request is not hedged, because it may crash both targets. Attempts that go on may run. If they
+// reach the maximum, a hedge that can't have begun is replaced, while the earlier attempts go on.
 func (s *Scheduler) mayHedge(now time.Time, a *attempt) bool {
 	f := a.flight
 	if !f.Repeatable || a != f.running[len(f.running)-1] || f.Deadline.Sub(now) < minServeTime || now.Before(f.hedgeAfter) {
@@ -48,7 +52,11 @@
 	if s.isRestricted(f) {
 		return false
 	}
-	return f.possibleRuns+len(f.running) < f.maxRuns()
+	runs := f.possibleRuns + len(f.running)
+	if len(f.running) > 1 && !a.mayHaveRun() {
+		runs--
+	}
+	return runs < f.maxRuns()
 }
 
 // abandonOthers ends the other attempts of a's request, because a has made progress.
