scheduler: a request with an abandoned attempt doesn't end as not run

Only requests that may be repeated are concerned.

Cause: whether an abandoned attempt may have run counts for maxAttempts only, and the promise was derived from the same count.

Change: after an abandoned attempt a request that ends without an answer ends as unknown.

--- a/scheduler/attempt.go
+++ b/scheduler/attempt.go
@@ -50,6 +50,7 @@
 func (s *Scheduler) abandon(a *attempt, reason Reason) {
 	f := a.flight
 	f.sentAttempts++
+	f.hasAbandoned = true
 	if a.mayHaveRun() {
 		f.possibleRuns++
 	}
--- a/scheduler/flight.go
+++ b/scheduler/flight.go
@@ -20,6 +20,7 @@
 	tried         []triedTarget
 	sentAttempts  int       // ended attempts that may have reached a target
 	possibleRuns  int       // ended attempts that may have run
+	hasAbandoned  bool      // an attempt was abandoned, so that its target may run the request later
 	answerStarted bool      // an event of the answer has been received
 	giveUpAt      time.Time // end of the wait for a target; zero if the request does not wait
 	hedgeAfter    time.Time // f is not hedged before this time, because a target has refused a hedge
@@ -262,7 +263,7 @@
 	switch {
 	case f.failedStatus != 0 && !f.answerStarted:
 		s.finish(f, PassedThrough{Status: f.failedStatus, Attempt: f.failedAttempt})
-	case f.possibleRuns > 0 || f.answerStarted:
+	case f.possibleRuns > 0 || f.hasAbandoned || f.answerStarted:
 		s.latency.count(f, true)
 		s.finish(f, Unknown{Reason: reason})
 	case f.sentAttempts == 0 && (reason == ReasonSuspected || reason == ReasonQuarantined):
