--- a/forwarder/hedge_test.go
+++ b/forwarder/hedge_test.go
@@ -13,6 +13,9 @@
 // speakDelay is the time after which a silent endpoint goes on once its hedge has been answered.
 const speakDelay = 50 * time.Millisecond
 
+// cancelLimit is the time within which the requests of a caller that has left are canceled.
+const cancelLimit = 500 * time.Millisecond
+
 // writeEvent writes one event of a stream and flushes it.
 func writeEvent(w http.ResponseWriter, id int) {
 	_, _ = fmt.Fprintf(w, "id: %d\ndata: %c\n\n", id, 'a'+id)
@@ -168,3 +171,30 @@
 	_, err := io.ReadAll(x.get("/stream/x").Body)
 	is.True(err != nil)
 }
+
+// TestCallerLeavesHedgedStream checks that both attempts of a hedged stream are canceled at their
+// endpoints when the caller disconnects.
+func TestCallerLeavesHedgedStream(t *testing.T) {
+	x := newFixture(t)
+	hedged, canceled := make(chan struct{}), make(chan struct{}, 2)
+	first := silentStream(nil, func(_ http.ResponseWriter, r *http.Request) {
+		close(hedged)
+		<-r.Context().Done()
+	})
+	for range 2 {
+		x.add(func(w http.ResponseWriter, r *http.Request) {
+			first(w, r)
+			canceled <- struct{}{}
+		})
+	}
+	resp := x.get("/stream/x")
+	<-hedged
+	_ = resp.Body.Close()
+	for range 2 {
+		select {
+		case <-canceled:
+		case <-time.After(cancelLimit):
+			t.Fatal("an endpoint still works for a caller that has left")
+		}
+	}
+}
