standin/hosted: requests that share a crashing part crash engine after engine

The stand-in engines can crash on a part of the prompt, after they have written the header of the answer and, in every second run, an event. The test sends such requests, no two alike, beside sound ones that share the client account, the first part and the other parts, and checks both of the operators' rules.

Known red until the quarantine recognizes parts.

--- a/standin/hosted/answer.go
+++ b/standin/hosted/answer.go
@@ -30,6 +30,10 @@
 		e.crash()
 		panic(http.ErrAbortHandler)
 	}
+	if e.platform.crashesOnPart(e, r) {
+		e.crashWhileWriting(w)
+		panic(http.ErrAbortHandler)
+	}
 	w.Header().Set("X-Server-Seal", e.ID)
 	if unframed {
 		e.answerUnframed(w, r, group)
--- a/standin/hosted/crash_test.go
+++ b/standin/hosted/crash_test.go
@@ -47,7 +47,7 @@
 	for _, r := range runs {
 		t.Logf("%s: %s ran at %s", r.At.Sub(runs[0].At).Round(time.Millisecond), r.Request, r.Engine)
 	}
-	late := hosted.CountLateCrashRuns(runs, func(hosted.CrashRun) bool { return true })
+	late := hosted.CountLateCrashRuns(runs, hosted.CrashesBeforeBound, func(hosted.CrashRun) bool { return true })
 	if late > hosted.MaxLateCrashRuns {
 		t.Errorf("%d runs later than %s after the request crashed engine %d, at most %d allowed", late, hosted.CrashBoundDelay, hosted.CrashesBeforeBound, hosted.MaxLateCrashRuns)
 	}
--- a/standin/hosted/platform.go
+++ b/standin/hosted/platform.go
@@ -27,7 +27,8 @@
 	mu          sync.Mutex
 	engines     []*Engine
 	violations  []string
-	crashMarker string        // part of the body of requests that crash their engine; empty for none
+	crashMarker string        // text in the body of requests that crash their engine; empty for none
+	crashPart   string        // ID of the part of prompts that crashes engines; empty for none
 	onCrash     func(*Engine) // replaces an engine that a request crashed
 	crashRuns   []CrashRun
 }
--- a/standin/soak/crash.go
+++ b/standin/soak/crash.go
@@ -65,7 +65,7 @@
 	for _, s := range r.requests {
 		instances[s.id] = s
 	}
-	late := hosted.CountLateCrashRuns(runs, func(run hosted.CrashRun) bool {
+	late := hosted.CountLateCrashRuns(runs, hosted.CrashesBeforeBound, func(run hosted.CrashRun) bool {
 		return r.isUndisrupted(run.At.Add(-hosted.CrashBoundDelay), run.At, instances[run.Request].instance, allInstances)
 	})
 	if late <= hosted.MaxLateCrashRuns {
