--- a/forwarder/dialect.go
+++ b/forwarder/dialect.go
@@ -22,12 +22,13 @@
 
 // RequestFields holds the header fields of a caller's request.
 type RequestFields struct {
-	ID           string        // ID of this try by the caller
-	Timeout      time.Duration // time for which the caller waits; zero if not given
-	Key          string        // key of the client account; empty for none
-	Model        string        // empty for none
-	PromptTokens int           // zero if not given
-	LastEventID  int           // last event of the stream that the caller received; -1 for none
+	ID           string            // ID of this try by the caller
+	Timeout      time.Duration     // time for which the caller waits; zero if not given
+	Key          string            // key of the client account; empty for none
+	Model        string            // empty for none
+	PromptTokens int               // zero if not given
+	LastEventID  int               // last event of the stream that the caller received; -1 for none
+	Parts        []identifier.Part // of the prompt that other requests may share, without duplicates
 }
 
 // EndpointFields holds the header fields that the system sets in a request to an endpoint.
--- a/internal/identifier/identifier.go
+++ b/internal/identifier/identifier.go
@@ -36,12 +36,15 @@
 // BundleVersion numbers the bundles. It only increases; zero means "no bundle".
 type BundleVersion uint64
 
-// Fingerprint is a hash of what identifies a request over all tries of its callers. Requests
-// with the same Fingerprint ask endpoints for the same work.
+// Fingerprint is a hash of what identifies a request over all tries of its callers, or of what
+// identifies a part of prompts. Requests with the same Fingerprint ask endpoints for the same work.
 type Fingerprint uint64
 
 // String returns the fingerprint as 16 hexadecimal digits.
 func (f Fingerprint) String() string { return fmt.Sprintf("%016x", uint64(f)) }
 
+// Part names a part of the prompts of requests. Several requests can share it.
+type Part string
+
 // Request identifies one request from its arrival to its outcome, across all hops.
 type Request string
