scheduler: restrictions on the parts of a request's prompt

A quarantine of one of a request's parts refuses it at once as not run, with the time until that quarantine ends; a waiting request, one whose connection broke and one whose target stalls are not sent again. The outcome names the fingerprint whose restriction it was. Without restrictions a request costs one comparison more.

--- a/scheduler/flight.go
+++ b/scheduler/flight.go
@@ -267,7 +267,7 @@
 		s.latency.count(f, true)
 		s.finish(f, Unknown{Reason: reason})
 	case f.sentAttempts == 0 && (reason == ReasonSuspected || reason == ReasonQuarantined):
-		s.finish(f, NotRun{Reason: reason, RetryAfter: s.restrictedRetryAfter(now, f)})
+		s.finish(f, s.restrictedOutcome(now, f, reason))
 	case f.refusedStatus != 0 && f.sentAttempts > 0:
 		s.latency.count(f, true)
 		s.finish(f, NotRun{Reason: ReasonAllRefused, RetryAfter: s.retryAfter(now, f)})
--- a/scheduler/request.go
+++ b/scheduler/request.go
@@ -11,8 +11,9 @@
 
 // Request holds the properties of a request that scheduling depends on.
 type Request struct {
-	Fingerprint  identifier.Fingerprint // the same for all tries of the request; see RestrictionSet
-	Service      identifier.Service     // service whose retry budget pays for retries
+	Fingerprint  identifier.Fingerprint   // the same for all tries of the request; see RestrictionSet
+	Parts        []identifier.Fingerprint // of the parts of the prompt that other requests may share; see RestrictionSet
+	Service      identifier.Service       // service whose retry budget pays for retries
 	Pool         identifier.Pool
 	Repeatable   bool // may run at a second target after a first target may have run it
 	Stream       bool
@@ -39,7 +40,7 @@
 // Config.RetryRatio and Config.RetrySlack.
 type RetryBudgetSet struct{ Ratio, Slack float64 }
 
-// RestrictionSet replaces the restriction of the requests with a fingerprint.
+// RestrictionSet replaces the restriction of the requests with a fingerprint or with a part that has it.
 type RestrictionSet struct {
 	Fingerprint identifier.Fingerprint
 	Restriction Restriction
@@ -246,8 +247,9 @@
 
 // NotRun means that the request has certainly not run.
 type NotRun struct {
-	Reason     Reason
-	RetryAfter time.Duration
+	Reason      Reason
+	RetryAfter  time.Duration
+	Fingerprint identifier.Fingerprint // whose restriction is the reason: that of the request or of a part; zero for other reasons
 }
 
 // Unknown means that the request may have run, completely or in part.
--- a/scheduler/restriction.go
+++ b/scheduler/restriction.go
@@ -1,12 +1,16 @@
 package scheduler
 
-import "time"
+import (
+	"time"
+
+	"amaranthmill/internal/identifier"
+)
 
 // suspectRetryAfter is the time after which the caller of a copy of a suspected request should
 // retry; the copy that runs has usually been answered by then.
 const suspectRetryAfter = 500 * time.Millisecond
 
-// Restriction bounds the attempts of the requests with one fingerprint.
+// Restriction bounds the attempts of the requests with one fingerprint, or with a part that has it.
 type Restriction uint8
 
 // The restrictions.
@@ -61,14 +65,32 @@
 	s.restrictions[e.Fingerprint] = restriction{Restriction: e.Restriction, until: e.Until}
 }
 
-// blockingReason returns the reason why the restriction of f allows no attempt now, or "".
+// quarantineOf returns the fingerprint and the restriction of the quarantine that ends last, of those of f and
+// of its parts, or false if there is none.
+func (s *Scheduler) quarantineOf(f *flight) (identifier.Fingerprint, restriction, bool) {
+	var last restriction
+	var lastOf identifier.Fingerprint
+	for i := -1; len(s.restrictions) > 0 && i < len(f.Parts); i++ {
+		fp := f.Fingerprint
+		if i >= 0 {
+			fp = f.Parts[i]
+		}
+		if r := s.restrictions[fp]; r.Restriction == Quarantined && r.until.After(last.until) {
+			last, lastOf = r, fp
+		}
+	}
+	return lastOf, last, last.Restriction == Quarantined
+}
+
+// blockingReason returns the reason why the restrictions of f and of its parts allow no attempt now, or "".
 func (s *Scheduler) blockingReason(f *flight) Reason {
+	if _, _, quarantined := s.quarantineOf(f); quarantined {
+		return ReasonQuarantined
+	}
 	r, ok := s.restrictions[f.Fingerprint]
 	switch {
 	case !ok:
 		return ""
-	case r.Restriction == Quarantined:
-		return ReasonQuarantined
 	case r.Restriction == Held, s.runsCopyOf(f):
 		return ReasonSuspected
 	}
@@ -105,11 +127,12 @@
 	s.wait(now, f, reason)
 }
 
-// restrictedRetryAfter returns the time after which the caller of a restricted request should
-// retry: when the quarantine ends, or when the running copy has probably ended.
-func (s *Scheduler) restrictedRetryAfter(now time.Time, f *flight) time.Duration {
-	if r := s.restrictions[f.Fingerprint]; r.Restriction == Quarantined {
-		return max(r.until.Sub(now), minRetryAfter).Round(time.Second)
+// restrictedOutcome returns the outcome of a restricted request that was never sent. Its caller
+// should retry when the quarantine ends, or when the running copy has probably ended.
+func (s *Scheduler) restrictedOutcome(now time.Time, f *flight, reason Reason) NotRun {
+	fp, r, quarantined := s.quarantineOf(f)
+	if !quarantined {
+		return NotRun{Reason: reason, RetryAfter: suspectRetryAfter, Fingerprint: f.Fingerprint}
 	}
-	return suspectRetryAfter
+	return NotRun{Reason: reason, RetryAfter: max(r.until.Sub(now), minRetryAfter).Round(time.Second), Fingerprint: fp}
 }
--- a/scheduler/session_test.go
+++ b/scheduler/session_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -117,6 +118,10 @@
 		Fingerprint: identifier.Fingerprint(ev.Int("fingerprint")), Service: "guides", Pool: "guides", Repeatable: true, Stream: true, ArrivedAt: now, LatencyGoal: 400 * time.Millisecond,
 		GapGoal: 200 * time.Millisecond, Deadline: now.Add(8 * time.Second), MaxAttempts: 2, Priority: ev.Int("priority"), PromptTokens: ev.Int("prompt"),
 	}
+	for _, part := range ev.List("parts") {
+		fp, _ := strconv.Atoi(part) // a malformed part is zero
+		q.Parts = append(q.Parts, identifier.Fingerprint(fp))
+	}
 	switch ev.Str("kind") {
 	case "nonIdempotent":
 		q.Repeatable, q.Stream, q.MaxAttempts = false, false, 1
