quarantiner: simulated fleets with a crashing part, and what they found

TestCrashingPartStops simulates instances and endpoints with requests that share documents and batches, one crashing part, crashes of several endpoints at once, planned replacements, cuts, lost peers and stores, and restarts.

Where answers have no length and addresses go on accepting connections, an answer that the crash ended looked complete, and its process, still listed, was taken to have outlived it by 1 s. A part is now cleared and immune only after its process has outlived an answer by 4.5 s, longer than ended endpoints stay listed. Until then, parts without such an answer are blamed first, so that the common first part is not blamed with the crashing one while the instances have just started. An answer proves a process alive only 1 s after the attempt in question.

--- a/quarantiner/completion.go
+++ b/quarantiner/completion.go
@@ -37,21 +37,25 @@
 }
 
 // proveCompletions clears the parts of the completions that their processes have outlived for
-// ProofDelay, and for ClearDelay if the part has losses. While the store is lost, the list does
-// not show the end of a process, and no losses are cleared.
+// ClearDelay. While the store is lost, the list does not show the end of a process, and parts
+// with losses are not cleared.
 func (q *Quarantiner) proveCompletions(now time.Time) {
-	var proved []identifier.Fingerprint
-	q.completions = slices.DeleteFunc(q.completions, func(c completion) bool {
-		isSuspect := q.suspects[c.part] != nil
-		switch {
-		case now.Sub(c.at) < q.cfg.ProofDelay, isSuspect && now.Sub(c.at) < q.cfg.ClearDelay:
-			return false
-		case q.isListed(c.process) && !(isSuspect && q.storeLost):
-			proved = append(proved, c.part)
+	due := 0
+	for due < len(q.completions) && now.Sub(q.completions[due].at) >= q.cfg.ClearDelay {
+		due++
+	}
+	list := q.completions[:due]
+	q.completions = q.completions[due:]
+	for _, c := range list {
+		if q.isListed(c.process) && (q.suspects[c.part] == nil || !q.storeLost) {
+			q.clear(now, attribute{fingerprint: c.part, kind: KindPart}, true)
 		}
-		return true
-	})
-	for _, fp := range proved {
-		q.clear(now, attribute{fingerprint: fp, kind: KindPart}, true)
 	}
 }
+
+// isAnswered reports whether a part was answered at least ProofDelay ago by a process that is not known to have ended.
+func (q *Quarantiner) isAnswered(now time.Time, part identifier.Fingerprint) bool {
+	return slices.ContainsFunc(q.completions, func(c completion) bool {
+		return c.part == part && now.Sub(c.at) >= q.cfg.ProofDelay && q.isListed(c.process)
+	})
+}
--- a/quarantiner/exposure.go
+++ b/quarantiner/exposure.go
@@ -119,15 +119,7 @@
 		for expired < len(list) && now.Sub(list[expired].endedAt) >= q.cfg.ExposureTTL {
 			expired++
 		}
-		if expired == 0 {
-			continue
-		}
-		if q.exposures[p] = list[expired:]; expired == len(list) {
-			delete(q.exposures, p)
-		}
-		for _, x := range list[:expired] {
-			q.count(x, -1)
-		}
+		q.forgetExposures(p, expired)
 	}
 }
 
@@ -166,13 +158,26 @@
 	return cmp.Or(cmp.Compare(p.Endpoint, o.Endpoint), cmp.Compare(p.Start, o.Start))
 }
 
-// proveAlive forgets the exposures of a process that has answered a request, except those
-// whose connection is being checked: the answer may look complete because the process has ended.
-func (q *Quarantiner) proveAlive(p Process) {
-	if _, pending := q.checks[p]; pending {
-		return
+// proveAlive forgets the exposures of a process that has answered a request later than
+// ProofDelay after them. An earlier answer may look complete because the process has ended: without
+// a length, it ends with its connection.
+func (q *Quarantiner) proveAlive(now time.Time, p Process) {
+	list := q.exposures[p]
+	old := 0
+	for old < len(list) && !list[old].checking && now.Sub(list[old].endedAt) >= q.cfg.ProofDelay {
+		old++
 	}
-	for _, x := range q.removeExposures(p) {
+	q.forgetExposures(p, old)
+}
+
+// forgetExposures forgets the first n exposures of a process.
+func (q *Quarantiner) forgetExposures(p Process, n int) {
+	list := q.exposures[p]
+	if q.exposures[p] = list[n:]; n == len(list) {
+		delete(q.exposures, p)
+	}
+	for _, x := range list[:n] {
+		q.count(x, -1)
 		q.restrict(x.fingerprint)
 	}
 }
--- a/quarantiner/fleet_test.go
+++ b/quarantiner/fleet_test.go
@@ -28,7 +28,7 @@
 )
 
 // fleet simulates instances, each with the cores scheduler.Scheduler and
-// quarantiner.Quarantiner, in front of endpoints of one plain service. A run of the crashing
+// quarantiner.Quarantiner, in front of endpoints of one plain service. A run of a crashing
 // request ends its endpoint, which returns as a new process. Peers' links, the store and the
 // instances' ways to it fail, and instances restart.
 type fleet struct {
@@ -47,8 +47,10 @@
 	crashTime                                     time.Duration // from the start of the crashing run
 	repeatable                                    bool          // requests are repeatable
 	accepts                                       bool          // addresses without a process accept connections, as those of a relay do
+	looksComplete                                 bool          // answers have no length, so that one that a crash ends may look complete
 	crashSends                                    []crashSend
 	crashes                                       []time.Time
+	knownAt                                       map[int]time.Time // when each instance first quarantined crashingPart
 	quarantinedBenign, servedBenign, brokenBenign int
 }
 
@@ -57,7 +59,7 @@
 	do func()
 }
 
-// crashSend is an attempt of the crashing request that reached an endpoint.
+// crashSend is an attempt of a crashing request that reached an endpoint.
 type crashSend struct {
 	at      time.Time
 	inTouch bool // the instance had not been disrupted for stableTime
@@ -92,6 +94,8 @@
 
 type simRequest struct {
 	fingerprint identifier.Fingerprint
+	parts       []quarantiner.Part
+	crashes     bool                         // a run of the request ends its endpoint
 	processes   map[quarantiner.Process]bool // to which a benign request was sent
 	onEnd       func(scheduler.Outcome)
 }
@@ -99,7 +103,7 @@
 func newFleet(seed uint64) *fleet {
 	r := rand.New(rand.NewPCG(seed, 17))
 	f := &fleet{
-		rand: r, now: scripter.Start, endpoints: map[identifier.Endpoint]*simEndpoint{}, stored: map[quarantiner.StoreLoss]uint64{}, cut: map[[2]int]bool{},
+		rand: r, now: scripter.Start, endpoints: map[identifier.Endpoint]*simEndpoint{}, stored: map[quarantiner.StoreLoss]uint64{}, cut: map[[2]int]bool{}, knownAt: map[int]time.Time{},
 		crashTime: time.Duration(1+r.IntN(400)) * time.Millisecond, repeatable: r.IntN(3) > 0, accepts: r.IntN(4) == 0,
 	}
 	for i := range fleetEndpoints {
@@ -183,7 +187,7 @@
 	for _, l := range sortedLosses(f.stored) {
 		if i.known[l] != f.stored[l] {
 			i.known[l] = f.stored[l]
-			f.stepQuarantiner(i, quarantiner.LossStored{Fingerprint: l.Fingerprint, Process: l.Process, Revision: f.stored[l]})
+			f.stepQuarantiner(i, quarantiner.LossStored{Fingerprint: l.Fingerprint, Kind: l.Kind, Process: l.Process, Revision: f.stored[l]})
 		}
 	}
 	for _, l := range sortedLosses(i.known) {
@@ -239,8 +243,12 @@
 	}
 	f.nextRef++
 	i.requests[f.nextRef] = r
+	var parts []identifier.Fingerprint
+	for _, p := range r.parts {
+		parts = append(parts, p.Fingerprint)
+	}
 	f.stepScheduler(i, scheduler.Arrived{Ref: f.nextRef, Request: scheduler.Request{
-		Fingerprint: r.fingerprint, Service: "ledger", Pool: "ledger", Repeatable: f.repeatable, ArrivedAt: f.now,
+		Fingerprint: r.fingerprint, Parts: parts, Service: "ledger", Pool: "ledger", Repeatable: f.repeatable, ArrivedAt: f.now,
 		LatencyGoal: time.Second, Deadline: f.now.Add(6 * time.Second), MaxAttempts: 2,
 	}})
 }
@@ -261,7 +269,7 @@
 			r := i.requests[a.Ref]
 			delete(i.requests, a.Ref)
 			if n, ok := a.Outcome.(scheduler.NotRun); ok && n.Reason == scheduler.ReasonQuarantined {
-				f.stepQuarantiner(i, quarantiner.RequestRefused{Fingerprint: r.fingerprint})
+				f.stepQuarantiner(i, quarantiner.RequestRefused{Fingerprint: n.Fingerprint})
 			}
 			r.onEnd(a.Outcome)
 		case scheduler.WakeAt:
@@ -289,9 +297,14 @@
 	if r := i.requests[key.ref]; r.processes != nil {
 		r.processes[quarantiner.Process{Endpoint: e.id, Start: start}] = true
 	}
-	if i.requests[key.ref].fingerprint == crashing {
+	if i.requests[key.ref].crashes {
 		f.crashSends = append(f.crashSends, crashSend{at: f.now, inTouch: f.isInTouch(i)})
-		f.after(f.crashTime, func() { f.crash(e, start) })
+		f.after(f.crashTime, func() {
+			if e.up && e.start == start {
+				f.crashes = append(f.crashes, f.now)
+				f.crash(e)
+			}
+		})
 		return
 	}
 	f.after(benignRunTime, func() {
@@ -327,18 +340,14 @@
 		return
 	}
 	process := quarantiner.Process{Endpoint: target.ID, Start: target.ProcessStart}
-	f.stepQuarantiner(i, quarantiner.AttemptEnded{Fingerprint: r.fingerprint, Process: process, Result: result})
+	f.stepQuarantiner(i, quarantiner.AttemptEnded{Fingerprint: r.fingerprint, Parts: r.parts, Process: process, Result: result})
 	f.stepScheduler(i, scheduler.Ended{Ref: key.ref, Attempt: key.attempt, Ending: ending})
 }
 
-// crash ends a process of an endpoint. A new process comes, mostly under the same ID.
-func (f *fleet) crash(e *simEndpoint, start identifier.ProcessStart) {
-	if !e.up || e.start != start {
-		return
-	}
+// crash ends the process of an endpoint. A new process comes, mostly under the same ID.
+func (f *fleet) crash(e *simEndpoint) {
 	e.up = false
-	f.crashes = append(f.crashes, f.now)
-	target := scheduler.Target{ID: e.id, ProcessStart: start}
+	target := scheduler.Target{ID: e.id, ProcessStart: e.start}
 	var keys []runKey
 	for key := range e.runs {
 		keys = append(keys, key)
@@ -348,6 +357,10 @@
 	})
 	for _, key := range keys {
 		i := f.instances[key.instance]
+		if f.looksComplete && f.rand.IntN(4) == 0 {
+			f.after(f.random(5), func() { f.end(i, key, target, scheduler.Completed{}, quarantiner.ResultAnswered) })
+			continue
+		}
 		f.after(f.random(5), func() { f.end(i, key, target, scheduler.Broken{}, quarantiner.ResultBroken) })
 	}
 	f.after(listingDelay, func() {
@@ -376,6 +389,9 @@
 		case quarantiner.CheckConnection:
 			f.after(f.random(5), func() { f.check(i, process, a) })
 		case quarantiner.Restrict:
+			if _, known := f.knownAt[i.number]; !known && a.Fingerprint == crashingPart && a.Restriction == scheduler.Quarantined {
+				f.knownAt[i.number] = f.now
+			}
 			f.stepScheduler(i, scheduler.RestrictionSet(a))
 		case quarantiner.Announce:
 			for _, to := range f.instances {
@@ -432,7 +448,7 @@
 }
 
 func (f *fleet) deleteLoss(i *simInstance, a quarantiner.DeleteLoss) {
-	l := quarantiner.StoreLoss{Fingerprint: a.Fingerprint, Process: a.Process}
+	l := quarantiner.StoreLoss{Fingerprint: a.Fingerprint, Kind: a.Kind, Process: a.Process}
 	if !i.up || i.storeCut || f.storeDown || f.stored[l] != a.Revision {
 		return
 	}
--- a/quarantiner/property_test.go
+++ b/quarantiner/property_test.go
@@ -10,7 +10,7 @@
 	"amaranthmill/scheduler"
 )
 
-var fleetSeeds = flag.Uint64("fleetSeeds", 120, "number of simulated fleets of TestCrashingRequestStops")
+var fleetSeeds = flag.Uint64("fleetSeeds", 120, "number of simulated fleets of TestCrashingRequestStops; TestCrashingPartStops simulates a tenth as many")
 
 // Bounds of the operators' rule on requests that crash the endpoints that run them.
 const (
@@ -41,7 +41,7 @@
 		if f.accepts {
 			delay = listingDelay + listingSlack // the list alone shows that an endpoint has ended
 		}
-		late := f.countLateSends(delay)
+		late := f.countLateSends(crashesBeforeBound, delay)
 		if late > maxLateSends {
 			t.Errorf("seed %d: %d sends later than %s after crash %d, at most %d allowed; %d crashes in all", seed, late, delay, crashesBeforeBound, maxLateSends, len(f.crashes))
 		}
@@ -53,12 +53,13 @@
 		*fleetSeeds, float64(crashes)/float64(*fleetSeeds), worstCrashes, worstLate, served, broken, quarantined)
 }
 
-// countLateSends returns the number of sends to which the bound applies.
-func (f *fleet) countLateSends(delay time.Duration) int {
-	if len(f.crashes) < crashesBeforeBound {
+// countLateSends returns the number of sends to which the bound applies, from a time after the
+// given number of crashes.
+func (f *fleet) countLateSends(crashes int, delay time.Duration) int {
+	if len(f.crashes) < crashes {
 		return 0
 	}
-	bound := f.crashes[crashesBeforeBound-1].Add(delay)
+	bound := f.crashes[crashes-1].Add(delay)
 	late := 0
 	for _, s := range f.crashSends {
 		if s.inTouch && s.at.After(bound) {
@@ -74,7 +75,7 @@
 	interval := 50 + f.rand.IntN(700)
 	for at := f.random(2000); at < fleetTime; at += f.random(interval) {
 		f.after(at, func() {
-			f.send(f.instances[f.rand.IntN(fleetInstances)], simRequest{fingerprint: crashing, onEnd: func(scheduler.Outcome) {}})
+			f.send(f.instances[f.rand.IntN(fleetInstances)], simRequest{fingerprint: crashing, crashes: true, onEnd: func(scheduler.Outcome) {}})
 		})
 	}
 	for n := range 200 {
@@ -172,7 +173,7 @@
 		f.accepts, f.crashTime = false, min(f.crashTime, maxCrashTime)
 		for at := copyInterval; at < fleetTime; at += copyInterval {
 			f.after(at, func() {
-				f.send(f.instances[f.rand.IntN(fleetInstances)], simRequest{fingerprint: crashing, onEnd: func(scheduler.Outcome) {}})
+				f.send(f.instances[f.rand.IntN(fleetInstances)], simRequest{fingerprint: crashing, crashes: true, onEnd: func(scheduler.Outcome) {}})
 			})
 		}
 		f.run(fleetTime)
--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -31,8 +31,8 @@
 	SuspicionTTL    time.Duration // of a single loss; zero means 10 min
 	QuarantineTTL   time.Duration // of a quarantine, from its last loss; zero means 1 h
 	AnsweredTTL     time.Duration // after a complete answer, in which a fingerprint is not suspected; zero means 1 min
-	ProofDelay      time.Duration // for which a process must outlive an answer that proves its parts sound; zero means 1 s
-	ClearDelay      time.Duration // the same for parts with losses; longer than endpoints that have ended stay listed; zero means 4.5 s
+	ProofDelay      time.Duration // for which a process must outlive an answer until other parts are blamed before those of the answer; zero means 1 s
+	ClearDelay      time.Duration // for which a process must outlive an answer that clears its parts; longer than endpoints that have ended stay listed; zero means 4.5 s
 	ExposureTTL     time.Duration // after an attempt without a complete answer, within which the end of its endpoint counts as a loss; longer than endpoints that have ended stay listed; zero means 6 s
 	DisproofDelay   time.Duration // after which a listed process counts as alive although its address accepted no connection; longer than endpoints that have ended stay listed; zero means 6 s
 	CheckTimeout    time.Duration // after which a check of a connection has no result; zero means 1 s
@@ -139,7 +139,7 @@
 	switch e.Result {
 	case ResultNotRun:
 	case ResultAnswered:
-		q.proveAlive(e.Process)
+		q.proveAlive(now, e.Process)
 		q.clear(now, attribute{fingerprint: e.Fingerprint}, true)
 		q.complete(now, e)
 	case ResultUnanswered, ResultBroken:
@@ -210,7 +210,7 @@
 			continue
 		}
 		if !now.Before(s.expiry(q.cfg)) {
-			q.removeSuspect(s, DecisionExpire)
+			q.removeSuspect(now, s, DecisionExpire)
 			continue
 		}
 		q.withdraw(now, s)
--- a/quarantiner/suspect.go
+++ b/quarantiner/suspect.go
@@ -88,7 +88,7 @@
 	s := q.suspects[a.fingerprint]
 	if s == nil {
 		s = &suspect{attribute: a}
-		q.insert(s)
+		q.insert(now, s)
 	}
 	s.part = cmp.Or(s.part, a.part)
 	if l := s.find(p); l != nil {
@@ -96,7 +96,7 @@
 	}
 	s.losses = append(s.losses, loss{process: p, source: source, learnedAt: now, announced: source == SourcePeer})
 	s.lastLossAt = now
-	q.review(s)
+	q.review(now, s)
 	l := &s.losses[len(s.losses)-1]
 	decision := DecisionSuspect
 	if s.quarantined {
@@ -124,9 +124,9 @@
 }
 
 // insert adds s to the suspects and evicts one if there are too many.
-func (q *Quarantiner) insert(s *suspect) {
+func (q *Quarantiner) insert(now time.Time, s *suspect) {
 	if len(q.order) >= maxSuspects {
-		q.removeSuspect(q.evictee(), DecisionEvict)
+		q.removeSuspect(now, q.evictee(), DecisionEvict)
 	}
 	q.suspects[s.fingerprint] = s
 	q.order = append(q.order, s.fingerprint)
@@ -150,13 +150,13 @@
 }
 
 // removeSuspect forgets s and lifts its restriction.
-func (q *Quarantiner) removeSuspect(s *suspect, d Decision) {
+func (q *Quarantiner) removeSuspect(now time.Time, s *suspect, d Decision) {
 	delete(q.suspects, s.fingerprint)
 	q.order = slices.DeleteFunc(q.order, func(fp identifier.Fingerprint) bool { return fp == s.fingerprint })
 	q.logDecision(&suspect{attribute: s.attribute}, d, loss{})
 	q.restrict(s.fingerprint)
 	if s.kind == KindPart && s.quarantined {
-		q.judge(nil)
+		q.judge(now, nil)
 	}
 }
 
@@ -177,7 +177,7 @@
 	if wasAnnounced && announce {
 		q.emit(Announce{Report{Fingerprint: s.fingerprint, Kind: s.kind, Part: s.part, Cleared: true}})
 	}
-	q.removeSuspect(s, DecisionClear)
+	q.removeSuspect(now, s, DecisionClear)
 }
 
 // withdraw removes the losses of s whose processes live: the list has the process, and the
@@ -200,9 +200,9 @@
 	switch {
 	case len(s.losses) == before:
 	case len(s.losses) == 0:
-		q.removeSuspect(s, DecisionWithdraw)
+		q.removeSuspect(now, s, DecisionWithdraw)
 	default:
-		q.review(s)
+		q.review(now, s)
 	}
 }
 
--- a/quarantiner/verdict.go
+++ b/quarantiner/verdict.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"amaranthmill/internal/identifier"
 	"amaranthmill/scheduler"
@@ -37,27 +38,45 @@
 
 // review derives the verdict of s after a change of its losses. The verdict of a part changes
 // what is said against the other suspects.
-func (q *Quarantiner) review(s *suspect) {
+func (q *Quarantiner) review(now time.Time, s *suspect) {
 	if s.kind == KindPart && (s.quarantined || len(s.losses) >= partLosses) {
-		q.judge(s)
+		q.judge(now, s)
 		return
 	}
 	s.quarantined = s.kind == KindRequest && q.countUnexplained(s) >= requestLosses
 }
 
-// judge derives the verdicts of all suspects after a change of changed. The part that explains most losses
-// is quarantined first, because the other parts and the requests that were under the same
-// processes are then suspected without a reason of their own. Parts with the same losses can't
-// be told apart and are quarantined together.
-func (q *Quarantiner) judge(changed *suspect) {
+// judge derives the verdicts of all suspects after a change of changed. Parts without an answer
+// are judged first.
+func (q *Quarantiner) judge(now time.Time, changed *suspect) {
 	clear(q.explained)
 	guilty := map[*suspect]bool{}
-	candidates := q.partsToJudge()
+	var answered, unanswered []*suspect
+	for _, s := range q.partsToJudge() {
+		if q.isAnswered(now, s.fingerprint) {
+			answered = append(answered, s)
+		} else {
+			unanswered = append(unanswered, s)
+		}
+	}
+	q.blame(unanswered, unexplainedLosses, guilty)
+	q.blame(answered, partLosses, guilty)
+	for _, fp := range q.order {
+		s := q.suspects[fp]
+		q.setVerdict(s, guilty[s] || s.kind == KindRequest && q.countUnexplained(s) >= requestLosses, s != changed)
+	}
+}
+
+// blame adds candidates to guilty. The part that explains most losses
+// comes first, because the other parts and the requests that were under the same
+// processes are then suspected without a reason of their own. It ends at parts with fewer losses than
+// limit that are not explained. Parts with the same losses can't be told apart and are blamed together.
+func (q *Quarantiner) blame(candidates []*suspect, limit int, guilty map[*suspect]bool) {
 	for len(candidates) > 0 {
 		best := slices.MaxFunc(candidates, q.compareGuilt)
 		n := q.countUnexplained(best)
-		if n < unexplainedLosses {
-			break
+		if n < limit {
+			return
 		}
 		var tied, others []*suspect
 		for _, s := range candidates {
@@ -75,10 +94,6 @@
 		}
 		candidates = others
 	}
-	for _, fp := range q.order {
-		s := q.suspects[fp]
-		q.setVerdict(s, guilty[s] || s.kind == KindRequest && q.countUnexplained(s) >= requestLosses, s != changed)
-	}
 }
 
 // partsToJudge returns the parts with enough losses for a quarantine.
