millctl, messenger, quarantiner: quarantines are listed and lifted

An innocent request or part that was under endpoints that ended is refused for up to an hour; design 0013 had no way to end that. millctl quarantines list shows what an instance refuses, with the endpoints that ended, and millctl quarantines lift FINGERPRINT ends it at all instances: it counts as an answer, is announced and repeated like one, and deletes the stored losses. Both call the address at which an instance answers its peers, where a report can clear losses already. The decision "lift" is logged.

--- a/cmd/millctl/exit.go
+++ b/cmd/millctl/exit.go
@@ -12,6 +12,7 @@
 
 	"amaranthmill/administrator"
 	"amaranthmill/bundler"
+	"amaranthmill/messenger"
 )
 
 // exitCode is the exit code of the process.
@@ -31,7 +32,7 @@
 )
 
 const exitCodeHelp = `Exit codes: 0 done; 1 failed; 2 wrong usage; 3 the bundle is invalid; 4 another version won;
-5 the token, role, key or signature does not permit it; 6 no such bundle; 7 no instance or
+5 the token, role, key or signature does not permit it; 6 no such bundle or quarantine; 7 no instance or
 platform in reach, or the outcome is not settled (repeating is safe); 8 the audit trail was
 tampered with; 9 the version is not in force everywhere.`
 
@@ -86,6 +87,8 @@
 		return codeTampered
 	case errors.As(err, new(*notInForceError)):
 		return codeNotInForce
+	case errors.As(err, new(*messenger.NotQuarantinedError)):
+		return codeNotFound
 	}
 	if p := findProblem(err); p != nil {
 		return codeOfStatus(p.Status)
--- a/cmd/millctl/main.go
+++ b/cmd/millctl/main.go
@@ -69,9 +69,16 @@
 	if err != nil {
 		return err
 	}
+	quarantines, err := parser.AddCommand("quarantines", "list and lift quarantines of requests that crash endpoints", "", &struct{}{})
+	if err != nil {
+		return err
+	}
 	if err := addSubcommands(bundle, bundleCommands(a)); err != nil {
 		return err
 	}
+	if err := addSubcommands(quarantines, quarantineCommands(a)); err != nil {
+		return err
+	}
 	if err := addSubcommands(keys, keyCommands(a)); err != nil {
 		return err
 	}
--- a/cmd/millctl/output.go
+++ b/cmd/millctl/output.go
@@ -11,12 +11,21 @@
 
 // client returns a client of the administration API, configured by the global options.
 func (a *app) client() (*administrator.Client, error) {
-	if len(a.Address) == 0 {
-		return nil, &usageError{message: "no address; give --address IP:PORT or set MILLCTL_ADDRESS"}
+	addresses, err := a.addresses()
+	if err != nil {
+		return nil, err
 	}
 	if a.Token == "" {
 		return nil, &usageError{message: "no token; set MILLCTL_TOKEN or give --token"}
 	}
+	return administrator.NewClient(administrator.ClientConfig{Addresses: addresses, Token: a.Token}), nil
+}
+
+// addresses returns the addresses of the global options. Its error is *usageError.
+func (a *app) addresses() ([]netip.AddrPort, error) {
+	if len(a.Address) == 0 {
+		return nil, &usageError{message: "no address; give --address IP:PORT or set MILLCTL_ADDRESS"}
+	}
 	var addresses []netip.AddrPort
 	for _, text := range a.Address {
 		address, err := netip.ParseAddrPort(text)
@@ -25,7 +34,7 @@
 		}
 		addresses = append(addresses, address)
 	}
-	return administrator.NewClient(administrator.ClientConfig{Addresses: addresses, Token: a.Token}), nil
+	return addresses, nil
 }
 
 // showResult writes v as JSON if JSON output is chosen, and otherwise calls printText.
--- a/internal/identifier/identifier.go
+++ b/internal/identifier/identifier.go
@@ -1,6 +1,9 @@
 package identifier
 
-import "fmt"
+import (
+	"fmt"
+	"strconv"
+)
 
 // Instance names one entry instance of the system. It is unique in the fleet.
 type Instance string
@@ -43,6 +46,22 @@
 // String returns the fingerprint as 16 hexadecimal digits.
 func (f Fingerprint) String() string { return fmt.Sprintf("%016x", uint64(f)) }
 
+// ParseFingerprint parses the form that String returns. Its error is *FingerprintError.
+func ParseFingerprint(text string) (Fingerprint, error) {
+	f, err := strconv.ParseUint(text, 16, 64)
+	if err != nil {
+		return 0, &FingerprintError{Text: text}
+	}
+	return Fingerprint(f), nil
+}
+
+// FingerprintError reports a text that is no fingerprint.
+type FingerprintError struct{ Text string }
+
+func (e *FingerprintError) Error() string {
+	return fmt.Sprintf("identifier: %q is not a fingerprint of at most 16 hexadecimal digits, such as 0c42f55332b80925", e.Text)
+}
+
 // Part names a part of the prompts of requests. Several requests can share it.
 type Part string
 
--- a/internal/stepper/stepper.go
+++ b/internal/stepper/stepper.go
@@ -40,3 +40,10 @@
 		s.cfg.Handle(a)
 	}
 }
+
+// Inspect calls read while no event is applied. read must not call Submit.
+func (s *Stepper[E, A]) Inspect(read func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	read()
+}
--- a/messenger/doc.go
+++ b/messenger/doc.go
@@ -9,5 +9,7 @@
 //   - A watch waits for changes of a peer's replica. Instances that follow another instance
 //     rather than the store use it.
 //   - An announcement tells all peers which processes of endpoints ended while they ran a
-//     request. It is repeated to a peer that does not acknowledge it.
+//     request or a part of its prompt. It is repeated to a peer that does not acknowledge it.
+//
+// An operator lists and lifts quarantines through the same address; see Operator.
 package messenger
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -39,6 +39,8 @@
 	Report           func(ctx context.Context, id identifier.Endpoint) (groupformer.Reported, error)          // queries an endpoint for its report
 	OnLosses         func(r quarantiner.Report)                                                               // a peer announces losses; must not block
 	OnUnacknowledged func(fp identifier.Fingerprint)                                                          // a peer did not acknowledge an announcement, which is sent again; must not block
+	Quarantines      func() []quarantiner.Quarantine                                                          // the quarantines at this instance
+	Lift             func(fp identifier.Fingerprint) bool                                                     // ends a quarantine at all instances; false if there is none at this instance
 	OnStalled        func(head identifier.Endpoint)                                                           // a peer reports that the group with this head is stalled; must not block
 	HTTP             *http.Client
 	Timeout          time.Duration // of one exchange with a peer; zero selects 600 ms
@@ -83,6 +85,8 @@
 	mux.HandleFunc("POST "+pathStalled, m.serveStalled)
 	mux.HandleFunc("POST "+pathReport, m.serveReport)
 	mux.HandleFunc("POST "+pathLosses, m.serveLosses)
+	mux.HandleFunc("GET "+pathQuarantines, m.serveQuarantines)
+	mux.HandleFunc("DELETE "+pathQuarantines+"/{fingerprint}", m.serveLift)
 	return mux
 }
 
--- a/messenger/wire.go
+++ b/messenger/wire.go
@@ -2,6 +2,7 @@
 
 import (
 	"strconv"
+	"time"
 
 	"amaranthmill/endpointlister"
 	"amaranthmill/groupformer"
@@ -13,11 +14,12 @@
 
 // Paths of the HTTP exchanges.
 const (
-	pathUpdate  = "/news"
-	pathChanges = "/changes"
-	pathStalled = "/stalled"
-	pathReport  = "/report"
-	pathLosses  = "/losses"
+	pathUpdate      = "/news"
+	pathChanges     = "/changes"
+	pathStalled     = "/stalled"
+	pathReport      = "/report"
+	pathLosses      = "/losses"
+	pathQuarantines = "/quarantines"
 )
 
 // withAfter returns path with the revision of the local replica as query parameter.
@@ -133,20 +135,50 @@
 }
 
 func encodeLossReport(r quarantiner.Report) lossReportWire {
-	w := lossReportWire{Fingerprint: r.Fingerprint, IsPart: r.Kind == quarantiner.KindPart, Part: r.Part, Cleared: r.Cleared}
-	for _, p := range r.Losses {
-		w.Losses = append(w.Losses, processWire{Endpoint: p.Endpoint, ProcessStart: p.Start})
+	return lossReportWire{Fingerprint: r.Fingerprint, IsPart: r.Kind == quarantiner.KindPart, Part: r.Part, Losses: encodeProcesses(r.Losses), Cleared: r.Cleared}
+}
+
+func encodeProcesses(processes []quarantiner.Process) []processWire {
+	var out []processWire
+	for _, p := range processes {
+		out = append(out, processWire{Endpoint: p.Endpoint, ProcessStart: p.Start})
 	}
-	return w
+	return out
 }
 
-func (w lossReportWire) report() quarantiner.Report {
-	r := quarantiner.Report{Fingerprint: w.Fingerprint, Part: w.Part, Cleared: w.Cleared}
-	if w.IsPart {
-		r.Kind = quarantiner.KindPart
+func decodeProcesses(processes []processWire) []quarantiner.Process {
+	var out []quarantiner.Process
+	for _, p := range processes {
+		out = append(out, quarantiner.Process{Endpoint: p.Endpoint, Start: p.ProcessStart})
 	}
-	for _, p := range w.Losses {
-		r.Losses = append(r.Losses, quarantiner.Process{Endpoint: p.Endpoint, Start: p.ProcessStart})
+	return out
+}
+
+func (w lossReportWire) report() quarantiner.Report {
+	return quarantiner.Report{Fingerprint: w.Fingerprint, Kind: kindOf(w.IsPart), Part: w.Part, Losses: decodeProcesses(w.Losses), Cleared: w.Cleared}
+}
+
+func kindOf(isPart bool) quarantiner.Kind {
+	if isPart {
+		return quarantiner.KindPart
 	}
-	return r
+	return quarantiner.KindRequest
+}
+
+// quarantineWire is the wire form of quarantiner.Quarantine. The fingerprint is in the form of the logs.
+type quarantineWire struct {
+	Fingerprint string          `json:"fingerprint"`
+	IsPart      bool            `json:"isPart,omitempty"`
+	Part        identifier.Part `json:"part,omitempty"`
+	Losses      []processWire   `json:"losses"`
+	Until       time.Time       `json:"until"`
+}
+
+func encodeQuarantine(q quarantiner.Quarantine) quarantineWire {
+	return quarantineWire{Fingerprint: q.Fingerprint.String(), IsPart: q.Kind == quarantiner.KindPart, Part: q.Part, Losses: encodeProcesses(q.Losses), Until: q.Until}
+}
+
+func (w quarantineWire) quarantine() (quarantiner.Quarantine, error) {
+	fp, err := identifier.ParseFingerprint(w.Fingerprint)
+	return quarantiner.Quarantine{Fingerprint: fp, Kind: kindOf(w.IsPart), Part: w.Part, Losses: decodeProcesses(w.Losses), Until: w.Until}, err
 }
--- a/quarantiner/event.go
+++ b/quarantiner/event.go
@@ -35,7 +35,7 @@
 
 // Event is an input of a Quarantiner: AttemptStarted, AttemptEnded, ConnectionChecked,
 // EndpointsSet, StoreHealthSet, ReportReceived, LossStored, LossDeleted, AnnouncementFailed,
-// RequestRefused or Ticked.
+// RequestRefused, QuarantineLifted or Ticked.
 type Event interface{ event() }
 
 // AttemptStarted reports that a request is sent to an endpoint.
@@ -107,6 +107,9 @@
 // its own or that of a part.
 type RequestRefused struct{ Fingerprint identifier.Fingerprint }
 
+// QuarantineLifted reports that the operator ends the quarantine of a fingerprint.
+type QuarantineLifted struct{ Fingerprint identifier.Fingerprint }
+
 // Ticked follows a WakeAt action at its time.
 type Ticked struct{}
 
@@ -120,6 +123,7 @@
 func (LossDeleted) event()        {}
 func (AnnouncementFailed) event() {}
 func (RequestRefused) event()     {}
+func (QuarantineLifted) event()   {}
 func (Ticked) event()             {}
 
 // Action is an output of a Quarantiner: CheckConnection, Restrict, Announce, StoreLoss,
@@ -190,6 +194,7 @@
 	DecisionQuarantine Decision = "quarantine" // as many losses as a quarantine takes, or more
 	DecisionClear      Decision = "clear"      // a request with the fingerprint was answered
 	DecisionExplain    Decision = "explain"    // a quarantined part explains the losses
+	DecisionLift       Decision = "lift"       // the operator ended the quarantine
 	DecisionWithdraw   Decision = "withdraw"   // the process of a loss lives
 	DecisionExpire     Decision = "expire"     // no loss for the TTL
 	DecisionEvict      Decision = "evict"      // too many fingerprints are suspected
--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -122,6 +122,8 @@
 		if s := q.suspects[e.Fingerprint]; s != nil && s.quarantined {
 			q.store(now, s, true)
 		}
+	case QuarantineLifted:
+		q.lift(now, e.Fingerprint)
 	case Ticked:
 		q.wakeAt = time.Time{}
 		q.handleTick(now)
--- a/quarantiner/session_test.go
+++ b/quarantiner/session_test.go
@@ -76,6 +76,8 @@
 		return quarantiner.AnnouncementFailed{Fingerprint: fp}, nil
 	case "refused":
 		return quarantiner.RequestRefused{Fingerprint: fp}, nil
+	case "lifted":
+		return quarantiner.QuarantineLifted{Fingerprint: fp}, nil
 	case "store":
 		return quarantiner.StoreHealthSet{Lost: ev.Bool("lost")}, nil
 	case "pass":
--- a/runner/hosted.go
+++ b/runner/hosted.go
@@ -111,7 +111,8 @@
 		},
 		UpdateSince: func(after uint64) replicator.Update { return h.replica.UpdateSince(after) },
 		Report:      h.groupFormer.queryEngine, OnStalled: h.groupFormer.submitStall,
-		OnLosses: func(r quarantiner.Report) { h.quarantine.step.Submit(quarantiner.ReportReceived{Report: r}) },
+		OnLosses:    func(r quarantiner.Report) { h.quarantine.step.Submit(quarantiner.ReportReceived{Report: r}) },
+		Quarantines: h.listQuarantines, Lift: h.liftQuarantine,
 		OnUnacknowledged: func(fp identifier.Fingerprint) {
 			h.quarantine.step.Submit(quarantiner.AnnouncementFailed{Fingerprint: fp})
 		}, HTTP: newHTTPClient(peerTimeout), Timeout: peerTimeout, Logger: logger,
--- a/runner/hosted_quarantine.go
+++ b/runner/hosted_quarantine.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -40,6 +41,7 @@
 // peers, stores them, and passes restrictions on to the forwarder.
 type quarantine struct {
 	hosted    *hosted
+	core      *quarantiner.Quarantiner
 	step      *stepper.Stepper[quarantiner.Event, quarantiner.Action]
 	tick      *time.Timer
 	decisions metric.Int64Counter
@@ -50,14 +52,31 @@
 }
 
 func newQuarantine(h *hosted) *quarantine {
-	q := &quarantine{hosted: h}
+	q := &quarantine{hosted: h, core: quarantiner.New(quarantiner.Config{})}
 	// A counter whose registration fails records nothing.
 	q.decisions, _ = h.meter.Int64Counter("quarantiner.decisions", metric.WithDescription("Decisions on requests and parts of prompts under which endpoints ended, by kind, decision and source of the loss."))
-	q.step = stepper.New(stepper.Config[quarantiner.Event, quarantiner.Action]{Core: quarantiner.New(quarantiner.Config{}), Handle: q.handle})
+	q.step = stepper.New(stepper.Config[quarantiner.Event, quarantiner.Action]{Core: q.core, Handle: q.handle})
 	q.tick = time.AfterFunc(time.Hour, func() { q.step.Submit(quarantiner.Ticked{}) })
 	return q
 }
 
+// listQuarantines returns the quarantines at this instance.
+func (h *hosted) listQuarantines() []quarantiner.Quarantine {
+	var out []quarantiner.Quarantine
+	h.quarantine.step.Inspect(func() { out = h.quarantine.core.Quarantines() })
+	return out
+}
+
+// liftQuarantine ends the quarantine of a fingerprint at all instances. It returns false if there
+// is none at this instance.
+func (h *hosted) liftQuarantine(fp identifier.Fingerprint) bool {
+	quarantined := slices.ContainsFunc(h.listQuarantines(), func(q quarantiner.Quarantine) bool { return q.Fingerprint == fp })
+	if quarantined {
+		h.quarantine.step.Submit(quarantiner.QuarantineLifted{Fingerprint: fp})
+	}
+	return quarantined
+}
+
 // run waits until ctx is done and then stops the timer. It returns nil.
 func (q *quarantine) run(ctx context.Context) error {
 	<-ctx.Done()
@@ -220,7 +239,7 @@
 	if isPart {
 		l.Kind = quarantiner.KindPart
 	}
-	fp, err := strconv.ParseUint(digits, 16, 64)
+	fp, err := identifier.ParseFingerprint(digits)
 	if err != nil {
 		return l, &lossKeyError{Key: key}
 	}
@@ -228,7 +247,7 @@
 	if err != nil {
 		return l, &lossKeyError{Key: key}
 	}
-	l.Fingerprint = identifier.Fingerprint(fp)
+	l.Fingerprint = fp
 	l.Process = quarantiner.Process{Endpoint: identifier.Endpoint(fields[2]), Start: identifier.ProcessStart(start)}
 	return l, nil
 }
