standin/hosted: the lift of a quarantine reaches all instances

TestPartCrashesEngineAfterEngine lists the quarantine at one instance, lifts it there, and waits until each instance serves requests with the part.

--- a/standin/hosted/hosted_test.go
+++ b/standin/hosted/hosted_test.go
@@ -63,6 +63,7 @@
 // instance is a process of the program.
 type instance struct {
 	name, callers, readiness string
+	peers                    netip.AddrPort
 	command                  *exec.Cmd
 	mu                       sync.Mutex
 	output                   bytes.Buffer
@@ -157,7 +158,7 @@
 	if err != nil {
 		f.t.Fatal(err)
 	}
-	i := &instance{name: name, callers: ports[0].String(), readiness: ports[1].String(), exit: make(chan error, 1)}
+	i := &instance{name: name, callers: ports[0].String(), readiness: ports[1].String(), peers: ports[2], exit: make(chan error, 1)}
 	text, err := hosted.Settings(name, ports, netip.MustParseAddrPort(f.platform.Address()), 8*time.Second, f.cfg.retrySlack)
 	if err != nil {
 		f.t.Fatal(err)
--- a/standin/hosted/part_test.go
+++ b/standin/hosted/part_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/matryer/is"
 
+	"amaranthmill/messenger"
 	"amaranthmill/standin/hosted"
 )
 
@@ -19,6 +20,8 @@
 	firstPart    = "a11ce0" // of all requests
 	crashingPart = "bad0bad0"
 	documents    = 5 // parts that sound requests and requests with the crashing part share
+
+	firstAfterLift = 300000 // number of the first request with the part after the lift
 )
 
 // Times of the requests of TestPartCrashesEngineAfterEngine.
@@ -47,7 +50,8 @@
 // TestPartCrashesEngineAfterEngine sends requests that differ in everything but one part of their
 // prompts, which crashes each engine that begins to answer them, beside sound requests that share
 // the client account and the other parts. Once five engines have crashed, the instances must stop
-// sending requests with that part to engines, and must go on serving the sound ones.
+// sending requests with that part to engines, and must go on serving the sound ones. After the
+// operator has lifted the quarantine, all instances must serve requests with the part.
 func TestPartCrashesEngineAfterEngine(t *testing.T) {
 	is := is.New(t)
 	f := newFixture(t, 3)
@@ -61,7 +65,7 @@
 	stopSound := traffic.sendEvery(soundInterval, traffic.sendSound)
 	time.Sleep(calmTime)
 	guiltyAt := time.Now()
-	stopGuilty := traffic.sendEvery(guiltyInterval, traffic.sendGuilty)
+	stopGuilty := traffic.sendEvery(guiltyInterval, func(n int) { traffic.sendGuilty(n) })
 	fifthAt := f.awaitCrashes(hosted.PartCrashesBeforeBound, crashTimeLimit)
 	soundAt := fifthAt.Add(2 * hosted.CrashBoundDelay)
 	time.Sleep(time.Until(soundAt.Add(soundTime)))
@@ -86,6 +90,22 @@
 		t.Errorf("%.3f of the sound requests began at the first attempt from %s after crash %d on, %.3f before the crashes; at least half as many must begin",
 			after, 2*hosted.CrashBoundDelay, hosted.PartCrashesBeforeBound, before)
 	}
+	f.liftQuarantine()
+	for n := range f.instances {
+		f.await("service of the part after the lift", func() bool { return traffic.sendGuilty(firstAfterLift + n) })
+	}
+}
+
+// liftQuarantine makes the crashing part harmless and lifts its quarantine at one instance.
+func (f *fixture) liftQuarantine() {
+	is := is.New(f.t)
+	f.platform.CrashOnPart("", 0, nil)
+	operator := messenger.Operator{HTTP: http.DefaultClient}
+	quarantines, err := operator.Quarantines(f.t.Context(), f.instances[0].peers)
+	is.NoErr(err)
+	is.Equal(len(quarantines), 1)
+	is.Equal(string(quarantines[0].Part), crashingPart)
+	is.NoErr(operator.Lift(f.t.Context(), f.instances[0].peers, quarantines[0].Fingerprint))
 }
 
 // awaitCrashes waits until n runs have crashed their engines, at most limit, and returns the time.
@@ -131,8 +151,8 @@
 	p.sound = append(p.sound, soundRequest{sentAt: sentAt, begun: begun})
 }
 
-func (p *promptTraffic) sendGuilty(n int) {
-	p.send(n, "guilty", []string{firstPart + ":800", fmt.Sprintf("d0c%d:300", n%documents), crashingPart + ":200", fmt.Sprintf("e%06x:50", n)})
+func (p *promptTraffic) sendGuilty(n int) bool {
+	return p.send(n, "guilty", []string{firstPart + ":800", fmt.Sprintf("d0c%d:300", n%documents), crashingPart + ":200", fmt.Sprintf("e%06x:50", n)})
 }
 
 // send sends a request without another attempt and reports whether an event of its answer came.
