quarantiner, scheduler: parts that can't be told apart are tried, not refused for an hour

Parts whose losses differ by one at most are now put on trial: a request with several of them is refused, those with one run one at a time. A run whose process is alive a second later makes the other part the one that is blamed; a crash adds a loss to one of them only. Completions wait while the list is old.

--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -32,11 +32,9 @@
 	if a.Attempt == 1 && x.hasWaited.Load() {
 		f.meters.recordQueueTime(x)
 	}
-	f.cfg.OnAttempt(quarantiner.AttemptStarted{Fingerprint: x.identity})
+	f.cfg.OnAttempt(quarantiner.AttemptStarted{Fingerprint: x.identity, Parts: x.parts, Process: processOf(a.Target)})
 	ending, load := f.send(x, a)
-	f.cfg.OnAttempt(quarantiner.AttemptEnded{
-		Fingerprint: x.identity, Parts: x.parts, Process: quarantiner.Process{Endpoint: a.Target.ID, Start: a.Target.ProcessStart}, Result: attemptResult(ending),
-	})
+	f.cfg.OnAttempt(quarantiner.AttemptEnded{Fingerprint: x.identity, Parts: x.parts, Process: processOf(a.Target), Result: attemptResult(ending)})
 	f.logEnded(x, a, ending)
 	f.meters.countAttempt(x, ending)
 	f.step.Submit(scheduler.Ended{Ref: x.ref, Attempt: a.Attempt, Ending: ending, Load: load})
--- a/forwarder/fingerprint.go
+++ b/forwarder/fingerprint.go
@@ -35,3 +35,8 @@
 	}
 	return quarantiner.ResultUnanswered
 }
+
+// processOf returns the process of a target.
+func processOf(t *scheduler.Target) quarantiner.Process {
+	return quarantiner.Process{Endpoint: t.ID, Start: t.ProcessStart}
+}
--- a/quarantiner/completion.go
+++ b/quarantiner/completion.go
@@ -7,55 +7,95 @@
 	"amaranthmill/internal/identifier"
 )
 
-// maxCompletions bounds the completions of an instance that have not been proved.
-const maxCompletions = 16384
+// Limits of what is followed for the parts of prompts; further attempts and answers prove nothing.
+const (
+	maxRuns        = 4096
+	maxCompletions = 16384 // without proof
+)
+
+// run is a running attempt of a request with a part.
+type run struct {
+	part      identifier.Fingerprint
+	process   Process
+	startedAt time.Time
+}
 
 // completion is a complete answer to a request with a part. It says that the part crashes no
 // endpoints once the process has outlived it: an answer without a length ends with its
 // connection, and looks complete if the process ends between two events.
 type completion struct {
-	part    identifier.Fingerprint
-	process Process
-	at      time.Time
+	run
+	at time.Time
+}
+
+// needsProof reports whether an answer to a request with a part may still be needed as proof: the part was not
+// answered a short time ago.
+func (q *Quarantiner) needsProof(now time.Time, p Part) bool {
+	age, ok := q.answeredParts.age(now, p.Fingerprint)
+	return !ok || age >= q.cfg.AnsweredTTL/2
 }
 
-// complete records the complete answer of an attempt for the parts that it may clear. A part
-// that was answered a short time ago needs no further proof.
-func (q *Quarantiner) complete(now time.Time, e AttemptEnded) {
+// startRuns records a running attempt for the parts that need proof.
+func (q *Quarantiner) startRuns(now time.Time, e AttemptStarted) {
 	for _, p := range e.Parts {
-		age, ok := q.answeredParts.age(now, p.Fingerprint)
-		if ok && age < q.cfg.AnsweredTTL/2 || len(q.completions) >= maxCompletions {
-			continue
+		if q.needsProof(now, p) && len(q.runs) < maxRuns {
+			q.runs = append(q.runs, run{part: p.Fingerprint, process: e.Process, startedAt: now})
 		}
-		q.completions = append(q.completions, completion{part: p.Fingerprint, process: e.Process, at: now})
 	}
 }
 
-// dropCompletions forgets the completions at a process that has ended.
-func (q *Quarantiner) dropCompletions(p Process) {
+// endRun removes and returns the running attempt with a part that was sent to a process first.
+func (q *Quarantiner) endRun(now time.Time, part identifier.Fingerprint, p Process) run {
+	for i, r := range q.runs {
+		if r.part == part && r.process == p {
+			q.runs = slices.Delete(q.runs, i, i+1)
+			return r
+		}
+	}
+	return run{part: part, process: p, startedAt: now}
+}
+
+// endRuns ends the runs of an attempt. A complete answer is recorded for the parts that it may clear.
+func (q *Quarantiner) endRuns(now time.Time, e AttemptEnded) {
+	for _, p := range e.Parts {
+		r := q.endRun(now, p.Fingerprint, e.Process)
+		if e.Result == ResultAnswered && q.needsProof(now, p) && len(q.completions) < maxCompletions {
+			q.completions = append(q.completions, completion{run: r, at: now})
+		}
+	}
+}
+
+// dropRuns forgets the runs and completions at a process that has ended.
+func (q *Quarantiner) dropRuns(p Process) {
+	q.runs = slices.DeleteFunc(q.runs, func(r run) bool { return r.process == p })
 	q.completions = slices.DeleteFunc(q.completions, func(c completion) bool { return c.process == p })
 }
 
 // proveCompletions clears the parts of the completions that their processes have outlived for
-// ClearDelay. While the store is lost, the list does not show the end of a process, and parts
-// with losses are not cleared.
+// ClearDelay. Until the store has been healthy for long enough to list the end of a process, the
+// completions of parts with losses wait.
 func (q *Quarantiner) proveCompletions(now time.Time) {
-	due := 0
-	for due < len(q.completions) && now.Sub(q.completions[due].at) >= q.cfg.ClearDelay {
-		due++
-	}
-	list := q.completions[:due]
-	q.completions = q.completions[due:]
-	for _, c := range list {
-		if q.isListed(c.process) && (q.suspects[c.part] == nil || !q.storeLost) {
-			q.clear(now, attribute{fingerprint: c.part, kind: KindPart}, true)
+	listIsOld := q.storeLost || now.Sub(q.storeHealthyAt) < q.cfg.DisproofDelay
+	var proved []identifier.Fingerprint
+	q.completions = slices.DeleteFunc(q.completions, func(c completion) bool {
+		if now.Sub(c.at) < q.cfg.ClearDelay || listIsOld && q.suspects[c.part] != nil {
+			return false
 		}
+		if q.isListed(c.process) {
+			proved = append(proved, c.part)
+		}
+		return true
+	})
+	for _, part := range proved {
+		q.clear(now, attribute{fingerprint: part, kind: KindPart}, true)
 	}
 }
 
-// isAnswered reports whether a part was answered at least ProofDelay ago by a process that is not known to have ended.
-func (q *Quarantiner) isAnswered(now time.Time, part identifier.Fingerprint) bool {
-	return slices.ContainsFunc(q.completions, func(c completion) bool {
-		return c.part == part && now.Sub(c.at) >= q.cfg.ProofDelay && q.isListed(c.process)
-	})
+// survives reports whether a process that is not known to have ended has outlived the start of a
+// run with a part by ProofDelay. The run goes on or was answered.
+func (q *Quarantiner) survives(now time.Time, part identifier.Fingerprint) bool {
+	proves := func(r run) bool {
+		return r.part == part && now.Sub(r.startedAt) >= q.cfg.ProofDelay && q.isListed(r.process)
+	}
+	return slices.ContainsFunc(q.runs, proves) || slices.ContainsFunc(q.completions, func(c completion) bool { return proves(c.run) })
 }
--- a/quarantiner/event.go
+++ b/quarantiner/event.go
@@ -39,7 +39,11 @@
 type Event interface{ event() }
 
 // AttemptStarted reports that a request is sent to an endpoint.
-type AttemptStarted struct{ Fingerprint identifier.Fingerprint }
+type AttemptStarted struct {
+	Fingerprint identifier.Fingerprint
+	Parts       []Part // as in AttemptEnded
+	Process     Process
+}
 
 // AttemptEnded reports the end of an attempt.
 type AttemptEnded struct {
@@ -141,7 +145,7 @@
 type Restrict struct {
 	Fingerprint identifier.Fingerprint
 	Restriction scheduler.Restriction
-	Until       time.Time // end of a quarantine; zero for the other restrictions
+	Until       time.Time // end of a quarantine or a trial; zero for the other restrictions
 }
 
 // Announce requests that all peers receive the report.
--- a/quarantiner/fleet_test.go
+++ b/quarantiner/fleet_test.go
@@ -258,8 +258,10 @@
 	for _, a := range slices.Clone(i.scheduler.Step(f.now, e)) {
 		switch a := a.(type) {
 		case scheduler.Send:
-			f.stepQuarantiner(i, quarantiner.AttemptStarted{Fingerprint: i.requests[a.Ref].fingerprint})
 			target := *a.Target
+			f.stepQuarantiner(i, quarantiner.AttemptStarted{
+				Fingerprint: i.requests[a.Ref].fingerprint, Parts: i.requests[a.Ref].parts, Process: quarantiner.Process{Endpoint: target.ID, Start: target.ProcessStart},
+			})
 			key := runKey{instance: i.number, process: process, ref: a.Ref, attempt: a.Attempt}
 			f.after(f.random(5), func() { f.begin(i, key, target) })
 		case scheduler.Abandon:
--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -31,7 +31,7 @@
 	SuspicionTTL    time.Duration // of a single loss; zero means 10 min
 	QuarantineTTL   time.Duration // of a quarantine, from its last loss; zero means 1 h
 	AnsweredTTL     time.Duration // after a complete answer, in which a fingerprint is not suspected; zero means 1 min
-	ProofDelay      time.Duration // for which a process must outlive an answer until other parts are blamed before those of the answer; zero means 1 s
+	ProofDelay      time.Duration // for which a process must outlive the start of a run until other parts are blamed before those of the run; zero means 1 s
 	ClearDelay      time.Duration // for which a process must outlive an answer that clears its parts; longer than endpoints that have ended stay listed; zero means 4.5 s
 	ExposureTTL     time.Duration // after an attempt without a complete answer, within which the end of its endpoint counts as a loss; longer than endpoints that have ended stay listed; zero means 6 s
 	DisproofDelay   time.Duration // after which a listed process counts as alive although its address accepted no connection; longer than endpoints that have ended stay listed; zero means 6 s
@@ -62,7 +62,9 @@
 	explained      map[Process]bool // processes that ended under a quarantined part
 	answered       answeredList     // requests
 	answeredParts  answeredList
+	runs           []run        // in order of time
 	completions    []completion // in order of time
+	judged         bool         // a part is quarantined
 	wakeAt         time.Time
 	actions        []Action
 }
@@ -96,6 +98,7 @@
 	switch e := e.(type) {
 	case AttemptStarted:
 		q.running[e.Fingerprint]++
+		q.startRuns(now, e)
 	case AttemptEnded:
 		q.handleEnd(now, e)
 	case ConnectionChecked:
@@ -138,12 +141,12 @@
 	if q.running[e.Fingerprint]--; q.running[e.Fingerprint] <= 0 {
 		delete(q.running, e.Fingerprint)
 	}
+	q.endRuns(now, e)
 	switch e.Result {
 	case ResultNotRun:
 	case ResultAnswered:
 		q.proveAlive(now, e.Process)
 		q.clear(now, attribute{fingerprint: e.Fingerprint}, true)
-		q.complete(now, e)
 	case ResultUnanswered, ResultBroken:
 		q.expose(now, e)
 	}
@@ -206,6 +209,9 @@
 func (q *Quarantiner) handleTick(now time.Time) {
 	q.expireExposures(now)
 	q.proveCompletions(now)
+	if q.judged {
+		q.judge(now, nil)
+	}
 	for _, fp := range slices.Clone(q.order) {
 		s := q.suspects[fp]
 		if s == nil {
--- a/quarantiner/session_test.go
+++ b/quarantiner/session_test.go
@@ -56,7 +56,7 @@
 		s.setEndpoint(ev.Name, process)
 		return quarantiner.EndpointsSet{Endpoints: slices.Clone(s.endpoints)}, nil
 	case "started":
-		return quarantiner.AttemptStarted{Fingerprint: fp}, nil
+		return quarantiner.AttemptStarted{Fingerprint: fp, Parts: partsOf(ev.List("parts")), Process: process}, nil
 	case "ended":
 		result, err := resultOf(ev.Str("as"))
 		return quarantiner.AttemptEnded{Fingerprint: fp, Parts: partsOf(ev.List("parts")), Process: process, Result: result}, err
--- a/quarantiner/suspect.go
+++ b/quarantiner/suspect.go
@@ -22,10 +22,10 @@
 // suspect is an attribute with losses.
 type suspect struct {
 	attribute
-	losses      []loss // in the order in which this instance learned of them
-	lastLossAt  time.Time
-	quarantined bool
-	unshared    bool // an announcement of the losses did not reach all peers
+	losses     []loss // in the order in which this instance learned of them
+	lastLossAt time.Time
+	verdict
+	unshared bool // an announcement of the losses did not reach all peers
 }
 
 // loss is the end of a process that ran a request, as this instance knows it.
@@ -81,7 +81,7 @@
 // addLoss adds a loss of an attribute unless it is known, and returns it. It returns nil if the
 // attribute was answered recently.
 func (q *Quarantiner) addLoss(now time.Time, a attribute, p Process, source Source) *loss {
-	q.dropCompletions(p)
+	q.dropRuns(p)
 	if q.answeredOf(a.kind).hasRecent(now, a.fingerprint) {
 		return nil
 	}
--- a/quarantiner/verdict.go
+++ b/quarantiner/verdict.go
@@ -46,32 +46,41 @@
 	s.quarantined = s.kind == KindRequest && q.countUnexplained(s) >= requestLosses
 }
 
-// judge derives the verdicts of all suspects after a change of changed. Parts without an answer
-// are judged first.
+// verdict is the verdict on a suspect.
+type verdict struct {
+	quarantined bool
+	onTrial     bool // of a part: quarantined together with other parts; see scheduler.OnTrial
+}
+
+// judge derives the verdicts of all suspects after a change of changed. Parts without a surviving
+// run are judged first.
 func (q *Quarantiner) judge(now time.Time, changed *suspect) {
 	clear(q.explained)
-	guilty := map[*suspect]bool{}
-	var answered, unanswered []*suspect
+	verdicts := map[*suspect]verdict{}
+	var surviving, others []*suspect
 	for _, s := range q.partsToJudge() {
-		if q.isAnswered(now, s.fingerprint) {
-			answered = append(answered, s)
+		if q.survives(now, s.fingerprint) {
+			surviving = append(surviving, s)
 		} else {
-			unanswered = append(unanswered, s)
+			others = append(others, s)
 		}
 	}
-	q.blame(unanswered, unexplainedLosses, guilty)
-	q.blame(answered, partLosses, guilty)
+	q.blame(others, unexplainedLosses, verdicts)
+	q.blame(surviving, partLosses, verdicts)
+	q.judged = len(verdicts) > 0
 	for _, fp := range q.order {
 		s := q.suspects[fp]
-		q.setVerdict(s, guilty[s] || s.kind == KindRequest && q.countUnexplained(s) >= requestLosses, s != changed)
+		v := verdicts[s]
+		v.quarantined = v.quarantined || s.kind == KindRequest && q.countUnexplained(s) >= requestLosses
+		q.setVerdict(s, v, s != changed)
 	}
 }
 
-// blame adds candidates to guilty. The part that explains most losses
+// blame adds the verdicts on candidates. The part that explains most losses
 // comes first, because the other parts and the requests that were under the same
 // processes are then suspected without a reason of their own. It ends at parts with fewer losses than
-// limit that are not explained. Parts with the same losses can't be told apart and are blamed together.
-func (q *Quarantiner) blame(candidates []*suspect, limit int, guilty map[*suspect]bool) {
+// limit that are not explained. Parts whose losses differ by one at most can't be told apart and are put on trial together.
+func (q *Quarantiner) blame(candidates []*suspect, limit int, verdicts map[*suspect]verdict) {
 	for len(candidates) > 0 {
 		best := slices.MaxFunc(candidates, q.compareGuilt)
 		n := q.countUnexplained(best)
@@ -80,14 +89,14 @@
 		}
 		var tied, others []*suspect
 		for _, s := range candidates {
-			if s == best || q.countUnexplained(s) == n && q.countShared(s, best) == n {
+			if s == best || q.countShared(s, best) >= n-1 {
 				tied = append(tied, s)
 			} else {
 				others = append(others, s)
 			}
 		}
 		for _, s := range tied {
-			guilty[s] = true
+			verdicts[s] = verdict{quarantined: true, onTrial: len(tied) > 1}
 			for _, l := range s.losses {
 				q.explained[l.process] = true
 			}
@@ -123,23 +132,18 @@
 	return n
 }
 
-// setVerdict sets whether s is quarantined, and applies a change of it if apply is set.
-func (q *Quarantiner) setVerdict(s *suspect, quarantined, apply bool) {
-	if s.quarantined == quarantined {
-		if apply && s.kind == KindRequest {
-			q.restrict(s.fingerprint)
-		}
-		return
-	}
-	s.quarantined = quarantined
+// setVerdict sets the verdict on s, and applies it if apply is set.
+func (q *Quarantiner) setVerdict(s *suspect, v verdict, apply bool) {
+	changed := s.quarantined != v.quarantined
+	s.verdict = v
 	if !apply {
 		return
 	}
-	d := DecisionExplain
-	if quarantined {
-		d = DecisionQuarantine
+	if changed && v.quarantined {
+		q.logDecision(s, DecisionQuarantine, loss{})
+	} else if changed {
+		q.logDecision(s, DecisionExplain, loss{})
 	}
-	q.logDecision(s, d, loss{})
 	q.restrict(s.fingerprint)
 }
 
@@ -149,6 +153,8 @@
 	next := Restrict{Fingerprint: fp, Restriction: scheduler.Unrestricted}
 	s := q.suspects[fp]
 	switch {
+	case s != nil && s.quarantined && s.onTrial:
+		next.Restriction, next.Until = scheduler.OnTrial, s.expiry(q.cfg)
 	case s != nil && s.quarantined:
 		next.Restriction, next.Until = scheduler.Quarantined, s.expiry(q.cfg)
 	case s != nil && s.kind == KindPart:
--- a/scheduler/request.go
+++ b/scheduler/request.go
@@ -44,7 +44,7 @@
 type RestrictionSet struct {
 	Fingerprint identifier.Fingerprint
 	Restriction Restriction
-	Until       time.Time // end of a quarantine
+	Until       time.Time // end of a quarantine or a trial
 }
 
 // Arrived reports a new request.
--- a/scheduler/restriction.go
+++ b/scheduler/restriction.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"slices"
 	"time"
 
 	"amaranthmill/internal/identifier"
@@ -18,18 +19,19 @@
 	Unrestricted Restriction = iota
 	OneAtATime               // one attempt at a time, because an endpoint ended while it ran the request
 	Held                     // no attempt until the restriction changes, because it is being checked whether several endpoints have ended
+	OnTrial                  // of a part: one attempt at a time, and none of a request with several such parts, because endpoints ended under the parts together
 	Quarantined              // no attempt
 )
 
 // String returns the name of the restriction in logs.
 func (r Restriction) String() string {
-	return [...]string{"unrestricted", "oneAtATime", "held", "quarantined"}[r]
+	return [...]string{"unrestricted", "oneAtATime", "held", "onTrial", "quarantined"}[r]
 }
 
 // restriction is a Restriction with its end.
 type restriction struct {
 	Restriction
-	until time.Time // end of a quarantine
+	until time.Time // end of a quarantine or a trial
 }
 
 // maxCopyLoad is the load as a fraction of a target's slots up to which copies of a request
@@ -65,21 +67,49 @@
 	s.restrictions[e.Fingerprint] = restriction{Restriction: e.Restriction, until: e.Until}
 }
 
-// quarantineOf returns the fingerprint and the restriction of the quarantine that ends last, of those of f and
-// of its parts, or false if there is none.
+// quarantineOf returns the fingerprint and the restriction that refuse f: of the quarantines of f
+// and of its parts, and of several parts on trial, the one that ends last. It returns false if
+// there is none.
 func (s *Scheduler) quarantineOf(f *flight) (identifier.Fingerprint, restriction, bool) {
-	var last restriction
-	var lastOf identifier.Fingerprint
-	for i := -1; len(s.restrictions) > 0 && i < len(f.Parts); i++ {
-		fp := f.Fingerprint
-		if i >= 0 {
-			fp = f.Parts[i]
+	if len(s.restrictions) == 0 {
+		return 0, restriction{}, false
+	}
+	last, lastOf, onTrial := s.restrictions[f.Fingerprint], f.Fingerprint, 0
+	refused := last.Restriction == Quarantined
+	for _, fp := range f.Parts {
+		r := s.restrictions[fp]
+		if r.Restriction == OnTrial {
+			onTrial++
 		}
-		if r := s.restrictions[fp]; r.Restriction == Quarantined && r.until.After(last.until) {
+		refused = refused || r.Restriction == Quarantined || onTrial > 1
+		if r.until.After(last.until) {
 			last, lastOf = r, fp
 		}
 	}
-	return lastOf, last, last.Restriction == Quarantined
+	return lastOf, last, refused
+}
+
+// isTried reports whether a part of f is on trial in another request that runs at a target.
+func (s *Scheduler) isTried(f *flight) bool {
+	if len(s.restrictions) == 0 {
+		return false
+	}
+	for _, fp := range f.Parts {
+		if s.restrictions[fp].Restriction == OnTrial && s.runsPart(f, fp) {
+			return true
+		}
+	}
+	return false
+}
+
+// runsPart reports whether another request than f with a part runs at a target.
+func (s *Scheduler) runsPart(f *flight, part identifier.Fingerprint) bool {
+	for _, o := range s.flights {
+		if o != f && len(o.running) > 0 && slices.Contains(o.Parts, part) {
+			return true
+		}
+	}
+	return false
 }
 
 // blockingReason returns the reason why the restrictions of f and of its parts allow no attempt now, or "".
@@ -87,6 +117,9 @@
 	if _, _, quarantined := s.quarantineOf(f); quarantined {
 		return ReasonQuarantined
 	}
+	if s.isTried(f) {
+		return ReasonSuspected
+	}
 	r, ok := s.restrictions[f.Fingerprint]
 	switch {
 	case !ok:
@@ -97,12 +130,13 @@
 	return ""
 }
 
-// isRestricted reports whether the requests with the fingerprint of f have a restriction, or a
-// part of f is quarantined.
+// isRestricted reports whether the fingerprint of f or of one of its parts has a restriction.
 func (s *Scheduler) isRestricted(f *flight) bool {
-	_, ok := s.restrictions[f.Fingerprint]
-	_, _, quarantined := s.quarantineOf(f)
-	return ok || quarantined
+	hasRestriction := func(fp identifier.Fingerprint) bool {
+		_, ok := s.restrictions[fp]
+		return ok
+	}
+	return hasRestriction(f.Fingerprint) || slices.ContainsFunc(f.Parts, hasRestriction)
 }
 
 // runsCopyOf reports whether another request with the fingerprint of f runs at a target.
--- a/scheduler/session_test.go
+++ b/scheduler/session_test.go
@@ -81,7 +81,7 @@
 			continue
 		}
 		e.Restriction = r
-		if r == scheduler.Quarantined {
+		if r == scheduler.Quarantined || r == scheduler.OnTrial {
 			e.Until = now.Add(ev.Duration("for"))
 		}
 		return e, nil
