quarantiner: a part is immune for 15 s after an answer, not for a minute

Change: parts have a time of their own, 15 s. Popular parts are answered all the while; a part that is seldom answered needs four unexplained losses as before.

The script part_turns_bad fails with a minute: nothing is suspected at 20 s.

--- a/quarantiner/completion.go
+++ b/quarantiner/completion.go
@@ -32,7 +32,7 @@
 // answered a short time ago.
 func (q *Quarantiner) needsProof(now time.Time, p Part) bool {
 	age, ok := q.answeredParts.age(now, p.Fingerprint)
-	return !ok || age >= q.cfg.AnsweredTTL/2
+	return !ok || age >= q.cfg.PartAnsweredTTL/2
 }
 
 // startRuns records a running attempt for the parts that need proof.
--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -14,6 +14,7 @@
 	defaultSuspicionTTL    = 10 * time.Minute
 	defaultQuarantineTTL   = time.Hour
 	defaultAnsweredTTL     = time.Minute
+	defaultPartAnsweredTTL = 15 * time.Second
 	defaultProofDelay      = time.Second
 	defaultClearDelay      = 4500 * time.Millisecond
 	defaultExposureTTL     = 6 * time.Second
@@ -30,7 +31,8 @@
 type Config struct {
 	SuspicionTTL    time.Duration // of a single loss; zero means 10 min
 	QuarantineTTL   time.Duration // of a quarantine, from its last loss; zero means 1 h
-	AnsweredTTL     time.Duration // after a complete answer, in which a fingerprint is not suspected; zero means 1 min
+	AnsweredTTL     time.Duration // after a complete answer, in which a request is not suspected; zero means 1 min
+	PartAnsweredTTL time.Duration // the same for a part, whose answers come more often; a part that begins to crash endpoints is not recognized before; zero means 15 s
 	ProofDelay      time.Duration // for which a process must outlive the start of a run until other parts are blamed before those of the run; zero means 1 s
 	ClearDelay      time.Duration // for which a process must outlive an answer that clears its parts; longer than endpoints that have ended stay listed; zero means 4.5 s
 	ExposureTTL     time.Duration // after an attempt without a complete answer, within which the end of its endpoint counts as a loss; longer than endpoints that have ended stay listed; zero means 6 s
@@ -74,6 +76,7 @@
 	defaulter.Set(&cfg.SuspicionTTL, defaultSuspicionTTL)
 	defaulter.Set(&cfg.QuarantineTTL, defaultQuarantineTTL)
 	defaulter.Set(&cfg.AnsweredTTL, defaultAnsweredTTL)
+	defaulter.Set(&cfg.PartAnsweredTTL, defaultPartAnsweredTTL)
 	defaulter.Set(&cfg.ProofDelay, defaultProofDelay)
 	defaulter.Set(&cfg.ClearDelay, defaultClearDelay)
 	defaulter.Set(&cfg.ExposureTTL, defaultExposureTTL)
@@ -87,7 +90,7 @@
 	return &Quarantiner{
 		cfg: cfg, running: map[identifier.Fingerprint]int{}, exposures: map[Process][]exposure{}, ended: map[Process]time.Time{}, checks: map[Process]time.Time{},
 		checking: map[identifier.Fingerprint]int{}, suspects: map[identifier.Fingerprint]*suspect{}, restrictions: map[identifier.Fingerprint]Restrict{},
-		explained: map[Process]bool{}, answered: newAnsweredList(cfg.AnsweredTTL, maxAnsweredRequests), answeredParts: newAnsweredList(cfg.AnsweredTTL, maxAnsweredParts),
+		explained: map[Process]bool{}, answered: newAnsweredList(cfg.AnsweredTTL, maxAnsweredRequests), answeredParts: newAnsweredList(cfg.PartAnsweredTTL, maxAnsweredParts),
 	}
 }
 
