--- a/standin/soak/caller.go
+++ b/standin/soak/caller.go
@@ -35,6 +35,8 @@
 	rand   *rand.Rand
 	client *http.Client
 	count  int
+
+	crashingPart bool // the prompt of every request has the part that crashes engines
 }
 
 func (s *soak) newCaller(n int, r *rand.Rand) *caller {
@@ -93,6 +95,7 @@
 	r.Header.Set("X-Deadline-Remaining", fmt.Sprint(deadline.Milliseconds()))
 	r.Header.Set("X-Model", modelName)
 	r.Header.Set("X-Token-Counts", "100,200")
+	r.Header.Set("X-Prompt-Prefix", c.prompt())
 	r.Header.Set("Authorization", "Token "+key)
 	return r
 }
--- a/standin/soak/crash_test.go
+++ b/standin/soak/crash_test.go
@@ -45,7 +45,7 @@
 				r.requests = append(r.requests, sentRequest{id: id, sentAt: at(d)})
 				runs = append(runs, hosted.CrashRun{Engine: fmt.Sprintf("e%d", i), Request: id, At: at(d)})
 			}
-			is.Equal(r.checkCrashRuns(runs) != "", test.violated)
+			is.Equal(r.checkCrashRuns(runs, hosted.CrashesBeforeBound) != "", test.violated)
 		})
 	}
 }
--- a/standin/soak/soak.go
+++ b/standin/soak/soak.go
@@ -25,6 +25,8 @@
 	Crashing  bool          // copies of a request that crashes the engines that run it are sent
 	Silences  bool          // engines are silent for a while, also before the period of the other faults, and few retries are allowed
 	Length    time.Duration // the period in which faults are injected; zero means 8 s
+
+	CrashingPart bool // requests are sent that differ in all but a part of their prompts, which crashes the engines that answer them; Crashing is then ignored
 }
 
 // Names, sizes and time limits of the deployment.
@@ -47,7 +49,7 @@
 	Steps      []Step
 	Sent       int
 	Answered   int      // with a complete answer
-	Crashes    int      // runs of the crashing request
+	Crashes    int      // runs of the crashing requests
 	NotRun     int      // refused with a status that guarantees that the request was not run
 	Violations []string // of guarantees; empty if all were kept
 }
@@ -127,7 +129,10 @@
 		callers.Go(func() { c.run(ctx) })
 	}
 	stopCrashing := func() {}
-	if s.cfg.Crashing {
+	switch {
+	case s.cfg.CrashingPart:
+		stopCrashing = s.startCrashingPart()
+	case s.cfg.Crashing:
 		stopCrashing = s.startCrashing()
 	}
 	start := time.Now()
@@ -168,7 +173,7 @@
 	}
 	crashRuns := s.platform.CrashRuns()
 	out.Crashes = len(crashRuns)
-	if violation := s.record.checkCrashRuns(crashRuns); violation != "" {
+	if violation := s.record.checkCrashRuns(crashRuns, s.cfg.crashesBeforeBound()); violation != "" {
 		out.Violations = append(out.Violations, violation)
 	}
 	out.Sent = len(s.record.requests)
--- a/standin/soak/soak_test.go
+++ b/standin/soak/soak_test.go
@@ -108,6 +108,27 @@
 	}
 }
 
+// TestCrashingPartSeeds runs two fixed seeds with requests that differ in all but one part of their
+// prompts, which crashes the engines that answer them: streams and requests to the plain service.
+func TestCrashingPartSeeds(t *testing.T) {
+	for _, seed := range []uint64{12, 13} {
+		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
+			t.Parallel()
+			report, err := soak.Run(soak.Config{Binary: binary, Dir: t.TempDir(), Seed: seed, CrashingPart: true, Length: 4 * time.Second})
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Logf("%d requests, %d with a complete answer, %d refused, %d runs that crash their engine", report.Sent, report.Answered, report.NotRun, report.Crashes)
+			for _, b := range report.Violations {
+				t.Error(b)
+			}
+			if report.Crashes == 0 {
+				t.Error("no request with the crashing part ran")
+			}
+		})
+	}
+}
+
 // TestAddSilences checks that a seed always gives the same silences, beside the same other
 // faults as without them, and that some silences begin before all other faults.
 func TestAddSilences(t *testing.T) {
