scheduler: a refusal names the quarantine that caused it, not a longer trial

A request with a quarantined part and a part on trial took fingerprint and Retry-After from whichever ended last, so that its log line could name the part on trial.

quarantiner: runs at an ended process are dropped once for each loss that is new.

--- a/quarantiner/completion.go
+++ b/quarantiner/completion.go
@@ -28,8 +28,8 @@
 	at time.Time
 }
 
-// needsProof reports whether an answer to a request with a part may still be needed as proof: the part was not
-// answered a short time ago.
+// needsProof reports whether an answer to a request with a part is needed as proof, because the
+// part has not been answered for some time.
 func (q *Quarantiner) needsProof(now time.Time, p Part) bool {
 	age, ok := q.answeredParts.age(now, p.Fingerprint)
 	return !ok || age >= q.cfg.PartAnsweredTTL/2
--- a/quarantiner/suspect.go
+++ b/quarantiner/suspect.go
@@ -70,6 +70,7 @@
 // lose adds the loss of a process to the attributes of an attempt. Those of parts come first,
 // because they may explain that of the request.
 func (q *Quarantiner) lose(now time.Time, x exposure, p Process, source Source) {
+	q.dropRuns(p)
 	for _, part := range x.parts {
 		q.addLoss(now, attribute{fingerprint: part.Fingerprint, kind: KindPart, part: part.ID}, p, source)
 		q.update(now, part.Fingerprint)
@@ -81,7 +82,6 @@
 // addLoss adds a loss of an attribute unless it is known, and returns it. It returns nil if the
 // attribute was answered recently.
 func (q *Quarantiner) addLoss(now time.Time, a attribute, p Process, source Source) *loss {
-	q.dropRuns(p)
 	if q.answeredOf(a.kind).hasRecent(now, a.fingerprint) {
 		return nil
 	}
@@ -94,6 +94,7 @@
 	if l := s.find(p); l != nil {
 		return l
 	}
+	q.dropRuns(p)
 	s.losses = append(s.losses, loss{process: p, source: source, learnedAt: now, announced: source == SourcePeer})
 	s.lastLossAt = now
 	q.review(now, s)
--- a/quarantiner/verdict.go
+++ b/quarantiner/verdict.go
@@ -76,10 +76,10 @@
 	}
 }
 
-// blame adds the verdicts on candidates. The part that explains most losses
-// comes first, because the other parts and the requests that were under the same
-// processes are then suspected without a reason of their own. It ends at parts with fewer losses than
-// limit that are not explained. Parts whose losses differ by one at most can't be told apart and are put on trial together.
+// blame adds the verdicts on candidates, of which limit losses that are not explained quarantine one.
+// The part with the most losses comes first, because it explains those of the other parts that were
+// under the same processes. Parts whose losses differ by one at most can't be told apart and are put
+// on trial together.
 func (q *Quarantiner) blame(candidates []*suspect, limit int, verdicts map[*suspect]verdict) {
 	for len(candidates) > 0 {
 		best := slices.MaxFunc(candidates, q.compareGuilt)
--- a/scheduler/restriction.go
+++ b/scheduler/restriction.go
@@ -67,26 +67,37 @@
 	s.restrictions[e.Fingerprint] = restriction{Restriction: e.Restriction, until: e.Until}
 }
 
-// quarantineOf returns the fingerprint and the restriction that refuse f: of the quarantines of f
-// and of its parts, and of several parts on trial, the one that ends last. It returns false if
-// there is none.
+// quarantineOf returns the fingerprint and the restriction that refuse f: a quarantine of f or of
+// a part, or the trial of one of several parts. It returns false if there is none.
 func (s *Scheduler) quarantineOf(f *flight) (identifier.Fingerprint, restriction, bool) {
 	if len(s.restrictions) == 0 {
 		return 0, restriction{}, false
 	}
-	last, lastOf, onTrial := s.restrictions[f.Fingerprint], f.Fingerprint, 0
-	refused := last.Restriction == Quarantined
-	for _, fp := range f.Parts {
-		r := s.restrictions[fp]
-		if r.Restriction == OnTrial {
-			onTrial++
+	if fp, r, n := s.lastRestriction(f, Quarantined); n > 0 {
+		return fp, r, true
+	}
+	fp, r, n := s.lastRestriction(f, OnTrial)
+	return fp, r, n > 1
+}
+
+// lastRestriction returns, of the restrictions of a kind on f and its parts, the one that ends last
+// with its fingerprint, and their number.
+func (s *Scheduler) lastRestriction(f *flight, kind Restriction) (fp identifier.Fingerprint, last restriction, n int) {
+	check := func(candidate identifier.Fingerprint) {
+		r := s.restrictions[candidate]
+		if r.Restriction != kind {
+			return
 		}
-		refused = refused || r.Restriction == Quarantined || onTrial > 1
-		if r.until.After(last.until) {
-			last, lastOf = r, fp
+		n++
+		if n == 1 || r.until.After(last.until) {
+			fp, last = candidate, r
 		}
 	}
-	return lastOf, last, refused
+	check(f.Fingerprint)
+	for _, part := range f.Parts {
+		check(part)
+	}
+	return fp, last, n
 }
 
 // isTried reports whether a part of f is on trial in another request that runs at a target.
