--- a/quarantiner/part_property_test.go
+++ b/quarantiner/part_property_test.go
@@ -30,9 +30,11 @@
 	earliestCrashes = 5 * time.Second
 )
 
-// partCounts counts the tries of sound requests that arrive later than 2 * stableTime after the
-// last crash that the bound allows.
-type partCounts struct{ sent, refused int }
+// partCounts counts the tries of sound requests.
+type partCounts struct {
+	counted       func(f *fleet) bool // selects the tries by the time of their arrival or refusal
+	sent, refused int
+}
 
 // TestCrashingPartStops sends requests that differ in all but one part, which crashes their
 // endpoints, beside sound requests that share the first part, documents and endpoints. Groups of
@@ -77,21 +79,65 @@
 		known/time.Duration(max(instances, 1)), lastKnown, instances)
 }
 
+// TestSoundPartsAreServed simulates fleets without a crashing part whose endpoints end for other
+// reasons. At most half of the sound requests may be refused, and none where endpoints are only
+// replaced as planned and all instances learn of it before.
+func TestSoundPartsAreServed(t *testing.T) {
+	for _, test := range []struct {
+		name     string
+		schedule func(f *fleet)
+		limit    float64 // share of refused requests
+	}{
+		{"crashes", func(f *fleet) {
+			f.scheduleFaults()
+			f.scheduleCrashes(12)
+		}, 0.5},
+		{"replacements", func(f *fleet) { f.scheduleReplacements(30) }, 0},
+		{"cuts", func(f *fleet) {
+			f.scheduleFaults()
+			f.scheduleCuts(30)
+		}, 0.5},
+		{"answers without a length", func(f *fleet) {
+			f.looksComplete = true
+			f.scheduleFaults()
+			f.scheduleCrashes(12)
+		}, 0.5},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			all := partCounts{counted: func(*fleet) bool { return true }}
+			for seed := range max(*fleetSeeds/60, 1) {
+				f, counts := newFleet(seed), all
+				f.scheduleSoundTraffic(&counts)
+				test.schedule(f)
+				f.run(partFleetTime + 10*time.Second)
+				if refused := counts.refused - all.refused; float64(refused) > test.limit*float64(counts.sent-all.sent) {
+					t.Errorf("seed %d: %d of %d sound requests refused", seed, refused, counts.sent-all.sent)
+				}
+				all = counts
+			}
+			t.Logf("%d tries, %d refused as quarantined", all.sent, all.refused)
+		})
+	}
+}
+
 // runPartFleet simulates a fleet with the crashing part.
 func runPartFleet(seed uint64) (*fleet, *partCounts) {
 	f := newFleet(seed)
 	f.crashTime, f.looksComplete = f.crashTime/2, f.rand.IntN(3) == 0
-	counts := &partCounts{}
-	f.schedulePartTraffic(counts)
+	counts := &partCounts{counted: (*fleet).isAfterVerdict}
+	f.scheduleCrashingTraffic()
+	f.scheduleSoundTraffic(counts)
 	f.scheduleFaults()
-	f.scheduleEndpointFaults()
+	f.scheduleCrashes(f.rand.IntN(4))
+	f.scheduleReplacements(f.rand.IntN(8))
+	f.scheduleCuts(f.rand.IntN(4))
 	f.run(partFleetTime + 10*time.Second)
 	return f, counts
 }
 
-// schedulePartTraffic schedules sound requests from the start, and requests with the crashing part after a time.
-func (f *fleet) schedulePartTraffic(counts *partCounts) {
-	fp := identifier.Fingerprint(1000)
+// scheduleCrashingTraffic schedules requests with the crashing part.
+func (f *fleet) scheduleCrashingTraffic() {
+	fp := identifier.Fingerprint(1000000)
 	interval := 50 + f.rand.IntN(500)
 	for at := earliestCrashes + f.random(8000); at < partFleetTime; at += f.random(interval) {
 		fp++
@@ -99,6 +145,11 @@
 		r.parts = append(f.promptParts(), quarantiner.Part{Fingerprint: crashingPart, ID: "bad"})
 		f.after(at, func() { f.send(f.instances[f.rand.IntN(fleetInstances)], r) })
 	}
+}
+
+// scheduleSoundTraffic schedules sound requests from the start.
+func (f *fleet) scheduleSoundTraffic(counts *partCounts) {
+	fp := identifier.Fingerprint(1000)
 	for at := time.Duration(0); at < partFleetTime; at += soundInterval {
 		fp++
 		f.scheduleSound(at, simRequest{fingerprint: fp, parts: f.promptParts(), processes: map[quarantiner.Process]bool{}}, counts)
@@ -110,7 +161,7 @@
 	tries := 0
 	var try func()
 	r.onEnd = func(o scheduler.Outcome) {
-		if n, ok := o.(scheduler.NotRun); ok && n.Reason == scheduler.ReasonQuarantined && f.isAfterVerdict() {
+		if n, ok := o.(scheduler.NotRun); ok && n.Reason == scheduler.ReasonQuarantined && counts.counted(f) {
 			counts.refused++
 		}
 		if _, ok := o.(scheduler.Delivered); !ok && tries < 3 {
@@ -119,7 +170,7 @@
 	}
 	try = func() {
 		tries++
-		if f.isAfterVerdict() {
+		if counts.counted(f) {
 			counts.sent++
 		}
 		f.send(f.instances[f.rand.IntN(fleetInstances)], r)
@@ -142,10 +193,9 @@
 	return out
 }
 
-// scheduleEndpointFaults schedules crashes of several endpoints at once, planned replacements
-// and cuts of endpoints, which have nothing to do with requests.
-func (f *fleet) scheduleEndpointFaults() {
-	for range f.rand.IntN(4) {
+// scheduleCrashes schedules n crashes of several endpoints at once that have nothing to do with requests.
+func (f *fleet) scheduleCrashes(n int) {
+	for range n {
 		f.after(f.random(int(partFleetTime.Milliseconds())), func() {
 			for range 1 + f.rand.IntN(fleetEndpoints/2) {
 				if e := f.randomEndpoint(); e.up {
@@ -154,10 +204,18 @@
 			}
 		})
 	}
-	for range f.rand.IntN(8) {
+}
+
+// scheduleReplacements schedules n planned replacements of endpoints.
+func (f *fleet) scheduleReplacements(n int) {
+	for range n {
 		f.after(f.random(int(partFleetTime.Milliseconds())), func() { f.replace(f.randomEndpoint()) })
 	}
-	for range f.rand.IntN(4) {
+}
+
+// scheduleCuts schedules n cuts of endpoints.
+func (f *fleet) scheduleCuts(n int) {
+	for range n {
 		f.after(f.random(int(partFleetTime.Milliseconds())), func() { f.cutOff(f.randomEndpoint()) })
 	}
 }
