quarantiner: an answer while the store is lost proves no part sound

Where addresses accept connections though no process is there, and answers have no length, requests with a crashing part were sent to endpoints for a minute after an outage of the store. The list of an outage still has the processes that ended; only the completions of parts that already had losses waited for the store.

TestSessions/part_answers_store_lost failed before. TestCrashingPartStops with 300 fleets: no late send.

--- a/quarantiner/completion.go
+++ b/quarantiner/completion.go
@@ -72,13 +72,15 @@
 }
 
 // proveCompletions clears the parts of the completions that their processes have outlived for
-// ClearDelay. Until the store has been healthy for long enough to list the end of a process, the
-// completions of parts with losses wait.
+// ClearDelay. Completions wait until the store has been healthy for long enough to list the end of a
+// process.
 func (q *Quarantiner) proveCompletions(now time.Time) {
-	listIsOld := q.storeLost || now.Sub(q.storeHealthyAt) < q.cfg.DisproofDelay
+	if q.storeLost || now.Sub(q.storeHealthyAt) < q.cfg.DisproofDelay {
+		return
+	}
 	var proved []identifier.Fingerprint
 	q.completions = slices.DeleteFunc(q.completions, func(c completion) bool {
-		if now.Sub(c.at) < q.cfg.ClearDelay || listIsOld && q.suspects[c.part] != nil {
+		if now.Sub(c.at) < q.cfg.ClearDelay {
 			return false
 		}
 		if q.isListed(c.process) {
