quarantiner: failing test of a crashing request whose answers have no length

A request that crashes its endpoints goes on to be sent where answers have neither a length nor chunks and end with their connection: an answer that the crash ends looks complete, clears the request at all instances, and it is not suspected for a minute.

--- a/quarantiner/property_test.go
+++ b/quarantiner/property_test.go
@@ -30,10 +30,17 @@
 // disrupted may send it to endpoints maxLateSends times. Where addresses accept connections
 // though no process is there, the time runs from when the list shows the crash. Other requests are quarantined only
 // if as many endpoints ended under them as a quarantine takes.
-func TestCrashingRequestStops(t *testing.T) {
+func TestCrashingRequestStops(t *testing.T) { checkCrashingRequestStops(t, false) }
+
+// TestCrashingRequestStopsIfAnswersHaveNoLength is TestCrashingRequestStops where an answer that a crash ends
+// may look complete.
+func TestCrashingRequestStopsIfAnswersHaveNoLength(t *testing.T) { checkCrashingRequestStops(t, true) }
+
+func checkCrashingRequestStops(t *testing.T, looksComplete bool) {
 	crashes, worstCrashes, worstLate, served, quarantined, broken := 0, 0, 0, 0, 0, 0
 	for seed := range *fleetSeeds {
 		f := newFleet(seed)
+		f.looksComplete = looksComplete
 		f.scheduleTraffic(t, seed)
 		f.scheduleFaults()
 		f.run(fleetTime + 10*time.Second)
