quarantiner, forwarder, requester: an answer that ends with its connection is no proof at once

A request that crashes its endpoints went on to be sent where answers have neither a length nor chunks: an answer that the crash ended looked complete and cleared the request at all instances for a minute. The forwarder now says whether an answer ended with its connection.

--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -34,7 +34,7 @@
 	}
 	f.cfg.OnAttempt(quarantiner.AttemptStarted{Fingerprint: x.identity, Parts: x.parts, Process: processOf(a.Target)})
 	ending, load := f.send(x, a)
-	f.cfg.OnAttempt(quarantiner.AttemptEnded{Fingerprint: x.identity, Parts: x.parts, Process: processOf(a.Target), Result: attemptResult(ending)})
+	f.cfg.OnAttempt(quarantiner.AttemptEnded{Fingerprint: x.identity, Parts: x.parts, Process: processOf(a.Target), Result: a.result(ending)})
 	f.logEnded(x, a, ending)
 	f.meters.countAttempt(x, ending)
 	f.step.Submit(scheduler.Ended{Ref: x.ref, Attempt: a.Attempt, Ending: ending, Load: load})
@@ -47,6 +47,7 @@
 		return f.sendErrorEnding(x, a, err), scheduler.Load{}
 	}
 	defer answer.Close()
+	a.isUndelimited = answer.Undelimited
 	fields := f.cfg.Dialect.ParseAnswer(answer.Status, answer.Header)
 	switch {
 	case fields.NotRun:
--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -37,13 +37,15 @@
 }
 
 // attempt is one attempt of an exchange's request. Only the goroutine that runs the attempt uses
-// held until it has reported the end.
+// held and isUndelimited until it has reported the end.
 type attempt struct {
 	scheduler.Send
 	ctx    context.Context
 	cancel context.CancelFunc
 	held   heldAnswer // a complete answer that is not a stream
 
+	isUndelimited bool // the answer ends with its connection
+
 	isAbandoned atomic.Bool
 }
 
--- a/forwarder/fingerprint.go
+++ b/forwarder/fingerprint.go
@@ -22,11 +22,14 @@
 	return identifier.Fingerprint(h.Sum64())
 }
 
-// attemptResult returns what the ending of an attempt says about the endpoint. An endpoint
+// result returns what the ending of a says about the endpoint. An endpoint
 // that answers with its own error may be about to end.
-func attemptResult(e scheduler.Ending) quarantiner.Result {
+func (a *attempt) result(e scheduler.Ending) quarantiner.Result {
 	switch e.(type) {
 	case scheduler.Completed:
+		if a.isUndelimited {
+			return quarantiner.ResultUndelimited
+		}
 		return quarantiner.ResultAnswered
 	case scheduler.NotSent, scheduler.Refused:
 		return quarantiner.ResultNotRun
--- a/forwarder/fingerprint_test.go
+++ b/forwarder/fingerprint_test.go
@@ -94,3 +94,20 @@
 	is.Equal(body(x.get("/hold/1", "Parts", "a1 c3")), "held")
 	is.Equal(count.Load(), int32(2))
 }
+
+// TestAnswerThatEndsWithItsConnectionIsUndelimited checks that the end of an attempt says that the answer had
+// neither a length nor chunks.
+func TestAnswerThatEndsWithItsConnectionIsUndelimited(t *testing.T) {
+	is := is.New(t)
+	reported := make(chan quarantiner.Event, 32)
+	x := newObservedFixture(t, func(e quarantiner.Event) { reported <- e })
+	x.add(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Signature", "e0")
+		w.Header().Set("Transfer-Encoding", "identity")
+		w.(http.Flusher).Flush()
+		_, _ = io.WriteString(w, "held")
+	})
+	is.Equal(body(x.get("/hold/1")), "held")
+	<-reported // the start of the attempt
+	is.Equal((<-reported).(quarantiner.AttemptEnded).Result, quarantiner.ResultUndelimited)
+}
--- a/quarantiner/completion.go
+++ b/quarantiner/completion.go
@@ -20,12 +20,14 @@
 	startedAt time.Time
 }
 
-// completion is a complete answer to a request with a part. It says that the part crashes no
-// endpoints once the process has outlived it: an answer without a length ends with its
-// connection, and looks complete if the process ends between two events.
+// completion is an answer that looks complete, to a request with a part or to a request itself. It says
+// that these crash no endpoints once the process has outlived it: an answer without a length ends
+// with its connection, and looks complete if the process ends between two events.
 type completion struct {
-	run
-	at time.Time
+	attribute attribute
+	process   Process
+	startedAt time.Time
+	at        time.Time
 }
 
 // needsProof reports whether an answer to a request with a part is needed as proof, because the
@@ -59,10 +61,19 @@
 func (q *Quarantiner) endRuns(now time.Time, e AttemptEnded) {
 	for _, p := range e.Parts {
 		r := q.endRun(now, p.Fingerprint, e.Process)
-		if e.Result == ResultAnswered && q.needsProof(now, p) && len(q.completions) < maxCompletions {
-			q.completions = append(q.completions, completion{run: r, at: now})
+		if e.Result.isComplete() && q.needsProof(now, p) {
+			q.complete(completion{attribute: attribute{fingerprint: p.Fingerprint, kind: KindPart}, process: e.Process, startedAt: r.startedAt, at: now})
 		}
 	}
+	if e.Result == ResultUndelimited {
+		q.complete(completion{attribute: attribute{fingerprint: e.Fingerprint}, process: e.Process, startedAt: now, at: now})
+	}
+}
+
+func (q *Quarantiner) complete(c completion) {
+	if len(q.completions) < maxCompletions {
+		q.completions = append(q.completions, c)
+	}
 }
 
 // dropRuns forgets the runs and completions at a process that has ended.
@@ -71,33 +82,34 @@
 	q.completions = slices.DeleteFunc(q.completions, func(c completion) bool { return c.process == p })
 }
 
-// proveCompletions clears the parts of the completions that their processes have outlived for
+// proveCompletions clears the attributes whose completions their processes have outlived for
 // ClearDelay. Completions wait until the store has been healthy for long enough to list the end of a
 // process.
 func (q *Quarantiner) proveCompletions(now time.Time) {
 	if q.storeLost || now.Sub(q.storeHealthyAt) < q.cfg.DisproofDelay {
 		return
 	}
-	var proved []identifier.Fingerprint
+	var proved []attribute
 	q.completions = slices.DeleteFunc(q.completions, func(c completion) bool {
 		if now.Sub(c.at) < q.cfg.ClearDelay {
 			return false
 		}
 		if q.isListed(c.process) {
-			proved = append(proved, c.part)
+			proved = append(proved, c.attribute)
 		}
 		return true
 	})
-	for _, part := range proved {
-		q.clear(now, attribute{fingerprint: part, kind: KindPart}, true)
+	for _, a := range proved {
+		q.clear(now, a, true)
 	}
 }
 
 // survives reports whether a process that is not known to have ended has outlived the start of a
 // run with a part by ProofDelay. The run goes on or was answered.
 func (q *Quarantiner) survives(now time.Time, part identifier.Fingerprint) bool {
-	proves := func(r run) bool {
-		return r.part == part && now.Sub(r.startedAt) >= q.cfg.ProofDelay && q.isListed(r.process)
+	proves := func(fp identifier.Fingerprint, p Process, startedAt time.Time) bool {
+		return fp == part && now.Sub(startedAt) >= q.cfg.ProofDelay && q.isListed(p)
 	}
-	return slices.ContainsFunc(q.runs, proves) || slices.ContainsFunc(q.completions, func(c completion) bool { return proves(c.run) })
+	return slices.ContainsFunc(q.runs, func(r run) bool { return proves(r.part, r.process, r.startedAt) }) ||
+		slices.ContainsFunc(q.completions, func(c completion) bool { return proves(c.attribute.fingerprint, c.process, c.startedAt) })
 }
--- a/quarantiner/doc.go
+++ b/quarantiner/doc.go
@@ -24,7 +24,8 @@
 // four, requests that hold it are refused in the same way.
 //
 // Requests that share an endpoint with the cause of its crash are suspected too, and so are their parts. A complete
-// answer clears a request at all instances, and its parts once the process has outlived it for ClearDelay. A
+// answer clears a request at all instances, and its parts once the process has outlived it for ClearDelay; an
+// answer that ends with its connection clears the request then, too. A
 // fingerprint that was cleared recently is not suspected at all. A quarantined part explains the
 // ends of the processes under which it ran: they say nothing against other fingerprints. Parts
 // whose losses are nearly the same are put on trial. A loss that rests on the check of a connection alone is withdrawn if the
--- a/quarantiner/event.go
+++ b/quarantiner/event.go
@@ -58,12 +58,16 @@
 
 // The results.
 const (
-	ResultNotRun     Result = iota // the endpoint did not run the request
-	ResultAnswered                 // the endpoint ran the request and survived
-	ResultUnanswered               // the endpoint may have run the request; whether it survived is unknown
-	ResultBroken                   // the same, and the connection broke
+	ResultNotRun      Result = iota // the endpoint did not run the request
+	ResultAnswered                  // the endpoint ran the request and survived
+	ResultUndelimited               // an answer without a length or chunks ended with its connection, as it also does if the endpoint ends between two events
+	ResultUnanswered                // the endpoint may have run the request; whether it survived is unknown
+	ResultBroken                    // the same, and the connection broke
 )
 
+// isComplete reports whether the answer looks complete.
+func (r Result) isComplete() bool { return r == ResultAnswered || r == ResultUndelimited }
+
 // ConnectionChecked reports the result of a CheckConnection action.
 type ConnectionChecked struct {
 	Process  Process
--- a/quarantiner/fleet_test.go
+++ b/quarantiner/fleet_test.go
@@ -312,11 +312,19 @@
 	f.after(benignRunTime, func() {
 		if e.up && e.start == start && e.runs[key] {
 			delete(e.runs, key)
-			f.end(i, key, target, scheduler.Completed{}, quarantiner.ResultAnswered)
+			f.end(i, key, target, scheduler.Completed{}, f.answerResult())
 		}
 	})
 }
 
+// answerResult returns the result of an answer that looks complete.
+func (f *fleet) answerResult() quarantiner.Result {
+	if f.looksComplete {
+		return quarantiner.ResultUndelimited
+	}
+	return quarantiner.ResultAnswered
+}
+
 // isInTouch reports whether neither an instance nor its way to the store was disrupted for stableTime.
 func (f *fleet) isInTouch(i *simInstance) bool {
 	return i.up && !i.storeCut && !f.storeDown && f.now.Sub(i.disruptedAt) >= stableTime
@@ -360,7 +368,7 @@
 	for _, key := range keys {
 		i := f.instances[key.instance]
 		if f.looksComplete && f.rand.IntN(4) == 0 {
-			f.after(f.random(5), func() { f.end(i, key, target, scheduler.Completed{}, quarantiner.ResultAnswered) })
+			f.after(f.random(5), func() { f.end(i, key, target, scheduler.Completed{}, f.answerResult()) })
 			continue
 		}
 		f.after(f.random(5), func() { f.end(i, key, target, scheduler.Broken{}, quarantiner.ResultBroken) })
--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -150,6 +150,9 @@
 	case ResultAnswered:
 		q.proveAlive(now, e.Process)
 		q.clear(now, attribute{fingerprint: e.Fingerprint}, true)
+	case ResultUndelimited:
+		q.proveAlive(now, e.Process)
+		q.expose(now, e)
 	case ResultUnanswered, ResultBroken:
 		q.expose(now, e)
 	}
--- a/quarantiner/session_test.go
+++ b/quarantiner/session_test.go
@@ -107,7 +107,7 @@
 
 func resultOf(name string) (quarantiner.Result, error) {
 	results := map[string]quarantiner.Result{
-		"answered": quarantiner.ResultAnswered, "notRun": quarantiner.ResultNotRun,
+		"answered": quarantiner.ResultAnswered, "undelimited": quarantiner.ResultUndelimited, "notRun": quarantiner.ResultNotRun,
 		"unanswered": quarantiner.ResultUnanswered, "broken": quarantiner.ResultBroken,
 	}
 	r, ok := results[name]
--- a/requester/answer.go
+++ b/requester/answer.go
@@ -14,6 +14,8 @@
 	Header http.Header
 	Length int64 // length of the body; -1 if it is not known in advance
 
+	Undelimited bool // the body has neither a length nor chunks and ends with the connection
+
 	requester *Requester
 	addr      string
 	conn      *connection
--- a/requester/requester.go
+++ b/requester/requester.go
@@ -114,7 +114,7 @@
 	}
 	return &Answer{
 		Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength,
-		requester: r, addr: addr, conn: conn, body: resp.Body, stopWatch: stop,
+		Undelimited: isUndelimited(resp), requester: r, addr: addr, conn: conn, body: resp.Body, stopWatch: stop,
 	}, nil
 }
 
@@ -139,7 +139,7 @@
 		} else {
 			return resp, nil
 		}
-		if id == "" || !conn.reusable || resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
+		if id == "" || !conn.reusable || isUndelimited(resp) {
 			return nil, &MismatchedAnswerError{Status: resp.StatusCode, ID: id}
 		}
 		if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, staleBodyLimit)); err != nil {
@@ -149,6 +149,11 @@
 	return nil, errTooManyStaleAnswers
 }
 
+// isUndelimited reports whether the body of an answer ends with its connection.
+func isUndelimited(resp *http.Response) bool {
+	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+}
+
 func isInterim(status int) bool { return status >= 100 && status < 200 }
 
 func isSuccess(status int) bool { return status >= 200 && status < 300 }
