quarantiner: an event at the time of a due tick does not replace the tick

Checks without a result, proofs and the end of a quarantine could come up to a tick (250 ms) late, again and again under load: an event that reached the core when the tick was due and had not come yet requested the next tick, which reset the timer of the due one. TestEventsDoNotReplaceTheDueTick failed before.

--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -232,9 +232,10 @@
 	}
 }
 
-// scheduleTick requests the next tick while anything may become due.
+// scheduleTick requests the next tick while anything may become due. A tick that was requested and has
+// not come yet stays due, also when its time has passed.
 func (q *Quarantiner) scheduleTick(now time.Time) {
-	if q.exposureCount == 0 && len(q.suspects) == 0 && len(q.completions) == 0 || q.wakeAt.After(now) {
+	if q.exposureCount == 0 && len(q.suspects) == 0 && len(q.completions) == 0 || !q.wakeAt.IsZero() {
 		return
 	}
 	q.wakeAt = now.Add(q.cfg.TickInterval)
