--- a/quarantiner/part_bench_test.go
+++ b/quarantiner/part_bench_test.go
@@ -83,3 +83,23 @@
 	}
 	return out
 }
+
+// BenchmarkPartReport measures a peer's report of losses that are known, by the number of answers without proof.
+func BenchmarkPartReport(b *testing.B) {
+	for _, answers := range []int{0, 16384} {
+		b.Run(fmt.Sprintf("answers=%d", answers), func(b *testing.B) {
+			q, processes := newBenchCore(1200)
+			for i := range answers {
+				q.Step(scripter.Start, quarantiner.AttemptEnded{
+					Fingerprint: identifier.Fingerprint(1<<50 + i), Parts: benchParts(i, 4*answers), Process: processes[i%1200], Result: quarantiner.ResultAnswered,
+				})
+			}
+			r := quarantiner.ReportReceived{Report: quarantiner.Report{Fingerprint: 1 << 40, Kind: quarantiner.KindPart, Losses: benchLosses(5)}}
+			q.Step(scripter.Start, r)
+			b.ReportAllocs()
+			for b.Loop() {
+				q.Step(scripter.Start, r)
+			}
+		})
+	}
+}
