--- a/scheduler/restriction.go
+++ b/scheduler/restriction.go
@@ -175,11 +175,14 @@
 }
 
 // restrictedOutcome returns the outcome of a restricted request that was never sent. Its caller
-// should retry when the quarantine ends, or when the running copy has probably ended.
+// should retry when the quarantine ends, or when the trial or the running copy has probably ended.
 func (s *Scheduler) restrictedOutcome(now time.Time, f *flight, reason Reason) NotRun {
 	fp, r, quarantined := s.quarantineOf(f)
-	if !quarantined {
+	switch {
+	case !quarantined:
 		return NotRun{Reason: reason, RetryAfter: suspectRetryAfter, Fingerprint: f.Fingerprint}
+	case r.Restriction == OnTrial:
+		return NotRun{Reason: reason, RetryAfter: maxRetryAfter, Fingerprint: fp}
 	}
 	return NotRun{Reason: reason, RetryAfter: max(r.until.Sub(now), minRetryAfter).Round(time.Second), Fingerprint: fp}
 }
