quarantiner: failing test of a small service whose first requests crash it

The simulated fleets now also count sound requests after the last crash if there are fewer than five, as the operators' rule does; before, a fleet that refused everything after the fourth crash was not counted.

--- a/quarantiner/fleet_test.go
+++ b/quarantiner/fleet_test.go
@@ -44,10 +44,11 @@
 	storeDown bool
 	nextRef   scheduler.Ref
 
-	crashTime                                     time.Duration // from the start of the crashing run
-	repeatable                                    bool          // requests are repeatable
-	accepts                                       bool          // addresses without a process accept connections, as those of a relay do
-	looksComplete                                 bool          // answers have no length, so that one that a crash ends may look complete
+	crashTime                                     time.Duration      // from the start of the crashing run
+	repeatable                                    bool               // requests are repeatable
+	accepts                                       bool               // addresses without a process accept connections, as those of a relay do
+	looksComplete                                 bool               // answers have no length, so that one that a crash ends may look complete
+	commonParts                                   []quarantiner.Part // of all requests
 	crashSends                                    []crashSend
 	crashes                                       []time.Time
 	knownAt                                       map[int]time.Time // when each instance first quarantined crashingPart
@@ -100,13 +101,17 @@
 	onEnd       func(scheduler.Outcome)
 }
 
-func newFleet(seed uint64) *fleet {
+func newFleet(seed uint64) *fleet { return newFleetOf(seed, fleetEndpoints) }
+
+// newFleetOf returns a fleet with n endpoints.
+func newFleetOf(seed uint64, n int) *fleet {
 	r := rand.New(rand.NewPCG(seed, 17))
 	f := &fleet{
 		rand: r, now: scripter.Start, endpoints: map[identifier.Endpoint]*simEndpoint{}, stored: map[quarantiner.StoreLoss]uint64{}, cut: map[[2]int]bool{}, knownAt: map[int]time.Time{},
 		crashTime: time.Duration(1+r.IntN(400)) * time.Millisecond, repeatable: r.IntN(3) > 0, accepts: r.IntN(4) == 0,
+		commonParts: []quarantiner.Part{{Fingerprint: firstPart, ID: "first"}},
 	}
-	for i := range fleetEndpoints {
+	for i := range n {
 		f.addEndpoint(identifier.Endpoint(fmt.Sprintf("e%02d", i)))
 	}
 	for i := range fleetInstances {
--- a/quarantiner/part_property_test.go
+++ b/quarantiner/part_property_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -19,6 +20,7 @@
 const (
 	crashingPart  = identifier.Fingerprint(1 << 40)
 	firstPart     = crashingPart + 1 // of all requests
+	secondPart    = crashingPart - 1 // of all requests of TestSoundRequestsOfSmallServiceAreServed
 	documentParts = crashingPart + 2 // the first of the documents that requests share
 )
 
@@ -125,7 +127,7 @@
 	f := newFleet(seed)
 	f.crashTime, f.looksComplete = f.crashTime/2, f.rand.IntN(3) == 0
 	counts := &partCounts{counted: (*fleet).isAfterVerdict}
-	f.scheduleCrashingTraffic()
+	f.scheduleCrashingTraffic(earliestCrashes + f.random(8000))
 	f.scheduleSoundTraffic(counts)
 	f.scheduleFaults()
 	f.scheduleCrashes(f.rand.IntN(4))
@@ -135,11 +137,39 @@
 	return f, counts
 }
 
-// scheduleCrashingTraffic schedules requests with the crashing part.
-func (f *fleet) scheduleCrashingTraffic() {
+// smallFleet is the number of endpoints of a small service.
+const smallFleet = 3
+
+// TestSoundRequestsOfSmallServiceAreServed sends requests with the crashing part to undisturbed
+// fleets with few endpoints, from the first second on, before any part was answered. All requests
+// share two parts. As in TestCrashingPartStops, at most half of the sound requests may be refused
+// later.
+func TestSoundRequestsOfSmallServiceAreServed(t *testing.T) {
+	var all partCounts
+	for seed := range max(*fleetSeeds/10, 1) {
+		f := newFleetOf(seed, smallFleet)
+		f.crashTime, f.accepts = f.crashTime/2, false
+		f.commonParts = append(f.commonParts, quarantiner.Part{Fingerprint: secondPart, ID: "second"})
+		counts := &partCounts{counted: (*fleet).isAfterVerdict}
+		f.scheduleCrashingTraffic(f.random(800))
+		f.scheduleSoundTraffic(counts)
+		f.run(partFleetTime + 10*time.Second)
+		if 2*counts.refused > counts.sent {
+			t.Errorf("seed %d: %d of %d sound requests refused", seed, counts.refused, counts.sent)
+		}
+		if late := f.countLateSends(partCrashesBeforeBound, stableTime); late > maxLateSends {
+			t.Errorf("seed %d: %d sends later than %s after crash %d, at most %d allowed", seed, late, stableTime, partCrashesBeforeBound, maxLateSends)
+		}
+		all.sent, all.refused = all.sent+counts.sent, all.refused+counts.refused
+	}
+	t.Logf("sound tries after the verdict: %d sent, %d refused as quarantined", all.sent, all.refused)
+}
+
+// scheduleCrashingTraffic schedules requests with the crashing part from a time on.
+func (f *fleet) scheduleCrashingTraffic(from time.Duration) {
 	fp := identifier.Fingerprint(1000000)
 	interval := 50 + f.rand.IntN(500)
-	for at := earliestCrashes + f.random(8000); at < partFleetTime; at += f.random(interval) {
+	for at := from; at < partFleetTime; at += f.random(interval) {
 		fp++
 		r := simRequest{fingerprint: fp, crashes: true, onEnd: func(scheduler.Outcome) {}}
 		r.parts = append(f.promptParts(), quarantiner.Part{Fingerprint: crashingPart, ID: "bad"})
@@ -178,14 +208,16 @@
 	f.after(at, try)
 }
 
-// isAfterVerdict reports whether sound requests must be served as before the crashes.
+// isAfterVerdict reports whether sound requests must be served as before the crashes: later than
+// 2 * stableTime after the fifth crash, or the last if there are fewer.
 func (f *fleet) isAfterVerdict() bool {
-	return len(f.crashes) >= partCrashesBeforeBound && f.now.Sub(f.crashes[partCrashesBeforeBound-1]) >= 2*stableTime
+	n := min(len(f.crashes), partCrashesBeforeBound)
+	return n > 0 && f.now.Sub(f.crashes[n-1]) >= 2*stableTime
 }
 
-// promptParts returns the first part and one or two documents. Low numbers are more frequent.
+// promptParts returns the parts that all requests share and one or two documents. Low numbers are more frequent.
 func (f *fleet) promptParts() []quarantiner.Part {
-	out := []quarantiner.Part{{Fingerprint: firstPart, ID: "first"}}
+	out := slices.Clone(f.commonParts)
 	for range 1 + f.rand.IntN(2) {
 		n := f.rand.IntN(1 + f.rand.IntN(documentCount))
 		out = append(out, quarantiner.Part{Fingerprint: documentParts + identifier.Fingerprint(n), ID: identifier.Part(fmt.Sprintf("d%d", n))})
