scheduler, quarantiner: a request with some of the parts on trial runs

All sound requests of a small service were refused for an hour if a part crashed endpoints before any part was answered: the parts that all requests share were on trial with the guilty one, each sound request held several of them and was refused, and no run could prove them sound. A request is now refused only if it holds all parts that are on trial together; with some of them it runs, one at a time, and tells them from the rest.

--- a/quarantiner/event.go
+++ b/quarantiner/event.go
@@ -150,6 +150,7 @@
 	Fingerprint identifier.Fingerprint
 	Restriction scheduler.Restriction
 	Until       time.Time // end of a quarantine or a trial; zero for the other restrictions
+	Tied        int       // number of parts that are on trial together; zero for the other restrictions
 }
 
 // Announce requests that all peers receive the report.
--- a/quarantiner/verdict.go
+++ b/quarantiner/verdict.go
@@ -49,7 +49,7 @@
 // verdict is the verdict on a suspect.
 type verdict struct {
 	quarantined bool
-	onTrial     bool // of a part: quarantined together with other parts; see scheduler.OnTrial
+	tied        int // of a part: number of parts that are quarantined together, itself included; see scheduler.OnTrial
 }
 
 // judge derives the verdicts of all suspects after a change of changed. Parts without a surviving
@@ -96,7 +96,7 @@
 			}
 		}
 		for _, s := range tied {
-			verdicts[s] = verdict{quarantined: true, onTrial: len(tied) > 1}
+			verdicts[s] = verdict{quarantined: true, tied: len(tied)}
 			for _, l := range s.losses {
 				q.explained[l.process] = true
 			}
@@ -153,8 +153,8 @@
 	next := Restrict{Fingerprint: fp, Restriction: scheduler.Unrestricted}
 	s := q.suspects[fp]
 	switch {
-	case s != nil && s.quarantined && s.onTrial:
-		next.Restriction, next.Until = scheduler.OnTrial, s.expiry(q.cfg)
+	case s != nil && s.quarantined && s.tied > 1:
+		next.Restriction, next.Until, next.Tied = scheduler.OnTrial, s.expiry(q.cfg), s.tied
 	case s != nil && s.quarantined:
 		next.Restriction, next.Until = scheduler.Quarantined, s.expiry(q.cfg)
 	case s != nil && s.kind == KindPart:
--- a/runner/hosted_quarantine.go
+++ b/runner/hosted_quarantine.go
@@ -111,7 +111,7 @@
 	case quarantiner.CheckConnection:
 		go q.checkConnection(a)
 	case quarantiner.Restrict:
-		q.hosted.forwarder.SetRestriction(scheduler.RestrictionSet{Fingerprint: a.Fingerprint, Restriction: a.Restriction, Until: a.Until})
+		q.hosted.forwarder.SetRestriction(scheduler.RestrictionSet{Fingerprint: a.Fingerprint, Restriction: a.Restriction, Until: a.Until, Tied: a.Tied})
 	case quarantiner.Announce:
 		q.hosted.messenger.Announce(a.Report)
 	case quarantiner.StoreLoss:
--- a/scheduler/request.go
+++ b/scheduler/request.go
@@ -45,6 +45,7 @@
 	Fingerprint identifier.Fingerprint
 	Restriction Restriction
 	Until       time.Time // end of a quarantine or a trial
+	Tied        int       // number of parts that are on trial together
 }
 
 // Arrived reports a new request.
--- a/scheduler/restriction.go
+++ b/scheduler/restriction.go
@@ -19,7 +19,7 @@
 	Unrestricted Restriction = iota
 	OneAtATime               // one attempt at a time, because an endpoint ended while it ran the request
 	Held                     // no attempt until the restriction changes, because it is being checked whether several endpoints have ended
-	OnTrial                  // of a part: one attempt at a time, and none of a request with several such parts, because endpoints ended under the parts together
+	OnTrial                  // of a part: one attempt at a time, and none of a request with all the parts that are on trial together, because endpoints ended under them together
 	Quarantined              // no attempt
 )
 
@@ -32,6 +32,7 @@
 type restriction struct {
 	Restriction
 	until time.Time // end of a quarantine or a trial
+	tied  int       // number of parts that are on trial together
 }
 
 // maxCopyLoad is the load as a fraction of a target's slots up to which copies of a request
@@ -64,11 +65,12 @@
 		delete(s.restrictions, e.Fingerprint)
 		return
 	}
-	s.restrictions[e.Fingerprint] = restriction{Restriction: e.Restriction, until: e.Until}
+	s.restrictions[e.Fingerprint] = restriction{Restriction: e.Restriction, until: e.Until, tied: e.Tied}
 }
 
 // quarantineOf returns the fingerprint and the restriction that refuse f: a quarantine of f or of
-// a part, or the trial of one of several parts. It returns false if there is none.
+// a part, or the trial of one of several parts if f holds all that are on trial together, because a
+// run of f would not tell them apart. It returns false if there is none.
 func (s *Scheduler) quarantineOf(f *flight) (identifier.Fingerprint, restriction, bool) {
 	if len(s.restrictions) == 0 {
 		return 0, restriction{}, false
@@ -77,7 +79,7 @@
 		return fp, r, true
 	}
 	fp, r, n := s.lastRestriction(f, OnTrial)
-	return fp, r, n > 1
+	return fp, r, n > 1 && n >= r.tied
 }
 
 // lastRestriction returns, of the restrictions of a kind on f and its parts, the one that ends last
--- a/scheduler/session_test.go
+++ b/scheduler/session_test.go
@@ -75,7 +75,7 @@
 }
 
 func restriction(now time.Time, ev scripter.Event) (scheduler.Event, error) {
-	e := scheduler.RestrictionSet{Fingerprint: identifier.Fingerprint(ev.Int("fingerprint"))}
+	e := scheduler.RestrictionSet{Fingerprint: identifier.Fingerprint(ev.Int("fingerprint")), Tied: ev.Int("tied")}
 	for r := scheduler.Unrestricted; r <= scheduler.Quarantined; r++ {
 		if r.String() != ev.Str("to") {
 			continue
