--- a/cmd/millctl/quarantine.go
+++ b/cmd/millctl/quarantine.go
@@ -21,7 +21,7 @@
 	const address = " It asks an instance on the users' platform; --address is then the address at which the instance answers its peers (listen.peers in its settings). No token is needed."
 	return []command{
 		{"list", "show what is quarantined", "Shows the requests and the parts of prompts that an instance refuses because endpoints ended under them, with the endpoints and the end of the quarantine." + address, &quarantineListCommand{app: a}},
-		{"lift", "end a quarantine", "Ends a quarantine at all instances. For a minute what had the fingerprint is not suspected, so that it crashes endpoints freely if it is the cause." + address, &quarantineLiftCommand{app: a}},
+		{"lift", "end a quarantine", "Ends a quarantine at all instances. For a minute a request, and for 15 seconds a part, is then not suspected, so that it crashes endpoints freely if it is the cause." + address, &quarantineLiftCommand{app: a}},
 	}
 }
 
--- a/quarantiner/quarantine.go
+++ b/quarantiner/quarantine.go
@@ -27,7 +27,7 @@
 }
 
 // lift ends the quarantine of a fingerprint at all instances. Its losses are forgotten, and for
-// AnsweredTTL it is not suspected.
+// AnsweredTTL, or PartAnsweredTTL, it is not suspected.
 func (q *Quarantiner) lift(now time.Time, fp identifier.Fingerprint) {
 	s := q.suspects[fp]
 	if s == nil || !s.quarantined {
