--- a/forwarder/fingerprint_test.go
+++ b/forwarder/fingerprint_test.go
@@ -95,8 +95,8 @@
 	is.Equal(count.Load(), int32(2))
 }
 
-// TestAnswerThatEndsWithItsConnectionIsUndelimited checks that the end of an attempt says that the answer had
-// neither a length nor chunks.
+// TestAnswerThatEndsWithItsConnectionIsUndelimited checks that the end of an attempt says that
+// the answer had neither a length nor chunks.
 func TestAnswerThatEndsWithItsConnectionIsUndelimited(t *testing.T) {
 	is := is.New(t)
 	reported := make(chan quarantiner.Event, 32)
--- a/quarantiner/property_test.go
+++ b/quarantiner/property_test.go
@@ -32,8 +32,8 @@
 // if as many endpoints ended under them as a quarantine takes.
 func TestCrashingRequestStops(t *testing.T) { checkCrashingRequestStops(t, false) }
 
-// TestCrashingRequestStopsIfAnswersHaveNoLength is TestCrashingRequestStops where an answer that a crash ends
-// may look complete.
+// TestCrashingRequestStopsIfAnswersHaveNoLength is TestCrashingRequestStops where an answer that
+// a crash ends may look complete.
 func TestCrashingRequestStopsIfAnswersHaveNoLength(t *testing.T) { checkCrashingRequestStops(t, true) }
 
 func checkCrashingRequestStops(t *testing.T, looksComplete bool) {
--- a/quarantiner/tick_test.go
+++ b/quarantiner/tick_test.go
@@ -10,8 +10,8 @@
 	"amaranthmill/quarantiner"
 )
 
-// TestEventsDoNotReplaceTheDueTick checks that an event at the time of a tick that is due and has not come yet
-// requests no other tick, which would come later.
+// TestEventsDoNotReplaceTheDueTick checks that an event at the time of a tick that is due and has
+// not come yet requests no other tick, which would come later.
 func TestEventsDoNotReplaceTheDueTick(t *testing.T) {
 	is := is.New(t)
 	q := quarantiner.New(quarantiner.Config{})
--- a/standin/soak/crash.go
+++ b/standin/soak/crash.go
@@ -104,7 +104,8 @@
 }
 
 // checkCrashRuns describes the violation of the bound on the runs of the crashing requests, or
-// returns "". The bound applies once the given number of engines have crashed and holds for instances without a disruption for hosted.CrashBoundDelay.
+// returns "". The bound applies once the given number of engines have crashed, and holds for
+// instances without a disruption for hosted.CrashBoundDelay.
 func (r *record) checkCrashRuns(runs []hosted.CrashRun, crashes int) string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
