scheduler, forwarder, platform: a process that leaves or is closed gets no requests

The forwarder submits ProcessStated before the progress or the end of the attempt, also if the request goes on without it. The scheduler keeps a statement a process (endpoint, start, address), whatever group the list shows for it, and isEligible excludes it for first attempts, retries, hedges, trial requests and copies. After a closure one request goes first, and the others once it has its first event or complete answer, so that the returning requests do not meet a target that is still full. If all targets of a pool are closed, a request waits if the earliest closure ends within its wait and the requests ahead of it leave it a slot; otherwise it is refused at once with that end as its Retry-After, and refused callers return in groups as large as the slots that reopen.

--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -49,6 +49,7 @@
 	defer answer.Close()
 	a.isUndelimited = answer.Undelimited
 	fields := f.cfg.Dialect.ParseAnswer(answer.Status, answer.Header)
+	f.reportStatement(x, a, fields)
 	switch {
 	case fields.NotRun:
 		_, _ = io.Copy(io.Discard, io.LimitReader(answer, answerLimit)) // lets the connection be reused
@@ -63,6 +64,18 @@
 	return f.holdAnswer(x, a, answer), fields.Load
 }
 
+// reportStatement submits what the process of a's target says about itself in an answer. That
+// concerns the process, so it is submitted also if the request goes on without a.
+func (f *Forwarder) reportStatement(x *exchange, a *attempt, fields AnswerFields) {
+	for _, m := range fields.Malformed {
+		f.logMalformed(x, a, m)
+	}
+	if fields.Leaving || fields.ClosedFor > 0 {
+		f.logStatement(x, a, fields)
+		f.step.Submit(scheduler.ProcessStated{Process: a.Target.Process(), Leaving: fields.Leaving, ClosedFor: fields.ClosedFor})
+	}
+}
+
 // newRequest returns the request that attempt a sends to its target.
 func (f *Forwarder) newRequest(x *exchange, a *attempt) *requester.Request {
 	header := x.request.Header.Clone()
--- a/forwarder/dialect.go
+++ b/forwarder/dialect.go
@@ -41,14 +41,18 @@
 
 // AnswerFields holds what the status and the header of an endpoint's answer state.
 type AnswerFields struct {
-	NotRun      bool // the endpoint did not run the request and will not
-	Misdirected bool // another endpoint has the address, or the endpoint is no longer the head of its group
-	Signed      bool // the endpoint signed the answer as its own
-	Encoded     bool // a content encoding was applied to the body after the endpoint wrote it
+	NotRun      bool          // the endpoint did not run the request and will not
+	Misdirected bool          // another endpoint has the address, or the endpoint is no longer the head of its group
+	Signed      bool          // the endpoint signed the answer as its own
+	Encoded     bool          // a content encoding was applied to the body after the endpoint wrote it
+	Leaving     bool          // the endpoint's process leaves
+	ClosedFor   time.Duration // the process wants no requests from this instance for so long; zero if it does not say so
 	Load        scheduler.Load
+
+	Malformed []MalformedError // fields that are ignored, or that count as another value
 }
 
-// MalformedError reports a malformed header field of a request.
+// MalformedError reports a malformed header field of a request or an answer.
 type MalformedError struct {
 	Field   string // name of the header field
 	Problem string // what is wrong with the field and how to correct it
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -29,6 +29,7 @@
 	Dialect         Dialect
 	Scheduler       scheduler.Config
 	OnStalled       func(t scheduler.Target)        // called when a target stalls; must not block
+	OnLeaving       func(p scheduler.Process)       // called once when a process says that it leaves; must not block
 	OnLatencyReport func(p scheduler.LatencyReport) // called about once a second for each pool with requests; must not block
 	OnAttempt       func(e quarantiner.Event)       // called for each attempt and for each request that a restriction refuses, before the scheduler learns of it; must not block
 	Random          rand.Source                     // source for the split of routes over services; nil means a randomly seeded source
@@ -137,6 +138,12 @@
 		}
 	case scheduler.Recovered:
 		f.cfg.Logger.Info().Str("endpoint", string(a.Target.ID)).Str("group", string(a.Target.Group)).Msg("target moves again")
+	case scheduler.LeavingStated:
+		f.cfg.Logger.Info().Str("endpoint", string(a.Process.Endpoint)).Int64("processStart", int64(a.Process.Start)).Msg("endpoint says that it leaves; it gets no more requests")
+		f.meters.countLeaving()
+		if f.cfg.OnLeaving != nil {
+			f.cfg.OnLeaving(a.Process)
+		}
 	case scheduler.LatencyReport:
 		service, _ := SplitPool(a.Pool)
 		f.meters.setBudget(service, a.RetriesLeft)
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -57,7 +57,11 @@
 }
 
 func (dialect) ParseAnswer(status int, h http.Header) forwarder.AnswerFields {
-	return forwarder.AnswerFields{NotRun: h.Get("Not-Run") != "", Signed: h.Get("Signature") != "", Encoded: h.Get("Content-Encoding") != "", Misdirected: status == 421}
+	closedFor, _ := time.ParseDuration(h.Get("Closed-For"))
+	return forwarder.AnswerFields{
+		NotRun: h.Get("Not-Run") != "", Signed: h.Get("Signature") != "", Encoded: h.Get("Content-Encoding") != "", Misdirected: status == 421,
+		Leaving: h.Get("Leaving") != "", ClosedFor: closedFor,
+	}
 }
 
 // fixture is a Forwarder in front of test endpoints.
--- a/forwarder/log.go
+++ b/forwarder/log.go
@@ -53,6 +53,19 @@
 		Int64("processStart", int64(a.Target.ProcessStart)).Str("ending", scheduler.EndingName(end)).Int("status", a.held.status).Msg("attempt ended")
 }
 
+func (f *Forwarder) logMalformed(x *exchange, a *attempt, m MalformedError) {
+	x.addRequest(f.cfg.Logger.Warn()).Int("attempt", a.Attempt).Str("endpoint", string(a.Target.ID)).Str("field", m.Field).Str("problem", m.Problem).
+		Msg("field of an answer is malformed")
+}
+
+// logStatement logs a closure. That a process leaves is logged once, when the scheduler learns it.
+func (f *Forwarder) logStatement(x *exchange, a *attempt, fields AnswerFields) {
+	if fields.ClosedFor > 0 {
+		x.addRequest(f.cfg.Logger.Warn()).Int("attempt", a.Attempt).Str("endpoint", string(a.Target.ID)).Int64("processStart", int64(a.Target.ProcessStart)).
+			Dur("closedFor", fields.ClosedFor).Msg("endpoint wants no requests for a time")
+	}
+}
+
 func (f *Forwarder) logStalled(a scheduler.Stalled) {
 	f.cfg.Logger.Warn().Str("endpoint", string(a.Target.ID)).Str("group", string(a.Target.Group)).
 		Uint64("epoch", uint64(a.Target.Epoch)).Dur("still", a.Silence).Msg("target stands still")
--- a/forwarder/meters.go
+++ b/forwarder/meters.go
@@ -27,6 +27,7 @@
 	refusals   metric.Int64Counter
 	attempts   metric.Int64Counter
 	stalls     metric.Int64Counter
+	leaving    metric.Int64Counter
 	duration   metric.Float64Histogram
 	queued     metric.Float64Histogram
 	firstEvent metric.Float64Histogram
@@ -48,6 +49,7 @@
 	out.refusals, _ = m.Int64Counter("forwarder.refusals", metric.WithDescription("Requests refused before they were placed, by status and reason."))
 	out.attempts, _ = m.Int64Counter("forwarder.attempts", metric.WithDescription("Attempts at endpoints by pool and ending."))
 	out.stalls, _ = m.Int64Counter("forwarder.stalls", metric.WithDescription("Targets whose requests stood still, by pool."))
+	out.leaving, _ = m.Int64Counter("forwarder.leaving", metric.WithDescription("Processes of endpoints that said in an answer that they leave."))
 	out.duration, _ = m.Float64Histogram("forwarder.request.duration", metric.WithUnit("s"), metric.WithDescription("Time from a request's arrival to its outcome."))
 	out.queued, _ = m.Float64Histogram("forwarder.queue.duration", metric.WithUnit("s"), metric.WithDescription("Time from a request's arrival to its first attempt, of requests that waited."))
 	out.firstEvent, _ = m.Float64Histogram("forwarder.first.duration", metric.WithUnit("s"), metric.WithDescription("Time from a stream's arrival to its first event."))
@@ -101,6 +103,10 @@
 	m.stalls.Add(context.Background(), 1, metric.WithAttributes(m.domain, poolAttribute(t.Pool)))
 }
 
+func (m *meters) countLeaving() {
+	m.leaving.Add(context.Background(), 1, metric.WithAttributes(m.domain))
+}
+
 func poolAttribute(p identifier.Pool) attribute.KeyValue { return attribute.String("pool", string(p)) }
 
 // recordQueueTime records the time that a request waited before its first attempt.
--- a/scheduler/attempt.go
+++ b/scheduler/attempt.go
@@ -37,12 +37,18 @@
 	if !t.stalledAt.IsZero() {
 		t.lastTrialAt = now
 	}
+	if t.statement != nil && t.statement.isReopening {
+		t.statement.trial = a
+	}
 	s.emit(Send{Ref: f.ref, Attempt: a.number, Target: &t.Target, Load: load, Hedges: hedges})
 }
 
 // drop removes a from the running attempts of its request and of its target.
 func (s *Scheduler) drop(a *attempt) {
 	delete(a.target.attempts, a.flight.ref)
+	if st := a.target.statement; st != nil && st.trial == a {
+		st.trial = nil
+	}
 	a.flight.running = slices.DeleteFunc(a.flight.running, func(o *attempt) bool { return o == a })
 }
 
--- a/scheduler/flight.go
+++ b/scheduler/flight.go
@@ -100,7 +100,7 @@
 	if f.giveUpAt.IsZero() {
 		timeLeft := f.Deadline.Sub(now)
 		f.giveUpAt = now.Add(min(s.cfg.MaxTargetWait, timeLeft/maxWaitDivisor))
-		if reason == ReasonFull && s.shouldRefuse(now, f) {
+		if s.isFutile(now, f, reason) {
 			s.giveUp(now, f, reason)
 			return
 		}
@@ -108,12 +108,24 @@
 		s.emit(Wait{Ref: f.ref, Reason: reason, Until: f.giveUpAt})
 		return
 	}
-	if !now.Before(f.giveUpAt) || reason == ReasonFull && s.shouldRefuse(now, f) {
+	if !now.Before(f.giveUpAt) || s.isFutile(now, f, reason) {
 		s.dequeue(f)
 		s.giveUp(now, f, reason)
 	}
 }
 
+// isFutile reports whether waiting for the reason is not expected to place f in time.
+func (s *Scheduler) isFutile(now time.Time, f *flight, reason Reason) bool {
+	switch reason {
+	case ReasonFull:
+		return s.shouldRefuse(now, f)
+	case ReasonClosed:
+		reopensAt, isClosed := s.pools[f.Pool].reopensAt(now)
+		return isClosed && s.waitsInVain(f, reopensAt)
+	}
+	return false
+}
+
 // placeQueued tries to place the waiting requests in the order of the queue.
 func (s *Scheduler) placeQueued(now time.Time) {
 	for _, f := range slices.Clone(s.queue) {
@@ -136,6 +148,9 @@
 			s.countAnswer(now, f)
 		}
 		a.hasEvent, f.answerStarted = true, true
+		if a.isTrial() {
+			t.statement.reopen()
+		}
 		s.abandonOthers(a)
 	}
 	a.lastProgressAt = now
@@ -165,7 +180,7 @@
 	if a == nil {
 		return
 	}
-	f, t := a.flight, a.target
+	f, t, isTrial := a.flight, a.target, a.isTrial()
 	s.drop(a)
 	s.ratesOf(f.Pool).endings.count(now)
 	t.recordLoad(now, e.Load)
@@ -177,6 +192,9 @@
 			s.countAnswer(now, f)
 		}
 		s.recordProgress(now, t)
+		if isTrial {
+			t.statement.reopen()
+		}
 		s.finish(f, Delivered{Attempt: a.number})
 	case NotSent:
 		s.markFailed(now, t)
@@ -185,9 +203,12 @@
 		f.sentAttempts++
 		f.refusedStatus = end.Status
 		f.allowAgain(a, now.Add(refusalBackoff))
-		if end.Misdirected {
+		switch {
+		case end.Misdirected:
 			s.markFailed(now, t)
-		} else {
+		case t.statement != nil && t.statement.isReopening:
+			s.close(now, t.statement, refusalBackoff)
+		default:
 			s.recordProgress(now, t)
 		}
 		s.goOn(now, f)
--- /dev/null
+++ b/scheduler/process.go
@@ -0,0 +1,154 @@
+package scheduler
+
+import (
+	"net/netip"
+	"time"
+
+	"amaranthmill/internal/identifier"
+)
+
+// Process identifies one process of an endpoint, whichever replica group it serves.
+type Process struct {
+	Endpoint identifier.Endpoint
+	Start    identifier.ProcessStart
+	Address  netip.AddrPort
+}
+
+// Process returns the process that receives the requests of t.
+func (t *Target) Process() Process {
+	return Process{Endpoint: t.ID, Start: t.ProcessStart, Address: t.Address}
+}
+
+// Bounds on what a process states about itself.
+const (
+	maxClosure    = time.Minute            // longest time for which one answer closes a process
+	statementTTL  = 10 * time.Minute       // after which the statement of a process that is no target is forgotten
+	closureJitter = 0.1                    // largest fraction of a closure that is added to it, so that the instances return at different times
+	returnSpacing = 100 * time.Millisecond // time between two groups of callers that return after a closure
+	reopenDelay   = 50 * time.Millisecond  // time from the end of a closure until a request that waits for it has been placed
+)
+
+// statement is what a process has said about itself in its answers. It outlives the target and
+// holds for each target of the process.
+type statement struct {
+	leavingSince time.Time // zero if the process has not said that it leaves
+	closedUntil  time.Time // end of the last closure; zero for none
+	isReopening  bool      // no request that was sent after the closure has made progress
+	trial        *attempt  // the only attempt that a reopening process gets; nil for none
+	statedAt     time.Time
+}
+
+// admits reports whether the process may get another request.
+func (st *statement) admits(now time.Time) bool {
+	if st == nil {
+		return true
+	}
+	return st.leavingSince.IsZero() && !st.isClosed(now) && (!st.isReopening || st.trial == nil)
+}
+
+// isClosed reports whether the process has asked for no requests until a time after now.
+func (st *statement) isClosed(now time.Time) bool { return st != nil && now.Before(st.closedUntil) }
+
+// isLeaving reports whether the process has said that it leaves.
+func (st *statement) isLeaving() bool { return st != nil && !st.leavingSince.IsZero() }
+
+// handleStatement records what a process has said about itself in an answer. A shorter closure
+// does not replace a longer one.
+func (s *Scheduler) handleStatement(now time.Time, e ProcessStated) {
+	st := s.statements[e.Process]
+	if st == nil {
+		st = &statement{}
+		s.statements[e.Process] = st
+	}
+	st.statedAt = now
+	t := s.targets[e.Process.Endpoint]
+	if t != nil && t.Process() == e.Process {
+		t.statement = st
+	}
+	if e.Leaving && st.leavingSince.IsZero() {
+		st.leavingSince = now
+		s.emit(LeavingStated{Process: e.Process})
+	}
+	if e.ClosedFor > 0 {
+		s.close(now, st, min(e.ClosedFor, maxClosure))
+	}
+}
+
+// close closes the process of st for d and up to a tenth of d more.
+func (s *Scheduler) close(now time.Time, st *statement, d time.Duration) {
+	if s.random != nil {
+		d += time.Duration(closureJitter * s.random.Float64() * float64(d))
+	}
+	until := now.Add(d)
+	if until.Before(st.closedUntil) {
+		return
+	}
+	st.closedUntil, st.isReopening, st.trial = until, true, nil
+}
+
+// isTrial reports whether a is the only attempt that its reopening process gets.
+func (a *attempt) isTrial() bool { return a.target.statement != nil && a.target.statement.trial == a }
+
+// reopen ends the reopening of a process whose trial attempt has made progress.
+func (st *statement) reopen() { st.isReopening, st.trial = false, nil }
+
+// forgetStatements removes the statements of processes that are no targets any more.
+func (s *Scheduler) forgetStatements(now time.Time) {
+	for p, st := range s.statements {
+		if t := s.targets[p.Endpoint]; t != nil && t.statement == st {
+			st.statedAt = now
+			continue
+		}
+		if now.Sub(st.statedAt) >= statementTTL {
+			delete(s.statements, p)
+		}
+	}
+}
+
+// reopensAt returns the earliest end of the closures of p's targets, or false if a target is
+// neither closed nor leaving, or none is closed.
+func (p *pool) reopensAt(now time.Time) (time.Time, bool) {
+	var earliest time.Time
+	for _, t := range p.targets {
+		switch {
+		case t.statement.isLeaving():
+		case !t.statement.isClosed(now):
+			return time.Time{}, false
+		case earliest.IsZero() || t.statement.closedUntil.Before(earliest):
+			earliest = t.statement.closedUntil
+		}
+	}
+	return earliest, !earliest.IsZero()
+}
+
+// slotsReopeningBy returns the slots of p's closed targets whose closures end by a time.
+func (p *pool) slotsReopeningBy(at time.Time) int {
+	slots := 0
+	for _, t := range p.targets {
+		if !t.statement.isLeaving() && !t.statement.closedUntil.After(at) {
+			slots += t.Slots
+		}
+	}
+	return slots
+}
+
+// waitsInVain reports whether f, whose pool reopens at a time, is not expected to be placed before
+// f.giveUpAt: either the pool reopens too late or the requests ahead of f take the slots.
+func (s *Scheduler) waitsInVain(f *flight, reopensAt time.Time) bool {
+	if reopensAt.Add(reopenDelay).After(f.giveUpAt) {
+		return true
+	}
+	return s.position(f) > s.pools[f.Pool].slotsReopeningBy(f.giveUpAt)
+}
+
+// closedRetryAfter returns the time after which the refused caller of a request of p should retry if all
+// targets of p are closed. The callers that are refused meanwhile return one after the other, as
+// many in each returnSpacing as the earliest targets have slots.
+func (p *pool) closedRetryAfter(now, reopensAt time.Time) time.Duration {
+	if !p.refusalsUntil.Equal(reopensAt) {
+		p.refusals, p.refusalsUntil = 0, reopensAt
+	}
+	round := p.refusals / max(p.slotsReopeningBy(reopensAt), 1)
+	p.refusals++
+	return max(reopensAt.Sub(now), 0) + reopenDelay + time.Duration(round)*returnSpacing
+}
--- /dev/null
+++ b/scheduler/process_test.go
@@ -0,0 +1,160 @@
+package scheduler_test
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"amaranthmill/internal/identifier"
+	"amaranthmill/internal/scripter"
+	"amaranthmill/scheduler"
+)
+
+// statementModel tracks what the processes of endpoints have said, by plain rules, and the targets
+// as a list shows them.
+type statementModel struct {
+	t       *rapid.T
+	core    *scheduler.Scheduler
+	now     time.Time
+	targets map[identifier.Endpoint]scheduler.Target
+	leaving map[scheduler.Process]bool
+	closed  map[scheduler.Process]time.Time
+	running []scheduler.Send
+	lastRef scheduler.Ref
+	wakeAt  time.Time
+}
+
+// step submits e and checks that no request goes to a process that leaves or is closed.
+func (m *statementModel) step(e scheduler.Event) {
+	for _, a := range m.core.Step(m.now, e) {
+		switch a := a.(type) {
+		case scheduler.WakeAt:
+			m.wakeAt = a.At
+		case scheduler.Send:
+			p := a.Target.Process()
+			if m.leaving[p] {
+				m.t.Fatalf("%s: request %d sent to %v, which leaves", m.now.Sub(scripter.Start), a.Ref, p)
+			}
+			if m.now.Before(m.closed[p]) {
+				m.t.Fatalf("%s: request %d sent to %v, which is closed until %s", m.now.Sub(scripter.Start), a.Ref, p, m.closed[p].Sub(scripter.Start))
+			}
+			m.running = append(m.running, a)
+		}
+	}
+}
+
+// pass lets time pass, with the ticks that the core requested.
+func (m *statementModel) pass(d time.Duration) {
+	end := m.now.Add(d)
+	for !m.wakeAt.IsZero() && !m.wakeAt.After(end) {
+		m.now, m.wakeAt = m.wakeAt, time.Time{}
+		m.step(scheduler.Ticked{})
+	}
+	m.now = end
+}
+
+func (m *statementModel) setTargets() {
+	var list []scheduler.Target
+	for i := range endpointCount {
+		if t, ok := m.targets[endpointName(i)]; ok {
+			list = append(list, t)
+		}
+	}
+	m.step(scheduler.TargetsSet{Targets: list})
+}
+
+// endpointCount is small, so that pools are often closed whole.
+const endpointCount = 3
+
+func endpointName(i int) identifier.Endpoint { return identifier.Endpoint(fmt.Sprintf("e%d", i)) }
+
+// relist lists an endpoint, possibly as a new process or in a new group, or removes it.
+func (m *statementModel) relist(id identifier.Endpoint) {
+	t, ok := m.targets[id]
+	if ok && rapid.Bool().Draw(m.t, "remove") {
+		delete(m.targets, id)
+		m.setTargets()
+		return
+	}
+	t.ID, t.Pool, t.Slots = id, "guides", 2
+	t.ProcessStart = identifier.ProcessStart(rapid.IntRange(1, 2).Draw(m.t, "processStart"))
+	t.Epoch = identifier.Epoch(rapid.IntRange(1, 3).Draw(m.t, "epoch"))
+	t.Address = netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, 1}), uint16(rapid.IntRange(1, 2).Draw(m.t, "port")))
+	m.targets[id] = t
+	m.setTargets()
+}
+
+// state lets the process that got an earlier request say something, possibly long after the list
+// has replaced the process.
+func (m *statementModel) state() {
+	if len(m.running) == 0 {
+		return
+	}
+	p := m.running[rapid.IntRange(0, len(m.running)-1).Draw(m.t, "attempt")].Target.Process()
+	e := scheduler.ProcessStated{Process: p, Leaving: rapid.IntRange(0, 3).Draw(m.t, "leaving") == 0}
+	if rapid.Bool().Draw(m.t, "closes") {
+		e.ClosedFor = time.Duration(rapid.IntRange(1, 3000).Draw(m.t, "closedFor")) * time.Millisecond
+		if until := m.now.Add(e.ClosedFor); until.After(m.closed[p]) {
+			m.closed[p] = until
+		}
+	}
+	m.leaving[p] = m.leaving[p] || e.Leaving
+	m.step(e)
+}
+
+// end lets an attempt make progress or end.
+func (m *statementModel) end() {
+	if len(m.running) == 0 {
+		return
+	}
+	i := rapid.IntRange(0, len(m.running)-1).Draw(m.t, "attempt")
+	a := m.running[i]
+	endings := []scheduler.Ending{scheduler.Completed{}, scheduler.Refused{Status: 503}, scheduler.Broken{}, scheduler.NotSent{}, scheduler.Failed{Status: 500}}
+	switch choice := rapid.IntRange(0, len(endings)).Draw(m.t, "ending"); choice {
+	case len(endings):
+		m.step(scheduler.Progressed{Ref: a.Ref, Attempt: a.Attempt, Event: true})
+	default:
+		m.step(scheduler.Ended{Ref: a.Ref, Attempt: a.Attempt, Ending: endings[choice]})
+	}
+}
+
+// arrive submits a request, possibly a copy of others.
+func (m *statementModel) arrive() {
+	m.lastRef++
+	m.step(scheduler.Arrived{Ref: m.lastRef, Request: scheduler.Request{
+		Fingerprint: identifier.Fingerprint(rapid.IntRange(1, 4).Draw(m.t, "fingerprint")), Service: "guides", Pool: "guides", Repeatable: true,
+		Stream: rapid.Bool().Draw(m.t, "stream"), ArrivedAt: m.now, LatencyGoal: 400 * time.Millisecond, Deadline: m.now.Add(5 * time.Second), MaxAttempts: 3,
+	}})
+}
+
+// TestNoRequestToLeavingOrClosedProcess checks that no first attempt, retry, hedge, trial request or copy goes to a process that
+// has said that it leaves or that it wants no requests for a time, whatever the list shows meanwhile and
+// in whichever order answers, removals, new processes and new groups come.
+func TestNoRequestToLeavingOrClosedProcess(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := &statementModel{
+			t: t, now: scripter.Start, targets: map[identifier.Endpoint]scheduler.Target{}, leaving: map[scheduler.Process]bool{}, closed: map[scheduler.Process]time.Time{},
+			core: scheduler.New(scheduler.Config{RetryRatio: 1, RetrySlack: 1000, FirstStart: true}),
+		}
+		for i := range endpointCount {
+			m.relist(endpointName(i))
+		}
+		for range rapid.IntRange(20, 120).Draw(t, "steps") {
+			switch rapid.IntRange(0, 9).Draw(t, "step") {
+			case 0:
+				m.relist(endpointName(rapid.IntRange(0, endpointCount-1).Draw(t, "endpoint")))
+			case 1, 2:
+				m.state()
+			case 3, 4:
+				m.end()
+			case 5:
+				m.pass(time.Duration(rapid.IntRange(1, 1500).Draw(t, "ms")) * time.Millisecond)
+			default:
+				m.arrive()
+			}
+		}
+	})
+}
--- a/scheduler/request.go
+++ b/scheduler/request.go
@@ -27,7 +27,7 @@
 }
 
 // Event is an input of a Scheduler: TargetsSet, InstanceCountSet, RetryBudgetSet, RestrictionSet,
-// Arrived, Progressed, Ended, CallerLeft or Ticked.
+// ProcessStated, Arrived, Progressed, Ended, CallerLeft or Ticked.
 type Event interface{ event() }
 
 // TargetsSet replaces the set of targets.
@@ -48,6 +48,14 @@
 	Tied        int       // number of parts that are on trial together
 }
 
+// ProcessStated reports what a process of an endpoint said about itself in an answer. It is
+// submitted before the Progressed or Ended event of the answer.
+type ProcessStated struct {
+	Process   Process
+	Leaving   bool          // it leaves, so that it gets no more requests
+	ClosedFor time.Duration // it wants no requests from this instance for so long; zero if it has not said so; more than a minute counts as a minute
+}
+
 // Arrived reports a new request.
 type Arrived struct {
 	Ref     Ref
@@ -80,6 +88,7 @@
 func (InstanceCountSet) event() {}
 func (RetryBudgetSet) event()   {}
 func (RestrictionSet) event()   {}
+func (ProcessStated) event()    {}
 func (Arrived) event()          {}
 func (Progressed) event()       {}
 func (Ended) event()            {}
@@ -144,7 +153,7 @@
 }
 
 // Action is an output of a Scheduler: Send, Abandon, Wait, Finish, Stalled, Recovered,
-// LatencyReport or WakeAt.
+// LeavingStated, LatencyReport or WakeAt.
 type Action interface{ action() }
 
 // Send starts an attempt: the request is sent to Target. An attempt that hedges others runs
@@ -190,6 +199,10 @@
 // Recovered reports that a stalled target makes progress again.
 type Recovered struct{ Target *Target }
 
+// LeavingStated reports that a process has said for the first time that it leaves. It gets no
+// more requests; those that run there go on.
+type LeavingStated struct{ Process Process }
+
 // LatencyReport counts the requests of a pool over the last second by whether they met their latency goal.
 type LatencyReport struct {
 	Pool       identifier.Pool
@@ -210,6 +223,7 @@
 func (Finish) action()        {}
 func (Stalled) action()       {}
 func (Recovered) action()     {}
+func (LeavingStated) action() {}
 func (WakeAt) action()        {}
 
 // Reason is the reason why a request waits, moves to another target or ends.
@@ -219,6 +233,7 @@
 const (
 	ReasonNoTarget     Reason = "noTarget"     // no target serves the pool now
 	ReasonFull         Reason = "full"         // every available target is full
+	ReasonClosed       Reason = "closed"       // every target has asked for no requests for a time
 	ReasonStalled      Reason = "stalled"      // the target is stalled
 	ReasonReplaced     Reason = "replaced"     // the target was removed, or replaced by another incarnation
 	ReasonRecovered    Reason = "recovered"    // the attempt that was hedged has made progress
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -32,6 +33,7 @@
 
 	RetryWindow time.Duration // over which the operators count retries; zero means 10 s
 	FirstStart  bool          // the whole system starts for the first time, so that no earlier process of this instance has spent retries
+	Random      rand.Source   // source of the jitter of closures; nil means no jitter
 
 	MaxTargetWait         time.Duration // longest time that a request waits for a target; zero means 1.5 s
 	MinStreamStall        time.Duration // shortest time without an event after which a target with running streams is stalled; zero means 160 ms
@@ -55,9 +57,11 @@
 	budget  retryBudget
 	latency latencyCounter
 
+	statements   map[Process]*statement
 	restrictions map[identifier.Fingerprint]restriction
 	copies       map[identifier.Fingerprint]int // number of flights with a fingerprint
 
+	random  *rand.Rand // nil for no jitter
 	wakeAt  time.Time
 	actions []Action
 }
@@ -75,10 +79,14 @@
 	defaulter.Set(&cfg.TrialInterval, defaultTrialInterval)
 	defaulter.Set(&cfg.MaxLoad, defaultMaxLoad)
 	defaulter.Set(&cfg.TickInterval, defaultTickInterval)
-	return &Scheduler{
-		cfg: cfg, targets: map[identifier.Endpoint]*target{}, pools: map[identifier.Pool]*pool{},
+	s := &Scheduler{
+		cfg: cfg, targets: map[identifier.Endpoint]*target{}, pools: map[identifier.Pool]*pool{}, statements: map[Process]*statement{},
 		flights: map[Ref]*flight{}, rates: map[identifier.Pool]*poolRates{}, restrictions: map[identifier.Fingerprint]restriction{}, copies: map[identifier.Fingerprint]int{}, budget: newRetryBudget(cfg),
 	}
+	if cfg.Random != nil {
+		s.random = rand.New(cfg.Random)
+	}
+	return s
 }
 
 // Step applies e at now and returns the actions that it causes.
@@ -97,6 +105,8 @@
 	case RestrictionSet:
 		s.setRestriction(e)
 		s.placeQueued(now)
+	case ProcessStated:
+		s.handleStatement(now, e)
 	case Arrived:
 		s.handleArrival(now, e)
 	case Progressed:
@@ -139,12 +149,14 @@
 			t = &target{attempts: map[Ref]*attempt{}, addedAt: now}
 		}
 		t.Target = targets[i]
+		t.statement = s.statements[t.Process()]
 		s.targets[t.ID] = t
 		if s.pools[t.Pool] == nil {
 			s.pools[t.Pool] = &pool{name: t.Pool}
 		}
 		s.pools[t.Pool].targets = append(s.pools[t.Pool].targets, t)
 	}
+	s.forgetStatements(now)
 }
 
 // chooseTarget returns the best target for f and its load, or the reason why no target is available.
@@ -175,6 +187,11 @@
 			best, bestScore, bestLoad = t, score, load
 		}
 	}
+	if best == nil && reason == ReasonNoTarget {
+		if _, isClosed := pl.reopensAt(now); isClosed {
+			reason = ReasonClosed
+		}
+	}
 	return best, bestLoad, reason
 }
 
@@ -216,9 +233,12 @@
 	return score + 0.25*float64(min(t.consecutiveFailures, 8))
 }
 
-// isEligible reports whether f may be placed at t: either t is not stalled, or a trial request is
-// due. A hedge is no trial request, because the first attempt of f may be at a silent target already.
+// isEligible reports whether f may be placed at t: its process has neither said that it leaves nor
+// asked for no requests, and either t is not stalled, or a trial request is due. A hedge is no trial request, because the first attempt of f may be at a silent target already.
 func (s *Scheduler) isEligible(now time.Time, f *flight, t *target) bool {
+	if !t.statement.admits(now) {
+		return false
+	}
 	if t.stalledAt.IsZero() {
 		return true
 	}
--- a/scheduler/session_test.go
+++ b/scheduler/session_test.go
@@ -64,6 +64,9 @@
 	case "ended":
 		end, err := ending(ev)
 		return scheduler.Ended{Ref: ref, Attempt: attempt(ev), Ending: end, Load: load}, err
+	case "stated":
+		process := scheduler.Process{Endpoint: identifier.Endpoint(ev.Str("endpoint")), Start: identifier.ProcessStart(ev.Int("processStart"))}
+		return scheduler.ProcessStated{Process: process, Leaving: ev.Bool("leaving"), ClosedFor: ev.Duration("closedFor")}, nil
 	case "restricted":
 		return restriction(now, ev)
 	case "callerLeft":
@@ -103,7 +106,7 @@
 func (s *session) setTarget(ev scripter.Event) {
 	t := scheduler.Target{
 		ID: identifier.Endpoint(ev.Str("endpoint")), Pool: "guides", FailureDomain: "here", Slots: 4,
-		Group: identifier.Group(ev.Str("group")), Epoch: identifier.Epoch(ev.Int("epoch")), MemberMissing: ev.Bool("memberMissing"), SpansFabricDomains: ev.Bool("spansFabricDomains"),
+		ProcessStart: identifier.ProcessStart(ev.Int("processStart")), Group: identifier.Group(ev.Str("group")), Epoch: identifier.Epoch(ev.Int("epoch")), MemberMissing: ev.Bool("memberMissing"), SpansFabricDomains: ev.Bool("spansFabricDomains"),
 	}
 	if ev.Has("domain") {
 		t.FailureDomain = identifier.FailureDomain(ev.Str("domain"))
@@ -179,6 +182,8 @@
 		return fmt.Sprintf("finish %s %s", s.names[a.Ref], describeOutcome(a.Outcome))
 	case scheduler.Stalled:
 		return fmt.Sprintf("stalled %s", a.Target.ID)
+	case scheduler.LeavingStated:
+		return fmt.Sprintf("leaving %s", a.Process.Endpoint)
 	case scheduler.Recovered:
 		return fmt.Sprintf("recovered %s", a.Target.ID)
 	}
--- a/scheduler/target.go
+++ b/scheduler/target.go
@@ -62,7 +62,8 @@
 	gapMeasuredAt        time.Time
 	meanFirstEvent       time.Duration // mean time to the first event or complete answer
 	firstEventMeasuredAt time.Time
-	consecutiveFailures  int // failures since the last complete answer
+	consecutiveFailures  int        // failures since the last complete answer
+	statement            *statement // what the process has said about itself; nil if nothing
 }
 
 // load estimates the requests at t as a fraction of its slots. As the last load report ages,
@@ -118,8 +119,10 @@
 
 // pool holds the targets of one pool.
 type pool struct {
-	name    identifier.Pool
-	targets []*target
+	name          identifier.Pool
+	targets       []*target
+	refusals      int       // requests refused while all targets are closed
+	refusalsUntil time.Time // end of the closure in which they were refused
 }
 
 // meanOtherRequests returns the mean number of requests of other instances per target of p, from recent load reports.
--- a/scheduler/wait.go
+++ b/scheduler/wait.go
@@ -102,6 +102,11 @@
 	if perSecond <= 0 {
 		return 0
 	}
+	return time.Duration(float64(s.position(f)) / perSecond * float64(time.Second))
+}
+
+// position returns the position of f among the waiting requests of its pool, from 1.
+func (s *Scheduler) position(f *flight) int {
 	position := 1
 	for _, o := range s.queue {
 		if o == f || f.precedes(o) {
@@ -111,7 +116,7 @@
 			position++
 		}
 	}
-	return time.Duration(float64(position) / perSecond * float64(time.Second))
+	return position
 }
 
 // precedes reports whether f is placed before o: by priority, and within a priority by deadline.
@@ -124,5 +129,10 @@
 
 // retryAfter returns the time after which the refused caller of f should retry.
 func (s *Scheduler) retryAfter(now time.Time, f *flight) time.Duration {
+	if pl := s.pools[f.Pool]; pl != nil {
+		if reopensAt, isClosed := pl.reopensAt(now); isClosed {
+			return pl.closedRetryAfter(now, reopensAt).Round(10 * time.Millisecond)
+		}
+	}
 	return min(max(s.expectedWait(now, f), minRetryAfter), maxRetryAfter).Round(10 * time.Millisecond)
 }
