--- a/cmd/millctl/quarantine_test.go
+++ b/cmd/millctl/quarantine_test.go
@@ -18,7 +18,7 @@
 func TestQuarantines(t *testing.T) {
 	quarantines := []quarantiner.Quarantine{{
 		Fingerprint: 0x0c42f55332b80925, Kind: quarantiner.KindPart, Part: "5c1e07a2",
-		Losses: []quarantiner.Process{{Endpoint: "i-1", Start: 7}, {Endpoint: "i-2", Start: 8}}, Until: time.Date(2026, 1, 5, 21, 0, 0, 0, time.UTC),
+		Losses: []identifier.Process{{Endpoint: "i-1", Start: 7}, {Endpoint: "i-2", Start: 8}}, Until: time.Date(2026, 1, 5, 21, 0, 0, 0, time.UTC),
 	}}
 	var lifted identifier.Fingerprint
 	m := messenger.New(messenger.Config{
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -32,9 +32,9 @@
 	if a.Attempt == 1 && x.hasWaited.Load() {
 		f.meters.recordQueueTime(x)
 	}
-	f.cfg.OnAttempt(quarantiner.AttemptStarted{Fingerprint: x.identity, Parts: x.parts, Process: processOf(a.Target)})
+	f.cfg.OnAttempt(quarantiner.AttemptStarted{Fingerprint: x.identity, Parts: x.parts, Process: a.Target.Process()})
 	ending, load := f.send(x, a)
-	f.cfg.OnAttempt(quarantiner.AttemptEnded{Fingerprint: x.identity, Parts: x.parts, Process: processOf(a.Target), Result: a.result(ending)})
+	f.cfg.OnAttempt(quarantiner.AttemptEnded{Fingerprint: x.identity, Parts: x.parts, Process: a.Target.Process(), Result: a.result(ending)})
 	f.logEnded(x, a, ending)
 	f.meters.countAttempt(x, ending)
 	f.step.Submit(scheduler.Ended{Ref: x.ref, Attempt: a.Attempt, Ending: ending, Load: load})
--- a/forwarder/fingerprint.go
+++ b/forwarder/fingerprint.go
@@ -38,8 +38,3 @@
 	}
 	return quarantiner.ResultUnanswered
 }
-
-// processOf returns the process of a target.
-func processOf(t *scheduler.Target) quarantiner.Process {
-	return quarantiner.Process{Endpoint: t.ID, Start: t.ProcessStart}
-}
--- a/forwarder/fingerprint_test.go
+++ b/forwarder/fingerprint_test.go
@@ -37,7 +37,7 @@
 		_ = x.get(path).Body.Close()
 		started := (<-reported).(quarantiner.AttemptStarted)
 		ended := (<-reported).(quarantiner.AttemptEnded)
-		is.Equal(ended, quarantiner.AttemptEnded{Fingerprint: started.Fingerprint, Process: quarantiner.Process{Endpoint: "e0"}, Result: want})
+		is.Equal(ended, quarantiner.AttemptEnded{Fingerprint: started.Fingerprint, Process: identifier.Process{Endpoint: "e0"}, Result: want})
 		return started.Fingerprint
 	}
 	answered := fingerprint("/hold/1", quarantiner.ResultAnswered)
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -9,6 +9,7 @@
 	"github.com/rs/zerolog"
 	"go.opentelemetry.io/otel/metric"
 
+	"amaranthmill/internal/identifier"
 	"amaranthmill/internal/stepper"
 	"amaranthmill/quarantiner"
 	"amaranthmill/requester"
@@ -29,7 +30,7 @@
 	Dialect         Dialect
 	Scheduler       scheduler.Config
 	OnStalled       func(t scheduler.Target)        // called when a target stalls; must not block
-	OnLeaving       func(p scheduler.Process)       // called once when a process says that it leaves; must not block
+	OnLeaving       func(p identifier.Process)      // called once when a process says that it leaves; must not block
 	OnLatencyReport func(p scheduler.LatencyReport) // called about once a second for each pool with requests; must not block
 	OnAttempt       func(e quarantiner.Event)       // called for each attempt and for each request that a restriction refuses, before the scheduler learns of it; must not block
 	Random          rand.Source                     // source for the split of routes over services; nil means a randomly seeded source
--- a/groupformer/engine.go
+++ b/groupformer/engine.go
@@ -17,7 +17,8 @@
 	acceptedOrders      uint64                  // orders that it has accepted, as far as known
 	pending             *Order                  // the order that has no outcome yet
 	pendingSince        time.Time               // when the last order was sent
-	drainingSince       time.Time               // when it was first listed as draining; zero if it is not draining
+	drainingSince       time.Time               // when it was first known to be draining; zero if it is not draining
+	leaving             bool                    // the process itself has said that it leaves, so that it drains whatever the list shows
 	uncertain           bool                    // an order had no answer, or the known state is contradictory: it is queried before the next order
 	querying            bool                    // a query for its report is in progress
 	queriedAt           time.Time
@@ -93,6 +94,7 @@
 	if !e.listed {
 		e.suspected, e.dead, e.failedQueries = false, false, 0
 	}
+	l.Draining = l.Draining || e.leaving
 	e.listed, e.lastListing = true, l
 	switch {
 	case !l.Draining:
@@ -115,6 +117,14 @@
 	e.clearStaging(now)
 }
 
+// leave marks e as draining for the rest of its process.
+func (e *engine) leave(now time.Time) {
+	e.leaving, e.Draining = true, true
+	if e.drainingSince.IsZero() {
+		e.drainingSince = now
+	}
+}
+
 // confirmsMembership reports whether e itself has reported since the list last changed its
 // membership. The list alone is not sufficient, because a delayed entry may show an old
 // membership. If e has not reported, it is marked uncertain, so that it is queried.
@@ -162,6 +172,9 @@
 	e.acceptedOrders = r.AcceptedOrders
 	e.Models, e.Staged, e.Membership = reported.Models, reported.Staged, reported.Membership
 	e.clearStaging(now)
+	if reported.Draining {
+		e.leave(now)
+	}
 	if r.Busy && e.stagingModel == "" && reported.Membership.State != endpointlister.MemberJoining {
 		e.stagingModel, e.stagingDeadline = stagingUnknown, now.Add(unknownStagingLimit)
 	}
--- a/groupformer/event.go
+++ b/groupformer/event.go
@@ -9,8 +9,8 @@
 )
 
 // Event is an input of a Former: EndpointsSet, ServicesSet, LeaseSet, StoreHealthSet,
-// LatencyReported, FirstRequestReceived, HeadStalled, Reported, Unreachable, OrderEnded or
-// Ticked.
+// LatencyReported, FirstRequestReceived, HeadStalled, LeavingStated, Reported, Unreachable,
+// OrderEnded or Ticked.
 type Event interface{ event() }
 
 // EndpointsSet replaces the list of endpoints.
@@ -45,6 +45,13 @@
 // HeadStalled reports that the requests of a group's head are stalled.
 type HeadStalled struct{ Head identifier.Endpoint }
 
+// LeavingStated reports that a process of an engine has said in an answer that it leaves. It counts
+// as draining from then on, whatever the list shows for this process.
+type LeavingStated struct {
+	ID           identifier.Endpoint
+	ProcessStart identifier.ProcessStart
+}
+
 // Reported is an engine's own report in answer to a FetchReport action. Its Endpoint need not
 // contain the service, address or domains.
 type Reported struct {
@@ -86,6 +93,8 @@
 	ID     identifier.Endpoint
 	Number uint64 // of the Order action
 	Result Result
+
+	Leaving bool // the engine said in its answer that it leaves
 }
 
 // Ticked reports that time has passed.
@@ -98,6 +107,7 @@
 func (LatencyReported) event()      {}
 func (FirstRequestReceived) event() {}
 func (HeadStalled) event()          {}
+func (LeavingStated) event()        {}
 func (Reported) event()             {}
 func (Unreachable) event()          {}
 func (OrderEnded) event()           {}
--- a/groupformer/fleet_test.go
+++ b/groupformer/fleet_test.go
@@ -82,6 +82,9 @@
 	listed      bool
 	minEpoch    identifier.Epoch // joins with a lower epoch are refused
 	staging     bool
+
+	reportsLeaving bool // its reports say that it leaves, and its entry does not
+
 	lastListing endpointlister.Endpoint // its entry in the store, which is outdated while it is unreachable or partitioned
 }
 
@@ -227,7 +230,9 @@
 		return
 	}
 	f.schedule(orderLatency, func() {
-		f.step(groupformer.Reported{ID: a.ID, Endpoint: e.Endpoint, AcceptedOrders: e.orders, Busy: e.staging})
+		reported := e.Endpoint
+		reported.Draining = reported.Draining || e.reportsLeaving
+		f.step(groupformer.Reported{ID: a.ID, Endpoint: reported, AcceptedOrders: e.orders, Busy: e.staging})
 	})
 }
 
--- a/groupformer/former.go
+++ b/groupformer/former.go
@@ -76,6 +76,8 @@
 		f.storeLost, f.storeChangedAt = e.Lost, now
 	case HeadStalled:
 		f.suspectGroup(e.Head)
+	case LeavingStated:
+		f.handleLeaving(now, e)
 	case Reported:
 		f.handleReport(now, e)
 	case Unreachable:
--- a/groupformer/order.go
+++ b/groupformer/order.go
@@ -16,6 +16,9 @@
 	}
 	order := e.pending
 	e.pending = nil
+	if ended.Leaving {
+		e.uncertain = true // its report says whether the listed process leaves
+	}
 	switch ended.Result {
 	case ResultAccepted:
 		e.acceptedOrders = max(e.acceptedOrders, order.Expected+1)
--- a/groupformer/query.go
+++ b/groupformer/query.go
@@ -24,6 +24,13 @@
 	}
 }
 
+// handleLeaving marks an engine as draining, unless the list shows another process of it.
+func (f *Former) handleLeaving(now time.Time, s LeavingStated) {
+	if e := f.engines[s.ID]; e != nil && e.ProcessStart == s.ProcessStart {
+		e.leave(now)
+	}
+}
+
 // handleReport applies an engine's own report. A report with another process start shows that
 // the queried process has exited: either another engine has its address, or the engine has
 // restarted and will be listed with the new process start.
--- a/internal/identifier/identifier.go
+++ b/internal/identifier/identifier.go
@@ -1,6 +1,7 @@
 package identifier
 
 import (
+	"cmp"
 	"fmt"
 	"strconv"
 )
@@ -27,6 +28,17 @@
 // ProcessStart distinguishes the successive processes of an endpoint. Zero means "unknown".
 type ProcessStart int64
 
+// Process identifies one process of an endpoint, whichever replica group it serves.
+type Process struct {
+	Endpoint Endpoint
+	Start    ProcessStart
+}
+
+// Compare orders processes by endpoint and start.
+func (p Process) Compare(o Process) int {
+	return cmp.Or(cmp.Compare(p.Endpoint, o.Endpoint), cmp.Compare(p.Start, o.Start))
+}
+
 // ClientAccount names a client account, as defined in the bundle.
 type ClientAccount string
 
--- a/messenger/announcer_test.go
+++ b/messenger/announcer_test.go
@@ -36,7 +36,7 @@
 	}
 	unacknowledged := make(chan identifier.Fingerprint, 8)
 	m := messenger.New(messenger.Config{Peers: &peers, HTTP: http.DefaultClient, OnUnacknowledged: func(fp identifier.Fingerprint) { unacknowledged <- fp }})
-	want := quarantiner.Report{Fingerprint: 7, Kind: quarantiner.KindPart, Part: "5c1e07a2", Losses: []quarantiner.Process{{Endpoint: "e1", Start: 3}}}
+	want := quarantiner.Report{Fingerprint: 7, Kind: quarantiner.KindPart, Part: "5c1e07a2", Losses: []identifier.Process{{Endpoint: "e1", Start: 3}}}
 	m.Announce(want)
 	is.Equal(<-received["alpine-1"], want)
 	is.Equal(<-received["marfa-1"], want)
--- a/messenger/bench_test.go
+++ b/messenger/bench_test.go
@@ -60,7 +60,7 @@
 				peers.Set(messenger.Peer{Instance: identifier.Instance(fmt.Sprint(i)), Address: netip.MustParseAddrPort(s.Listener.Addr().String())})
 			}
 			m := messenger.New(messenger.Config{Peers: &peers, HTTP: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: n}}})
-			report := quarantiner.Report{Losses: []quarantiner.Process{{Endpoint: "i-7f3a91c2b8", Start: 1787150514949}, {Endpoint: "i-02d9e6b4aa", Start: 1787150514950}}}
+			report := quarantiner.Report{Losses: []identifier.Process{{Endpoint: "i-7f3a91c2b8", Start: 1787150514949}, {Endpoint: "i-02d9e6b4aa", Start: 1787150514950}}}
 			for i := 0; b.Loop(); i++ {
 				report.Fingerprint = identifier.Fingerprint(1<<63 + uint64(i))
 				received.Add(n)
--- a/messenger/doc.go
+++ b/messenger/doc.go
@@ -1,8 +1,11 @@
 // Package messenger exchanges messages between the instances of a hosted system.
 //
-// There are five kinds of message, each one small HTTP exchange:
+// There are six kinds of message, each one small HTTP exchange:
 //   - A stall notice says that the requests of a replica group are stalled, so that the instance
 //     that forms groups checks the group at once. It goes to all peers if that instance is not known.
+//   - A leaving notice says that a process of an endpoint has said in an answer that it leaves. It goes
+//     the same way, unless the list shows by then that the endpoint drains, so that the number of
+//     notices for a process is at most the number of instances.
 //   - A report request asks all peers for the report of an endpoint that this instance can't reach.
 //   - An update request fetches changes of the store from a peer's replica while this instance
 //     can't reach the store.
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -42,6 +42,7 @@
 	Quarantines      func() []quarantiner.Quarantine                                                          // the quarantines at this instance
 	Lift             func(fp identifier.Fingerprint) bool                                                     // ends a quarantine at all instances; false if there is none at this instance
 	OnStalled        func(head identifier.Endpoint)                                                           // a peer reports that the group with this head is stalled; must not block
+	OnLeaving        func(p identifier.Process)                                                               // a peer reports that a process has said that it leaves; must not block
 	HTTP             *http.Client
 	Timeout          time.Duration // of one exchange with a peer; zero selects 600 ms
 	Logger           zerolog.Logger
@@ -83,6 +84,7 @@
 	mux.HandleFunc("GET "+pathUpdate, m.serveUpdate)
 	mux.HandleFunc("GET "+pathChanges, m.serveChanges)
 	mux.HandleFunc("POST "+pathStalled, m.serveStalled)
+	mux.HandleFunc("POST "+pathLeaving, m.serveLeaving)
 	mux.HandleFunc("POST "+pathReport, m.serveReport)
 	mux.HandleFunc("POST "+pathLosses, m.serveLosses)
 	mux.HandleFunc("GET "+pathQuarantines, m.serveQuarantines)
@@ -155,6 +157,15 @@
 	w.WriteHeader(http.StatusNoContent)
 }
 
+func (m *Messenger) serveLeaving(w http.ResponseWriter, r *http.Request) {
+	var notice processWire
+	if !readBody(w, r, &notice) {
+		return
+	}
+	m.cfg.OnLeaving(identifier.Process{Endpoint: notice.Endpoint, Start: notice.ProcessStart})
+	w.WriteHeader(http.StatusNoContent)
+}
+
 func (m *Messenger) serveReport(w http.ResponseWriter, r *http.Request) {
 	var request askWire
 	if !readBody(w, r, &request) {
@@ -200,9 +211,20 @@
 // NotifyStalled notifies leader, the instance that forms groups, that the group with this head is
 // stalled. If leader is not a known peer, NotifyStalled notifies every peer.
 func (m *Messenger) NotifyStalled(ctx context.Context, leader identifier.Instance, head identifier.Endpoint) {
+	m.notifyLeader(ctx, leader, pathStalled, stalledWire{Head: head})
+}
+
+// NotifyLeaving notifies leader, the instance that forms groups, that a process has said that it
+// leaves. If leader is not a known peer, NotifyLeaving notifies every peer.
+func (m *Messenger) NotifyLeaving(ctx context.Context, leader identifier.Instance, p identifier.Process) {
+	m.notifyLeader(ctx, leader, pathLeaving, processWire{Endpoint: p.Endpoint, ProcessStart: p.Start})
+}
+
+// notifyLeader sends notice to leader, or to every peer if leader is not a known peer.
+func (m *Messenger) notifyLeader(ctx context.Context, leader identifier.Instance, path string, notice any) {
 	notify := func(ctx context.Context, p Peer) {
-		if err := m.exchange(ctx, p, http.MethodPost, pathStalled, stalledWire{Head: head}, nil); err != nil {
-			m.cfg.Logger.Debug().Err(err).Str("peer", string(p.Instance)).Msg("can't notify peer of a stalled group")
+		if err := m.exchange(ctx, p, http.MethodPost, path, notice, nil); err != nil {
+			m.cfg.Logger.Debug().Err(err).Str("peer", string(p.Instance)).Str("path", path).Msg("can't notify peer")
 		}
 	}
 	if p, ok := m.cfg.Peers.Find(leader); ok {
--- a/messenger/messenger_test.go
+++ b/messenger/messenger_test.go
@@ -43,7 +43,7 @@
 			}
 			return groupformer.Reported{ID: id, AcceptedOrders: 3, Endpoint: endpointlister.Endpoint{ProcessStart: 7, Membership: endpointlister.Membership{Group: "g", Epoch: 2, State: endpointlister.MemberOpen}}}, nil
 		},
-		OnStalled: func(head identifier.Endpoint) { stalled <- head }, HTTP: http.DefaultClient,
+		OnLeaving: func(p identifier.Process) { stalled <- p.Endpoint }, OnStalled: func(head identifier.Endpoint) { stalled <- head }, HTTP: http.DefaultClient,
 	})
 	s := httptest.NewServer(m.Handler())
 	t.Cleanup(s.Close)
@@ -88,6 +88,9 @@
 	m.NotifyStalled(ctx, "", "e2")
 	is.Equal(<-stalled, identifier.Endpoint("e2"))
 	is.Equal(<-stalled, identifier.Endpoint("e2"))
+	m.NotifyLeaving(ctx, "marfa-1", identifier.Process{Endpoint: "e3", Start: 7})
+	is.Equal(<-stalled, identifier.Endpoint("e3"))
+	is.Equal(len(stalled), 0)
 	peers.Remove("alpine-1")
 	is.Equal(len(peers.All()), 1)
 }
--- a/messenger/wire.go
+++ b/messenger/wire.go
@@ -17,6 +17,7 @@
 	pathUpdate      = "/news"
 	pathChanges     = "/changes"
 	pathStalled     = "/stalled"
+	pathLeaving     = "/leaving"
 	pathReport      = "/report"
 	pathLosses      = "/losses"
 	pathQuarantines = "/quarantines"
@@ -128,7 +129,7 @@
 	Cleared     bool                   `json:"cleared,omitempty"`
 }
 
-// processWire is the wire form of quarantiner.Process.
+// processWire is the wire form of identifier.Process.
 type processWire struct {
 	Endpoint     identifier.Endpoint     `json:"endpoint"`
 	ProcessStart identifier.ProcessStart `json:"processStart"`
@@ -138,7 +139,7 @@
 	return lossReportWire{Fingerprint: r.Fingerprint, IsPart: r.Kind == quarantiner.KindPart, Part: r.Part, Losses: encodeProcesses(r.Losses), Cleared: r.Cleared}
 }
 
-func encodeProcesses(processes []quarantiner.Process) []processWire {
+func encodeProcesses(processes []identifier.Process) []processWire {
 	var out []processWire
 	for _, p := range processes {
 		out = append(out, processWire{Endpoint: p.Endpoint, ProcessStart: p.Start})
@@ -146,10 +147,10 @@
 	return out
 }
 
-func decodeProcesses(processes []processWire) []quarantiner.Process {
-	var out []quarantiner.Process
+func decodeProcesses(processes []processWire) []identifier.Process {
+	var out []identifier.Process
 	for _, p := range processes {
-		out = append(out, quarantiner.Process{Endpoint: p.Endpoint, Start: p.ProcessStart})
+		out = append(out, identifier.Process{Endpoint: p.Endpoint, Start: p.ProcessStart})
 	}
 	return out
 }
--- a/quarantiner/bench_test.go
+++ b/quarantiner/bench_test.go
@@ -37,7 +37,7 @@
 			q, _ := newBenchCore(1200)
 			for i := range n {
 				q.Step(scripter.Start, quarantiner.ReportReceived{Report: quarantiner.Report{
-					Fingerprint: identifier.Fingerprint(i + 1), Losses: []quarantiner.Process{{Endpoint: "gone", Start: 1}},
+					Fingerprint: identifier.Fingerprint(i + 1), Losses: []identifier.Process{{Endpoint: "gone", Start: 1}},
 				}})
 			}
 			b.ReportAllocs()
@@ -49,14 +49,14 @@
 }
 
 // newBenchCore returns a core with n listed endpoints, and their processes.
-func newBenchCore(n int) (*quarantiner.Quarantiner, []quarantiner.Process) {
+func newBenchCore(n int) (*quarantiner.Quarantiner, []identifier.Process) {
 	q := quarantiner.New(quarantiner.Config{})
 	var endpoints []endpointlister.Endpoint
-	var processes []quarantiner.Process
+	var processes []identifier.Process
 	for i := range n {
 		id := identifier.Endpoint(fmt.Sprintf("e%04d", i))
 		endpoints = append(endpoints, endpointlister.Endpoint{ID: id, ProcessStart: 1, Address: netip.MustParseAddrPort("10.1.0.7:9000")})
-		processes = append(processes, quarantiner.Process{Endpoint: id, Start: 1})
+		processes = append(processes, identifier.Process{Endpoint: id, Start: 1})
 	}
 	q.Step(scripter.Start, quarantiner.EndpointsSet{Endpoints: slices.Clone(endpoints)})
 	return q, processes
@@ -75,7 +75,7 @@
 			q.Step(now, quarantiner.AttemptEnded{Fingerprint: fp, Process: processes[i%1200], Result: quarantiner.ResultUnanswered})
 			q.Step(now, quarantiner.AttemptEnded{Fingerprint: fp + 1<<20, Process: processes[0], Result: quarantiner.ResultAnswered})
 			q.Step(now, quarantiner.ReportReceived{Report: quarantiner.Report{
-				Fingerprint: fp + 1<<30, Losses: []quarantiner.Process{{Endpoint: "gone-1", Start: 1}, {Endpoint: "gone-2", Start: 1}},
+				Fingerprint: fp + 1<<30, Losses: []identifier.Process{{Endpoint: "gone-1", Start: 1}, {Endpoint: "gone-2", Start: 1}},
 			}})
 		}
 		runtime.GC()
--- a/quarantiner/completion.go
+++ b/quarantiner/completion.go
@@ -16,7 +16,7 @@
 // run is a running attempt of a request with a part.
 type run struct {
 	part      identifier.Fingerprint
-	process   Process
+	process   identifier.Process
 	startedAt time.Time
 }
 
@@ -25,7 +25,7 @@
 // with its connection, and looks complete if the process ends between two events.
 type completion struct {
 	attribute attribute
-	process   Process
+	process   identifier.Process
 	startedAt time.Time
 	at        time.Time
 }
@@ -47,7 +47,7 @@
 }
 
 // endRun removes and returns the running attempt with a part that was sent to a process first.
-func (q *Quarantiner) endRun(now time.Time, part identifier.Fingerprint, p Process) run {
+func (q *Quarantiner) endRun(now time.Time, part identifier.Fingerprint, p identifier.Process) run {
 	for i, r := range q.runs {
 		if r.part == part && r.process == p {
 			q.runs = slices.Delete(q.runs, i, i+1)
@@ -77,7 +77,7 @@
 }
 
 // dropRuns forgets the runs and completions at a process that has ended.
-func (q *Quarantiner) dropRuns(p Process) {
+func (q *Quarantiner) dropRuns(p identifier.Process) {
 	q.runs = slices.DeleteFunc(q.runs, func(r run) bool { return r.process == p })
 	q.completions = slices.DeleteFunc(q.completions, func(c completion) bool { return c.process == p })
 }
@@ -107,7 +107,7 @@
 // survives reports whether a process that is not known to have ended has outlived the start of a
 // run with a part by ProofDelay. The run goes on or was answered.
 func (q *Quarantiner) survives(now time.Time, part identifier.Fingerprint) bool {
-	proves := func(fp identifier.Fingerprint, p Process, startedAt time.Time) bool {
+	proves := func(fp identifier.Fingerprint, p identifier.Process, startedAt time.Time) bool {
 		return fp == part && now.Sub(startedAt) >= q.cfg.ProofDelay && q.isListed(p)
 	}
 	return slices.ContainsFunc(q.runs, func(r run) bool { return proves(r.part, r.process, r.startedAt) }) ||
--- a/quarantiner/event.go
+++ b/quarantiner/event.go
@@ -9,12 +9,6 @@
 	"amaranthmill/scheduler"
 )
 
-// Process is one process of an endpoint.
-type Process struct {
-	Endpoint identifier.Endpoint
-	Start    identifier.ProcessStart
-}
-
 // Kind says what a fingerprint identifies.
 type Kind uint8
 
@@ -42,14 +36,14 @@
 type AttemptStarted struct {
 	Fingerprint identifier.Fingerprint
 	Parts       []Part // as in AttemptEnded
-	Process     Process
+	Process     identifier.Process
 }
 
 // AttemptEnded reports the end of an attempt.
 type AttemptEnded struct {
 	Fingerprint identifier.Fingerprint
 	Parts       []Part // of the request's prompt that other requests may share; must not be modified
-	Process     Process
+	Process     identifier.Process
 	Result      Result
 }
 
@@ -70,7 +64,7 @@
 
 // ConnectionChecked reports the result of a CheckConnection action.
 type ConnectionChecked struct {
-	Process  Process
+	Process  identifier.Process
 	Accepted bool // the address accepted the connection
 }
 
@@ -85,7 +79,7 @@
 	Fingerprint identifier.Fingerprint
 	Kind        Kind
 	Part        identifier.Part // empty if unknown or not a part
-	Losses      []Process
+	Losses      []identifier.Process
 	Cleared     bool // a request with the fingerprint was answered, or the operator lifted the quarantine, so that it has no losses
 }
 
@@ -96,7 +90,7 @@
 type LossStored struct {
 	Fingerprint identifier.Fingerprint
 	Kind        Kind
-	Process     Process
+	Process     identifier.Process
 	Revision    uint64 // of the loss in the store
 }
 
@@ -104,7 +98,7 @@
 type LossDeleted struct {
 	Fingerprint identifier.Fingerprint
 	Kind        Kind
-	Process     Process
+	Process     identifier.Process
 }
 
 // AnnouncementFailed reports that a peer did not acknowledge an Announce action. It may
@@ -141,7 +135,7 @@
 // CheckConnection requests that a connection to the process is opened and closed again, and a
 // ConnectionChecked event with the result.
 type CheckConnection struct {
-	Process Process
+	Process identifier.Process
 	Address netip.AddrPort
 }
 
@@ -160,14 +154,14 @@
 type StoreLoss struct {
 	Fingerprint identifier.Fingerprint
 	Kind        Kind
-	Process     Process
+	Process     identifier.Process
 }
 
 // DeleteLoss requests that a loss is deleted from the store, if its revision there is unchanged.
 type DeleteLoss struct {
 	Fingerprint identifier.Fingerprint
 	Kind        Kind
-	Process     Process
+	Process     identifier.Process
 	Revision    uint64
 }
 
@@ -177,10 +171,10 @@
 	Kind        Kind
 	Part        identifier.Part // empty if unknown or not a part
 	Decision    Decision
-	Process     Process   // of the loss that the decision follows from; zero if none
-	Source      Source    // of that loss
-	Losses      int       // of the fingerprint, after the decision
-	Processes   []Process // that ended under the fingerprint, for a quarantine
+	Process     identifier.Process   // of the loss that the decision follows from; zero if none
+	Source      Source               // of that loss
+	Losses      int                  // of the fingerprint, after the decision
+	Processes   []identifier.Process // that ended under the fingerprint, for a quarantine
 }
 
 // WakeAt requests a Ticked event at At. It replaces the previous WakeAt.
--- a/quarantiner/example_test.go
+++ b/quarantiner/example_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"amaranthmill/endpointlister"
+	"amaranthmill/internal/identifier"
 	"amaranthmill/quarantiner"
 )
 
@@ -18,7 +19,7 @@
 	q.Step(now, quarantiner.EndpointsSet{Endpoints: []endpointlister.Endpoint{
 		{ID: "ledger-1", ProcessStart: 1, Address: address}, {ID: "ledger-2", ProcessStart: 1, Address: address},
 	}})
-	for _, endpoint := range []quarantiner.Process{{Endpoint: "ledger-1", Start: 1}, {Endpoint: "ledger-2", Start: 1}} {
+	for _, endpoint := range []identifier.Process{{Endpoint: "ledger-1", Start: 1}, {Endpoint: "ledger-2", Start: 1}} {
 		q.Step(now, quarantiner.AttemptStarted{Fingerprint: 7})
 		q.Step(now, quarantiner.AttemptEnded{Fingerprint: 7, Process: endpoint, Result: quarantiner.ResultBroken})
 		for _, a := range q.Step(now, quarantiner.ConnectionChecked{Process: endpoint, Accepted: false}) {
--- a/quarantiner/exposure.go
+++ b/quarantiner/exposure.go
@@ -58,7 +58,7 @@
 // counts as ended under the requests whose connections broke. The other exposures, and all
 // those of an address that accepted the connection, remain until the list shows the end of the
 // process: a process that accepts connections may be about to end.
-func (q *Quarantiner) endCheck(now time.Time, p Process, accepted bool) {
+func (q *Quarantiner) endCheck(now time.Time, p identifier.Process, accepted bool) {
 	delete(q.checks, p)
 	for _, x := range q.removeExposures(p) {
 		if x.checking && !accepted {
@@ -76,7 +76,7 @@
 func (q *Quarantiner) setEndpoints(now time.Time, endpoints []endpointlister.Endpoint) {
 	q.recordEnded(now, endpoints)
 	q.endpoints = endpoints
-	for _, p := range slices.SortedFunc(maps.Keys(q.exposures), Process.compare) {
+	for _, p := range slices.SortedFunc(maps.Keys(q.exposures), identifier.Process.Compare) {
 		switch endpoint, ok := q.find(p); {
 		case !ok:
 			for _, x := range q.removeExposures(p) {
@@ -93,14 +93,14 @@
 // recordEnded records the processes that the next list no longer has, except those of draining
 // endpoints, and forgets those recorded more than ExposureTTL ago.
 func (q *Quarantiner) recordEnded(now time.Time, next []endpointlister.Endpoint) {
-	maps.DeleteFunc(q.ended, func(_ Process, at time.Time) bool { return now.Sub(at) >= q.cfg.ExposureTTL })
+	maps.DeleteFunc(q.ended, func(_ identifier.Process, at time.Time) bool { return now.Sub(at) >= q.cfg.ExposureTTL })
 	i := 0
 	for _, e := range q.endpoints {
 		for i < len(next) && next[i].ID < e.ID {
 			i++
 		}
 		if stays := i < len(next) && next[i].ID == e.ID && next[i].ProcessStart == e.ProcessStart; !stays && !e.Draining {
-			q.ended[Process{Endpoint: e.ID, Start: e.ProcessStart}] = now
+			q.ended[identifier.Process{Endpoint: e.ID, Start: e.ProcessStart}] = now
 		}
 	}
 }
@@ -108,12 +108,12 @@
 // expireExposures forgets the exposures older than ExposureTTL, and the checks whose result
 // did not come within CheckTimeout.
 func (q *Quarantiner) expireExposures(now time.Time) {
-	for _, p := range slices.SortedFunc(maps.Keys(q.checks), Process.compare) {
+	for _, p := range slices.SortedFunc(maps.Keys(q.checks), identifier.Process.Compare) {
 		if now.Sub(q.checks[p]) >= q.cfg.CheckTimeout {
 			q.endCheck(now, p, true)
 		}
 	}
-	for _, p := range slices.SortedFunc(maps.Keys(q.exposures), Process.compare) {
+	for _, p := range slices.SortedFunc(maps.Keys(q.exposures), identifier.Process.Compare) {
 		list := q.exposures[p]
 		expired := 0
 		for expired < len(list) && now.Sub(list[expired].endedAt) >= q.cfg.ExposureTTL {
@@ -124,7 +124,7 @@
 }
 
 // removeExposures removes and returns the exposures of a process.
-func (q *Quarantiner) removeExposures(p Process) []exposure {
+func (q *Quarantiner) removeExposures(p identifier.Process) []exposure {
 	list := q.exposures[p]
 	if len(list) == 0 {
 		return nil
@@ -138,7 +138,7 @@
 }
 
 // find returns the listed endpoint of a process.
-func (q *Quarantiner) find(p Process) (*endpointlister.Endpoint, bool) {
+func (q *Quarantiner) find(p identifier.Process) (*endpointlister.Endpoint, bool) {
 	i, ok := slices.BinarySearchFunc(q.endpoints, p.Endpoint, func(e endpointlister.Endpoint, id identifier.Endpoint) int {
 		return cmp.Compare(e.ID, id)
 	})
@@ -148,20 +148,15 @@
 	return &q.endpoints[i], true
 }
 
-func (q *Quarantiner) isListed(p Process) bool {
+func (q *Quarantiner) isListed(p identifier.Process) bool {
 	_, ok := q.find(p)
 	return ok
 }
 
-// compare orders processes by endpoint and start.
-func (p Process) compare(o Process) int {
-	return cmp.Or(cmp.Compare(p.Endpoint, o.Endpoint), cmp.Compare(p.Start, o.Start))
-}
-
 // proveAlive forgets the exposures of a process that has answered a request later than
 // ProofDelay after them. An earlier answer may look complete because the process has ended: without
 // a length, it ends with its connection.
-func (q *Quarantiner) proveAlive(now time.Time, p Process) {
+func (q *Quarantiner) proveAlive(now time.Time, p identifier.Process) {
 	list := q.exposures[p]
 	old := 0
 	for old < len(list) && !list[old].checking && now.Sub(list[old].endedAt) >= q.cfg.ProofDelay {
@@ -171,7 +166,7 @@
 }
 
 // forgetExposures forgets the first n exposures of a process.
-func (q *Quarantiner) forgetExposures(p Process, n int) {
+func (q *Quarantiner) forgetExposures(p identifier.Process, n int) {
 	list := q.exposures[p]
 	if q.exposures[p] = list[n:]; n == len(list) {
 		delete(q.exposures, p)
--- a/quarantiner/fleet_test.go
+++ b/quarantiner/fleet_test.go
@@ -96,8 +96,8 @@
 type simRequest struct {
 	fingerprint identifier.Fingerprint
 	parts       []quarantiner.Part
-	crashes     bool                         // a run of the request ends its endpoint
-	processes   map[quarantiner.Process]bool // to which a benign request was sent
+	crashes     bool                        // a run of the request ends its endpoint
+	processes   map[identifier.Process]bool // to which a benign request was sent
 	onEnd       func(scheduler.Outcome)
 }
 
@@ -265,7 +265,7 @@
 		case scheduler.Send:
 			target := *a.Target
 			f.stepQuarantiner(i, quarantiner.AttemptStarted{
-				Fingerprint: i.requests[a.Ref].fingerprint, Parts: i.requests[a.Ref].parts, Process: quarantiner.Process{Endpoint: target.ID, Start: target.ProcessStart},
+				Fingerprint: i.requests[a.Ref].fingerprint, Parts: i.requests[a.Ref].parts, Process: identifier.Process{Endpoint: target.ID, Start: target.ProcessStart},
 			})
 			key := runKey{instance: i.number, process: process, ref: a.Ref, attempt: a.Attempt}
 			f.after(f.random(5), func() { f.begin(i, key, target) })
@@ -302,7 +302,7 @@
 	e.runs[key] = true
 	start := e.start
 	if r := i.requests[key.ref]; r.processes != nil {
-		r.processes[quarantiner.Process{Endpoint: e.id, Start: start}] = true
+		r.processes[identifier.Process{Endpoint: e.id, Start: start}] = true
 	}
 	if i.requests[key.ref].crashes {
 		f.crashSends = append(f.crashSends, crashSend{at: f.now, inTouch: f.isInTouch(i)})
@@ -354,7 +354,7 @@
 	if !known {
 		return
 	}
-	process := quarantiner.Process{Endpoint: target.ID, Start: target.ProcessStart}
+	process := identifier.Process{Endpoint: target.ID, Start: target.ProcessStart}
 	f.stepQuarantiner(i, quarantiner.AttemptEnded{Fingerprint: r.fingerprint, Parts: r.parts, Process: process, Result: result})
 	f.stepScheduler(i, scheduler.Ended{Ref: key.ref, Attempt: key.attempt, Ending: ending})
 }
@@ -387,7 +387,7 @@
 }
 
 // countEnded returns the number of processes that have ended.
-func (f *fleet) countEnded(processes map[quarantiner.Process]bool) int {
+func (f *fleet) countEnded(processes map[identifier.Process]bool) int {
 	n := 0
 	for p := range processes {
 		if e := f.endpoints[p.Endpoint]; !e.up || e.start != p.Start {
--- a/quarantiner/part_bench_test.go
+++ b/quarantiner/part_bench_test.go
@@ -76,10 +76,10 @@
 }
 
 // benchLosses returns the first n of a list of processes.
-func benchLosses(n int) []quarantiner.Process {
-	var out []quarantiner.Process
+func benchLosses(n int) []identifier.Process {
+	var out []identifier.Process
 	for i := range n {
-		out = append(out, quarantiner.Process{Endpoint: identifier.Endpoint(fmt.Sprintf("gone-%d", i)), Start: 1})
+		out = append(out, identifier.Process{Endpoint: identifier.Endpoint(fmt.Sprintf("gone-%d", i)), Start: 1})
 	}
 	return out
 }
--- a/quarantiner/part_property_test.go
+++ b/quarantiner/part_property_test.go
@@ -182,7 +182,7 @@
 	fp := identifier.Fingerprint(1000)
 	for at := time.Duration(0); at < partFleetTime; at += soundInterval {
 		fp++
-		f.scheduleSound(at, simRequest{fingerprint: fp, parts: f.promptParts(), processes: map[quarantiner.Process]bool{}}, counts)
+		f.scheduleSound(at, simRequest{fingerprint: fp, parts: f.promptParts(), processes: map[identifier.Process]bool{}}, counts)
 	}
 }
 
--- a/quarantiner/property_test.go
+++ b/quarantiner/property_test.go
@@ -86,7 +86,7 @@
 		})
 	}
 	for n := range 200 {
-		fp, processes, tries := identifier.Fingerprint(1000+n), map[quarantiner.Process]bool{}, 0
+		fp, processes, tries := identifier.Fingerprint(1000+n), map[identifier.Process]bool{}, 0
 		var try func()
 		try = func() {
 			tries++
--- a/quarantiner/quarantine.go
+++ b/quarantiner/quarantine.go
@@ -11,7 +11,7 @@
 	Fingerprint identifier.Fingerprint
 	Kind        Kind
 	Part        identifier.Part // empty if unknown or not a part
-	Losses      []Process
+	Losses      []identifier.Process
 	Until       time.Time
 }
 
--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -53,16 +53,16 @@
 	storeLost      bool
 	storeHealthyAt time.Time // since when the store has been healthy
 	running        map[identifier.Fingerprint]int
-	exposures      map[Process][]exposure // in order of time
+	exposures      map[identifier.Process][]exposure // in order of time
 	exposureCount  int
-	ended          map[Process]time.Time          // when a process disappeared from the list within ExposureTTL
-	checks         map[Process]time.Time          // start of each pending check
-	checking       map[identifier.Fingerprint]int // exposures with a pending check
+	ended          map[identifier.Process]time.Time // when a process disappeared from the list within ExposureTTL
+	checks         map[identifier.Process]time.Time // start of each pending check
+	checking       map[identifier.Fingerprint]int   // exposures with a pending check
 	suspects       map[identifier.Fingerprint]*suspect
 	order          []identifier.Fingerprint // of the suspects, by first loss
 	restrictions   map[identifier.Fingerprint]Restrict
-	explained      map[Process]bool // processes that ended under a quarantined part
-	answered       answeredList     // requests
+	explained      map[identifier.Process]bool // processes that ended under a quarantined part
+	answered       answeredList                // requests
 	answeredParts  answeredList
 	runs           []run        // in order of time
 	completions    []completion // in order of time
@@ -88,9 +88,9 @@
 	defaulter.Set(&cfg.StoreRetryDelay, defaultStoreRetryDelay)
 	defaulter.Set(&cfg.TickInterval, defaultTickInterval)
 	return &Quarantiner{
-		cfg: cfg, running: map[identifier.Fingerprint]int{}, exposures: map[Process][]exposure{}, ended: map[Process]time.Time{}, checks: map[Process]time.Time{},
+		cfg: cfg, running: map[identifier.Fingerprint]int{}, exposures: map[identifier.Process][]exposure{}, ended: map[identifier.Process]time.Time{}, checks: map[identifier.Process]time.Time{},
 		checking: map[identifier.Fingerprint]int{}, suspects: map[identifier.Fingerprint]*suspect{}, restrictions: map[identifier.Fingerprint]Restrict{},
-		explained: map[Process]bool{}, answered: newAnsweredList(cfg.AnsweredTTL, maxAnsweredRequests), answeredParts: newAnsweredList(cfg.PartAnsweredTTL, maxAnsweredParts),
+		explained: map[identifier.Process]bool{}, answered: newAnsweredList(cfg.AnsweredTTL, maxAnsweredRequests), answeredParts: newAnsweredList(cfg.PartAnsweredTTL, maxAnsweredParts),
 	}
 }
 
--- a/quarantiner/session_test.go
+++ b/quarantiner/session_test.go
@@ -97,9 +97,9 @@
 }
 
 // processOf parses "<endpoint>/<start>".
-func processOf(text string) quarantiner.Process {
+func processOf(text string) identifier.Process {
 	id, start, _ := strings.Cut(text, "/")
-	var p quarantiner.Process
+	var p identifier.Process
 	p.Endpoint = identifier.Endpoint(id)
 	_, _ = fmt.Sscan(start, &p.Start) // an absent start is zero
 	return p
@@ -117,7 +117,7 @@
 	return r, nil
 }
 
-func (s *session) setEndpoint(state string, p quarantiner.Process) {
+func (s *session) setEndpoint(state string, p identifier.Process) {
 	s.endpoints = slices.DeleteFunc(slices.Clone(s.endpoints), func(e endpointlister.Endpoint) bool { return e.ID == p.Endpoint })
 	if state != "delisted" {
 		s.endpoints = append(s.endpoints, endpointlister.Endpoint{
@@ -168,7 +168,7 @@
 	return ""
 }
 
-func nameOf(p quarantiner.Process) string {
+func nameOf(p identifier.Process) string {
 	if p.Endpoint == "" {
 		return ""
 	}
--- a/quarantiner/suspect.go
+++ b/quarantiner/suspect.go
@@ -30,7 +30,7 @@
 
 // loss is the end of a process that ran a request, as this instance knows it.
 type loss struct {
-	process      Process
+	process      identifier.Process
 	source       Source
 	learnedAt    time.Time
 	announced    bool      // to the peers, or by a peer
@@ -46,7 +46,7 @@
 	return s.lastLossAt.Add(cfg.SuspicionTTL)
 }
 
-func (s *suspect) find(p Process) *loss {
+func (s *suspect) find(p identifier.Process) *loss {
 	i := slices.IndexFunc(s.losses, func(l loss) bool { return l.process == p })
 	if i < 0 {
 		return nil
@@ -55,8 +55,8 @@
 }
 
 // processes returns the processes of the losses.
-func (s *suspect) processes() []Process {
-	var out []Process
+func (s *suspect) processes() []identifier.Process {
+	var out []identifier.Process
 	for _, l := range s.losses {
 		out = append(out, l.process)
 	}
@@ -69,7 +69,7 @@
 
 // lose adds the loss of a process to the attributes of an attempt. Those of parts come first,
 // because they may explain that of the request.
-func (q *Quarantiner) lose(now time.Time, x exposure, p Process, source Source) {
+func (q *Quarantiner) lose(now time.Time, x exposure, p identifier.Process, source Source) {
 	q.dropRuns(p)
 	for _, part := range x.parts {
 		q.addLoss(now, attribute{fingerprint: part.Fingerprint, kind: KindPart, part: part.ID}, p, source)
@@ -81,7 +81,7 @@
 
 // addLoss adds a loss of an attribute unless it is known, and returns it. It returns nil if the
 // attribute was answered recently.
-func (q *Quarantiner) addLoss(now time.Time, a attribute, p Process, source Source) *loss {
+func (q *Quarantiner) addLoss(now time.Time, a attribute, p identifier.Process, source Source) *loss {
 	if q.answeredOf(a.kind).hasRecent(now, a.fingerprint) {
 		return nil
 	}
--- a/runner/hosted.go
+++ b/runner/hosted.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"os"
 	"os/signal"
@@ -95,9 +96,10 @@
 		Resolver: h.resolver, Requester: h.requester, Dialect: platform.Headers{}, Logger: logger, Meter: h.meter,
 		Scheduler: scheduler.Config{
 			FailureDomain: s.FailureDomain, RetryRatio: retryShare * s.Bounds.RetryRatio, RetrySlack: retryShare * s.Bounds.RetrySlack,
-			RetryWindow: s.Bounds.RetryWindow.Std(), FirstStart: s.FirstStart,
+			RetryWindow: s.Bounds.RetryWindow.Std(), FirstStart: s.FirstStart, Random: rand.NewPCG(rand.Uint64(), rand.Uint64()),
 		},
 		OnStalled:       h.reportStall,
+		OnLeaving:       h.reportLeaving,
 		OnLatencyReport: func(p scheduler.LatencyReport) { go h.groupFormer.submitLatency(p) },
 		OnAttempt:       func(e quarantiner.Event) { h.quarantine.step.Submit(e) },
 	})
@@ -110,7 +112,7 @@
 			return h.replica.Watch(ctx, after, wait)
 		},
 		UpdateSince: func(after uint64) replicator.Update { return h.replica.UpdateSince(after) },
-		Report:      h.groupFormer.queryEngine, OnStalled: h.groupFormer.submitStall,
+		Report:      h.groupFormer.queryEngine, OnStalled: h.groupFormer.submitStall, OnLeaving: h.groupFormer.submitLeaving,
 		OnLosses:    func(r quarantiner.Report) { h.quarantine.step.Submit(quarantiner.ReportReceived{Report: r}) },
 		Quarantines: h.listQuarantines, Lift: h.liftQuarantine,
 		OnUnacknowledged: func(fp identifier.Fingerprint) {
@@ -162,6 +164,21 @@
 	}()
 }
 
+// leavingNoticeDelay is the time in which the list usually shows that an endpoint drains, so that
+// the instance that forms groups need not be notified.
+const leavingNoticeDelay = 500 * time.Millisecond
+
+// reportLeaving reports a process that has said that it leaves to the group former of this instance,
+// and to the instance that forms groups if the list does not show it soon.
+func (h *hosted) reportLeaving(p identifier.Process) {
+	go h.groupFormer.submitLeaving(p)
+	time.AfterFunc(leavingNoticeDelay, func() {
+		if holder := h.view.formingHolder(); holder != h.settings.Instance && h.view.isLive(p) {
+			h.messenger.NotifyLeaving(context.Background(), holder, p)
+		}
+	})
+}
+
 // checkReady returns the reason why the instance should get no requests, or nil if it is ready.
 func (h *hosted) checkReady() error {
 	if h.resolver.Version() == 0 {
--- a/runner/hosted_groupformer.go
+++ b/runner/hosted_groupformer.go
@@ -42,7 +42,7 @@
 }
 
 func newGroupFormer(h *hosted) *groupFormer {
-	f := &groupFormer{hosted: h, engines: platform.Engines{Requester: h.requester}, ctx: context.Background(), meters: newGroupFormerMeters(h.meter)}
+	f := &groupFormer{hosted: h, engines: platform.Engines{Requester: h.requester, Logger: h.logger}, ctx: context.Background(), meters: newGroupFormerMeters(h.meter)}
 	core := groupformer.New(groupformer.Config{FirstStart: h.settings.FirstStart, DrainTime: h.settings.Bounds.DrainTime.Std()})
 	f.step = stepper.New(stepper.Config[groupformer.Event, groupformer.Action]{Core: core, Handle: f.handle})
 	return f
@@ -93,6 +93,11 @@
 	f.step.Submit(groupformer.HeadStalled{Head: head})
 }
 
+// submitLeaving submits that a process of an engine has said that it leaves.
+func (f *groupFormer) submitLeaving(p identifier.Process) {
+	f.step.Submit(groupformer.LeavingStated{ID: p.Endpoint, ProcessStart: p.Start})
+}
+
 // handle executes one action of the core. It must not block, because the stepper holds its lock.
 func (f *groupFormer) handle(a groupformer.Action) {
 	switch a := a.(type) {
@@ -110,14 +115,14 @@
 func (f *groupFormer) sendOrder(o groupformer.Order) {
 	ctx, cancel := context.WithTimeout(f.ctx, orderTimeout)
 	defer cancel()
-	result := f.engines.Order(ctx, f.addresses.address(o.ID), o)
-	f.meters.countOrder(o.Operation, result)
+	ended := f.engines.Order(ctx, f.addresses.address(o.ID), o)
+	f.meters.countOrder(o.Operation, ended.Result)
 	e := f.hosted.logger.Info()
-	if result != groupformer.ResultAccepted {
+	if ended.Result != groupformer.ResultAccepted {
 		e = f.hosted.logger.Warn()
 	}
-	addOperation(e, o.Operation).Str("endpoint", string(o.ID)).Uint64("expected", o.Expected).Stringer("result", result).Msg("order")
-	f.step.Submit(groupformer.OrderEnded{ID: o.ID, Number: o.Number, Result: result})
+	addOperation(e, o.Operation).Str("endpoint", string(o.ID)).Uint64("expected", o.Expected).Stringer("result", ended.Result).Msg("order")
+	f.step.Submit(ended)
 }
 
 func addOperation(e *zerolog.Event, o groupformer.Operation) *zerolog.Event {
--- a/runner/hosted_quarantine.go
+++ b/runner/hosted_quarantine.go
@@ -205,7 +205,7 @@
 }
 
 // endpointNames returns the endpoints of processes.
-func endpointNames(processes []quarantiner.Process) []string {
+func endpointNames(processes []identifier.Process) []string {
 	var out []string
 	for _, p := range processes {
 		out = append(out, string(p.Endpoint))
@@ -248,6 +248,6 @@
 		return l, &lossKeyError{Key: key}
 	}
 	l.Fingerprint = fp
-	l.Process = quarantiner.Process{Endpoint: identifier.Endpoint(fields[2]), Start: identifier.ProcessStart(start)}
+	l.Process = identifier.Process{Endpoint: identifier.Endpoint(fields[2]), Start: identifier.ProcessStart(start)}
 	return l, nil
 }
--- a/runner/hosted_view.go
+++ b/runner/hosted_view.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -110,6 +111,15 @@
 	return v.holder
 }
 
+// isLive reports whether the list shows a process and does not show it as draining.
+func (v *view) isLive(p identifier.Process) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return slices.ContainsFunc(v.endpoints, func(e endpointlister.Endpoint) bool {
+		return e.ID == p.Endpoint && e.ProcessStart == p.Start && !e.Draining
+	})
+}
+
 // updateInstance applies a change of the key of this or another instance. v.mu is held.
 func (v *view) updateInstance(c storeclient.Change) {
 	name := identifier.Instance(strings.TrimPrefix(c.Key, instancePrefix))
--- a/runner/quarantine_test.go
+++ b/runner/quarantine_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/matryer/is"
 
+	"amaranthmill/internal/identifier"
 	"amaranthmill/quarantiner"
 )
 
@@ -13,7 +14,7 @@
 // a slash in the endpoint's ID, and that other keys below the prefix are rejected.
 func TestLossKey(t *testing.T) {
 	is := is.New(t)
-	process := quarantiner.Process{Endpoint: "rack-1/i-7f3a91c2", Start: 1787150514949}
+	process := identifier.Process{Endpoint: "rack-1/i-7f3a91c2", Start: 1787150514949}
 	for kind, wantKey := range map[quarantiner.Kind]string{
 		quarantiner.KindRequest: "mill/losses/0c42f55332b80925/1787150514949/rack-1/i-7f3a91c2",
 		quarantiner.KindPart:    "mill/losses/part-0c42f55332b80925/1787150514949/rack-1/i-7f3a91c2",
--- a/scheduler/process.go
+++ b/scheduler/process.go
@@ -1,22 +1,14 @@
 package scheduler
 
 import (
-	"net/netip"
 	"time"
 
 	"amaranthmill/internal/identifier"
 )
 
-// Process identifies one process of an endpoint, whichever replica group it serves.
-type Process struct {
-	Endpoint identifier.Endpoint
-	Start    identifier.ProcessStart
-	Address  netip.AddrPort
-}
-
 // Process returns the process that receives the requests of t.
-func (t *Target) Process() Process {
-	return Process{Endpoint: t.ID, Start: t.ProcessStart, Address: t.Address}
+func (t *Target) Process() identifier.Process {
+	return identifier.Process{Endpoint: t.ID, Start: t.ProcessStart}
 }
 
 // Bounds on what a process states about itself.
--- a/scheduler/process_test.go
+++ b/scheduler/process_test.go
@@ -20,8 +20,8 @@
 	core    *scheduler.Scheduler
 	now     time.Time
 	targets map[identifier.Endpoint]scheduler.Target
-	leaving map[scheduler.Process]bool
-	closed  map[scheduler.Process]time.Time
+	leaving map[identifier.Process]bool
+	closed  map[identifier.Process]time.Time
 	running []scheduler.Send
 	lastRef scheduler.Ref
 	wakeAt  time.Time
@@ -136,7 +136,7 @@
 func TestNoRequestToLeavingOrClosedProcess(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		m := &statementModel{
-			t: t, now: scripter.Start, targets: map[identifier.Endpoint]scheduler.Target{}, leaving: map[scheduler.Process]bool{}, closed: map[scheduler.Process]time.Time{},
+			t: t, now: scripter.Start, targets: map[identifier.Endpoint]scheduler.Target{}, leaving: map[identifier.Process]bool{}, closed: map[identifier.Process]time.Time{},
 			core: scheduler.New(scheduler.Config{RetryRatio: 1, RetrySlack: 1000, FirstStart: true}),
 		}
 		for i := range endpointCount {
--- a/scheduler/request.go
+++ b/scheduler/request.go
@@ -51,7 +51,7 @@
 // ProcessStated reports what a process of an endpoint said about itself in an answer. It is
 // submitted before the Progressed or Ended event of the answer.
 type ProcessStated struct {
-	Process   Process
+	Process   identifier.Process
 	Leaving   bool          // it leaves, so that it gets no more requests
 	ClosedFor time.Duration // it wants no requests from this instance for so long; zero if it has not said so; more than a minute counts as a minute
 }
@@ -201,7 +201,7 @@
 
 // LeavingStated reports that a process has said for the first time that it leaves. It gets no
 // more requests; those that run there go on.
-type LeavingStated struct{ Process Process }
+type LeavingStated struct{ Process identifier.Process }
 
 // LatencyReport counts the requests of a pool over the last second by whether they met their latency goal.
 type LatencyReport struct {
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -57,7 +57,7 @@
 	budget  retryBudget
 	latency latencyCounter
 
-	statements   map[Process]*statement
+	statements   map[identifier.Process]*statement
 	restrictions map[identifier.Fingerprint]restriction
 	copies       map[identifier.Fingerprint]int // number of flights with a fingerprint
 
@@ -80,7 +80,7 @@
 	defaulter.Set(&cfg.MaxLoad, defaultMaxLoad)
 	defaulter.Set(&cfg.TickInterval, defaultTickInterval)
 	s := &Scheduler{
-		cfg: cfg, targets: map[identifier.Endpoint]*target{}, pools: map[identifier.Pool]*pool{}, statements: map[Process]*statement{},
+		cfg: cfg, targets: map[identifier.Endpoint]*target{}, pools: map[identifier.Pool]*pool{}, statements: map[identifier.Process]*statement{},
 		flights: map[Ref]*flight{}, rates: map[identifier.Pool]*poolRates{}, restrictions: map[identifier.Fingerprint]restriction{}, copies: map[identifier.Fingerprint]int{}, budget: newRetryBudget(cfg),
 	}
 	if cfg.Random != nil {
--- a/scheduler/session_test.go
+++ b/scheduler/session_test.go
@@ -65,7 +65,7 @@
 		end, err := ending(ev)
 		return scheduler.Ended{Ref: ref, Attempt: attempt(ev), Ending: end, Load: load}, err
 	case "stated":
-		process := scheduler.Process{Endpoint: identifier.Endpoint(ev.Str("endpoint")), Start: identifier.ProcessStart(ev.Int("processStart"))}
+		process := identifier.Process{Endpoint: identifier.Endpoint(ev.Str("endpoint")), Start: identifier.ProcessStart(ev.Int("processStart"))}
 		return scheduler.ProcessStated{Process: process, Leaving: ev.Bool("leaving"), ClosedFor: ev.Duration("closedFor")}, nil
 	case "restricted":
 		return restriction(now, ev)
