requester, forwarder, platform, storeclient, messenger: bytes without end are bounded

Cause: heads of answers were read without a bound (http.ReadResponse has none), so that each endless head held its request until the deadline and grew without limit; a held body could take 16 MiB, for each of any number of requests; a stale or refused answer was read on for up to 1 and 16 MiB; the store's answers for 64 MiB.

Change: limitreader reports what exceeds a bound as an error that names it. Held answers of all requests share an eighth of the machine's memory beyond the first 64 KiB of each. The store's answers have 16 MiB for reads and 4 for writes, heads of the store and of peers 64 KiB, requests of peers 5 s. The connection is closed, the attempt ends as broken, and the error that names the bound is logged.

--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -18,7 +18,7 @@
 )
 
 // maxEventBytes is the maximum size of one event of a stream.
-const maxEventBytes = 1 << 20
+const maxEventBytes = 128 << 10
 
 // streamBufferSize is the number of bytes of a stream that are read ahead of the caller.
 const streamBufferSize = 4 << 10
@@ -52,7 +52,7 @@
 	f.reportStatement(x, a, fields)
 	switch {
 	case fields.NotRun:
-		_, _ = io.Copy(io.Discard, io.LimitReader(answer, answerLimit)) // lets the connection be reused
+		answer.Discard()
 		return scheduler.Refused{Status: answer.Status, Misdirected: fields.Misdirected}, fields.Load
 	case fields.Encoded, answer.IsSuccess() && !fields.Signed:
 		return scheduler.Broken{}, fields.Load
@@ -144,10 +144,7 @@
 // holdAnswer reads the complete answer before any byte of it is sent to the caller. An answer that
 // is not a stream can't continue a stream that has begun, and counts as an error of its endpoint.
 func (f *Forwarder) holdAnswer(x *exchange, a *attempt, answer *requester.Answer) scheduler.Ending {
-	body, err := io.ReadAll(io.LimitReader(answer, answerLimit+1))
-	if err == nil && len(body) > answerLimit {
-		err = &eventreader.TooLargeError{Limit: answerLimit}
-	}
+	body, err := f.readHeld(x, answer)
 	if err != nil {
 		f.logBroken(x, err)
 		return a.brokenEnding()
--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -31,6 +31,7 @@
 	hedges    sync.WaitGroup // attempts that hedge others
 	hasWaited atomic.Bool    // the request waited for a target; read at its first attempt
 	relay     *relay
+	heldBytes atomic.Int64 // reserved in the forwarder's heldBudget
 
 	mu       sync.Mutex // guards the field below
 	attempts []*attempt // by number, from 1
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -9,6 +9,7 @@
 	"github.com/rs/zerolog"
 	"go.opentelemetry.io/otel/metric"
 
+	"amaranthmill/internal/defaulter"
 	"amaranthmill/internal/identifier"
 	"amaranthmill/internal/stepper"
 	"amaranthmill/quarantiner"
@@ -20,15 +21,13 @@
 // defaultBodyLimit is the maximum size of a request's body in bytes if the configuration sets none.
 const defaultBodyLimit = 4 << 20
 
-// answerLimit is the maximum size of a held answer's body in bytes.
-const answerLimit = 16 << 20
-
 // Config configures a Forwarder. Resolver, Requester and Dialect are required.
 type Config struct {
 	Resolver        *resolver.Resolver
 	Requester       *requester.Requester
 	Dialect         Dialect
 	Scheduler       scheduler.Config
+	HeldBytes       int64                           // bytes that the held answers of all requests may use beyond the first 64 KiB of each; zero means 64 MiB
 	OnStalled       func(t scheduler.Target)        // called when a target stalls; must not block
 	OnLeaving       func(p identifier.Process)      // called once when a process says that it leaves; must not block
 	OnLatencyReport func(p scheduler.LatencyReport) // called about once a second for each pool with requests; must not block
@@ -47,6 +46,7 @@
 	meters   *meters
 	lastRef  atomic.Uint64
 	draining atomic.Bool
+	held     heldBudget
 
 	mu        sync.Mutex // guards the fields below
 	random    *rand.Rand
@@ -61,7 +61,9 @@
 	if cfg.OnAttempt == nil {
 		cfg.OnAttempt = func(quarantiner.Event) {}
 	}
+	defaulter.Set(&cfg.HeldBytes, defaultHeldBytes)
 	f := &Forwarder{cfg: cfg, core: scheduler.New(cfg.Scheduler), random: rand.New(cfg.Random), exchanges: map[scheduler.Ref]*exchange{}}
+	f.held.left.Store(cfg.HeldBytes)
 	f.step = stepper.New(stepper.Config[scheduler.Event, scheduler.Action]{Core: f.core, Handle: f.handle})
 	f.meters = newMeters(cfg.Meter, cfg.Scheduler.FailureDomain)
 	f.tick = time.AfterFunc(time.Hour, func() { f.step.Submit(scheduler.Ticked{}) })
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -76,6 +76,11 @@
 
 // newObservedFixture returns a fixture whose Forwarder reports its attempts to onAttempt.
 func newObservedFixture(t *testing.T, onAttempt func(quarantiner.Event)) *fixture {
+	return newFixtureWith(t, func(cfg *forwarder.Config) { cfg.OnAttempt = onAttempt })
+}
+
+// newFixtureWith returns a fixture whose Forwarder's configuration was changed by configure.
+func newFixtureWith(t *testing.T, configure func(*forwarder.Config)) *fixture {
 	r := &resolver.Resolver{}
 	r.Set(&resolver.Configuration{
 		Version: 1, Limits: resolver.Limits{BodyBytes: 1000},
@@ -86,10 +91,12 @@
 		},
 		Accounts: []resolver.Account{{Name: "observatory", Keys: []string{"k1"}}},
 	})
-	f := forwarder.New(forwarder.Config{
+	cfg := forwarder.Config{
 		Resolver: r, Requester: requester.New(requester.Config{IdentityHeader: "Id"}), Dialect: dialect{},
-		Scheduler: scheduler.Config{MaxTargetWait: 200 * time.Millisecond, RetrySlack: 100, FirstStart: true}, OnAttempt: onAttempt,
-	})
+		Scheduler: scheduler.Config{MaxTargetWait: 200 * time.Millisecond, RetrySlack: 100, FirstStart: true},
+	}
+	configure(&cfg)
+	f := forwarder.New(cfg)
 	s := httptest.NewServer(f)
 	t.Cleanup(s.Close)
 	return &fixture{t: t, f: f, server: s}
--- a/forwarder/serve.go
+++ b/forwarder/serve.go
@@ -122,6 +122,7 @@
 func (f *Forwarder) run(w http.ResponseWriter, x *exchange) {
 	f.add(x)
 	defer f.remove(x)
+	defer f.releaseHeld(x)
 	f.meters.addRunning(1)
 	defer f.meters.addRunning(-1)
 	stop := context.AfterFunc(x.request.Context(), func() { f.step.Submit(scheduler.CallerLeft{Ref: x.ref}) })
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -17,6 +17,7 @@
 	"amaranthmill/groupformer"
 	"amaranthmill/internal/defaulter"
 	"amaranthmill/internal/identifier"
+	"amaranthmill/internal/limitreader"
 	"amaranthmill/quarantiner"
 	"amaranthmill/replicator"
 	"amaranthmill/storeclient"
@@ -25,7 +26,7 @@
 // defaultTimeout bounds one exchange with a peer.
 const defaultTimeout = 600 * time.Millisecond
 
-// bodyLimit bounds the body read from a peer, in bytes.
+// bodyLimit bounds the body read from a peer, in bytes. The largest is a complete replica.
 const bodyLimit = 16 << 20
 
 // Config configures a Messenger. All fields but Timeout and Logger are required.
@@ -113,7 +114,7 @@
 // readBody decodes the body of a peer's request into out. If it is malformed, readBody responds with
 // status 400 and returns false.
 func readBody(w http.ResponseWriter, r *http.Request, out any) bool {
-	err := json.NewDecoder(io.LimitReader(r.Body, bodyLimit)).Decode(out)
+	err := json.NewDecoder(limitreader.New(r.Body, "request of a peer", bodyLimit)).Decode(out)
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 	}
@@ -299,5 +300,5 @@
 	if out == nil {
 		return nil
 	}
-	return json.NewDecoder(io.LimitReader(resp.Body, bodyLimit)).Decode(out)
+	return json.NewDecoder(limitreader.New(resp.Body, "answer of a peer", bodyLimit)).Decode(out)
 }
--- a/messenger/messenger_test.go
+++ b/messenger/messenger_test.go
@@ -3,9 +3,12 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -94,3 +97,31 @@
 	peers.Remove("alpine-1")
 	is.Equal(len(peers.All()), 1)
 }
+
+// TestEndlessAnswersOfPeers checks that an answer of a peer without end is given up after a bound of
+// bytes or the exchange's timeout, and that the connection is closed.
+func TestEndlessAnswersOfPeers(t *testing.T) {
+	is := is.New(t)
+	running := &atomic.Int32{}
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		running.Add(1)
+		defer running.Add(-1)
+		for block := `{"entries":[{"key":"` + strings.Repeat("x", 32<<10); ; {
+			if _, err := io.WriteString(w, block); err != nil {
+				return
+			}
+		}
+	}))
+	defer s.Close()
+	var peers messenger.Peers
+	peer := messenger.Peer{Instance: "alpine-1", FailureDomain: "alpine", Address: netip.MustParseAddrPort(s.Listener.Addr().String())}
+	peers.Set(peer)
+	m := messenger.New(messenger.Config{Peers: &peers, HTTP: http.DefaultClient})
+	is.Equal(m.FetchUpdate(t.Context(), 4).Revision, uint64(0))
+	_, err := m.WatchPeer(t.Context(), peer, 4)
+	is.True(err != nil)
+	is.True(!m.RequestReports(t.Context(), "e1").Received)
+	for end := time.Now().Add(10 * time.Second); running.Load() > 0; time.Sleep(time.Millisecond) {
+		is.True(time.Now().Before(end)) // all connections are closed
+	}
+}
--- a/requester/answer.go
+++ b/requester/answer.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"amaranthmill/internal/limitreader"
 )
 
 // Answer is the answer to a request. The caller must read the body to its end or close the Answer.
@@ -39,6 +41,21 @@
 	return n, err
 }
 
+// Bounds on the rest of an answer that Discard reads.
+const (
+	discardLimit = 64 << 10 // bytes
+	discardTime  = 100 * time.Millisecond
+)
+
+// Discard reads the rest of a body that nobody needs, so that its connection can be reused. The
+// connection is closed instead if the rest is long or does not arrive at once.
+func (a *Answer) Discard() {
+	_ = a.conn.SetReadDeadline(time.Now().Add(discardTime)) // if that fails, so does the next read
+	if _, err := io.Copy(io.Discard, limitreader.New(a, "rest of an answer", discardLimit)); err != nil {
+		_ = a.Close()
+	}
+}
+
 // Close discards the rest of the answer and its connection. After the end of the body it does nothing.
 func (a *Answer) Close() error {
 	a.release()
@@ -50,7 +67,7 @@
 func (a *Answer) release() {
 	a.once.Do(func() {
 		notAborted := a.stopWatch()
-		if notAborted && a.complete && a.conn.reusable && a.conn.in.Buffered() == 0 {
+		if notAborted && a.complete && a.conn.reusable && a.conn.in.Buffered() == 0 && a.conn.SetReadDeadline(time.Time{}) == nil {
 			a.requester.putIdle(a.addr, a.conn)
 			return
 		}
--- a/requester/connection.go
+++ b/requester/connection.go
@@ -9,6 +9,8 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"amaranthmill/internal/limitreader"
 )
 
 // keepAliveMargin is the time by which an idle connection is closed before the endpoint's
@@ -22,6 +24,7 @@
 type connection struct {
 	net.Conn
 	in              *bufio.Reader
+	limit           *limitreader.Reader // between the connection and in
 	out             *bufio.Writer
 	written         atomic.Int64  // bytes written to the connection so far
 	reusable        bool          // the last answer permits another request on the connection
@@ -31,7 +34,8 @@
 
 func newConnection(conn net.Conn) *connection {
 	c := &connection{Conn: conn}
-	c.in = bufio.NewReaderSize(conn, readBufferSize)
+	c.limit = limitreader.NewUnlimited(conn)
+	c.in = bufio.NewReaderSize(c.limit, readBufferSize)
 	c.out = bufio.NewWriter(writeCounter{c})
 	return c
 }
--- a/requester/requester.go
+++ b/requester/requester.go
@@ -1,6 +1,7 @@
 package requester
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"net"
@@ -24,8 +25,11 @@
 // maxStaleAnswers is the maximum number of answers to earlier requests that are skipped for one request.
 const maxStaleAnswers = 3
 
-// staleBodyLimit is the maximum number of body bytes that are skipped of one answer to an earlier request.
-const staleBodyLimit = 1 << 20
+// Bounds on the bytes that are read from an endpoint without being passed on.
+const (
+	headLimit      = 32 << 10 // of the heads of an answer and of the interim and stale answers before it
+	staleBodyLimit = 1 << 20  // of the body of one answer to an earlier request
+)
 
 // Config configures a Requester. The zero value is usable.
 type Config struct {
@@ -118,13 +122,16 @@
 	}, nil
 }
 
-// read returns the answer to req and skips answers to earlier requests.
+// read returns the answer to req and skips answers to earlier requests. Its error may be
+// *limitreader.LimitError.
 func (r *Requester) read(conn *connection, req *Request) (*http.Response, error) {
 	request := &http.Request{Method: req.Method}
+	conn.limit.SetLimit("head of an answer", headLimit)
+	defer conn.limit.RemoveLimit()
 	for range maxStaleAnswers + 1 {
 		resp, err := http.ReadResponse(conn.in, request)
 		if err != nil {
-			return nil, err
+			return nil, cmp.Or(conn.limit.Err(), err)
 		}
 		if isInterim(resp.StatusCode) {
 			continue
@@ -142,9 +149,11 @@
 		if id == "" || !conn.reusable || isUndelimited(resp) {
 			return nil, &MismatchedAnswerError{Status: resp.StatusCode, ID: id}
 		}
-		if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, staleBodyLimit)); err != nil {
-			return nil, err
+		conn.limit.SetLimit("body of a stale answer", staleBodyLimit)
+		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+			return nil, cmp.Or(conn.limit.Err(), err)
 		}
+		conn.limit.SetLimit("head of an answer", headLimit)
 	}
 	return nil, errTooManyStaleAnswers
 }
--- a/runner/hosted.go
+++ b/runner/hosted.go
@@ -49,12 +49,16 @@
 	formingTTL           = 4 * time.Second         // after a holder has died, another instance acquires the lease within this time
 	formingCheckInterval = 10 * time.Second        // the replica reports when the key is deleted; the check covers the case that it does not
 	instanceTTL          = 6 * time.Second         // of the lease of the instance's own key
+	peerReadTimeout      = 5 * time.Second         // of one request of a peer, so that a request without end ends
 	peerTimeout          = 350 * time.Millisecond  // of one message exchange with another instance
 	pruneInterval        = 2 * time.Second         // between two searches for idle connections
 	stopMargin           = 400 * time.Millisecond  // between the instance's own stop limit and the platform's, at which the platform kills the process
 	hostedStopNotice     = 2300 * time.Millisecond // from the report that the instance is not ready until it accepts no more connections
 	memoryShare          = 0.75                    // fraction of the machine's memory that is the soft limit of the Go runtime, near which the garbage collector runs more often
 	retryShare           = 0.9                     // fraction of the operator's bounds on retries that is used
+	heldShare            = 0.125                   // fraction of the machine's memory that held answers may use
+
+	maxResponseHeaderBytes = 64 << 10 // of an answer of the store or of a peer
 )
 
 // hosted holds the components of one instance on a platform that has its own store.
@@ -98,6 +102,7 @@
 			FailureDomain: s.FailureDomain, RetryRatio: retryShare * s.Bounds.RetryRatio, RetrySlack: retryShare * s.Bounds.RetrySlack,
 			RetryWindow: s.Bounds.RetryWindow.Std(), FirstStart: s.FirstStart, Random: rand.NewPCG(rand.Uint64(), rand.Uint64()),
 		},
+		HeldBytes:       int64(heldShare * float64(s.Machine.MemoryMB) * (1 << 20)),
 		OnStalled:       h.reportStall,
 		OnLeaving:       h.reportLeaving,
 		OnLatencyReport: func(p scheduler.LatencyReport) { go h.groupFormer.submitLatency(p) },
@@ -147,6 +152,7 @@
 func newHTTPClient(ackTimeout time.Duration) *http.Client {
 	return &http.Client{Transport: &http.Transport{
 		DialContext: requester.NewDialer(ackTimeout).DialContext, MaxIdleConnsPerHost: 4, IdleConnTimeout: 30 * time.Second, DisableCompression: true,
+		MaxResponseHeaderBytes: maxResponseHeaderBytes,
 	}}
 }
 
@@ -214,7 +220,9 @@
 	g.Add(newHTTPActor(callers, st.stopped))
 	g.Add(newHTTPActor(newHTTPServer(s.Listen.Readiness.String(), h.readinessHandler(draining)), nil))
 	g.Add(newHTTPActor(newHTTPServer(s.Listen.Metrics.String(), h.metrics), nil))
-	g.Add(newHTTPActor(newHTTPServer(s.Listen.Peers.String(), h.messenger.Handler()), nil))
+	peers := newHTTPServer(s.Listen.Peers.String(), h.messenger.Handler())
+	peers.ReadTimeout = peerReadTimeout
+	g.Add(newHTTPActor(peers, nil))
 	reload := newReloader(path, s, logger, h.apply)
 	for _, actor := range []func(context.Context) error{h.replica.Run, h.view.run, h.groupFormer.run, h.quarantine.run, h.pruneConnections, reload.run} {
 		g.Add(newActor(actor))
--- a/storeclient/client.go
+++ b/storeclient/client.go
@@ -16,10 +16,15 @@
 
 	"github.com/cespare/xxhash/v2"
 	"golang.org/x/time/rate"
+
+	"amaranthmill/internal/limitreader"
 )
 
-// maxAnswerSize is the largest number of bytes read from one answer.
-const maxAnswerSize = 64 << 20
+// Largest numbers of bytes read from one answer.
+const (
+	maxReadAnswerSize  = 16 << 20 // a page of a list, or changes with several versions of a large value
+	maxWriteAnswerSize = 4 << 20  // the result, or the entry that is in conflict
+)
 
 // Client calls the platform's store. It is safe for concurrent use.
 type Client struct {
@@ -149,7 +154,11 @@
 		return answer{}, err
 	}
 	defer resp.Body.Close()
-	text, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerSize))
+	limit := int64(maxReadAnswerSize)
+	if call.Operation.isWrite() {
+		limit = maxWriteAnswerSize
+	}
+	text, err := io.ReadAll(limitreader.New(resp.Body, "answer of the store", limit))
 	if err != nil {
 		return answer{}, err
 	}
