standin: engines that leave or want no requests, in the soak

An engine says in all its answers that it leaves, with or without showing it in its entry, or turns requests away for a time that its answers name.

--- a/standin/hosted/answer.go
+++ b/standin/hosted/answer.go
@@ -13,6 +13,10 @@
 func (e *Engine) serve(w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get("X-Attempt-Id")
 	w.Header().Set("X-Attempt-Id", id)
+	e.sayLeaving(w)
+	if e.turnAway(w, id) {
+		return
+	}
 	if want := r.Header.Get("X-Target-Instance"); want != e.ID || e.Domain != "" && !e.IsHead() {
 		e.awaitEndOfSilence()
 		w.Header().Set("X-Not-Executed", "1")
--- a/standin/hosted/engine.go
+++ b/standin/hosted/engine.go
@@ -38,6 +38,7 @@
 	slowdown        int         // factor on the time between events; zero means 1
 	answerLoss      lossCounter // answers to plain requests that were run
 	silence         silence
+	statement       statement
 	unframed        bool                     // answers end with their connections
 	unframedAnswers map[*unframedAnswer]bool // those that have not ended
 	brokenEvent     int                      // ID of the event in which each stream breaks off; zero means none
@@ -84,6 +85,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /v1/report", func(w http.ResponseWriter, _ *http.Request) {
 		e.awaitEndOfSilence()
+		e.sayLeaving(w)
 		writeJSON(w, http.StatusOK, e.report())
 	})
 	mux.HandleFunc("POST /v1/order", e.serveOrder)
@@ -216,6 +218,7 @@
 		return
 	}
 	e.awaitEndOfSilence()
+	e.sayLeaving(w)
 	if id := r.Header.Get("X-Target-Instance"); id != "" && id != e.ID {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
--- a/standin/soak/apply.go
+++ b/standin/soak/apply.go
@@ -57,6 +57,11 @@
 	case SilenceEngine:
 		s.liveEngine(f.Engine).Silence(f.Point, f.For)
 		s.runInBackground(func() { s.sleep(f.For) })
+	case LeaveEngine:
+		s.leaveEngine(f)
+	case CloseEngine:
+		e := s.liveEngine(f.Engine)
+		s.applyFor(allEngines, f.For, func() { e.Close(f.For) }, func() {})
 	case StoreDown:
 		s.applyFor(allInstances, f.For, func() { s.platform.Store.SetDown(true) }, func() { s.platform.Store.SetDown(false) })
 	case StoreSlow:
--- a/standin/soak/caller.go
+++ b/standin/soak/caller.go
@@ -68,6 +68,7 @@
 	resp, err := c.client.Do(c.request(ctx, s))
 	if err == nil {
 		s.status, s.retryAfter = resp.StatusCode, resp.Header.Get("Retry-After")
+		s.engine, s.leaving = resp.Header.Get("X-Server-Seal"), resp.Header.Get("Server-Leaving") != ""
 		s.complete, s.defect = readAnswer(resp, s)
 		_ = resp.Body.Close()
 	}
--- a/standin/soak/fault.go
+++ b/standin/soak/fault.go
@@ -85,6 +85,19 @@
 		For    time.Duration
 	}
 
+	// LeaveEngine makes an engine or endpoint say in its answers that it leaves, and kills it later.
+	// Its entry in the store shows it only if Listed is set.
+	LeaveEngine struct {
+		Engine int
+		Listed bool
+	}
+
+	// CloseEngine makes an engine or endpoint turn requests away for a time, which its answers name.
+	CloseEngine struct {
+		Engine int
+		For    time.Duration
+	}
+
 	// StoreDown makes the store refuse all calls for a time.
 	StoreDown struct{ For time.Duration }
 
@@ -121,6 +134,8 @@
 func (SlowEngine) fault()     {}
 func (DeafEngine) fault()     {}
 func (SilenceEngine) fault()  {}
+func (LeaveEngine) fault()    {}
+func (CloseEngine) fault()    {}
 func (StoreDown) fault()      {}
 func (StoreSlow) fault()      {}
 func (StoreDeaf) fault()      {}
--- a/standin/soak/record.go
+++ b/standin/soak/record.go
@@ -20,6 +20,8 @@
 	defect          string // description of an invalid answer; empty if the answer is valid
 	silenced        bool   // its connection to the instance was silenced permanently, before or after it was sent
 	retryAfter      string // value of the Retry-After header
+	engine          string // ID of the engine that signed the answer; empty for none
+	leaving         bool   // the answer says that its engine leaves
 }
 
 // isServed reports whether the caller received a complete answer with status 200.
--- a/standin/soak/soak.go
+++ b/standin/soak/soak.go
@@ -24,6 +24,7 @@
 	Callers   int           // zero means 12
 	Crashing  bool          // copies of a request that crashes the engines that run it are sent
 	Silences  bool          // engines are silent for a while, also before the period of the other faults, and few retries are allowed
+	Leaving   bool          // engines say in their answers that they leave or that they want no requests for a time
 	Length    time.Duration // the period in which faults are injected; zero means 8 s
 
 	CrashingPart bool // requests are sent that differ in all but a part of their prompts, which crashes the engines that answer them; Crashing is then ignored
@@ -149,13 +150,16 @@
 	return out
 }
 
-// plan returns the faults of the run. Silences have a generator of their own, so that a seed
-// gives the same other faults without them.
+// plan returns the faults of the run. Silences and statements have generators of their own, so
+// that a seed gives the same other faults without them.
 func (s *soak) plan(r *rand.Rand) []Step {
 	steps := Plan(r, s.cfg.Length)
 	if s.cfg.Silences {
 		steps = AddSilences(steps, rand.New(rand.NewPCG(s.cfg.Seed, math.MaxUint64)), s.cfg.Length)
 	}
+	if s.cfg.Leaving {
+		steps = AddStatements(steps, rand.New(rand.NewPCG(s.cfg.Seed, math.MaxUint64-1)), s.cfg.Length)
+	}
 	return steps
 }
 
@@ -171,6 +175,7 @@
 	if s.cfg.Silences {
 		out.Violations = append(out.Violations, s.record.findCutAnswers(runs)...)
 	}
+	out.Violations = append(out.Violations, s.record.findUnwantedRequests(s.platform.Engines())...)
 	crashRuns := s.platform.CrashRuns()
 	out.Crashes = len(crashRuns)
 	if violation := s.record.checkCrashRuns(crashRuns, s.cfg.crashesBeforeBound()); violation != "" {
--- a/standin/soak/soak_test.go
+++ b/standin/soak/soak_test.go
@@ -129,6 +129,24 @@
 	}
 }
 
+// TestLeavingSeeds runs two fixed seeds with engines that say in their answers that they leave or
+// that they want no requests for a time.
+func TestLeavingSeeds(t *testing.T) {
+	for _, seed := range []uint64{30, 31} {
+		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
+			t.Parallel()
+			report, err := soak.Run(soak.Config{Binary: binary, Dir: t.TempDir(), Seed: seed, Leaving: true, Length: 5 * time.Second})
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Logf("%d requests, %d with a complete answer, %d refused", report.Sent, report.Answered, report.NotRun)
+			for _, b := range report.Violations {
+				t.Error(b)
+			}
+		})
+	}
+}
+
 // TestAddSilences checks that a seed always gives the same silences, beside the same other
 // faults as without them, and that some silences begin before all other faults.
 func TestAddSilences(t *testing.T) {
