endpointlister, targetlister, quarantiner, groupformer, scheduler: a changed entry costs what it changes

Cause: each entry that changed rebuilt the sorted list of all endpoints, all targets, the scheduler's maps and the group former's list, at every instance.

Change: the lister reports the endpoint that changed; a batch of changes is collected by endpoint and passed on once. The new package targetlister derives only the targets of the endpoints that changed and of the groups that they were and are in. The cores take changes instead of lists; a list as a whole is a change that says it is complete. A target that changes is replaced, not modified, because attempts read it while the scheduler runs.

--- a/endpointlister/example_test.go
+++ b/endpointlister/example_test.go
@@ -14,8 +14,11 @@
 	l := endpointlister.New(endpointlister.Config{})
 	show := func(actions []endpointlister.Action) {
 		for _, a := range actions {
-			if list, ok := a.(endpointlister.List); ok {
-				fmt.Println(len(list.Endpoints))
+			switch a := a.(type) {
+			case endpointlister.EndpointListed:
+				fmt.Println(a.Endpoint.ID, "is listed")
+			case endpointlister.EndpointDelisted:
+				fmt.Println(a.ID, "is gone")
 			}
 		}
 	}
@@ -25,6 +28,6 @@
 	l.Step(now.Add(3*time.Second), endpointlister.StoreRegained{})
 	show(l.Step(now.Add(20*time.Second), endpointlister.Ticked{}))
 	// Output:
-	// 1
-	// 0
+	// ledger-1 is listed
+	// ledger-1 is gone
 }
--- a/endpointlister/lister.go
+++ b/endpointlister/lister.go
@@ -43,11 +43,11 @@
 func (StoreRegained) event() {}
 func (Ticked) event()        {}
 
-// Action is an output of a Lister: List, EndpointDelisted or WakeAt.
+// Action is an output of a Lister: EndpointListed, EndpointDelisted or WakeAt.
 type Action interface{ action() }
 
-// List replaces the list of endpoints, which is sorted by ID. The receiver must not modify it.
-type List struct{ Endpoints []Endpoint }
+// EndpointListed adds an endpoint to the list or replaces it there.
+type EndpointListed struct{ Endpoint Endpoint }
 
 // EndpointDelisted reports that an endpoint was removed from the list.
 type EndpointDelisted struct {
@@ -58,11 +58,12 @@
 // WakeAt requests a Ticked event at a time.
 type WakeAt struct{ At time.Time }
 
-func (List) action()             {}
+func (EndpointListed) action()   {}
 func (EndpointDelisted) action() {}
 func (WakeAt) action()           {}
 
-// Lister is the deterministic core that maintains the list. It is not safe for concurrent use.
+// Lister is the deterministic core that maintains the list. An event costs what it changes, whatever
+// the length of the list. It is not safe for concurrent use.
 type Lister struct {
 	grace        time.Duration
 	endpoints    map[identifier.Endpoint]Endpoint
@@ -103,7 +104,7 @@
 	if ok && old.isEqual(e) {
 		return nil
 	}
-	return []Action{l.buildList()}
+	return []Action{EndpointListed{Endpoint: e}}
 }
 
 func (l *Lister) handleRemoved(now time.Time, id identifier.Endpoint) []Action {
@@ -128,10 +129,7 @@
 		delete(l.endpoints, id)
 		delete(l.missingSince, id)
 	}
-	if len(out) == 0 {
-		return nil
-	}
-	return append(out, l.buildList())
+	return out
 }
 
 // requestTick requests a tick at the end of the grace period if an endpoint's entry is
@@ -142,11 +140,3 @@
 	}
 	return []Action{WakeAt{At: l.regainedAt.Add(l.grace)}}
 }
-
-func (l *Lister) buildList() List {
-	out := make([]Endpoint, 0, len(l.endpoints))
-	for _, id := range slices.Sorted(maps.Keys(l.endpoints)) {
-		out = append(out, l.endpoints[id])
-	}
-	return List{Endpoints: out}
-}
--- a/endpointlister/session_test.go
+++ b/endpointlister/session_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -15,12 +17,13 @@
 // requests.
 type session struct {
 	core   *endpointlister.Lister
+	listed map[identifier.Endpoint]endpointlister.Endpoint
 	wakeAt time.Time
 }
 
 func TestSessions(t *testing.T) {
 	scripter.Run(t, "testdata/sessions", func(*testing.T) scripter.Session {
-		return &session{core: endpointlister.New(endpointlister.Config{})}
+		return &session{core: endpointlister.New(endpointlister.Config{}), listed: map[identifier.Endpoint]endpointlister.Endpoint{}}
 	})
 }
 
@@ -52,23 +55,34 @@
 
 func (s *session) step(now time.Time, e endpointlister.Event) []string {
 	var out []string
+	changed := false
 	for _, a := range s.core.Step(now, e) {
 		switch a := a.(type) {
-		case endpointlister.List:
-			var ids []string
-			for _, e := range a.Endpoints {
-				id := string(e.ID)
-				if e.Draining {
-					id += "(draining)"
-				}
-				ids = append(ids, id)
-			}
-			out = append(out, fmt.Sprintf("%s: list %s", now.Sub(scripter.Start), strings.Join(ids, " ")))
+		case endpointlister.EndpointListed:
+			s.listed[a.Endpoint.ID], changed = a.Endpoint, true
 		case endpointlister.EndpointDelisted:
+			changed = true
+			delete(s.listed, a.ID)
 			out = append(out, fmt.Sprintf("%s: leave %s", now.Sub(scripter.Start), a.ID))
 		case endpointlister.WakeAt:
 			s.wakeAt = a.At
 		}
 	}
+	if changed {
+		out = append(out, fmt.Sprintf("%s: list %s", now.Sub(scripter.Start), s.describeList()))
+	}
 	return out
 }
+
+// describeList describes the listed endpoints in the order of their IDs.
+func (s *session) describeList() string {
+	var ids []string
+	for _, id := range slices.Sorted(maps.Keys(s.listed)) {
+		text := string(id)
+		if s.listed[id].Draining {
+			text += "(draining)"
+		}
+		ids = append(ids, text)
+	}
+	return strings.Join(ids, " ")
+}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -70,8 +70,8 @@
 	return f
 }
 
-// SetTargets replaces the targets.
-func (f *Forwarder) SetTargets(t []scheduler.Target) { f.step.Submit(scheduler.TargetsSet{Targets: t}) }
+// ChangeTargets changes the set of targets.
+func (f *Forwarder) ChangeTargets(c scheduler.TargetsChanged) { f.step.Submit(c) }
 
 // SetInstanceCount sets the number of instances that share the retry budget, including this instance.
 func (f *Forwarder) SetInstanceCount(n int) { f.step.Submit(scheduler.InstanceCountSet{Count: n}) }
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -120,7 +120,7 @@
 func (x *fixture) addAddress(address string) {
 	id := identifier.Endpoint(fmt.Sprintf("e%d", len(x.targets)))
 	x.targets = append(x.targets, scheduler.Target{ID: id, Pool: "s", Address: netip.MustParseAddrPort(address), Slots: 8})
-	x.f.SetTargets(x.targets)
+	x.f.ChangeTargets(scheduler.TargetsChanged{Complete: true, Changed: x.targets})
 }
 
 // raw starts an endpoint that answers each request with the bytes that answer returns for its ID.
--- a/groupformer/event.go
+++ b/groupformer/event.go
@@ -8,13 +8,13 @@
 	"amaranthmill/resolver"
 )
 
-// Event is an input of a Former: EndpointsSet, ServicesSet, LeaseSet, StoreHealthSet,
+// Event is an input of a Former: EndpointsChanged, ServicesSet, LeaseSet, StoreHealthSet,
 // LatencyReported, FirstRequestReceived, HeadStalled, LeavingStated, Reported, Unreachable,
 // OrderEnded or Ticked.
 type Event interface{ event() }
 
-// EndpointsSet replaces the list of endpoints.
-type EndpointsSet struct{ Endpoints []endpointlister.Endpoint }
+// EndpointsChanged changes the list of endpoints.
+type EndpointsChanged endpointlister.Changes
 
 // ServicesSet replaces the services of the operator's configuration.
 type ServicesSet struct{ Services []resolver.Service }
@@ -100,7 +100,7 @@
 // Ticked reports that time has passed.
 type Ticked struct{}
 
-func (EndpointsSet) event()         {}
+func (EndpointsChanged) event()     {}
 func (ServicesSet) event()          {}
 func (LeaseSet) event()             {}
 func (StoreHealthSet) event()       {}
--- a/groupformer/example_test.go
+++ b/groupformer/example_test.go
@@ -20,7 +20,7 @@
 	for _, id := range []identifier.Endpoint{"e1", "e2"} {
 		engines = append(engines, endpointlister.Endpoint{ID: id, Service: "guides", FailureDomain: "alpine", FabricDomain: "rack-1"})
 	}
-	f.Step(now, groupformer.EndpointsSet{Endpoints: engines})
+	f.Step(now, groupformer.EndpointsChanged{Complete: true, Changed: engines})
 	f.Step(now, groupformer.LeaseSet{Until: now.Add(time.Minute), Fence: 1})
 	for _, a := range f.Step(now.Add(2*time.Second), groupformer.Ticked{}) {
 		if order, ok := a.(groupformer.Order); ok {
--- a/groupformer/fleet_test.go
+++ b/groupformer/fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"reflect"
 	"slices"
 	"strings"
 	"testing"
@@ -59,9 +60,10 @@
 	partitioned        map[identifier.FailureDomain]bool // failure domains that neither the Former nor the store can reach
 	dissolved          map[identifier.Group]bool         // groups that the Former has begun to dissolve
 	violations         []string
-	listChanged        bool                                       // the list must be published again
-	members            map[identifier.Group][]identifier.Endpoint // as ordered
-	wasReady           map[string]bool                            // by "GROUP/ENGINE"
+	published          map[identifier.Endpoint]endpointlister.Endpoint // the list that the Former has; nil before the first
+	listChanged        bool                                            // the list must be published again
+	members            map[identifier.Group][]identifier.Endpoint      // as ordered
+	wasReady           map[string]bool                                 // by "GROUP/ENGINE"
 }
 
 // scheduledCall is a call that is due at a time.
@@ -147,9 +149,11 @@
 	f.scheduled = append(f.scheduled, scheduledCall{f.now.Add(d), do})
 }
 
-// publishList sends the list of unexpired entries to the Former.
+// publishList sends the list of unexpired entries to the Former: the whole list at first, and its
+// changes later.
 func (f *fleet) publishList() {
-	var out []endpointlister.Endpoint
+	out := groupformer.EndpointsChanged{Complete: f.published == nil}
+	next := map[identifier.Endpoint]endpointlister.Endpoint{}
 	for _, id := range f.ids() {
 		e := f.engines[id]
 		if !e.listed {
@@ -158,9 +162,19 @@
 		if !f.partitioned[e.FailureDomain] && !e.unreachable {
 			e.lastListing = e.Endpoint
 		}
-		out = append(out, e.lastListing)
+		next[id] = e.lastListing
+		if old, ok := f.published[id]; !ok || !reflect.DeepEqual(old, e.lastListing) {
+			out.Changed = append(out.Changed, e.lastListing)
+		}
+	}
+	for id := range f.published {
+		if _, ok := next[id]; !ok {
+			out.Removed = append(out.Removed, id)
+		}
 	}
-	f.step(groupformer.EndpointsSet{Endpoints: out})
+	slices.Sort(out.Removed)
+	f.published = next
+	f.step(out)
 }
 
 func (f *fleet) ids() []identifier.Endpoint {
@@ -519,7 +533,7 @@
 // replaceFormer replaces the Former by that of another instance, which knows nothing but the
 // list.
 func (f *fleet) replaceFormer(fence uint64) {
-	f.core = groupformer.New(groupformer.Config{})
+	f.core, f.published = groupformer.New(groupformer.Config{}), nil
 	f.step(groupformer.ServicesSet{Services: []resolver.Service{{Name: "guides", Engine: f.profile}}})
 	f.publishList()
 	f.step(groupformer.LeaseSet{Until: f.now.Add(24 * time.Hour), Fence: fence})
--- a/groupformer/former.go
+++ b/groupformer/former.go
@@ -62,8 +62,8 @@
 		f.storeChangedAt = now // an outage before the first event was not reported to this instance, so it may have ended just now
 	}
 	switch e := e.(type) {
-	case EndpointsSet:
-		f.setEndpoints(now, e.Endpoints)
+	case EndpointsChanged:
+		f.changeEndpoints(now, e)
 	case ServicesSet:
 		f.setServices(now, e.Services)
 	case LeaseSet:
@@ -133,32 +133,47 @@
 	}
 }
 
-// setEndpoints replaces the list of endpoints. Endpoints without a fabric domain belong to
+// changeEndpoints changes the list of endpoints. Endpoints without a fabric domain belong to
 // plain services and are ignored. An engine that is no longer listed is queried to find out
 // whether it is alive.
-func (f *Former) setEndpoints(now time.Time, endpoints []endpointlister.Endpoint) {
-	listed := map[identifier.Endpoint]bool{}
-	for _, l := range endpoints {
-		if l.FabricDomain == "" {
-			continue
-		}
-		listed[l.ID] = true
-		e := f.engines[l.ID]
-		if e == nil {
-			f.sortedByID, f.assignedCurrent = nil, false
-			f.engines[l.ID] = &engine{Endpoint: l, lastListing: l, listed: true, idleSince: now}
-			f.newEngineAt = now
-			continue
+func (f *Former) changeEndpoints(now time.Time, c EndpointsChanged) {
+	if c.Complete {
+		c.Removed = f.missingIn(c.Changed)
+	}
+	for _, l := range c.Changed {
+		f.applyListing(now, l)
+	}
+	for _, id := range c.Removed {
+		if e := f.engines[id]; e != nil && e.listed {
+			e.listed, e.unlistedAt = false, now
+			e.suspected = true
 		}
+	}
+}
+
+// applyListing applies the entry of an endpoint on the list.
+func (f *Former) applyListing(now time.Time, l endpointlister.Endpoint) {
+	if l.FabricDomain == "" {
+		return
+	}
+	if e := f.engines[l.ID]; e != nil {
 		e.applyListing(now, l)
+		return
 	}
-	for id, e := range f.engines {
-		if listed[id] || !e.listed {
-			continue
+	f.sortedByID, f.assignedCurrent = nil, false
+	f.engines[l.ID] = &engine{Endpoint: l, lastListing: l, listed: true, idleSince: now}
+	f.newEngineAt = now
+}
+
+// missingIn returns the listed engines that a new list lacks.
+func (f *Former) missingIn(list []endpointlister.Endpoint) []identifier.Endpoint {
+	missing := maps.Clone(f.engines)
+	for _, l := range list {
+		if l.FabricDomain != "" {
+			delete(missing, l.ID)
 		}
-		e.listed, e.unlistedAt = false, now
-		e.suspected = true
 	}
+	return slices.Collect(maps.Keys(missing))
 }
 
 // sortedEngines returns the engines, sorted by ID. The caller must not modify the slice.
--- a/quarantiner/bench_test.go
+++ b/quarantiner/bench_test.go
@@ -58,7 +58,7 @@
 		endpoints = append(endpoints, endpointlister.Endpoint{ID: id, ProcessStart: 1, Address: netip.MustParseAddrPort("10.1.0.7:9000")})
 		processes = append(processes, identifier.Process{Endpoint: id, Start: 1})
 	}
-	q.Step(scripter.Start, quarantiner.EndpointsSet{Endpoints: slices.Clone(endpoints)})
+	q.Step(scripter.Start, quarantiner.EndpointsChanged{Complete: true, Changed: slices.Clone(endpoints)})
 	return q, processes
 }
 
--- a/quarantiner/event.go
+++ b/quarantiner/event.go
@@ -28,7 +28,7 @@
 }
 
 // Event is an input of a Quarantiner: AttemptStarted, AttemptEnded, ConnectionChecked,
-// EndpointsSet, StoreHealthSet, ReportReceived, LossStored, LossDeleted, AnnouncementFailed,
+// EndpointsChanged, StoreHealthSet, ReportReceived, LossStored, LossDeleted, AnnouncementFailed,
 // RequestRefused, QuarantineLifted or Ticked.
 type Event interface{ event() }
 
@@ -68,8 +68,8 @@
 	Accepted bool // the address accepted the connection
 }
 
-// EndpointsSet replaces the list of endpoints, which is sorted by ID and must not be modified.
-type EndpointsSet struct{ Endpoints []endpointlister.Endpoint }
+// EndpointsChanged changes the list of endpoints.
+type EndpointsChanged endpointlister.Changes
 
 // StoreHealthSet reports whether the store is unreachable.
 type StoreHealthSet struct{ Lost bool }
@@ -118,7 +118,7 @@
 func (AttemptStarted) event()     {}
 func (AttemptEnded) event()       {}
 func (ConnectionChecked) event()  {}
-func (EndpointsSet) event()       {}
+func (EndpointsChanged) event()   {}
 func (StoreHealthSet) event()     {}
 func (ReportReceived) event()     {}
 func (LossStored) event()         {}
--- a/quarantiner/example_test.go
+++ b/quarantiner/example_test.go
@@ -16,7 +16,7 @@
 	now := time.Date(2026, 1, 5, 20, 0, 0, 0, time.UTC)
 	q := quarantiner.New(quarantiner.Config{})
 	address := netip.MustParseAddrPort("10.1.0.7:9000")
-	q.Step(now, quarantiner.EndpointsSet{Endpoints: []endpointlister.Endpoint{
+	q.Step(now, quarantiner.EndpointsChanged{Complete: true, Changed: []endpointlister.Endpoint{
 		{ID: "ledger-1", ProcessStart: 1, Address: address}, {ID: "ledger-2", ProcessStart: 1, Address: address},
 	}})
 	for _, endpoint := range []identifier.Process{{Endpoint: "ledger-1", Start: 1}, {Endpoint: "ledger-2", Start: 1}} {
--- a/quarantiner/exposure.go
+++ b/quarantiner/exposure.go
@@ -1,7 +1,6 @@
 package quarantiner
 
 import (
-	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -72,10 +71,22 @@
 	}
 }
 
-// setEndpoints replaces the list. The processes that have disappeared from it have ended.
-func (q *Quarantiner) setEndpoints(now time.Time, endpoints []endpointlister.Endpoint) {
-	q.recordEnded(now, endpoints)
-	q.endpoints = endpoints
+// changeEndpoints changes the list. The processes that have disappeared from it have ended.
+func (q *Quarantiner) changeEndpoints(now time.Time, c EndpointsChanged) {
+	maps.DeleteFunc(q.ended, func(_ identifier.Process, at time.Time) bool { return now.Sub(at) >= q.cfg.ExposureTTL })
+	if c.Complete {
+		c.Removed = q.missingIn(c.Changed)
+	}
+	for _, id := range c.Removed {
+		q.recordEnded(now, id)
+		delete(q.endpoints, id)
+	}
+	for _, e := range c.Changed {
+		if e.ProcessStart != q.endpoints[e.ID].ProcessStart {
+			q.recordEnded(now, e.ID)
+		}
+		q.endpoints[e.ID] = e
+	}
 	for _, p := range slices.SortedFunc(maps.Keys(q.exposures), identifier.Process.Compare) {
 		switch endpoint, ok := q.find(p); {
 		case !ok:
@@ -90,18 +101,20 @@
 	}
 }
 
-// recordEnded records the processes that the next list no longer has, except those of draining
-// endpoints, and forgets those recorded more than ExposureTTL ago.
-func (q *Quarantiner) recordEnded(now time.Time, next []endpointlister.Endpoint) {
-	maps.DeleteFunc(q.ended, func(_ identifier.Process, at time.Time) bool { return now.Sub(at) >= q.cfg.ExposureTTL })
-	i := 0
-	for _, e := range q.endpoints {
-		for i < len(next) && next[i].ID < e.ID {
-			i++
-		}
-		if stays := i < len(next) && next[i].ID == e.ID && next[i].ProcessStart == e.ProcessStart; !stays && !e.Draining {
-			q.ended[identifier.Process{Endpoint: e.ID, Start: e.ProcessStart}] = now
-		}
+// missingIn returns the listed endpoints that a new list lacks.
+func (q *Quarantiner) missingIn(list []endpointlister.Endpoint) []identifier.Endpoint {
+	missing := maps.Clone(q.endpoints)
+	for _, e := range list {
+		delete(missing, e.ID)
+	}
+	return slices.Collect(maps.Keys(missing))
+}
+
+// recordEnded records that the listed process of an endpoint is no longer listed, unless the endpoint
+// was draining.
+func (q *Quarantiner) recordEnded(now time.Time, id identifier.Endpoint) {
+	if e, ok := q.endpoints[id]; ok && !e.Draining {
+		q.ended[identifier.Process{Endpoint: id, Start: e.ProcessStart}] = now
 	}
 }
 
@@ -138,14 +151,9 @@
 }
 
 // find returns the listed endpoint of a process.
-func (q *Quarantiner) find(p identifier.Process) (*endpointlister.Endpoint, bool) {
-	i, ok := slices.BinarySearchFunc(q.endpoints, p.Endpoint, func(e endpointlister.Endpoint, id identifier.Endpoint) int {
-		return cmp.Compare(e.ID, id)
-	})
-	if !ok || q.endpoints[i].ProcessStart != p.Start {
-		return nil, false
-	}
-	return &q.endpoints[i], true
+func (q *Quarantiner) find(p identifier.Process) (endpointlister.Endpoint, bool) {
+	e, ok := q.endpoints[p.Endpoint]
+	return e, ok && e.ProcessStart == p.Start
 }
 
 func (q *Quarantiner) isListed(p identifier.Process) bool {
--- a/quarantiner/fleet_test.go
+++ b/quarantiner/fleet_test.go
@@ -178,13 +178,13 @@
 	if !i.up || i.storeCut || f.storeDown {
 		return
 	}
-	f.stepQuarantiner(i, quarantiner.EndpointsSet{Endpoints: f.listed})
+	f.stepQuarantiner(i, quarantiner.EndpointsChanged{Complete: true, Changed: f.listed})
 	f.readLosses(i)
 	var targets []scheduler.Target
 	for _, e := range f.listed {
 		targets = append(targets, scheduler.Target{ID: e.ID, Pool: "ledger", ProcessStart: e.ProcessStart, Slots: e.Slots})
 	}
-	f.stepScheduler(i, scheduler.TargetsSet{Targets: targets})
+	f.stepScheduler(i, scheduler.TargetsChanged{Complete: true, Changed: targets})
 }
 
 // readLosses applies the losses in the store at an instance.
--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -49,7 +49,7 @@
 // safe for concurrent use; run it with a stepper.Stepper.
 type Quarantiner struct {
 	cfg            Config
-	endpoints      []endpointlister.Endpoint
+	endpoints      map[identifier.Endpoint]endpointlister.Endpoint // as listed
 	storeLost      bool
 	storeHealthyAt time.Time // since when the store has been healthy
 	running        map[identifier.Fingerprint]int
@@ -88,7 +88,7 @@
 	defaulter.Set(&cfg.StoreRetryDelay, defaultStoreRetryDelay)
 	defaulter.Set(&cfg.TickInterval, defaultTickInterval)
 	return &Quarantiner{
-		cfg: cfg, running: map[identifier.Fingerprint]int{}, exposures: map[identifier.Process][]exposure{}, ended: map[identifier.Process]time.Time{}, checks: map[identifier.Process]time.Time{},
+		cfg: cfg, endpoints: map[identifier.Endpoint]endpointlister.Endpoint{}, running: map[identifier.Fingerprint]int{}, exposures: map[identifier.Process][]exposure{}, ended: map[identifier.Process]time.Time{}, checks: map[identifier.Process]time.Time{},
 		checking: map[identifier.Fingerprint]int{}, suspects: map[identifier.Fingerprint]*suspect{}, restrictions: map[identifier.Fingerprint]Restrict{},
 		explained: map[identifier.Process]bool{}, answered: newAnsweredList(cfg.AnsweredTTL, maxAnsweredRequests), answeredParts: newAnsweredList(cfg.PartAnsweredTTL, maxAnsweredParts),
 	}
@@ -106,8 +106,8 @@
 		q.handleEnd(now, e)
 	case ConnectionChecked:
 		q.endCheck(now, e.Process, e.Accepted)
-	case EndpointsSet:
-		q.setEndpoints(now, e.Endpoints)
+	case EndpointsChanged:
+		q.changeEndpoints(now, e)
 	case StoreHealthSet:
 		if q.storeLost && !e.Lost {
 			q.storeHealthyAt = now
--- a/quarantiner/session_test.go
+++ b/quarantiner/session_test.go
@@ -54,7 +54,7 @@
 	switch ev.Name {
 	case "listed", "draining", "delisted":
 		s.setEndpoint(ev.Name, process)
-		return quarantiner.EndpointsSet{Endpoints: slices.Clone(s.endpoints)}, nil
+		return quarantiner.EndpointsChanged{Complete: true, Changed: slices.Clone(s.endpoints)}, nil
 	case "started":
 		return quarantiner.AttemptStarted{Fingerprint: fp, Parts: partsOf(ev.List("parts")), Process: process}, nil
 	case "ended":
--- a/runner/hosted_groupformer.go
+++ b/runner/hosted_groupformer.go
@@ -64,9 +64,10 @@
 	f.step.Submit(groupformer.ServicesSet{Services: s})
 }
 
-func (f *groupFormer) setEndpoints(e []endpointlister.Endpoint) {
-	f.addresses.set(e)
-	f.step.Submit(groupformer.EndpointsSet{Endpoints: e})
+// changeEndpoints submits changes of the list of endpoints.
+func (f *groupFormer) changeEndpoints(c endpointlister.Changes) {
+	f.addresses.set(c.Changed)
+	f.step.Submit(groupformer.EndpointsChanged(c))
 }
 
 // submitLatency submits how the requests of a model at this instance met their latency goal.
--- a/runner/hosted_quarantine.go
+++ b/runner/hosted_quarantine.go
@@ -84,9 +84,9 @@
 	return nil
 }
 
-// setEndpoints submits the list of endpoints.
-func (q *quarantine) setEndpoints(e []endpointlister.Endpoint) {
-	q.step.Submit(quarantiner.EndpointsSet{Endpoints: e})
+// changeEndpoints submits changes of the list of endpoints.
+func (q *quarantine) changeEndpoints(c endpointlister.Changes) {
+	q.step.Submit(quarantiner.EndpointsChanged(c))
 }
 
 // setStoreLost submits whether the store is unreachable.
--- a/runner/hosted_view.go
+++ b/runner/hosted_view.go
@@ -3,20 +3,17 @@
 import (
 	"context"
 	"net/netip"
-	"slices"
 	"strings"
 	"sync"
 	"time"
 
 	"amaranthmill/endpointlister"
-	"amaranthmill/forwarder"
 	"amaranthmill/internal/identifier"
 	"amaranthmill/messenger"
 	"amaranthmill/platform"
 	"amaranthmill/replicator"
-	"amaranthmill/resolver"
-	"amaranthmill/scheduler"
 	"amaranthmill/storeclient"
+	"amaranthmill/targetlister"
 )
 
 // view derives the state that the components use from changes of the store's replica: the
@@ -26,14 +23,16 @@
 
 	mu        sync.Mutex // guards the fields below
 	lister    *endpointlister.Lister
-	timer     *time.Timer // submits Ticked at the time that the lister requested
-	endpoints []endpointlister.Endpoint
+	timer     *time.Timer              // submits Ticked at the time that the lister requested
+	changes   endpointlister.Collector // changes of the list that are not published
+	endpoints map[identifier.Endpoint]endpointlister.Endpoint
+	targets   *targetlister.Lister
 	instances map[identifier.Instance]bool // including this one
 	holder    identifier.Instance          // of the group-forming lease; empty if it is not known
 }
 
 func newView(h *hosted) *view {
-	v := &view{hosted: h, lister: endpointlister.New(endpointlister.Config{}), instances: map[identifier.Instance]bool{}}
+	v := &view{hosted: h, lister: endpointlister.New(endpointlister.Config{}), endpoints: map[identifier.Endpoint]endpointlister.Endpoint{}, targets: targetlister.New(), instances: map[identifier.Instance]bool{}}
 	v.timer = time.AfterFunc(time.Hour, func() { v.stepAndPublish(endpointlister.Ticked{}) })
 	return v
 }
@@ -45,12 +44,11 @@
 	return nil
 }
 
-// applyChanges applies changes of the store, in their order. If the list of endpoints changed,
-// it is published once, after the last change.
+// applyChanges applies changes of the store, in their order. The changes of the list of endpoints
+// are published together after the last one.
 func (v *view) applyChanges(changes []storeclient.Change) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	listChanged := false
 	for _, c := range changes {
 		switch {
 		case platform.IsConfigurationKey(c.Key):
@@ -62,12 +60,10 @@
 		case strings.HasPrefix(c.Key, lossPrefix):
 			v.hosted.quarantine.applyChange(c)
 		default:
-			listChanged = v.updateEndpoint(c) || listChanged
+			v.updateEndpoint(c)
 		}
 	}
-	if listChanged {
-		v.publish()
-	}
+	v.publish()
 }
 
 // applyConfiguration puts the operator's configuration in force. If the entry was deleted or
@@ -88,7 +84,7 @@
 	v.hosted.logger.Info().Uint64("version", uint64(configuration.Version)).Uint64("revision", c.Revision).
 		Int("routes", len(configuration.Routes)).Int("accounts", len(configuration.Accounts)).Msg("configuration in force")
 	v.hosted.groupFormer.setServices(configuration.Services)
-	v.publish()
+	v.hosted.forwarder.ChangeTargets(v.targets.SetServices(configuration.Services))
 }
 
 // setFormingHolder records the instance that forms groups. If the key was deleted, this instance
@@ -115,9 +111,8 @@
 func (v *view) isLive(p identifier.Process) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return slices.ContainsFunc(v.endpoints, func(e endpointlister.Endpoint) bool {
-		return e.ID == p.Endpoint && e.ProcessStart == p.Start && !e.Draining
-	})
+	e, ok := v.endpoints[p.Endpoint]
+	return ok && e.ProcessStart == p.Start && !e.Draining
 }
 
 // updateInstance applies a change of the key of this or another instance. v.mu is held.
@@ -148,22 +143,24 @@
 	v.hosted.peers.Set(messenger.Peer{Instance: name, FailureDomain: identifier.FailureDomain(words[2]), Address: address})
 }
 
-// updateEndpoint applies a change of an endpoint's entry and reports whether the list of
-// endpoints changed. An entry that can't be decoded counts as removed. v.mu is held.
-func (v *view) updateEndpoint(c storeclient.Change) bool {
+// updateEndpoint applies a change of an endpoint's entry. An entry that can't be decoded counts as
+// removed. v.mu is held.
+func (v *view) updateEndpoint(c storeclient.Change) {
 	id, ok := platform.ParseEndpointKey(c.Key)
 	if !ok {
-		return false
+		return
 	}
 	if c.Deleted {
-		return v.stepLister(endpointlister.EntryRemoved{ID: id})
+		v.stepLister(endpointlister.EntryRemoved{ID: id})
+		return
 	}
 	e, err := platform.DecodeEndpoint(c.Key, c.Value)
 	if err != nil {
 		v.hosted.logger.Warn().Err(err).Uint64("revision", c.Revision).Msg("entry of an endpoint can't be decoded, the endpoint counts as removed")
-		return v.stepLister(endpointlister.EntryRemoved{ID: id})
+		v.stepLister(endpointlister.EntryRemoved{ID: id})
+		return
 	}
-	return v.stepLister(endpointlister.EntryWritten{Endpoint: e})
+	v.stepLister(endpointlister.EntryWritten{Endpoint: e})
 }
 
 // setStoreHealth passes on whether the store answers.
@@ -180,79 +177,36 @@
 func (v *view) stepAndPublish(e endpointlister.Event) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if v.stepLister(e) {
-		v.publish()
-	}
+	v.stepLister(e)
+	v.publish()
 }
 
-// stepLister steps the lister, executes its actions and reports whether the list of endpoints
-// changed. v.mu is held.
-func (v *view) stepLister(e endpointlister.Event) bool {
-	changed := false
+// stepLister steps the lister, executes its actions and collects the changes of the list. v.mu is
+// held.
+func (v *view) stepLister(e endpointlister.Event) {
 	for _, a := range v.lister.Step(time.Now(), e) {
+		v.changes.Add(a)
 		switch a := a.(type) {
-		case endpointlister.List:
-			v.endpoints, changed = a.Endpoints, true
+		case endpointlister.EndpointListed:
+			v.endpoints[a.Endpoint.ID] = a.Endpoint
 		case endpointlister.EndpointDelisted:
+			delete(v.endpoints, a.ID)
 			v.hosted.logger.Info().Str("endpoint", string(a.ID)).Dur("age", time.Since(a.RemovedAt)).Msg("endpoint gone")
 		case endpointlister.WakeAt:
 			v.timer.Reset(time.Until(a.At))
 		}
 	}
-	return changed
 }
 
-// publish passes the endpoints on to the forwarder and the group former. v.mu is held.
+// publish passes the collected changes of the list on to the components. v.mu is held.
 func (v *view) publish() {
-	v.hosted.quarantine.setEndpoints(v.endpoints) // before the forwarder places requests at new targets
-	v.hosted.forwarder.SetTargets(newTargets(v.endpoints, v.hosted.resolver))
-	v.hosted.groupFormer.setEndpoints(v.endpoints)
-}
-
-// newTargets returns the targets of requests: the endpoints of plain services and the heads of
-// open replica groups, except draining ones. A draining member other than the head still
-// belongs to its group, because the member serves as long as the head has work.
-func newTargets(endpoints []endpointlister.Endpoint, services *resolver.Resolver) []scheduler.Target {
-	type groupEpoch struct {
-		group identifier.Group
-		epoch identifier.Epoch
-	}
-	members := map[groupEpoch][]endpointlister.Endpoint{}
-	for _, e := range endpoints {
-		if m := e.Membership; m.Group != "" {
-			members[groupEpoch{m.Group, m.Epoch}] = append(members[groupEpoch{m.Group, m.Epoch}], e)
-		}
-	}
-	var out []scheduler.Target
-	for _, e := range endpoints {
-		service := services.Service(e.Service)
-		if service == nil || e.Draining {
-			continue
-		}
-		t := scheduler.Target{
-			ID: e.ID, Pool: forwarder.PoolOf(e.Service, ""), Address: e.Address, FailureDomain: e.FailureDomain, ProcessStart: e.ProcessStart, Slots: e.Slots,
-		}
-		if service.Engine == nil || len(service.Engine.Models) == 0 {
-			out = append(out, t)
-			continue
-		}
-		if e.Membership.State != endpointlister.MemberOpen || len(e.Models) == 0 {
-			continue
-		}
-		t.Pool, t.Group, t.Epoch = forwarder.PoolOf(e.Service, e.Models[0]), e.Membership.Group, e.Membership.Epoch
-		model, _ := service.Engine.Model(e.Models[0]) // an unknown model has size zero, so that no member counts as missing
-		addMembers(&t, members[groupEpoch{t.Group, t.Epoch}], model.GroupSize)
-		out = append(out, t)
+	changes, ok := v.changes.Take()
+	if !ok {
+		return
 	}
-	return out
-}
-
-// addMembers adds the members of a group of the given full size to t and sets the fields that
-// depend on them.
-func addMembers(t *scheduler.Target, members []endpointlister.Endpoint, size int) {
-	for _, m := range members {
-		t.Members = append(t.Members, m.ID)
-		t.SpansFabricDomains = t.SpansFabricDomains || m.FabricDomain != members[0].FabricDomain
+	v.hosted.quarantine.changeEndpoints(changes) // before the forwarder places requests at new targets
+	if targets := v.targets.Apply(changes); len(targets.Changed)+len(targets.Removed) > 0 {
+		v.hosted.forwarder.ChangeTargets(targets)
 	}
-	t.MemberMissing = len(t.Members) < size
+	v.hosted.groupFormer.changeEndpoints(changes)
 }
--- a/scheduler/attempt.go
+++ b/scheduler/attempt.go
@@ -40,7 +40,7 @@
 	if t.statement != nil && t.statement.isReopening {
 		t.statement.trial = a
 	}
-	s.emit(Send{Ref: f.ref, Attempt: a.number, Target: &t.Target, Load: load, Hedges: hedges})
+	s.emit(Send{Ref: f.ref, Attempt: a.number, Target: t.Target, Load: load, Hedges: hedges})
 }
 
 // drop removes a from the running attempts of its request and of its target.
--- a/scheduler/bench_test.go
+++ b/scheduler/bench_test.go
@@ -23,7 +23,7 @@
 					FailureDomain: identifier.FailureDomain(fmt.Sprintf("d%d", i%3)),
 				})
 			}
-			s.Step(now, scheduler.TargetsSet{Targets: targets})
+			s.Step(now, scheduler.TargetsChanged{Complete: true, Changed: targets})
 			arrive := func(ref scheduler.Ref) {
 				s.Step(now, scheduler.Arrived{Ref: ref, Request: scheduler.Request{
 					Service: "guides", Pool: "guides", Repeatable: true, Stream: true, ArrivedAt: now, LatencyGoal: 400 * time.Millisecond,
--- a/scheduler/example_test.go
+++ b/scheduler/example_test.go
@@ -12,7 +12,7 @@
 func ExampleScheduler() {
 	now := time.Date(2026, 1, 5, 20, 0, 0, 0, time.UTC)
 	s := scheduler.New(scheduler.Config{FailureDomain: "alpine"})
-	s.Step(now, scheduler.TargetsSet{Targets: []scheduler.Target{
+	s.Step(now, scheduler.TargetsChanged{Complete: true, Changed: []scheduler.Target{
 		{ID: "ledger-1", Pool: "ledger", FailureDomain: "alpine", Slots: 4},
 		{ID: "ledger-2", Pool: "ledger", FailureDomain: "marfa", Slots: 4},
 	}})
--- a/scheduler/flight.go
+++ b/scheduler/flight.go
@@ -172,7 +172,7 @@
 		return
 	}
 	t.stalledAt = time.Time{}
-	s.emit(Recovered{Target: &t.Target})
+	s.emit(Recovered{Target: t.Target})
 }
 
 func (s *Scheduler) handleEnd(now time.Time, e Ended) {
@@ -253,7 +253,7 @@
 	t.consecutiveFailures++
 	if t.stalledAt.IsZero() {
 		t.stalledAt = now
-		s.emit(Stalled{Target: &t.Target, Silence: 0})
+		s.emit(Stalled{Target: t.Target, Silence: 0})
 	}
 }
 
--- a/scheduler/process_test.go
+++ b/scheduler/process_test.go
@@ -63,7 +63,7 @@
 			list = append(list, t)
 		}
 	}
-	m.step(scheduler.TargetsSet{Targets: list})
+	m.step(scheduler.TargetsChanged{Complete: true, Changed: list})
 }
 
 // endpointCount is small, so that pools are often closed whole.
--- a/scheduler/request.go
+++ b/scheduler/request.go
@@ -26,12 +26,16 @@
 	Priority     int           // 0 is the highest priority
 }
 
-// Event is an input of a Scheduler: TargetsSet, InstanceCountSet, RetryBudgetSet, RestrictionSet,
+// Event is an input of a Scheduler: TargetsChanged, InstanceCountSet, RetryBudgetSet, RestrictionSet,
 // ProcessStated, Arrived, Progressed, Ended, CallerLeft or Ticked.
 type Event interface{ event() }
 
-// TargetsSet replaces the set of targets.
-type TargetsSet struct{ Targets []Target }
+// TargetsChanged changes the set of targets. No target is in both Changed and Removed.
+type TargetsChanged struct {
+	Changed  []Target              // added or replaced
+	Removed  []identifier.Endpoint // targets no longer
+	Complete bool                  // Changed holds all targets, so that all others are removed
+}
 
 // InstanceCountSet sets the number of instances that share the retry budget, including this instance.
 type InstanceCountSet struct{ Count int }
@@ -84,7 +88,7 @@
 // Ticked follows a WakeAt action at its time.
 type Ticked struct{}
 
-func (TargetsSet) event()       {}
+func (TargetsChanged) event()   {}
 func (InstanceCountSet) event() {}
 func (RetryBudgetSet) event()   {}
 func (RestrictionSet) event()   {}
--- a/scheduler/restart_test.go
+++ b/scheduler/restart_test.go
@@ -20,7 +20,7 @@
 	for process := range 4 {
 		core := scheduler.New(scheduler.Config{RetryRatio: ratio, RetrySlack: slack, RetryWindow: window, FirstStart: process == 0})
 		now := scripter.Start.Add(time.Duration(process) * window / 4)
-		core.Step(now, scheduler.TargetsSet{Targets: []scheduler.Target{{ID: "a", Pool: "ledger", Slots: 1000}, {ID: "b", Pool: "ledger", Slots: 1000}}})
+		core.Step(now, scheduler.TargetsChanged{Complete: true, Changed: []scheduler.Target{{ID: "a", Pool: "ledger", Slots: 1000}, {ID: "b", Pool: "ledger", Slots: 1000}}})
 		for ref := range scheduler.Ref(requestsPerProcess) {
 			retries += countRetries(core, now, ref)
 		}
@@ -36,7 +36,7 @@
 func TestSlackReturnsAfterWindow(t *testing.T) {
 	is := is.New(t)
 	core := scheduler.New(scheduler.Config{RetryRatio: 0.01, RetrySlack: 5, RetryWindow: 10 * time.Second})
-	set := scheduler.TargetsSet{Targets: []scheduler.Target{{ID: "a", Pool: "ledger", Slots: 1000}, {ID: "b", Pool: "ledger", Slots: 1000}}}
+	set := scheduler.TargetsChanged{Complete: true, Changed: []scheduler.Target{{ID: "a", Pool: "ledger", Slots: 1000}, {ID: "b", Pool: "ledger", Slots: 1000}}}
 	core.Step(scripter.Start, set)
 	is.Equal(countRetries(core, scripter.Start.Add(9*time.Second), 1), 0)
 	is.Equal(countRetries(core, scripter.Start.Add(10*time.Second), 2), 1)
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -94,8 +95,8 @@
 	s.actions = s.actions[:0]
 	s.budget.advance(now)
 	switch e := e.(type) {
-	case TargetsSet:
-		s.setTargets(now, e.Targets)
+	case TargetsChanged:
+		s.changeTargets(now, e)
 		s.placeQueued(now)
 	case InstanceCountSet:
 		s.budget.setInstances(e.Count)
@@ -138,27 +139,64 @@
 	s.emit(WakeAt{At: s.wakeAt})
 }
 
-// setTargets replaces the set of targets and keeps the measurements of targets that remain.
-func (s *Scheduler) setTargets(now time.Time, targets []Target) {
-	old := s.targets
-	s.targets = make(map[identifier.Endpoint]*target, len(targets))
-	s.pools = make(map[identifier.Pool]*pool, len(s.pools))
-	for i := range targets {
-		t := old[targets[i].ID]
-		if t == nil || !t.isSameIncarnation(&targets[i]) {
-			t = &target{attempts: map[Ref]*attempt{}, addedAt: now}
-		}
-		t.Target = targets[i]
-		t.statement = s.statements[t.Process()]
-		s.targets[t.ID] = t
-		if s.pools[t.Pool] == nil {
-			s.pools[t.Pool] = &pool{name: t.Pool}
-		}
-		s.pools[t.Pool].targets = append(s.pools[t.Pool].targets, t)
+// changeTargets changes the set of targets. The measurements of a target that changes stay unless
+// it is another incarnation.
+func (s *Scheduler) changeTargets(now time.Time, e TargetsChanged) {
+	if e.Complete {
+		e.Removed = s.missingIn(e.Changed)
+	}
+	for _, id := range e.Removed {
+		s.removeTarget(id)
+	}
+	for _, t := range e.Changed {
+		s.setTarget(now, t)
 	}
 	s.forgetStatements(now)
 }
 
+// missingIn returns the targets that a new set lacks.
+func (s *Scheduler) missingIn(targets []Target) []identifier.Endpoint {
+	missing := maps.Clone(s.targets)
+	for _, t := range targets {
+		delete(missing, t.ID)
+	}
+	return slices.Sorted(maps.Keys(missing))
+}
+
+// setTarget adds or replaces a target.
+func (s *Scheduler) setTarget(now time.Time, t Target) {
+	old := s.targets[t.ID]
+	if old != nil && old.Pool == t.Pool && old.isSameIncarnation(&t) {
+		old.Target = &t
+		return
+	}
+	s.removeTarget(t.ID)
+	added := &target{Target: &t, attempts: map[Ref]*attempt{}, addedAt: now, statement: s.statements[t.Process()]}
+	if old != nil && old.isSameIncarnation(&t) {
+		added = old // its measurements hold in the other pool
+		added.Target = &t
+	}
+	s.targets[t.ID] = added
+	if s.pools[t.Pool] == nil {
+		s.pools[t.Pool] = &pool{name: t.Pool}
+	}
+	s.pools[t.Pool].add(added)
+}
+
+// removeTarget removes a target, if there is one, and its pool if that is empty then.
+func (s *Scheduler) removeTarget(id identifier.Endpoint) {
+	t := s.targets[id]
+	if t == nil {
+		return
+	}
+	delete(s.targets, id)
+	pl := s.pools[t.Pool]
+	pl.remove(t)
+	if len(pl.targets) == 0 {
+		delete(s.pools, t.Pool)
+	}
+}
+
 // chooseTarget returns the best target for f and its load, or the reason why no target is available.
 func (s *Scheduler) chooseTarget(now time.Time, f *flight) (*target, float64, Reason) {
 	pl := s.pools[f.Pool]
--- a/scheduler/session_test.go
+++ b/scheduler/session_test.go
@@ -53,10 +53,10 @@
 	switch ev.Name {
 	case "target":
 		s.setTarget(ev)
-		return scheduler.TargetsSet{Targets: slices.Clone(s.targets)}, nil
+		return scheduler.TargetsChanged{Complete: true, Changed: slices.Clone(s.targets)}, nil
 	case "removed":
 		s.targets = slices.DeleteFunc(s.targets, func(t scheduler.Target) bool { return string(t.ID) == ev.Str("endpoint") })
-		return scheduler.TargetsSet{Targets: slices.Clone(s.targets)}, nil
+		return scheduler.TargetsChanged{Complete: true, Changed: slices.Clone(s.targets)}, nil
 	case "arrived":
 		return scheduler.Arrived{Ref: ref, Request: request(now, ev)}, nil
 	case "event":
--- a/scheduler/stall.go
+++ b/scheduler/stall.go
@@ -41,7 +41,7 @@
 	t.streamsStalled = streaming
 	if t.stalledAt.IsZero() {
 		t.stalledAt, t.lastTrialAt = now, now
-		s.emit(Stalled{Target: &t.Target, Silence: silence})
+		s.emit(Stalled{Target: t.Target, Silence: silence})
 	}
 	return true
 }
--- a/scheduler/target.go
+++ b/scheduler/target.go
@@ -49,7 +49,9 @@
 
 // target is a Target with the measurements of this instance.
 type target struct {
-	Target
+	*Target // never modified, because actions refer to it
+
+	position             int              // in the targets of its pool
 	attempts             map[Ref]*attempt // running attempts at the target
 	addedAt              time.Time        // when this instance first saw this incarnation
 	lastProgressAt       time.Time        // time of the last progress of any request at the target
@@ -125,6 +127,20 @@
 	refusalsUntil time.Time // end of the closure in which they were refused
 }
 
+// add adds a target.
+func (p *pool) add(t *target) {
+	t.position = len(p.targets)
+	p.targets = append(p.targets, t)
+}
+
+// remove removes a target. The last one takes its place.
+func (p *pool) remove(t *target) {
+	last := p.targets[len(p.targets)-1]
+	p.targets[t.position] = last
+	last.position = t.position
+	p.targets = p.targets[:len(p.targets)-1]
+}
+
 // meanOtherRequests returns the mean number of requests of other instances per target of p, from recent load reports.
 func (p *pool) meanOtherRequests(now time.Time) float64 {
 	sum, n := 0, 0
--- a/scheduler/tick_test.go
+++ b/scheduler/tick_test.go
@@ -16,7 +16,7 @@
 func TestEventPostponesDueTick(t *testing.T) {
 	is := is.New(t)
 	core := scheduler.New(scheduler.Config{})
-	core.Step(scripter.Start, scheduler.TargetsSet{Targets: []scheduler.Target{{ID: "a", Pool: "guides", Slots: 4}}})
+	core.Step(scripter.Start, scheduler.TargetsChanged{Complete: true, Changed: []scheduler.Target{{ID: "a", Pool: "guides", Slots: 4}}})
 	request := scheduler.Request{Pool: "guides", Stream: true, ArrivedAt: scripter.Start, Deadline: scripter.Start.Add(8 * time.Second)}
 	due := findWakeAt(core.Step(scripter.Start, scheduler.Arrived{Ref: 1, Request: request}))
 	is.True(!due.IsZero())
--- a/scheduler/world_test.go
+++ b/scheduler/world_test.go
@@ -160,7 +160,7 @@
 			targets = append(targets, scheduler.Target{ID: e.id, Pool: "guides", Slots: e.slots})
 		}
 	}
-	w.step(scheduler.TargetsSet{Targets: targets})
+	w.step(scheduler.TargetsChanged{Complete: true, Changed: targets})
 }
 
 func (w *world) schedule(at time.Time, do func()) {
