scheduler: a queue for each pool, and a target that becomes free costs the same for any queue

Callers saw, at the worst load: instances that spent their processor on the queue, just when each answer was late.

Load pattern: all targets of a pool are full and requests wait. Cause: each end and each tick tried every waiting request at every target, and the position of each was found by a walk from the head. BenchmarkQueue (new; one arrival, one end, one tick) at 200 targets: 1.5 ms with 10 waiting, 3.5 with 100, 21.8 with 1,000; at 20 targets 0.098, 0.44, 10.2 ms. The tick also computed the pool's means again for each target.

Change: one queue a pool, ordered by priority, deadline and arrival. An end wakes the queue of its pool only; the targets are looked at once, and then only those that may take a request. Each tick checks the waiting requests once, with what the pool's requests can expect computed once and their positions counted along; a request that a quarantine refuses is still refused at once.

--- a/scheduler/bench_test.go
+++ b/scheduler/bench_test.go
@@ -45,3 +45,78 @@
 		})
 	}
 }
+
+// BenchmarkQueue measures one arrival, one end and one tick while all targets are full and requests
+// wait, so that the end places a waiting request.
+func BenchmarkQueue(b *testing.B) {
+	for _, targets := range []int{20, 200} {
+		for _, waiting := range []int{10, 100, 1000} {
+			b.Run(fmt.Sprintf("targets=%d/waiting=%d", targets, waiting), func(b *testing.B) {
+				q := newBenchQueue(targets, waiting)
+				b.ReportAllocs()
+				for b.Loop() {
+					q.turnOver()
+				}
+				if q.refused > 0 {
+					b.Fatalf("%d requests were refused", q.refused)
+				}
+			})
+		}
+	}
+}
+
+// benchSlots is the number of slots of a target in benchmarks of the queue.
+const benchSlots = 10
+
+// benchQueue drives a Scheduler with full targets. Requests arrive at the rate at which others end.
+type benchQueue struct {
+	core    *scheduler.Scheduler
+	now     time.Time
+	lastRef scheduler.Ref
+	running []scheduler.Send // in the order in which they began
+	refused int
+}
+
+func newBenchQueue(targets, waiting int) *benchQueue {
+	q := &benchQueue{core: scheduler.New(scheduler.Config{RetrySlack: 10, MaxTargetWait: time.Hour}), now: scripter.Start}
+	var list []scheduler.Target
+	for i := range targets {
+		list = append(list, scheduler.Target{ID: identifier.Endpoint(fmt.Sprintf("e%03d", i)), Pool: "guides", Slots: benchSlots})
+	}
+	q.step(scheduler.TargetsChanged{Complete: true, Changed: list})
+	for range targets*(benchSlots+1) + waiting {
+		q.arrive()
+	}
+	return q
+}
+
+func (q *benchQueue) step(e scheduler.Event) {
+	for _, a := range q.core.Step(q.now, e) {
+		switch a := a.(type) {
+		case scheduler.Send:
+			q.running = append(q.running, a)
+		case scheduler.Finish:
+			if _, ok := a.Outcome.(scheduler.NotRun); ok {
+				q.refused++
+			}
+		}
+	}
+}
+
+func (q *benchQueue) arrive() {
+	q.lastRef++
+	q.step(scheduler.Arrived{Ref: q.lastRef, Request: scheduler.Request{
+		Service: "guides", Pool: "guides", Repeatable: true, Stream: true, ArrivedAt: q.now, LatencyGoal: 400 * time.Hour,
+		Deadline: q.now.Add(300 * time.Hour), MaxAttempts: 2, Priority: int(q.lastRef % 3),
+	}})
+}
+
+// turnOver lets one request arrive and the oldest attempt end, and delivers a tick.
+func (q *benchQueue) turnOver() {
+	q.now = q.now.Add(10 * time.Millisecond)
+	oldest := q.running[0]
+	q.running = q.running[1:]
+	q.arrive()
+	q.step(scheduler.Ended{Ref: oldest.Ref, Attempt: oldest.Attempt, Ending: scheduler.Completed{}})
+	q.step(scheduler.Ticked{})
+}
--- a/scheduler/flight.go
+++ b/scheduler/flight.go
@@ -94,43 +94,18 @@
 	s.start(now, f, t, load, "")
 }
 
-// wait lets f wait for a target until f.giveUpAt. It gives f up at that time, or if waiting
-// for full targets is futile.
+// wait lets f wait for a target until f.giveUpAt, unless waiting is futile.
 func (s *Scheduler) wait(now time.Time, f *flight, reason Reason) {
-	if f.giveUpAt.IsZero() {
-		timeLeft := f.Deadline.Sub(now)
-		f.giveUpAt = now.Add(min(s.cfg.MaxTargetWait, timeLeft/maxWaitDivisor))
-		if s.isFutile(now, f, reason) {
-			s.giveUp(now, f, reason)
-			return
-		}
-		s.enqueue(f)
-		s.emit(Wait{Ref: f.ref, Reason: reason, Until: f.giveUpAt})
-		return
+	if !f.giveUpAt.IsZero() {
+		return // it waits already, and the next tick checks it
 	}
-	if !now.Before(f.giveUpAt) || s.isFutile(now, f, reason) {
-		s.dequeue(f)
+	f.giveUpAt = now.Add(min(s.cfg.MaxTargetWait, f.Deadline.Sub(now)/maxWaitDivisor))
+	if o := s.outlookOf(now, f.Pool); o.reason == reason && o.isFutile(now, f, s.position(f)) {
 		s.giveUp(now, f, reason)
+		return
 	}
-}
-
-// isFutile reports whether waiting for the reason is not expected to place f in time.
-func (s *Scheduler) isFutile(now time.Time, f *flight, reason Reason) bool {
-	switch reason {
-	case ReasonFull:
-		return s.shouldRefuse(now, f)
-	case ReasonClosed:
-		reopensAt, isClosed := s.pools[f.Pool].reopensAt(now)
-		return isClosed && s.waitsInVain(f, reopensAt)
-	}
-	return false
-}
-
-// placeQueued tries to place the waiting requests in the order of the queue.
-func (s *Scheduler) placeQueued(now time.Time) {
-	for _, f := range slices.Clone(s.queue) {
-		s.place(now, f)
-	}
+	s.enqueue(f)
+	s.emit(Wait{Ref: f.ref, Reason: reason, Until: f.giveUpAt})
 }
 
 func (s *Scheduler) handleProgress(now time.Time, e Progressed) {
@@ -184,6 +159,7 @@
 	s.drop(a)
 	s.ratesOf(f.Pool).endings.count(now)
 	t.recordLoad(now, e.Load)
+	defer s.placeWaiting(now, f.Pool)
 	switch end := e.Ending.(type) {
 	case Completed:
 		t.consecutiveFailures = 0
--- a/scheduler/hedge.go
+++ b/scheduler/hedge.go
@@ -11,10 +11,7 @@
 
 // hedgeOrphans hedges the requests at removed targets that make no progress.
 func (s *Scheduler) hedgeOrphans(now time.Time) {
-	for _, f := range sortedFlights(s.flights) {
-		if len(f.running) == 0 {
-			continue
-		}
+	for _, f := range s.runningFlights() {
 		a := f.running[len(f.running)-1]
 		if s.targets[a.target.ID] != a.target && now.Sub(a.lastProgressAt) >= s.cfg.MinFirstEventStall {
 			s.hedge(now, a, ReasonReplaced)
--- a/scheduler/process.go
+++ b/scheduler/process.go
@@ -124,23 +124,14 @@
 	return slots
 }
 
-// waitsInVain reports whether f, whose pool reopens at a time, is not expected to be placed before
-// f.giveUpAt: either the pool reopens too late or the requests ahead of f take the slots.
-func (s *Scheduler) waitsInVain(f *flight, reopensAt time.Time) bool {
-	if reopensAt.Add(reopenDelay).After(f.giveUpAt) {
-		return true
-	}
-	return s.position(f) > s.pools[f.Pool].slotsReopeningBy(f.giveUpAt)
-}
-
 // closedRetryAfter returns the time after which the refused caller of a request of p should retry if all
 // targets of p are closed. The callers that are refused meanwhile return one after the other, as
 // many in each returnSpacing as the earliest targets have slots.
-func (p *pool) closedRetryAfter(now, reopensAt time.Time) time.Duration {
-	if !p.refusalsUntil.Equal(reopensAt) {
-		p.refusals, p.refusalsUntil = 0, reopensAt
+func (p *pool) closedRetryAfter(now time.Time, o outlook) time.Duration {
+	if !p.refusalsUntil.Equal(o.reopensAt) {
+		p.refusals, p.refusalsUntil = 0, o.reopensAt
 	}
-	round := p.refusals / max(p.slotsReopeningBy(reopensAt), 1)
+	round := p.refusals / max(o.reopeningSlots, 1)
 	p.refusals++
-	return max(reopensAt.Sub(now), 0) + reopenDelay + time.Duration(round)*returnSpacing
+	return max(o.reopensAt.Sub(now), 0) + reopenDelay + time.Duration(round)*returnSpacing
 }
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -53,7 +53,7 @@
 	targets map[identifier.Endpoint]*target
 	pools   map[identifier.Pool]*pool
 	flights map[Ref]*flight
-	queue   []*flight // requests that wait for a target; the next request to place comes first
+	queues  map[identifier.Pool]*queue // of the pools with requests that wait for a target
 	rates   map[identifier.Pool]*poolRates
 	budget  retryBudget
 	latency latencyCounter
@@ -62,7 +62,8 @@
 	restrictions map[identifier.Fingerprint]restriction
 	copies       map[identifier.Fingerprint]int // number of flights with a fingerprint
 
-	random  *rand.Rand // nil for no jitter
+	random  *rand.Rand  // nil for no jitter
+	free    []candidate // buffer of freeTargets
 	wakeAt  time.Time
 	actions []Action
 }
@@ -82,7 +83,7 @@
 	defaulter.Set(&cfg.TickInterval, defaultTickInterval)
 	s := &Scheduler{
 		cfg: cfg, targets: map[identifier.Endpoint]*target{}, pools: map[identifier.Pool]*pool{}, statements: map[identifier.Process]*statement{},
-		flights: map[Ref]*flight{}, rates: map[identifier.Pool]*poolRates{}, restrictions: map[identifier.Fingerprint]restriction{}, copies: map[identifier.Fingerprint]int{}, budget: newRetryBudget(cfg),
+		flights: map[Ref]*flight{}, queues: map[identifier.Pool]*queue{}, rates: map[identifier.Pool]*poolRates{}, restrictions: map[identifier.Fingerprint]restriction{}, copies: map[identifier.Fingerprint]int{}, budget: newRetryBudget(cfg),
 	}
 	if cfg.Random != nil {
 		s.random = rand.New(cfg.Random)
@@ -97,7 +98,7 @@
 	switch e := e.(type) {
 	case TargetsChanged:
 		s.changeTargets(now, e)
-		s.placeQueued(now)
+		s.placeAllWaiting(now)
 	case InstanceCountSet:
 		s.budget.setInstances(e.Count)
 	case RetryBudgetSet:
@@ -105,7 +106,10 @@
 		s.budget.setInstances(s.budget.instances)
 	case RestrictionSet:
 		s.setRestriction(e)
-		s.placeQueued(now)
+		s.placeAllWaiting(now)
+		if e.Restriction == Quarantined || e.Restriction == OnTrial {
+			s.checkWaiting(now) // what it refuses is refused at once
+		}
 	case ProcessStated:
 		s.handleStatement(now, e)
 	case Arrived:
@@ -114,13 +118,13 @@
 		s.handleProgress(now, e)
 	case Ended:
 		s.handleEnd(now, e)
-		s.placeQueued(now)
 	case CallerLeft:
 		s.handleCallerLeft(e.Ref)
 	case Ticked:
 		s.wakeAt = time.Time{}
 		s.checkStalls(now)
-		s.placeQueued(now)
+		s.placeAllWaiting(now)
+		s.checkWaiting(now)
 		s.reportLatency(now)
 	}
 	s.scheduleTick(now)
@@ -197,40 +201,79 @@
 	}
 }
 
+// candidate is a target that may take another request.
+type candidate struct {
+	target *target
+	load   float64 // as a fraction of its slots
+	score  float64 // the load and what else speaks against the target; the lowest is the best
+}
+
+// freeTargets returns the targets of a pool that may take a request which no target runs. The slice
+// is valid until the next call.
+func (s *Scheduler) freeTargets(now time.Time, pl *pool) []candidate {
+	m := pl.means(now)
+	s.free = s.free[:0]
+	for _, t := range pl.targets {
+		if c, ok := s.candidate(now, t, m); ok {
+			s.free = append(s.free, c)
+		}
+	}
+	return s.free
+}
+
+// candidate returns t as a candidate for a request which no target runs, or false if t may take none.
+func (s *Scheduler) candidate(now time.Time, t *target, m means) (candidate, bool) {
+	if !s.mayTake(now, t) {
+		return candidate{}, false
+	}
+	load := t.load(now, m.otherRequests)
+	return candidate{target: t, load: load, score: load + s.penalty(now, t, m.gap)}, load < s.cfg.MaxLoad
+}
+
+// chooseCandidate returns the best of the candidates for f, or false if f has tried all of them. A copy of
+// a request shares the target of the first copy while that has enough free slots.
+func (s *Scheduler) chooseCandidate(now time.Time, f *flight, candidates []candidate) (candidate, bool) {
+	var best candidate
+	found := false
+	shared := s.targetOfCopy(f)
+	for _, c := range candidates {
+		if f.hasTried(now, c.target) || len(f.running) > 0 && !c.target.stalledAt.IsZero() {
+			continue // a hedge is no trial request, because the first attempt may be at a silent target already
+		}
+		if c.target == shared && c.load < maxCopyLoad {
+			return c, true
+		}
+		if !found || c.score < best.score || c.score == best.score && s.winsTie(f, c.target, best.target) {
+			best, found = c, true
+		}
+	}
+	return best, found
+}
+
 // chooseTarget returns the best target for f and its load, or the reason why no target is available.
 func (s *Scheduler) chooseTarget(now time.Time, f *flight) (*target, float64, Reason) {
 	pl := s.pools[f.Pool]
 	if pl == nil {
 		return nil, 0, ReasonNoTarget
 	}
-	meanOtherRequests, poolMeanGap := pl.meanOtherRequests(now), pl.meanGap(now)
-	if t := s.targetOfCopy(f); t != nil && !f.hasTried(now, t) && s.isEligible(now, f, t) {
-		if load := t.load(now, meanOtherRequests); load < maxCopyLoad {
-			return t, load, ""
-		}
+	if c, ok := s.chooseCandidate(now, f, s.freeTargets(now, pl)); ok {
+		return c.target, c.load, ""
 	}
-	var best *target
-	bestScore, bestLoad, reason := 0.0, 0.0, ReasonNoTarget
+	return nil, 0, s.waitReason(now, f, pl)
+}
+
+// waitReason returns the reason why no target of a pool is available for f.
+func (s *Scheduler) waitReason(now time.Time, f *flight, pl *pool) Reason {
+	m := pl.means(now)
 	for _, t := range pl.targets {
-		if f.hasTried(now, t) || !s.isEligible(now, f, t) {
-			continue
-		}
-		load := t.load(now, meanOtherRequests)
-		if load >= s.cfg.MaxLoad {
-			reason = ReasonFull
-			continue
-		}
-		score := load + s.penalty(now, t, poolMeanGap)
-		if best == nil || score < bestScore || score == bestScore && s.winsTie(f, t, best) {
-			best, bestScore, bestLoad = t, score, load
+		if !f.hasTried(now, t) && s.mayTake(now, t) && t.load(now, m.otherRequests) >= s.cfg.MaxLoad {
+			return ReasonFull
 		}
 	}
-	if best == nil && reason == ReasonNoTarget {
-		if _, isClosed := pl.reopensAt(now); isClosed {
-			reason = ReasonClosed
-		}
+	if _, isClosed := pl.reopensAt(now); isClosed {
+		return ReasonClosed
 	}
-	return best, bestLoad, reason
+	return ReasonNoTarget
 }
 
 // winsTie reports whether t is preferred to best if both have the same score. The order of
@@ -271,34 +314,14 @@
 	return score + 0.25*float64(min(t.consecutiveFailures, 8))
 }
 
-// isEligible reports whether f may be placed at t: its process has neither said that it leaves nor
-// asked for no requests, and either t is not stalled, or a trial request is due. A hedge is no trial request, because the first attempt of f may be at a silent target already.
-func (s *Scheduler) isEligible(now time.Time, f *flight, t *target) bool {
+// mayTake reports whether t may take a request which no target runs: its process has neither said
+// that it leaves nor asked for no requests, and either t is not stalled, or a trial request is due.
+func (s *Scheduler) mayTake(now time.Time, t *target) bool {
 	if !t.statement.admits(now) {
 		return false
 	}
 	if t.stalledAt.IsZero() {
 		return true
 	}
-	if len(f.running) > 0 || len(t.attempts) > 0 {
-		return false
-	}
-	return now.Sub(t.lastTrialAt) >= s.cfg.TrialInterval && now.Sub(t.stalledAt) >= s.cfg.TrialInterval
-}
-
-// enqueue adds f to the queue, which is ordered by priority and, within a priority, by deadline.
-func (s *Scheduler) enqueue(f *flight) {
-	index, _ := slices.BinarySearchFunc(s.queue, f, func(a, b *flight) int {
-		if b.precedes(a) {
-			return 1
-		}
-		return -1
-	})
-	s.queue = slices.Insert(s.queue, index, f)
-}
-
-func (s *Scheduler) dequeue(f *flight) {
-	if i := slices.Index(s.queue, f); i >= 0 {
-		s.queue = slices.Delete(s.queue, i, i+1)
-	}
+	return len(t.attempts) == 0 && now.Sub(t.lastTrialAt) >= s.cfg.TrialInterval && now.Sub(t.stalledAt) >= s.cfg.TrialInterval
 }
--- a/scheduler/stall.go
+++ b/scheduler/stall.go
@@ -5,6 +5,8 @@
 	"maps"
 	"slices"
 	"time"
+
+	"amaranthmill/internal/identifier"
 )
 
 // Requests may wait inside a full target, so that a missing first event does not show a stall
@@ -18,8 +20,14 @@
 // targets first, so that no hedge goes to a target that stalls at the same time.
 func (s *Scheduler) checkStalls(now time.Time) {
 	var stalled []*target
-	for _, id := range slices.Sorted(maps.Keys(s.targets)) {
-		if t := s.targets[id]; s.checkTarget(now, t) {
+	bounds := map[identifier.Pool]stallBounds{}
+	for _, t := range s.busyTargets() {
+		b, ok := bounds[t.Pool]
+		if !ok {
+			b = s.stallBoundsOf(now, t.Pool)
+			bounds[t.Pool] = b
+		}
+		if s.checkTarget(now, t, b) {
 			stalled = append(stalled, t)
 		}
 	}
@@ -29,12 +37,37 @@
 	s.hedgeOrphans(now)
 }
 
-// checkTarget reports whether t is stalled now.
-func (s *Scheduler) checkTarget(now time.Time, t *target) bool {
-	if len(t.attempts) == 0 {
-		return false
+// busyTargets returns the targets with attempts, sorted by ID.
+func (s *Scheduler) busyTargets() []*target {
+	var out []*target
+	for _, t := range s.targets {
+		if len(t.attempts) > 0 {
+			out = append(out, t)
+		}
+	}
+	slices.SortFunc(out, func(a, b *target) int { return cmp.Compare(a.ID, b.ID) })
+	return out
+}
+
+// stallBounds are the times without progress after which a target of a pool is stalled.
+type stallBounds struct {
+	stream        time.Duration // if it has running streams
+	firstEvent    time.Duration // if it has none
+	otherRequests float64       // mean requests of other instances per target
+}
+
+func (s *Scheduler) stallBoundsOf(now time.Time, pool identifier.Pool) stallBounds {
+	pl := s.pools[pool]
+	return stallBounds{
+		stream:        max(s.cfg.MinStreamStall, time.Duration(s.cfg.StreamStallFactor)*pl.meanGap(now)),
+		firstEvent:    max(s.cfg.MinFirstEventStall, time.Duration(s.cfg.FirstEventStallFactor*float64(pl.meanFirstEvent(now)))),
+		otherRequests: pl.meanOtherRequests(now),
 	}
-	silence, streaming, isStalled := s.measureStall(now, t)
+}
+
+// checkTarget reports whether t is stalled now.
+func (s *Scheduler) checkTarget(now time.Time, t *target, bounds stallBounds) bool {
+	silence, streaming, isStalled := measureStall(now, t, bounds)
 	if !isStalled {
 		return false
 	}
@@ -50,7 +83,7 @@
 // whether t has running streams, and whether that time exceeds the bound for a stall. If t
 // has running streams, the bound follows the gaps between events; otherwise it follows the
 // time to the first event.
-func (s *Scheduler) measureStall(now time.Time, t *target) (silence time.Duration, streaming, isStalled bool) {
+func measureStall(now time.Time, t *target, bounds stallBounds) (silence time.Duration, streaming, isStalled bool) {
 	oldest := now
 	for _, a := range t.attempts {
 		if a.hasEvent && a.flight.Stream {
@@ -66,16 +99,27 @@
 	}
 	silence = now.Sub(progressedAt)
 	if streaming {
-		bound := max(s.cfg.MinStreamStall, time.Duration(s.cfg.StreamStallFactor)*s.pools[t.Pool].meanGap(now))
-		return silence, true, silence >= bound
+		return silence, true, silence >= bounds.stream
 	}
-	bound := max(s.cfg.MinFirstEventStall, time.Duration(s.cfg.FirstEventStallFactor*float64(s.pools[t.Pool].meanFirstEvent(now))))
-	if t.load(now, s.pools[t.Pool].meanOtherRequests(now)) >= fullLoad {
+	bound := bounds.firstEvent
+	if t.load(now, bounds.otherRequests) >= fullLoad {
 		bound *= fullStallFactor
 	}
 	return silence, false, silence >= bound
 }
 
+// runningFlights returns the requests that run at a target, ordered like sortedFlights.
+func (s *Scheduler) runningFlights() []*flight {
+	var out []*flight
+	for _, f := range s.flights {
+		if len(f.running) > 0 {
+			out = append(out, f)
+		}
+	}
+	slices.SortFunc(out, compareFlights)
+	return out
+}
+
 // sortedFlights returns flights ordered by priority and, within a priority, by arrival.
 func sortedFlights(flights map[Ref]*flight) []*flight {
 	out := slices.Collect(maps.Values(flights))
--- a/scheduler/target.go
+++ b/scheduler/target.go
@@ -141,6 +141,16 @@
 	p.targets = p.targets[:len(p.targets)-1]
 }
 
+// means are the means over the targets of a pool that the choice of a target depends on.
+type means struct {
+	otherRequests float64       // requests of other instances per target
+	gap           time.Duration // between two events of a stream; zero if it is not known
+}
+
+func (p *pool) means(now time.Time) means {
+	return means{otherRequests: p.meanOtherRequests(now), gap: p.meanGap(now)}
+}
+
 // meanOtherRequests returns the mean number of requests of other instances per target of p, from recent load reports.
 func (p *pool) meanOtherRequests(now time.Time) float64 {
 	sum, n := 0, 0
--- a/scheduler/wait.go
+++ b/scheduler/wait.go
@@ -77,62 +77,72 @@
 	return r.arrivals.valueAt(now) > overloadMargin*r.endings.valueAt(now)
 }
 
-// missesGoal reports whether f would get its first event after its latency goal if it is placed after wait.
-func (s *Scheduler) missesGoal(now time.Time, f *flight, wait time.Duration) bool {
-	pl := s.pools[f.Pool]
-	if pl == nil || f.LatencyGoal <= 0 {
-		return false
-	}
-	return now.Add(wait + pl.meanFirstEvent(now)).After(f.ArrivedAt.Add(f.LatencyGoal))
+// outlook is what the requests of a pool that wait can expect.
+type outlook struct {
+	reason         Reason        // why they wait
+	endingRate     float64       // attempts that end per second; zero if it is not known
+	isOverloaded   bool          // requests arrive faster than attempts end
+	meanFirstEvent time.Duration // from the start of an attempt to its first event; zero if it is not known
+	reopensAt      time.Time     // earliest end of the closures of its targets, if all are closed
+	reopeningSlots int           // slots of the targets whose closures end then
 }
 
-// shouldRefuse reports whether f should be refused now instead of waiting for full targets:
-// either f is not expected to be placed before f.giveUpAt, or the pool is overloaded and f
-// would miss its latency goal and delay other requests past theirs.
-func (s *Scheduler) shouldRefuse(now time.Time, f *flight) bool {
-	wait := s.expectedWait(now, f)
-	return now.Add(wait).After(f.giveUpAt) || s.ratesOf(f.Pool).isOverloaded(now) && s.missesGoal(now, f, wait)
+// outlookOf returns the outlook of the requests of a pool that wait.
+func (s *Scheduler) outlookOf(now time.Time, name identifier.Pool) outlook {
+	r := s.ratesOf(name)
+	o := outlook{reason: ReasonNoTarget, endingRate: r.endingRate(now), isOverloaded: r.isOverloaded(now)}
+	pl := s.pools[name]
+	if pl == nil {
+		return o
+	}
+	o.meanFirstEvent = pl.meanFirstEvent(now)
+	if at, isClosed := pl.reopensAt(now); isClosed {
+		o.reason, o.reopensAt, o.reopeningSlots = ReasonClosed, at, pl.slotsReopeningBy(at)
+		return o
+	}
+	m := pl.means(now)
+	for _, t := range pl.targets {
+		if s.mayTake(now, t) && t.load(now, m.otherRequests) >= s.cfg.MaxLoad {
+			o.reason = ReasonFull
+			break
+		}
+	}
+	return o
 }
 
-// expectedWait returns the expected time until f is placed if every target of its pool is
-// full, given the requests ahead of f in the queue. It returns zero if the rate of endings is
-// unknown.
-func (s *Scheduler) expectedWait(now time.Time, f *flight) time.Duration {
-	perSecond := s.ratesOf(f.Pool).endingRate(now)
-	if perSecond <= 0 {
-		return 0
+// isFutile reports whether f should be refused now instead of waiting at a position of the queue,
+// from 1: f is not expected to be placed before f.giveUpAt, or the pool is overloaded and f would
+// miss its latency goal and delay other requests past theirs.
+func (o outlook) isFutile(now time.Time, f *flight, position int) bool {
+	switch o.reason {
+	case ReasonClosed:
+		return o.reopensAt.Add(reopenDelay).After(f.giveUpAt) || position > o.reopeningSlots
+	case ReasonFull:
+		wait := o.expectedWait(position)
+		return now.Add(wait).After(f.giveUpAt) || o.isOverloaded && o.missesGoal(now, f, wait)
 	}
-	return time.Duration(float64(s.position(f)) / perSecond * float64(time.Second))
+	return false
 }
 
-// position returns the position of f among the waiting requests of its pool, from 1.
-func (s *Scheduler) position(f *flight) int {
-	position := 1
-	for _, o := range s.queue {
-		if o == f || f.precedes(o) {
-			break
-		}
-		if o.Pool == f.Pool {
-			position++
-		}
+// expectedWait returns the expected time until the request at a position of the queue is placed if
+// every target of the pool is full. It returns zero if the rate of endings is unknown.
+func (o outlook) expectedWait(position int) time.Duration {
+	if o.endingRate <= 0 {
+		return 0
 	}
-	return position
+	return time.Duration(float64(position) / o.endingRate * float64(time.Second))
 }
 
-// precedes reports whether f is placed before o: by priority, and within a priority by deadline.
-func (f *flight) precedes(o *flight) bool {
-	if f.Priority != o.Priority {
-		return f.Priority < o.Priority
-	}
-	return f.Deadline.Before(o.Deadline)
+// missesGoal reports whether f would get its first event after its latency goal if it is placed after wait.
+func (o outlook) missesGoal(now time.Time, f *flight, wait time.Duration) bool {
+	return f.LatencyGoal > 0 && now.Add(wait+o.meanFirstEvent).After(f.ArrivedAt.Add(f.LatencyGoal))
 }
 
 // retryAfter returns the time after which the refused caller of f should retry.
 func (s *Scheduler) retryAfter(now time.Time, f *flight) time.Duration {
-	if pl := s.pools[f.Pool]; pl != nil {
-		if reopensAt, isClosed := pl.reopensAt(now); isClosed {
-			return pl.closedRetryAfter(now, reopensAt).Round(10 * time.Millisecond)
-		}
+	o := s.outlookOf(now, f.Pool)
+	if o.reason == ReasonClosed {
+		return s.pools[f.Pool].closedRetryAfter(now, o).Round(10 * time.Millisecond)
 	}
-	return min(max(s.expectedWait(now, f), minRetryAfter), maxRetryAfter).Round(10 * time.Millisecond)
+	return min(max(o.expectedWait(s.position(f)), minRetryAfter), maxRetryAfter).Round(10 * time.Millisecond)
 }
