messenger: an endpoint that does not answer is queried by at most five peers

The work is the product of instances and engines, and it makes the instance later still.

Change: five peers query an engine, three of them in its failure domain, a new random choice each time. What is concluded is unchanged: only answers of peers count, and an engine in a domain of which no peer answered is not taken for dead. In fleets of up to six instances all peers are asked as before.

--- a/messenger/doc.go
+++ b/messenger/doc.go
@@ -6,7 +6,8 @@
 //   - A leaving notice says that a process of an endpoint has said in an answer that it leaves. It goes
 //     the same way, unless the list shows by then that the endpoint drains, so that the number of
 //     notices for a process is at most the number of instances.
-//   - A report request asks all peers for the report of an endpoint that this instance can't reach.
+//   - A report request asks a few peers, some of them in the endpoint's failure domain, for the report
+//     of an endpoint that this instance can't reach.
 //   - An update request fetches changes of the store from a peer's replica while this instance
 //     can't reach the store.
 //   - A watch waits for changes of a peer's replica. Instances that follow another instance
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -7,7 +7,9 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -234,7 +236,7 @@
 		notify(ctx, p)
 		return
 	}
-	m.forEachPeer(ctx, notify)
+	m.forEach(ctx, m.cfg.Peers.All(), notify)
 }
 
 // PeerReports is what peers found when they queried an endpoint for its report.
@@ -244,11 +246,39 @@
 	UnreachableFrom []identifier.FailureDomain // failure domains of the peers that queried the endpoint and got no report
 }
 
-// RequestReports makes all peers query an endpoint that this instance can't reach for its report.
-func (m *Messenger) RequestReports(ctx context.Context, id identifier.Endpoint) PeerReports {
+// Peers that query an endpoint for this instance. The number does not grow with the fleet: if each
+// peer queried each endpoint that does not answer, the loss of many endpoints would cost the product
+// of instances and endpoints.
+const (
+	maxReporters       = 5 // in all
+	maxDomainReporters = 3 // of these, in the failure domain of the endpoint, so that it is reached although the domain is cut off
+)
+
+// selectReporters returns the peers that query an endpoint of a failure domain, a random choice each
+// time, so that a peer which can't be reached itself is soon replaced by another one.
+func selectReporters(peers []Peer, domain identifier.FailureDomain) []Peer {
+	if len(peers) <= maxReporters {
+		return peers
+	}
+	shuffled := slices.Clone(peers)
+	rand.Shuffle(len(shuffled), func(i, j int) { shuffled[i], shuffled[j] = shuffled[j], shuffled[i] })
+	var out, others []Peer
+	for _, p := range shuffled {
+		if p.FailureDomain == domain && len(out) < maxDomainReporters {
+			out = append(out, p)
+		} else {
+			others = append(others, p)
+		}
+	}
+	return append(out, others[:maxReporters-len(out)]...)
+}
+
+// RequestReports makes some peers query an endpoint of a failure domain, which this instance can't
+// reach, for its report.
+func (m *Messenger) RequestReports(ctx context.Context, id identifier.Endpoint, domain identifier.FailureDomain) PeerReports {
 	var result PeerReports
 	var mu sync.Mutex
-	m.forEachPeer(ctx, func(ctx context.Context, p Peer) {
+	m.forEach(ctx, selectReporters(m.cfg.Peers.All(), domain), func(ctx context.Context, p Peer) {
 		var w reportWire
 		err := m.exchange(ctx, p, http.MethodPost, pathReport, askWire{Endpoint: id}, &w)
 		mu.Lock()
@@ -264,12 +294,12 @@
 	return result
 }
 
-// forEachPeer calls f concurrently for every peer and waits for all calls.
-func (m *Messenger) forEachPeer(ctx context.Context, f func(context.Context, Peer)) {
+// forEach calls f concurrently for each of the peers and waits for all calls.
+func (m *Messenger) forEach(ctx context.Context, peers []Peer, f func(context.Context, Peer)) {
 	ctx, cancel := context.WithTimeout(ctx, m.cfg.Timeout)
 	defer cancel()
 	var wg sync.WaitGroup
-	for _, p := range m.cfg.Peers.All() {
+	for _, p := range peers {
 		wg.Go(func() { f(ctx, p) })
 	}
 	wg.Wait()
--- a/messenger/messenger_test.go
+++ b/messenger/messenger_test.go
@@ -77,11 +77,11 @@
 	is.True(errors.As(err, &status))
 	is.Equal(status.Status, http.StatusServiceUnavailable)
 
-	reached := m.RequestReports(ctx, "e1")
+	reached := m.RequestReports(ctx, "e1", "alpine")
 	is.True(reached.Received)
 	is.Equal(reached.Report.AcceptedOrders, uint64(3))
 	is.Equal(reached.Report.Endpoint.Membership.State, endpointlister.MemberOpen)
-	unreached := m.RequestReports(ctx, "e2")
+	unreached := m.RequestReports(ctx, "e2", "alpine")
 	is.True(!unreached.Received)
 	is.Equal(len(unreached.UnreachableFrom), 2)
 
@@ -120,7 +120,7 @@
 	is.Equal(m.FetchUpdate(t.Context(), 4).Revision, uint64(0))
 	_, err := m.WatchPeer(t.Context(), peer, 4)
 	is.True(err != nil)
-	is.True(!m.RequestReports(t.Context(), "e1").Received)
+	is.True(!m.RequestReports(t.Context(), "e1", "alpine").Received)
 	for end := time.Now().Add(10 * time.Second); running.Load() > 0; time.Sleep(time.Millisecond) {
 		is.True(time.Now().Before(end)) // all connections are closed
 	}
