runner: at most 32 orders and 32 queries of engines at once

Cause, from the same logs: 760 joins were sent at once by an instance of half a core, which did not get to read the answers within 450 ms, counted them as unanswered (169 refused, 55 accepted of 224 in 17 s) and queried the engines.

Change: orders and queries wait for their turn, and their timeouts begin then.

--- a/runner/hosted_groupformer.go
+++ b/runner/hosted_groupformer.go
@@ -30,6 +30,13 @@
 	orderTimeout        = 450 * time.Millisecond
 )
 
+// Exchanges with engines at once. With hundreds at once, an instance of half a core does not get to
+// read the answers within the timeouts, and takes engines that answer for silent ones.
+const (
+	maxOrders  = 32
+	maxQueries = 32
+)
+
 // groupFormer drives a groupformer.Former: it sends the orders of the core to engines and
 // queries the engines for their reports.
 type groupFormer struct {
@@ -39,12 +46,16 @@
 	ctx       context.Context
 	addresses addresses
 	meters    *groupFormerMeters
+	tick      *time.Timer   // submits the ticks that the core requests
+	orders    chan struct{} // has an element for each order that is being sent
+	queries   chan struct{} // has an element for each engine that is being queried
 }
 
 func newGroupFormer(h *hosted) *groupFormer {
-	f := &groupFormer{hosted: h, engines: platform.Engines{Requester: h.requester, Logger: h.logger}, ctx: context.Background(), meters: newGroupFormerMeters(h.meter)}
+	f := &groupFormer{hosted: h, engines: platform.Engines{Requester: h.requester, Logger: h.logger}, ctx: context.Background(), meters: newGroupFormerMeters(h.meter), orders: make(chan struct{}, maxOrders), queries: make(chan struct{}, maxQueries)}
 	core := groupformer.New(groupformer.Config{FirstStart: h.settings.FirstStart, DrainTime: h.settings.Bounds.DrainTime.Std()})
 	f.step = stepper.New(stepper.Config[groupformer.Event, groupformer.Action]{Core: core, Handle: f.handle})
+	f.tick = time.AfterFunc(time.Hour, func() { f.step.Submit(groupformer.Ticked{}) })
 	return f
 }
 
@@ -110,10 +121,16 @@
 		f.logDecision(a)
 	case groupformer.GroupCounts:
 		f.recordCounts(a)
+	case groupformer.WakeAt:
+		f.tick.Reset(time.Until(a.At))
 	}
 }
 
+// sendOrder sends an order and submits its outcome. The timeout of the exchange begins when its turn
+// has come.
 func (f *groupFormer) sendOrder(o groupformer.Order) {
+	f.orders <- struct{}{}
+	defer func() { <-f.orders }()
 	ctx, cancel := context.WithTimeout(f.ctx, orderTimeout)
 	defer cancel()
 	ended := f.engines.Order(ctx, f.addresses.address(o.ID), o)
@@ -150,7 +167,8 @@
 	f.meters.countReportQuery(a.Reason)
 	peerReports := make(chan messenger.PeerReports, 1)
 	if a.ViaPeers {
-		go func() { peerReports <- f.hosted.messenger.RequestReports(f.ctx, a.ID) }()
+		_, domain := f.addresses.lookup(a.ID)
+		go func() { peerReports <- f.hosted.messenger.RequestReports(f.ctx, a.ID, domain) }()
 	} else {
 		peerReports <- messenger.PeerReports{}
 	}
@@ -171,8 +189,15 @@
 	f.step.Submit(groupformer.Unreachable{ID: a.ID, ConnectionRefused: errors.Is(err, syscall.ECONNREFUSED), TriedInDomain: triedInDomain, TriedByPeers: a.ViaPeers})
 }
 
-// queryEngine queries an engine for its report.
+// queryEngine queries an engine for its report. The timeout of the exchange begins when its turn has
+// come.
 func (f *groupFormer) queryEngine(ctx context.Context, id identifier.Endpoint) (groupformer.Reported, error) {
+	select {
+	case f.queries <- struct{}{}:
+	case <-ctx.Done():
+		return groupformer.Reported{}, ctx.Err()
+	}
+	defer func() { <-f.queries }()
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
 	report, err := f.engines.Report(ctx, id, f.addresses.address(id))
