groupformer: a plan is made at most every 20 microseconds for each engine

Cause: each event of each engine made the whole plan again, which looks at all engines: the work of forming a fleet grew with the square.

Change: events are applied at once; decisions wait until 20 microseconds for each engine have passed since the last plan, 15 ms at 760, for which the core requests a tick.

--- a/groupformer/bench_test.go
+++ b/groupformer/bench_test.go
@@ -26,3 +26,20 @@
 		})
 	}
 }
+
+// BenchmarkStart measures the Former's part of forming all groups of a fleet from engines without
+// weights, at an instance that is not delayed by it.
+func BenchmarkStart(b *testing.B) {
+	for _, perDomain := range []int{4, 16, 32} {
+		b.Run(fmt.Sprintf("engines=%d", 24*perDomain), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				f := newFleetWithProfile(&wideProfile, 1, 4, 6, perDomain)
+				f.run(8 * time.Second)
+				if got := f.countServing(); got["large"]+got["small"] == 0 {
+					b.Fatal("no group serves")
+				}
+			}
+		})
+	}
+}
--- a/groupformer/engine.go
+++ b/groupformer/engine.go
@@ -151,8 +151,8 @@
 	e.Membership, e.assumedUntil = m, now.Add(assumedTTL)
 }
 
-// expireAssumed marks e uncertain if the list has not confirmed an assumed membership within
-// assumedTTL.
+// expireAssumed ends an assumed membership after assumedTTL. The listed one holds again: it may be
+// newer, if the answer to the order arrived late. If it does not agree, e is marked uncertain.
 func (e *engine) expireAssumed(now time.Time) {
 	if e.assumedUntil.IsZero() || now.Before(e.assumedUntil) {
 		return
@@ -161,6 +161,24 @@
 	if !e.agreesWith(e.lastListing.Membership) {
 		e.uncertain = true
 	}
+	if e.listed {
+		e.applyListing(now, e.lastListing)
+	}
+}
+
+// divergenceLimit is the time for which the known state of an engine may differ from its listed one
+// before the engine is queried. A report can be older than the entry that arrived before it, and no
+// further change of the entry corrects that.
+const divergenceLimit = time.Second
+
+// diverges reports whether the known state of e has differed from its listed one for divergenceLimit.
+func (e *engine) diverges(now time.Time) bool {
+	switch {
+	case !e.listed, e.pending != nil, !e.assumedUntil.IsZero(), now.Sub(e.reportedAt) < divergenceLimit:
+		return false
+	}
+	l := e.lastListing
+	return e.Membership != l.Membership || !slices.Equal(e.Models, l.Models) || !slices.Equal(e.Staged, l.Staged)
 }
 
 // applyReport applies the engine's own report, whose process start is the listed one.
--- a/groupformer/event.go
+++ b/groupformer/event.go
@@ -66,7 +66,7 @@
 	ID                identifier.Endpoint
 	ConnectionRefused bool // the host answered that no process listens at the address
 	TriedInDomain     bool // an instance in the engine's failure domain has tried
-	TriedByPeers      bool // all reachable peers have tried
+	TriedByPeers      bool // some peers have tried, those that could be reached of a few, or of all in a small fleet
 }
 
 // Result is the outcome of an order.
@@ -169,7 +169,7 @@
 	return ""
 }
 
-// Action is an output of a Former: Order, FetchReport, LogDecision or GroupCounts.
+// Action is an output of a Former: Order, FetchReport, LogDecision, GroupCounts or WakeAt.
 type Action interface{ action() }
 
 // Order sends an order to an engine.
@@ -210,7 +210,11 @@
 	Idle         int     // of these, the engines that no group needs
 }
 
+// WakeAt requests a Ticked event at a time, in addition to regular ones.
+type WakeAt struct{ At time.Time }
+
 func (GroupCounts) action() {}
+func (WakeAt) action()      {}
 func (Order) action()       {}
 func (FetchReport) action() {}
 func (LogDecision) action() {}
--- a/groupformer/fleet_test.go
+++ b/groupformer/fleet_test.go
@@ -61,6 +61,7 @@
 	dissolved          map[identifier.Group]bool         // groups that the Former has begun to dissolve
 	violations         []string
 	published          map[identifier.Endpoint]endpointlister.Endpoint // the list that the Former has; nil before the first
+	answerDelay        time.Duration                                   // from the execution of an order to its answer
 	listChanged        bool                                            // the list must be published again
 	members            map[identifier.Group][]identifier.Endpoint      // as ordered
 	wasReady           map[string]bool                                 // by "GROUP/ENGINE"
@@ -193,6 +194,8 @@
 			f.order(a)
 		case groupformer.FetchReport:
 			f.queryEngine(a)
+		case groupformer.WakeAt:
+			f.schedule(a.At.Sub(f.now), func() { f.step(groupformer.Ticked{}) })
 		case groupformer.LogDecision:
 			if strings.HasPrefix(a.Decision, "dissolve:") {
 				f.dissolved[a.Group] = true
@@ -223,7 +226,10 @@
 		f.schedule(time.Duration(2+f.rand.IntN(8))*time.Second, func() { f.executeOrder(e, o) })
 		return
 	}
-	f.schedule(orderLatency, func() { answer(f.executeOrder(e, o)) })
+	f.schedule(orderLatency, func() {
+		result := f.executeOrder(e, o)
+		f.schedule(f.answerDelay, func() { answer(result) })
+	})
 }
 
 func (f *fleet) queryEngine(a groupformer.FetchReport) {
--- a/groupformer/former.go
+++ b/groupformer/former.go
@@ -41,6 +41,8 @@
 	storeChangedAt     time.Time // when storeLost last changed
 	newEngineAt        time.Time // when an engine was last listed for the first time
 	countsEmittedAt    time.Time
+	plannedAt          time.Time // when all decisions were last taken
+	wakeAt             time.Time // of the tick that was requested; zero for none
 	actions            []Action
 }
 
@@ -86,11 +88,30 @@
 		f.handleOrderEnded(now, e)
 	}
 	if now.Before(f.leaseUntil) {
-		f.plan(now)
+		f.planWhenDue(now)
 	}
 	return f.actions
 }
 
+// planTimePerEngine is the time for which the plan is not made again, for each known engine. A plan
+// looks at all engines, so that without this time the work of a second grows with the square of
+// the engines: with each event of each engine.
+const planTimePerEngine = 20 * time.Microsecond
+
+// planWhenDue takes all decisions that are possible now, or requests a tick for them if the last plan
+// was made a moment ago.
+func (f *Former) planWhenDue(now time.Time) {
+	due := f.plannedAt.Add(time.Duration(len(f.engines)) * planTimePerEngine)
+	switch {
+	case !now.Before(due):
+		f.plannedAt, f.wakeAt = now, time.Time{}
+		f.plan(now)
+	case f.wakeAt.IsZero():
+		f.wakeAt = due
+		f.emit(WakeAt{At: due})
+	}
+}
+
 func (f *Former) emit(a Action) { f.actions = append(f.actions, a) }
 
 // setLease records the lease. Under a new fence, the known groups are discarded and learned
--- a/groupformer/query.go
+++ b/groupformer/query.go
@@ -50,8 +50,8 @@
 	}
 }
 
-// handleUnreachable counts a query without an answer. An engine counts as dead only if all
-// reachable peers have tried to query it, too. A head that refuses connections may be
+// handleUnreachable counts a query without an answer. An engine counts as dead only if
+// peers have tried to query it, too. A head that refuses connections may be
 // completing its requests, so it counts as dead only after drainFinishLimit. An engine that no
 // instance in its failure domain has tried may be partitioned from this instance and continue
 // to serve there, so it counts as dead only unlistedDeadAfter after it left the list. Any other
@@ -127,6 +127,8 @@
 			}
 		case e.uncertain:
 			wait, reason = 4*queryInterval, "uncertain"
+		case e.diverges(now):
+			wait, reason = divergenceLimit, "diverges"
 		default:
 			continue
 		}
