scheduler: a refused request waits for a retry that the budget allows

Cause: each attempt after one that reached an engine takes a retry of the shared budget. Arrivals that an engine rejects count as repeats in the users' rule, so that the budget is needed; but without one left, a request that has certainly not run was given up at once, although each request that arrives allows a part of a retry.

Change: such a request waits for its turn like others that wait for a target, no longer than these. A request that may have run is still given up at once.

--- a/scheduler/flight.go
+++ b/scheduler/flight.go
@@ -88,17 +88,22 @@
 		return
 	}
 	if f.sentAttempts > 0 && !s.budget.trySpend(f.Service) {
-		s.giveUp(now, f, ReasonRetryBudget)
+		s.wait(now, f, ReasonRetryBudget)
 		return
 	}
 	s.start(now, f, t, load, "")
 }
 
-// wait lets f wait for a target until f.giveUpAt, unless waiting is futile.
+// wait lets f wait for a target, or for a retry that the budget allows, until f.giveUpAt, unless
+// waiting is futile. A request that may have run does not wait for a retry.
 func (s *Scheduler) wait(now time.Time, f *flight, reason Reason) {
 	if !f.giveUpAt.IsZero() {
 		return // it waits already, and the next tick checks it
 	}
+	if reason == ReasonRetryBudget && !f.hasNotRun() {
+		s.giveUp(now, f, reason)
+		return
+	}
 	f.giveUpAt = now.Add(min(s.cfg.MaxTargetWait, f.Deadline.Sub(now)/maxWaitDivisor))
 	if o := s.outlookOf(now, f.Pool); o.reason == reason && o.isFutile(now, f, s.position(f)) {
 		s.giveUp(now, f, reason)
@@ -220,6 +225,10 @@
 	}
 }
 
+// hasNotRun reports whether f has certainly not run, because each target that received it answered
+// that it refused the request.
+func (f *flight) hasNotRun() bool { return f.possibleRuns == 0 && !f.hasAbandoned && !f.answerStarted }
+
 // maxRuns returns the number of targets that may run f.
 func (f *flight) maxRuns() int { return max(f.MaxAttempts, 1) }
 
--- a/scheduler/queue.go
+++ b/scheduler/queue.go
@@ -89,6 +89,9 @@
 		return false
 	}
 	if f.sentAttempts > 0 && !s.budget.trySpend(f.Service) {
+		if f.hasNotRun() {
+			return false // the requests that arrive allow further retries
+		}
 		s.giveUp(now, f, ReasonRetryBudget)
 		return true
 	}
