millctl, messenger, runner: operators see which endpoints leave

millctl leaving shows the processes that get no more requests because they leave, since when, and how an instance learned it first: from the list, from an answer, or from a peer. The gauge endpoints.leaving counts them by source.

--- a/cmd/millctl/main.go
+++ b/cmd/millctl/main.go
@@ -79,6 +79,9 @@
 	if err := addSubcommands(quarantines, quarantineCommands(a)); err != nil {
 		return err
 	}
+	if err := addSubcommands(parser.Command, leavingCommands(a)); err != nil {
+		return err
+	}
 	if err := addSubcommands(keys, keyCommands(a)); err != nil {
 		return err
 	}
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -43,6 +43,7 @@
 	OnLosses         func(r quarantiner.Report)                                                               // a peer announces losses; must not block
 	OnUnacknowledged func(fp identifier.Fingerprint)                                                          // a peer did not acknowledge an announcement, which is sent again; must not block
 	Quarantines      func() []quarantiner.Quarantine                                                          // the quarantines at this instance
+	Leaving          func() []LeavingProcess                                                                  // the processes of endpoints that leave, as this instance knows them
 	Lift             func(fp identifier.Fingerprint) bool                                                     // ends a quarantine at all instances; false if there is none at this instance
 	OnStalled        func(head identifier.Endpoint)                                                           // a peer reports that the group with this head is stalled; must not block
 	OnLeaving        func(p identifier.Process)                                                               // a peer reports that a process has said that it leaves; must not block
@@ -88,6 +89,7 @@
 	mux.HandleFunc("GET "+pathChanges, m.serveChanges)
 	mux.HandleFunc("POST "+pathStalled, m.serveStalled)
 	mux.HandleFunc("POST "+pathLeaving, m.serveLeaving)
+	mux.HandleFunc("GET "+pathLeaving, m.serveLeavingList)
 	mux.HandleFunc("POST "+pathReport, m.serveReport)
 	mux.HandleFunc("POST "+pathLosses, m.serveLosses)
 	mux.HandleFunc("GET "+pathQuarantines, m.serveQuarantines)
--- a/messenger/operator.go
+++ b/messenger/operator.go
@@ -40,7 +40,8 @@
 	return fmt.Sprintf("messenger: the instance has no quarantine of fingerprint %s", e.Fingerprint)
 }
 
-// Operator lists and lifts quarantines at instances for the operator. HTTP is required.
+// Operator lists and lifts quarantines and lists endpoints that leave at instances for the operator.
+// HTTP is required.
 type Operator struct{ HTTP *http.Client }
 
 // Quarantines returns the quarantines at the instance that answers peers at an address. Its
--- a/runner/hosted.go
+++ b/runner/hosted.go
@@ -74,6 +74,7 @@
 	requester     *requester.Requester
 	forwarder     *forwarder.Forwarder
 	view          *view
+	leaving       *leavingProcesses
 	groupFormer   *groupFormer
 	quarantine    *quarantine
 	peers         messenger.Peers
@@ -109,6 +110,7 @@
 		OnLatencyReport: func(p scheduler.LatencyReport) { go h.groupFormer.submitLatency(p) },
 		OnAttempt:       func(e quarantiner.Event) { h.quarantine.step.Submit(e) },
 	})
+	h.leaving = newLeavingProcesses(h.meter)
 	h.groupFormer = newGroupFormer(h)
 	h.quarantine = newQuarantine(h)
 	h.view = newView(h)
@@ -118,7 +120,7 @@
 			return h.replica.Watch(ctx, after, wait)
 		},
 		UpdateSince: func(after uint64) replicator.Update { return h.replica.UpdateSince(after) },
-		Report:      h.groupFormer.queryEngine, OnStalled: h.groupFormer.submitStall, OnLeaving: h.groupFormer.submitLeaving,
+		Report:      h.groupFormer.queryEngine, OnStalled: h.groupFormer.submitStall, OnLeaving: h.groupFormer.submitPeerLeaving, Leaving: h.leaving.list,
 		OnLosses:    func(r quarantiner.Report) { h.quarantine.step.Submit(quarantiner.ReportReceived{Report: r}) },
 		Quarantines: h.listQuarantines, Lift: h.liftQuarantine,
 		OnUnacknowledged: func(fp identifier.Fingerprint) {
@@ -178,6 +180,7 @@
 // reportLeaving reports a process that has said that it leaves to the group former of this instance,
 // and to the instance that forms groups if the list does not show it soon.
 func (h *hosted) reportLeaving(p identifier.Process) {
+	h.leaving.add(time.Now(), p, messenger.LeavingByAnswer)
 	go h.groupFormer.submitLeaving(p)
 	time.AfterFunc(leavingNoticeDelay, func() {
 		if holder := h.view.formingHolder(); holder != h.settings.Instance && h.view.isLive(p) {
--- a/runner/hosted_groupformer.go
+++ b/runner/hosted_groupformer.go
@@ -105,6 +105,12 @@
 	f.step.Submit(groupformer.HeadStalled{Head: head})
 }
 
+// submitPeerLeaving submits that a process of an engine has said to a peer that it leaves.
+func (f *groupFormer) submitPeerLeaving(p identifier.Process) {
+	f.hosted.leaving.add(time.Now(), p, messenger.LeavingByPeer)
+	f.submitLeaving(p)
+}
+
 // submitLeaving submits that a process of an engine has said that it leaves.
 func (f *groupFormer) submitLeaving(p identifier.Process) {
 	f.step.Submit(groupformer.LeavingStated{ID: p.Endpoint, ProcessStart: p.Start})
--- a/runner/hosted_view.go
+++ b/runner/hosted_view.go
@@ -205,6 +205,7 @@
 	if !ok {
 		return
 	}
+	v.hosted.leaving.applyList(time.Now(), changes)
 	v.hosted.quarantine.changeEndpoints(changes) // before the forwarder places requests at new targets
 	if targets := v.targets.Apply(changes); len(targets.Changed)+len(targets.Removed) > 0 {
 		v.hosted.forwarder.ChangeTargets(targets)
