--- a/quarantiner/main_test.go
+++ b/quarantiner/main_test.go
@@ -1,17 +1,13 @@
 package quarantiner_test
 
 import (
-	"flag"
 	"os"
 	"testing"
+
+	"amaranthmill/internal/scripter"
 )
 
-// TestMain fixes the seed and the number of checks of the property tests unless flags set them.
-// A failure writes no file, because its seed reproduces it.
 func TestMain(m *testing.M) {
-	_ = flag.Set("rapid.seed", "21") // rapid defines the flags
-	_ = flag.Set("rapid.checks", "1000")
-	_ = flag.Set("rapid.nofailfile", "true")
-	flag.Parse()
+	scripter.FixPropertyTests()
 	os.Exit(m.Run())
 }
--- a/standin/soak/soak_test.go
+++ b/standin/soak/soak_test.go
@@ -40,6 +40,29 @@
 	Cause string `json:"cause"`
 }
 
+// runSeeds runs each seed with a configuration as a parallel subtest and reports the violations. If
+// the configuration has a request that crashes its engines, that must have run.
+func runSeeds(t *testing.T, cfg soak.Config, seeds ...uint64) {
+	for _, seed := range seeds {
+		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
+			t.Parallel()
+			cfg := cfg
+			cfg.Binary, cfg.Dir, cfg.Seed = binary, t.TempDir(), seed
+			report, err := soak.Run(cfg)
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Logf("%d requests, %d with a complete answer, %d refused, %d runs that crash their engine", report.Sent, report.Answered, report.NotRun, report.Crashes)
+			for _, b := range report.Violations {
+				t.Error(b)
+			}
+			if report.Crashes == 0 && (cfg.Crashing || cfg.CrashingPart) {
+				t.Error("no request that crashes its engine ran")
+			}
+		})
+	}
+}
+
 // TestSeeds runs two fixed seeds and every seed of testdata/regressions.json.
 func TestSeeds(t *testing.T) {
 	text, err := os.ReadFile("testdata/regressions.json")
@@ -54,97 +77,31 @@
 	for _, r := range regressions {
 		seeds = append(seeds, r.Seed)
 	}
-	for _, seed := range seeds {
-		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
-			t.Parallel()
-			report, err := soak.Run(soak.Config{Binary: binary, Dir: t.TempDir(), Seed: seed, Length: 6 * time.Second})
-			if err != nil {
-				t.Fatal(err)
-			}
-			t.Logf("%d requests, %d with a complete answer, %d refused", report.Sent, report.Answered, report.NotRun)
-			for _, b := range report.Violations {
-				t.Error(b)
-			}
-		})
-	}
+	runSeeds(t, soak.Config{Length: 6 * time.Second}, seeds...)
 }
 
 // TestCrashingSeeds runs two fixed seeds with a request that crashes the engines that run it: a
 // stream and a request to the plain service.
 func TestCrashingSeeds(t *testing.T) {
-	for _, seed := range []uint64{10, 11} {
-		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
-			t.Parallel()
-			report, err := soak.Run(soak.Config{Binary: binary, Dir: t.TempDir(), Seed: seed, Crashing: true, Length: 4 * time.Second})
-			if err != nil {
-				t.Fatal(err)
-			}
-			t.Logf("%d requests, %d with a complete answer, %d refused, %d runs that crash their engine", report.Sent, report.Answered, report.NotRun, report.Crashes)
-			for _, b := range report.Violations {
-				t.Error(b)
-			}
-			if report.Crashes == 0 {
-				t.Error("the crashing request did not run")
-			}
-		})
-	}
+	runSeeds(t, soak.Config{Crashing: true, Length: 4 * time.Second}, 10, 11)
 }
 
 // TestSilenceSeeds runs two fixed seeds with engines that are silent for a while, with nearly as
 // many callers as the groups have slots.
 func TestSilenceSeeds(t *testing.T) {
-	for _, seed := range []uint64{1, 6} {
-		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
-			t.Parallel()
-			report, err := soak.Run(soak.Config{Binary: binary, Dir: t.TempDir(), Seed: seed, Engines: 4, Callers: 36, Silences: true, Length: 3 * time.Second})
-			if err != nil {
-				t.Fatal(err)
-			}
-			t.Logf("%d requests, %d with a complete answer, %d refused", report.Sent, report.Answered, report.NotRun)
-			for _, b := range report.Violations {
-				t.Error(b)
-			}
-		})
-	}
+	runSeeds(t, soak.Config{Engines: 4, Callers: 36, Silences: true, Length: 3 * time.Second}, 1, 6)
 }
 
 // TestCrashingPartSeeds runs two fixed seeds with requests that differ in all but one part of their
 // prompts, which crashes the engines that answer them: streams and requests to the plain service.
 func TestCrashingPartSeeds(t *testing.T) {
-	for _, seed := range []uint64{12, 13} {
-		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
-			t.Parallel()
-			report, err := soak.Run(soak.Config{Binary: binary, Dir: t.TempDir(), Seed: seed, CrashingPart: true, Length: 4 * time.Second})
-			if err != nil {
-				t.Fatal(err)
-			}
-			t.Logf("%d requests, %d with a complete answer, %d refused, %d runs that crash their engine", report.Sent, report.Answered, report.NotRun, report.Crashes)
-			for _, b := range report.Violations {
-				t.Error(b)
-			}
-			if report.Crashes == 0 {
-				t.Error("no request with the crashing part ran")
-			}
-		})
-	}
+	runSeeds(t, soak.Config{CrashingPart: true, Length: 4 * time.Second}, 12, 13)
 }
 
 // TestLeavingSeeds runs two fixed seeds with engines that say in their answers that they leave or
 // that they want no requests for a time.
 func TestLeavingSeeds(t *testing.T) {
-	for _, seed := range []uint64{30, 31} {
-		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
-			t.Parallel()
-			report, err := soak.Run(soak.Config{Binary: binary, Dir: t.TempDir(), Seed: seed, Leaving: true, Length: 5 * time.Second})
-			if err != nil {
-				t.Fatal(err)
-			}
-			t.Logf("%d requests, %d with a complete answer, %d refused", report.Sent, report.Answered, report.NotRun)
-			for _, b := range report.Violations {
-				t.Error(b)
-			}
-		})
-	}
+	runSeeds(t, soak.Config{Leaving: true, Length: 5 * time.Second}, 30, 31)
 }
 
 // TestAddSilences checks that a seed always gives the same silences, beside the same other
