messenger: the losses of an interval reach a peer in one exchange

Cause, by reading: each loss went to each peer in an exchange of its own unless another one was under way. Eleven engines that end together leave losses at most of 78 instances, each of which announced to 77.

Change: after an exchange with announcements, the next one to the same peer follows 200 ms later. The first one still goes at once, so that a single request that crashes its engine is announced as before; what is announced within the interval, verdicts too, waits up to 200 ms.

The product of instances and losses remains in the bytes; see docs/CAPACITY.md.

--- a/messenger/announcer.go
+++ b/messenger/announcer.go
@@ -12,12 +12,14 @@
 
 // Times of announcements to one peer.
 const (
-	announceRetryDelay = 250 * time.Millisecond // after a failed exchange
-	announceTTL        = 10 * time.Second       // of an announcement that the peer does not acknowledge; later the store has the losses
+	announceRetryDelay      = 250 * time.Millisecond // after a failed exchange
+	defaultAnnounceInterval = 200 * time.Millisecond
+	announceTTL             = 10 * time.Second // of an announcement that the peer does not acknowledge; later the store has the losses
 )
 
-// announcer sends announcements to peers. Announcements that wait for the same peer share an
-// exchange, and a newer one about a fingerprint replaces an older one.
+// announcer sends announcements to peers. The first one to a peer goes at once, and those of the
+// next interval share an exchange, so that the exchanges don't grow with the losses when many endpoints
+// end together. A newer announcement about a fingerprint replaces an older one.
 type announcer struct {
 	mu      sync.Mutex
 	pending map[identifier.Instance]map[identifier.Fingerprint]announcement // of the peers to which a goroutine sends
@@ -60,6 +62,7 @@
 			continue
 		}
 		m.announcer.acknowledge(to, batch)
+		time.Sleep(m.cfg.AnnounceInterval)
 	}
 }
 
--- a/messenger/announcer_test.go
+++ b/messenger/announcer_test.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -46,3 +47,29 @@
 	is.Equal(<-received["alpine-1"], cleared)
 	is.Equal(<-received["marfa-1"], cleared)
 }
+
+// TestAnnouncementsShareExchanges checks that the losses of many endpoints that end within an interval
+// reach a peer in two exchanges, not one by one: with hundreds of instances, each of which announces
+// to each, an exchange for each loss would take their processors just when they are needed.
+func TestAnnouncementsShareExchanges(t *testing.T) {
+	is := is.New(t)
+	const losses = 500
+	var exchanges atomic.Int32
+	received := make(chan quarantiner.Report, losses)
+	answering := messenger.New(messenger.Config{Peers: &messenger.Peers{}, OnLosses: func(r quarantiner.Report) { received <- r }})
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		exchanges.Add(1)
+		answering.Handler().ServeHTTP(w, r)
+	}))
+	defer s.Close()
+	var peers messenger.Peers
+	peers.Set(messenger.Peer{Instance: "alpine-1", Address: netip.MustParseAddrPort(s.Listener.Addr().String())})
+	m := messenger.New(messenger.Config{Peers: &peers, HTTP: http.DefaultClient, AnnounceInterval: 2 * time.Second})
+	for fp := range losses {
+		m.Announce(quarantiner.Report{Fingerprint: identifier.Fingerprint(fp + 1), Losses: []identifier.Process{{Endpoint: "e1", Start: 3}}})
+	}
+	for range losses {
+		<-received
+	}
+	is.True(exchanges.Load() <= 2)
+}
--- a/messenger/bench_test.go
+++ b/messenger/bench_test.go
@@ -9,6 +9,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"amaranthmill/internal/identifier"
 	"amaranthmill/messenger"
@@ -59,7 +60,7 @@
 			for i := range n {
 				peers.Set(messenger.Peer{Instance: identifier.Instance(fmt.Sprint(i)), Address: netip.MustParseAddrPort(s.Listener.Addr().String())})
 			}
-			m := messenger.New(messenger.Config{Peers: &peers, HTTP: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: n}}})
+			m := messenger.New(messenger.Config{AnnounceInterval: time.Nanosecond, Peers: &peers, HTTP: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: n}}})
 			report := quarantiner.Report{Losses: []identifier.Process{{Endpoint: "i-7f3a91c2b8", Start: 1787150514949}, {Endpoint: "i-02d9e6b4aa", Start: 1787150514950}}}
 			for i := 0; b.Loop(); i++ {
 				report.Fingerprint = identifier.Fingerprint(1<<63 + uint64(i))
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -49,6 +49,7 @@
 	OnLeaving        func(p identifier.Process)                                                               // a peer reports that a process has said that it leaves; must not block
 	HTTP             *http.Client
 	Timeout          time.Duration // of one exchange with a peer; zero selects 600 ms
+	AnnounceInterval time.Duration // between two exchanges with announcements to one peer; zero selects 200 ms
 	Logger           zerolog.Logger
 }
 
@@ -62,6 +63,7 @@
 // New returns a Messenger for cfg.
 func New(cfg Config) *Messenger {
 	defaulter.Set(&cfg.Timeout, defaultTimeout)
+	defaulter.Set(&cfg.AnnounceInterval, defaultAnnounceInterval)
 	return &Messenger{
 		cfg: cfg, selector: newPeerSelector(cfg.Instance, cfg.FailureDomain),
 		announcer: announcer{pending: map[identifier.Instance]map[identifier.Fingerprint]announcement{}},
