scheduler: a target that refuses requests gets none for a time, and a wait for a retry that is not expected is none

Cause, from the logs of seconds 14 to 32: of 22,799 attempts 4,911 were refused, 3,967 of them by targets whose load was estimated below 0.2, and 80% of these by eight endpoints, at once (heads of broken groups, and no list while the store was down). A refusal counted as progress, and its answer reports no load, so that such a target looked like the best one to each request. Each refusal took a retry of the shared budget, and since the refused requests then waited for retries that could not come: 3,519 waits.

Change: after a refusal a target gets no requests for 50 ms, twice as long after each further one in a row, up to 1.6 s; progress of a request there ends that. A request waits for a retry only if the requests that arrive are expected to allow it in time, behind those that wait already; otherwise it is refused at once.

--- a/scheduler/budget.go
+++ b/scheduler/budget.go
@@ -19,12 +19,13 @@
 	window       time.Duration
 	slackAt      time.Time // from when the slack may be spent; zero until the first event
 	hasSlack     bool
+	requests     map[identifier.Service]*rate // rates of the requests that add to the balances
 }
 
 func newRetryBudget(cfg Config) retryBudget {
 	return retryBudget{
 		ratio: cfg.RetryRatio, slack: cfg.RetrySlack, instances: 1, balances: map[identifier.Service]float64{},
-		window: cfg.RetryWindow, hasSlack: cfg.FirstStart,
+		window: cfg.RetryWindow, hasSlack: cfg.FirstStart, requests: map[identifier.Service]*rate{},
 	}
 }
 
@@ -64,8 +65,27 @@
 }
 
 // credit adds the retries that a request allows.
-func (b *retryBudget) credit(s identifier.Service) {
+func (b *retryBudget) credit(now time.Time, s identifier.Service) {
 	b.balances[s] = min(b.available(s)+b.ratio, b.limit())
+	if b.requests[s] == nil {
+		b.requests[s] = &rate{}
+	}
+	b.requests[s].count(now)
+}
+
+// expectedWait returns the expected time until n retries are allowed for a service at the rate of its
+// requests, or false if that rate is unknown.
+func (b *retryBudget) expectedWait(now time.Time, s identifier.Service, n int) (time.Duration, bool) {
+	missing := float64(n) - b.available(s)
+	r := b.requests[s]
+	if missing <= 0 || r == nil {
+		return 0, missing <= 0
+	}
+	perSecond := b.ratio * r.valueAt(now)
+	if perSecond <= 0 {
+		return 0, false
+	}
+	return time.Duration(missing / perSecond * float64(time.Second)), true
 }
 
 // trySpend reports whether a retry is allowed, and deducts it if it is.
--- a/scheduler/flight.go
+++ b/scheduler/flight.go
@@ -63,7 +63,7 @@
 	if f.Fingerprint != 0 {
 		s.copies[f.Fingerprint]++
 	}
-	s.budget.credit(f.Service)
+	s.budget.credit(now, f.Service)
 	s.ratesOf(f.Pool).countArrival(now)
 	s.place(now, f)
 }
@@ -100,11 +100,11 @@
 	if !f.giveUpAt.IsZero() {
 		return // it waits already, and the next tick checks it
 	}
-	if reason == ReasonRetryBudget && !f.hasNotRun() {
+	f.giveUpAt = now.Add(min(s.cfg.MaxTargetWait, f.Deadline.Sub(now)/maxWaitDivisor))
+	if reason == ReasonRetryBudget && !s.mayAwaitRetry(now, f) {
 		s.giveUp(now, f, reason)
 		return
 	}
-	f.giveUpAt = now.Add(min(s.cfg.MaxTargetWait, f.Deadline.Sub(now)/maxWaitDivisor))
 	if o := s.outlookOf(now, f.Pool); o.reason == reason && o.isFutile(now, f, s.position(f)) {
 		s.giveUp(now, f, reason)
 		return
@@ -144,8 +144,14 @@
 	}
 }
 
-// recordProgress records progress of a request at t, which ends a stall of t.
+// recordProgress records progress of a request at t.
 func (s *Scheduler) recordProgress(now time.Time, t *target) {
+	t.consecutiveRefusals, t.refusedUntil = 0, time.Time{}
+	s.recordLife(now, t)
+}
+
+// recordLife records that t has answered, which ends a stall of t.
+func (s *Scheduler) recordLife(now time.Time, t *target) {
 	t.lastProgressAt = now
 	t.streamsStalled = false
 	if t.stalledAt.IsZero() {
@@ -190,7 +196,8 @@
 		case t.statement != nil && t.statement.isReopening:
 			s.close(now, t.statement, refusalBackoff)
 		default:
-			s.recordProgress(now, t)
+			s.recordLife(now, t)
+			t.recordRefusal(now)
 		}
 		s.goOn(now, f)
 	case Failed:
@@ -225,6 +232,25 @@
 	}
 }
 
+// mayAwaitRetry reports whether f may wait for a retry: it has certainly not run, and the requests
+// that arrive are expected to allow a retry for it, after those for the requests that wait already, before
+// f.giveUpAt.
+func (s *Scheduler) mayAwaitRetry(now time.Time, f *flight) bool {
+	if !f.hasNotRun() {
+		return false
+	}
+	ahead := 0
+	if q := s.queues[f.Pool]; q != nil {
+		for _, o := range q.flights {
+			if o.sentAttempts > 0 {
+				ahead++
+			}
+		}
+	}
+	wait, ok := s.budget.expectedWait(now, f.Service, ahead+1)
+	return ok && !now.Add(wait).After(f.giveUpAt)
+}
+
 // hasNotRun reports whether f has certainly not run, because each target that received it answered
 // that it refused the request.
 func (f *flight) hasNotRun() bool { return f.possibleRuns == 0 && !f.hasAbandoned && !f.answerStarted }
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -266,7 +266,7 @@
 func (s *Scheduler) waitReason(now time.Time, f *flight, pl *pool) Reason {
 	m := pl.means(now)
 	for _, t := range pl.targets {
-		if !f.hasTried(now, t) && s.mayTake(now, t) && t.load(now, m.otherRequests) >= s.cfg.MaxLoad {
+		if !f.hasTried(now, t) && s.isFull(now, t, m) {
 			return ReasonFull
 		}
 	}
@@ -276,6 +276,15 @@
 	return ReasonNoTarget
 }
 
+// isFull reports whether t takes no request because of those that it runs: it has refused one, or
+// the estimate of its load says so.
+func (s *Scheduler) isFull(now time.Time, t *target, m means) bool {
+	if now.Before(t.refusedUntil) {
+		return t.statement.admits(now)
+	}
+	return s.mayTake(now, t) && t.load(now, m.otherRequests) >= s.cfg.MaxLoad
+}
+
 // winsTie reports whether t is preferred to best if both have the same score. The order of
 // the targets differs between requests, so that equal targets share the requests.
 func (s *Scheduler) winsTie(f *flight, t, best *target) bool {
@@ -317,7 +326,7 @@
 // mayTake reports whether t may take a request which no target runs: its process has neither said
 // that it leaves nor asked for no requests, and either t is not stalled, or a trial request is due.
 func (s *Scheduler) mayTake(now time.Time, t *target) bool {
-	if !t.statement.admits(now) {
+	if !t.statement.admits(now) || now.Before(t.refusedUntil) {
 		return false
 	}
 	if t.stalledAt.IsZero() {
--- a/scheduler/target.go
+++ b/scheduler/target.go
@@ -65,6 +65,8 @@
 	meanFirstEvent       time.Duration // mean time to the first event or complete answer
 	firstEventMeasuredAt time.Time
 	consecutiveFailures  int        // failures since the last complete answer
+	consecutiveRefusals  int        // refusals since the last progress of a request
+	refusedUntil         time.Time  // until when the target gets no requests because it has refused one
 	statement            *statement // what the process has said about itself; nil if nothing
 }
 
@@ -99,6 +101,20 @@
 	t.otherRequestsAt = now
 }
 
+// Bounds on the time for which a target that refuses requests gets none. It doubles with each refusal
+// in a row: a head whose group is broken refuses at once and reports no load, so that it would
+// otherwise look like the best target to each request.
+const (
+	minRefusalPause = 50 * time.Millisecond
+	maxRefusalPause = 1600 * time.Millisecond
+)
+
+// recordRefusal keeps requests from t for a time.
+func (t *target) recordRefusal(now time.Time) {
+	t.refusedUntil = now.Add(min(minRefusalPause<<min(t.consecutiveRefusals, 8), maxRefusalPause))
+	t.consecutiveRefusals++
+}
+
 // recordFirstEvent records the time to the first event, or to the complete answer of a request without events.
 func (t *target) recordFirstEvent(now time.Time, elapsed time.Duration) {
 	t.meanFirstEvent = updatedMean(t.meanFirstEvent, elapsed, now.Sub(t.firstEventMeasuredAt))
--- a/scheduler/wait.go
+++ b/scheduler/wait.go
@@ -102,7 +102,7 @@
 	}
 	m := pl.means(now)
 	for _, t := range pl.targets {
-		if s.mayTake(now, t) && t.load(now, m.otherRequests) >= s.cfg.MaxLoad {
+		if s.isFull(now, t, m) {
 			o.reason = ReasonFull
 			break
 		}
