storeclient, runner: the calls of an outage don't grow with the fleet

Change: from 26 instances on, the longest time between two trial calls of an open circuit is 12 ms for each instance, 0.94 s at 78, 1.5 s at most. Smaller fleets are as before.

--- a/runner/hosted.go
+++ b/runner/hosted.go
@@ -44,6 +44,8 @@
 	storeBackoffMax      = 300 * time.Millisecond  // longest wait between attempts of one call
 	circuitFailures      = 6                       // consecutive failures that open the circuit
 	circuitWait          = 300 * time.Millisecond  // between trial calls while the store is unreachable
+	circuitWaitMax       = 1500 * time.Millisecond // the same in a large fleet
+	circuitSpacing       = 12 * time.Millisecond   // between two trial calls of different instances on average, which lengthens the wait from 26 instances on, so that the calls of an outage don't grow with the fleet
 	watchWait            = 900 * time.Millisecond  // maximum duration of one watch; it bounds how long a silently lost connection to the store goes unnoticed
 	storeShare           = 0.05                    // maximum fraction of the store's rates that one instance uses
 	formingTTL           = 4 * time.Second         // after a holder has died, another instance acquires the lease within this time
--- a/runner/hosted_view.go
+++ b/runner/hosted_view.go
@@ -126,6 +126,7 @@
 		v.addPeer(name, string(c.Value))
 	}
 	v.hosted.forwarder.SetInstanceCount(max(len(v.instances), 1))
+	v.hosted.store.SetTrialDelayMax(min(time.Duration(len(v.instances))*circuitSpacing, circuitWaitMax))
 	v.hosted.formingLease.SetCheckInterval(max(formingCheckInterval, time.Duration(len(v.instances))*formingCheckSpacing))
 	v.hosted.logger.Info().Str("peer", string(name)).Bool("gone", c.Deleted).Int("instances", len(v.instances)).Msg("instances changed")
 }
--- a/storeclient/client.go
+++ b/storeclient/client.go
@@ -126,6 +126,14 @@
 	c.cfg.Logger.Warn().Str("call", string(call.Operation)).AnErr("cause", cause).Msg("storeclient: circuit opened")
 }
 
+// SetTrialDelayMax replaces Config.TrialDelayMax. A longest delay below Config.TrialDelayBase counts as
+// that.
+func (c *Client) SetTrialDelayMax(d time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.circuit.delayMax = max(d, c.circuit.delayBase)
+}
+
 // circuitBlocked reports whether the circuit blocks all calls now.
 func (c *Client) circuitBlocked() bool {
 	c.mu.Lock()
