--- /dev/null
+++ b/scheduler/choice.go
@@ -0,0 +1,141 @@
+package scheduler
+
+import (
+	"time"
+
+	"amaranthmill/internal/identifier"
+)
+
+// candidate is a target that may take another request.
+type candidate struct {
+	target *target
+	load   float64 // as a fraction of its slots
+	score  float64 // the load and what else speaks against the target; the lowest is the best
+}
+
+// freeTargets returns the targets of a pool that may take a request which no target runs. The slice
+// is valid until the next call.
+func (s *Scheduler) freeTargets(now time.Time, pl *pool) []candidate {
+	m := pl.means(now)
+	s.free = s.free[:0]
+	for _, t := range pl.targets {
+		if c, ok := s.candidate(now, t, m); ok {
+			s.free = append(s.free, c)
+		}
+	}
+	return s.free
+}
+
+// candidate returns t as a candidate for a request which no target runs, or false if t may take none.
+func (s *Scheduler) candidate(now time.Time, t *target, m means) (candidate, bool) {
+	if !s.mayTake(now, t) {
+		return candidate{}, false
+	}
+	load := t.load(now, m.otherRequests)
+	return candidate{target: t, load: load, score: load + s.penalty(now, t, m.gap)}, load < s.cfg.MaxLoad
+}
+
+// chooseCandidate returns the best of the candidates for f, or false if f has tried all of them. A copy of
+// a request shares the target of the first copy while that has enough free slots.
+func (s *Scheduler) chooseCandidate(now time.Time, f *flight, candidates []candidate) (candidate, bool) {
+	var best candidate
+	found := false
+	shared := s.targetOfCopy(f)
+	for _, c := range candidates {
+		if f.hasTried(now, c.target) || len(f.running) > 0 && !c.target.stalledAt.IsZero() {
+			continue // a hedge is no trial request, because the first attempt may be at a silent target already
+		}
+		if c.target == shared && c.load < maxCopyLoad {
+			return c, true
+		}
+		if !found || c.score < best.score || c.score == best.score && s.winsTie(f, c.target, best.target) {
+			best, found = c, true
+		}
+	}
+	return best, found
+}
+
+// chooseTarget returns the best target for f and its load, or the reason why no target is available.
+func (s *Scheduler) chooseTarget(now time.Time, f *flight) (*target, float64, Reason) {
+	pl := s.pools[f.Pool]
+	if pl == nil {
+		return nil, 0, ReasonNoTarget
+	}
+	if c, ok := s.chooseCandidate(now, f, s.freeTargets(now, pl)); ok {
+		return c.target, c.load, ""
+	}
+	return nil, 0, s.waitReason(now, f, pl)
+}
+
+// waitReason returns the reason why no target of a pool is available for f.
+func (s *Scheduler) waitReason(now time.Time, f *flight, pl *pool) Reason {
+	m := pl.means(now)
+	for _, t := range pl.targets {
+		if !f.hasTried(now, t) && s.isFull(now, t, m) {
+			return ReasonFull
+		}
+	}
+	if _, isClosed := pl.reopensAt(now); isClosed {
+		return ReasonClosed
+	}
+	return ReasonNoTarget
+}
+
+// isFull reports whether t takes no request because of those that it runs: it has refused one, or
+// the estimate of its load says so.
+func (s *Scheduler) isFull(now time.Time, t *target, m means) bool {
+	if now.Before(t.refusedUntil) {
+		return t.statement.admits(now)
+	}
+	return s.mayTake(now, t) && t.load(now, m.otherRequests) >= s.cfg.MaxLoad
+}
+
+// winsTie reports whether t is preferred to best if both have the same score. The order of
+// the targets differs between requests, so that equal targets share the requests.
+func (s *Scheduler) winsTie(f *flight, t, best *target) bool {
+	return tieHash(f.ref, t.ID) < tieHash(f.ref, best.ID)
+}
+
+func tieHash(ref Ref, id identifier.Endpoint) uint64 {
+	h := uint64(ref) * 0x9e3779b97f4a7c15
+	for _, c := range []byte(id) {
+		h = (h ^ uint64(c)) * 0x100000001b3
+	}
+	return h
+}
+
+// penalty returns the value that is added to the load of t to get its score. Like the load,
+// it is a fraction of t's slots.
+func (s *Scheduler) penalty(now time.Time, t *target, poolMeanGap time.Duration) float64 {
+	score := prefillPenalty * float64(t.prefillBacklog()) / 1000
+	if t.FailureDomain != s.cfg.FailureDomain {
+		score += remoteDomainPenalty
+	}
+	if t.SpansFabricDomains {
+		score += fabricSpanPenalty
+	}
+	if t.MemberMissing {
+		score += missingMemberPenalty
+	}
+	if now.Sub(t.addedAt) < time.Second {
+		score += newTargetPenalty
+	}
+	if poolMeanGap > 0 && now.Sub(t.gapMeasuredAt) < latencySampleTTL {
+		if ratio := float64(t.meanGap) / float64(poolMeanGap); ratio > slowThreshold {
+			score += slowPenalty * (ratio - 1)
+		}
+	}
+	return score + 0.25*float64(min(t.consecutiveFailures, 8))
+}
+
+// mayTake reports whether t may take a request which no target runs: its process has neither said
+// that it leaves nor asked for no requests, and either t is not stalled, or a trial request is due.
+func (s *Scheduler) mayTake(now time.Time, t *target) bool {
+	if !t.statement.admits(now) || now.Before(t.refusedUntil) {
+		return false
+	}
+	if t.stalledAt.IsZero() {
+		return true
+	}
+	return len(t.attempts) == 0 && now.Sub(t.lastTrialAt) >= s.cfg.TrialInterval && now.Sub(t.stalledAt) >= s.cfg.TrialInterval
+}
