--- a/scheduler/doc.go
+++ b/scheduler/doc.go
@@ -9,10 +9,14 @@
 //     received it answered that it refused the request before running it.
 //   - The retries of all requests stay within a budget that the instances share. A retry is
 //     an attempt that follows one which may have reached a target.
+//   - A process that has said that it leaves, or that it wants no requests for a time, gets none.
 //   - A request that is quarantined because endpoints ended under it is not sent to a target.
 //   - A request that no target is expected to serve in time is refused as soon as the
 //     estimate shows this.
 //
+// Requests wait in one queue a pool, in the order of priority, deadline and arrival. A target that
+// becomes free wakes the queue of its pool, whose targets are then looked at once.
+//
 // A target is stalled if none of its requests makes progress. A stalled target may be gone, or
 // silent for a moment. Its repeatable requests are therefore hedged: a second attempt starts at
 // another target, after the last event that the caller received, and the first attempt is
