runner: an order whose turn comes after the end of the lease is not sent

Cause, by reading the diff: since orders wait for their turn, so that one could be sent after the lease under which it was decided had ended, while another instance forms groups. Epochs and the number of accepted orders bound what it could do, but nothing should be sent then.

Change: the lease is checked when the turn has come, by the monotonic clock; the order then counts as refused.

--- a/runner/hosted_groupformer.go
+++ b/runner/hosted_groupformer.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -49,6 +50,8 @@
 	tick      *time.Timer   // submits the ticks that the core requests
 	orders    chan struct{} // has an element for each order that is being sent
 	queries   chan struct{} // has an element for each engine that is being queried
+
+	hold atomic.Pointer[leaser.Hold] // until when this instance may form groups, by the monotonic clock; nil before the first
 }
 
 func newGroupFormer(h *hosted) *groupFormer {
@@ -95,6 +98,7 @@
 // changes without delay and directly from the store.
 func (f *groupFormer) setLease(h leaser.Hold) {
 	f.hosted.logger.Debug().Time("until", h.Until).Uint64("fence", h.Fence).Msg("group-forming lease changed")
+	f.hold.Store(&h)
 	f.step.Submit(groupformer.LeaseSet{Until: h.Until, Fence: h.Fence})
 	f.hosted.replica.SetUrgent(!h.Until.IsZero())
 	f.hosted.upstream.setDirect(!h.Until.IsZero())
@@ -133,10 +137,16 @@
 }
 
 // sendOrder sends an order and submits its outcome. The timeout of the exchange begins when its turn
-// has come.
+// has come. If the lease has ended by then, the order is not sent, because another instance may form
+// groups.
 func (f *groupFormer) sendOrder(o groupformer.Order) {
 	f.orders <- struct{}{}
 	defer func() { <-f.orders }()
+	if h := f.hold.Load(); h == nil || !time.Now().Before(h.Until) {
+		addOperation(f.hosted.logger.Warn(), o.Operation).Str("endpoint", string(o.ID)).Msg("lease ended while an order waited for its turn, it is not sent")
+		f.step.Submit(groupformer.OrderEnded{ID: o.ID, Number: o.Number, Result: groupformer.ResultRefused})
+		return
+	}
 	ctx, cancel := context.WithTimeout(f.ctx, orderTimeout)
 	defer cancel()
 	ended := f.engines.Order(ctx, f.addresses.address(o.ID), o)
