--- a/endpointlister/lister.go
+++ b/endpointlister/lister.go
@@ -43,7 +43,7 @@
 func (StoreRegained) event() {}
 func (Ticked) event()        {}
 
-// Action is an output of a Lister: EndpointListed, EndpointDelisted or WakeAt.
+// Action is an output of a Lister: EndpointListed, EndpointDelisted, EndpointHeld or WakeAt.
 type Action interface{ action() }
 
 // EndpointListed adds an endpoint to the list or replaces it there.
@@ -55,11 +55,19 @@
 	RemovedAt time.Time // when the removal of its entry was first observed
 }
 
+// EndpointHeld reports that an endpoint stays on the list although its entry is missing, because the
+// entry may have expired in an outage of the store.
+type EndpointHeld struct {
+	ID        identifier.Endpoint
+	StoreLost bool // the store is unreachable; otherwise the grace period after an outage runs
+}
+
 // WakeAt requests a Ticked event at a time.
 type WakeAt struct{ At time.Time }
 
 func (EndpointListed) action()   {}
 func (EndpointDelisted) action() {}
+func (EndpointHeld) action()     {}
 func (WakeAt) action()           {}
 
 // Lister is the deterministic core that maintains the list. An event costs what it changes, whatever
@@ -111,10 +119,15 @@
 	if _, ok := l.endpoints[id]; !ok {
 		return nil
 	}
-	if _, ok := l.missingSince[id]; !ok {
+	_, known := l.missingSince[id]
+	if !known {
 		l.missingSince[id] = now
 	}
-	return l.expire(now)
+	out := l.expire(now)
+	if _, held := l.missingSince[id]; held && !known {
+		out = append(out, EndpointHeld{ID: id, StoreLost: l.storeLost})
+	}
+	return out
 }
 
 // expire removes from the list the endpoints whose entries are missing, unless the store is
--- a/replicator/core.go
+++ b/replicator/core.go
@@ -73,8 +73,10 @@
 
 // Health reports that the store was lost or answers again.
 type Health struct {
-	Lost  bool
-	Since time.Time // if Lost, the time of the store's last answer; otherwise the time of the loss
+	Lost           bool
+	Since          time.Time // if Lost, the time of the store's last answer; otherwise the time of the loss
+	CalledAt       time.Time // when the call was made that the store answered; zero if Lost
+	FailedCalledAt time.Time // when the last call before it was made, which failed; zero if Lost
 }
 
 func (List) action()          {}
@@ -99,6 +101,7 @@
 	fromPeer     bool // the entries came from a peer and have to be confirmed by a list from the store
 
 	calledAt    time.Time // when the last call was made
+	failedAt    time.Time // when the last call that failed was made
 	answeredAt  time.Time // when the store last answered
 	lostAt      time.Time
 	failures    int
@@ -193,7 +196,7 @@
 		return nil
 	}
 	c.lost = false
-	return []Action{Health{Since: c.lostAt}}
+	return []Action{Health{Since: c.lostAt, CalledAt: c.calledAt, FailedCalledAt: c.failedAt}}
 }
 
 func (c *Core) handleFailure(now time.Time, compacted bool) []Action {
@@ -202,6 +205,7 @@
 		return c.scheduleCall(now)
 	}
 	c.failures++
+	c.failedAt = c.calledAt
 	c.nextCallAt = now.Add(min(c.backoff<<min(c.failures-1, 10), c.maxBackoff))
 	var out []Action
 	if !c.lost && c.failures >= lossThreshold {
--- a/replicator/replicator.go
+++ b/replicator/replicator.go
@@ -215,7 +215,8 @@
 	if h.Lost {
 		r.cfg.Logger.Warn().Dur("sinceAnswer", time.Since(h.Since)).Msg("store lost")
 	} else {
-		r.cfg.Logger.Info().Dur("lostFor", time.Since(h.Since)).Msg("store regained")
+		r.cfg.Logger.Info().Dur("lostFor", time.Since(h.Since)).Dur("sinceFailedCall", time.Since(h.FailedCalledAt)).Dur("answer", time.Since(h.CalledAt)).
+			Msg("store regained")
 	}
 	if r.cfg.OnHealth != nil {
 		r.cfg.OnHealth(h)
--- a/runner/hosted.go
+++ b/runner/hosted.go
@@ -71,6 +71,7 @@
 	meter         metric.Meter
 	metrics       http.Handler
 	store         *storeclient.Client
+	storeMeters   *storeMeters
 	replica       *replicator.Replicator
 	resolver      *resolver.Resolver
 	requester     *requester.Requester
@@ -93,6 +94,7 @@
 	if h.meter, h.metrics, err = newMeter(); err != nil {
 		return nil, err
 	}
+	h.storeMeters = newStoreMeters(h.meter)
 	h.store = storeclient.New(storeclient.Config{
 		Address: s.Store.Address, Instance: s.Instance, Dialect: platform.Store{}, HTTP: newHTTPClient(storeTimeout),
 		ReadsPerSecond: storeShare * s.Store.ReadsPerSecond, WritesPerSecond: storeShare * s.Store.WritesPerSecond,
--- a/runner/hosted_upstream.go
+++ b/runner/hosted_upstream.go
@@ -22,6 +22,7 @@
 	hosted *hosted
 
 	mu       sync.Mutex
+	followed identifier.Instance               // the peer that answered the last watch; empty for the store
 	direct   bool                              // this instance needs changes without delay and follows no peer
 	failedAt map[identifier.Instance]time.Time // last failed watch of each peer
 }
@@ -38,12 +39,15 @@
 func (u *upstream) Watch(ctx context.Context, after uint64) (storeclient.Changes, bool) {
 	peer, ok := u.selectPeer()
 	if !ok || after == 0 {
+		u.setFollowed("")
 		return storeclient.Changes{}, false
 	}
 	changes, err := u.hosted.messenger.WatchPeer(ctx, peer, after)
 	if err == nil {
+		u.setFollowed(peer.Instance)
 		return changes, true
 	}
+	u.setFollowed("")
 	u.hosted.logger.Debug().Err(err).Str("peer", string(peer.Instance)).Msg("peer not followed")
 	u.mu.Lock()
 	defer u.mu.Unlock()
@@ -51,6 +55,18 @@
 	return storeclient.Changes{}, false
 }
 
+// setFollowed records and logs where this instance gets changes of the store from: from a peer, or
+// from the store itself if peer is empty.
+func (u *upstream) setFollowed(peer identifier.Instance) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.followed == peer {
+		return
+	}
+	u.followed = peer
+	u.hosted.logger.Info().Str("peer", string(peer)).Bool("store", peer == "").Msg("changes of the store come from")
+}
+
 // parentOf returns the position of the instance that an instance follows, or false for the one that
 // queries the store. The instances of a failure domain form a tree in the order of their names, in
 // which each instance is followed by at most maxFollowers others.
--- a/runner/hosted_view.go
+++ b/runner/hosted_view.go
@@ -167,6 +167,7 @@
 
 // setStoreHealth passes on whether the store answers.
 func (v *view) setStoreHealth(health replicator.Health) {
+	v.hosted.storeMeters.countHealth(time.Now(), health)
 	v.hosted.groupFormer.setStoreLost(health.Lost)
 	v.hosted.quarantine.setStoreLost(health.Lost)
 	if health.Lost {
@@ -194,6 +195,8 @@
 		case endpointlister.EndpointDelisted:
 			delete(v.endpoints, a.ID)
 			v.hosted.logger.Info().Str("endpoint", string(a.ID)).Dur("age", time.Since(a.RemovedAt)).Msg("endpoint gone")
+		case endpointlister.EndpointHeld:
+			v.hosted.logger.Info().Str("endpoint", string(a.ID)).Bool("storeLost", a.StoreLost).Msg("entry of an endpoint is missing, the endpoint stays listed for now")
 		case endpointlister.WakeAt:
 			v.timer.Reset(time.Until(a.At))
 		}
