replicator, standin/hosted: failing tests of endpoints that left and of changes that come late

Beside them a test that holds what the grace time is for: entries that expire in an outage and return within two seconds lose no endpoint.

--- a/standin/hosted/hosted_test.go
+++ b/standin/hosted/hosted_test.go
@@ -49,6 +49,7 @@
 	instances, engines int // at least two groups of two engines each are formed
 	retrySlack         int
 	hasLinks           bool // the instances reach each engine over a link
+	hasStoreLinks      bool // each instance reaches the store over a link of its own
 }
 
 // fixture is a platform with instances, engines and an endpoint of the plain service.
@@ -57,7 +58,8 @@
 	platform  *hosted.Platform
 	instances []*instance
 	cfg       fixtureConfig
-	links     map[string]*relayer.Link // to engines, by engine ID
+	requests  int                      // sent by plainEndpoints
+	links     map[string]*relayer.Link // to engines, by engine ID, and to the store, by the name of the instance
 }
 
 // instance is a process of the program.
@@ -159,7 +161,7 @@
 		f.t.Fatal(err)
 	}
 	i := &instance{name: name, callers: ports[0].String(), readiness: ports[1].String(), peers: ports[2], exit: make(chan error, 1)}
-	text, err := hosted.Settings(name, ports, netip.MustParseAddrPort(f.platform.Address()), 8*time.Second, f.cfg.retrySlack)
+	text, err := hosted.Settings(name, ports, f.storeAddress(name), 8*time.Second, f.cfg.retrySlack)
 	if err != nil {
 		f.t.Fatal(err)
 	}
@@ -177,6 +179,20 @@
 	return i
 }
 
+// storeAddress returns the address at which an instance reaches the store.
+func (f *fixture) storeAddress(name string) netip.AddrPort {
+	store := netip.MustParseAddrPort(f.platform.Address())
+	if !f.cfg.hasStoreLinks {
+		return store
+	}
+	link, err := relayer.New(store)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.links[name] = link
+	return link.Address()
+}
+
 // await waits until ok returns true, and fails the test after waitLimit.
 func (f *fixture) await(what string, ok func() bool) {
 	f.t.Helper()
