replicator, messenger: an instance vouches for its replica only while the store answers

What callers saw: a changed configuration, or a leaving endpoint, that an instance obeyed up to 2.16 s after its neighbours, although it was in reach of the store (CONFIG, DRAIN; bound 2 s). Cause: the instance that it follows was cut off. It vouched for its replica for 1.5 s after the store's last answer, checked that only when a follower's watch began, and then held the watch for 0.9 s; and the follower took the answer as new, so that the delay grew with each level of the tree. Change: a watch of a peer ends when the replica is no longer fresh, and at each answer of the store, and tells how old that answer is; the follower counts that age as its own. Followers make no more calls than before: the store's answers to the followed instance come as often as the watches ended.

--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -19,7 +19,6 @@
 	"amaranthmill/internal/limitreader"
 	"amaranthmill/quarantiner"
 	"amaranthmill/replicator"
-	"amaranthmill/storeclient"
 )
 
 // defaultTimeout bounds one exchange with a peer.
@@ -34,16 +33,16 @@
 	FailureDomain identifier.FailureDomain
 
 	Peers            *Peers
-	Watch            func(ctx context.Context, after uint64, wait time.Duration) (storeclient.Changes, error) // waits for changes of the local replica
-	UpdateSince      func(after uint64) replicator.Update                                                     // what the local replica holds beyond a revision
-	Report           func(ctx context.Context, id identifier.Endpoint) (groupformer.Reported, error)          // queries an endpoint for its report
-	OnLosses         func(r quarantiner.Report)                                                               // a peer announces losses; must not block
-	OnUnacknowledged func(fp identifier.Fingerprint)                                                          // a peer did not acknowledge an announcement, which is sent again; must not block
-	Quarantines      func() []quarantiner.Quarantine                                                          // the quarantines at this instance
-	Leaving          func() []LeavingProcess                                                                  // the processes of endpoints that leave, as this instance knows them
-	Lift             func(fp identifier.Fingerprint) bool                                                     // ends a quarantine at all instances; false if there is none at this instance
-	OnStalled        func(head identifier.Endpoint)                                                           // a peer reports that the group with this head is stalled; must not block
-	OnLeaving        func(p identifier.Process)                                                               // a peer reports that a process has said that it leaves; must not block
+	Watch            func(ctx context.Context, after uint64, wait time.Duration) (replicator.PeerChanges, error) // waits for changes of the local replica
+	UpdateSince      func(after uint64) replicator.Update                                                        // what the local replica holds beyond a revision
+	Report           func(ctx context.Context, id identifier.Endpoint) (groupformer.Reported, error)             // queries an endpoint for its report
+	OnLosses         func(r quarantiner.Report)                                                                  // a peer announces losses; must not block
+	OnUnacknowledged func(fp identifier.Fingerprint)                                                             // a peer did not acknowledge an announcement, which is sent again; must not block
+	Quarantines      func() []quarantiner.Quarantine                                                             // the quarantines at this instance
+	Leaving          func() []LeavingProcess                                                                     // the processes of endpoints that leave, as this instance knows them
+	Lift             func(fp identifier.Fingerprint) bool                                                        // ends a quarantine at all instances; false if there is none at this instance
+	OnStalled        func(head identifier.Endpoint)                                                              // a peer reports that the group with this head is stalled; must not block
+	OnLeaving        func(p identifier.Process)                                                                  // a peer reports that a process has said that it leaves; must not block
 	HTTP             *http.Client
 	Timeout          time.Duration // of one exchange with a peer; zero selects 600 ms
 	AnnounceInterval time.Duration // between two exchanges with announcements to one peer; zero selects 200 ms
@@ -124,8 +123,9 @@
 	return err == nil
 }
 
-// changesWait bounds how long a watch of the local replica by a peer stays open.
-const changesWait = 900 * time.Millisecond
+// changesWait bounds how long a watch of the local replica by a peer stays open. It is longer than the
+// time between two answers of a quiet store, each of which ends the watch.
+const changesWait = time.Second
 
 func (m *Messenger) serveChanges(w http.ResponseWriter, r *http.Request) {
 	after, ok := parseAfter(w, r)
@@ -142,12 +142,12 @@
 
 // WatchPeer waits for changes of a peer's replica after a revision. Its error is *StatusError or
 // an error of the HTTP exchange.
-func (m *Messenger) WatchPeer(ctx context.Context, p Peer, after uint64) (storeclient.Changes, error) {
+func (m *Messenger) WatchPeer(ctx context.Context, p Peer, after uint64) (replicator.PeerChanges, error) {
 	ctx, cancel := context.WithTimeout(ctx, m.cfg.Timeout+changesWait)
 	defer cancel()
 	var w changesWire
 	if err := m.exchange(ctx, p, http.MethodGet, withAfter(pathChanges, after), nil, &w); err != nil {
-		return storeclient.Changes{}, err
+		return replicator.PeerChanges{}, err
 	}
 	return w.changes(), nil
 }
--- a/messenger/messenger_test.go
+++ b/messenger/messenger_test.go
@@ -28,11 +28,11 @@
 func start(t *testing.T, name identifier.Instance, domain identifier.FailureDomain, stalled chan identifier.Endpoint) messenger.Peer {
 	m := messenger.New(messenger.Config{
 		Peers: &messenger.Peers{},
-		Watch: func(_ context.Context, after uint64, _ time.Duration) (storeclient.Changes, error) {
+		Watch: func(_ context.Context, after uint64, _ time.Duration) (replicator.PeerChanges, error) {
 			if after < 5 {
-				return storeclient.Changes{}, errStale
+				return replicator.PeerChanges{}, errStale
 			}
-			return storeclient.Changes{Revision: 9, Entries: []storeclient.Change{{Entry: storeclient.Entry{Key: "a", Value: []byte("x"), Revision: 8}}, {Entry: storeclient.Entry{Key: "b", Revision: 9}, Deleted: true}}}, nil
+			return replicator.PeerChanges{Age: 40 * time.Millisecond, Changes: storeclient.Changes{Revision: 9, Entries: []storeclient.Change{{Entry: storeclient.Entry{Key: "a", Value: []byte("x"), Revision: 8}}, {Entry: storeclient.Entry{Key: "b", Revision: 9}, Deleted: true}}}}, nil
 		},
 		UpdateSince: func(after uint64) replicator.Update {
 			if after >= 9 {
@@ -71,6 +71,7 @@
 	changes, err := m.WatchPeer(ctx, alpine, 7)
 	is.NoErr(err)
 	is.Equal(changes.Revision, uint64(9))
+	is.Equal(changes.Age, 40*time.Millisecond)
 	is.True(changes.Entries[1].Deleted)
 	_, err = m.WatchPeer(ctx, alpine, 4)
 	var status *messenger.StatusError
--- a/messenger/wire.go
+++ b/messenger/wire.go
@@ -6,6 +6,7 @@
 
 	"amaranthmill/endpointlister"
 	"amaranthmill/groupformer"
+	"amaranthmill/internal/formatter"
 	"amaranthmill/internal/identifier"
 	"amaranthmill/quarantiner"
 	"amaranthmill/replicator"
@@ -43,10 +44,11 @@
 	return replicator.Update{Revision: w.Revision, Complete: w.Whole, Entries: decodeEntries(w.Entries)}
 }
 
-// changesWire is the wire form of storeclient.Changes.
+// changesWire is the wire form of replicator.PeerChanges.
 type changesWire struct {
-	Revision uint64       `json:"revision"`
-	Entries  []changeWire `json:"entries"`
+	Revision uint64             `json:"revision"`
+	Entries  []changeWire       `json:"entries"`
+	Age      formatter.Duration `json:"age,omitempty"`
 }
 
 type changeWire struct {
@@ -56,12 +58,14 @@
 	Deleted  bool   `json:"deleted,omitempty"`
 }
 
-func encodeChanges(c storeclient.Changes) changesWire {
-	return changesWire{Revision: c.Revision, Entries: encodeEntries(c.Entries)}
+func encodeChanges(c replicator.PeerChanges) changesWire {
+	return changesWire{Revision: c.Revision, Entries: encodeEntries(c.Entries), Age: formatter.Duration(c.Age)}
 }
 
-func (w changesWire) changes() storeclient.Changes {
-	return storeclient.Changes{Revision: w.Revision, Entries: decodeEntries(w.Entries)}
+func (w changesWire) changes() replicator.PeerChanges {
+	return replicator.PeerChanges{
+		Changes: storeclient.Changes{Revision: w.Revision, Entries: decodeEntries(w.Entries)}, Age: max(w.Age.Std(), 0),
+	}
 }
 
 func encodeEntries(entries []storeclient.Change) []changeWire {
--- a/replicator/core.go
+++ b/replicator/core.go
@@ -28,8 +28,12 @@
 // Listed is the answer to a List action.
 type Listed struct{ Snapshot storeclient.Snapshot }
 
-// Watched is the answer to a Watch action.
-type Watched struct{ Changes storeclient.Changes }
+// Watched is the answer to a Watch action. Age is the time since the store's answer from which the
+// changes come; it is zero if the store itself has just answered.
+type Watched struct {
+	Changes storeclient.Changes
+	Age     time.Duration
+}
 
 // Failed reports that the pending call failed. Compacted is set if the store no longer has the
 // history that the call requested.
@@ -102,7 +106,7 @@
 
 	calledAt    time.Time // when the last call was made
 	failedAt    time.Time // when the last call that failed was made
-	answeredAt  time.Time // when the store last answered
+	answeredAt  time.Time // when the store last answered, this instance or the one at the top of those that it follows
 	lostAt      time.Time
 	failures    int
 	lost        bool
@@ -137,7 +141,7 @@
 	case UrgentSet:
 		c.urgent = e.On
 	case Listed:
-		out := c.handleSuccess(now)
+		out := c.handleSuccess(now, 0)
 		if !c.listed && len(c.entries) == 0 {
 			c.removalFloor = e.Snapshot.Revision
 		}
@@ -145,7 +149,7 @@
 		c.listed, c.fromPeer = true, false
 		return append(out, c.scheduleCall(now)...)
 	case Watched:
-		out := c.handleSuccess(now)
+		out := c.handleSuccess(now, e.Age)
 		out = append(out, c.applyChanges(e.Changes)...)
 		return append(out, c.scheduleCall(now)...)
 	case Failed:
@@ -161,10 +165,14 @@
 // Revision returns the store revision that the replica reflects, or zero before the first list.
 func (c *Core) Revision() uint64 { return c.revision }
 
-// IsFresh reports whether the replica is complete and the store answered within the last age,
-// either directly or through the peer that this replica follows.
-func (c *Core) IsFresh(now time.Time, age time.Duration) bool {
-	return c.listed && !c.lost && now.Sub(c.answeredAt) <= age
+// AnsweredAt returns when the store sent its last answer, to this replica or to the one from which
+// the peer that this replica follows has it. It returns the zero time if the replica is incomplete
+// or the store is lost.
+func (c *Core) AnsweredAt() time.Time {
+	if !c.listed || c.lost {
+		return time.Time{}
+	}
+	return c.answeredAt
 }
 
 // startCall starts a List if the entries are incomplete or unconfirmed, and a Watch otherwise.
@@ -190,8 +198,12 @@
 	return c.startCall(now)
 }
 
-func (c *Core) handleSuccess(now time.Time) []Action {
-	c.answeredAt, c.failures, c.nextQueryAt = now, 0, time.Time{}
+// handleSuccess records an answer whose content the store sent age before now.
+func (c *Core) handleSuccess(now time.Time, age time.Duration) []Action {
+	if at := now.Add(-age); at.After(c.answeredAt) {
+		c.answeredAt = at
+	}
+	c.failures, c.nextQueryAt = 0, time.Time{}
 	if !c.lost {
 		return nil
 	}
--- a/replicator/outage_test.go
+++ b/replicator/outage_test.go
@@ -24,10 +24,11 @@
 	answerTime  = 4 * time.Millisecond
 )
 
-// cutStore is a store that is cut off, without any answer, for a time.
+// cutStore is a store that is cut off, without any answer, for a time. The zero time stands for never.
 type cutStore struct {
 	cutAt, healAt time.Time
-	failed        bool // the last call failed; a watch then returns without being held
+	changeAt      time.Time // when an entry is written
+	failed        bool      // the last call failed; a watch then returns without being held
 }
 
 var errSilent = errors.New("no answer")
@@ -36,12 +37,24 @@
 	return storeclient.Snapshot{Revision: 1}, s.call(ctx, 0)
 }
 
+// changes returns the changes after a revision.
+func (s *cutStore) changes(after uint64) storeclient.Changes {
+	if s.changeAt.IsZero() || time.Now().Before(s.changeAt) || after > 1 {
+		return storeclient.Changes{Revision: after}
+	}
+	return storeclient.Changes{Revision: 2, Entries: []storeclient.Change{{Entry: storeclient.Entry{Key: "a", Revision: 2}}}}
+}
+
 func (s *cutStore) Watch(ctx context.Context, _ string, after uint64) (storeclient.Changes, error) {
 	hold := holdTime
 	if s.failed {
 		hold = 0
 	}
-	return storeclient.Changes{Revision: after}, s.call(ctx, hold)
+	if !s.changeAt.IsZero() && after < 2 {
+		hold = max(min(hold, time.Until(s.changeAt)), 0)
+	}
+	err := s.call(ctx, hold)
+	return s.changes(after), err
 }
 
 // call waits for the answer of a call that the store holds for a time, or fails after the timeout if
@@ -89,6 +102,59 @@
 	}
 }
 
+// peerUpstream follows a replica, and the store for a time after a failed watch.
+type peerUpstream struct {
+	replica  *replicator.Replicator
+	failedAt time.Time
+}
+
+func (u *peerUpstream) Watch(ctx context.Context, after uint64) (replicator.PeerChanges, bool) {
+	if time.Since(u.failedAt) < 5*time.Second {
+		return replicator.PeerChanges{}, false
+	}
+	changes, err := u.replica.Watch(ctx, after, time.Second)
+	if err != nil {
+		u.failedAt = time.Now()
+	}
+	return changes, err == nil
+}
+
+// TestChangesReachFollowersOfCutInstanceInTime cuts the first of four instances that follow each other
+// off from the store, and writes an entry at different times after that. At each level of the tree
+// the vouching for an old state added to the delay of the levels above.
+func TestChangesReachFollowersOfCutInstanceInTime(t *testing.T) {
+	const levels = 4
+	for delay := time.Duration(0); delay < 2*time.Second; delay += 90 * time.Millisecond {
+		synctest.Test(t, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(t.Context())
+			start := time.Now()
+			cutAt := start.Add(5 * time.Second)
+			changeAt := cutAt.Add(delay)
+			var seenAt [levels]time.Time
+			var above *replicator.Replicator
+			for level := range levels {
+				cfg := replicator.Config{Store: &cutStore{changeAt: changeAt}, OnChange: func([]storeclient.Change) { seenAt[level] = time.Now() }}
+				if above == nil {
+					cfg.Store = &cutStore{changeAt: changeAt, cutAt: cutAt, healAt: cutAt.Add(time.Minute)}
+				} else {
+					cfg.Upstream = &peerUpstream{replica: above}
+				}
+				above = replicator.New(cfg)
+				go func() { _ = above.Run(ctx) }()
+				time.Sleep(170 * time.Millisecond) // the instances do not start at once
+			}
+			time.Sleep(20 * time.Second)
+			cancel()
+			synctest.Wait()
+			for level := 1; level < levels; level++ {
+				if seenAt[level].IsZero() || seenAt[level].Sub(changeAt) > followerBound+100*time.Millisecond {
+					t.Errorf("level %d has a change of %v after the cut %v late", level, delay, seenAt[level].Sub(changeAt))
+				}
+			}
+		})
+	}
+}
+
 // TestReplicaReturnsSoonAfterHeal cuts an instance off from the store for different times. A call that
 // was sent into the cut kept the next one from being sent until it had timed out, so that the
 // instance came back up to two seconds after the heal.
--- a/replicator/replicator.go
+++ b/replicator/replicator.go
@@ -31,7 +31,13 @@
 type Upstream interface {
 	// Watch returns the changes after a revision, as Store.Watch does, or false if there is
 	// currently no peer to follow.
-	Watch(ctx context.Context, after uint64) (storeclient.Changes, bool)
+	Watch(ctx context.Context, after uint64) (PeerChanges, bool)
+}
+
+// PeerChanges are what a replica returns to a peer that follows it.
+type PeerChanges struct {
+	storeclient.Changes
+	Age time.Duration // since the store's last answer, to the replica or to the one that it follows
 }
 
 // StaleError reports that a peer can't follow this replica, because the store has not answered
@@ -71,12 +77,12 @@
 
 	mu       sync.Mutex // guards the fields below
 	core     *Core
-	advanced chan struct{} // closed and replaced when the replica's revision advances
+	answered chan struct{} // closed and replaced at each answer of the store and each change of the replica's revision
 }
 
 // New returns a Replicator for cfg.
 func New(cfg Config) *Replicator {
-	return &Replicator{cfg: cfg.withDefaults(), events: make(chan Event, 4), core: NewCore(cfg), advanced: make(chan struct{})}
+	return &Replicator{cfg: cfg.withDefaults(), events: make(chan Event, 4), core: NewCore(cfg), answered: make(chan struct{})}
 }
 
 // UpdateSince returns what the replica holds beyond a revision.
@@ -86,30 +92,40 @@
 	return r.core.UpdateSince(after)
 }
 
-// Watch waits at most wait for changes after a revision and returns them to a peer that follows
-// this replica. Its error is *StaleError.
-func (r *Replicator) Watch(ctx context.Context, after uint64, wait time.Duration) (storeclient.Changes, error) {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
+// Watch waits at most wait for changes after a revision or for the next answer of the store, which
+// shows that there are none, and returns them to a peer that follows this replica. It does not
+// wait longer than the replica is fresh. Its error is *StaleError.
+func (r *Replicator) Watch(ctx context.Context, after uint64, wait time.Duration) (PeerChanges, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	var firstAnswer time.Time
 	for {
 		r.mu.Lock()
-		advanced, revision := r.advanced, r.core.Revision()
+		answered, answeredAt, revision := r.answered, r.core.AnsweredAt(), r.core.Revision()
 		changes, known := r.core.ChangesSince(after)
-		fresh := r.core.IsFresh(time.Now(), maxAnswerAge)
 		r.mu.Unlock()
-		if !known || !fresh {
-			return storeclient.Changes{}, &StaleError{After: after}
+		age := time.Since(answeredAt)
+		if !known || age > maxAnswerAge {
+			return PeerChanges{}, &StaleError{After: after}
 		}
-		if revision > after {
-			return changes, nil
+		if firstAnswer.IsZero() {
+			firstAnswer = answeredAt
 		}
-		select {
-		case <-advanced:
-		case <-timer.C:
-			return storeclient.Changes{Revision: after}, nil
-		case <-ctx.Done():
-			return storeclient.Changes{Revision: after}, nil
+		if revision > after || answeredAt.After(firstAnswer) || ctx.Err() != nil {
+			return PeerChanges{Changes: changes, Age: age}, nil
 		}
+		awaitAnswer(ctx, answered, maxAnswerAge-age)
+	}
+}
+
+// awaitAnswer waits until the store has answered, at most for the time that the replica is still fresh.
+func awaitAnswer(ctx context.Context, answered <-chan struct{}, freshFor time.Duration) {
+	timer := time.NewTimer(freshFor + time.Millisecond)
+	defer timer.Stop()
+	select {
+	case <-answered:
+	case <-timer.C:
+	case <-ctx.Done():
 	}
 }
 
@@ -140,11 +156,11 @@
 
 func (r *Replicator) step(ctx context.Context, e Event) {
 	r.mu.Lock()
-	before := r.core.Revision()
+	revision, answeredAt := r.core.Revision(), r.core.AnsweredAt()
 	actions := r.core.Step(time.Now(), e)
-	if r.core.Revision() > before {
-		close(r.advanced)
-		r.advanced = make(chan struct{})
+	if r.core.Revision() > revision || !r.core.AnsweredAt().Equal(answeredAt) {
+		close(r.answered)
+		r.answered = make(chan struct{})
 	}
 	r.mu.Unlock()
 	for _, a := range actions {
@@ -189,7 +205,7 @@
 func (r *Replicator) watchChanges(ctx context.Context, after uint64) Event {
 	if r.cfg.Upstream != nil {
 		if ch, ok := r.cfg.Upstream.Watch(ctx, after); ok {
-			return Watched{Changes: ch}
+			return Watched{Changes: ch.Changes, Age: ch.Age}
 		}
 	}
 	ch, err := r.cfg.Store.Watch(ctx, "", after)
--- a/runner/hosted.go
+++ b/runner/hosted.go
@@ -120,7 +120,7 @@
 	h.view = newView(h)
 	h.messenger = messenger.New(messenger.Config{
 		Instance: s.Instance, FailureDomain: s.FailureDomain, Peers: &h.peers,
-		Watch: func(ctx context.Context, after uint64, wait time.Duration) (storeclient.Changes, error) {
+		Watch: func(ctx context.Context, after uint64, wait time.Duration) (replicator.PeerChanges, error) {
 			return h.replica.Watch(ctx, after, wait)
 		},
 		UpdateSince: func(after uint64) replicator.Update { return h.replica.UpdateSince(after) },
--- a/runner/hosted_upstream.go
+++ b/runner/hosted_upstream.go
@@ -8,7 +8,7 @@
 
 	"amaranthmill/internal/identifier"
 	"amaranthmill/messenger"
-	"amaranthmill/storeclient"
+	"amaranthmill/replicator"
 )
 
 const (
@@ -36,11 +36,11 @@
 
 // Watch returns the changes after a revision from the peer that this instance follows. It
 // returns false if the instance follows no peer, if after is zero or if the watch fails.
-func (u *upstream) Watch(ctx context.Context, after uint64) (storeclient.Changes, bool) {
+func (u *upstream) Watch(ctx context.Context, after uint64) (replicator.PeerChanges, bool) {
 	peer, ok := u.selectPeer()
 	if !ok || after == 0 {
 		u.setFollowed("")
-		return storeclient.Changes{}, false
+		return replicator.PeerChanges{}, false
 	}
 	changes, err := u.hosted.messenger.WatchPeer(ctx, peer, after)
 	if err == nil {
@@ -52,7 +52,7 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.failedAt[peer.Instance] = time.Now()
-	return storeclient.Changes{}, false
+	return replicator.PeerChanges{}, false
 }
 
 // setFollowed records and logs where this instance gets changes of the store from: from a peer, or
