replicator, storeclient: a call into silence keeps no other call from finding the store again

What callers saw: after a cut had healed, an instance obeyed changes only 1 to 2 s later, to which the grace time of expired entries is added: endpoints that had left got requests (DRAIN). Cause: one call at a time. A call that was sent into the cut ends only at its timeout (1 s, a watch 1.9 s), and neither the replica nor the client's open circuit made another one meanwhile; and the first watch after a failure was held for 0.9 s if nothing had changed. Change: after a failure, calls are made at intervals whether or not the earlier ones have ended; the first answer counts, and the calls of the same round that time out later count for nothing. An open circuit allows a trial call each interval. A watch is not held while calls fail, and a call that the client itself rejects is tried again after 100 ms, as it costs the store nothing.

--- a/replicator/core.go
+++ b/replicator/core.go
@@ -26,18 +26,25 @@
 type Started struct{}
 
 // Listed is the answer to a List action.
-type Listed struct{ Snapshot storeclient.Snapshot }
+type Listed struct {
+	Snapshot storeclient.Snapshot
+	Round    uint64 // of the List action
+}
 
 // Watched is the answer to a Watch action. Age is the time since the store's answer from which the
 // changes come; it is zero if the store itself has just answered.
 type Watched struct {
 	Changes storeclient.Changes
 	Age     time.Duration
+	Round   uint64 // of the Watch action
 }
 
-// Failed reports that the pending call failed. Compacted is set if the store no longer has the
-// history that the call requested.
-type Failed struct{ Compacted bool }
+// Failed reports that a call failed.
+type Failed struct {
+	Compacted bool   // the store no longer has the history that the call requested
+	NotSent   bool   // the store's client has rejected the call, because the store fails
+	Round     uint64 // of the List or Watch action
+}
 
 // PeerAnswered is the answer to a QueryPeers action: what a peer's replica holds beyond this one.
 type PeerAnswered struct{ Update Update }
@@ -60,11 +67,11 @@
 // Action is an output of a Core: List, Watch, QueryPeers, WakeAt, NotifyChanges or Health.
 type Action interface{ action() }
 
-// List requests all entries from the store.
-type List struct{}
+// List requests all entries from the store. All calls between two answers belong to one round.
+type List struct{ Round uint64 }
 
 // Watch requests the changes after a revision from the store.
-type Watch struct{ After uint64 }
+type Watch struct{ After, Round uint64 }
 
 // QueryPeers queries one peer for what its replica holds beyond a revision.
 type QueryPeers struct{ After uint64 }
@@ -77,10 +84,10 @@
 
 // Health reports that the store was lost or answers again.
 type Health struct {
-	Lost           bool
-	Since          time.Time // if Lost, the time of the store's last answer; otherwise the time of the loss
-	CalledAt       time.Time // when the call was made that the store answered; zero if Lost
-	FailedCalledAt time.Time // when the last call before it was made, which failed; zero if Lost
+	Lost         bool
+	Since        time.Time // if Lost, the time of the store's last answer; otherwise the time of the loss
+	CalledAt     time.Time // when the call was made that the store answered; zero if Lost
+	UnansweredAt time.Time // when the call before it was made, which failed or was not answered; zero if Lost
 }
 
 func (List) action()          {}
@@ -90,8 +97,10 @@
 func (NotifyChanges) action() {}
 func (Health) action()        {}
 
-// Core decides when to list, to watch and to query peers, and holds the replica. At most one
-// call to the store is pending. It is not safe for concurrent use.
+// Core decides when to list, to watch and to query peers, and holds the replica. One call to the
+// store is pending while the store answers. After a failure the next calls are made at intervals
+// whether or not the previous ones have ended, because a call into silence ends only at its timeout.
+// Core is not safe for concurrent use.
 type Core struct {
 	minInterval, urgentInterval, backoff, maxBackoff, peerInterval time.Duration
 
@@ -104,14 +113,16 @@
 	listed       bool // the entries are complete as of revision
 	fromPeer     bool // the entries came from a peer and have to be confirmed by a list from the store
 
-	calledAt    time.Time // when the last call was made
-	failedAt    time.Time // when the last call that failed was made
-	answeredAt  time.Time // when the store last answered, this instance or the one at the top of those that it follows
-	lostAt      time.Time
-	failures    int
-	lost        bool
-	nextCallAt  time.Time // when the next call is due; zero while a call is pending
-	nextQueryAt time.Time // when the next query to peers is due; zero while the store answers
+	calledAt     time.Time // when the last call was made
+	unansweredAt time.Time // when the call before that was made
+	answeredAt   time.Time // when the store last answered, this instance or the one at the top of those that it follows
+	lostAt       time.Time
+	round        uint64 // number of the store's answers to this replica
+	pending      int    // calls of this round that have not ended
+	failures     int
+	lost         bool
+	nextCallAt   time.Time // when the next call is due; zero while one is pending and none has failed
+	nextQueryAt  time.Time // when the next query to peers is due; zero while the store answers
 }
 
 // NewCore returns a Core for cfg. It uses only the durations of cfg.
@@ -141,19 +152,11 @@
 	case UrgentSet:
 		c.urgent = e.On
 	case Listed:
-		out := c.handleSuccess(now, 0)
-		if !c.listed && len(c.entries) == 0 {
-			c.removalFloor = e.Snapshot.Revision
-		}
-		out = append(out, c.replaceEntries(e.Snapshot)...)
-		c.listed, c.fromPeer = true, false
-		return append(out, c.scheduleCall(now)...)
+		return c.handleList(now, e)
 	case Watched:
-		out := c.handleSuccess(now, e.Age)
-		out = append(out, c.applyChanges(e.Changes)...)
-		return append(out, c.scheduleCall(now)...)
+		return c.handleWatch(now, e)
 	case Failed:
-		return c.handleFailure(now, e.Compacted)
+		return c.handleFailure(now, e)
 	case PeerAnswered:
 		return c.handleUpdate(e.Update)
 	case Ticked:
@@ -175,13 +178,39 @@
 	return c.answeredAt
 }
 
+func (c *Core) handleList(now time.Time, e Listed) []Action {
+	if !c.listed && len(c.entries) == 0 {
+		c.removalFloor = e.Snapshot.Revision
+	}
+	if e.Round != c.round {
+		return c.replaceEntries(e.Snapshot)
+	}
+	out := c.handleSuccess(now, 0)
+	out = append(out, c.replaceEntries(e.Snapshot)...)
+	c.listed, c.fromPeer = true, false
+	return append(out, c.scheduleCall(now)...)
+}
+
+func (c *Core) handleWatch(now time.Time, e Watched) []Action {
+	if e.Round != c.round {
+		return c.applyChanges(e.Changes)
+	}
+	out := c.handleSuccess(now, e.Age)
+	out = append(out, c.applyChanges(e.Changes)...)
+	return append(out, c.scheduleCall(now)...)
+}
+
 // startCall starts a List if the entries are incomplete or unconfirmed, and a Watch otherwise.
 func (c *Core) startCall(now time.Time) []Action {
-	c.calledAt, c.nextCallAt = now, time.Time{}
+	c.unansweredAt, c.calledAt, c.nextCallAt = c.calledAt, now, time.Time{}
+	c.pending++
+	if c.failures > 0 {
+		c.nextCallAt = now.Add(c.maxBackoff)
+	}
 	if !c.listed || c.fromPeer {
-		return []Action{List{}}
+		return []Action{List{Round: c.round}}
 	}
-	return []Action{Watch{After: c.revision}}
+	return []Action{Watch{After: c.revision, Round: c.round}}
 }
 
 // scheduleCall starts the next call after an answer, or delays it to the end of the interval so
@@ -203,22 +232,26 @@
 	if at := now.Add(-age); at.After(c.answeredAt) {
 		c.answeredAt = at
 	}
-	c.failures, c.nextQueryAt = 0, time.Time{}
+	c.round++
+	c.pending, c.failures, c.nextQueryAt = 0, 0, time.Time{}
 	if !c.lost {
 		return nil
 	}
 	c.lost = false
-	return []Action{Health{Since: c.lostAt, CalledAt: c.calledAt, FailedCalledAt: c.failedAt}}
+	return []Action{Health{Since: c.lostAt, CalledAt: c.calledAt, UnansweredAt: c.unansweredAt}}
 }
 
-func (c *Core) handleFailure(now time.Time, compacted bool) []Action {
-	if compacted {
+func (c *Core) handleFailure(now time.Time, e Failed) []Action {
+	if e.Round != c.round {
+		return nil
+	}
+	c.pending--
+	if e.Compacted {
 		c.listed = false
 		return c.scheduleCall(now)
 	}
 	c.failures++
-	c.failedAt = c.calledAt
-	c.nextCallAt = now.Add(min(c.backoff<<min(c.failures-1, 10), c.maxBackoff))
+	c.scheduleRetry(now, e.NotSent)
 	var out []Action
 	if !c.lost && c.failures >= lossThreshold {
 		c.lost, c.lostAt, c.nextQueryAt = true, now, now
@@ -227,6 +260,19 @@
 	return append(out, c.handleTick(now)...)
 }
 
+// scheduleRetry sets the time of the next call after a failure. A call that is pending does not delay
+// it, and a call that the store's client has rejected costs the store nothing.
+func (c *Core) scheduleRetry(now time.Time, notSent bool) {
+	if notSent {
+		c.nextCallAt = now.Add(c.backoff)
+		return
+	}
+	at := now.Add(min(c.backoff<<min(c.failures-1, 10), c.maxBackoff))
+	if c.pending == 0 || c.nextCallAt.IsZero() || at.Before(c.nextCallAt) {
+		c.nextCallAt = at
+	}
+}
+
 func (c *Core) handleUpdate(u Update) []Action {
 	if !c.lost || u.Revision <= c.revision {
 		return nil
--- a/replicator/replicator.go
+++ b/replicator/replicator.go
@@ -171,9 +171,9 @@
 func (r *Replicator) handle(ctx context.Context, a Action) {
 	switch a := a.(type) {
 	case List:
-		go r.submit(ctx, func() Event { return r.listStore(ctx) })
+		go r.submit(ctx, func() Event { return r.listStore(ctx, a.Round) })
 	case Watch:
-		go r.submit(ctx, func() Event { return r.watchChanges(ctx, a.After) })
+		go r.submit(ctx, func() Event { return r.watchChanges(ctx, a) })
 	case QueryPeers:
 		if r.cfg.Peers != nil {
 			go r.submit(ctx, func() Event { return PeerAnswered{Update: r.cfg.Peers.FetchUpdate(ctx, a.After)} })
@@ -194,44 +194,45 @@
 	}
 }
 
-func (r *Replicator) listStore(ctx context.Context) Event {
+func (r *Replicator) listStore(ctx context.Context, round uint64) Event {
 	s, err := r.cfg.Store.Snapshot(ctx, "")
 	if err != nil {
-		return r.classifyFailure(err)
+		return r.classifyFailure(err, round)
 	}
-	return Listed{Snapshot: s}
+	return Listed{Snapshot: s, Round: round}
 }
 
-func (r *Replicator) watchChanges(ctx context.Context, after uint64) Event {
+func (r *Replicator) watchChanges(ctx context.Context, w Watch) Event {
 	if r.cfg.Upstream != nil {
-		if ch, ok := r.cfg.Upstream.Watch(ctx, after); ok {
-			return Watched{Changes: ch.Changes, Age: ch.Age}
+		if ch, ok := r.cfg.Upstream.Watch(ctx, w.After); ok {
+			return Watched{Changes: ch.Changes, Age: ch.Age, Round: w.Round}
 		}
 	}
-	ch, err := r.cfg.Store.Watch(ctx, "", after)
+	ch, err := r.cfg.Store.Watch(ctx, "", w.After)
 	if err != nil {
-		return r.classifyFailure(err)
+		return r.classifyFailure(err, w.Round)
 	}
-	return Watched{Changes: ch}
+	return Watched{Changes: ch, Round: w.Round}
 }
 
-// classifyFailure returns the event for a failed call. It logs most errors at debug level only,
+// classifyFailure returns the event for a failed call of a round. It logs most errors at debug level only,
 // because the store's client counts and logs its failures.
-func (r *Replicator) classifyFailure(err error) Event {
+func (r *Replicator) classifyFailure(err error, round uint64) Event {
 	var compacted *storeclient.CompactedError
 	if errors.As(err, &compacted) {
 		r.cfg.Logger.Info().Uint64("revision", compacted.Revision).Msg("store has compacted the history after this revision; listing all entries again")
-		return Failed{Compacted: true}
+		return Failed{Compacted: true, Round: round}
 	}
 	r.cfg.Logger.Debug().Err(err).Msg("store call failed; retrying after a delay")
-	return Failed{}
+	var rejected *storeclient.CircuitError
+	return Failed{NotSent: errors.As(err, &rejected), Round: round}
 }
 
 func (r *Replicator) reportHealth(h Health) {
 	if h.Lost {
 		r.cfg.Logger.Warn().Dur("sinceAnswer", time.Since(h.Since)).Msg("store lost")
 	} else {
-		r.cfg.Logger.Info().Dur("lostFor", time.Since(h.Since)).Dur("sinceFailedCall", time.Since(h.FailedCalledAt)).Dur("answer", time.Since(h.CalledAt)).
+		r.cfg.Logger.Info().Dur("lostFor", time.Since(h.Since)).Dur("sinceFailedCall", time.Since(h.UnansweredAt)).Dur("answer", time.Since(h.CalledAt)).
 			Msg("store regained")
 	}
 	if r.cfg.OnHealth != nil {
--- a/replicator/session_test.go
+++ b/replicator/session_test.go
@@ -15,6 +15,7 @@
 type session struct {
 	core   *replicator.Core
 	wakeAt time.Time
+	round  uint64 // of the last call
 }
 
 func TestSessions(t *testing.T) {
@@ -36,11 +37,11 @@
 	case "start":
 		e = replicator.Started{}
 	case "listed":
-		e = replicator.Listed{Snapshot: snapshot(ev)}
+		e = replicator.Listed{Snapshot: snapshot(ev), Round: s.roundOf(ev)}
 	case "watched":
-		e = replicator.Watched{Changes: changes(ev)}
+		e = replicator.Watched{Changes: changes(ev), Round: s.roundOf(ev)}
 	case "failed":
-		e = replicator.Failed{Compacted: ev.Bool("compacted")}
+		e = replicator.Failed{Compacted: ev.Bool("compacted"), NotSent: ev.Bool("notSent"), Round: s.roundOf(ev)}
 	case "peer":
 		e = replicator.PeerAnswered{Update: replicator.Update{Revision: uint64(ev.Int("revision")), Complete: !ev.Bool("changes"), Entries: entries(ev)}}
 	case "pass":
@@ -55,6 +56,10 @@
 	return append(out, s.step(now, e)...), nil
 }
 
+// roundOf returns the round of the call that an event answers: that of the last call, unless the event
+// answers an earlier one.
+func (s *session) roundOf(ev scripter.Event) uint64 { return s.round - uint64(ev.Int("roundsAgo")) }
+
 // since describes the changes that a peer that follows the replica would receive.
 func (s *session) since(revision uint64) string {
 	ch, ok := s.core.ChangesSince(revision)
@@ -104,9 +109,9 @@
 		line := ""
 		switch a := a.(type) {
 		case replicator.List:
-			line = "list"
+			line, s.round = "list", a.Round
 		case replicator.Watch:
-			line = fmt.Sprintf("watch after %d", a.After)
+			line, s.round = fmt.Sprintf("watch after %d", a.After), a.Round
 		case replicator.QueryPeers:
 			line = fmt.Sprintf("query peers after %d", a.After)
 		case replicator.NotifyChanges:
--- a/storeclient/client.go
+++ b/storeclient/client.go
@@ -113,7 +113,6 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !ok && errors.Is(ctx.Err(), context.Canceled) {
-		c.circuit.cancelTrial()
 		return
 	}
 	if !c.circuit.record(c.cfg.Now(), ok, c.random.Float64()) {
@@ -148,6 +147,13 @@
 	return c.circuit.open
 }
 
+// isFailing reports whether the store's last answer was a failure or missing.
+func (c *Client) isFailing() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.circuit.failures > 0
+}
+
 // exchange sends call over HTTP and decodes the answer. It returns a *MalformedError if the body of
 // the answer cannot be decoded.
 func (c *Client) exchange(ctx context.Context, call Call) (answer, error) {
--- a/storeclient/watch.go
+++ b/storeclient/watch.go
@@ -22,12 +22,12 @@
 }
 
 // Watch waits up to Config.WatchWait for changes of the keys that begin with prefix after
-// revision after. It makes one attempt and counts as one read. While the circuit is open, Watch
-// returns without waiting, because it may be the trial call that other calls depend on. Its errors
+// revision after. It makes one attempt and counts as one read. If the last call failed, Watch returns
+// without waiting, because its answer shows that the store works again. Its errors
 // are *CompactedError, if the store no longer holds that history, and *UnavailableError.
 func (c *Client) Watch(ctx context.Context, prefix string, after uint64) (Changes, error) {
 	wait := c.cfg.WatchWait
-	if c.circuitOpen() {
+	if c.isFailing() {
 		wait = 0
 	}
 	call := Call{Operation: OperationWatch, Key: prefix, Revision: after, Wait: wait}
