endpointlister, replicator, messenger: a cut of this instance is no outage of the store

What callers saw: requests reached endpoints up to 2.4 s after the store had acknowledged that they leave, at instances that had been cut off (DRAIN, bound 2 s). Cause: an instance that lost the store took this for an outage of the store, in which entries of living endpoints expire. It kept every endpoint whose entry was missing until 2.2 s after its own return, although other instances had the store all the while and had told it of the removal. Class: one's own loss of sight taken for a fault of what is observed. Change: a peer that is queried for updates also says since when the store has answered it. The grace time runs from the store's return as some instance knows it, and an entry that is missing while the store answers some instance shows that its endpoint has left, also while the store is lost here. After a cut, endpoints that were cut off with this instance have one interval to renew their entries (1.3 s). Peers are queried for 2.2 s after the return too. While no peer is in contact, queries go to the local failure domain and to others in turn, since a domain may be cut as a whole. A store without an answer for 2.4 s counts as lost, however few calls failed: entries may have expired. TestEntriesThatExpireInOutageLoseNoEndpoint now lets the outage last as long as an entry lives (2.4 s): it removed entries after some 0.3 s, in which none can expire. TestPeerSelector asks for the new order.

--- a/endpointlister/doc.go
+++ b/endpointlister/doc.go
@@ -3,8 +3,13 @@
 // The core, Lister, is a deterministic state machine whose events are writes and removals
 // of entries. An endpoint whose entry is marked as draining stays on the list with that
 // mark. An endpoint whose entry is removed while the store is stable leaves the list at
-// once. While the store is unreachable, endpoints can't renew their entries, and the entries
+// once. During an outage of the store, endpoints can't renew their entries, and the entries
 // expire although the endpoints live. Therefore a removal that is observed during an outage,
 // or within a grace period after its end, takes effect only if the entry is still missing
 // when the grace period ends.
+//
+// That the store does not answer this instance is no outage of the store: if it has answered
+// another instance all the while, a missing entry shows that its endpoint has left. Only a short
+// time is allowed after the end of such a cut, in which endpoints that were cut off together with
+// this instance renew their entries. The shells report what other instances say as StoreSeen.
 package endpointlister
--- a/endpointlister/example_test.go
+++ b/endpointlister/example_test.go
@@ -23,7 +23,7 @@
 		}
 	}
 	show(l.Step(now, endpointlister.EntryWritten{Endpoint: endpointlister.Endpoint{ID: "ledger-1", Service: "ledger", Slots: 4}}))
-	l.Step(now.Add(time.Second), endpointlister.StoreLost{})
+	l.Step(now.Add(time.Second), endpointlister.StoreLost{AnsweredAt: now})
 	show(l.Step(now.Add(2*time.Second), endpointlister.EntryRemoved{ID: "ledger-1"}))
 	l.Step(now.Add(3*time.Second), endpointlister.StoreRegained{})
 	show(l.Step(now.Add(20*time.Second), endpointlister.Ticked{}))
--- a/endpointlister/lister.go
+++ b/endpointlister/lister.go
@@ -9,16 +9,27 @@
 	"amaranthmill/internal/identifier"
 )
 
-// defaultGrace is slightly longer than endpoints take to rewrite their entries after an outage
-// of the store.
-const defaultGrace = 2200 * time.Millisecond
+const (
+	// defaultGrace is slightly longer than endpoints take to rewrite their entries after an outage
+	// of the store.
+	defaultGrace = 2200 * time.Millisecond
+	// defaultCutGrace is slightly longer than the interval at which endpoints renew their entries.
+	defaultCutGrace = 1300 * time.Millisecond
+	// maxGap is the longest time between two answers of the store in which no outage can have made an
+	// entry expire, because entries live for several intervals of their renewal.
+	maxGap = 2 * time.Second
+	// maxUnheard is the longest time without news of the store that is no cut of this instance. It spans
+	// some intervals at which instances that have lost the store query others.
+	maxUnheard = time.Second
+)
 
 // Config configures a Lister. The zero value is usable.
 type Config struct {
-	Grace time.Duration // after the end of an outage, in which a removed entry may reappear; zero means 2.2 s
+	Grace    time.Duration // after the return of the store, in which a removed entry may reappear; zero means 2.2 s
+	CutGrace time.Duration // after the end of a cut of this instance, in which the entry of an endpoint that was cut off with it may reappear; zero means 1.3 s
 }
 
-// Event is an input of a Lister: EntryWritten, EntryRemoved, StoreLost, StoreRegained or
+// Event is an input of a Lister: EntryWritten, EntryRemoved, StoreLost, StoreRegained, StoreSeen or
 // Ticked.
 type Event interface{ event() }
 
@@ -28,12 +39,18 @@
 // EntryRemoved reports that the entry of an endpoint is no longer in the store.
 type EntryRemoved struct{ ID identifier.Endpoint }
 
-// StoreLost reports that the store is unreachable or unhealthy.
-type StoreLost struct{}
+// StoreLost reports that the store does not answer this instance.
+type StoreLost struct{ AnsweredAt time.Time } // time of its last answer
 
-// StoreRegained reports that the store answers again.
+// StoreRegained reports that the store answers this instance again.
 type StoreRegained struct{}
 
+// StoreSeen reports that the store has answered another instance without interruption for some time.
+type StoreSeen struct {
+	Since time.Time
+	Until time.Time // time of the last answer
+}
+
 // Ticked reports that time has passed.
 type Ticked struct{}
 
@@ -41,6 +58,7 @@
 func (EntryRemoved) event()  {}
 func (StoreLost) event()     {}
 func (StoreRegained) event() {}
+func (StoreSeen) event()     {}
 func (Ticked) event()        {}
 
 // Action is an output of a Lister: EndpointListed, EndpointDelisted, EndpointHeld or WakeAt.
@@ -59,7 +77,7 @@
 // entry may have expired in an outage of the store.
 type EndpointHeld struct {
 	ID        identifier.Endpoint
-	StoreLost bool // the store is unreachable; otherwise the grace period after an outage runs
+	StoreLost bool // the store answers neither this instance nor one that it reaches; otherwise a grace period runs
 }
 
 // WakeAt requests a Ticked event at a time.
@@ -73,17 +91,21 @@
 // Lister is the deterministic core that maintains the list. An event costs what it changes, whatever
 // the length of the list. It is not safe for concurrent use.
 type Lister struct {
-	grace        time.Duration
+	cfg          Config
 	endpoints    map[identifier.Endpoint]Endpoint
 	missingSince map[identifier.Endpoint]time.Time // when the removal of a listed endpoint's entry was first observed
-	storeLost    bool                              // the store is unreachable or unhealthy
-	regainedAt   time.Time                         // when the store last became reachable again
+	storeLost    bool                              // the store does not answer this instance
+	seenSince    time.Time                         // since when the store has answered some instance without a long gap
+	seenUntil    time.Time                         // the last known time at which it answered one; later while it answers this one
+	heardAt      time.Time                         // when that was learned
+	reachedAt    time.Time                         // end of the last long time without such news
 }
 
 // New returns a Lister for cfg.
 func New(cfg Config) *Lister {
 	defaulter.Set(&cfg.Grace, defaultGrace)
-	return &Lister{grace: cfg.Grace, endpoints: map[identifier.Endpoint]Endpoint{}, missingSince: map[identifier.Endpoint]time.Time{}}
+	defaulter.Set(&cfg.CutGrace, defaultCutGrace)
+	return &Lister{cfg: cfg, endpoints: map[identifier.Endpoint]Endpoint{}, missingSince: map[identifier.Endpoint]time.Time{}}
 }
 
 // Step applies e at now and returns the actions that it causes.
@@ -94,11 +116,17 @@
 	case EntryRemoved:
 		return l.handleRemoved(now, e.ID)
 	case StoreLost:
-		l.storeLost = true
+		l.storeLost, l.seenUntil, l.heardAt = true, e.AnsweredAt, e.AnsweredAt
 	case StoreRegained:
+		l.recordContact(now, StoreSeen{Since: now, Until: now})
 		l.storeLost = false
-		l.regainedAt = now
-		return l.requestTick()
+		return l.expire(now)
+	case StoreSeen:
+		if !l.storeLost {
+			l.seenUntil, l.heardAt = now, now
+		}
+		l.recordContact(now, e)
+		return l.expire(now)
 	case Ticked:
 		return l.expire(now)
 	}
@@ -125,16 +153,41 @@
 	}
 	out := l.expire(now)
 	if _, held := l.missingSince[id]; held && !known {
-		out = append(out, EndpointHeld{ID: id, StoreLost: l.storeLost})
+		out = append(out, EndpointHeld{ID: id, StoreLost: l.isUnseen(now)})
 	}
 	return out
 }
 
+// recordContact records a time in which the store has answered an instance without interruption. Such
+// times with only a short gap between them count as one.
+func (l *Lister) recordContact(now time.Time, e StoreSeen) {
+	wasAway := e.Since.Sub(l.seenUntil) > maxGap
+	isConnected := l.seenSince.Sub(e.Until) <= maxGap
+	if wasAway || isConnected && e.Since.Before(l.seenSince) {
+		l.seenSince = e.Since
+	}
+	if now.Sub(l.heardAt) > maxUnheard {
+		l.reachedAt = now
+	}
+	l.heardAt = now
+	if e.Until.After(l.seenUntil) {
+		l.seenUntil = e.Until
+	}
+}
+
+// isUnseen reports whether the store is not known to answer any instance.
+func (l *Lister) isUnseen(now time.Time) bool {
+	return l.storeLost && now.Sub(l.seenUntil) > maxGap
+}
+
 // expire removes from the list the endpoints whose entries are missing, unless the store is
-// unreachable or the grace period after an outage has not ended.
+// not known to answer or a grace period has not ended.
 func (l *Lister) expire(now time.Time) []Action {
-	if l.storeLost || now.Before(l.regainedAt.Add(l.grace)) {
-		return l.requestTick()
+	if len(l.missingSince) == 0 || l.isUnseen(now) {
+		return nil
+	}
+	if until := l.graceEnd(); now.Before(until) {
+		return []Action{WakeAt{At: until}}
 	}
 	var out []Action
 	for _, id := range slices.Sorted(maps.Keys(l.missingSince)) {
@@ -145,11 +198,11 @@
 	return out
 }
 
-// requestTick requests a tick at the end of the grace period if an endpoint's entry is
-// missing.
-func (l *Lister) requestTick() []Action {
-	if l.storeLost || len(l.missingSince) == 0 {
-		return nil
+// graceEnd returns the time from which a missing entry shows that its endpoint has left.
+func (l *Lister) graceEnd() time.Time {
+	afterOutage, afterCut := l.seenSince.Add(l.cfg.Grace), l.reachedAt.Add(l.cfg.CutGrace)
+	if afterCut.After(afterOutage) {
+		return afterCut
 	}
-	return []Action{WakeAt{At: l.regainedAt.Add(l.grace)}}
+	return afterOutage
 }
--- a/endpointlister/session_test.go
+++ b/endpointlister/session_test.go
@@ -44,9 +44,11 @@
 	case "removed":
 		return append(out, s.step(now, endpointlister.EntryRemoved{ID: id})...), nil
 	case "lost":
-		return append(out, s.step(now, endpointlister.StoreLost{})...), nil
+		return append(out, s.step(now, endpointlister.StoreLost{AnsweredAt: now.Add(-ev.Duration("unanswered"))})...), nil
 	case "regained":
 		return append(out, s.step(now, endpointlister.StoreRegained{})...), nil
+	case "seen":
+		return append(out, s.step(now, endpointlister.StoreSeen{Since: now.Add(-ev.Duration("for")), Until: now.Add(-ev.Duration("age"))})...), nil
 	case "pass":
 		return out, nil
 	}
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -177,9 +177,11 @@
 	}
 }
 
-// FetchUpdate queries one peer for what its replica holds beyond revision after. It prefers peers
-// of the local failure domain, except those that recently had nothing newer. A Revision of zero
-// means that the peer has nothing newer or did not answer; the next call then queries another peer.
+// FetchUpdate queries one peer for what its replica holds beyond revision after, and for how long the
+// store has answered that peer. A Revision of zero means that the peer has nothing newer or did
+// not answer. The next call queries the same peer if the store answers it. Otherwise it queries
+// one of another failure domain than this call if there is one, because a failure domain may be cut off
+// as a whole.
 func (m *Messenger) FetchUpdate(ctx context.Context, after uint64) replicator.Update {
 	now := time.Now()
 	p, ok := m.selector.next(now, m.cfg.Peers.All())
@@ -192,11 +194,15 @@
 	if err := m.exchange(ctx, p, http.MethodGet, withAfter(pathUpdate, after), nil, &w); err != nil {
 		m.cfg.Logger.Debug().Err(err).Str("peer", string(p.Instance)).Msg("peer did not return an update; querying another peer next")
 	}
-	if w.Revision <= after {
-		m.selector.deprioritize(now, p.Instance)
-		return replicator.Update{}
+	u := w.update()
+	hasNews := u.Revision > after
+	if !u.IsInContact {
+		m.selector.reject(now, p.Instance, hasNews)
+	}
+	if !hasNews {
+		u.Revision, u.Complete, u.Entries = 0, false, nil
 	}
-	return w.update()
+	return u
 }
 
 // NotifyStalled notifies leader, the instance that forms groups, that the group with this head is
--- a/messenger/messenger_test.go
+++ b/messenger/messenger_test.go
@@ -36,7 +36,7 @@
 		},
 		UpdateSince: func(after uint64) replicator.Update {
 			if after >= 9 {
-				return replicator.Update{}
+				return replicator.Update{IsInContact: true, ContactTime: 9 * time.Second, AnswerAge: 20 * time.Millisecond}
 			}
 			return replicator.Update{Revision: 9, Entries: []storeclient.Change{{Entry: storeclient.Entry{Key: "a", Value: []byte("x"), Revision: 8}}}}
 		},
@@ -64,7 +64,7 @@
 	m := messenger.New(messenger.Config{Peers: &peers, HTTP: http.DefaultClient})
 
 	is.Equal(m.FetchUpdate(ctx, 4).Revision, uint64(9))
-	is.Equal(m.FetchUpdate(ctx, 9).Revision, uint64(0))
+	is.Equal(m.FetchUpdate(ctx, 9), replicator.Update{IsInContact: true, ContactTime: 9 * time.Second, AnswerAge: 20 * time.Millisecond})
 
 	alpine, ok := peers.Find("alpine-1")
 	is.True(ok)
--- a/messenger/selector.go
+++ b/messenger/selector.go
@@ -14,15 +14,16 @@
 // deprioritizeTime is how long a peer that had nothing newer or did not answer ranks behind the others.
 const deprioritizeTime = 5 * time.Second
 
-// peerSelector selects the peer to query next for an update. It keeps selecting a peer that returns
-// updates, so that each change is not sent many times across the fleet, and prefers peers of the
-// local failure domain. Each instance ranks the peers differently, so that the instances do not
-// all query the same peer. It is safe for concurrent use.
+// peerSelector selects the peer to query next for an update. It keeps selecting a peer that the store
+// answers, so that each change is not sent many times across the fleet. While it knows none, it
+// selects peers of the local failure domain and of others in turn. Each instance ranks the peers
+// differently, so that the instances do not all query the same peer. It is safe for concurrent use.
 type peerSelector struct {
 	local  identifier.Instance
 	domain identifier.FailureDomain
 
 	mu            sync.Mutex
+	preferRemote  bool // peers of other failure domains go before those of the local one
 	deprioritized map[identifier.Instance]time.Time
 }
 
@@ -39,18 +40,22 @@
 	defer s.mu.Unlock()
 	return slices.MinFunc(peers, func(a, b Peer) int {
 		return cmp.Or(
-			s.deprioritizedAt(now, a).Compare(s.deprioritizedAt(now, b)),
 			cmp.Compare(s.distance(a), s.distance(b)),
+			s.deprioritizedAt(now, a).Compare(s.deprioritizedAt(now, b)),
 			cmp.Compare(s.rank(a), s.rank(b)),
 		)
 	}), true
 }
 
-// deprioritize ranks a peer behind the others for deprioritizeTime.
-func (s *peerSelector) deprioritize(now time.Time, name identifier.Instance) {
+// reject records that a peer which the store does not answer was queried. The next peer is of another
+// failure domain if there is one. A peer that had no news ranks behind the others for deprioritizeTime.
+func (s *peerSelector) reject(now time.Time, name identifier.Instance, hasNews bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.deprioritized[name] = now
+	s.preferRemote = !s.preferRemote
+	if !hasNews {
+		s.deprioritized[name] = now
+	}
 }
 
 // deprioritizedAt returns when a peer was last deprioritized, or the zero time if deprioritizeTime has
@@ -63,9 +68,9 @@
 	return at
 }
 
-// distance is 0 for peers of the local failure domain and 1 for others.
+// distance is 0 for peers of the failure domains to select from next and 1 for others.
 func (s *peerSelector) distance(p Peer) int {
-	if p.FailureDomain == s.domain {
+	if (p.FailureDomain == s.domain) != s.preferRemote {
 		return 0
 	}
 	return 1
--- a/messenger/selector_test.go
+++ b/messenger/selector_test.go
@@ -9,8 +9,9 @@
 	"amaranthmill/internal/identifier"
 )
 
-// A peer that returns updates is selected again, the local failure domain comes first, and a peer
-// that had nothing newer is not selected again before all others.
+// A peer that the store answers is selected again. While none is known, peers of the local failure
+// domain and of others are selected in turn, so that one of another domain is among the first two
+// however many there are, and a peer that had nothing newer comes after the others of its side.
 func TestPeerSelector(t *testing.T) {
 	is := is.New(t)
 	now := time.Unix(1000, 0)
@@ -18,6 +19,7 @@
 		{Instance: "alpine-1", FailureDomain: "alpine"},
 		{Instance: "alpine-2", FailureDomain: "alpine"},
 		{Instance: "marfa-1", FailureDomain: "marfa"},
+		{Instance: "marfa-2", FailureDomain: "marfa"},
 	}
 	selector := newPeerSelector("alpine-3", "alpine")
 	first, ok := selector.next(now, peers)
@@ -25,16 +27,15 @@
 	again, _ := selector.next(now.Add(time.Second), peers)
 	is.Equal(again, first)
 	selected := map[identifier.Instance]bool{}
-	var last Peer
 	for i := range peers {
 		at := now.Add(time.Duration(i) * time.Second)
-		last, _ = selector.next(at, peers)
-		selector.deprioritize(at, last.Instance)
-		selected[last.Instance] = true
+		p, _ := selector.next(at, peers)
+		is.Equal(p.FailureDomain == "alpine", i%2 == 0) // the local failure domain comes first
+		selector.reject(at, p.Instance, false)
+		selected[p.Instance] = true
 	}
 	is.Equal(len(selected), len(peers))
-	is.Equal(last.Instance, identifier.Instance("marfa-1")) // the other failure domain comes last
-	oldest, _ := selector.next(now.Add(3*time.Second), peers)
+	oldest, _ := selector.next(now.Add(4*time.Second), peers)
 	is.Equal(oldest, first)
 	_, ok = selector.next(now, nil)
 	is.True(!ok)
--- a/messenger/wire.go
+++ b/messenger/wire.go
@@ -31,17 +31,26 @@
 
 // updateWire is the wire form of replicator.Update.
 type updateWire struct {
-	Revision uint64       `json:"revision"`
-	Whole    bool         `json:"whole,omitempty"`
-	Entries  []changeWire `json:"entries,omitempty"`
+	Revision    uint64             `json:"revision"`
+	Whole       bool               `json:"whole,omitempty"`
+	InContact   bool               `json:"inContact,omitempty"`
+	ContactTime formatter.Duration `json:"contactTime,omitempty"`
+	AnswerAge   formatter.Duration `json:"answerAge,omitempty"`
+	Entries     []changeWire       `json:"entries,omitempty"`
 }
 
 func encodeUpdate(u replicator.Update) updateWire {
-	return updateWire{Revision: u.Revision, Whole: u.Complete, Entries: encodeEntries(u.Entries)}
+	return updateWire{
+		Revision: u.Revision, Whole: u.Complete, Entries: encodeEntries(u.Entries),
+		InContact: u.IsInContact, ContactTime: formatter.Duration(u.ContactTime), AnswerAge: formatter.Duration(u.AnswerAge),
+	}
 }
 
 func (w updateWire) update() replicator.Update {
-	return replicator.Update{Revision: w.Revision, Complete: w.Whole, Entries: decodeEntries(w.Entries)}
+	return replicator.Update{
+		Revision: w.Revision, Complete: w.Whole, Entries: decodeEntries(w.Entries),
+		IsInContact: w.InContact, ContactTime: max(w.ContactTime.Std(), 0), AnswerAge: max(w.AnswerAge.Std(), 0),
+	}
 }
 
 // changesWire is the wire form of replicator.PeerChanges.
--- a/replicator/core.go
+++ b/replicator/core.go
@@ -16,7 +16,9 @@
 	defaultBackoff        = 100 * time.Millisecond
 	defaultMaxBackoff     = 400 * time.Millisecond
 	defaultPeerInterval   = 300 * time.Millisecond
-	lossThreshold         = 2 // consecutive failures after which the store counts as lost; a single watch may be aborted at any time
+	defaultContactTime    = 2200 * time.Millisecond
+	maxContactGap         = 2400 * time.Millisecond // between two answers of the store for which it counts as answering without interruption; entries live for three intervals of 1.2 s, so that none expires in less
+	lossThreshold         = 2                       // consecutive failures after which the store counts as lost; a single watch may be aborted at any time
 )
 
 // Event is an input of a Core: Started, UrgentSet, Listed, Watched, Failed, PeerAnswered or Ticked.
@@ -64,7 +66,7 @@
 func (PeerAnswered) event() {}
 func (Ticked) event()       {}
 
-// Action is an output of a Core: List, Watch, QueryPeers, WakeAt, NotifyChanges or Health.
+// Action is an output of a Core: List, Watch, QueryPeers, WakeAt, NotifyChanges, Health or Contact.
 type Action interface{ action() }
 
 // List requests all entries from the store. All calls between two answers belong to one round.
@@ -90,6 +92,14 @@
 	UnansweredAt time.Time // when the call before it was made, which failed or was not answered; zero if Lost
 }
 
+// Contact is a time in which the store has answered a replica without interruption. As an action it
+// reports that of a peer, before the changes that the peer returned.
+type Contact struct {
+	Since time.Time
+	Until time.Time // time of the last answer
+}
+
+func (Contact) action()       {}
 func (List) action()          {}
 func (Watch) action()         {}
 func (QueryPeers) action()    {}
@@ -102,7 +112,7 @@
 // whether or not the previous ones have ended, because a call into silence ends only at its timeout.
 // Core is not safe for concurrent use.
 type Core struct {
-	minInterval, urgentInterval, backoff, maxBackoff, peerInterval time.Duration
+	minInterval, urgentInterval, backoff, maxBackoff, peerInterval, contactTime time.Duration
 
 	urgent bool
 
@@ -122,7 +132,9 @@
 	failures     int
 	lost         bool
 	nextCallAt   time.Time // when the next call is due; zero while one is pending and none has failed
-	nextQueryAt  time.Time // when the next query to peers is due; zero while the store answers
+	nextQueryAt  time.Time // when the next query to peers is due; zero for none
+	queryUntil   time.Time // end of the queries after the return of the store
+	contactSince time.Time // when the store began to answer without interruption
 }
 
 // NewCore returns a Core for cfg. It uses only the durations of cfg.
@@ -130,7 +142,8 @@
 	cfg = cfg.withDefaults()
 	return &Core{
 		minInterval: cfg.MinInterval, urgentInterval: cfg.UrgentInterval, backoff: cfg.Backoff, maxBackoff: cfg.MaxBackoff, peerInterval: cfg.PeerInterval,
-		entries: map[string]storeclient.Entry{},
+		contactTime: cfg.ContactTime,
+		entries:     map[string]storeclient.Entry{},
 	}
 }
 
@@ -140,6 +153,7 @@
 	defaulter.Set(&c.Backoff, defaultBackoff)
 	defaulter.Set(&c.MaxBackoff, defaultMaxBackoff)
 	defaulter.Set(&c.PeerInterval, defaultPeerInterval)
+	defaulter.Set(&c.ContactTime, defaultContactTime)
 	return c
 }
 
@@ -158,7 +172,7 @@
 	case Failed:
 		return c.handleFailure(now, e)
 	case PeerAnswered:
-		return c.handleUpdate(e.Update)
+		return c.handleUpdate(now, e.Update)
 	case Ticked:
 		return c.handleTick(now)
 	}
@@ -200,6 +214,21 @@
 	return append(out, c.scheduleCall(now)...)
 }
 
+// Contact returns since when the store has answered this replica without interruption, or false if it
+// does not answer now.
+func (c *Core) Contact(now time.Time) (Contact, bool) {
+	if !c.listed || c.lost || isLonger(c.answeredAt, now, maxAnswerAge) {
+		return Contact{}, false
+	}
+	return Contact{Since: c.contactSince, Until: c.answeredAt}, true
+}
+
+// isLonger reports whether more than d lies between two times, by the monotonic clock or by the time
+// of day. Only the latter counts the time for which the process or its machine was suspended.
+func isLonger(from, to time.Time, d time.Duration) bool {
+	return to.Sub(from) > d || to.Round(0).Sub(from.Round(0)) > d
+}
+
 // startCall starts a List if the entries are incomplete or unconfirmed, and a Watch otherwise.
 func (c *Core) startCall(now time.Time) []Action {
 	c.unansweredAt, c.calledAt, c.nextCallAt = c.calledAt, now, time.Time{}
@@ -227,18 +256,29 @@
 	return c.startCall(now)
 }
 
-// handleSuccess records an answer whose content the store sent age before now.
+// handleSuccess records an answer whose content the store sent age before now. After a long time
+// without an answer the store counts as lost until now, although fewer calls than lossThreshold have
+// failed: entries may have expired.
 func (c *Core) handleSuccess(now time.Time, age time.Duration) []Action {
+	var out []Action
 	if at := now.Add(-age); at.After(c.answeredAt) {
+		isInterrupted := c.contactSince.IsZero() || isLonger(c.answeredAt, at, maxContactGap)
+		if isInterrupted && !c.lost && c.listed {
+			c.lost, c.lostAt = true, now
+			out = append(out, Health{Lost: true, Since: c.answeredAt})
+		}
+		if isInterrupted || c.lost {
+			c.contactSince = at
+		}
 		c.answeredAt = at
 	}
 	c.round++
-	c.pending, c.failures, c.nextQueryAt = 0, 0, time.Time{}
+	c.pending, c.failures = 0, 0
 	if !c.lost {
-		return nil
+		return out
 	}
-	c.lost = false
-	return []Action{Health{Since: c.lostAt, CalledAt: c.calledAt, UnansweredAt: c.unansweredAt}}
+	c.lost, c.nextQueryAt, c.queryUntil = false, now, now.Add(c.contactTime)
+	return append(out, Health{Since: c.lostAt, CalledAt: c.calledAt, UnansweredAt: c.unansweredAt})
 }
 
 func (c *Core) handleFailure(now time.Time, e Failed) []Action {
@@ -273,19 +313,27 @@
 	}
 }
 
-func (c *Core) handleUpdate(u Update) []Action {
+func (c *Core) handleUpdate(now time.Time, u Update) []Action {
+	var out []Action
+	if u.IsInContact {
+		until := now.Add(-u.AnswerAge)
+		out = append(out, Contact{Since: until.Add(-u.ContactTime), Until: until})
+	}
 	if !c.lost || u.Revision <= c.revision {
-		return nil
+		return out
 	}
 	if !u.Complete {
-		return c.applyChanges(storeclient.Changes{Revision: u.Revision, Entries: u.Entries})
+		return append(out, c.applyChanges(storeclient.Changes{Revision: u.Revision, Entries: u.Entries})...)
 	}
 	c.fromPeer = true
-	return c.replaceEntries(u.snapshot())
+	return append(out, c.replaceEntries(u.snapshot())...)
 }
 
 func (c *Core) handleTick(now time.Time) []Action {
 	var out []Action
+	if !c.lost && !now.Before(c.queryUntil) {
+		c.nextQueryAt = time.Time{}
+	}
 	if !c.nextQueryAt.IsZero() && !now.Before(c.nextQueryAt) {
 		c.nextQueryAt = now.Add(c.peerInterval)
 		out = append(out, QueryPeers{After: c.revision})
--- /dev/null
+++ b/replicator/fleet_test.go
@@ -0,0 +1,321 @@
+package replicator_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"amaranthmill/endpointlister"
+	"amaranthmill/internal/identifier"
+	"amaranthmill/replicator"
+	"amaranthmill/storeclient"
+)
+
+// Bounds of the fleet test, as the users state them.
+const (
+	drainTime    = 2 * time.Second         // after which an endpoint that has left gets no request
+	stableTime   = 3 * time.Second         // after an outage or a cut, from which on an instance must keep the bounds
+	rewriteTime  = 1900 * time.Millisecond // after the store's return, within which the entries that expired in its outage are back
+	expiryTime   = 2400 * time.Millisecond // from the start of an outage to the first expiry: three intervals of 1.2 s, less the one that had begun
+	fleetTime    = 40 * time.Second        // of a world
+	disruptions  = 4                       // of a world, one after the other
+	peerTimeout  = 350 * time.Millisecond  // of a query of a peer
+	fleetSize    = 4
+	endpointsNum = 24
+)
+
+// span is a time in which something is away.
+type span struct{ from, until time.Time }
+
+// covers reports whether t lies in s or less than after later.
+func (s span) covers(t time.Time, after time.Duration) bool {
+	return !t.Before(s.from) && t.Before(s.until.Add(after))
+}
+
+// world is a store with the entries of endpoints, and instances that hold replicas of it.
+type world struct {
+	outages []span            // of the store
+	cuts    [fleetSize][]span // of an instance from the store
+	peerCut [fleetSize][]span // of an instance from its peers
+	members [fleetSize]*member
+
+	mu       sync.Mutex // guards the fields below
+	revision uint64
+	history  []storeclient.Change
+	entries  map[string]storeclient.Entry
+	leftAt   map[string]time.Time // when the store acknowledged that an endpoint leaves
+	written  chan struct{}        // closed and replaced at each change
+}
+
+// member is one instance: a replica and the list of endpoints that is derived from it.
+type member struct {
+	world   *world
+	index   int
+	replica *replicator.Replicator
+	failed  bool // the last call to the store failed
+	next    int  // peer to query next
+
+	mu     sync.Mutex // guards the fields below
+	lister *endpointlister.Lister
+	listed map[string]bool
+	timer  *time.Timer
+}
+
+func newWorld(random *rand.Rand) *world {
+	w := &world{entries: map[string]storeclient.Entry{}, leftAt: map[string]time.Time{}, written: make(chan struct{})}
+	for i := range endpointsNum {
+		w.write(fmt.Sprintf("e%d", i), false)
+	}
+	at := time.Now().Add(4 * time.Second)
+	for range disruptions {
+		s := span{at, at.Add(time.Second + time.Duration(random.Int64N(int64(6*time.Second))))}
+		at = s.until.Add(time.Duration(random.Int64N(int64(4 * time.Second))))
+		if random.IntN(3) == 0 && s.until.Sub(s.from) > expiryTime {
+			w.outages = append(w.outages, s)
+			at = at.Add(stableTime) // the entries that expired are back before the next disruption
+			continue
+		}
+		first, n := random.IntN(fleetSize), 1+random.IntN(fleetSize) // all instances are cut off at times
+		withPeers := random.IntN(2) == 0
+		for i := range n {
+			w.cuts[(first+i)%fleetSize] = append(w.cuts[(first+i)%fleetSize], s)
+			if withPeers {
+				w.peerCut[(first+i)%fleetSize] = append(w.peerCut[(first+i)%fleetSize], s)
+			}
+		}
+	}
+	return w
+}
+
+func isAway(spans []span, t time.Time, after time.Duration) bool {
+	return slices.ContainsFunc(spans, func(s span) bool { return s.covers(t, after) })
+}
+
+// write writes or removes an entry.
+func (w *world) write(key string, remove bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.revision++
+	e := storeclient.Entry{Key: key, Revision: w.revision}
+	if remove {
+		delete(w.entries, key)
+	} else {
+		w.entries[key] = e
+	}
+	w.history = append(w.history, storeclient.Change{Entry: e, Deleted: remove})
+	close(w.written)
+	w.written = make(chan struct{})
+}
+
+// reaches waits for the answer of a call of m, or fails after the timeout if the store is out of reach.
+func (m *member) reaches(ctx context.Context) error {
+	start := time.Now()
+	away := isAway(m.world.cuts[m.index], start, 0) || isAway(m.world.outages, start, 0)
+	wait := answerTime
+	if away {
+		wait = callTimeout
+	}
+	select {
+	case <-time.After(wait):
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	m.failed = away
+	if away {
+		return errSilent
+	}
+	return nil
+}
+
+func (m *member) Snapshot(ctx context.Context, _ string) (storeclient.Snapshot, error) {
+	if err := m.reaches(ctx); err != nil {
+		return storeclient.Snapshot{}, err
+	}
+	w := m.world
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	s := storeclient.Snapshot{Revision: w.revision}
+	for _, e := range w.entries {
+		s.Entries = append(s.Entries, e)
+	}
+	return s, nil
+}
+
+func (m *member) Watch(ctx context.Context, _ string, after uint64) (storeclient.Changes, error) {
+	w := m.world
+	hold := time.After(holdTime)
+	for held := m.failed; ; {
+		w.mu.Lock()
+		revision, written := w.revision, w.written
+		w.mu.Unlock()
+		if revision > after || held {
+			break
+		}
+		select {
+		case <-written:
+		case <-hold:
+			held = true
+		case <-ctx.Done():
+			return storeclient.Changes{}, ctx.Err()
+		}
+	}
+	if err := m.reaches(ctx); err != nil {
+		return storeclient.Changes{}, err
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return storeclient.Changes{Revision: w.revision, Entries: slices.Clone(w.history[min(after, w.revision):])}, nil
+}
+
+// FetchUpdate queries the other instances in turn, and the same one again while the store answers it.
+func (m *member) FetchUpdate(ctx context.Context, after uint64) replicator.Update {
+	peer := (m.index + 1 + m.next%(fleetSize-1)) % fleetSize
+	now := time.Now()
+	if isAway(m.world.peerCut[m.index], now, 0) || isAway(m.world.peerCut[peer], now, 0) {
+		time.Sleep(peerTimeout)
+		m.next++
+		return replicator.Update{}
+	}
+	u := m.world.members[peer].replica.UpdateSince(after)
+	if !u.IsInContact {
+		m.next++
+	}
+	return u
+}
+
+func (m *member) step(e endpointlister.Event) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, a := range m.lister.Step(time.Now(), e) {
+		switch a := a.(type) {
+		case endpointlister.EndpointListed:
+			m.listed[string(a.Endpoint.ID)] = true
+		case endpointlister.EndpointDelisted:
+			delete(m.listed, string(a.ID))
+		case endpointlister.WakeAt:
+			m.timer.Reset(time.Until(a.At))
+		}
+	}
+}
+
+func (m *member) isListed(key string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.listed[key]
+}
+
+func (w *world) start(ctx context.Context, index int) *member {
+	m := &member{world: w, index: index, lister: endpointlister.New(endpointlister.Config{}), listed: map[string]bool{}}
+	m.timer = time.AfterFunc(time.Hour, func() { m.step(endpointlister.Ticked{}) })
+	m.replica = replicator.New(replicator.Config{
+		Store: m, Peers: m,
+		OnContact: func(c replicator.Contact) { m.step(endpointlister.StoreSeen(c)) },
+		OnHealth: func(h replicator.Health) {
+			if h.Lost {
+				m.step(endpointlister.StoreLost{AnsweredAt: h.Since})
+			} else {
+				m.step(endpointlister.StoreRegained{})
+			}
+		},
+		OnChange: func(changes []storeclient.Change) {
+			for _, c := range changes {
+				id := identifier.Endpoint(c.Key)
+				if c.Deleted {
+					m.step(endpointlister.EntryRemoved{ID: id})
+				} else {
+					m.step(endpointlister.EntryWritten{Endpoint: endpointlister.Endpoint{ID: id, ProcessStart: identifier.ProcessStart(c.Revision)}})
+				}
+			}
+		},
+	})
+	go func() { _ = m.replica.Run(ctx) }()
+	return m
+}
+
+// expireEntries removes the entries of some endpoints in each outage and writes them again after it.
+// It returns the endpoints and their outages.
+func (w *world) expireEntries(random *rand.Rand) map[string]span {
+	out := map[string]span{}
+	for n, s := range w.outages {
+		for i := range endpointsNum / 4 {
+			key := fmt.Sprintf("e%d", (n*endpointsNum/4+i)%(endpointsNum/2))
+			out[key] = s
+			rest := s.until.Sub(s.from) - expiryTime
+			time.AfterFunc(time.Until(s.from)+expiryTime+time.Duration(random.Int64N(int64(rest))), func() { w.write(key, true) })
+			time.AfterFunc(time.Until(s.until)+time.Duration(random.Int64N(int64(rewriteTime))), func() { w.write(key, false) })
+		}
+	}
+	return out
+}
+
+// leave lets the other endpoints leave, each at a time at which the store is stable.
+func (w *world) leave(random *rand.Rand) {
+	start := time.Now()
+	for i := endpointsNum / 2; i < endpointsNum; i++ {
+		at := start.Add(2*time.Second + time.Duration(random.Int64N(int64(fleetTime-6*time.Second))))
+		if isAway(w.outages, at, stableTime) {
+			continue
+		}
+		key := fmt.Sprintf("e%d", i)
+		time.AfterFunc(time.Until(at), func() {
+			w.write(key, true)
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			w.leftAt[key] = time.Now()
+		})
+	}
+}
+
+// TestFleetDropsWhatLeftAndKeepsWhatExpired plays fleets whose store is away, and whose instances are cut
+// off from the store, alone, together or all, with and without their peers. An instance that has
+// been in reach of the store for 3 s must not list an endpoint 2 s after it left, and no instance may
+// drop an endpoint whose entry expired in an outage of the store and returns in time.
+func TestFleetDropsWhatLeftAndKeepsWhatExpired(t *testing.T) {
+	for seed := range uint64(60) {
+		synctest.Test(t, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(t.Context())
+			random := rand.New(rand.NewPCG(seed, 0))
+			w := newWorld(random)
+			for i := range fleetSize {
+				w.members[i] = &member{}
+			}
+			for i := range fleetSize {
+				w.members[i] = w.start(ctx, i)
+			}
+			time.Sleep(time.Second)
+			expired := w.expireEntries(random)
+			w.leave(random)
+			for end := time.Now().Add(fleetTime - 2*time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+				w.check(t, seed, expired)
+			}
+			cancel()
+			synctest.Wait()
+			time.Sleep(2 * time.Second) // calls without a context end
+		})
+	}
+}
+
+// check reports an endpoint that an instance lists or misses against the bounds.
+func (w *world) check(t *testing.T, seed uint64, expired map[string]span) {
+	now := time.Now()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for i, m := range w.members {
+		inReach := !isAway(w.cuts[i], now, stableTime) && !isAway(w.outages, now, stableTime)
+		for key, leftAt := range w.leftAt {
+			if inReach && now.Sub(leftAt) > drainTime+answerTime && m.isListed(key) {
+				t.Fatalf("seed %d: instance %d lists %s, which left %v ago", seed, i, key, now.Sub(leftAt))
+			}
+		}
+		for key, s := range expired {
+			if s.covers(now, rewriteTime) && !m.isListed(key) {
+				t.Fatalf("seed %d: instance %d has dropped %s, whose entry expired in an outage that ended %v ago", seed, i, key, now.Sub(s.until))
+			}
+		}
+	}
+}
--- a/replicator/replicator.go
+++ b/replicator/replicator.go
@@ -21,9 +21,9 @@
 
 // Peers queries the other instances.
 type Peers interface {
-	// FetchUpdate queries one peer for what its replica holds beyond revision after. A Revision
-	// of zero means that the peer has nothing newer or did not answer; the next call then
-	// queries another peer.
+	// FetchUpdate queries one peer for what its replica holds beyond revision after, and for how
+	// long the store has answered that peer. A Revision of zero means that the peer has nothing newer or
+	// did not answer. If the store does not answer the peer either, the next call queries another one.
 	FetchUpdate(ctx context.Context, after uint64) Update
 }
 
@@ -54,17 +54,19 @@
 // Config configures a Replicator. Store and OnChange are required. A duration of zero selects the
 // default that its comment states.
 type Config struct {
-	Store    Store
-	Peers    Peers                      // nil if there are none
-	Upstream Upstream                   // nil if the replica always follows the store itself
-	OnChange func([]storeclient.Change) // called in the order of the changes
-	OnHealth func(Health)               // may be nil
+	Store     Store
+	Peers     Peers                      // nil if there are none
+	Upstream  Upstream                   // nil if the replica always follows the store itself
+	OnChange  func([]storeclient.Change) // called in the order of the changes
+	OnHealth  func(Health)               // may be nil
+	OnContact func(Contact)              // the store answers a peer; may be nil
 
 	MinInterval    time.Duration // between two calls to the store; 300 ms
 	UrgentInterval time.Duration // replaces MinInterval while changes are urgent; 100 ms
 	Backoff        time.Duration // delay after the first failure, doubled for each consecutive one; 100 ms
 	MaxBackoff     time.Duration // upper bound of the delay after a failure; 400 ms
-	PeerInterval   time.Duration // between two queries to peers while the store is lost; 300 ms
+	PeerInterval   time.Duration // between two queries to peers while the store is lost and after its return; 300 ms
+	ContactTime    time.Duration // after the return of the store, in which peers are queried since when it has answered them; 2.2 s
 
 	Logger zerolog.Logger
 }
@@ -85,11 +87,17 @@
 	return &Replicator{cfg: cfg.withDefaults(), events: make(chan Event, 4), core: NewCore(cfg), answered: make(chan struct{})}
 }
 
-// UpdateSince returns what the replica holds beyond a revision.
+// UpdateSince returns what the replica holds beyond a revision, and for how long the store has
+// answered it.
 func (r *Replicator) UpdateSince(after uint64) Update {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.core.UpdateSince(after)
+	u := r.core.UpdateSince(after)
+	now := time.Now()
+	if contact, ok := r.core.Contact(now); ok {
+		u.IsInContact, u.ContactTime, u.AnswerAge = true, contact.Until.Sub(contact.Since), now.Sub(contact.Until)
+	}
+	return u
 }
 
 // Watch waits at most wait for changes after a revision or for the next answer of the store, which
@@ -184,6 +192,10 @@
 		r.cfg.OnChange(a.Changes)
 	case Health:
 		r.reportHealth(a)
+	case Contact:
+		if r.cfg.OnContact != nil {
+			r.cfg.OnContact(a)
+		}
 	}
 }
 
--- a/replicator/session_test.go
+++ b/replicator/session_test.go
@@ -43,7 +43,7 @@
 	case "failed":
 		e = replicator.Failed{Compacted: ev.Bool("compacted"), NotSent: ev.Bool("notSent"), Round: s.roundOf(ev)}
 	case "peer":
-		e = replicator.PeerAnswered{Update: replicator.Update{Revision: uint64(ev.Int("revision")), Complete: !ev.Bool("changes"), Entries: entries(ev)}}
+		e = replicator.PeerAnswered{Update: replicator.Update{Revision: uint64(ev.Int("revision")), Complete: !ev.Bool("changes"), Entries: entries(ev), IsInContact: ev.Has("contact"), ContactTime: ev.Duration("contact"), AnswerAge: ev.Duration("age")}}
 	case "pass":
 		return out, nil
 	case "update":
@@ -118,6 +118,8 @@
 			line = "change " + describe(a.Changes)
 		case replicator.Health:
 			line = fmt.Sprintf("health lost=%t", a.Lost)
+		case replicator.Contact:
+			line = fmt.Sprintf("contact from %s to %s", a.Since.Sub(scripter.Start), a.Until.Sub(scripter.Start))
 		case replicator.WakeAt:
 			s.wakeAt = a.At
 			continue
--- a/replicator/update.go
+++ b/replicator/update.go
@@ -4,15 +4,19 @@
 	"cmp"
 	"maps"
 	"slices"
+	"time"
 
 	"amaranthmill/storeclient"
 )
 
 // Update is what a replica holds beyond the revision of another replica.
 type Update struct {
-	Revision uint64 // of the replica; zero if it has nothing newer
-	Complete bool   // Entries is the complete replica rather than the changes
-	Entries  []storeclient.Change
+	Revision    uint64        // of the replica; zero if it has nothing newer
+	Complete    bool          // Entries is the complete replica rather than the changes
+	IsInContact bool          // the store answers the replica
+	ContactTime time.Duration // for which it has answered the replica without interruption until its last answer
+	AnswerAge   time.Duration // since that answer
+	Entries     []storeclient.Change
 }
 
 func (u Update) snapshot() storeclient.Snapshot {
--- a/runner/hosted.go
+++ b/runner/hosted.go
@@ -133,7 +133,8 @@
 	})
 	h.upstream = &upstream{hosted: h, failedAt: map[identifier.Instance]time.Time{}}
 	h.replica = replicator.New(replicator.Config{
-		Store: h.store, Peers: h.messenger, Upstream: h.upstream, OnChange: h.view.applyChanges, OnHealth: h.view.setStoreHealth, Logger: logger,
+		Store: h.store, Peers: h.messenger, Upstream: h.upstream, OnChange: h.view.applyChanges, OnHealth: h.view.setStoreHealth,
+		OnContact: h.view.recordContact, Logger: logger,
 	})
 	h.newLeases()
 	return h, nil
--- a/runner/hosted_view.go
+++ b/runner/hosted_view.go
@@ -171,12 +171,17 @@
 	v.hosted.groupFormer.setStoreLost(health.Lost)
 	v.hosted.quarantine.setStoreLost(health.Lost)
 	if health.Lost {
-		v.stepAndPublish(endpointlister.StoreLost{})
+		v.stepAndPublish(endpointlister.StoreLost{AnsweredAt: health.Since})
 		return
 	}
 	v.stepAndPublish(endpointlister.StoreRegained{})
 }
 
+// recordContact passes on that the store answers a peer.
+func (v *view) recordContact(c replicator.Contact) {
+	v.stepAndPublish(endpointlister.StoreSeen(c))
+}
+
 func (v *view) stepAndPublish(e endpointlister.Event) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
--- a/standin/hosted/cut_test.go
+++ b/standin/hosted/cut_test.go
@@ -18,6 +18,10 @@
 // get no more requests.
 const drainTime = 2 * time.Second
 
+// expiryTime is the time from the start of an outage of the store until an entry may expire: an entry
+// lives for three intervals of its renewal, 1.2 s each, and the last one may have begun before.
+const expiryTime = 2400 * time.Millisecond
+
 // TestEndpointThatLeftGetsNoRequestsWhileStoreIsCutOff cuts one instance off from the store while the
 // other one keeps it. An endpoint whose entry is removed then has left, because the store works. The
 // instance took its own cut for an outage of the store and kept the endpoint.
@@ -54,6 +58,7 @@
 	for _, i := range f.instances {
 		f.await("the loss of the store", func() bool { return strings.Contains(i.log(), "store lost") })
 	}
+	time.Sleep(expiryTime)
 	f.platform.Store.Remove("servers/ledger-1")
 	f.platform.Store.SetDown(false)
 	rewriteAt := time.Now().Add(1900 * time.Millisecond)
