platform, scheduler, forwarder: limits that endpoints name are read, logged and counted

A value that is no number or negative says nothing; zero counts as one request in 20 s, so that its end is noticed; more than 100,000 counts as that; a limit that is no longer named ends with the first answer to a request that was sent after it was last named.

--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"amaranthmill/internal/eventreader"
+	"amaranthmill/internal/identifier"
 	"amaranthmill/quarantiner"
 	"amaranthmill/requester"
 	"amaranthmill/resolver"
@@ -70,12 +71,25 @@
 	for _, m := range fields.Malformed {
 		f.logMalformed(x, a, m)
 	}
-	if fields.Leaving || fields.ClosedFor > 0 {
+	process := a.Target.Process()
+	if fields.Leaving || fields.ClosedFor > 0 || f.changesLimit(process, fields.Limit) {
 		f.logStatement(x, a, fields)
-		f.step.Submit(scheduler.ProcessStated{Process: a.Target.Process(), Leaving: fields.Leaving, ClosedFor: fields.ClosedFor})
+		f.step.Submit(scheduler.ProcessStated{
+			Process: process, Leaving: fields.Leaving, ClosedFor: fields.ClosedFor, Limit: fields.Limit, SentAt: a.startedAt,
+		})
 	}
 }
 
+// changesLimit reports whether an answer names a limit, or names none while its process has one.
+func (f *Forwarder) changesLimit(p identifier.Process, l scheduler.LimitStatement) bool {
+	if l.PerSecond > 0 {
+		return true
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return l.IsKnown && f.limited[p]
+}
+
 // newRequest returns the request that attempt a sends to its target.
 func (f *Forwarder) newRequest(x *exchange, a *attempt) *requester.Request {
 	header := x.request.Header.Clone()
--- a/forwarder/dialect.go
+++ b/forwarder/dialect.go
@@ -47,6 +47,7 @@
 	Encoded     bool          // a content encoding was applied to the body after the endpoint wrote it
 	Leaving     bool          // the endpoint's process leaves
 	ClosedFor   time.Duration // the process wants no requests from this instance for so long; zero if it does not say so
+	Limit       scheduler.LimitStatement
 	Load        scheduler.Load
 
 	Malformed []MalformedError // fields that are ignored, or that count as another value
--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -41,9 +41,10 @@
 // held and isUndelimited until it has reported the end.
 type attempt struct {
 	scheduler.Send
-	ctx    context.Context
-	cancel context.CancelFunc
-	held   heldAnswer // a complete answer that is not a stream
+	ctx       context.Context
+	cancel    context.CancelFunc
+	startedAt time.Time
+	held      heldAnswer // a complete answer that is not a stream
 
 	isUndelimited bool // the answer ends with its connection
 
@@ -60,7 +61,7 @@
 // begin adds the attempt that a starts.
 func (x *exchange) begin(a scheduler.Send) *attempt {
 	ctx, cancel := context.WithDeadline(context.WithoutCancel(x.request.Context()), x.deadline)
-	t := &attempt{Send: a, ctx: ctx, cancel: cancel}
+	t := &attempt{Send: a, ctx: ctx, cancel: cancel, startedAt: time.Now()}
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	x.attempts = append(x.attempts, t)
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -51,6 +51,7 @@
 	mu        sync.Mutex // guards the fields below
 	random    *rand.Rand
 	exchanges map[scheduler.Ref]*exchange
+	limited   map[identifier.Process]bool // processes that name a limit
 }
 
 // New returns a Forwarder for cfg.
@@ -62,7 +63,7 @@
 		cfg.OnAttempt = func(quarantiner.Event) {}
 	}
 	defaulter.Set(&cfg.HeldBytes, defaultHeldBytes)
-	f := &Forwarder{cfg: cfg, core: scheduler.New(cfg.Scheduler), random: rand.New(cfg.Random), exchanges: map[scheduler.Ref]*exchange{}}
+	f := &Forwarder{cfg: cfg, core: scheduler.New(cfg.Scheduler), random: rand.New(cfg.Random), exchanges: map[scheduler.Ref]*exchange{}, limited: map[identifier.Process]bool{}}
 	f.held.left.Store(cfg.HeldBytes)
 	f.step = stepper.New(stepper.Config[scheduler.Event, scheduler.Action]{Core: f.core, Handle: f.handle})
 	f.meters = newMeters(cfg.Meter, cfg.Scheduler.FailureDomain)
@@ -147,6 +148,8 @@
 		if f.cfg.OnLeaving != nil {
 			f.cfg.OnLeaving(a.Process)
 		}
+	case scheduler.LimitChanged:
+		f.changeLimit(a)
 	case scheduler.LatencyReport:
 		service, _ := SplitPool(a.Pool)
 		f.meters.setBudget(service, a.RetriesLeft)
@@ -158,6 +161,20 @@
 	}
 }
 
+// changeLimit records and logs the limit of a process, or that it names none any more.
+func (f *Forwarder) changeLimit(a scheduler.LimitChanged) {
+	f.mu.Lock()
+	if a.PerSecond > 0 {
+		f.limited[a.Process] = true
+	} else {
+		delete(f.limited, a.Process)
+	}
+	count := len(f.limited)
+	f.mu.Unlock()
+	f.meters.setLimited(count)
+	f.logLimit(a)
+}
+
 // startAttempt starts an attempt: one that hedges another in a goroutine of its own, any other
 // in the goroutine that serves the request.
 func (f *Forwarder) startAttempt(a scheduler.Send) {
--- a/forwarder/log.go
+++ b/forwarder/log.go
@@ -66,6 +66,16 @@
 	}
 }
 
+// logLimit logs a limit that a process has named, or that it names none any more.
+func (f *Forwarder) logLimit(a scheduler.LimitChanged) {
+	line := f.cfg.Logger.Info().Str("endpoint", string(a.Process.Endpoint)).Int64("processStart", int64(a.Process.Start))
+	if a.PerSecond > 0 {
+		line.Float64("perSecond", a.PerSecond).Msg("endpoint names the requests per second that it takes")
+		return
+	}
+	line.Msg("endpoint names no limit any more")
+}
+
 func (f *Forwarder) logStalled(a scheduler.Stalled) {
 	f.cfg.Logger.Warn().Str("endpoint", string(a.Target.ID)).Str("group", string(a.Target.Group)).
 		Uint64("epoch", uint64(a.Target.Epoch)).Dur("still", a.Silence).Msg("target stands still")
--- a/forwarder/meters.go
+++ b/forwarder/meters.go
@@ -34,9 +34,10 @@
 	gap        metric.Float64Histogram
 	running    metric.Int64UpDownCounter
 
-	mu     sync.Mutex // guards the fields below
-	routes map[string]bool
-	budget map[identifier.Service]float64
+	mu      sync.Mutex // guards the fields below
+	routes  map[string]bool
+	budget  map[identifier.Service]float64
+	limited int64 // processes that name a limit
 }
 
 // newMeters registers the instruments with m. An instrument whose registration fails records nothing.
@@ -57,6 +58,8 @@
 	out.running, _ = m.Int64UpDownCounter("forwarder.requests.running", metric.WithDescription("Requests that wait or run."))
 	_, _ = m.Float64ObservableGauge("forwarder.retry.budget", metric.WithDescription("Repeats that this instance may still make, by service."),
 		metric.WithFloat64Callback(out.observeBudget))
+	_, _ = m.Int64ObservableGauge("forwarder.limited", metric.WithDescription("Processes of endpoints that name a limit of requests per second."),
+		metric.WithInt64Callback(out.observeLimited))
 	return out
 }
 
@@ -69,6 +72,20 @@
 	return nil
 }
 
+func (m *meters) observeLimited(_ context.Context, o metric.Int64Observer) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	o.Observe(m.limited, metric.WithAttributes(m.domain))
+	return nil
+}
+
+// setLimited records the number of processes that name a limit.
+func (m *meters) setLimited(n int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.limited = int64(n)
+}
+
 // setBudget records the number of retries left for a service.
 func (m *meters) setBudget(s identifier.Service, left float64) {
 	m.mu.Lock()
--- a/scheduler/request.go
+++ b/scheduler/request.go
@@ -58,6 +58,20 @@
 	Process   identifier.Process
 	Leaving   bool          // it leaves, so that it gets no more requests
 	ClosedFor time.Duration // it wants no requests from this instance for so long; zero if it has not said so; more than a minute counts as a minute
+	Limit     LimitStatement
+	SentAt    time.Time // when the request was sent that the answer belongs to
+}
+
+// Bounds of a limit, in requests per second. A limit of MaxLimit limits nothing in practice.
+const (
+	MinLimit = 0.05
+	MaxLimit = 1e5
+)
+
+// LimitStatement is what an answer says about the limit of its process. The zero value says nothing.
+type LimitStatement struct {
+	IsKnown   bool
+	PerSecond float64 // requests that it takes from all instances together, from MinLimit to MaxLimit; zero if it names no limit
 }
 
 // Arrived reports a new request.
@@ -157,7 +171,7 @@
 }
 
 // Action is an output of a Scheduler: Send, Abandon, Wait, Finish, Stalled, Recovered,
-// LeavingStated, LatencyReport or WakeAt.
+// LeavingStated, LimitChanged, LatencyReport or WakeAt.
 type Action interface{ action() }
 
 // Send starts an attempt: the request is sent to Target. An attempt that hedges others runs
@@ -207,6 +221,12 @@
 // more requests; those that run there go on.
 type LeavingStated struct{ Process identifier.Process }
 
+// LimitChanged reports that a process has named another limit than before, or names none any more.
+type LimitChanged struct {
+	Process   identifier.Process
+	PerSecond float64 // zero for none
+}
+
 // LatencyReport counts the requests of a pool over the last second by whether they met their latency goal.
 type LatencyReport struct {
 	Pool       identifier.Pool
@@ -228,6 +248,7 @@
 func (Stalled) action()       {}
 func (Recovered) action()     {}
 func (LeavingStated) action() {}
+func (LimitChanged) action()  {}
 func (WakeAt) action()        {}
 
 // Reason is the reason why a request waits, moves to another target or ends.
--- a/scheduler/statement.go
+++ b/scheduler/statement.go
@@ -28,6 +28,8 @@
 	isReopening  bool      // no request that was sent after the closure has made progress
 	trial        *attempt  // the only attempt that a reopening process gets; nil for none
 	statedAt     time.Time
+	limit        float64   // requests per second that the process takes from all instances together; zero if it names none
+	limitNamedAt time.Time // when that was last named
 }
 
 // admits reports whether the process may get another request.
@@ -61,11 +63,27 @@
 		st.leavingSince = now
 		s.emit(LeavingStated{Process: e.Process})
 	}
+	s.handleLimit(now, st, e)
 	if e.ClosedFor > 0 {
 		s.close(now, st, min(e.ClosedFor, maxClosure))
 	}
 }
 
+// handleLimit records the limit that an answer names. An answer to a request that was sent before the
+// limit was last named does not end it.
+func (s *Scheduler) handleLimit(now time.Time, st *statement, e ProcessStated) {
+	if !e.Limit.IsKnown || e.Limit.PerSecond == 0 && e.SentAt.Before(st.limitNamedAt) {
+		return
+	}
+	if e.Limit.PerSecond > 0 {
+		st.limitNamedAt = now
+	}
+	if e.Limit.PerSecond != st.limit {
+		st.limit = e.Limit.PerSecond
+		s.emit(LimitChanged{Process: e.Process, PerSecond: st.limit})
+	}
+}
+
 // close closes the process of st for d and up to a tenth of d more.
 func (s *Scheduler) close(now time.Time, st *statement, d time.Duration) {
 	if s.random != nil {
@@ -93,6 +111,9 @@
 		}
 		if now.Sub(st.statedAt) >= statementTTL {
 			delete(s.statements, p)
+			if st.limit > 0 {
+				s.emit(LimitChanged{Process: p})
+			}
 		}
 	}
 }
