scheduler: failing test of endpoints that name a limit

Fleets of 4 to 78 instances whose endpoints name a limit, with more demand than that, refusals, silences and restarts.

--- /dev/null
+++ b/scheduler/limit_test.go
@@ -0,0 +1,248 @@
+package scheduler_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"amaranthmill/internal/identifier"
+	"amaranthmill/internal/scripter"
+	"amaranthmill/scheduler"
+)
+
+// Bounds on what an endpoint that names a limit may get, as the users state them.
+const (
+	limitWindow      = 4 * time.Second
+	limitFactor      = 1.5
+	limitSlack       = 5
+	limitStableTime  = 3 * time.Second        // after the limit was first named
+	limitToldTime    = 500 * time.Millisecond // after an instance had an answer that names it
+	limitStep        = 10 * time.Millisecond
+	limitAnswerTime  = 60 * time.Millisecond // until the first event
+	limitServeTime   = 500 * time.Millisecond
+	limitSilentTime  = 700 * time.Millisecond // of an endpoint that is silent, which leads to hedges
+	limitNamedAfter  = 5 * time.Second
+	limitWorldLength = 40 * time.Second
+)
+
+// limitWorld is a fleet of schedulers with endpoints of which each names the same limit.
+type limitWorld struct {
+	t         *testing.T
+	random    *rand.Rand
+	cfg       limitCase
+	now       time.Time
+	instances []*limitInstance
+	endpoints []*limitEndpoint
+	pending   []func() bool // work of the endpoints; returns true when it is done
+}
+
+type limitCase struct {
+	instances, endpoints int
+	perSecond            float64 // limit of each endpoint
+	demand               float64 // requests per second of all callers, as a multiple of all limits
+	restarts             bool    // an instance starts again each two seconds, one after the other
+	shedding, silences   bool    // endpoints refuse requests; endpoints fall silent
+}
+
+func (c limitCase) String() string {
+	return fmt.Sprintf("instances=%d,endpoints=%d,limit=%v,demand=%v,restarts=%t,shedding=%t,silences=%t", c.instances, c.endpoints, c.perSecond, c.demand, c.restarts, c.shedding, c.silences)
+}
+
+type limitInstance struct {
+	name    identifier.Instance
+	core    *scheduler.Scheduler
+	wakeAt  time.Time
+	lastRef scheduler.Ref
+	life    int               // number of the process
+	toldAt  map[int]time.Time // when an answer of an endpoint first named its limit, by endpoint
+}
+
+type limitEndpoint struct {
+	index       int
+	silentUntil time.Time
+	arrivals    []time.Time // from instances that had been told
+	all         int         // arrivals from stableTime on
+}
+
+func newLimitWorld(t *testing.T, c limitCase, seed uint64) *limitWorld {
+	w := &limitWorld{t: t, random: rand.New(rand.NewPCG(seed, 0)), cfg: c, now: scripter.Start}
+	for i := range c.endpoints {
+		w.endpoints = append(w.endpoints, &limitEndpoint{index: i})
+	}
+	for i := range c.instances {
+		w.instances = append(w.instances, &limitInstance{name: identifier.Instance(fmt.Sprintf("entry-%d", i))})
+	}
+	for _, in := range w.instances {
+		w.startInstance(in)
+	}
+	return w
+}
+
+// startInstance starts a process of an instance, which knows nothing of an earlier one.
+func (w *limitWorld) startInstance(in *limitInstance) {
+	in.core = scheduler.New(scheduler.Config{FailureDomain: "here", RetryRatio: 1, RetrySlack: 1000, FirstStart: true})
+	in.wakeAt, in.toldAt = time.Time{}, map[int]time.Time{}
+	in.life++
+	var targets []scheduler.Target
+	for _, e := range w.endpoints {
+		targets = append(targets, scheduler.Target{ID: limitEndpointID(e.index), Pool: "guides", FailureDomain: "here", Slots: 14, ProcessStart: 1})
+	}
+	w.step(in, scheduler.InstanceCountSet{Count: len(w.instances)})
+	w.step(in, scheduler.TargetsChanged{Complete: true, Changed: targets})
+}
+
+func limitEndpointID(i int) identifier.Endpoint { return identifier.Endpoint(fmt.Sprintf("e%d", i)) }
+
+func (w *limitWorld) step(in *limitInstance, e scheduler.Event) {
+	for _, a := range slices.Clone(in.core.Step(w.now, e)) {
+		switch a := a.(type) {
+		case scheduler.WakeAt:
+			in.wakeAt = a.At
+		case scheduler.Send:
+			w.serve(in, a)
+		}
+	}
+}
+
+// serve lets an endpoint receive an attempt and answer it.
+func (w *limitWorld) serve(in *limitInstance, a scheduler.Send) {
+	var index int
+	_, _ = fmt.Sscanf(string(a.Target.ID), "e%d", &index)
+	e := w.endpoints[index]
+	if at, told := in.toldAt[index]; told && w.now.Sub(at) >= limitToldTime {
+		e.arrivals = append(e.arrivals, w.now)
+	}
+	if w.now.Sub(scripter.Start) > limitNamedAfter+limitStableTime {
+		e.all++
+	}
+	sentAt, life, hasEvent := w.now, in.life, false
+	refused := w.cfg.shedding && w.random.IntN(4) == 0
+	w.pending = append(w.pending, func() bool {
+		switch {
+		case in.life != life:
+			return true
+		case w.now.Before(e.silentUntil):
+			return false
+		case !hasEvent && w.now.Sub(sentAt) >= limitAnswerTime:
+			hasEvent = true
+			w.answer(in, e, a, sentAt, refused)
+			return refused
+		case w.now.Sub(sentAt) >= limitServeTime:
+			w.step(in, scheduler.Ended{Ref: a.Ref, Attempt: a.Attempt, Ending: scheduler.Completed{}})
+			return true
+		}
+		return false
+	})
+}
+
+// answer sends the header of an answer with the first event, or a refusal.
+func (w *limitWorld) answer(in *limitInstance, e *limitEndpoint, a scheduler.Send, sentAt time.Time, refused bool) {
+	if w.now.Sub(scripter.Start) >= limitNamedAfter {
+		if _, told := in.toldAt[e.index]; !told {
+			in.toldAt[e.index] = w.now
+		}
+		limit := scheduler.LimitStatement{IsKnown: true, PerSecond: w.cfg.perSecond}
+		w.step(in, scheduler.ProcessStated{Process: a.Target.Process(), Limit: limit, SentAt: sentAt})
+	}
+	if refused {
+		w.step(in, scheduler.Ended{Ref: a.Ref, Attempt: a.Attempt, Ending: scheduler.Refused{Status: 503}})
+		return
+	}
+	w.step(in, scheduler.Progressed{Ref: a.Ref, Attempt: a.Attempt, Event: true})
+}
+
+// play lets the world go on for a time.
+func (w *limitWorld) play(length time.Duration) {
+	perStep := w.cfg.demand * w.cfg.perSecond * float64(w.cfg.endpoints) * limitStep.Seconds()
+	for end := w.now.Add(length); w.now.Before(end); w.now = w.now.Add(limitStep) {
+		for _, in := range w.instances {
+			if !in.wakeAt.IsZero() && !w.now.Before(in.wakeAt) {
+				in.wakeAt = time.Time{}
+				w.step(in, scheduler.Ticked{})
+			}
+		}
+		work := w.pending
+		w.pending = nil
+		for _, do := range work {
+			if !do() {
+				w.pending = append(w.pending, do)
+			}
+		}
+		for n := perStep; n > 0 && (n >= 1 || w.random.Float64() < n); n-- {
+			w.arrive()
+		}
+		w.disturb()
+	}
+}
+
+// arrive lets a request arrive at an instance.
+func (w *limitWorld) arrive() {
+	in := w.instances[w.random.IntN(len(w.instances))]
+	in.lastRef++
+	w.step(in, scheduler.Arrived{Ref: in.lastRef, Request: scheduler.Request{
+		Service: "guides", Pool: "guides", Repeatable: true, Stream: true, ArrivedAt: w.now, Deadline: w.now.Add(6 * time.Second), LatencyGoal: 400 * time.Millisecond, GapGoal: 200 * time.Millisecond, MaxAttempts: 3,
+	}})
+}
+
+// disturb restarts instances and silences endpoints.
+func (w *limitWorld) disturb() {
+	elapsed := w.now.Sub(scripter.Start)
+	if w.cfg.restarts && elapsed%(2*time.Second) == 0 {
+		w.startInstance(w.instances[int(elapsed/(2*time.Second))%len(w.instances)])
+	}
+	if w.cfg.silences && elapsed%(3*time.Second) == 0 {
+		w.endpoints[int(elapsed/(3*time.Second))%len(w.endpoints)].silentUntil = w.now.Add(limitSilentTime)
+	}
+}
+
+// TestEndpointGetsNoMoreThanItsLimit plays fleets whose endpoints name a limit of requests per second
+// for all instances together, with more demand than that. First attempts, retries after refusals,
+// hedges and resumed streams all count. Nothing read the limit; a limit that each instance divides
+// by their number is broken by the first requests of all of them at the same moment.
+func TestEndpointGetsNoMoreThanItsLimit(t *testing.T) {
+	for _, c := range []limitCase{
+		{instances: 4, endpoints: 5, perSecond: 2.8, demand: 3},
+		{instances: 4, endpoints: 5, perSecond: 0.3, demand: 9, restarts: true},
+		{instances: 4, endpoints: 3, perSecond: 12, demand: 2, restarts: true, shedding: true, silences: true},
+		{instances: 35, endpoints: 12, perSecond: 2, demand: 2, shedding: true, silences: true},
+		{instances: 78, endpoints: 5, perSecond: 1, demand: 6, restarts: true},
+		{instances: 78, endpoints: 40, perSecond: 2, demand: 3, shedding: true, silences: true},
+		{instances: 78, endpoints: 5, perSecond: 20, demand: 2, restarts: true, shedding: true},
+	} {
+		for seed := range uint64(3) {
+			w := newLimitWorld(t, c, seed)
+			w.play(limitWorldLength)
+			w.check(seed)
+		}
+	}
+}
+
+// check reports the endpoints that got more than their limit allows in some window, and those that got so
+// little that the limit was not used.
+func (w *limitWorld) check(seed uint64) {
+	w.t.Helper()
+	allowed := int(limitFactor*w.cfg.perSecond*limitWindow.Seconds() + limitSlack)
+	from := scripter.Start.Add(limitNamedAfter + limitStableTime)
+	total := 0
+	for _, e := range w.endpoints {
+		total += e.all
+		worst := 0
+		for first, last := 0, 0; last < len(e.arrivals); last++ {
+			for e.arrivals[last].Sub(e.arrivals[first]) >= limitWindow {
+				first++
+			}
+			if !e.arrivals[first].Before(from) {
+				worst = max(worst, last-first+1)
+			}
+		}
+		if worst > allowed {
+			w.t.Errorf("%s, seed %d: endpoint %d got %d requests in %v, allowed %d", w.cfg, seed, e.index, worst, limitWindow, allowed)
+		}
+	}
+	length := limitWorldLength - limitNamedAfter - limitStableTime
+	if half := w.cfg.perSecond * float64(w.cfg.endpoints) * length.Seconds() / 2; float64(total) < half {
+		w.t.Errorf("%s, seed %d: the endpoints got %d requests, less than half of what they take (%.0f)", w.cfg, seed, total, 2*half)
+	}
+}
