scheduler, messenger: endpoints get no more than the limit that they name

Cause: nothing read the field. Each instance also sees only its own requests: the limit has to be shared without a service that counts. Change: a limited process gets requests from a few instances only, chosen by rendezvous hashing; each has a token bucket, whose number, rate and depth keep the sum under one and a half times the limit and five in any four seconds, whatever they do at the same moment. Each instance has a home target in each pool, of which it is a sender first, so that none is left without. Every attempt takes a token: first ones, retries, hedges, trial requests, resumed streams. Failure domains of the senders get equal parts. Instances that know of limits exchange this with one random peer a second, so that a limit, its change and its end reach all of them; the cost of an instance grows with the limited endpoints, not with the instances. If news is older than 10 s, the other instances try with a tenth of the limit. A request that fits waits; one that does not is refused at once, and the callers are told one after the other when room is expected.

--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -27,12 +27,13 @@
 	Requester       *requester.Requester
 	Dialect         Dialect
 	Scheduler       scheduler.Config
-	HeldBytes       int64                           // bytes that the held answers of all requests may use beyond the first 64 KiB of each; zero means 64 MiB
-	OnStalled       func(t scheduler.Target)        // called when a target stalls; must not block
-	OnLeaving       func(p identifier.Process)      // called once when a process says that it leaves; must not block
-	OnLatencyReport func(p scheduler.LatencyReport) // called about once a second for each pool with requests; must not block
-	OnAttempt       func(e quarantiner.Event)       // called for each attempt and for each request that a restriction refuses, before the scheduler learns of it; must not block
-	Random          rand.Source                     // source for the split of routes over services; nil means a randomly seeded source
+	HeldBytes       int64                            // bytes that the held answers of all requests may use beyond the first 64 KiB of each; zero means 64 MiB
+	OnStalled       func(t scheduler.Target)         // called when a target stalls; must not block
+	OnLimits        func(news []scheduler.LimitNews) // what this instance knows about the limits of endpoints, once a second while there is something; must not block
+	OnLeaving       func(p identifier.Process)       // called once when a process says that it leaves; must not block
+	OnLatencyReport func(p scheduler.LatencyReport)  // called about once a second for each pool with requests; must not block
+	OnAttempt       func(e quarantiner.Event)        // called for each attempt and for each request that a restriction refuses, before the scheduler learns of it; must not block
+	Random          rand.Source                      // source for the split of routes over services; nil means a randomly seeded source
 	Logger          zerolog.Logger
 	Meter           metric.Meter // nil disables metrics
 }
@@ -74,8 +75,15 @@
 // ChangeTargets changes the set of targets.
 func (f *Forwarder) ChangeTargets(c scheduler.TargetsChanged) { f.step.Submit(c) }
 
-// SetInstanceCount sets the number of instances that share the retry budget, including this instance.
-func (f *Forwarder) SetInstanceCount(n int) { f.step.Submit(scheduler.InstanceCountSet{Count: n}) }
+// SetInstances replaces the instances that share the retry budget and the limits of endpoints.
+func (f *Forwarder) SetInstances(instances []scheduler.Instance) {
+	f.step.Submit(scheduler.InstancesSet{Instances: instances})
+}
+
+// ReportLimits passes on what another instance knows about the limits of endpoints.
+func (f *Forwarder) ReportLimits(news []scheduler.LimitNews) {
+	f.step.Submit(scheduler.LimitsReported{News: news})
+}
 
 // SetRetryBudget changes the retry budget that all instances share: ratio is the number of
 // retries that each request allows, and slack the number that may accumulate.
@@ -150,6 +158,10 @@
 		}
 	case scheduler.LimitChanged:
 		f.changeLimit(a)
+	case scheduler.LimitReport:
+		if f.cfg.OnLimits != nil {
+			f.cfg.OnLimits(a.News)
+		}
 	case scheduler.LatencyReport:
 		service, _ := SplitPool(a.Pool)
 		f.meters.setBudget(service, a.RetriesLeft)
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -58,9 +58,10 @@
 
 func (dialect) ParseAnswer(status int, h http.Header) forwarder.AnswerFields {
 	closedFor, _ := time.ParseDuration(h.Get("Closed-For"))
+	limit, _ := strconv.ParseFloat(h.Get("Limit"), 64)
 	return forwarder.AnswerFields{
 		NotRun: h.Get("Not-Run") != "", Signed: h.Get("Signature") != "", Encoded: h.Get("Content-Encoding") != "", Misdirected: status == 421,
-		Leaving: h.Get("Leaving") != "", ClosedFor: closedFor,
+		Leaving: h.Get("Leaving") != "", ClosedFor: closedFor, Limit: scheduler.LimitStatement{IsKnown: true, PerSecond: limit},
 	}
 }
 
--- a/forwarder/statement_test.go
+++ b/forwarder/statement_test.go
@@ -3,7 +3,10 @@
 import (
 	"fmt"
 	"net/http"
+	"strconv"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 )
@@ -60,3 +63,33 @@
 	}
 	is.Equal(closed.Load(), int32(1))
 }
+
+// TestLimitedEndpointGetsNoRequestsBeyondItsLimit checks that a request for which the limit that the only
+// endpoint names leaves no room in its time is refused at once, has not run, and is told when there
+// is room; and that the limit ends with the first answer that does not name it.
+func TestLimitedEndpointGetsNoRequestsBeyondItsLimit(t *testing.T) {
+	is := is.New(t)
+	x := newFixture(t)
+	var limited atomic.Bool
+	limited.Store(true)
+	endpoint := x.add(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Signature", "s")
+		if limited.Load() {
+			w.Header().Set("Limit", "0.5")
+		}
+	})
+	is.Equal(x.get("/look/1", "Id", "first").StatusCode, http.StatusOK)
+	start := time.Now()
+	resp := x.get("/look/1", "Id", "second")
+	is.Equal(resp.StatusCode, http.StatusServiceUnavailable)
+	is.True(time.Since(start) < time.Second) // it does not wait for what is not expected in its time
+	retryAfter, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64)
+	is.NoErr(err)
+	is.True(retryAfter > 1.5 && retryAfter < 3) // two seconds for a request
+	is.Equal(endpoint.Load(), int32(1))
+	limited.Store(false)
+	time.Sleep(time.Duration(retryAfter * float64(time.Second)))
+	for i := range 5 {
+		is.Equal(x.get("/look/1", "Id", fmt.Sprintf("r%d", i)).StatusCode, http.StatusOK)
+	}
+}
--- /dev/null
+++ b/messenger/limits.go
@@ -0,0 +1,98 @@
+package messenger
+
+import (
+	"context"
+	"math"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"amaranthmill/internal/formatter"
+	"amaranthmill/internal/identifier"
+	"amaranthmill/scheduler"
+)
+
+// limitBoard holds what this instance last knew about the limits of endpoints.
+type limitBoard struct {
+	mu   sync.Mutex
+	news []scheduler.LimitNews
+	at   time.Time // when news was current
+}
+
+// set replaces what is known.
+func (b *limitBoard) set(now time.Time, news []scheduler.LimitNews) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.news, b.at = news, now
+}
+
+// current returns what is known, with its age at now.
+func (b *limitBoard) current(now time.Time) []scheduler.LimitNews {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	out := make([]scheduler.LimitNews, len(b.news))
+	for i, n := range b.news {
+		n.Age += now.Sub(b.at)
+		out[i] = n
+	}
+	return out
+}
+
+// limitWire is the wire form of scheduler.LimitNews.
+type limitWire struct {
+	Endpoint     identifier.Endpoint     `json:"endpoint"`
+	ProcessStart identifier.ProcessStart `json:"processStart"`
+	PerSecond    float64                 `json:"perSecond"`
+	Age          formatter.Duration      `json:"age"`
+}
+
+func encodeLimits(news []scheduler.LimitNews) []limitWire {
+	out := make([]limitWire, len(news))
+	for i, n := range news {
+		out[i] = limitWire{Endpoint: n.Process.Endpoint, ProcessStart: n.Process.Start, PerSecond: n.PerSecond, Age: formatter.Duration(n.Age)}
+	}
+	return out
+}
+
+// decodeLimits decodes what a peer knows about limits. It leaves out what is malformed: a limit that is no
+// number from zero, or an age below zero.
+func decodeLimits(limits []limitWire) []scheduler.LimitNews {
+	var out []scheduler.LimitNews
+	for _, l := range limits {
+		if l.PerSecond < 0 || math.IsNaN(l.PerSecond) || l.Age < 0 {
+			continue
+		}
+		process := identifier.Process{Endpoint: l.Endpoint, Start: l.ProcessStart}
+		out = append(out, scheduler.LimitNews{Process: process, PerSecond: l.PerSecond, Age: l.Age.Std()})
+	}
+	return out
+}
+
+// ExchangeLimits replaces what peers are told about the limits of endpoints, and exchanges it with one peer
+// chosen at random, so that news reaches n instances within about log2(n) calls of each of them.
+func (m *Messenger) ExchangeLimits(ctx context.Context, news []scheduler.LimitNews) {
+	m.limits.set(time.Now(), news)
+	peers := m.cfg.Peers.All()
+	if len(peers) == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, m.cfg.Timeout)
+	defer cancel()
+	p := peers[rand.IntN(len(peers))]
+	var answer []limitWire
+	if err := m.exchange(ctx, p, http.MethodPost, pathLimits, encodeLimits(news), &answer); err != nil {
+		m.cfg.Logger.Debug().Err(err).Str("peer", string(p.Instance)).Msg("limits not exchanged with a peer; exchanging them with another one next")
+		return
+	}
+	m.cfg.OnLimits(decodeLimits(answer))
+}
+
+func (m *Messenger) serveLimits(w http.ResponseWriter, r *http.Request) {
+	var limits []limitWire
+	if !readBody(w, r, &limits) {
+		return
+	}
+	m.cfg.OnLimits(decodeLimits(limits))
+	m.writeJSON(w, encodeLimits(m.limits.current(time.Now())))
+}
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -19,6 +19,7 @@
 	"amaranthmill/internal/limitreader"
 	"amaranthmill/quarantiner"
 	"amaranthmill/replicator"
+	"amaranthmill/scheduler"
 )
 
 // defaultTimeout bounds one exchange with a peer.
@@ -41,6 +42,7 @@
 	Quarantines      func() []quarantiner.Quarantine                                                             // the quarantines at this instance
 	Leaving          func() []LeavingProcess                                                                     // the processes of endpoints that leave, as this instance knows them
 	Lift             func(fp identifier.Fingerprint) bool                                                        // ends a quarantine at all instances; false if there is none at this instance
+	OnLimits         func(news []scheduler.LimitNews)                                                            // a peer reports what it knows about the limits of endpoints; must not block
 	OnStalled        func(head identifier.Endpoint)                                                              // a peer reports that the group with this head is stalled; must not block
 	OnLeaving        func(p identifier.Process)                                                                  // a peer reports that a process has said that it leaves; must not block
 	HTTP             *http.Client
@@ -54,6 +56,7 @@
 	cfg       Config
 	selector  peerSelector
 	announcer announcer
+	limits    limitBoard
 }
 
 // New returns a Messenger for cfg.
@@ -90,6 +93,7 @@
 	mux.HandleFunc("GET "+pathLeaving, m.serveLeavingList)
 	mux.HandleFunc("POST "+pathReport, m.serveReport)
 	mux.HandleFunc("POST "+pathLosses, m.serveLosses)
+	mux.HandleFunc("POST "+pathLimits, m.serveLimits)
 	mux.HandleFunc("GET "+pathQuarantines, m.serveQuarantines)
 	mux.HandleFunc("DELETE "+pathQuarantines+"/{fingerprint}", m.serveLift)
 	return mux
--- a/messenger/messenger_test.go
+++ b/messenger/messenger_test.go
@@ -19,6 +19,7 @@
 	"amaranthmill/internal/identifier"
 	"amaranthmill/messenger"
 	"amaranthmill/replicator"
+	"amaranthmill/scheduler"
 	"amaranthmill/storeclient"
 )
 
@@ -99,6 +100,31 @@
 	is.Equal(len(peers.All()), 1)
 }
 
+// TestLimitNewsIsExchanged checks that two instances tell each other what they know about the limits of
+// endpoints, with the age of the news as of the exchange, and that malformed news is left out.
+func TestLimitNewsIsExchanged(t *testing.T) {
+	is := is.New(t)
+	process := func(id string) identifier.Process { return identifier.Process{Endpoint: identifier.Endpoint(id), Start: 7} }
+	received := make(chan []scheduler.LimitNews, 2)
+	onLimits := func(news []scheduler.LimitNews) { received <- news }
+	other := messenger.New(messenger.Config{Peers: &messenger.Peers{}, HTTP: http.DefaultClient, OnLimits: onLimits})
+	s := httptest.NewServer(other.Handler())
+	defer s.Close()
+	known := scheduler.LimitNews{Process: process("e1"), PerSecond: 2.5, Age: time.Second}
+	other.ExchangeLimits(t.Context(), []scheduler.LimitNews{known}) // it has no peers
+	var peers messenger.Peers
+	peers.Set(messenger.Peer{Instance: "alpine-1", FailureDomain: "alpine", Address: netip.MustParseAddrPort(s.Listener.Addr().String())})
+	m := messenger.New(messenger.Config{Peers: &peers, HTTP: http.DefaultClient, OnLimits: onLimits})
+	ended := scheduler.LimitNews{Process: process("e2")}
+	m.ExchangeLimits(t.Context(), []scheduler.LimitNews{ended, {Process: process("e3"), PerSecond: -1}, {Process: process("e4"), Age: -time.Second}})
+	is.Equal(<-received, []scheduler.LimitNews{ended})
+	answer := <-received
+	is.Equal(len(answer), 1)
+	is.Equal(answer[0].Process, known.Process)
+	is.Equal(answer[0].PerSecond, known.PerSecond)
+	is.True(answer[0].Age >= known.Age)
+}
+
 // TestEndlessAnswersOfPeers checks that an answer of a peer without end is given up after a bound of
 // bytes or the exchange's timeout, and that the connection is closed.
 func TestEndlessAnswersOfPeers(t *testing.T) {
--- a/messenger/wire.go
+++ b/messenger/wire.go
@@ -21,6 +21,7 @@
 	pathLeaving     = "/leaving"
 	pathReport      = "/report"
 	pathLosses      = "/losses"
+	pathLimits      = "/limits"
 	pathQuarantines = "/quarantines"
 )
 
--- a/runner/hosted.go
+++ b/runner/hosted.go
@@ -105,12 +105,13 @@
 	h.forwarder = forwarder.New(forwarder.Config{
 		Resolver: h.resolver, Requester: h.requester, Dialect: platform.Headers{}, Logger: logger, Meter: h.meter,
 		Scheduler: scheduler.Config{
-			FailureDomain: s.FailureDomain, RetryRatio: retryShare * s.Bounds.RetryRatio, RetrySlack: retryShare * s.Bounds.RetrySlack,
+			Instance: s.Instance, FailureDomain: s.FailureDomain, RetryRatio: retryShare * s.Bounds.RetryRatio, RetrySlack: retryShare * s.Bounds.RetrySlack,
 			RetryWindow: s.Bounds.RetryWindow.Std(), FirstStart: s.FirstStart, Random: rand.NewPCG(rand.Uint64(), rand.Uint64()),
 		},
 		HeldBytes:       int64(heldShare * float64(s.Machine.MemoryMB) * (1 << 20)),
 		OnStalled:       h.reportStall,
 		OnLeaving:       h.reportLeaving,
+		OnLimits:        func(news []scheduler.LimitNews) { go h.messenger.ExchangeLimits(context.Background(), news) },
 		OnLatencyReport: func(p scheduler.LatencyReport) { go h.groupFormer.submitLatency(p) },
 		OnAttempt:       func(e quarantiner.Event) { h.quarantine.step.Submit(e) },
 	})
@@ -125,6 +126,7 @@
 		},
 		UpdateSince: func(after uint64) replicator.Update { return h.replica.UpdateSince(after) },
 		Report:      h.groupFormer.queryEngine, OnStalled: h.groupFormer.submitStall, OnLeaving: h.groupFormer.submitPeerLeaving, Leaving: h.leaving.list,
+		OnLimits:    h.forwarder.ReportLimits,
 		OnLosses:    func(r quarantiner.Report) { h.quarantine.step.Submit(quarantiner.ReportReceived{Report: r}) },
 		Quarantines: h.listQuarantines, Lift: h.liftQuarantine,
 		OnUnacknowledged: func(fp identifier.Fingerprint) {
--- a/runner/hosted_view.go
+++ b/runner/hosted_view.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"maps"
 	"net/netip"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -12,6 +14,7 @@
 	"amaranthmill/messenger"
 	"amaranthmill/platform"
 	"amaranthmill/replicator"
+	"amaranthmill/scheduler"
 	"amaranthmill/storeclient"
 	"amaranthmill/targetlister"
 )
@@ -27,12 +30,12 @@
 	changes   endpointlister.Collector // changes of the list that are not published
 	endpoints map[identifier.Endpoint]endpointlister.Endpoint
 	targets   *targetlister.Lister
-	instances map[identifier.Instance]bool // including this one
-	holder    identifier.Instance          // of the group-forming lease; empty if it is not known
+	instances map[identifier.Instance]identifier.FailureDomain // including this one; the failure domain is empty if it is not known
+	holder    identifier.Instance                              // of the group-forming lease; empty if it is not known
 }
 
 func newView(h *hosted) *view {
-	v := &view{hosted: h, lister: endpointlister.New(endpointlister.Config{}), endpoints: map[identifier.Endpoint]endpointlister.Endpoint{}, targets: targetlister.New(), instances: map[identifier.Instance]bool{}}
+	v := &view{hosted: h, lister: endpointlister.New(endpointlister.Config{}), endpoints: map[identifier.Endpoint]endpointlister.Endpoint{}, targets: targetlister.New(), instances: map[identifier.Instance]identifier.FailureDomain{}}
 	v.timer = time.AfterFunc(time.Hour, func() { v.stepAndPublish(endpointlister.Ticked{}) })
 	return v
 }
@@ -122,27 +125,41 @@
 		delete(v.instances, name)
 		v.hosted.peers.Remove(name)
 	} else {
-		v.instances[name] = true
-		v.addPeer(name, string(c.Value))
+		v.instances[name] = v.addPeer(name, string(c.Value))
 	}
-	v.hosted.forwarder.SetInstanceCount(max(len(v.instances), 1))
+	v.hosted.forwarder.SetInstances(v.listInstances())
 	v.hosted.store.SetTrialDelayMax(min(time.Duration(len(v.instances))*circuitSpacing, circuitWaitMax))
 	v.hosted.formingLease.SetCheckInterval(max(formingCheckInterval, time.Duration(len(v.instances))*formingCheckSpacing))
 	v.hosted.logger.Info().Str("peer", string(name)).Bool("gone", c.Deleted).Int("instances", len(v.instances)).Msg("instances changed")
 }
 
-// addPeer adds a peer from the value of its key, "<process> <address> <failure domain> <lease>".
-func (v *view) addPeer(name identifier.Instance, value string) {
+// listInstances returns the instances, sorted by name. v.mu is held.
+func (v *view) listInstances() []scheduler.Instance {
+	var out []scheduler.Instance
+	for _, name := range slices.Sorted(maps.Keys(v.instances)) {
+		out = append(out, scheduler.Instance{Name: name, FailureDomain: v.instances[name]})
+	}
+	return out
+}
+
+// addPeer adds a peer, unless it is this instance, from the value of its key, "<process> <address>
+// <failure domain> <lease>". It returns the failure domain, which is empty if the value has none.
+func (v *view) addPeer(name identifier.Instance, value string) identifier.FailureDomain {
 	words := strings.Fields(value)
-	if name == v.hosted.settings.Instance || len(words) < 3 {
-		return
+	if len(words) < 3 {
+		return ""
+	}
+	domain := identifier.FailureDomain(words[2])
+	if name == v.hosted.settings.Instance {
+		return domain
 	}
 	address, err := netip.ParseAddrPort(words[1])
 	if err != nil {
 		v.hosted.logger.Warn().Err(err).Str("peer", string(name)).Msg("entry of a peer has no valid address, the peer is ignored")
-		return
+		return domain
 	}
-	v.hosted.peers.Set(messenger.Peer{Instance: name, FailureDomain: identifier.FailureDomain(words[2]), Address: address})
+	v.hosted.peers.Set(messenger.Peer{Instance: name, FailureDomain: domain, Address: address})
+	return domain
 }
 
 // updateEndpoint applies a change of an endpoint's entry. An entry that can't be decoded counts as
--- a/scheduler/attempt.go
+++ b/scheduler/attempt.go
@@ -40,6 +40,9 @@
 	if t.statement != nil && t.statement.isReopening {
 		t.statement.trial = a
 	}
+	if t.statement != nil && t.statement.limit.perSecond > 0 {
+		t.statement.limit.take(now)
+	}
 	s.emit(Send{Ref: f.ref, Attempt: a.number, Target: t.Target, Load: load, Hedges: hedges})
 }
 
--- a/scheduler/choice.go
+++ b/scheduler/choice.go
@@ -75,6 +75,9 @@
 			return ReasonFull
 		}
 	}
+	if _, isLimited := s.limitOutlook(now, pl); isLimited {
+		return ReasonLimited
+	}
 	if _, isClosed := pl.reopensAt(now); isClosed {
 		return ReasonClosed
 	}
@@ -85,7 +88,7 @@
 // the estimate of its load says so.
 func (s *Scheduler) isFull(now time.Time, t *target, m means) bool {
 	if now.Before(t.refusedUntil) {
-		return t.statement.admits(now)
+		return t.statement.admits(now) && !s.limitedUntil(now, t).After(now)
 	}
 	return s.mayTake(now, t) && t.load(now, m.otherRequests) >= s.cfg.MaxLoad
 }
@@ -129,9 +132,9 @@
 }
 
 // mayTake reports whether t may take a request which no target runs: its process has neither said
-// that it leaves nor asked for no requests, and either t is not stalled, or a trial request is due.
+// that it leaves nor asked for no requests, its limit allows one, and either t is not stalled, or a trial request is due.
 func (s *Scheduler) mayTake(now time.Time, t *target) bool {
-	if !t.statement.admits(now) || now.Before(t.refusedUntil) {
+	if !t.statement.admits(now) || now.Before(t.refusedUntil) || s.limitedUntil(now, t).After(now) {
 		return false
 	}
 	if t.stalledAt.IsZero() {
--- a/scheduler/limit_test.go
+++ b/scheduler/limit_test.go
@@ -55,7 +55,8 @@
 	core    *scheduler.Scheduler
 	wakeAt  time.Time
 	lastRef scheduler.Ref
-	life    int               // number of the process
+	life    int // number of the process
+	news    []scheduler.LimitNews
 	toldAt  map[int]time.Time // when an answer of an endpoint first named its limit, by endpoint
 }
 
@@ -82,14 +83,18 @@
 
 // startInstance starts a process of an instance, which knows nothing of an earlier one.
 func (w *limitWorld) startInstance(in *limitInstance) {
-	in.core = scheduler.New(scheduler.Config{FailureDomain: "here", RetryRatio: 1, RetrySlack: 1000, FirstStart: true})
-	in.wakeAt, in.toldAt = time.Time{}, map[int]time.Time{}
+	in.core = scheduler.New(scheduler.Config{Instance: in.name, FailureDomain: "here", RetryRatio: 1, RetrySlack: 1000, FirstStart: true})
+	in.wakeAt, in.toldAt, in.news = time.Time{}, map[int]time.Time{}, nil
 	in.life++
 	var targets []scheduler.Target
 	for _, e := range w.endpoints {
 		targets = append(targets, scheduler.Target{ID: limitEndpointID(e.index), Pool: "guides", FailureDomain: "here", Slots: 14, ProcessStart: 1})
 	}
-	w.step(in, scheduler.InstanceCountSet{Count: len(w.instances)})
+	var instances []scheduler.Instance
+	for _, other := range w.instances {
+		instances = append(instances, scheduler.Instance{Name: other.name, FailureDomain: "here"})
+	}
+	w.step(in, scheduler.InstancesSet{Instances: instances})
 	w.step(in, scheduler.TargetsChanged{Complete: true, Changed: targets})
 }
 
@@ -102,10 +107,27 @@
 			in.wakeAt = a.At
 		case scheduler.Send:
 			w.serve(in, a)
+		case scheduler.LimitReport:
+			w.exchangeNews(in, a)
 		}
 	}
 }
 
+// exchangeNews lets an instance exchange what it knows about limits with another one.
+func (w *limitWorld) exchangeNews(in *limitInstance, r scheduler.LimitReport) {
+	other := w.instances[w.random.IntN(len(w.instances))]
+	if other == in {
+		return
+	}
+	in.news = r.News
+	news := other.news
+	w.pending = append(w.pending, func() bool {
+		w.step(other, scheduler.LimitsReported{News: r.News})
+		w.step(in, scheduler.LimitsReported{News: news})
+		return true
+	})
+}
+
 // serve lets an endpoint receive an attempt and answer it.
 func (w *limitWorld) serve(in *limitInstance, a scheduler.Send) {
 	var index int
--- a/scheduler/request.go
+++ b/scheduler/request.go
@@ -26,8 +26,8 @@
 	Priority     int           // 0 is the highest priority
 }
 
-// Event is an input of a Scheduler: TargetsChanged, InstanceCountSet, RetryBudgetSet, RestrictionSet,
-// ProcessStated, Arrived, Progressed, Ended, CallerLeft or Ticked.
+// Event is an input of a Scheduler: TargetsChanged, InstancesSet, RetryBudgetSet, RestrictionSet,
+// ProcessStated, LimitsReported, Arrived, Progressed, Ended, CallerLeft or Ticked.
 type Event interface{ event() }
 
 // TargetsChanged changes the set of targets. No target is in both Changed and Removed.
@@ -37,8 +37,12 @@
 	Complete bool                  // Changed holds all targets, so that all others are removed
 }
 
-// InstanceCountSet sets the number of instances that share the retry budget, including this instance.
-type InstanceCountSet struct{ Count int }
+// InstancesSet replaces the instances that share the retry budget and the limits of endpoints. This
+// instance counts also if it is not among them.
+type InstancesSet struct{ Instances []Instance }
+
+// LimitsReported reports what another instance knows about the limits of processes.
+type LimitsReported struct{ News []LimitNews }
 
 // RetryBudgetSet changes the retry budget that all instances share. Ratio and Slack replace
 // Config.RetryRatio and Config.RetrySlack.
@@ -102,16 +106,17 @@
 // Ticked follows a WakeAt action at its time.
 type Ticked struct{}
 
-func (TargetsChanged) event()   {}
-func (InstanceCountSet) event() {}
-func (RetryBudgetSet) event()   {}
-func (RestrictionSet) event()   {}
-func (ProcessStated) event()    {}
-func (Arrived) event()          {}
-func (Progressed) event()       {}
-func (Ended) event()            {}
-func (CallerLeft) event()       {}
-func (Ticked) event()           {}
+func (TargetsChanged) event() {}
+func (InstancesSet) event()   {}
+func (LimitsReported) event() {}
+func (RetryBudgetSet) event() {}
+func (RestrictionSet) event() {}
+func (ProcessStated) event()  {}
+func (Arrived) event()        {}
+func (Progressed) event()     {}
+func (Ended) event()          {}
+func (CallerLeft) event()     {}
+func (Ticked) event()         {}
 
 // Ending is how an attempt ended: Completed, NotSent, Refused, Failed, Broken, Abandoned or Expired.
 type Ending interface{ ending() }
@@ -171,7 +176,7 @@
 }
 
 // Action is an output of a Scheduler: Send, Abandon, Wait, Finish, Stalled, Recovered,
-// LeavingStated, LimitChanged, LatencyReport or WakeAt.
+// LeavingStated, LimitChanged, LimitReport, LatencyReport or WakeAt.
 type Action interface{ action() }
 
 // Send starts an attempt: the request is sent to Target. An attempt that hedges others runs
@@ -227,6 +232,10 @@
 	PerSecond float64 // zero for none
 }
 
+// LimitReport holds what this instance knows about limits of processes, sorted by process, for the
+// other instances. It comes once a second while there is something to report and requests are in flight.
+type LimitReport struct{ News []LimitNews }
+
 // LatencyReport counts the requests of a pool over the last second by whether they met their latency goal.
 type LatencyReport struct {
 	Pool       identifier.Pool
@@ -249,6 +258,7 @@
 func (Recovered) action()     {}
 func (LeavingStated) action() {}
 func (LimitChanged) action()  {}
+func (LimitReport) action()   {}
 func (WakeAt) action()        {}
 
 // Reason is the reason why a request waits, moves to another target or ends.
@@ -259,6 +269,7 @@
 	ReasonNoTarget     Reason = "noTarget"     // no target serves the pool now
 	ReasonFull         Reason = "full"         // every available target is full
 	ReasonClosed       Reason = "closed"       // every target has asked for no requests for a time
+	ReasonLimited      Reason = "limited"      // the limit of every target is used up
 	ReasonStalled      Reason = "stalled"      // the target is stalled
 	ReasonReplaced     Reason = "replaced"     // the target was removed, or replaced by another incarnation
 	ReasonRecovered    Reason = "recovered"    // the attempt that was hedged has made progress
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -27,6 +27,7 @@
 
 // Config configures a Scheduler. The zero value is usable.
 type Config struct {
+	Instance      identifier.Instance      // this instance
 	FailureDomain identifier.FailureDomain // failure domain of this instance; targets in it are preferred
 
 	RetryRatio float64 // retries that each request adds to the budget; zero means 0.18
@@ -62,6 +63,10 @@
 	restrictions map[identifier.Fingerprint]restriction
 	copies       map[identifier.Fingerprint]int // number of flights with a fingerprint
 
+	instances        []Instance // including this one
+	instancesVersion int        // counts the changes of instances
+	limitsReportedAt time.Time
+
 	random  *rand.Rand  // nil for no jitter
 	free    []candidate // buffer of freeTargets
 	wakeAt  time.Time
@@ -85,6 +90,7 @@
 		cfg: cfg, targets: map[identifier.Endpoint]*target{}, pools: map[identifier.Pool]*pool{}, statements: map[identifier.Process]*statement{},
 		flights: map[Ref]*flight{}, queues: map[identifier.Pool]*queue{}, rates: map[identifier.Pool]*poolRates{}, restrictions: map[identifier.Fingerprint]restriction{}, copies: map[identifier.Fingerprint]int{}, budget: newRetryBudget(cfg),
 	}
+	s.setInstances(nil)
 	if cfg.Random != nil {
 		s.random = rand.New(cfg.Random)
 	}
@@ -99,8 +105,10 @@
 	case TargetsChanged:
 		s.changeTargets(now, e)
 		s.placeAllWaiting(now)
-	case InstanceCountSet:
-		s.budget.setInstances(e.Count)
+	case InstancesSet:
+		s.setInstances(e.Instances)
+	case LimitsReported:
+		s.handleLimitNews(now, e.News)
 	case RetryBudgetSet:
 		s.budget.ratio, s.budget.slack = e.Ratio, e.Slack
 		s.budget.setInstances(s.budget.instances)
@@ -126,6 +134,7 @@
 		s.placeAllWaiting(now)
 		s.checkWaiting(now)
 		s.reportLatency(now)
+		s.reportLimits(now)
 	}
 	s.scheduleTick(now)
 	return s.actions
--- a/scheduler/session_test.go
+++ b/scheduler/session_test.go
@@ -26,7 +26,7 @@
 func TestSessions(t *testing.T) {
 	scripter.Run(t, "testdata/sessions", func(*testing.T) scripter.Session {
 		return &session{
-			core: scheduler.New(scheduler.Config{FailureDomain: "here", RetryRatio: 0.2, RetrySlack: 4, FirstStart: true}),
+			core: scheduler.New(scheduler.Config{Instance: "a1", FailureDomain: "here", RetryRatio: 0.2, RetrySlack: 4, FirstStart: true}),
 			refs: map[string]scheduler.Ref{}, names: map[scheduler.Ref]string{},
 		}
 	})
@@ -66,7 +66,17 @@
 		return scheduler.Ended{Ref: ref, Attempt: attempt(ev), Ending: end, Load: load}, err
 	case "stated":
 		process := identifier.Process{Endpoint: identifier.Endpoint(ev.Str("endpoint")), Start: identifier.ProcessStart(ev.Int("processStart"))}
-		return scheduler.ProcessStated{Process: process, Leaving: ev.Bool("leaving"), ClosedFor: ev.Duration("closedFor")}, nil
+		return scheduler.ProcessStated{Process: process, Leaving: ev.Bool("leaving"), ClosedFor: ev.Duration("closedFor"), Limit: limitStatement(ev), SentAt: now.Add(-ev.Duration("sentAgo"))}, nil
+	case "instances":
+		var instances []scheduler.Instance
+		for _, name := range ev.List("names") {
+			instances = append(instances, scheduler.Instance{Name: identifier.Instance(name), FailureDomain: identifier.FailureDomain(name[:1])})
+		}
+		return scheduler.InstancesSet{Instances: instances}, nil
+	case "news":
+		perSecond, err := strconv.ParseFloat(ev.Str("limit"), 64)
+		process := identifier.Process{Endpoint: identifier.Endpoint(ev.Str("endpoint"))}
+		return scheduler.LimitsReported{News: []scheduler.LimitNews{{Process: process, PerSecond: perSecond, Age: ev.Duration("age")}}}, err
 	case "restricted":
 		return restriction(now, ev)
 	case "callerLeft":
@@ -77,6 +87,13 @@
 	return nil, fmt.Errorf("unknown event %q", ev.Name)
 }
 
+// limitStatement returns what the answer of a script's line says about a limit: that there is none if it
+// says limit=none, and nothing if it does not mention one.
+func limitStatement(ev scripter.Event) scheduler.LimitStatement {
+	perSecond, err := strconv.ParseFloat(ev.Str("limit"), 64)
+	return scheduler.LimitStatement{IsKnown: err == nil || ev.Str("limit") == "none", PerSecond: perSecond}
+}
+
 func restriction(now time.Time, ev scripter.Event) (scheduler.Event, error) {
 	e := scheduler.RestrictionSet{Fingerprint: identifier.Fingerprint(ev.Int("fingerprint")), Tied: ev.Int("tied")}
 	for r := scheduler.Unrestricted; r <= scheduler.Quarantined; r++ {
@@ -184,6 +201,14 @@
 		return fmt.Sprintf("stalled %s", a.Target.ID)
 	case scheduler.LeavingStated:
 		return fmt.Sprintf("leaving %s", a.Process.Endpoint)
+	case scheduler.LimitChanged:
+		return fmt.Sprintf("limit of %s is %v", a.Process.Endpoint, a.PerSecond)
+	case scheduler.LimitReport:
+		line := "limits"
+		for _, n := range a.News {
+			line += fmt.Sprintf(" %s=%v(%s)", n.Process.Endpoint, n.PerSecond, n.Age)
+		}
+		return line
 	case scheduler.Recovered:
 		return fmt.Sprintf("recovered %s", a.Target.ID)
 	}
--- a/scheduler/statement.go
+++ b/scheduler/statement.go
@@ -28,8 +28,7 @@
 	isReopening  bool      // no request that was sent after the closure has made progress
 	trial        *attempt  // the only attempt that a reopening process gets; nil for none
 	statedAt     time.Time
-	limit        float64   // requests per second that the process takes from all instances together; zero if it names none
-	limitNamedAt time.Time // when that was last named
+	limit        limit
 }
 
 // admits reports whether the process may get another request.
@@ -46,19 +45,24 @@
 // isLeaving reports whether the process has said that it leaves.
 func (st *statement) isLeaving() bool { return st != nil && !st.leavingSince.IsZero() }
 
-// handleStatement records what a process has said about itself in an answer. A shorter closure
-// does not replace a longer one.
-func (s *Scheduler) handleStatement(now time.Time, e ProcessStated) {
-	st := s.statements[e.Process]
+// statementOf returns the statement of a process, which is added if there is none.
+func (s *Scheduler) statementOf(now time.Time, p identifier.Process) *statement {
+	st := s.statements[p]
 	if st == nil {
 		st = &statement{}
-		s.statements[e.Process] = st
+		s.statements[p] = st
 	}
 	st.statedAt = now
-	t := s.targets[e.Process.Endpoint]
-	if t != nil && t.Process() == e.Process {
+	if t := s.targets[p.Endpoint]; t != nil && t.Process() == p {
 		t.statement = st
 	}
+	return st
+}
+
+// handleStatement records what a process has said about itself in an answer. A shorter closure
+// does not replace a longer one.
+func (s *Scheduler) handleStatement(now time.Time, e ProcessStated) {
+	st := s.statementOf(now, e.Process)
 	if e.Leaving && st.leavingSince.IsZero() {
 		st.leavingSince = now
 		s.emit(LeavingStated{Process: e.Process})
@@ -69,21 +73,6 @@
 	}
 }
 
-// handleLimit records the limit that an answer names. An answer to a request that was sent before the
-// limit was last named does not end it.
-func (s *Scheduler) handleLimit(now time.Time, st *statement, e ProcessStated) {
-	if !e.Limit.IsKnown || e.Limit.PerSecond == 0 && e.SentAt.Before(st.limitNamedAt) {
-		return
-	}
-	if e.Limit.PerSecond > 0 {
-		st.limitNamedAt = now
-	}
-	if e.Limit.PerSecond != st.limit {
-		st.limit = e.Limit.PerSecond
-		s.emit(LimitChanged{Process: e.Process, PerSecond: st.limit})
-	}
-}
-
 // close closes the process of st for d and up to a tenth of d more.
 func (s *Scheduler) close(now time.Time, st *statement, d time.Duration) {
 	if s.random != nil {
@@ -111,7 +100,7 @@
 		}
 		if now.Sub(st.statedAt) >= statementTTL {
 			delete(s.statements, p)
-			if st.limit > 0 {
+			if st.limit.perSecond > 0 {
 				s.emit(LimitChanged{Process: p})
 			}
 		}
--- a/scheduler/target.go
+++ b/scheduler/target.go
@@ -137,20 +137,26 @@
 
 // pool holds the targets of one pool.
 type pool struct {
-	name          identifier.Pool
-	targets       []*target
-	refusals      int       // requests refused while all targets are closed
-	refusalsUntil time.Time // end of the closure in which they were refused
+	name           identifier.Pool
+	targets        []*target
+	refusals       int                                         // requests refused while all targets are closed
+	refusalsUntil  time.Time                                   // end of the closure in which they were refused
+	limitReturnsAt time.Time                                   // when the next caller should return who is refused because of limits
+	version        int                                         // counts the changes of targets
+	homes          map[identifier.Instance]identifier.Endpoint // see homeOf
+	homesVersion   shareBasis
 }
 
 // add adds a target.
 func (p *pool) add(t *target) {
+	p.version++
 	t.position = len(p.targets)
 	p.targets = append(p.targets, t)
 }
 
 // remove removes a target. The last one takes its place.
 func (p *pool) remove(t *target) {
+	p.version++
 	last := p.targets[len(p.targets)-1]
 	p.targets[t.position] = last
 	last.position = t.position
--- a/scheduler/wait.go
+++ b/scheduler/wait.go
@@ -85,6 +85,7 @@
 	meanFirstEvent time.Duration // from the start of an attempt to its first event; zero if it is not known
 	reopensAt      time.Time     // earliest end of the closures of its targets, if all are closed
 	reopeningSlots int           // slots of the targets whose closures end then
+	limit          limitOutlook  // if the reason is ReasonLimited
 }
 
 // outlookOf returns the outlook of the requests of a pool that wait.
@@ -96,6 +97,10 @@
 		return o
 	}
 	o.meanFirstEvent = pl.meanFirstEvent(now)
+	if l, isLimited := s.limitOutlook(now, pl); isLimited {
+		o.reason, o.limit = ReasonLimited, l
+		return o
+	}
 	if at, isClosed := pl.reopensAt(now); isClosed {
 		o.reason, o.reopensAt, o.reopeningSlots = ReasonClosed, at, pl.slotsReopeningBy(at)
 		return o
@@ -117,6 +122,8 @@
 	switch o.reason {
 	case ReasonClosed:
 		return o.reopensAt.Add(reopenDelay).After(f.giveUpAt) || position > o.reopeningSlots
+	case ReasonLimited:
+		return o.limit.expectedAt(position).After(f.giveUpAt)
 	case ReasonFull:
 		wait := o.expectedWait(position)
 		return now.Add(wait).After(f.giveUpAt) || o.isOverloaded && o.missesGoal(now, f, wait)
@@ -141,7 +148,10 @@
 // retryAfter returns the time after which the refused caller of f should retry.
 func (s *Scheduler) retryAfter(now time.Time, f *flight) time.Duration {
 	o := s.outlookOf(now, f.Pool)
-	if o.reason == ReasonClosed {
+	switch o.reason {
+	case ReasonLimited:
+		return s.pools[f.Pool].limitedRetryAfter(now, o.limit, s.position(f)).Round(10 * time.Millisecond)
+	case ReasonClosed:
 		return s.pools[f.Pool].closedRetryAfter(now, o).Round(10 * time.Millisecond)
 	}
 	return min(max(o.expectedWait(s.position(f)), minRetryAfter), maxRetryAfter).Round(10 * time.Millisecond)
