scheduler: an instance that is no longer listed keeps its share of limits for a time

Found on reading the change before anyone met it. After an outage of the store in which the instances' entries expire, each instance sees itself alone for a moment and would take the whole limit of each endpoint. Cause: shares followed the list at once. Evidence: new cases of TestEndpointGetsNoMoreThanItsLimit, listLost, failed: 40 to 57 requests in 4 s where 23 are allowed, with 35 instances. Change: an instance that is no longer listed counts for 10 s; one that is new counts at once. Shares have a file and no longer sort all instances for each limited target.

--- a/scheduler/bench_test.go
+++ b/scheduler/bench_test.go
@@ -120,3 +120,36 @@
 	q.step(scheduler.Ended{Ref: oldest.Ref, Attempt: oldest.Attempt, Ending: scheduler.Completed{}})
 	q.step(scheduler.Ticked{})
 }
+
+// BenchmarkShares computes the shares of all targets of a pool, each of which names a limit, after a
+// change of the instances. An instance does so at most once a second while limits are named.
+func BenchmarkShares(b *testing.B) {
+	for _, size := range []struct{ instances, targets int }{{4, 20}, {78, 130}, {370, 300}} {
+		b.Run(fmt.Sprintf("instances=%d/targets=%d", size.instances, size.targets), func(b *testing.B) {
+			core := scheduler.New(scheduler.Config{Instance: "entry-0"})
+			now := scripter.Start
+			var targets []scheduler.Target
+			for i := range size.targets {
+				targets = append(targets, scheduler.Target{ID: identifier.Endpoint(fmt.Sprintf("e%d", i)), Pool: "guides", Slots: 14})
+			}
+			core.Step(now, scheduler.TargetsChanged{Complete: true, Changed: targets})
+			var instances []scheduler.Instance
+			for i := range size.instances {
+				instances = append(instances, scheduler.Instance{Name: identifier.Instance(fmt.Sprintf("entry-%d", i))})
+			}
+			for _, t := range targets {
+				core.Step(now, scheduler.ProcessStated{Process: t.Process(), Limit: scheduler.LimitStatement{IsKnown: true, PerSecond: 3}, SentAt: now})
+			}
+			b.ReportAllocs()
+			ref := scheduler.Ref(0)
+			for b.Loop() {
+				now = now.Add(2 * time.Second)
+				instances[0].FailureDomain = identifier.FailureDomain(fmt.Sprint(ref % 2)) // changes the list
+				core.Step(now, scheduler.InstancesSet{Instances: instances})
+				ref++
+				core.Step(now, scheduler.Arrived{Ref: ref, Request: scheduler.Request{Service: "guides", Pool: "guides", Stream: true, ArrivedAt: now, Deadline: now.Add(time.Second)}})
+				core.Step(now, scheduler.CallerLeft{Ref: ref})
+			}
+		})
+	}
+}
--- a/scheduler/limit.go
+++ b/scheduler/limit.go
@@ -1,21 +1,19 @@
 package scheduler
 
 import (
-	"cmp"
 	"math"
 	"slices"
 	"time"
 
 	"amaranthmill/internal/identifier"
-
-	"github.com/cespare/xxhash/v2"
 )
 
-// Instance is an instance that sends requests to the same targets.
-type Instance struct {
-	Name          identifier.Instance
-	FailureDomain identifier.FailureDomain
-}
+// Times of what is known about limits.
+const (
+	limitNewsTTL     = 10 * time.Second // after which other instances than the senders try whether the process still names its limit
+	limitReportTTL   = 30 * time.Second // age up to which news of limits is passed on to other instances
+	limitReportPause = time.Second      // between two reports of news
+)
 
 // LimitNews is what an instance knows about the limit of a process.
 type LimitNews struct {
@@ -24,24 +22,6 @@
 	Age       time.Duration // of the answer from which that is known
 }
 
-// A process that names a limit gets requests from some of the instances only, its senders. Each has a
-// token bucket: n senders with buckets of d tokens, which together fill at the rate r of the limit,
-// send at most n*d + w*r requests in a time w. The numbers below keep that under one and a half times the
-// limit and five requests in four seconds, whatever the instances do at the same moment.
-const (
-	minSenders       = 3                // number of senders of a process whose limit is near zero
-	sendersPerRate   = 2                // further senders for each request per second of the limit
-	homeSenderSlack  = 3                // senders may be up to six times the limit and this many, if each sends at most once in four seconds
-	limitUse         = 0.95             // fraction of the limit that the senders use
-	maxBucket        = 3                // tokens
-	limitNewsTTL     = 10 * time.Second // after which other instances than the senders try whether the process still names its limit
-	trialUse         = 0.1              // fraction of the limit that those use together
-	maxTrialDelay    = 2 * time.Minute  // longest time from the end of limitNewsTTL to such a try
-	shareInterval    = time.Second      // between two computations of the share of a limit, while targets and instances change
-	limitReportTTL   = 30 * time.Second // age up to which news of limits is passed on
-	limitReportPause = time.Second      // between two reports of news
-)
-
 // limit is the limit of a process and this instance's share of it.
 type limit struct {
 	perSecond float64   // requests that the process takes from all instances together; zero if it names no limit
@@ -52,22 +32,6 @@
 	filledAt time.Time
 }
 
-// share is this instance's part of a limit.
-type share struct {
-	isSender   bool
-	perSecond  float64
-	bucket     float64       // tokens that the bucket holds
-	trialDelay time.Duration // from the end of limitNewsTTL to the first try of an instance that is no sender, different for each
-	basis      shareBasis
-	computedAt time.Time
-}
-
-// shareBasis is what a share was computed from.
-type shareBasis struct {
-	perSecond           float64
-	instances, poolSize int // versions
-}
-
 // nextAt returns when the next request may be sent.
 func (l *limit) nextAt(now time.Time) time.Time {
 	at := now
@@ -134,128 +98,6 @@
 	s.emit(LimitChanged{Process: p, PerSecond: perSecond})
 }
 
-// updateShare computes this instance's share of the limit of t's process if what it depends on has changed.
-func (s *Scheduler) updateShare(now time.Time, t *target) {
-	l := &t.statement.limit
-	pl := s.pools[t.Pool]
-	if pl == nil {
-		return
-	}
-	basis := shareBasis{perSecond: l.perSecond, instances: s.instancesVersion, poolSize: pl.version}
-	old := l.share.basis
-	if basis == old || basis.perSecond == old.perSecond && now.Sub(l.share.computedAt) < shareInterval {
-		return
-	}
-	sh := s.computeShare(t, pl, l.perSecond)
-	sh.basis, sh.computedAt = basis, now
-	l.setShare(now, sh)
-}
-
-// computeShare returns this instance's share of a limit. The senders of a process are chosen by
-// rendezvous hashing, so that all instances with the same lists of instances and targets choose the
-// same ones and a change moves few. Each instance has one target of each pool as its home, of which it
-// is a sender before others, so that each instance can serve the pool. Each failure domain
-// of the senders gets the same part of the limit, because callers are spread over the domains.
-func (s *Scheduler) computeShare(t *target, pl *pool, perSecond float64) share {
-	instances := s.instances
-	homes := 0
-	ranked := make([]rankedInstance, 0, len(instances))
-	for _, in := range instances {
-		r := rankedInstance{Instance: in, isHome: s.homeOf(pl, in) == t.ID, hash: rendezvousHash(t.Process(), in.Name)}
-		if r.isHome {
-			homes++
-		}
-		ranked = append(ranked, r)
-	}
-	n := min(countSenders(perSecond, homes), len(instances))
-	slices.SortFunc(ranked, rankedInstance.compare)
-	senders := ranked[:n]
-	own := slices.IndexFunc(senders, func(r rankedInstance) bool { return r.Name == s.cfg.Instance })
-	if own < 0 {
-		trialRate := trialUse * perSecond / float64(len(instances)-n)
-		delay := min(1/trialRate, maxTrialDelay.Seconds()) * hashFraction(rendezvousHash(t.Process(), s.cfg.Instance))
-		return share{perSecond: trialRate, bucket: 1, trialDelay: time.Duration(delay * float64(time.Second))}
-	}
-	domains := map[identifier.FailureDomain]int{}
-	for _, r := range senders {
-		domains[r.FailureDomain]++
-	}
-	part := 1 / float64(len(domains)*domains[senders[own].FailureDomain])
-	return share{isSender: true, perSecond: limitUse * perSecond * part, bucket: bucketSize(perSecond, n)}
-}
-
-// countSenders returns the number of senders for a limit, of which some are at home at its target.
-func countSenders(perSecond float64, homes int) int {
-	n := minSenders + int(sendersPerRate*perSecond)
-	if most := int(6*perSecond) + homeSenderSlack; homes > n && float64(homes) > 4*perSecond {
-		return min(homes, most)
-	}
-	return n
-}
-
-// bucketSize returns the tokens that the bucket of each of n senders may hold, so that n of them and four
-// seconds of the limit stay below 5.7 times the limit and four requests.
-func bucketSize(perSecond float64, n int) float64 {
-	return min(max((1.9*perSecond+4)/float64(n), 1), maxBucket)
-}
-
-// rankedInstance is an instance with what its rank among the senders of a process depends on.
-type rankedInstance struct {
-	Instance
-	isHome bool
-	hash   uint64
-}
-
-func (r rankedInstance) compare(o rankedInstance) int {
-	if r.isHome != o.isHome {
-		if r.isHome {
-			return -1
-		}
-		return 1
-	}
-	return cmp.Or(cmp.Compare(o.hash, r.hash), cmp.Compare(r.Name, o.Name))
-}
-
-// homeOf returns the target of a pool that is the home of an instance.
-func (s *Scheduler) homeOf(pl *pool, in Instance) identifier.Endpoint {
-	if pl.homes == nil || pl.homesVersion != (shareBasis{instances: s.instancesVersion, poolSize: pl.version}) {
-		pl.homes, pl.homesVersion = map[identifier.Instance]identifier.Endpoint{}, shareBasis{instances: s.instancesVersion, poolSize: pl.version}
-	}
-	if home, ok := pl.homes[in.Name]; ok {
-		return home
-	}
-	best := slices.MaxFunc(pl.targets, func(a, b *target) int {
-		return cmp.Or(cmp.Compare(rendezvousHash(a.Process(), in.Name), rendezvousHash(b.Process(), in.Name)), cmp.Compare(a.ID, b.ID))
-	})
-	pl.homes[in.Name] = best.ID
-	return best.ID
-}
-
-// rendezvousHash returns the hash that ranks an instance among the senders of a process.
-func rendezvousHash(p identifier.Process, in identifier.Instance) uint64 {
-	var d xxhash.Digest
-	d.ResetWithSeed(uint64(p.Start))
-	_, _ = d.WriteString(string(p.Endpoint)) // a Digest returns no error
-	_, _ = d.WriteString("\x00")
-	_, _ = d.WriteString(string(in))
-	return d.Sum64()
-}
-
-// hashFraction maps a hash to [0, 1).
-func hashFraction(h uint64) float64 { return float64(h>>11) / (1 << 53) }
-
-// setInstances replaces the instances that send requests to the same targets. This instance is always
-// one of them.
-func (s *Scheduler) setInstances(instances []Instance) {
-	own := Instance{Name: s.cfg.Instance, FailureDomain: s.cfg.FailureDomain}
-	if !slices.ContainsFunc(instances, func(in Instance) bool { return in.Name == own.Name }) {
-		instances = append(slices.Clone(instances), own)
-	}
-	s.instances = instances
-	s.instancesVersion++
-	s.budget.setInstances(len(instances))
-}
-
 // reportLimits emits what this instance knows about limits, for the other instances, at intervals.
 func (s *Scheduler) reportLimits(now time.Time) {
 	if now.Sub(s.limitsReportedAt) < limitReportPause {
--- a/scheduler/limit_test.go
+++ b/scheduler/limit_test.go
@@ -25,6 +25,8 @@
 	limitSilentTime  = 700 * time.Millisecond // of an endpoint that is silent, which leads to hedges
 	limitNamedAfter  = 5 * time.Second
 	limitWorldLength = 40 * time.Second
+	limitListLostAt  = 20 * time.Second // from the start of the world
+	limitListLostFor = 2 * time.Second
 )
 
 // limitWorld is a fleet of schedulers with endpoints of which each names the same limit.
@@ -44,10 +46,11 @@
 	demand               float64 // requests per second of all callers, as a multiple of all limits
 	restarts             bool    // an instance starts again each two seconds, one after the other
 	shedding, silences   bool    // endpoints refuse requests; endpoints fall silent
+	listLost             bool    // the entries of the instances expire in an outage of the store, and come back one after the other
 }
 
 func (c limitCase) String() string {
-	return fmt.Sprintf("instances=%d,endpoints=%d,limit=%v,demand=%v,restarts=%t,shedding=%t,silences=%t", c.instances, c.endpoints, c.perSecond, c.demand, c.restarts, c.shedding, c.silences)
+	return fmt.Sprintf("instances=%d,endpoints=%d,limit=%v,demand=%v,restarts=%t,shedding=%t,silences=%t,listLost=%t", c.instances, c.endpoints, c.perSecond, c.demand, c.restarts, c.shedding, c.silences, c.listLost)
 }
 
 type limitInstance struct {
@@ -90,12 +93,17 @@
 	for _, e := range w.endpoints {
 		targets = append(targets, scheduler.Target{ID: limitEndpointID(e.index), Pool: "guides", FailureDomain: "here", Slots: 14, ProcessStart: 1})
 	}
+	w.listInstances(in, len(w.instances))
+	w.step(in, scheduler.TargetsChanged{Complete: true, Changed: targets})
+}
+
+// listInstances shows an instance the first n instances.
+func (w *limitWorld) listInstances(in *limitInstance, n int) {
 	var instances []scheduler.Instance
-	for _, other := range w.instances {
+	for _, other := range w.instances[:n] {
 		instances = append(instances, scheduler.Instance{Name: other.name, FailureDomain: "here"})
 	}
 	w.step(in, scheduler.InstancesSet{Instances: instances})
-	w.step(in, scheduler.TargetsChanged{Complete: true, Changed: targets})
 }
 
 func limitEndpointID(i int) identifier.Endpoint { return identifier.Endpoint(fmt.Sprintf("e%d", i)) }
@@ -214,6 +222,11 @@
 	if w.cfg.restarts && elapsed%(2*time.Second) == 0 {
 		w.startInstance(w.instances[int(elapsed/(2*time.Second))%len(w.instances)])
 	}
+	if since := elapsed - limitListLostAt; w.cfg.listLost && since >= 0 && since <= limitListLostFor {
+		for _, in := range w.instances {
+			w.listInstances(in, int(int64(len(w.instances))*int64(since)/int64(limitListLostFor)))
+		}
+	}
 	if w.cfg.silences && elapsed%(3*time.Second) == 0 {
 		w.endpoints[int(elapsed/(3*time.Second))%len(w.endpoints)].silentUntil = w.now.Add(limitSilentTime)
 	}
@@ -228,6 +241,8 @@
 		{instances: 4, endpoints: 5, perSecond: 2.8, demand: 3},
 		{instances: 4, endpoints: 5, perSecond: 0.3, demand: 9, restarts: true},
 		{instances: 4, endpoints: 3, perSecond: 12, demand: 2, restarts: true, shedding: true, silences: true},
+		{instances: 4, endpoints: 5, perSecond: 2.8, demand: 6, listLost: true},
+		{instances: 35, endpoints: 12, perSecond: 3, demand: 6, listLost: true},
 		{instances: 35, endpoints: 12, perSecond: 2, demand: 2, shedding: true, silences: true},
 		{instances: 78, endpoints: 5, perSecond: 1, demand: 6, restarts: true},
 		{instances: 78, endpoints: 40, perSecond: 2, demand: 3, shedding: true, silences: true},
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"fmt"
 	"maps"
 	"math/rand/v2"
 	"slices"
@@ -63,12 +64,12 @@
 	restrictions map[identifier.Fingerprint]restriction
 	copies       map[identifier.Fingerprint]int // number of flights with a fingerprint
 
-	instances        []Instance // including this one
-	instancesVersion int        // counts the changes of instances
+	instances        instanceList
 	limitsReportedAt time.Time
 
-	random  *rand.Rand  // nil for no jitter
-	free    []candidate // buffer of freeTargets
+	random  *rand.Rand       // nil for no jitter
+	free    []candidate      // buffer of freeTargets
+	ranked  []rankedInstance // buffer of rank
 	wakeAt  time.Time
 	actions []Action
 }
@@ -89,8 +90,8 @@
 	s := &Scheduler{
 		cfg: cfg, targets: map[identifier.Endpoint]*target{}, pools: map[identifier.Pool]*pool{}, statements: map[identifier.Process]*statement{},
 		flights: map[Ref]*flight{}, queues: map[identifier.Pool]*queue{}, rates: map[identifier.Pool]*poolRates{}, restrictions: map[identifier.Fingerprint]restriction{}, copies: map[identifier.Fingerprint]int{}, budget: newRetryBudget(cfg),
+		instances: newInstanceList(Instance{Name: cfg.Instance, FailureDomain: cfg.FailureDomain}),
 	}
-	s.setInstances(nil)
 	if cfg.Random != nil {
 		s.random = rand.New(cfg.Random)
 	}
@@ -106,7 +107,8 @@
 		s.changeTargets(now, e)
 		s.placeAllWaiting(now)
 	case InstancesSet:
-		s.setInstances(e.Instances)
+		s.instances.set(now, e.Instances)
+		s.budget.setInstances(len(s.instances.listed))
 	case LimitsReported:
 		s.handleLimitNews(now, e.News)
 	case RetryBudgetSet:
@@ -134,6 +136,7 @@
 		s.placeAllWaiting(now)
 		s.checkWaiting(now)
 		s.reportLatency(now)
+		s.instances.update(now)
 		s.reportLimits(now)
 	}
 	s.scheduleTick(now)
@@ -184,7 +187,7 @@
 		return
 	}
 	s.removeTarget(t.ID)
-	added := &target{Target: &t, attempts: map[Ref]*attempt{}, addedAt: now, statement: s.statements[t.Process()]}
+	added := &target{Target: &t, hash: hashOf(fmt.Sprintf("%s/%d", t.ID, t.ProcessStart)), attempts: map[Ref]*attempt{}, addedAt: now, statement: s.statements[t.Process()]}
 	if old != nil && old.isSameIncarnation(&t) {
 		added = old // its measurements hold in the other pool
 		added.Target = &t
--- a/scheduler/target.go
+++ b/scheduler/target.go
@@ -51,6 +51,7 @@
 type target struct {
 	*Target // never modified, because actions refer to it
 
+	hash                 uint64           // of the process
 	position             int              // in the targets of its pool
 	attempts             map[Ref]*attempt // running attempts at the target
 	addedAt              time.Time        // when this instance first saw this incarnation
@@ -139,12 +140,12 @@
 type pool struct {
 	name           identifier.Pool
 	targets        []*target
-	refusals       int                                         // requests refused while all targets are closed
-	refusalsUntil  time.Time                                   // end of the closure in which they were refused
-	limitReturnsAt time.Time                                   // when the next caller should return who is refused because of limits
-	version        int                                         // counts the changes of targets
-	homes          map[identifier.Instance]identifier.Endpoint // see homeOf
-	homesVersion   shareBasis
+	refusals       int       // requests refused while all targets are closed
+	refusalsUntil  time.Time // end of the closure in which they were refused
+	limitReturnsAt time.Time // when the next caller should return who is refused because of limits
+	version        int       // counts the changes of targets
+	homes          []*target // the home of each instance that shares limits, in their order; see Scheduler.computeShare
+	homesBasis     rankingBasis
 }
 
 // add adds a target.
