--- a/runner/hosted_view.go
+++ b/runner/hosted_view.go
@@ -26,8 +26,9 @@
 
 	mu        sync.Mutex // guards the fields below
 	lister    *endpointlister.Lister
-	timer     *time.Timer              // submits Ticked at the time that the lister requested
-	changes   endpointlister.Collector // changes of the list that are not published
+	timer     *time.Timer                   // submits Ticked at the time that the lister requested
+	changes   endpointlister.Collector      // changes of the list that are not published
+	held      []endpointlister.EndpointHeld // endpoints without an entry that stay listed and are not logged
 	endpoints map[identifier.Endpoint]endpointlister.Endpoint
 	targets   *targetlister.Lister
 	instances map[identifier.Instance]identifier.FailureDomain // including this one; the failure domain is empty if it is not known
@@ -218,15 +219,33 @@
 			delete(v.endpoints, a.ID)
 			v.hosted.logger.Info().Str("endpoint", string(a.ID)).Dur("age", time.Since(a.RemovedAt)).Msg("endpoint gone")
 		case endpointlister.EndpointHeld:
-			v.hosted.logger.Info().Str("endpoint", string(a.ID)).Bool("storeLost", a.StoreLost).Msg("entry of an endpoint is missing, the endpoint stays listed for now")
+			v.held = append(v.held, a)
 		case endpointlister.WakeAt:
 			v.timer.Reset(time.Until(a.At))
 		}
 	}
 }
 
+// maxLoggedIDs bounds the endpoints that one log line names.
+const maxLoggedIDs = 8
+
+// logHeld logs the endpoints that stay listed although their entries are missing. v.mu is held.
+func (v *view) logHeld() {
+	if len(v.held) == 0 {
+		return
+	}
+	var ids []string
+	for _, h := range v.held[:min(len(v.held), maxLoggedIDs)] {
+		ids = append(ids, string(h.ID))
+	}
+	v.hosted.logger.Info().Int("count", len(v.held)).Strs("endpoints", ids).Bool("storeLost", v.held[0].StoreLost).
+		Msg("entries of endpoints are missing, the endpoints stay listed for now")
+	v.held = nil
+}
+
 // publish passes the collected changes of the list on to the components. v.mu is held.
 func (v *view) publish() {
+	v.logHeld()
 	changes, ok := v.changes.Take()
 	if !ok {
 		return
