millctl, messenger: operators see which limits endpoints name

millctl limits asks an instance for the limits that it knows, with the age of the answers that named them, as millctl leaving does for endpoints that leave. The two tests of such commands share their check.

--- a/cmd/millctl/leaving_test.go
+++ b/cmd/millctl/leaving_test.go
@@ -17,13 +17,19 @@
 func TestLeaving(t *testing.T) {
 	leaving := messenger.LeavingProcess{Process: identifier.Process{Endpoint: "i-1", Start: 7}, Since: time.Date(2026, 1, 5, 21, 0, 0, 0, time.UTC), Source: messenger.LeavingByAnswer}
 	m := messenger.New(messenger.Config{Peers: &messenger.Peers{}, Leaving: func() []messenger.LeavingProcess { return []messenger.LeavingProcess{leaving} }})
-	s := httptest.NewServer(m.Handler())
-	defer s.Close()
-	for line, want := range map[string]string{
+	checkOutputs(t, m, map[string]string{
 		"leaving":               "i-1       7              2026-01-05T21:00:00Z  answer",
 		"leaving --output json": `"source": "answer"`,
 		"leaving --help":        "listen.peers",
-	} {
+	})
+}
+
+// checkOutputs runs each command line against an instance that answers peers with m, and checks that its
+// output contains the text.
+func checkOutputs(t *testing.T, m *messenger.Messenger, outputs map[string]string) {
+	s := httptest.NewServer(m.Handler())
+	defer s.Close()
+	for line, want := range outputs {
 		t.Run(line, func(t *testing.T) {
 			is := is.New(t)
 			var output bytes.Buffer
--- a/cmd/millctl/main.go
+++ b/cmd/millctl/main.go
@@ -82,6 +82,9 @@
 	if err := addSubcommands(parser.Command, leavingCommands(a)); err != nil {
 		return err
 	}
+	if err := addSubcommands(parser.Command, limitCommands(a)); err != nil {
+		return err
+	}
 	if err := addSubcommands(keys, keyCommands(a)); err != nil {
 		return err
 	}
--- a/messenger/limits.go
+++ b/messenger/limits.go
@@ -5,6 +5,7 @@
 	"math"
 	"math/rand/v2"
 	"net/http"
+	"net/netip"
 	"sync"
 	"time"
 
@@ -13,6 +14,9 @@
 	"amaranthmill/scheduler"
 )
 
+// limitBoardTTL is the age from which what this instance last knew about a limit is not passed on.
+const limitBoardTTL = 30 * time.Second
+
 // limitBoard holds what this instance last knew about the limits of endpoints.
 type limitBoard struct {
 	mu   sync.Mutex
@@ -31,10 +35,11 @@
 func (b *limitBoard) current(now time.Time) []scheduler.LimitNews {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	out := make([]scheduler.LimitNews, len(b.news))
-	for i, n := range b.news {
-		n.Age += now.Sub(b.at)
-		out[i] = n
+	var out []scheduler.LimitNews
+	for _, n := range b.news {
+		if n.Age += now.Sub(b.at); n.Age < limitBoardTTL {
+			out = append(out, n)
+		}
 	}
 	return out
 }
@@ -96,3 +101,19 @@
 	m.cfg.OnLimits(decodeLimits(limits))
 	m.writeJSON(w, encodeLimits(m.limits.current(time.Now())))
 }
+
+// serveLimitList answers the operator with what this instance knows about limits.
+func (m *Messenger) serveLimitList(w http.ResponseWriter, _ *http.Request) {
+	m.writeJSON(w, encodeLimits(m.limits.current(time.Now())))
+}
+
+// Limits returns the limits that endpoints name, and those that ended less than half a minute ago with
+// zero requests per second, as the instance that answers peers at an address knows them. Its error
+// is *StatusError or an error of the HTTP exchange.
+func (o Operator) Limits(ctx context.Context, address netip.AddrPort) ([]scheduler.LimitNews, error) {
+	var list []limitWire
+	if err := o.exchange(ctx, address, http.MethodGet, pathLimits, &list); err != nil {
+		return nil, err
+	}
+	return decodeLimits(list), nil
+}
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -94,6 +94,7 @@
 	mux.HandleFunc("POST "+pathReport, m.serveReport)
 	mux.HandleFunc("POST "+pathLosses, m.serveLosses)
 	mux.HandleFunc("POST "+pathLimits, m.serveLimits)
+	mux.HandleFunc("GET "+pathLimits, m.serveLimitList)
 	mux.HandleFunc("GET "+pathQuarantines, m.serveQuarantines)
 	mux.HandleFunc("DELETE "+pathQuarantines+"/{fingerprint}", m.serveLift)
 	return mux
--- a/messenger/messenger_test.go
+++ b/messenger/messenger_test.go
@@ -104,7 +104,9 @@
 // endpoints, with the age of the news as of the exchange, and that malformed news is left out.
 func TestLimitNewsIsExchanged(t *testing.T) {
 	is := is.New(t)
-	process := func(id string) identifier.Process { return identifier.Process{Endpoint: identifier.Endpoint(id), Start: 7} }
+	process := func(id string) identifier.Process {
+		return identifier.Process{Endpoint: identifier.Endpoint(id), Start: 7}
+	}
 	received := make(chan []scheduler.LimitNews, 2)
 	onLimits := func(news []scheduler.LimitNews) { received <- news }
 	other := messenger.New(messenger.Config{Peers: &messenger.Peers{}, HTTP: http.DefaultClient, OnLimits: onLimits})
--- /dev/null
+++ b/replicator/action.go
@@ -0,0 +1,48 @@
+package replicator
+
+import (
+	"time"
+
+	"amaranthmill/storeclient"
+)
+
+// Action is an output of a Core: List, Watch, QueryPeers, WakeAt, NotifyChanges, Health or Contact.
+type Action interface{ action() }
+
+// List requests all entries from the store. All calls between two answers belong to one round.
+type List struct{ Round uint64 }
+
+// Watch requests the changes after a revision from the store.
+type Watch struct{ After, Round uint64 }
+
+// QueryPeers queries one peer for what its replica holds beyond a revision.
+type QueryPeers struct{ After uint64 }
+
+// WakeAt requests a Ticked event at At. It replaces the previous WakeAt.
+type WakeAt struct{ At time.Time }
+
+// NotifyChanges reports entries that were written or removed, in the order in which they were applied.
+type NotifyChanges struct{ Changes []storeclient.Change }
+
+// Health reports that the store was lost or answers again.
+type Health struct {
+	Lost         bool
+	Since        time.Time // if Lost, the time of the store's last answer; otherwise the time of the loss
+	CalledAt     time.Time // when the call was made that the store answered; zero if Lost
+	UnansweredAt time.Time // when the call before it was made, which failed or was not answered; zero if Lost
+}
+
+// Contact is a time in which the store has answered a replica without interruption. As an action it
+// reports that of a peer, before the changes that the peer returned.
+type Contact struct {
+	Since time.Time
+	Until time.Time // time of the last answer
+}
+
+func (Contact) action()       {}
+func (List) action()          {}
+func (Watch) action()         {}
+func (QueryPeers) action()    {}
+func (WakeAt) action()        {}
+func (NotifyChanges) action() {}
+func (Health) action()        {}
--- a/replicator/core.go
+++ b/replicator/core.go
@@ -1,8 +1,6 @@
 package replicator
 
 import (
-	"maps"
-	"slices"
 	"time"
 
 	"amaranthmill/internal/defaulter"
@@ -21,92 +19,6 @@
 	lossThreshold         = 2                       // consecutive failures after which the store counts as lost; a single watch may be aborted at any time
 )
 
-// Event is an input of a Core: Started, UrgentSet, Listed, Watched, Failed, PeerAnswered or Ticked.
-type Event interface{ event() }
-
-// Started makes the Core request the first list.
-type Started struct{}
-
-// Listed is the answer to a List action.
-type Listed struct {
-	Snapshot storeclient.Snapshot
-	Round    uint64 // of the List action
-}
-
-// Watched is the answer to a Watch action. Age is the time since the store's answer from which the
-// changes come; it is zero if the store itself has just answered.
-type Watched struct {
-	Changes storeclient.Changes
-	Age     time.Duration
-	Round   uint64 // of the Watch action
-}
-
-// Failed reports that a call failed.
-type Failed struct {
-	Compacted bool   // the store no longer has the history that the call requested
-	NotSent   bool   // the store's client has rejected the call, because the store fails
-	Round     uint64 // of the List or Watch action
-}
-
-// PeerAnswered is the answer to a QueryPeers action: what a peer's replica holds beyond this one.
-type PeerAnswered struct{ Update Update }
-
-// UrgentSet switches between fetching each change as soon as possible and batching several changes
-// into one call.
-type UrgentSet struct{ On bool }
-
-// Ticked is the event that a WakeAt action requested.
-type Ticked struct{}
-
-func (UrgentSet) event()    {}
-func (Started) event()      {}
-func (Listed) event()       {}
-func (Watched) event()      {}
-func (Failed) event()       {}
-func (PeerAnswered) event() {}
-func (Ticked) event()       {}
-
-// Action is an output of a Core: List, Watch, QueryPeers, WakeAt, NotifyChanges, Health or Contact.
-type Action interface{ action() }
-
-// List requests all entries from the store. All calls between two answers belong to one round.
-type List struct{ Round uint64 }
-
-// Watch requests the changes after a revision from the store.
-type Watch struct{ After, Round uint64 }
-
-// QueryPeers queries one peer for what its replica holds beyond a revision.
-type QueryPeers struct{ After uint64 }
-
-// WakeAt requests a Ticked event at At. It replaces the previous WakeAt.
-type WakeAt struct{ At time.Time }
-
-// NotifyChanges reports entries that were written or removed, in the order in which they were applied.
-type NotifyChanges struct{ Changes []storeclient.Change }
-
-// Health reports that the store was lost or answers again.
-type Health struct {
-	Lost         bool
-	Since        time.Time // if Lost, the time of the store's last answer; otherwise the time of the loss
-	CalledAt     time.Time // when the call was made that the store answered; zero if Lost
-	UnansweredAt time.Time // when the call before it was made, which failed or was not answered; zero if Lost
-}
-
-// Contact is a time in which the store has answered a replica without interruption. As an action it
-// reports that of a peer, before the changes that the peer returned.
-type Contact struct {
-	Since time.Time
-	Until time.Time // time of the last answer
-}
-
-func (Contact) action()       {}
-func (List) action()          {}
-func (Watch) action()         {}
-func (QueryPeers) action()    {}
-func (WakeAt) action()        {}
-func (NotifyChanges) action() {}
-func (Health) action()        {}
-
 // Core decides when to list, to watch and to query peers, and holds the replica. One call to the
 // store is pending while the store answers. After a failure the next calls are made at intervals
 // whether or not the previous ones have ended, because a call into silence ends only at its timeout.
@@ -355,53 +267,3 @@
 	}
 	return WakeAt{At: at}
 }
-
-// replaceEntries replaces the entries by a complete list. It keeps entries with a later revision.
-func (c *Core) replaceEntries(s storeclient.Snapshot) []Action {
-	var changes []storeclient.Change
-	listed := make(map[string]bool, len(s.Entries))
-	for _, e := range s.Entries {
-		listed[e.Key] = true
-		if old, ok := c.entries[e.Key]; !ok || old.Revision < e.Revision {
-			c.entries[e.Key] = e
-			changes = append(changes, storeclient.Change{Entry: e})
-		}
-	}
-	for _, key := range slices.Sorted(maps.Keys(c.entries)) {
-		if !listed[key] && c.entries[key].Revision <= s.Revision {
-			removal := storeclient.Change{Entry: storeclient.Entry{Key: key, Revision: s.Revision}, Deleted: true}
-			changes = append(changes, removal)
-			c.recordRemoval(removal)
-			delete(c.entries, key)
-		}
-	}
-	c.revision = max(c.revision, s.Revision)
-	return notify(changes)
-}
-
-// applyChanges applies the changes of a watch. It ignores changes older than the stored entry.
-func (c *Core) applyChanges(w storeclient.Changes) []Action {
-	var changes []storeclient.Change
-	for _, ch := range w.Entries {
-		old, ok := c.entries[ch.Key]
-		if ok && old.Revision >= ch.Revision || !ok && ch.Deleted {
-			continue
-		}
-		if ch.Deleted {
-			delete(c.entries, ch.Key)
-			c.recordRemoval(ch)
-		} else {
-			c.entries[ch.Key] = ch.Entry
-		}
-		changes = append(changes, ch)
-	}
-	c.revision = max(c.revision, w.Revision)
-	return notify(changes)
-}
-
-func notify(changes []storeclient.Change) []Action {
-	if len(changes) == 0 {
-		return nil
-	}
-	return []Action{NotifyChanges{Changes: changes}}
-}
--- /dev/null
+++ b/replicator/event.go
@@ -0,0 +1,52 @@
+package replicator
+
+import (
+	"time"
+
+	"amaranthmill/storeclient"
+)
+
+// Event is an input of a Core: Started, UrgentSet, Listed, Watched, Failed, PeerAnswered or Ticked.
+type Event interface{ event() }
+
+// Started makes the Core request the first list.
+type Started struct{}
+
+// Listed is the answer to a List action.
+type Listed struct {
+	Snapshot storeclient.Snapshot
+	Round    uint64 // of the List action
+}
+
+// Watched is the answer to a Watch action. Age is the time since the store's answer from which the
+// changes come; it is zero if the store itself has just answered.
+type Watched struct {
+	Changes storeclient.Changes
+	Age     time.Duration
+	Round   uint64 // of the Watch action
+}
+
+// Failed reports that a call failed.
+type Failed struct {
+	Compacted bool   // the store no longer has the history that the call requested
+	NotSent   bool   // the store's client has rejected the call, because the store fails
+	Round     uint64 // of the List or Watch action
+}
+
+// PeerAnswered is the answer to a QueryPeers action: what a peer's replica holds beyond this one.
+type PeerAnswered struct{ Update Update }
+
+// UrgentSet switches between fetching each change as soon as possible and batching several changes
+// into one call.
+type UrgentSet struct{ On bool }
+
+// Ticked is the event that a WakeAt action requested.
+type Ticked struct{}
+
+func (UrgentSet) event()    {}
+func (Started) event()      {}
+func (Listed) event()       {}
+func (Watched) event()      {}
+func (Failed) event()       {}
+func (PeerAnswered) event() {}
+func (Ticked) event()       {}
--- a/replicator/fleet_test.go
+++ b/replicator/fleet_test.go
@@ -174,7 +174,7 @@
 }
 
 // FetchUpdate queries the other instances in turn, and the same one again while the store answers it.
-func (m *member) FetchUpdate(ctx context.Context, after uint64) replicator.Update {
+func (m *member) FetchUpdate(_ context.Context, after uint64) replicator.Update {
 	peer := (m.index + 1 + int(m.next.Load())%(fleetSize-1)) % fleetSize
 	now := time.Now()
 	if isAway(m.world.peerCut[m.index], now, 0) || isAway(m.world.peerCut[peer], now, 0) {
