--- a/standin/hosted/answer.go
+++ b/standin/hosted/answer.go
@@ -14,6 +14,7 @@
 	id := r.Header.Get("X-Attempt-Id")
 	w.Header().Set("X-Attempt-Id", id)
 	e.sayLeaving(w)
+	e.nameLimit(w, id)
 	if e.turnAway(w, id) {
 		return
 	}
--- a/standin/hosted/engine.go
+++ b/standin/hosted/engine.go
@@ -39,6 +39,7 @@
 	answerLoss      lossCounter // answers to plain requests that were run
 	silence         silence
 	statement       statement
+	limiting        limiting
 	unframed        bool                     // answers end with their connections
 	unframedAnswers map[*unframedAnswer]bool // those that have not ended
 	brokenEvent     int                      // ID of the event in which each stream breaks off; zero means none
--- a/standin/soak/apply.go
+++ b/standin/soak/apply.go
@@ -59,6 +59,8 @@
 		s.runInBackground(func() { s.sleep(f.For) })
 	case LeaveEngine:
 		s.leaveEngine(f)
+	case LimitEngine:
+		s.limitEngine(f)
 	case CloseEngine:
 		e := s.liveEngine(f.Engine)
 		s.applyFor(allEngines, f.For, func() { e.Close(f.For) }, func() {})
--- a/standin/soak/caller.go
+++ b/standin/soak/caller.go
@@ -69,6 +69,7 @@
 	if err == nil {
 		s.status, s.retryAfter = resp.StatusCode, resp.Header.Get("Retry-After")
 		s.engine, s.leaving = resp.Header.Get("X-Server-Seal"), resp.Header.Get("Server-Leaving") != ""
+		s.limited, s.headerAt = resp.Header.Get("Server-Limit") != "", time.Now()
 		s.complete, s.defect = readAnswer(resp, s)
 		_ = resp.Body.Close()
 	}
--- a/standin/soak/fault.go
+++ b/standin/soak/fault.go
@@ -98,6 +98,13 @@
 		For    time.Duration
 	}
 
+	// LimitEngine makes an engine or endpoint name a limit for a time.
+	LimitEngine struct {
+		Engine    int
+		PerSecond float64
+		For       time.Duration
+	}
+
 	// StoreDown makes the store refuse all calls for a time.
 	StoreDown struct{ For time.Duration }
 
@@ -136,6 +143,7 @@
 func (SilenceEngine) fault()  {}
 func (LeaveEngine) fault()    {}
 func (CloseEngine) fault()    {}
+func (LimitEngine) fault()    {}
 func (StoreDown) fault()      {}
 func (StoreSlow) fault()      {}
 func (StoreDeaf) fault()      {}
--- a/standin/soak/record.go
+++ b/standin/soak/record.go
@@ -15,13 +15,15 @@
 	plain           bool // a request to the plain service, which must run at most once; otherwise a stream
 	withSecondKey   bool // sent with the second API key
 	sentAt, endedAt time.Time
-	status          int    // status code of the answer; zero if there was no answer
-	complete        bool   // the answer ended normally
-	defect          string // description of an invalid answer; empty if the answer is valid
-	silenced        bool   // its connection to the instance was silenced permanently, before or after it was sent
-	retryAfter      string // value of the Retry-After header
-	engine          string // ID of the engine that signed the answer; empty for none
-	leaving         bool   // the answer says that its engine leaves
+	status          int       // status code of the answer; zero if there was no answer
+	complete        bool      // the answer ended normally
+	defect          string    // description of an invalid answer; empty if the answer is valid
+	silenced        bool      // its connection to the instance was silenced permanently, before or after it was sent
+	retryAfter      string    // value of the Retry-After header
+	engine          string    // ID of the engine that signed the answer; empty for none
+	leaving         bool      // the answer says that its engine leaves
+	limited         bool      // the answer names a limit of its engine
+	headerAt        time.Time // when the header of the answer came
 }
 
 // isServed reports whether the caller received a complete answer with status 200.
--- a/standin/soak/soak.go
+++ b/standin/soak/soak.go
@@ -24,6 +24,7 @@
 	Callers   int           // zero means 12
 	Crashing  bool          // copies of a request that crashes the engines that run it are sent
 	Silences  bool          // engines are silent for a while, also before the period of the other faults, and few retries are allowed
+	Limits    bool          // engines name limits of requests per second
 	Leaving   bool          // engines say in their answers that they leave or that they want no requests for a time
 	Length    time.Duration // the period in which faults are injected; zero means 8 s
 
@@ -160,6 +161,9 @@
 	if s.cfg.Leaving {
 		steps = AddStatements(steps, rand.New(rand.NewPCG(s.cfg.Seed, math.MaxUint64-1)), s.cfg.Length)
 	}
+	if s.cfg.Limits {
+		steps = AddLimits(steps, rand.New(rand.NewPCG(s.cfg.Seed, math.MaxUint64-2)), s.cfg.Length)
+	}
 	return steps
 }
 
@@ -176,6 +180,7 @@
 		out.Violations = append(out.Violations, s.record.findCutAnswers(runs)...)
 	}
 	out.Violations = append(out.Violations, s.record.findUnwantedRequests(s.platform.Engines())...)
+	out.Violations = append(out.Violations, s.record.findRequestsBeyondLimits(s.platform.Engines())...)
 	crashRuns := s.platform.CrashRuns()
 	out.Crashes = len(crashRuns)
 	if violation := s.record.checkCrashRuns(crashRuns, s.cfg.crashesBeforeBound()); violation != "" {
--- a/standin/soak/soak_test.go
+++ b/standin/soak/soak_test.go
@@ -104,6 +104,11 @@
 	runSeeds(t, soak.Config{Leaving: true, Length: 5 * time.Second}, 30, 31)
 }
 
+// TestLimitSeeds runs a fixed seed with engines that name limits of requests per second.
+func TestLimitSeeds(t *testing.T) {
+	runSeeds(t, soak.Config{Limits: true, Callers: 24, Length: 12 * time.Second}, 40)
+}
+
 // TestAddSilences checks that a seed always gives the same silences, beside the same other
 // faults as without them, and that some silences begin before all other faults.
 func TestAddSilences(t *testing.T) {
