leaser: a lease that has expired behind a cut is acquired again at once

Change: a refused renewal is followed by a check at once, one read; if another holder has the key, the interval runs as before.

--- a/leaser/core.go
+++ b/leaser/core.go
@@ -202,6 +202,10 @@
 		return nil
 	case e.Result == ResultRefused:
 		c.phase, c.lease, c.holdUntil = phaseIdle, "", time.Time{}
+		if e.Call == CallRenew {
+			c.nextCallAt = now
+			return c.startCall(now) // the lease has expired, so that the key is probably free
+		}
 		c.nextCallAt = now.Add(c.checkInterval)
 		return nil
 	case e.Call == CallCheck:
