replicator: an answer that comes after a later one is dropped

Found on reading the change before anyone met it. Since calls overlap after a failure, the answer to an earlier call can come after that to a later one. An entry that had been removed meanwhile was brought back by it and stayed, as no further change told of it: an endpoint that left would have got requests for good. Change: answers of an earlier round are dropped; the next call tells what they may have held. Also: a regained store never extends a contact that ended; a followed instance that was suspended no longer vouches for what it knew before; and news of a limit from a peer is held to the bounds of a named one.

--- a/replicator/core.go
+++ b/replicator/core.go
@@ -105,12 +105,12 @@
 }
 
 func (c *Core) handleList(now time.Time, e Listed) []Action {
+	if e.Round != c.round {
+		return nil // it may hold entries that have been removed since
+	}
 	if !c.listed && len(c.entries) == 0 {
 		c.removalFloor = e.Snapshot.Revision
 	}
-	if e.Round != c.round {
-		return c.replaceEntries(e.Snapshot)
-	}
 	out := c.handleSuccess(now, 0)
 	out = append(out, c.replaceEntries(e.Snapshot)...)
 	c.listed, c.fromPeer = true, false
@@ -119,7 +119,7 @@
 
 func (c *Core) handleWatch(now time.Time, e Watched) []Action {
 	if e.Round != c.round {
-		return c.applyChanges(e.Changes)
+		return nil // it may hold entries that have been removed since
 	}
 	out := c.handleSuccess(now, e.Age)
 	out = append(out, c.applyChanges(e.Changes)...)
@@ -173,15 +173,16 @@
 // failed: entries may have expired.
 func (c *Core) handleSuccess(now time.Time, age time.Duration) []Action {
 	var out []Action
-	if at := now.Add(-age); at.After(c.answeredAt) {
-		isInterrupted := c.contactSince.IsZero() || isLonger(c.answeredAt, at, maxContactGap)
-		if isInterrupted && !c.lost && c.listed {
-			c.lost, c.lostAt = true, now
-			out = append(out, Health{Lost: true, Since: c.answeredAt})
-		}
-		if isInterrupted || c.lost {
-			c.contactSince = at
-		}
+	at := now.Add(-age)
+	isInterrupted := c.contactSince.IsZero() || isLonger(c.answeredAt, at, maxContactGap)
+	if isInterrupted && !c.lost && c.listed {
+		c.lost, c.lostAt = true, now
+		out = append(out, Health{Lost: true, Since: c.answeredAt})
+	}
+	if isInterrupted || c.lost {
+		c.contactSince = at
+	}
+	if at.After(c.answeredAt) {
 		c.answeredAt = at
 	}
 	c.round++
--- a/replicator/replicator.go
+++ b/replicator/replicator.go
@@ -112,8 +112,9 @@
 		answered, answeredAt, revision := r.answered, r.core.AnsweredAt(), r.core.Revision()
 		changes, known := r.core.ChangesSince(after)
 		r.mu.Unlock()
-		age := time.Since(answeredAt)
-		if !known || age > maxAnswerAge {
+		now := time.Now()
+		age := now.Sub(answeredAt)
+		if !known || isLonger(answeredAt, now, maxAnswerAge) {
 			return PeerChanges{}, &StaleError{After: after}
 		}
 		if firstAnswer.IsZero() {
--- a/scheduler/limit.go
+++ b/scheduler/limit.go
@@ -77,7 +77,11 @@
 		if n.PerSecond < 0 || st == nil && n.PerSecond == 0 || st != nil && !knownAt.After(st.limit.knownAt) {
 			continue
 		}
-		s.setLimit(now, s.statementOf(now, n.Process), n.Process, min(n.PerSecond, MaxLimit), knownAt)
+		perSecond := n.PerSecond
+		if perSecond > 0 {
+			perSecond = min(max(perSecond, MinLimit), MaxLimit)
+		}
+		s.setLimit(now, s.statementOf(now, n.Process), n.Process, perSecond, knownAt)
 	}
 }
 
