--- a/replicator/fleet_test.go
+++ b/replicator/fleet_test.go
@@ -11,6 +11,8 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"amaranthmill/endpointlister"
 	"amaranthmill/internal/identifier"
 	"amaranthmill/replicator"
@@ -26,6 +28,8 @@
 	fleetTime    = 40 * time.Second        // of a world
 	disruptions  = 4                       // of a world, one after the other
 	peerTimeout  = 350 * time.Millisecond  // of a query of a peer
+	lateShare    = 6                       // one in so many answers of the store is late
+	maxLateness  = 700 * time.Millisecond
 	fleetSize    = 4
 	endpointsNum = 24
 )
@@ -40,6 +44,7 @@
 
 // world is a store with the entries of endpoints, and instances that hold replicas of it.
 type world struct {
+	seed    uint64
 	outages []span            // of the store
 	cuts    [fleetSize][]span // of an instance from the store
 	peerCut [fleetSize][]span // of an instance from its peers
@@ -58,8 +63,9 @@
 	world   *world
 	index   int
 	replica *replicator.Replicator
-	failed  atomic.Bool  // the last call to the store failed
-	next    atomic.Int64 // peer to query next
+	failed  atomic.Bool   // the last call to the store failed
+	calls   atomic.Uint64 // to the store
+	next    atomic.Int64  // peer to query next
 
 	mu     sync.Mutex // guards the fields below
 	lister *endpointlister.Lister
@@ -67,8 +73,8 @@
 	timer  *time.Timer
 }
 
-func newWorld(random *rand.Rand) *world {
-	w := &world{entries: map[string]storeclient.Entry{}, leftAt: map[string]time.Time{}, written: make(chan struct{})}
+func newWorld(seed uint64, random *rand.Rand) *world {
+	w := &world{seed: seed, entries: map[string]storeclient.Entry{}, leftAt: map[string]time.Time{}, written: make(chan struct{})}
 	for i := range endpointsNum {
 		w.write(fmt.Sprintf("e%d", i), false)
 	}
@@ -118,6 +124,9 @@
 	start := time.Now()
 	away := isAway(m.world.cuts[m.index], start, 0) || isAway(m.world.outages, start, 0)
 	wait := answerTime
+	if draw := hashOf(m.world.seed, uint64(m.index), m.calls.Add(1)); draw%lateShare == 0 {
+		wait += time.Duration(draw % uint64(maxLateness)) // the answer holds what was so when the store gave it
+	}
 	if away {
 		wait = callTimeout
 	}
@@ -134,17 +143,14 @@
 }
 
 func (m *member) Snapshot(ctx context.Context, _ string) (storeclient.Snapshot, error) {
-	if err := m.reaches(ctx); err != nil {
-		return storeclient.Snapshot{}, err
-	}
 	w := m.world
 	w.mu.Lock()
-	defer w.mu.Unlock()
 	s := storeclient.Snapshot{Revision: w.revision}
 	for _, e := range w.entries {
 		s.Entries = append(s.Entries, e)
 	}
-	return s, nil
+	w.mu.Unlock()
+	return s, m.reaches(ctx)
 }
 
 func (m *member) Watch(ctx context.Context, _ string, after uint64) (storeclient.Changes, error) {
@@ -165,12 +171,10 @@
 			return storeclient.Changes{}, ctx.Err()
 		}
 	}
-	if err := m.reaches(ctx); err != nil {
-		return storeclient.Changes{}, err
-	}
 	w.mu.Lock()
-	defer w.mu.Unlock()
-	return storeclient.Changes{Revision: w.revision, Entries: slices.Clone(w.history[min(after, w.revision):])}, nil
+	changes := storeclient.Changes{Revision: w.revision, Entries: slices.Clone(w.history[min(after, w.revision):])}
+	w.mu.Unlock()
+	return changes, m.reaches(ctx)
 }
 
 // FetchUpdate queries the other instances in turn, and the same one again while the store answers it.
@@ -272,7 +276,13 @@
 	}
 }
 
-// TestFleetDropsWhatLeftAndKeepsWhatExpired plays fleets whose store is away, and whose instances are cut
+// hashOf returns a hash of some numbers, which takes the place of a draw where the order of draws depends
+// on the order in which goroutines run.
+func hashOf(numbers ...uint64) uint64 {
+	return xxhash.Sum64String(fmt.Sprint(numbers))
+}
+
+// TestFleetDropsWhatLeftAndKeepsWhatExpired plays fleets whose store is away or answers late, and whose instances are cut
 // off from the store, alone, together or all, with and without their peers. An instance that has
 // been in reach of the store for 3 s must not list an endpoint 2 s after it left, and no instance may
 // drop an endpoint whose entry expired in an outage of the store and returns in time.
@@ -281,7 +291,7 @@
 		synctest.Test(t, func(t *testing.T) {
 			ctx, cancel := context.WithCancel(t.Context())
 			random := rand.New(rand.NewPCG(seed, 0))
-			w := newWorld(random)
+			w := newWorld(seed, random)
 			for i := range fleetSize {
 				w.members[i] = &member{}
 			}
