--- a/standin/hosted/hosted_test.go
+++ b/standin/hosted/hosted_test.go
@@ -27,19 +27,7 @@
 // binary is the path of the built program amaranthmill.
 var binary string
 
-func TestMain(m *testing.M) {
-	dir, err := os.MkdirTemp("", "hosted")
-	if err != nil {
-		panic(err)
-	}
-	if binary, err = builder.BuildInstance(dir); err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(1)
-	}
-	code := m.Run()
-	_ = os.RemoveAll(dir)
-	os.Exit(code)
-}
+func TestMain(m *testing.M) { os.Exit(builder.RunTests(m, &binary)) }
 
 // waitLimit bounds each wait of a test. It is not a guarantee of the system.
 const waitLimit = 20 * time.Second
--- a/standin/internal/builder/builder.go
+++ b/standin/internal/builder/builder.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
+	"os"
 	"os/exec"
 	"path/filepath"
+	"testing"
 )
 
 // BuildInstance builds the amaranthmill program into dir and returns the path of the binary.
@@ -14,3 +16,19 @@
 	}
 	return binary, nil
 }
+
+// RunTests builds the amaranthmill program into a temporary directory, stores the path of the binary in
+// binary, runs the tests of a package and returns its exit code. It is for TestMain.
+func RunTests(m *testing.M, binary *string) int {
+	dir, err := os.MkdirTemp("", "amaranthmill")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "builder:", err)
+		return 1
+	}
+	defer func() { _ = os.RemoveAll(dir) }() // a directory that can't be removed stays below the temporary folder
+	if *binary, err = BuildInstance(dir); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	return m.Run()
+}
--- a/standin/soak/soak_test.go
+++ b/standin/soak/soak_test.go
@@ -20,19 +20,7 @@
 // binary is the path of the built program amaranthmill.
 var binary string
 
-func TestMain(m *testing.M) {
-	dir, err := os.MkdirTemp("", "soak")
-	if err != nil {
-		panic(err)
-	}
-	if binary, err = builder.BuildInstance(dir); err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(1)
-	}
-	code := m.Run()
-	_ = os.RemoveAll(dir)
-	os.Exit(code)
-}
+func TestMain(m *testing.M) { os.Exit(builder.RunTests(m, &binary)) }
 
 // regression is a seed that has failed and the cause of the failure.
 type regression struct {
