standin/soak: generators of statements and of limits, and who was told, stand once

AddStatements and AddLimits had the same loop, and both checks the same search for the first answer that told an instance.

--- a/standin/soak/limit.go
+++ b/standin/soak/limit.go
@@ -1,10 +1,8 @@
 package soak
 
 import (
-	"cmp"
 	"fmt"
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"amaranthmill/standin/hosted"
@@ -23,12 +21,9 @@
 
 // AddLimits returns steps with engines that name limits for a time. The result is ordered by time.
 func AddLimits(steps []Step, r *rand.Rand, length time.Duration) []Step {
-	out := slices.Clone(steps)
-	for at := randomDuration(r, maxLimitGap); at < length; at += randomDuration(r, maxLimitGap) {
-		out = append(out, Step{At: at, Fault: LimitEngine{Engine: randomNumber(r), PerSecond: maxLimitRate * r.Float64(), For: minLimitTime + randomDuration(r, minLimitTime)}})
-	}
-	slices.SortStableFunc(out, func(a, b Step) int { return cmp.Compare(a.At, b.At) })
-	return out
+	return addSteps(steps, r, maxLimitGap, length, func(r *rand.Rand) Fault {
+		return LimitEngine{Engine: randomNumber(r), PerSecond: maxLimitRate * r.Float64(), For: minLimitTime + randomDuration(r, minLimitTime)}
+	})
 }
 
 // limitEngine makes an engine name a limit for a time.
@@ -46,10 +41,7 @@
 func (r *record) findRequestsBeyondLimits(engines []*hosted.Engine) []string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	sent := map[string]sentRequest{}
-	for _, s := range r.requests {
-		sent[s.id] = s
-	}
+	sent := r.requestsByID()
 	var out []string
 	for _, e := range engines {
 		counted := r.countedArrivals(e, sent)
@@ -71,12 +63,7 @@
 // countedArrivals returns the requests to an engine that names a limit which the bound counts. The caller
 // holds the lock.
 func (r *record) countedArrivals(e *hosted.Engine, sent map[string]sentRequest) []hosted.LimitedArrival {
-	toldAt := map[int]time.Time{} // by instance
-	for _, s := range sent {
-		if at, ok := toldAt[s.instance]; s.limited && s.engine == e.ID && (!ok || s.headerAt.Before(at)) {
-			toldAt[s.instance] = s.headerAt
-		}
-	}
+	toldAt := firstTold(sent, e.ID, func(s sentRequest) (bool, time.Time) { return s.limited, s.headerAt })
 	var out []hosted.LimitedArrival
 	for _, a := range e.LimitedArrivals() {
 		s, ok := sent[a.Request]
--- a/standin/soak/plan.go
+++ b/standin/soak/plan.go
@@ -1,7 +1,9 @@
 package soak
 
 import (
+	"cmp"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"amaranthmill/standin/relayer"
@@ -38,6 +40,17 @@
 	return out
 }
 
+// addSteps adds faults to steps, with random times of at most gap between them, from the start to the end of
+// the given length of time. The result is ordered by time.
+func addSteps(steps []Step, r *rand.Rand, gap, length time.Duration, newFault func(*rand.Rand) Fault) []Step {
+	out := slices.Clone(steps)
+	for at := randomDuration(r, gap); at < length; at += randomDuration(r, gap) {
+		out = append(out, Step{At: at, Fault: newFault(r)})
+	}
+	slices.SortStableFunc(out, func(a, b Step) int { return cmp.Compare(a.At, b.At) })
+	return out
+}
+
 // randomDuration returns a random time from 1 ms up to, but not including, limit + 1 ms.
 func randomDuration(r *rand.Rand, limit time.Duration) time.Duration {
 	return time.Duration(r.Int64N(int64(limit))) + time.Millisecond
--- a/standin/soak/record.go
+++ b/standin/soak/record.go
@@ -96,6 +96,15 @@
 	return r.isUndisrupted(from, to, instance, allInstances, allEngines)
 }
 
+// requestsByID returns the requests by their IDs. The caller holds the lock.
+func (r *record) requestsByID() map[string]sentRequest {
+	out := map[string]sentRequest{}
+	for _, s := range r.requests {
+		out[s.id] = s
+	}
+	return out
+}
+
 // isUndisrupted reports whether no fault affected any of the numbers between two times. The
 // caller holds the lock.
 func (r *record) isUndisrupted(from, to time.Time, numbers ...int) bool {
--- a/standin/soak/statement.go
+++ b/standin/soak/statement.go
@@ -1,10 +1,8 @@
 package soak
 
 import (
-	"cmp"
 	"fmt"
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"amaranthmill/standin/hosted"
@@ -22,12 +20,7 @@
 // AddStatements returns steps with engines that leave or want no requests for a time, from the
 // start to the end of the given length of time. The result is ordered by time.
 func AddStatements(steps []Step, r *rand.Rand, length time.Duration) []Step {
-	out := slices.Clone(steps)
-	for at := randomDuration(r, maxStatementGap); at < length; at += randomDuration(r, maxStatementGap) {
-		out = append(out, Step{At: at, Fault: randomStatement(r)})
-	}
-	slices.SortStableFunc(out, func(a, b Step) int { return cmp.Compare(a.At, b.At) })
-	return out
+	return addSteps(steps, r, maxStatementGap, length, randomStatement)
 }
 
 func randomStatement(r *rand.Rand) Fault {
@@ -59,10 +52,7 @@
 func (r *record) findUnwantedRequests(engines []*hosted.Engine) []string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	sent := map[string]sentRequest{}
-	for _, s := range r.requests {
-		sent[s.id] = s
-	}
+	sent := r.requestsByID()
 	var out []string
 	for _, e := range engines {
 		arrivals := e.Arrivals()
@@ -72,15 +62,22 @@
 	return out
 }
 
-// findRequestsToLeaving describes the requests that were sent later than leavingDelay after their
-// instance had passed on an answer which said that the engine leaves. The caller holds the lock.
-func (r *record) findRequestsToLeaving(engine string, arrivals []hosted.Arrival, sent map[string]sentRequest) []string {
-	toldAt := map[int]time.Time{} // by instance
+// firstTold returns when each instance first had an answer of an engine that says something, by instance.
+func firstTold(sent map[string]sentRequest, engine string, says func(sentRequest) (bool, time.Time)) map[int]time.Time {
+	out := map[int]time.Time{}
 	for _, s := range sent {
-		if at, ok := toldAt[s.instance]; s.leaving && s.engine == engine && (!ok || s.endedAt.Before(at)) {
-			toldAt[s.instance] = s.endedAt
+		said, at := says(s)
+		if first, ok := out[s.instance]; said && s.engine == engine && (!ok || at.Before(first)) {
+			out[s.instance] = at
 		}
 	}
+	return out
+}
+
+// findRequestsToLeaving describes the requests that were sent later than leavingDelay after their
+// instance had passed on an answer which said that the engine leaves. The caller holds the lock.
+func (r *record) findRequestsToLeaving(engine string, arrivals []hosted.Arrival, sent map[string]sentRequest) []string {
+	toldAt := firstTold(sent, engine, func(s sentRequest) (bool, time.Time) { return s.leaving, s.endedAt })
 	var out []string
 	for _, a := range arrivals {
 		s, ok := sent[a.Request]
