--- a/replicator/fleet_test.go
+++ b/replicator/fleet_test.go
@@ -25,17 +25,17 @@
 
 // Bounds of the fleet test, as the users state them.
 const (
-	drainTime    = 2 * time.Second         // after which an endpoint that has left gets no request
-	stableTime   = 3 * time.Second         // after an outage or a cut, from which on an instance must keep the bounds
-	rewriteTime  = 1900 * time.Millisecond // after the store's return, within which the entries that expired in its outage are back
-	expiryTime   = 2400 * time.Millisecond // from the start of an outage to the first expiry: three intervals of 1.2 s, less the one that had begun
-	fleetTime    = 40 * time.Second        // of a world
-	disruptions  = 4                       // of a world, one after the other
-	peerTimeout  = 350 * time.Millisecond  // of a query of a peer
-	lateShare    = 6                       // one in so many answers of the store is late
-	maxLateness  = 700 * time.Millisecond
-	fleetSize    = 4
-	endpointsNum = 24
+	drainTime     = 2 * time.Second         // after which an endpoint that has left gets no request
+	stableTime    = 3 * time.Second         // after an outage or a cut, from which on an instance must keep the bounds
+	rewriteTime   = 1900 * time.Millisecond // after the store's return, within which the entries that expired in its outage are back
+	expiryTime    = 2400 * time.Millisecond // from the start of an outage to the first expiry: three intervals of 1.2 s, less the one that had begun
+	fleetTime     = 40 * time.Second        // of a world
+	disruptions   = 4                       // of a world, one after the other
+	peerTimeout   = 350 * time.Millisecond  // of a query of a peer
+	lateShare     = 6                       // one in so many answers of the store is late
+	maxLateness   = 700 * time.Millisecond
+	fleetSize     = 4
+	endpointCount = 24
 )
 
 // span is a time in which something is away.
@@ -78,7 +78,7 @@
 
 func newWorld(seed uint64, random *rand.Rand) *world {
 	w := &world{seed: seed, entries: map[string]storeclient.Entry{}, leftAt: map[string]time.Time{}, written: make(chan struct{})}
-	for i := range endpointsNum {
+	for i := range endpointCount {
 		w.write(fmt.Sprintf("e%d", i), false)
 	}
 	at := time.Now().Add(4 * time.Second)
@@ -254,8 +254,8 @@
 func (w *world) expireEntries(random *rand.Rand) map[string]span {
 	out := map[string]span{}
 	for n, s := range w.outages {
-		for i := range endpointsNum / 4 {
-			key := fmt.Sprintf("e%d", (n*endpointsNum/4+i)%(endpointsNum/2))
+		for i := range endpointCount / 4 {
+			key := fmt.Sprintf("e%d", (n*endpointCount/4+i)%(endpointCount/2))
 			out[key] = s
 			rest := s.until.Sub(s.from) - expiryTime
 			time.AfterFunc(time.Until(s.from)+expiryTime+time.Duration(random.Int64N(int64(rest))), func() { w.write(key, true) })
@@ -268,7 +268,7 @@
 // leave lets the other endpoints leave, each at a time at which the store is stable.
 func (w *world) leave(random *rand.Rand) {
 	start := time.Now()
-	for i := endpointsNum / 2; i < endpointsNum; i++ {
+	for i := endpointCount / 2; i < endpointCount; i++ {
 		at := start.Add(2*time.Second + time.Duration(random.Int64N(int64(fleetTime-6*time.Second))))
 		if isAway(w.outages, at, stableTime) {
 			continue
