--- a/scheduler/limit_test.go
+++ b/scheduler/limit_test.go
@@ -19,12 +19,12 @@
 	limitSlack       = 5
 	limitStableTime  = 3 * time.Second        // after the limit was first named
 	limitToldTime    = 500 * time.Millisecond // after an instance had an answer that names it
-	limitStep        = 20 * time.Millisecond
+	limitStep        = 10 * time.Millisecond
 	limitAnswerTime  = 60 * time.Millisecond // until the first event
 	limitServeTime   = 500 * time.Millisecond
 	limitSilentTime  = 700 * time.Millisecond // of an endpoint that is silent, which leads to hedges
 	limitNamedAfter  = 5 * time.Second
-	limitWorldLength = 30 * time.Second
+	limitWorldLength = 40 * time.Second
 	limitListLostAt  = 20 * time.Second // from the start of the world
 	limitListLostFor = 2 * time.Second
 )
@@ -248,10 +248,13 @@
 		{instances: 78, endpoints: 40, perSecond: 2, demand: 3, shedding: true, silences: true},
 		{instances: 78, endpoints: 5, perSecond: 20, demand: 2, restarts: true, shedding: true},
 	} {
-		for seed := range uint64(1) {
-			w := newLimitWorld(t, c, seed)
-			w.play(limitWorldLength)
-			w.check(seed)
+		for seed := range uint64(3) {
+			t.Run(fmt.Sprintf("%s,seed=%d", c, seed), func(t *testing.T) {
+				t.Parallel()
+				w := newLimitWorld(t, c, seed)
+				w.play(limitWorldLength)
+				w.check(seed)
+			})
 		}
 	}
 }
