scheduler, forwarder, runner: logs that show when an instance is cut off from its endpoints

Callers of an instance that had lost its links to the endpoints got "no target", and no log line told targets that are not listed from targets that answer nothing, or a check of a connection that failed at one endpoint from checks that failed at all.

The scheduler now counts the targets that answer nothing against those that answer, and says when most are lost; a request that waits says how many targets are listed and stalled. Nothing is decided by it yet.

--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -150,6 +150,9 @@
 		}
 	case scheduler.Recovered:
 		f.cfg.Logger.Info().Str("endpoint", string(a.Target.ID)).Str("group", string(a.Target.Group)).Msg("target moves again")
+	case scheduler.ReachChanged:
+		f.logReach(a)
+		f.meters.setCutOff(a.CutOff)
 	case scheduler.LeavingStated:
 		f.cfg.Logger.Info().Str("endpoint", string(a.Process.Endpoint)).Int64("processStart", int64(a.Process.Start)).Msg("endpoint says that it leaves; it gets no more requests")
 		f.meters.countLeaving()
--- a/forwarder/log.go
+++ b/forwarder/log.go
@@ -34,7 +34,8 @@
 }
 
 func (f *Forwarder) logWait(x *exchange, a scheduler.Wait) {
-	x.addRequest(f.cfg.Logger.Warn()).Str("reason", string(a.Reason)).Dur("patience", time.Until(a.Until)).Msg("queued")
+	x.addRequest(f.cfg.Logger.Warn()).Str("reason", string(a.Reason)).Dur("patience", time.Until(a.Until)).
+		Int("targets", a.Targets).Int("stalled", a.Stalled).Msg("queued")
 }
 
 func (f *Forwarder) logAbandon(x *exchange, a scheduler.Abandon) {
@@ -81,6 +82,15 @@
 		Uint64("epoch", uint64(a.Target.Epoch)).Dur("still", a.Silence).Msg("target stands still")
 }
 
+// logReach logs that this instance has lost its links to most endpoints, or has them again.
+func (f *Forwarder) logReach(a scheduler.ReachChanged) {
+	if a.CutOff {
+		f.cfg.Logger.Warn().Int("unreachable", a.Unreachable).Int("answering", a.Answering).Msg("instance is cut off from endpoints")
+		return
+	}
+	f.cfg.Logger.Info().Int("unreachable", a.Unreachable).Int("answering", a.Answering).Dur("lasted", a.Lasted).Msg("instance reaches its endpoints again")
+}
+
 func (f *Forwarder) logFinished(x *exchange, o scheduler.Outcome) {
 	outcome, reason := outcomeName(o)
 	e := f.cfg.Logger.Info()
--- a/forwarder/meters.go
+++ b/forwarder/meters.go
@@ -38,6 +38,7 @@
 	routes  map[string]bool
 	budget  map[identifier.Service]float64
 	limited int64 // processes that name a limit
+	cutOff  int64 // 1 while the instance is cut off from most endpoints
 }
 
 // newMeters registers the instruments with m. An instrument whose registration fails records nothing.
@@ -60,6 +61,8 @@
 		metric.WithFloat64Callback(out.observeBudget))
 	_, _ = m.Int64ObservableGauge("forwarder.limited", metric.WithDescription("Processes of endpoints that name a limit of requests per second."),
 		metric.WithInt64Callback(out.observeLimited))
+	_, _ = m.Int64ObservableGauge("forwarder.cut.off", metric.WithDescription("1 while this instance is cut off from most endpoints that it has tried, else 0."),
+		metric.WithInt64Callback(out.observeCutOff))
 	return out
 }
 
@@ -86,6 +89,23 @@
 	m.limited = int64(n)
 }
 
+func (m *meters) observeCutOff(_ context.Context, o metric.Int64Observer) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	o.Observe(m.cutOff, metric.WithAttributes(m.domain))
+	return nil
+}
+
+// setCutOff records whether the instance is cut off from most endpoints.
+func (m *meters) setCutOff(isCutOff bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.cutOff = 0
+	if isCutOff {
+		m.cutOff = 1
+	}
+}
+
 // setBudget records the number of retries left for a service.
 func (m *meters) setBudget(s identifier.Service, left float64) {
 	m.mu.Lock()
--- a/runner/hosted_quarantine.go
+++ b/runner/hosted_quarantine.go
@@ -128,7 +128,11 @@
 func (q *quarantine) checkConnection(a quarantiner.CheckConnection) {
 	ctx, cancel := context.WithTimeout(context.Background(), connectionCheckTimeout)
 	defer cancel()
-	q.step.Submit(quarantiner.ConnectionChecked{Process: a.Process, Accepted: q.hosted.requester.AcceptsConnections(ctx, a.Address)})
+	accepted := q.hosted.requester.AcceptsConnections(ctx, a.Address)
+	if !accepted {
+		q.hosted.logger.Info().Str("endpoint", string(a.Process.Endpoint)).Int64("processStart", int64(a.Process.Start)).Msg("endpoint accepts no connection after one to it broke")
+	}
+	q.step.Submit(quarantiner.ConnectionChecked{Process: a.Process, Accepted: accepted})
 }
 
 // storeLoss writes a loss to the store. The core learns of it from the replica, and requests
--- a/scheduler/action.go
+++ b/scheduler/action.go
@@ -7,7 +7,7 @@
 )
 
 // Action is an output of a Scheduler: Send, Abandon, Wait, Finish, Stalled, Recovered,
-// LeavingStated, LimitChanged, LimitReport, LatencyReport or WakeAt.
+// ReachChanged, LeavingStated, LimitChanged, LimitReport, LatencyReport or WakeAt.
 type Action interface{ action() }
 
 // Send starts an attempt: the request is sent to Target. An attempt that hedges others runs
@@ -35,6 +35,9 @@
 	Ref    Ref
 	Reason Reason
 	Until  time.Time // when the request is given up if no target is available
+
+	Targets int // listed for its pool
+	Stalled int // of these
 }
 
 // Finish ends the request. It is the last action of a request.
@@ -53,6 +56,15 @@
 // Recovered reports that a stalled target makes progress again.
 type Recovered struct{ Target *Target }
 
+// ReachChanged reports that this instance has lost its links to most endpoints that it has tried, or
+// has them again.
+type ReachChanged struct {
+	CutOff      bool
+	Unreachable int           // targets that answer nothing
+	Answering   int           // targets that have answered lately; once the links are back, since they were lost
+	Lasted      time.Duration // for which the instance was cut off, once the links are back
+}
+
 // LeavingStated reports that a process has said for the first time that it leaves. It gets no
 // more requests; those that run there go on.
 type LeavingStated struct{ Process identifier.Process }
@@ -87,6 +99,7 @@
 func (Finish) action()        {}
 func (Stalled) action()       {}
 func (Recovered) action()     {}
+func (ReachChanged) action()  {}
 func (LeavingStated) action() {}
 func (LimitChanged) action()  {}
 func (LimitReport) action()   {}
--- a/scheduler/flight.go
+++ b/scheduler/flight.go
@@ -110,7 +110,8 @@
 		return
 	}
 	s.enqueue(f)
-	s.emit(Wait{Ref: f.ref, Reason: reason, Until: f.giveUpAt})
+	targets, stalled := s.countTargets(f.Pool)
+	s.emit(Wait{Ref: f.ref, Reason: reason, Until: f.giveUpAt, Targets: targets, Stalled: stalled})
 }
 
 func (s *Scheduler) handleProgress(now time.Time, e Progressed) {
@@ -152,6 +153,7 @@
 
 // recordLife records that t has answered, which ends a stall of t.
 func (s *Scheduler) recordLife(now time.Time, t *target) {
+	t.recordContact(now)
 	t.lastProgressAt = now
 	t.streamsStalled = false
 	if t.stalledAt.IsZero() {
@@ -185,8 +187,10 @@
 		s.finish(f, Delivered{Attempt: a.number})
 	case NotSent:
 		s.markFailed(now, t)
+		t.isUnreachable = true
 		s.goOn(now, f)
 	case Refused:
+		t.recordContact(now)
 		f.sentAttempts++
 		f.refusedStatus = end.Status
 		f.allowAgain(a, now.Add(refusalBackoff))
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -59,6 +59,7 @@
 	rates   map[identifier.Pool]*poolRates
 	budget  retryBudget
 	latency latencyCounter
+	reach   reach
 
 	statements   map[identifier.Process]*statement
 	restrictions map[identifier.Fingerprint]restriction
@@ -133,6 +134,7 @@
 	case Ticked:
 		s.wakeAt = time.Time{}
 		s.checkStalls(now)
+		s.updateReach(now)
 		s.placeAllWaiting(now)
 		s.checkWaiting(now)
 		s.reportLatency(now)
--- a/scheduler/stall.go
+++ b/scheduler/stall.go
@@ -72,6 +72,9 @@
 		return false
 	}
 	t.streamsStalled = streaming
+	if now.Sub(t.contactAt) >= bounds.stream {
+		t.isUnreachable = true
+	}
 	if t.stalledAt.IsZero() {
 		t.stalledAt, t.lastTrialAt = now, now
 		s.emit(Stalled{Target: t.Target, Silence: silence})
