requester, configurer, standin: an instance connects from a source address of its own, and a link can be cut for one of its clients

The stand-ins have one link for each endpoint that all instances share, so that no test could cut the paths of one instance. The new setting sourceAddress (empty: the system chooses) tells the clients of a link apart; it serves machines with several addresses too. A link can hold back, reset or reject the connections of one client. The stand-in has a route whose requests may be repeated, and answers liveness checks of its plain service.

--- a/configurer/hosted.go
+++ b/configurer/hosted.go
@@ -21,7 +21,8 @@
 	Store         HostedStore              `json:"store"`
 	Machine       Machine                  `json:"machine"`
 	Bounds        Bounds                   `json:"bounds"`
-	FirstStart    bool                     `json:"firstStart"` // the whole system starts for the first time
+	SourceAddress netip.Addr               `json:"sourceAddress"` // from which the instance connects to endpoints, peers and the store; empty for the system's choice
+	FirstStart    bool                     `json:"firstStart"`    // the whole system starts for the first time
 	Log           Log                      `json:"log"`
 }
 
--- a/requester/requester.go
+++ b/requester/requester.go
@@ -38,6 +38,7 @@
 	IdleTimeout    time.Duration // after which an idle connection is closed, unless its endpoint announces a shorter time; zero means 8 s
 	DialTimeout    time.Duration // zero means 400 ms
 	UserTimeout    time.Duration // time for which sent bytes may stay unacknowledged; zero means 4 s
+	SourceAddress  netip.Addr    // from which connections are opened; the zero value leaves the choice to the system
 }
 
 // Requester sends requests to endpoints. It is safe for concurrent use.
@@ -57,7 +58,7 @@
 	defaulter.Set(&cfg.DialTimeout, defaultDialTimeout)
 	defaulter.Set(&cfg.UserTimeout, defaultUserTimeout)
 	r := &Requester{cfg: cfg, idle: map[string][]*connection{}}
-	r.dialer = *NewDialer(cfg.UserTimeout)
+	r.dialer = *NewDialer(cfg.SourceAddress, cfg.UserTimeout)
 	r.dialer.Timeout = cfg.DialTimeout
 	return r
 }
@@ -65,13 +66,17 @@
 // NewDialer returns a dialer whose connections fail when sent bytes stay unacknowledged for about
 // ackTimeout. They also fail when nothing was received for ackTimeout and the last keep-alive
 // probe, which is sent each second, is not acknowledged; the kernel ignores the number of
-// probes if there is a user timeout.
-func NewDialer(ackTimeout time.Duration) *net.Dialer {
-	return &net.Dialer{
+// probes if there is a user timeout. Connections are opened from source, unless that is the zero value.
+func NewDialer(source netip.Addr, ackTimeout time.Duration) *net.Dialer {
+	d := &net.Dialer{
 		Timeout:         ackTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 3},
 		Control:         func(_, _ string, raw syscall.RawConn) error { return setUserTimeout(raw, ackTimeout) },
 	}
+	if source.IsValid() {
+		d.LocalAddr = net.TCPAddrFromAddrPort(netip.AddrPortFrom(source, 0))
+	}
+	return d
 }
 
 // tcpUserTimeout is the number of the Linux socket option TCP_USER_TIMEOUT, whose value is in milliseconds.
--- a/runner/hosted.go
+++ b/runner/hosted.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"net/netip"
 	"os"
 	"os/signal"
 	"runtime"
@@ -96,12 +97,12 @@
 	}
 	h.storeMeters = newStoreMeters(h.meter)
 	h.store = storeclient.New(storeclient.Config{
-		Address: s.Store.Address, Instance: s.Instance, Dialect: platform.Store{}, HTTP: newHTTPClient(storeTimeout),
+		Address: s.Store.Address, Instance: s.Instance, Dialect: platform.Store{}, HTTP: newHTTPClient(s.SourceAddress, storeTimeout),
 		ReadsPerSecond: storeShare * s.Store.ReadsPerSecond, WritesPerSecond: storeShare * s.Store.WritesPerSecond,
 		CallTimeout: storeTimeout, BackoffBase: storeBackoff, BackoffMax: storeBackoffMax, CircuitFailures: circuitFailures,
 		TrialDelayBase: circuitWait, TrialDelayMax: circuitWait, WatchWait: watchWait, Logger: logger, Meter: h.meter,
 	})
-	h.requester = requester.New(requester.Config{IdentityHeader: platform.Headers{}.IdentityHeader()})
+	h.requester = requester.New(requester.Config{IdentityHeader: platform.Headers{}.IdentityHeader(), SourceAddress: s.SourceAddress})
 	h.forwarder = forwarder.New(forwarder.Config{
 		Resolver: h.resolver, Requester: h.requester, Dialect: platform.Headers{}, Logger: logger, Meter: h.meter,
 		Scheduler: scheduler.Config{
@@ -131,7 +132,7 @@
 		Quarantines: h.listQuarantines, Lift: h.liftQuarantine,
 		OnUnacknowledged: func(fp identifier.Fingerprint) {
 			h.quarantine.step.Submit(quarantiner.AnnouncementFailed{Fingerprint: fp})
-		}, HTTP: newHTTPClient(peerTimeout), Timeout: peerTimeout, Logger: logger,
+		}, HTTP: newHTTPClient(s.SourceAddress, peerTimeout), Timeout: peerTimeout, Logger: logger,
 	})
 	h.upstream = &upstream{hosted: h, failedAt: map[identifier.Instance]time.Time{}}
 	h.replica = replicator.New(replicator.Config{
@@ -159,9 +160,9 @@
 
 // newHTTPClient returns a client whose connections fail soon after the other side stops
 // acknowledging; see requester.NewDialer.
-func newHTTPClient(ackTimeout time.Duration) *http.Client {
+func newHTTPClient(source netip.Addr, ackTimeout time.Duration) *http.Client {
 	return &http.Client{Transport: &http.Transport{
-		DialContext: requester.NewDialer(ackTimeout).DialContext, MaxIdleConnsPerHost: 4, IdleConnTimeout: 30 * time.Second, DisableCompression: true,
+		DialContext: requester.NewDialer(source, ackTimeout).DialContext, MaxIdleConnsPerHost: 4, IdleConnTimeout: 30 * time.Second, DisableCompression: true,
 		MaxResponseHeaderBytes: maxResponseHeaderBytes,
 	}}
 }
--- a/standin/hosted/engine.go
+++ b/standin/hosted/engine.go
@@ -90,6 +90,7 @@
 		writeJSON(w, http.StatusOK, e.report())
 	})
 	mux.HandleFunc("POST /v1/order", e.serveOrder)
+	mux.HandleFunc("GET "+healthPath, e.serveHealth)
 	mux.HandleFunc("/", e.serve)
 	e.server = &http.Server{Handler: mux}
 	go func() { _ = e.server.Serve(l) }() // returns when the engine's server is closed
@@ -212,6 +213,15 @@
 	return out
 }
 
+// healthPath is the path of liveness checks of endpoints of PlainService.
+const healthPath = "/health"
+
+func (e *Engine) serveHealth(w http.ResponseWriter, _ *http.Request) {
+	e.awaitEndOfSilence()
+	w.Header().Set("X-Instance-Id", e.ID)
+	w.WriteHeader(http.StatusOK)
+}
+
 func (e *Engine) serveOrder(w http.ResponseWriter, r *http.Request) {
 	var o order
 	if err := json.NewDecoder(r.Body).Decode(&o); err != nil {
--- a/standin/hosted/hosted_test.go
+++ b/standin/hosted/hosted_test.go
@@ -32,9 +32,13 @@
 // waitLimit bounds each wait of a test. It is not a guarantee of the system.
 const waitLimit = 20 * time.Second
 
+// firstSource is the last byte of the address of loopback from which the first instance connects.
+const firstSource = 11
+
 // fixtureConfig holds the sizes of a fixture.
 type fixtureConfig struct {
 	instances, engines int // at least two groups of two engines each are formed
+	plainEndpoints     int // beside the first one
 	retrySlack         int
 	hasLinks           bool // the instances reach each engine over a link
 	hasStoreLinks      bool // each instance reaches the store over a link of its own
@@ -54,6 +58,7 @@
 type instance struct {
 	name, callers, readiness string
 	peers                    netip.AddrPort
+	source                   netip.Addr // from which it connects, if the fixture has links to the engines
 	command                  *exec.Cmd
 	mu                       sync.Mutex
 	output                   bytes.Buffer
@@ -91,7 +96,9 @@
 	for i := range cfg.engines {
 		f.add(fmt.Sprintf("e%d", i), "d1")
 	}
-	f.add("ledger-1", "")
+	for i := range 1 + cfg.plainEndpoints {
+		f.add(fmt.Sprintf("ledger-%d", i+1), "")
+	}
 	for i := range cfg.instances {
 		f.start(fmt.Sprintf("entry-%d", i+1))
 	}
@@ -149,7 +156,12 @@
 		f.t.Fatal(err)
 	}
 	i := &instance{name: name, callers: ports[0].String(), readiness: ports[1].String(), peers: ports[2], exit: make(chan error, 1)}
-	text, err := hosted.Settings(name, ports, f.storeAddress(name), 8*time.Second, f.cfg.retrySlack)
+	i.source = netip.AddrFrom4([4]byte{127, 0, 0, byte(firstSource + len(f.instances))})
+	settings := hosted.InstanceSettings{Name: name, Ports: ports, Store: f.storeAddress(name), StopLimit: 8 * time.Second, RetrySlack: f.cfg.retrySlack}
+	if f.cfg.hasLinks {
+		settings.Source = i.source
+	}
+	text, err := settings.Encode()
 	if err != nil {
 		f.t.Fatal(err)
 	}
--- a/standin/hosted/platform.go
+++ b/standin/hosted/platform.go
@@ -152,12 +152,12 @@
 	}
 	p.Store.Put("op/config", map[string]any{
 		"version": version,
-		"routes":  []any{route("guides", "/guides/", "stream", ModelService, 2), route("holds", "/holds/", "unsafe", PlainService, 2)},
+		"routes":  []any{route("guides", "/guides/", "stream", ModelService, 2), route("holds", "/holds/", "unsafe", PlainService, 2), route("lookups", "/lookups/", "safe", PlainService, 2)},
 		"services": []any{
 			map[string]any{"name": ModelService, "maxConns": 100, "engine": map[string]any{
 				"slots": 8, "models": models, "loadsPerS": 50, "loads_at_once": 20, "keeps": 1, "formMs": formTime.Milliseconds(),
 			}},
-			map[string]any{"name": PlainService, "maxConns": 100},
+			map[string]any{"name": PlainService, "maxConns": 100, "healthPath": healthPath},
 		},
 		"limits":  map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 20, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
 		"tenants": []any{map[string]any{"name": Account, "apiKeys": keys}},
--- a/standin/hosted/settings.go
+++ b/standin/hosted/settings.go
@@ -12,17 +12,25 @@
 // RetrySlack is the number of retries that all instances together may usually accumulate.
 const RetrySlack = 100
 
-// Settings returns the settings file of an instance that uses the store at the given
-// address. The ports are, in this order, for callers, the load balancer's readiness checks,
-// peers and metrics.
-func Settings(name string, ports []netip.AddrPort, store netip.AddrPort, stopLimit time.Duration, retrySlack int) ([]byte, error) {
+// InstanceSettings holds what differs between the settings files of instances.
+type InstanceSettings struct {
+	Name       string
+	Ports      []netip.AddrPort // in this order, for callers, the load balancer's readiness checks, peers and metrics
+	Store      netip.AddrPort   // address of the store
+	Source     netip.Addr       // address of loopback from which the instance connects; the zero value leaves the choice to the system
+	StopLimit  time.Duration
+	RetrySlack int // retries that all instances together may accumulate
+}
+
+// Encode returns the settings file of an instance.
+func (s InstanceSettings) Encode() ([]byte, error) {
 	type object = map[string]any
 	return json.Marshal(object{
-		"instance": name, "failureDomain": "here",
-		"listen":  object{"callers": ports[0], "readiness": ports[1], "readinessPath": "/ready", "peers": ports[2], "metrics": ports[3]},
-		"store":   object{"address": store, "readsPerSecond": 2000, "writesPerSecond": 400, "leaseMin": "1s"},
+		"instance": s.Name, "failureDomain": "here", "sourceAddress": s.Source,
+		"listen":  object{"callers": s.Ports[0], "readiness": s.Ports[1], "readinessPath": "/ready", "peers": s.Ports[2], "metrics": s.Ports[3]},
+		"store":   object{"address": s.Store, "readsPerSecond": 2000, "writesPerSecond": 400, "leaseMin": "1s"},
 		"machine": object{"cores": 1, "memoryMB": 500},
-		"bounds":  object{"stopLimit": stopLimit.String(), "retryRatio": 0.2, "retrySlack": retrySlack}, "firstStart": true,
+		"bounds":  object{"stopLimit": s.StopLimit.String(), "retryRatio": 0.2, "retrySlack": s.RetrySlack}, "firstStart": true,
 		"log": object{"level": "info"},
 	})
 }
--- a/standin/relayer/link.go
+++ b/standin/relayer/link.go
@@ -28,7 +28,9 @@
 	delay time.Duration
 	pairs map[*pair]bool
 
-	silenced map[netip.AddrPort]bool // addresses of the clients whose connections were silenced
+	silenced map[netip.AddrPort]bool      // addresses of the clients whose connections were silenced
+	cutOff   map[netip.Addr]chan struct{} // by client address; closed when the client's bytes are forwarded again
+	rejected map[netip.Addr]bool          // client addresses whose connections are reset
 }
 
 // New returns a link from an address of loopback to the target, without faults.
@@ -42,7 +44,7 @@
 
 // newLink returns a link that accepts connections from listener.
 func newLink(listener net.Listener, to netip.AddrPort) *Link {
-	l := &Link{listener: listener, target: to, pairs: map[*pair]bool{}, silenced: map[netip.AddrPort]bool{}}
+	l := &Link{listener: listener, target: to, pairs: map[*pair]bool{}, silenced: map[netip.AddrPort]bool{}, cutOff: map[netip.Addr]chan struct{}{}, rejected: map[netip.Addr]bool{}}
 	for d := range l.open {
 		l.open[d] = make(chan struct{})
 		close(l.open[d])
@@ -159,6 +161,10 @@
 	p := newPair(c)
 	l.add(p)
 	defer l.remove(p)
+	if l.rejects(p.source()) {
+		p.reset()
+		return
+	}
 	if !l.waitToForward(p, Upstream) {
 		return
 	}
@@ -210,13 +216,20 @@
 // closed in the meantime.
 func (l *Link) waitToForward(p *pair, d Direction) bool {
 	l.mu.Lock()
-	open, delay := l.open[d], l.delay
+	open, delay, source := l.open[d], l.delay, l.cutOff[p.source()]
 	l.mu.Unlock()
 	select {
 	case <-open:
 	case <-p.closed:
 		return false
 	}
+	if source != nil {
+		select {
+		case <-source:
+		case <-p.closed:
+			return false
+		}
+	}
 	if delay > 0 {
 		timer := time.NewTimer(delay)
 		defer timer.Stop()
--- a/standin/relayer/pair.go
+++ b/standin/relayer/pair.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"net/netip"
 	"sync"
 )
 
@@ -22,6 +23,9 @@
 	return &pair{client: client, closed: make(chan struct{}), silent: make(chan struct{})}
 }
 
+// source returns the address of the client.
+func (p *pair) source() netip.Addr { return p.client.RemoteAddr().(*net.TCPAddr).AddrPort().Addr() }
+
 // setServer sets the connection to the target. It closes that connection if the pair is
 // already closed.
 func (p *pair) setServer(server net.Conn) {
--- a/standin/soak/deployment.go
+++ b/standin/soak/deployment.go
@@ -119,7 +119,7 @@
 	if i.store, err = relayer.New(netip.MustParseAddrPort(s.platform.Address())); err != nil {
 		return err
 	}
-	text, err := hosted.Settings(fmt.Sprintf("entry-%d", n), ports, i.store.Address(), stopLimit, s.cfg.retrySlack())
+	text, err := hosted.InstanceSettings{Name: fmt.Sprintf("entry-%d", n), Ports: ports, Store: i.store.Address(), StopLimit: stopLimit, RetrySlack: s.cfg.retrySlack()}.Encode()
 	if err != nil {
 		return err
 	}
