scheduler, forwarder: an answer of an endpoint through a peer confirms that the instance's own links are lost

That most targets answer nothing can also mean that they have ended. What other parts conclude from an instance's own cut must not rest on that guess: an answer of an endpoint that this instance does not reach, through a peer that does, is the proof.

--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -35,7 +35,7 @@
 	OnLeaving       func(p identifier.Process)       // called once when a process says that it leaves; must not block
 	OnLatencyReport func(p scheduler.LatencyReport)  // called about once a second for each pool with requests; must not block
 	OnAttempt       func(e quarantiner.Event)        // called for each attempt and for each request that a restriction refuses, before the scheduler learns of it; must not block
-	OnReach         func(isCutOff bool)              // called when this instance has lost its links to most endpoints, and when it has them again; must not block
+	OnReach         func(isCutOff bool)              // called with true once it is confirmed that this instance has lost its links to most endpoints, and with false when it has them again; must not block
 
 	PeerAddress func(identifier.Instance) (netip.AddrPort, bool)   // where a peer serves PeerHandler, or false if it is not known; nil means no peers
 	Probe       func(ctx context.Context, t scheduler.Target) bool // reports whether anything comes from the endpoint of a target over a new connection; nil means that nothing does
@@ -166,7 +166,7 @@
 	case scheduler.ReachChanged:
 		f.logReach(a)
 		f.meters.setCutOff(a.CutOff)
-		if f.cfg.OnReach != nil {
+		if f.cfg.OnReach != nil && a.CutOff == a.Confirmed {
 			f.cfg.OnReach(a.CutOff)
 		}
 	case scheduler.Probe:
--- a/forwarder/log.go
+++ b/forwarder/log.go
@@ -100,11 +100,15 @@
 
 // logReach logs that this instance has lost its links to most endpoints, or has them again.
 func (f *Forwarder) logReach(a scheduler.ReachChanged) {
-	if a.CutOff {
-		f.cfg.Logger.Warn().Int("unreachable", a.Unreachable).Int("answering", a.Answering).Msg("instance is cut off from endpoints")
-		return
+	e := f.cfg.Logger.Warn().Int("unreachable", a.Unreachable).Int("answering", a.Answering)
+	switch {
+	case a.Confirmed:
+		e.Msg("peers reach endpoints that this instance does not")
+	case a.CutOff:
+		e.Msg("instance is cut off from endpoints")
+	default:
+		e.Dur("lasted", a.Lasted).Msg("instance reaches its endpoints again")
 	}
-	f.cfg.Logger.Info().Int("unreachable", a.Unreachable).Int("answering", a.Answering).Dur("lasted", a.Lasted).Msg("instance reaches its endpoints again")
 }
 
 func (f *Forwarder) logFinished(x *exchange, o scheduler.Outcome) {
--- a/forwarder/peer_attempt.go
+++ b/forwarder/peer_attempt.go
@@ -44,6 +44,7 @@
 		answer.Discard()
 		return scheduler.Broken{}
 	}
+	f.step.Submit(scheduler.PeerAnswered{Process: hop.process()})
 	fields := f.cfg.Dialect.ParseAnswer(answer.Status, answer.Header)
 	f.reportStatement(x, a, hop.process(), fields)
 	ending := f.receive(x, a, answer, fields)
--- a/scheduler/action.go
+++ b/scheduler/action.go
@@ -61,6 +61,7 @@
 // has them again.
 type ReachChanged struct {
 	CutOff      bool
+	Confirmed   bool          // a peer reaches an endpoint that this instance does not, so that its links are at fault; comes after a ReachChanged without it
 	Unreachable int           // targets that answer nothing
 	Answering   int           // targets that have answered lately; once the links are back, since they were lost
 	Lasted      time.Duration // for which the instance was cut off, once the links are back
--- a/scheduler/event.go
+++ b/scheduler/event.go
@@ -7,7 +7,7 @@
 )
 
 // Event is an input of a Scheduler: TargetsChanged, InstancesSet, RetryBudgetSet, RestrictionSet,
-// ProcessStated, LimitsReported, Arrived, Progressed, Ended, CallerLeft, Probed or Ticked.
+// ProcessStated, LimitsReported, Arrived, Progressed, Ended, CallerLeft, PeerAnswered, Probed or Ticked.
 type Event interface{ event() }
 
 // TargetsChanged changes the set of targets. No target is in both Changed and Removed.
@@ -83,6 +83,9 @@
 // CallerLeft reports that the caller closed its connection.
 type CallerLeft struct{ Ref Ref }
 
+// PeerAnswered reports that a peer has got an answer of a process for this instance.
+type PeerAnswered struct{ Process identifier.Process }
+
 // Probed reports the end of a probe.
 type Probed struct {
 	Target   *Target
@@ -103,4 +106,5 @@
 func (Ended) event()          {}
 func (CallerLeft) event()     {}
 func (Probed) event()         {}
+func (PeerAnswered) event()   {}
 func (Ticked) event()         {}
--- a/scheduler/reach.go
+++ b/scheduler/reach.go
@@ -23,6 +23,7 @@
 	cutSince    time.Time // since when the instance counts as cut off; zero if it does not
 	unreachable int       // targets that are stalled and have answered nothing since
 	answering   int       // other targets that have answered within answerWindow, or while the instance is cut off, since cutSince
+	isConfirmed bool      // while the instance is cut off: a peer has got an answer of an endpoint that it does not reach
 	probes      int       // that have not ended
 	nextProbeAt time.Time
 }
@@ -60,7 +61,7 @@
 	}
 	switch {
 	case !r.isCutOff() && r.unreachable >= minUnreachable && r.unreachable > r.answering:
-		r.cutSince = now
+		r.cutSince, r.isConfirmed = now, false
 		s.emit(ReachChanged{CutOff: true, Unreachable: r.unreachable, Answering: r.answering})
 	case r.isCutOff() && (r.unreachable < minUnreachable || r.answering >= reachableMargin*r.unreachable):
 		s.emit(ReachChanged{Unreachable: r.unreachable, Answering: r.answering, Lasted: now.Sub(r.cutSince)})
@@ -82,6 +83,16 @@
 	return len(pl.targets), stalled
 }
 
+// handlePeerAnswer records that a peer has got an answer of a process for this instance. If it is one that
+// this instance does not reach, its own links are at fault, and not the endpoints.
+func (s *Scheduler) handlePeerAnswer(e PeerAnswered) {
+	r, t := &s.reach, s.targets[e.Process.Endpoint]
+	if r.isCutOff() && !r.isConfirmed && t != nil && t.Process() == e.Process && t.isUnreachable() {
+		r.isConfirmed = true
+		s.emit(ReachChanged{CutOff: true, Confirmed: true, Unreachable: r.unreachable, Answering: r.answering})
+	}
+}
+
 // Bounds on probes of targets while the instance is cut off.
 const (
 	maxProbes     = 2                      // at once
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -133,6 +133,8 @@
 		s.handleEnd(now, e)
 	case CallerLeft:
 		s.handleCallerLeft(e.Ref)
+	case PeerAnswered:
+		s.handlePeerAnswer(e)
 	case Probed:
 		s.handleProbed(now, e)
 		s.placeAllWaiting(now)
--- a/scheduler/session_test.go
+++ b/scheduler/session_test.go
@@ -80,6 +80,8 @@
 		return scheduler.LimitsReported{News: []scheduler.LimitNews{{Process: process, PerSecond: perSecond, Age: ev.Duration("age")}}}, err
 	case "restricted":
 		return restriction(now, ev)
+	case "peerAnswered":
+		return scheduler.PeerAnswered{Process: identifier.Process{Endpoint: identifier.Endpoint(ev.Str("endpoint"))}}, nil
 	case "probed":
 		t := s.probed[ev.Str("endpoint")]
 		if t == nil {
@@ -217,6 +219,9 @@
 	case scheduler.Stalled:
 		return fmt.Sprintf("stalled %s", a.Target.ID)
 	case scheduler.ReachChanged:
+		if a.Confirmed {
+			return "cutOff=confirmed"
+		}
 		return fmt.Sprintf("cutOff=%t unreachable=%d answering=%d", a.CutOff, a.Unreachable, a.Answering)
 	case scheduler.Probe:
 		s.probed[string(a.Target.ID)] = a.Target
