leaser, runner: an instance that is cut off from its endpoints forms no groups

What callers saw: with the forming instance among those cut off, no group was formed until the links were back, because its orders reach no engine and nothing made the lease pass on (a known gap of docs/design/platform.md).

Cause: the lease is renewed as long as the store answers, whatever the holder can do with it.

Change: once a peer's answer has confirmed the cut, the instance withdraws: it stops acting, releases the lease, so that another instance acquires it at once, and asks for it again when its links are back. It also reports no stalled groups meanwhile.

--- a/leaser/core.go
+++ b/leaser/core.go
@@ -20,6 +20,7 @@
 	lastWall      time.Time
 	reportedUntil time.Time // the deadline of the last Hold action
 	stopping      bool
+	isWithdrawn   bool // the lease is released, and no other is acquired
 	callPending   bool
 	ended         bool
 }
@@ -33,7 +34,7 @@
 	phaseHeld                 // the key is claimed under the lease
 )
 
-// Event is an input of a Core: Tick, Answered, Freed, CheckIntervalSet or Stop.
+// Event is an input of a Core: Tick, Answered, Freed, CheckIntervalSet, CandidacySet or Stop.
 type Event interface{ event() }
 
 // Tick reports the current time. Wall is the wall clock, which advances while the machine is
@@ -54,6 +55,10 @@
 // CheckIntervalSet replaces Config.CheckInterval from the next check on.
 type CheckIntervalSet struct{ Interval time.Duration }
 
+// CandidacySet makes the core release the lease and acquire no other, or acquire it again. A new core
+// is a candidate.
+type CandidacySet struct{ IsCandidate bool }
+
 // Stop makes the core release the lease and acquire no other.
 type Stop struct{}
 
@@ -61,6 +66,7 @@
 func (Answered) event()         {}
 func (Freed) event()            {}
 func (CheckIntervalSet) event() {}
+func (CandidacySet) event()     {}
 func (Stop) event()             {}
 
 // Result is the outcome of a call to the platform.
@@ -125,19 +131,32 @@
 	case CheckIntervalSet:
 		c.checkInterval = e.Interval
 	case Freed:
-		if c.phase == phaseIdle {
+		if c.phase == phaseIdle && !c.isWithdrawn {
 			c.nextCallAt = now
 			out = c.startCall(now)
 		}
+	case CandidacySet:
+		if c.isWithdrawn == e.IsCandidate {
+			c.isWithdrawn = !e.IsCandidate
+			out = c.restart(now)
+		}
 	case Stop:
 		c.stopping = true
-		c.holdUntil = time.Time{}
-		c.nextCallAt = now
-		out = c.startCall(now)
+		out = c.restart(now)
 	}
 	return c.prependHold(now, out)
 }
 
+// restart ends the time in which the holder may act, and makes the call that is needed now.
+func (c *Core) restart(now time.Time) []Action {
+	c.holdUntil = time.Time{}
+	c.nextCallAt = now
+	return c.startCall(now)
+}
+
+// isReleasing reports whether the core releases the lease and acquires no other.
+func (c *Core) isReleasing() bool { return c.stopping || c.isWithdrawn }
+
 // handleTick ends the time in which the holder may act if the process was paused, and starts the call
 // that is due.
 func (c *Core) handleTick(now, wall time.Time) []Action {
@@ -166,7 +185,9 @@
 	case c.stopping && c.lease == "":
 		c.ended = true
 		return []Action{End{}}
-	case c.stopping:
+	case c.isWithdrawn && c.lease == "":
+		return nil
+	case c.isReleasing():
 		call = CallRevoke
 	case c.phase == phaseFree:
 		call = CallGrant
@@ -183,7 +204,7 @@
 // handleAnswer advances the phase by the result of a call and starts or schedules the next call.
 func (c *Core) handleAnswer(now time.Time, e Answered) []Action {
 	c.callPending = false
-	if c.stopping {
+	if c.isReleasing() || e.Call == CallRevoke {
 		if e.Call == CallGrant && e.Result == ResultOK {
 			c.lease = e.Lease
 		}
@@ -192,7 +213,7 @@
 			return nil
 		}
 		if e.Call == CallRevoke {
-			c.lease = ""
+			c.phase, c.lease = phaseIdle, ""
 		}
 		return c.startCall(now)
 	}
--- a/leaser/core_test.go
+++ b/leaser/core_test.go
@@ -26,6 +26,8 @@
 		e = leaser.Tick{Wall: now.Add(ev.Duration("suspended"))}
 	case "stop":
 		e = leaser.Stop{}
+	case "candidate":
+		e = leaser.CandidacySet{IsCandidate: ev.Bool("is")}
 	case "freed":
 		e = leaser.Freed{}
 	case "checkInterval":
--- a/leaser/leaser.go
+++ b/leaser/leaser.go
@@ -80,6 +80,12 @@
 // SetCheckInterval replaces Config.CheckInterval from the next check on.
 func (l *Leaser) SetCheckInterval(d time.Duration) { l.step.Submit(CheckIntervalSet{Interval: d}) }
 
+// SetCandidate sets whether the leaser may hold the lease. If not, it releases the lease, and acquires it
+// only after SetCandidate(true).
+func (l *Leaser) SetCandidate(isCandidate bool) {
+	l.step.Submit(CandidacySet{IsCandidate: isCandidate})
+}
+
 // Run acquires the lease and renews it until ctx ends, then releases it. It returns nil.
 func (l *Leaser) Run(ctx context.Context) error {
 	// Calls outlive ctx so that the lease can be released.
--- a/runner/hosted.go
+++ b/runner/hosted.go
@@ -11,6 +11,7 @@
 	"os/signal"
 	"runtime"
 	"runtime/debug"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -87,6 +88,7 @@
 	upstream      *upstream
 	formingLease  *leaser.Leaser
 	instanceLease *leaser.Leaser
+	isCutOff      atomic.Bool // a peer has shown that this instance has lost its links to most endpoints
 }
 
 // newHosted creates the components and connects them. It does not start them.
@@ -116,6 +118,7 @@
 		OnLimits:        func(news []scheduler.LimitNews) { go h.messenger.ExchangeLimits(context.Background(), news) },
 		OnLatencyReport: func(p scheduler.LatencyReport) { go h.groupFormer.submitLatency(p) },
 		OnAttempt:       func(e quarantiner.Event) { h.quarantine.step.Submit(e) },
+		OnReach:         h.setReach,
 		PeerAddress:     h.peerAddress, Probe: h.probe,
 	})
 	h.leaving = newLeavingProcesses(h.meter)
@@ -160,6 +163,13 @@
 	})
 }
 
+// setReach records whether this instance is cut off from most endpoints. An instance that is forms no groups:
+// its orders reach no engine, while a peer's do.
+func (h *hosted) setReach(isCutOff bool) {
+	h.isCutOff.Store(isCutOff)
+	go func() { h.formingLease.SetCandidate(!h.isCutOff.Load()) }()
+}
+
 // peerAddress returns the address at which a peer answers this instance, or false if it is not listed.
 func (h *hosted) peerAddress(name identifier.Instance) (netip.AddrPort, bool) {
 	p, ok := h.peers.Find(name)
@@ -186,9 +196,9 @@
 }
 
 // reportStall reports a stalled group head to the group former of this instance and to the
-// instance that forms groups. Other targets are ignored.
+// instance that forms groups. Other targets are ignored, and so is what an instance that is cut off sees.
 func (h *hosted) reportStall(t scheduler.Target) {
-	if t.Group == "" {
+	if t.Group == "" || h.isCutOff.Load() {
 		return
 	}
 	go func() {
--- a/standin/hosted/reach_test.go
+++ b/standin/hosted/reach_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -98,6 +99,41 @@
 	is.Equal(after.countFailed(), 0) // the instances serve again
 }
 
+// TestFormingInstanceCutOffFromEndpointsIsReplaced cuts the paths between the instance that forms groups and all endpoints,
+// and then ends two engines. Orders reach engines only from the instance that forms groups, so that no
+// group was formed until the end of the cut. Another instance, which reaches the engines, must form them.
+func TestFormingInstanceCutOffFromEndpointsIsReplaced(t *testing.T) {
+	f := startFixture(t, fixtureConfig{instances: 3, engines: 12, plainEndpoints: 2, retrySlack: hosted.RetrySlack, hasLinks: true})
+	former := f.formingInstance()
+	load := f.startLoad(f.instances)
+	f.forEachEndpointLink(func(l *relayer.Link) { cutSilently(l, former) })
+	var next *instance
+	f.await("another instance to form groups", func() bool {
+		next = f.formingInstance()
+		return next != nil && next != former
+	})
+	f.killMember()
+	f.killMember()
+	f.await("the other instance to form groups", func() bool { return strings.Contains(next.log(), `"decision":"serving"`) })
+	f.restoreEndpoints([]*instance{former})
+	load.stop()
+	for _, text := range f.platform.Violations() {
+		t.Error(text)
+	}
+}
+
+// formingInstance returns the instance that forms groups, by the store, or nil if there is none.
+func (f *fixture) formingInstance() *instance {
+	_, value, _ := strings.Cut(string(f.platform.Store.Get("mill/forming")), "\n") // the first line identifies the write
+	name, _, _ := strings.Cut(value, "/")
+	for _, i := range f.instances {
+		if i.name == name {
+			return i
+		}
+	}
+	return nil
+}
+
 // quickAnswer is the time within which a request that can't be served must be refused.
 const quickAnswer = 250 * time.Millisecond
 
