runner, messenger: an endpoint has ended only for an instance that reaches others

Cause: after a connection broke, an address that accepts no connection from this instance counted as the end of the endpoint, and was announced to all peers. Class: an observer takes its own loss of sight for a fault of what it observes.

Change: two other endpoints are tried at the same time, and two peers, one of them in the endpoint's failure domain, are asked. If anybody reaches the endpoint, it lives; if nobody reaches any endpoint, nothing is concluded until the list shows the end.

--- a/messenger/doc.go
+++ b/messenger/doc.go
@@ -1,6 +1,6 @@
 // Package messenger exchanges messages between the instances of a hosted system.
 //
-// There are six kinds of message, each one small HTTP exchange:
+// There are seven kinds of message, each one small HTTP exchange:
 //   - A stall notice says that the requests of a replica group are stalled, so that the instance
 //     that forms groups checks the group at once. It goes to all peers if that instance is not known.
 //   - A leaving notice says that a process of an endpoint has said in an answer that it leaves. It goes
@@ -8,6 +8,8 @@
 //     notices for a process is at most the number of instances.
 //   - A report request asks a few peers, some of them in the endpoint's failure domain, for the report
 //     of an endpoint that this instance can't reach.
+//   - A check of a connection asks up to two peers whether an endpoint accepts connections from them, before its
+//     process counts as ended for this instance: the link of this instance may be at fault.
 //   - An update request fetches changes of the store from a peer's replica while this instance
 //     can't reach the store.
 //   - A watch waits for changes of a peer's replica. Instances that follow another instance
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -37,6 +37,7 @@
 	Watch            func(ctx context.Context, after uint64, wait time.Duration) (replicator.PeerChanges, error) // waits for changes of the local replica
 	UpdateSince      func(after uint64) replicator.Update                                                        // what the local replica holds beyond a revision
 	Report           func(ctx context.Context, id identifier.Endpoint) (groupformer.Reported, error)             // queries an endpoint for its report
+	CheckConnection  func(ctx context.Context, id identifier.Endpoint) ConnectionState                           // tries to connect to an endpoint
 	OnLosses         func(r quarantiner.Report)                                                                  // a peer announces losses; must not block
 	OnUnacknowledged func(fp identifier.Fingerprint)                                                             // a peer did not acknowledge an announcement, which is sent again; must not block
 	Quarantines      func() []quarantiner.Quarantine                                                             // the quarantines at this instance
@@ -92,6 +93,7 @@
 	mux.HandleFunc("POST "+pathLeaving, m.serveLeaving)
 	mux.HandleFunc("GET "+pathLeaving, m.serveLeavingList)
 	mux.HandleFunc("POST "+pathReport, m.serveReport)
+	mux.HandleFunc("POST "+pathConnection, m.serveConnection)
 	mux.HandleFunc("POST "+pathLosses, m.serveLosses)
 	mux.HandleFunc("POST "+pathLimits, m.serveLimits)
 	mux.HandleFunc("GET "+pathLimits, m.serveLimitList)
--- a/messenger/wire.go
+++ b/messenger/wire.go
@@ -20,6 +20,7 @@
 	pathStalled     = "/stalled"
 	pathLeaving     = "/leaving"
 	pathReport      = "/report"
+	pathConnection  = "/connection"
 	pathLosses      = "/losses"
 	pathLimits      = "/limits"
 	pathQuarantines = "/quarantines"
--- a/quarantiner/event.go
+++ b/quarantiner/event.go
@@ -65,7 +65,7 @@
 // ConnectionChecked reports the result of a CheckConnection action.
 type ConnectionChecked struct {
 	Process  identifier.Process
-	Accepted bool // the address accepted the connection
+	Accepted bool // the address accepted the connection, or nobody can tell
 }
 
 // EndpointsChanged changes the list of endpoints.
--- /dev/null
+++ b/runner/connection_test.go
@@ -0,0 +1,97 @@
+package runner
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http/httptest"
+	"net/netip"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"amaranthmill/configurer"
+	"amaranthmill/internal/identifier"
+	"amaranthmill/messenger"
+	"amaranthmill/quarantiner"
+	"amaranthmill/storeclient"
+
+	"github.com/rs/zerolog"
+)
+
+// newConnectionInstance returns an instance whose list has an endpoint at each of the addresses. It is not run.
+func newConnectionInstance(t *testing.T, name identifier.Instance, addresses []string) *hosted {
+	s := &configurer.HostedSettings{Instance: name, FailureDomain: "here"}
+	s.Machine.MemoryMB = 400
+	h, err := newHosted(s, zerolog.Nop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	var changes []storeclient.Change
+	for i, address := range addresses {
+		value, err := json.Marshal(map[string]any{"service": "ledger", "address": address, "zone": "here", "version": "v1", "slots": 8, "state": "ready", "coldLeftMs": 0, "sequence": 0, "born": 1787150514949})
+		if err != nil {
+			t.Fatal(err)
+		}
+		changes = append(changes, storeclient.Change{Entry: storeclient.Entry{Key: fmt.Sprintf("servers/i-%d", i), Value: value}})
+	}
+	h.view.applyChanges(changes)
+	return h
+}
+
+// listen returns an address that accepts connections, or one that refuses them.
+func listen(t *testing.T, accepts bool) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if accepts {
+		t.Cleanup(func() { _ = l.Close() })
+	} else {
+		_ = l.Close()
+	}
+	return l.Addr().String()
+}
+
+// TestCutInstanceSuspectsNoRequest breaks a request's connections to two endpoints. If an instance that has lost its links
+// finds that both accept no connection, they have not ended: the request was quarantined at all instances.
+// Endpoints that have ended must count still, also where some links are lost.
+func TestCutInstanceSuspectsNoRequest(t *testing.T) {
+	for name, tc := range map[string]struct {
+		own  []bool // which endpoints accept connections from the instance; the connections to the first two break
+		peer []bool // from its peer; none for no peer
+		want bool   // the endpoints count as ended
+	}{
+		"endpoints have ended":           {own: []bool{false, false, true, true}, peer: []bool{false, false, true, true}, want: true},
+		"the same without a peer":        {own: []bool{false, false, true, true}, want: true},
+		"all links lost":                 {own: []bool{false, false, false, false}, peer: []bool{true, true, true, true}},
+		"some links lost":                {own: []bool{false, false, true, true}, peer: []bool{true, true, true, true}},
+		"all links lost without a peer":  {own: []bool{false, false, false, false}},
+		"all lost, also of the peer":     {own: []bool{false, false, false, false}, peer: []bool{false, false, false, false}},
+		"lost, and endpoints have ended": {own: []bool{false, false, false, false}, peer: []bool{false, false, true, true}, want: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			addresses := func(accepts []bool) (out []string) {
+				for _, a := range accepts {
+					out = append(out, listen(t, a))
+				}
+				return out
+			}
+			h := newConnectionInstance(t, "entry-1", addresses(tc.own))
+			if tc.peer != nil {
+				p := newConnectionInstance(t, "entry-2", addresses(tc.peer))
+				server := httptest.NewServer(p.messenger.Handler())
+				defer server.Close()
+				h.peers.Set(messenger.Peer{Instance: "entry-2", FailureDomain: "here", Address: netip.MustParseAddrPort(server.Listener.Addr().String())})
+			}
+			for i := range 2 {
+				process := identifier.Process{Endpoint: identifier.Endpoint(fmt.Sprintf("i-%d", i)), Start: 1787150514949}
+				h.quarantine.step.Submit(quarantiner.AttemptStarted{Fingerprint: 7, Process: process})
+				h.quarantine.step.Submit(quarantiner.AttemptEnded{Fingerprint: 7, Process: process, Result: quarantiner.ResultBroken})
+			}
+			h.quarantine.checks.Wait()
+			is.Equal(len(h.listQuarantines()) == 1, tc.want)
+		})
+	}
+}
--- a/runner/hosted_quarantine.go
+++ b/runner/hosted_quarantine.go
@@ -31,10 +31,9 @@
 
 // Times of quarantines.
 const (
-	connectionCheckTimeout = 300 * time.Millisecond // endpoints accept connections within milliseconds
-	lossLeaseTTL           = 10 * time.Minute       // the longest that the platform grants
-	lossLeaseReuse         = 5 * time.Minute        // from the grant, in which further losses are stored under the same lease
-	lossStoreTimeout       = 3 * time.Second        // of storing or deleting a loss, with all attempts
+	lossLeaseTTL     = 10 * time.Minute // the longest that the platform grants
+	lossLeaseReuse   = 5 * time.Minute  // from the grant, in which further losses are stored under the same lease
+	lossStoreTimeout = 3 * time.Second  // of storing or deleting a loss, with all attempts
 )
 
 // quarantine drives a quarantiner.Quarantiner: it checks connections, announces losses to
@@ -45,6 +44,7 @@
 	step      *stepper.Stepper[quarantiner.Event, quarantiner.Action]
 	tick      *time.Timer
 	decisions metric.Int64Counter
+	checks    sync.WaitGroup // of connections, that have not ended
 
 	leaseMu   sync.Mutex // guards the fields below
 	lease     storeclient.LeaseID
@@ -109,7 +109,7 @@
 func (q *quarantine) handle(a quarantiner.Action) {
 	switch a := a.(type) {
 	case quarantiner.CheckConnection:
-		go q.checkConnection(a)
+		q.checks.Go(func() { q.checkConnection(a) })
 	case quarantiner.Restrict:
 		q.hosted.forwarder.SetRestriction(scheduler.RestrictionSet{Fingerprint: a.Fingerprint, Restriction: a.Restriction, Until: a.Until, Tied: a.Tied})
 	case quarantiner.Announce:
@@ -125,10 +125,9 @@
 	}
 }
 
+// checkConnection checks whether the endpoint of a process accepts connections, after one to it broke.
 func (q *quarantine) checkConnection(a quarantiner.CheckConnection) {
-	ctx, cancel := context.WithTimeout(context.Background(), connectionCheckTimeout)
-	defer cancel()
-	accepted := q.hosted.requester.AcceptsConnections(ctx, a.Address)
+	accepted := q.hosted.acceptsConnections(context.Background(), a.Process.Endpoint, a.Address)
 	if !accepted {
 		q.hosted.logger.Info().Str("endpoint", string(a.Process.Endpoint)).Int64("processStart", int64(a.Process.Start)).Msg("endpoint accepts no connection after one to it broke")
 	}
