messenger, runner: an instance that is cut off is no witness of an engine's silence

The same cause elsewhere, found by reading: the instance that forms groups takes an engine for dead once it and peers get no report. A peer that is cut off itself said so like one that reaches all others, and so did the forming instance.

Change: a peer that is confirmed to be cut off answers that it can't tell, and what the forming instance has tried in vain while it is cut off itself does not count.

Checked: TestReportOfCutInstanceProvesNothing; its first part fails if the peer answers as before.

--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -36,7 +36,7 @@
 	Peers            *Peers
 	Watch            func(ctx context.Context, after uint64, wait time.Duration) (replicator.PeerChanges, error) // waits for changes of the local replica
 	UpdateSince      func(after uint64) replicator.Update                                                        // what the local replica holds beyond a revision
-	Report           func(ctx context.Context, id identifier.Endpoint) (groupformer.Reported, error)             // queries an endpoint for its report
+	Report           func(ctx context.Context, id identifier.Endpoint) (groupformer.Reported, error)             // queries an endpoint for its report; its error may be *CutOffError
 	CheckConnection  func(ctx context.Context, id identifier.Endpoint) ConnectionState                           // tries to connect to an endpoint
 	OnLosses         func(r quarantiner.Report)                                                                  // a peer announces losses; must not block
 	OnUnacknowledged func(fp identifier.Fingerprint)                                                             // a peer did not acknowledge an announcement, which is sent again; must not block
--- a/messenger/reporter.go
+++ b/messenger/reporter.go
@@ -16,9 +16,19 @@
 type PeerReports struct {
 	Report          groupformer.Reported
 	Received        bool                       // at least one peer received a report; Report is one of these
-	UnreachableFrom []identifier.FailureDomain // failure domains of the peers that queried the endpoint and got no report
+	UnreachableFrom []identifier.FailureDomain // failure domains of the peers that queried the endpoint and got no report, without those that are cut off from most endpoints
 }
 
+// CutOffError reports that an instance did not get the report of an endpoint and is cut off from most endpoints,
+// so that this says nothing about the endpoint.
+type CutOffError struct{ Cause error }
+
+func (e *CutOffError) Error() string {
+	return "messenger: the instance is cut off from endpoints: " + e.Cause.Error()
+}
+
+func (e *CutOffError) Unwrap() error { return e.Cause }
+
 // Peers that query an endpoint for this instance. The number does not grow with the fleet: if each
 // peer queried each endpoint that does not answer, the loss of many endpoints would cost the product
 // of instances and endpoints.
@@ -74,7 +84,12 @@
 		return
 	}
 	report, err := m.cfg.Report(r.Context(), request.Endpoint)
-	if err != nil {
+	var cutOff *CutOffError
+	switch {
+	case errors.As(err, &cutOff):
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
+	case err != nil:
 		http.Error(w, err.Error(), http.StatusGatewayTimeout)
 		return
 	}
--- a/runner/connection_test.go
+++ b/runner/connection_test.go
@@ -1,6 +1,7 @@
 package runner
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"net"
@@ -11,6 +12,7 @@
 	"github.com/matryer/is"
 
 	"amaranthmill/configurer"
+	"amaranthmill/groupformer"
 	"amaranthmill/internal/identifier"
 	"amaranthmill/messenger"
 	"amaranthmill/quarantiner"
@@ -95,3 +97,29 @@
 		})
 	}
 }
+
+// TestReportOfCutInstanceProvesNothing checks that a peer that is cut off from most endpoints is no witness of an engine's
+// silence: engines that live were taken for dead because of it. The same holds for the instance that forms groups itself.
+func TestReportOfCutInstanceProvesNothing(t *testing.T) {
+	is := is.New(t)
+	refused := []string{listen(t, false)}
+	h, p := newConnectionInstance(t, "entry-1", refused), newConnectionInstance(t, "entry-2", refused)
+	server := httptest.NewServer(p.messenger.Handler())
+	defer server.Close()
+	h.peers.Set(messenger.Peer{Instance: "entry-2", FailureDomain: "here", Address: netip.MustParseAddrPort(server.Listener.Addr().String())})
+	query := groupformer.FetchReport{ID: "i-0", ViaPeers: true}
+	for _, tc := range []struct{ isCutOff, isPeerCutOff, inDomain, byPeers bool }{
+		{false, false, true, true},
+		{false, true, true, true},  // by this instance, which reaches others
+		{true, false, true, true},  // by the peer
+		{true, true, false, false}, // nobody who reaches others has tried
+	} {
+		h.isCutOff.Store(tc.isCutOff)
+		p.isCutOff.Store(tc.isPeerCutOff)
+		fromPeers := h.messenger.RequestReports(context.Background(), "i-0", "here")
+		is.Equal(len(fromPeers.UnreachableFrom) == 0, tc.isPeerCutOff)
+		inDomain, byPeers := h.groupFormer.whoTried(query, fromPeers)
+		is.Equal(inDomain, tc.inDomain)
+		is.Equal(byPeers, tc.byPeers)
+	}
+}
--- a/runner/hosted.go
+++ b/runner/hosted.go
@@ -131,7 +131,7 @@
 			return h.replica.Watch(ctx, after, wait)
 		},
 		UpdateSince: func(after uint64) replicator.Update { return h.replica.UpdateSince(after) },
-		Report:      h.groupFormer.queryEngine, CheckConnection: h.checkConnectionForPeer, OnStalled: h.groupFormer.submitStall, OnLeaving: h.groupFormer.submitPeerLeaving, Leaving: h.leaving.list,
+		Report:      h.groupFormer.queryEngineForPeer, CheckConnection: h.checkConnectionForPeer, OnStalled: h.groupFormer.submitStall, OnLeaving: h.groupFormer.submitPeerLeaving, Leaving: h.leaving.list,
 		OnLimits:    h.forwarder.ReportLimits,
 		OnLosses:    func(r quarantiner.Report) { h.quarantine.step.Submit(quarantiner.ReportReceived{Report: r}) },
 		Quarantines: h.listQuarantines, Lift: h.liftQuarantine,
--- a/runner/hosted_groupformer.go
+++ b/runner/hosted_groupformer.go
@@ -198,11 +198,30 @@
 		f.submitReport(a, fromPeers.Report, "peer")
 		return
 	}
-	_, domain := f.addresses.lookup(a.ID)
-	triedInDomain := domain == f.hosted.settings.FailureDomain || slices.Contains(fromPeers.UnreachableFrom, domain)
+	triedInDomain, triedByPeers := f.whoTried(a, fromPeers)
 	f.hosted.logger.Warn().Str("endpoint", string(a.ID)).Str("reason", a.Reason).AnErr("cause", err).
 		Bool("near", triedInDomain).Int("peers", len(fromPeers.UnreachableFrom)).Msg("engine does not report")
-	f.step.Submit(groupformer.Unreachable{ID: a.ID, ConnectionRefused: errors.Is(err, syscall.ECONNREFUSED), TriedInDomain: triedInDomain, TriedByPeers: a.ViaPeers})
+	f.step.Submit(groupformer.Unreachable{ID: a.ID, ConnectionRefused: errors.Is(err, syscall.ECONNREFUSED), TriedInDomain: triedInDomain, TriedByPeers: triedByPeers})
+}
+
+// whoTried returns whether an instance in the engine's failure domain, and whether peers, have tried in vain to query an
+// engine. What an instance that is cut off has tried says nothing.
+func (f *groupFormer) whoTried(a groupformer.FetchReport, fromPeers messenger.PeerReports) (inDomain, byPeers bool) {
+	_, domain := f.addresses.lookup(a.ID)
+	isCutOff := f.hosted.isCutOff.Load()
+	inDomain = !isCutOff && domain == f.hosted.settings.FailureDomain || slices.Contains(fromPeers.UnreachableFrom, domain)
+	byPeers = a.ViaPeers && (!isCutOff || len(fromPeers.UnreachableFrom) > 0)
+	return inDomain, byPeers
+}
+
+// queryEngineForPeer queries an engine for its report for a peer. Its error is *messenger.CutOffError if this instance is
+// cut off from most endpoints.
+func (f *groupFormer) queryEngineForPeer(ctx context.Context, id identifier.Endpoint) (groupformer.Reported, error) {
+	report, err := f.queryEngine(ctx, id)
+	if err != nil && f.hosted.isCutOff.Load() {
+		return report, &messenger.CutOffError{Cause: err}
+	}
+	return report, err
 }
 
 // queryEngine queries an engine for its report. The timeout of the exchange begins when its turn has
