requester: a request that is given up is reset, so that it does not run after a network partition

Cause: a connection that is closed in order still delivers the bytes that a partition has held up.

Change: a connection whose request or answer is incomplete is reset. The links of the stand-ins lose the bytes that they hold back if their client resets the connection, as a network does.

Measured: TestRequestsGivenUpBehindCutDoNotArriveLater fails before (4 requests begin to run 2 s after their end), with the new links as well, and passes; TestAbandonedRequestIsReset, TestHeldBytesOfResetConnection.

--- a/requester/answer.go
+++ b/requester/answer.go
@@ -62,8 +62,8 @@
 	return nil
 }
 
-// release returns the connection to the idle connections if the answer was read to its end,
-// and closes the connection otherwise.
+// release returns the connection to the idle connections if the answer was read to its end and the connection may be reused. Otherwise
+// it closes the connection, with a reset if the answer was not read to its end.
 func (a *Answer) release() {
 	a.once.Do(func() {
 		notAborted := a.stopWatch()
@@ -71,6 +71,10 @@
 			a.requester.putIdle(a.addr, a.conn)
 			return
 		}
+		if !a.complete {
+			a.conn.abort()
+			return
+		}
 		_ = a.conn.Close()
 	})
 }
--- a/requester/connection.go
+++ b/requester/connection.go
@@ -40,6 +40,15 @@
 	return c
 }
 
+// abort closes a connection whose request or answer is incomplete, and resets it. What the endpoint has not received by then is lost,
+// so that a request that was given up behind a network partition does not run after it.
+func (c *connection) abort() {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0) // if that fails, so has the connection
+	}
+	_ = c.Close()
+}
+
 // writeCounter writes to a connection and counts the bytes written.
 type writeCounter struct{ c *connection }
 
--- a/requester/requester.go
+++ b/requester/requester.go
@@ -109,7 +109,7 @@
 	writtenBefore := conn.written.Load()
 	if err := req.write(conn.out); err != nil {
 		stop()
-		_ = conn.Close()
+		conn.abort()
 		if conn.written.Load() == writtenBefore {
 			return nil, &NotSentError{Cause: err}
 		}
@@ -118,7 +118,7 @@
 	resp, err := r.read(conn, req)
 	if err != nil {
 		stop()
-		_ = conn.Close()
+		conn.abort()
 		return nil, &BrokenError{Cause: err}
 	}
 	return &Answer{
--- a/requester/requester_test.go
+++ b/requester/requester_test.go
@@ -1,6 +1,7 @@
 package requester_test
 
 import (
+	"bufio"
 	"context"
 	"errors"
 	"io"
@@ -9,6 +10,7 @@
 	"net/http/httptest"
 	"net/netip"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -163,3 +165,33 @@
 	is.NoErr(l.Close())
 	is.True(!r.AcceptsConnections(context.Background(), address))
 }
+
+// TestAbandonedRequestIsReset guards against requests that run although they were given up: a connection that is closed in order still
+// delivers the bytes that a network partition has held up, one that is reset does not.
+func TestAbandonedRequestIsReset(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	is.NoErr(err)
+	defer l.Close()
+	received, ended := make(chan struct{}), make(chan error, 1)
+	go func() {
+		conn, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer conn.Close()
+		in := bufio.NewReader(conn)
+		_, _ = http.ReadRequest(in)
+		close(received)
+		_, err = in.ReadByte()
+		ended <- err
+	}()
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() {
+		<-received
+		cancel()
+	}()
+	_, err = requester.New(requester.Config{}).Send(ctx, &requester.Request{Address: l.Addr().(*net.TCPAddr).AddrPort(), Method: http.MethodGet, Target: "/", Host: "h"})
+	is.True(errors.As(err, new(*requester.BrokenError)))
+	is.True(errors.Is(<-ended, syscall.ECONNRESET))
+}
--- a/standin/hosted/answer.go
+++ b/standin/hosted/answer.go
@@ -25,7 +25,7 @@
 		return
 	}
 	e.mu.Lock()
-	e.runs[id]++
+	e.runs[id] = append(e.runs[id], time.Now())
 	group, members, unframed := e.group, e.members, e.unframed
 	e.mu.Unlock()
 	if e.Domain != "" {
--- a/standin/hosted/engine.go
+++ b/standin/hosted/engine.go
@@ -49,9 +49,9 @@
 	models          []string
 	staged          []string
 	group           membership
-	runs            map[string]int  // number of runs, by request ID
-	members         []string        // IDs of the group's members by rank; the first is the head
-	wasReady        map[string]bool // whether the engine was ready in a group, by readyKey
+	runs            map[string][]time.Time // when runs began, by request ID
+	members         []string               // IDs of the group's members by rank; the first is the head
+	wasReady        map[string]bool        // whether the engine was ready in a group, by readyKey
 }
 
 type membership struct {
@@ -76,7 +76,7 @@
 	if err != nil {
 		return err
 	}
-	e.platform, e.store, e.addr, e.runs, e.born = p, p.Store, l.Addr().String(), map[string]int{}, time.Now().UnixMilli()
+	e.platform, e.store, e.addr, e.runs, e.born = p, p.Store, l.Addr().String(), map[string][]time.Time{}, time.Now().UnixMilli()
 	e.wasReady, e.unframedAnswers = map[string]bool{}, map[*unframedAnswer]bool{}
 	if p.ListedAddress != nil {
 		if e.addr, err = p.ListedAddress(e.ID, e.addr); err != nil {
@@ -173,7 +173,18 @@
 func (e *Engine) Runs(id string) int {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.runs[id]
+	return len(e.runs[id])
+}
+
+// LastRuns returns when the engine last began to run each request, by request ID.
+func (e *Engine) LastRuns() map[string]time.Time {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	out := map[string]time.Time{}
+	for id, times := range e.runs {
+		out[id] = times[len(times)-1]
+	}
+	return out
 }
 
 // publish writes the engine's entry to the store, unless the engine was killed or is
--- a/standin/hosted/reach_test.go
+++ b/standin/hosted/reach_test.go
@@ -269,3 +269,32 @@
 		return r.path == "/holds/7" && (runs[r.id] > 1 || runs[r.id] > 0 && r.status == http.StatusServiceUnavailable)
 	}))
 }
+
+// goneTime is the users' bound: a request reaches no endpoint later than this after its caller has its answer or has left.
+const goneTime = 500 * time.Millisecond
+
+// TestRequestsGivenUpBehindCutDoNotArriveLater cuts an instance off from all endpoints in silence. Its first attempts are given up, and their
+// requests are served through peers. The bytes that the cut held up reached the endpoints after it, which ran the requests once more
+// for nobody.
+func TestRequestsGivenUpBehindCutDoNotArriveLater(t *testing.T) {
+	is := is.New(t)
+	f := startFixture(t, fixtureConfig{instances: 3, engines: 6, plainEndpoints: 2, retrySlack: 10 * hosted.RetrySlack, hasLinks: true})
+	load := f.startLoad(f.instances[:1])
+	time.Sleep(settleTime / 2)
+	f.forEachEndpointLink(func(l *relayer.Link) { cutSilently(l, f.instances[0]) })
+	time.Sleep(settleTime)
+	f.restoreEndpoints(f.instances[:1])
+	time.Sleep(settleTime / 2)
+	ended := map[string]time.Time{}
+	for _, r := range load.stop() {
+		ended[r.id] = r.sentAt.Add(r.elapsed)
+	}
+	for _, e := range f.platform.Engines() {
+		for id, ranAt := range e.LastRuns() {
+			if at, ok := ended[id]; ok && ranAt.Sub(at) > goneTime {
+				t.Errorf("%s began to run request %s %s after its end", e.ID, id, ranAt.Sub(at))
+			}
+		}
+	}
+	is.True(len(ended) > 100)
+}
--- a/standin/relayer/pair.go
+++ b/standin/relayer/pair.go
@@ -4,6 +4,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"syscall"
 )
 
 // pair is a connection over a link: the client's connection to the link and the link's
@@ -64,6 +65,21 @@
 	p.close()
 }
 
+// wasReset reports whether the client has reset its connection.
+func (p *pair) wasReset() bool {
+	c, ok := p.client.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return true // closed
+	}
+	failure := 0
+	err = raw.Control(func(fd uintptr) { failure, _ = syscall.GetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_ERROR) })
+	return err != nil || failure != 0
+}
+
 // silence permanently stops forwarding but leaves both connections open.
 func (p *pair) silence() { p.silenceOnce.Do(func() { close(p.silent) }) }
 
--- a/standin/relayer/source_test.go
+++ b/standin/relayer/source_test.go
@@ -9,6 +9,8 @@
 	"testing"
 
 	"github.com/matryer/is"
+
+	"amaranthmill/standin/relayer"
 )
 
 // TestFaultsOfOneSource checks that a fault of the path from one client address concerns its connections
@@ -44,3 +46,34 @@
 	_, err = exchange(other, 'c')
 	is.NoErr(err)
 }
+
+// TestHeldBytesOfResetConnection checks that bytes which a cut holds back are lost if their client resets the connection, and not if it closes
+// it in order.
+func TestHeldBytesOfResetConnection(t *testing.T) {
+	for name, wantByte := range map[string]bool{"closed": true, "reset": false} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			target, err := net.Listen("tcp", "127.0.0.1:0")
+			is.NoErr(err)
+			defer target.Close()
+			l, err := relayer.New(target.Addr().(*net.TCPAddr).AddrPort())
+			is.NoErr(err)
+			defer l.Close()
+			c, err := net.Dial("tcp", l.Address().String())
+			is.NoErr(err)
+			server, err := target.Accept()
+			is.NoErr(err)
+			defer server.Close()
+			l.Cut()
+			_, err = c.Write([]byte("a"))
+			is.NoErr(err)
+			if !wantByte {
+				is.NoErr(c.(*net.TCPConn).SetLinger(0))
+			}
+			is.NoErr(c.Close())
+			l.Restore()
+			_, err = receive(server, waitLimit)
+			is.Equal(err == nil, wantByte)
+		})
+	}
+}
