standin/soak: instances that are cut off from all engines (--cuts)

Cuts in silence and by resets, of one to all instances, beside the other faults; checked are the users' bound on callers at instances that are cut off while another one reaches the engines, and all that the soak checks anyway.

--- a/standin/soak/apply.go
+++ b/standin/soak/apply.go
@@ -61,6 +61,8 @@
 		s.leaveEngine(f)
 	case LimitEngine:
 		s.limitEngine(f)
+	case CutEndpoints:
+		s.cutEndpoints(f)
 	case CloseEngine:
 		e := s.liveEngine(f.Engine)
 		s.applyFor(allEngines, f.For, func() { e.Close(f.For) }, func() {})
--- a/standin/soak/deployment.go
+++ b/standin/soak/deployment.go
@@ -36,6 +36,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.links[id] = l
+	for _, cut := range s.cuts {
+		cut(l)
+	}
 	return l.Address().String(), nil
 }
 
@@ -119,7 +122,7 @@
 	if i.store, err = relayer.New(netip.MustParseAddrPort(s.platform.Address())); err != nil {
 		return err
 	}
-	text, err := hosted.InstanceSettings{Name: fmt.Sprintf("entry-%d", n), Ports: ports, Store: i.store.Address(), StopLimit: stopLimit, RetrySlack: s.cfg.retrySlack()}.Encode()
+	text, err := hosted.InstanceSettings{Name: fmt.Sprintf("entry-%d", n), Ports: ports, Store: i.store.Address(), Source: sourceOf(n), StopLimit: stopLimit, RetrySlack: s.cfg.retrySlack()}.Encode()
 	if err != nil {
 		return err
 	}
--- a/standin/soak/fault.go
+++ b/standin/soak/fault.go
@@ -105,6 +105,14 @@
 		For       time.Duration
 	}
 
+	// CutEndpoints cuts the paths between an instance and all engines for a time, in silence or by resets. The store, the
+	// callers and the other instances reach the instance.
+	CutEndpoints struct {
+		Instance int
+		Reset    bool
+		For      time.Duration
+	}
+
 	// StoreDown makes the store refuse all calls for a time.
 	StoreDown struct{ For time.Duration }
 
@@ -144,6 +152,7 @@
 func (LeaveEngine) fault()    {}
 func (CloseEngine) fault()    {}
 func (LimitEngine) fault()    {}
+func (CutEndpoints) fault()   {}
 func (StoreDown) fault()      {}
 func (StoreSlow) fault()      {}
 func (StoreDeaf) fault()      {}
--- a/standin/soak/record.go
+++ b/standin/soak/record.go
@@ -47,6 +47,7 @@
 	mu          sync.Mutex
 	requests    []sentRequest
 	disruptions []*disruption
+	cuts        []*disruption // of instances from all engines
 	keyChanges  []keyChange
 	violations  []string
 }
--- a/standin/soak/soak.go
+++ b/standin/soak/soak.go
@@ -25,6 +25,7 @@
 	Crashing  bool          // copies of a request that crashes the engines that run it are sent
 	Silences  bool          // engines are silent for a while, also before the period of the other faults, and few retries are allowed
 	Limits    bool          // engines name limits of requests per second
+	Cuts      bool          // instances lose their paths to all engines for a time
 	Leaving   bool          // engines say in their answers that they leave or that they want no requests for a time
 	Length    time.Duration // the period in which faults are injected; zero means 8 s
 
@@ -72,6 +73,7 @@
 	links        map[string]*relayer.Link // to engines, by engine ID
 	engines      []*hosted.Engine         // all engines and endpoints that were started, including killed ones
 	enginesAdded int
+	cuts         map[int]func(*relayer.Link) // what cuts the paths of an instance to engines, by the number of the instance
 }
 
 // Run runs the faults of one seed. It returns an error if the run can't be set up; violations
@@ -83,7 +85,7 @@
 		return Report{}, err
 	}
 	defer p.Close()
-	s := &soak{cfg: cfg, platform: p, processes: spawner.Processes{Dir: cfg.Dir}, links: map[string]*relayer.Link{}, version: 1}
+	s := &soak{cfg: cfg, platform: p, processes: spawner.Processes{Dir: cfg.Dir}, links: map[string]*relayer.Link{}, cuts: map[int]func(*relayer.Link){}, version: 1}
 	p.ListedAddress = s.addLink
 	defer s.close()
 	if err := s.startDeployment(); err != nil {
@@ -164,6 +166,9 @@
 	if s.cfg.Limits {
 		steps = AddLimits(steps, rand.New(rand.NewPCG(s.cfg.Seed, math.MaxUint64-2)), s.cfg.Length)
 	}
+	if s.cfg.Cuts {
+		steps = AddEndpointCuts(steps, rand.New(rand.NewPCG(s.cfg.Seed, math.MaxUint64-3)), s.cfg.Length)
+	}
 	return steps
 }
 
@@ -181,6 +186,9 @@
 	}
 	out.Violations = append(out.Violations, s.record.findUnwantedRequests(s.platform.Engines())...)
 	out.Violations = append(out.Violations, s.record.findRequestsBeyondLimits(s.platform.Engines())...)
+	if violation := s.record.checkServiceOfCutInstances(len(s.instances)); violation != "" {
+		out.Violations = append(out.Violations, violation)
+	}
 	crashRuns := s.platform.CrashRuns()
 	out.Crashes = len(crashRuns)
 	if violation := s.record.checkCrashRuns(crashRuns, s.cfg.crashesBeforeBound()); violation != "" {
