--- a/messenger/doc.go
+++ b/messenger/doc.go
@@ -17,6 +17,6 @@
 //   - An announcement tells all peers which processes of endpoints ended while they ran a
 //     request or a part of its prompt. It is repeated to a peer that does not acknowledge it.
 //
-// An operator lists and lifts quarantines, and lists the endpoints that leave, through the same
-// address; see Operator.
+// An operator lists and lifts quarantines, and lists the endpoints that leave, limits and what an instance reaches, through the
+// same address; see Operator.
 package messenger
--- a/messenger/wire.go
+++ b/messenger/wire.go
@@ -24,6 +24,7 @@
 	pathLosses      = "/losses"
 	pathLimits      = "/limits"
 	pathQuarantines = "/quarantines"
+	pathReach       = "/reach"
 )
 
 // withAfter returns path with the revision of the local replica as query parameter.
--- a/runner/hosted.go
+++ b/runner/hosted.go
@@ -132,9 +132,9 @@
 		},
 		UpdateSince: func(after uint64) replicator.Update { return h.replica.UpdateSince(after) },
 		Report:      h.groupFormer.queryEngineForPeer, CheckConnection: h.checkConnectionForPeer, OnStalled: h.groupFormer.submitStall, OnLeaving: h.groupFormer.submitPeerLeaving, Leaving: h.leaving.list,
-		OnLimits:    h.forwarder.ReportLimits,
-		OnLosses:    func(r quarantiner.Report) { h.quarantine.step.Submit(quarantiner.ReportReceived{Report: r}) },
-		Quarantines: h.listQuarantines, Lift: h.liftQuarantine,
+		OnLimits: h.forwarder.ReportLimits,
+		OnLosses: func(r quarantiner.Report) { h.quarantine.step.Submit(quarantiner.ReportReceived{Report: r}) },
+		Reach:    h.forwarder.Reach, Quarantines: h.listQuarantines, Lift: h.liftQuarantine,
 		OnUnacknowledged: func(fp identifier.Fingerprint) {
 			h.quarantine.step.Submit(quarantiner.AnnouncementFailed{Fingerprint: fp})
 		}, HTTP: newHTTPClient(s.SourceAddress, peerTimeout), Timeout: peerTimeout, Logger: logger,
