diagnoser: the verdict on a request that went through a peer is that of the instance that accepted it

millctl explain took the last line of a request, which may be that of a peer, whose caller is another instance: a request that was delivered would have been explained as one whose caller had gone. Lines about lost links belong to the requests of their instance.

--- a/diagnoser/diagnosis.go
+++ b/diagnoser/diagnosis.go
@@ -48,7 +48,18 @@
 		}
 	}
 	slices.SortStableFunc(out, compareTime)
-	return Diagnosis{Lines: out, Verdict: findVerdict(requestLines[len(requestLines)-1])}, nil
+	return Diagnosis{Lines: out, Verdict: findVerdict(lastOfCaller(requestLines))}, nil
+}
+
+// lastOfCaller returns the last line of the instance that accepted the request, which answered its caller, or the last line if there
+// are lines of its peer only.
+func lastOfCaller(requestLines []Line) Line {
+	for _, l := range slices.Backward(requestLines) {
+		if l.From == "" {
+			return l
+		}
+	}
+	return requestLines[len(requestLines)-1]
 }
 
 func compareTime(a, b Line) int { return a.Time.Compare(b.Time) }
@@ -66,9 +77,9 @@
 }
 
 func newScope(requestLines []Line) scope {
-	first, last := requestLines[0], requestLines[len(requestLines)-1]
+	first, last := requestLines[0], lastOfCaller(requestLines)
 	s := scope{
-		from: first.Time.Add(-first.Age - marginBefore), to: last.Time.Add(marginAfter),
+		from: first.Time.Add(-first.Age - marginBefore), to: requestLines[len(requestLines)-1].Time.Add(marginAfter),
 		instances: map[string]bool{}, endpoints: map[string]bool{}, groups: map[string]bool{}, fingerprints: map[string]bool{}, configRefused: last.Message == "refused",
 	}
 	for _, l := range requestLines {
@@ -102,7 +113,8 @@
 		return s.model != "" && l.Model == s.model
 	case "configuration in force":
 		return s.configRefused
-	case "store lost", "store regained", "instance runs", "instance ends", "stop begins", "log lines dropped":
+	case "store lost", "store regained", "instance runs", "instance ends", "stop begins", "log lines dropped",
+		"instance is cut off from endpoints", "peers reach endpoints that this instance does not", "instance reaches its endpoints again":
 		return s.instances[l.Instance]
 	default:
 		return false
@@ -115,6 +127,7 @@
 	{"delivered", "", "the whole answer went to the caller; if it was late, look at queued, at the load in placed and at the pauses"},
 	{"passed", "", "an endpoint's own error was passed on"},
 	{"notRun", "noTarget", "refused, not run: no group or endpoint served this pool; look at groups and endpoint gone"},
+	{"notRun", "cutOff", "refused, not run: the instance had lost its links to most endpoints, and no peer that it asked reached one; look at instance is cut off from endpoints, at all instances"},
 	{"notRun", "full", "refused, not run: its turn would have come too late; look at groups, serving against share"},
 	{"notRun", "allRefused", "refused, not run: each target refused it before running it; look at what became of their groups"},
 	{"notRun", "quarantined", "refused, not run: two endpoints ended while they ran this request, and it is held back for an hour; look at request under which endpoints ended"},
--- a/diagnoser/diagnosis_test.go
+++ b/diagnoser/diagnosis_test.go
@@ -12,7 +12,7 @@
 	"amaranthmill/diagnoser"
 )
 
-// readLines returns the log of three instances around seven requests.
+// readLines returns the log of three instances around nine requests.
 func readLines(t *testing.T) []diagnoser.Line {
 	t.Helper()
 	f, err := os.Open("testdata/three.log")
@@ -41,7 +41,13 @@
 		"moved-1":       {[]string{"placed", "attempt ended", "group", "ended"}, "each target refused it"},
 		"quarantined-1": {[]string{"request under which endpoints ended", "request under which endpoints ended", "ended"}, "held back for an hour"},
 		"suspected-1":   {[]string{"request under which endpoints ended", "ended", "request under which endpoints ended"}, "another copy ran"},
-		"killed-1":      {[]string{"placed", "instance runs"}, "no line says how it ended"},
+		"hop-1": {[]string{
+			"instance is cut off from endpoints", "peers reach endpoints that this instance does not", "sent through a peer", "placed", "ended", "ended", "instance reaches its endpoints again",
+		}, "the whole answer"},
+		"cut-1": {[]string{
+			"instance is cut off from endpoints", "peers reach endpoints that this instance does not", "attempt ended", "ended", "instance reaches its endpoints again",
+		}, "lost its links"},
+		"killed-1": {[]string{"placed", "instance runs"}, "no line says how it ended"},
 	}
 	for request, test := range tests {
 		t.Run(request, func(t *testing.T) {
--- a/diagnoser/line.go
+++ b/diagnoser/line.go
@@ -15,6 +15,7 @@
 	Instance    string
 	Message     string
 	Request     string
+	From        string // instance that accepted the request, in lines of the peer that sent it to endpoints
 	Pool        string
 	Endpoint    string
 	Group       string
@@ -32,6 +33,7 @@
 	Instance    string  `json:"instance"`
 	Message     string  `json:"message"`
 	Request     string  `json:"request"`
+	From        string  `json:"from"`
 	Pool        string  `json:"pool"`
 	Endpoint    string  `json:"endpoint"`
 	Group       string  `json:"group"`
@@ -55,7 +57,7 @@
 		return Line{}, false
 	}
 	return Line{
-		Time: time.UnixMilli(w.Time).UTC(), Instance: w.Instance, Message: w.Message, Request: w.Request, Pool: w.Pool, Endpoint: w.Endpoint,
+		Time: time.UnixMilli(w.Time).UTC(), Instance: w.Instance, Message: w.Message, Request: w.Request, From: w.From, Pool: w.Pool, Endpoint: w.Endpoint,
 		Group: w.Group, Model: w.Model, Fingerprint: w.Fingerprint, Outcome: w.Outcome, Reason: w.Reason, Age: time.Duration(w.Age * float64(time.Millisecond)), Text: string(text),
 	}, true
 }
