--- a/scheduler/bench_test.go
+++ b/scheduler/bench_test.go
@@ -153,3 +153,52 @@
 		})
 	}
 }
+
+// BenchmarkReach measures one tick of an instance that is cut off from all targets, with a request through a peer and a probe
+// that fails.
+func BenchmarkReach(b *testing.B) {
+	for _, size := range []struct{ instances, targets int }{{4, 22}, {78, 130}, {370, 300}} {
+		b.Run(fmt.Sprintf("instances=%d/targets=%d", size.instances, size.targets), func(b *testing.B) {
+			core := scheduler.New(scheduler.Config{Instance: "entry-0", FailureDomain: "d0", FirstStart: true})
+			now := scripter.Start
+			var targets []scheduler.Target
+			for i := range size.targets {
+				targets = append(targets, scheduler.Target{ID: identifier.Endpoint(fmt.Sprintf("e%d", i)), Pool: "guides", Slots: 14})
+			}
+			core.Step(now, scheduler.TargetsChanged{Complete: true, Changed: targets})
+			var instances []scheduler.Instance
+			for i := range size.instances {
+				instances = append(instances, scheduler.Instance{Name: identifier.Instance(fmt.Sprintf("entry-%d", i)), FailureDomain: identifier.FailureDomain(fmt.Sprintf("d%d", i%10))})
+			}
+			core.Step(now, scheduler.InstancesSet{Instances: instances})
+			ref := scheduler.Ref(0)
+			arrive := func() []scheduler.Action {
+				ref++
+				return core.Step(now, scheduler.Arrived{Ref: ref, Request: scheduler.Request{Service: "guides", Pool: "guides", ArrivedAt: now, Deadline: now.Add(time.Minute)}})
+			}
+			for range 4 {
+				for _, a := range arrive() {
+					if send, ok := a.(scheduler.Send); ok && send.Peer == "" {
+						core.Step(now, scheduler.Ended{Ref: ref, Attempt: send.Attempt, Ending: scheduler.NotSent{}})
+					}
+				}
+			}
+			core.Step(now, scheduler.Ticked{})
+			b.ReportAllocs()
+			for b.Loop() {
+				now = now.Add(40 * time.Millisecond)
+				for _, a := range arrive() {
+					if send, ok := a.(scheduler.Send); ok && send.Peer == "" {
+						b.Fatal("a request goes to a target that can't be reached")
+					}
+				}
+				core.Step(now, scheduler.CallerLeft{Ref: ref})
+				for _, a := range core.Step(now, scheduler.Ticked{}) {
+					if p, ok := a.(scheduler.Probe); ok {
+						core.Step(now, scheduler.Probed{Target: p.Target})
+					}
+				}
+			}
+		})
+	}
+}
--- a/scheduler/peer.go
+++ b/scheduler/peer.go
@@ -116,8 +116,12 @@
 	})
 }
 
-// placeThroughPeers sends the waiting requests of a pool through peers as far as that is possible.
-func (s *Scheduler) placeThroughPeers(now time.Time, q *queue) {
+// placeThroughPeers sends the waiting requests of a pool through peers as far as that is possible, if this instance has lost its links
+// to the pool's targets.
+func (s *Scheduler) placeThroughPeers(now time.Time, q *queue, pl *pool) {
+	if !s.reach.isCutOff() && !pl.isUnreachable(now) {
+		return
+	}
 	for _, f := range slices.Clone(q.flights) {
 		if f.Deadline.Sub(now) < minServeTime || s.blockingReason(f) != "" || !s.mayGoThroughPeer(now, f, ReasonNoTarget) {
 			continue
--- a/scheduler/queue.go
+++ b/scheduler/queue.go
@@ -76,7 +76,7 @@
 			i++
 		}
 	}
-	s.placeThroughPeers(now, q)
+	s.placeThroughPeers(now, q, pl)
 }
 
 // placeAt places or gives up the waiting request f and returns true, or returns false if f goes on
