--- a/standin/soak/check_test.go
+++ b/standin/soak/check_test.go
@@ -99,3 +99,46 @@
 		})
 	}
 }
+
+// TestCheckServiceOfCutInstances checks that instances which are cut off from all engines and serve far worse than the others are found, and
+// that nothing is held against them that a fault or the lack of another instance excuses.
+func TestCheckServiceOfCutInstances(t *testing.T) {
+	start := time.Date(2026, 1, 5, 20, 0, 0, 0, time.UTC)
+	at := func(d time.Duration) time.Time { return start.Add(d) }
+	cutOff := func(instance int) *disruption {
+		return &disruption{instance: instance, start: at(10 * time.Second), end: at(20 * time.Second)}
+	}
+	tests := map[string]struct {
+		served, sent int // at instance 0, which is cut off
+		from         time.Duration
+		cuts         []*disruption
+		disruptions  []*disruption
+		violated     bool
+	}{
+		"not served":        {served: 5, sent: 40, from: 14 * time.Second, cuts: []*disruption{cutOff(0)}, violated: true},
+		"served":            {served: 38, sent: 40, from: 14 * time.Second, cuts: []*disruption{cutOff(0)}},
+		"few failed":        {served: 2, sent: 11, from: 14 * time.Second, cuts: []*disruption{cutOff(0)}},
+		"not settled":       {served: 5, sent: 40, from: 11 * time.Second, cuts: []*disruption{cutOff(0)}},
+		"all cut off":       {served: 5, sent: 40, from: 14 * time.Second, cuts: []*disruption{cutOff(0), cutOff(1)}},
+		"instance frozen":   {served: 5, sent: 40, from: 14 * time.Second, cuts: []*disruption{cutOff(0)}, disruptions: []*disruption{{instance: 0, start: at(12 * time.Second), end: at(13 * time.Second)}}},
+		"other one frozen":  {served: 5, sent: 40, from: 14 * time.Second, cuts: []*disruption{cutOff(0)}, disruptions: []*disruption{{instance: 1, start: at(12 * time.Second), end: at(13 * time.Second)}}},
+		"engines disturbed": {served: 5, sent: 40, from: 14 * time.Second, cuts: []*disruption{cutOff(0)}, disruptions: []*disruption{{instance: allEngines, start: at(12 * time.Second), end: at(18 * time.Second)}}, violated: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			r := &record{cuts: test.cuts, disruptions: test.disruptions}
+			for n := range test.sent {
+				sentAt := at(test.from + time.Duration(n)*time.Millisecond)
+				status := 503
+				if n < test.served {
+					status = 200
+				}
+				r.requests = append(r.requests,
+					sentRequest{instance: 0, sentAt: sentAt, endedAt: sentAt.Add(time.Millisecond), status: status, complete: true},
+					sentRequest{instance: 1, sentAt: sentAt, endedAt: sentAt.Add(time.Millisecond), status: 200, complete: true})
+			}
+			is.Equal(r.checkServiceOfCutInstances(2) != "", test.violated)
+		})
+	}
+}
--- a/standin/soak/cut.go
+++ b/standin/soak/cut.go
@@ -109,17 +109,10 @@
 	defer r.mu.Unlock()
 	sent, served := [2]int{}, [2]int{} // at the instances that are cut off, and at the others meanwhile
 	for _, q := range r.requests {
-		if q.withSecondKey || !r.isUndisrupted(q.sentAt.Add(-stableTime), q.endedAt, q.instance, allInstances) || !r.hasOtherInstance(q, instances) {
+		side, isCounted := r.sideOf(q, instances)
+		if !isCounted {
 			continue
 		}
-		side := 0
-		switch settled := r.cutFor(q.instance, q.sentAt) >= cutSettleTime && r.isCutOff(q.instance, q.endedAt); {
-		case settled:
-		case r.cutFor(q.instance, q.sentAt) > 0 || !r.isAnyCutSettled(q.sentAt, instances):
-			continue
-		default:
-			side = 1
-		}
 		sent[side]++
 		if q.isServed() {
 			served[side]++
@@ -133,6 +126,19 @@
 	return fmt.Sprintf("instances that were cut off from all engines served %d of %d requests, the others %d of %d", served[0], sent[0], served[1], sent[1])
 }
 
+// sideOf returns whether q was sent to an instance that is cut off (0) or meanwhile to another one (1), or false if it does not count.
+// The caller holds the lock.
+func (r *record) sideOf(q sentRequest, instances int) (side int, isCounted bool) {
+	if q.withSecondKey || !r.isUndisrupted(q.sentAt.Add(-stableTime), q.endedAt, q.instance, allInstances) {
+		return 0, false
+	}
+	if r.cutFor(q.instance, q.sentAt) == 0 {
+		return 1, r.isAnyCutSettled(q.sentAt, instances)
+	}
+	isSettled := r.cutFor(q.instance, q.sentAt) >= cutSettleTime && r.isCutOff(q.instance, q.endedAt)
+	return 0, isSettled && r.hasOtherInstance(q, instances)
+}
+
 // hasOtherInstance reports whether an instance other than that of q reaches the engines from its sending to its end, disturbed by
 // nothing. The caller holds the lock.
 func (r *record) hasOtherInstance(q sentRequest, instances int) bool {
--- a/standin/soak/soak_test.go
+++ b/standin/soak/soak_test.go
@@ -97,6 +97,11 @@
 	runSeeds(t, soak.Config{Limits: true, Callers: 24, Length: 12 * time.Second}, 40)
 }
 
+// TestCutSeeds runs two fixed seeds with instances that lose their paths to all engines for a time.
+func TestCutSeeds(t *testing.T) {
+	runSeeds(t, soak.Config{Cuts: true, Callers: 24, Length: 8 * time.Second}, 50, 51)
+}
+
 // TestAddSilences checks that a seed always gives the same silences, beside the same other
 // faults as without them, and that some silences begin before all other faults.
 func TestAddSilences(t *testing.T) {
