scheduler: a peer whose links are back is asked within a quarter of a second, and one that refused after all others

Change: a peer that is cut off too is left out for 250 ms instead of 1 s; so that in a fleet of which many are cut off no request meets three such peers in a row, a peer that has served goes before those of which nothing is known, and these before those that have refused.

--- a/scheduler/flight.go
+++ b/scheduler/flight.go
@@ -131,6 +131,8 @@
 	}
 	if a.target != nil {
 		s.recordTargetProgress(now, a, e)
+	} else {
+		a.peer.serve()
 	}
 	a.lastProgressAt = now
 	if !e.Event {
--- a/scheduler/peer.go
+++ b/scheduler/peer.go
@@ -10,12 +10,13 @@
 
 // Bounds on attempts through peers.
 const (
-	maxPeerCandidates = 4               // peers of the local failure domain, and of the others, among which one is chosen, so that an instance's connections to peers don't grow with the fleet
-	remotePeerPenalty = 4               // requests by which a peer of another failure domain counts as busier
-	maxPeerRefusals   = 3               // peers that may refuse a request before it is given up
-	peerPause         = time.Second     // for which a peer that can't serve requests gets none
-	stoppingPause     = 5 * time.Second // the same for a peer that stops
-	maxNotSent        = 2               // targets that a request may fail to reach before it goes through a peer
+	maxPeerCandidates = 4                      // peers of the local failure domain, and of the others, among which one is chosen, so that an instance's connections to peers don't grow with the fleet
+	remotePeerPenalty = 4                      // requests by which a peer of another failure domain counts as busier
+	maxPeerRefusals   = 3                      // peers that may refuse a request before it is given up
+	peerPause         = time.Second            // for which a peer that can't serve requests gets none
+	cutOffPause       = 250 * time.Millisecond // the same for a peer that is cut off from endpoints too, which may have its links back any moment
+	stoppingPause     = 5 * time.Second        // the same for a peer that stops
+	maxNotSent        = 2                      // targets that a request may fail to reach before it goes through a peer
 )
 
 // peer is another instance, which may send requests to endpoints for this one.
@@ -23,6 +24,8 @@
 	Instance
 	hash        uint64 // orders the peers differently at each instance
 	running     int    // attempts through it
+	hasServed   bool   // it has served a request, and refused none since
+	hasRefused  bool   // it has refused a request, and served none since
 	pausedUntil time.Time
 	pools       map[identifier.Pool]time.Time // until when it gets no requests for a pool
 }
@@ -32,6 +35,14 @@
 	return now.Before(p.pausedUntil) || now.Before(p.pools[pool])
 }
 
+// refuse records that p could not serve a request, and keeps all requests from it until a time.
+func (p *peer) refuse(until time.Time) {
+	p.hasServed, p.hasRefused, p.pausedUntil = false, true, until
+}
+
+// serve records that p serves a request.
+func (p *peer) serve() { p.hasServed, p.hasRefused = true, false }
+
 // pausePool keeps requests for a pool from p for a time.
 func (p *peer) pausePool(now time.Time, pool identifier.Pool) {
 	if p.pools == nil {
@@ -61,8 +72,20 @@
 	slices.SortFunc(s.peers, func(a, b *peer) int { return cmp.Compare(a.hash, b.hash) })
 }
 
-// choosePeer returns the peer through which f is sent, or nil if there is none: of the first
-// peers in the order of this instance that are not paused, the one with the fewest requests.
+// standing is 0 for a peer that has served, 1 for one of which nothing is known, and 2 for one that has refused: in a fleet of which many
+// instances are cut off, no request has to ask those again.
+func (p *peer) standing() int {
+	switch {
+	case p.hasServed:
+		return 0
+	case p.hasRefused:
+		return 2
+	}
+	return 1
+}
+
+// choosePeer returns the peer through which f is sent, or nil if there is none: of the first peers of the best standing that are not
+// paused, in the order of this instance, the one with the fewest requests.
 func (s *Scheduler) choosePeer(now time.Time, f *flight) *peer {
 	if f.ViaPeer || f.peerRefusals >= maxPeerRefusals {
 		return nil
@@ -70,9 +93,12 @@
 	var best *peer
 	local, remote := 0, 0
 	for _, p := range s.peers {
-		if p.isPaused(now, f.Pool) || slices.Contains(f.triedPeers, p) {
+		if p.isPaused(now, f.Pool) || slices.Contains(f.triedPeers, p) || best != nil && p.standing() > best.standing() {
 			continue
 		}
+		if best != nil && p.standing() < best.standing() {
+			best, local, remote = nil, 0, 0
+		}
 		count := &remote
 		if s.isLocal(p) {
 			count = &local
@@ -139,12 +165,13 @@
 	f, p := a.flight, a.peer
 	switch end := e.(type) {
 	case Completed:
+		p.serve()
 		if !a.hasEvent {
 			s.countAnswer(now, f)
 		}
 		s.finish(f, Delivered{Attempt: a.number})
 	case NotSent:
-		p.pausedUntil = now.Add(peerPause)
+		p.refuse(now.Add(peerPause))
 		f.triedPeers = append(f.triedPeers, p)
 		s.goOn(now, f)
 	case PeerRefused:
@@ -157,6 +184,7 @@
 	case Broken:
 		f.sentAttempts++
 		f.possibleRuns++
+		p.hasServed = false
 		f.triedPeers = append(f.triedPeers, p)
 		s.retry(now, f, ReasonAnswerLost)
 	case Expired:
@@ -174,9 +202,9 @@
 	f.triedPeers = append(f.triedPeers, p)
 	switch e.Reason {
 	case ReasonStopping:
-		p.pausedUntil = now.Add(stoppingPause)
+		p.refuse(now.Add(stoppingPause))
 	case ReasonCutOff:
-		p.pausedUntil = now.Add(peerPause)
+		p.refuse(now.Add(cutOffPause))
 	case ReasonNoTarget:
 		p.pausePool(now, f.Pool)
 	case ReasonClosed, ReasonLimited, ReasonRetryBudget: // of that instance only
