standin/soak: cuts between instances and engines come also before the other faults

Beside random faults of all kinds hardly any request at an instance that is cut off counted, and the soak passed with the program before the fix. The cuts now begin in a calm of eight seconds.

--- a/standin/soak/check_test.go
+++ b/standin/soak/check_test.go
@@ -115,14 +115,16 @@
 		disruptions  []*disruption
 		violated     bool
 	}{
-		"not served":        {served: 5, sent: 40, from: 14 * time.Second, cuts: []*disruption{cutOff(0)}, violated: true},
-		"served":            {served: 38, sent: 40, from: 14 * time.Second, cuts: []*disruption{cutOff(0)}},
-		"few failed":        {served: 2, sent: 11, from: 14 * time.Second, cuts: []*disruption{cutOff(0)}},
-		"not settled":       {served: 5, sent: 40, from: 11 * time.Second, cuts: []*disruption{cutOff(0)}},
-		"all cut off":       {served: 5, sent: 40, from: 14 * time.Second, cuts: []*disruption{cutOff(0), cutOff(1)}},
-		"instance frozen":   {served: 5, sent: 40, from: 14 * time.Second, cuts: []*disruption{cutOff(0)}, disruptions: []*disruption{{instance: 0, start: at(12 * time.Second), end: at(13 * time.Second)}}},
-		"other one frozen":  {served: 5, sent: 40, from: 14 * time.Second, cuts: []*disruption{cutOff(0)}, disruptions: []*disruption{{instance: 1, start: at(12 * time.Second), end: at(13 * time.Second)}}},
-		"engines disturbed": {served: 5, sent: 40, from: 14 * time.Second, cuts: []*disruption{cutOff(0)}, disruptions: []*disruption{{instance: allEngines, start: at(12 * time.Second), end: at(18 * time.Second)}}, violated: true},
+		"not served":          {served: 5, sent: 40, from: 14 * time.Second, cuts: []*disruption{cutOff(0)}, violated: true},
+		"served":              {served: 38, sent: 40, from: 14 * time.Second, cuts: []*disruption{cutOff(0)}},
+		"few failed":          {served: 2, sent: 11, from: 14 * time.Second, cuts: []*disruption{cutOff(0)}},
+		"not settled":         {served: 5, sent: 40, from: 11 * time.Second, cuts: []*disruption{cutOff(0)}},
+		"other one just back": {served: 5, sent: 40, from: 14 * time.Second, cuts: []*disruption{cutOff(0), {instance: 1, start: at(10 * time.Second), end: at(13500 * time.Millisecond)}}},
+		"other one back":      {served: 5, sent: 40, from: 14 * time.Second, cuts: []*disruption{cutOff(0), {instance: 1, start: at(10 * time.Second), end: at(12900 * time.Millisecond)}}, violated: true},
+		"all cut off":         {served: 5, sent: 40, from: 14 * time.Second, cuts: []*disruption{cutOff(0), cutOff(1)}},
+		"instance frozen":     {served: 5, sent: 40, from: 14 * time.Second, cuts: []*disruption{cutOff(0)}, disruptions: []*disruption{{instance: 0, start: at(12 * time.Second), end: at(13 * time.Second)}}},
+		"other one frozen":    {served: 5, sent: 40, from: 14 * time.Second, cuts: []*disruption{cutOff(0)}, disruptions: []*disruption{{instance: 1, start: at(12 * time.Second), end: at(13 * time.Second)}}},
+		"engines disturbed":   {served: 5, sent: 40, from: 14 * time.Second, cuts: []*disruption{cutOff(0)}, disruptions: []*disruption{{instance: allEngines, start: at(12 * time.Second), end: at(18 * time.Second)}}, violated: true},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/standin/soak/cut.go
+++ b/standin/soak/cut.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"time"
 
 	"amaranthmill/standin/relayer"
@@ -15,13 +16,15 @@
 	minCutTime      = 4 * time.Second
 	maxCutTime      = 8 * time.Second
 	cutSettleTime   = 3 * time.Second // from the beginning of a cut until its instance must serve
+	cutReturnTime   = time.Second     // from the end of a cut until the instance must serve for others
 	allowedFailures = 10              // requests that may fail at instances that are cut off, and one in failureRatio of all
 	failureRatio    = 50
 )
 
-// AddEndpointCuts returns steps with instances that lose their paths to all engines for a time. The result is ordered by time.
+// AddEndpointCuts returns steps, all of them calmTime later, with instances that lose their paths to all engines for a time, from the
+// start to the end of the given length of time. The result is ordered by time.
 func AddEndpointCuts(steps []Step, r *rand.Rand, length time.Duration) []Step {
-	return addSteps(steps, r, maxCutGap, length, func(r *rand.Rand) Fault {
+	return addSteps(delaySteps(steps, calmTime), r, maxCutGap, calmTime+length, func(r *rand.Rand) Fault {
 		return CutEndpoints{Instance: randomNumber(r), Reset: r.IntN(2) == 0, For: minCutTime + randomDuration(r, maxCutTime-minCutTime)}
 	})
 }
@@ -139,11 +142,18 @@
 	return 0, isSettled && r.hasOtherInstance(q, instances)
 }
 
-// hasOtherInstance reports whether an instance other than that of q reaches the engines from its sending to its end, disturbed by
-// nothing. The caller holds the lock.
+// wasCutOff reports whether an instance was cut off from all engines between two times. The caller holds the lock.
+func (r *record) wasCutOff(instance int, from, to time.Time) bool {
+	return slices.ContainsFunc(r.cuts, func(c *disruption) bool {
+		return c.instance == instance && c.start.Before(to) && (c.end.IsZero() || c.end.After(from))
+	})
+}
+
+// hasOtherInstance reports whether an instance other than that of q reaches the engines from cutReturnTime before its sending to its end,
+// disturbed by nothing. The caller holds the lock.
 func (r *record) hasOtherInstance(q sentRequest, instances int) bool {
 	for n := range instances {
-		if n != q.instance && !r.isCutOff(n, q.sentAt) && !r.isCutOff(n, q.endedAt) && r.isUndisrupted(q.sentAt.Add(-stableTime), q.endedAt, n, allInstances) {
+		if n != q.instance && !r.wasCutOff(n, q.sentAt.Add(-cutReturnTime), q.endedAt) && r.isUndisrupted(q.sentAt.Add(-stableTime), q.endedAt, n, allInstances) {
 			return true
 		}
 	}
--- a/standin/soak/plan.go
+++ b/standin/soak/plan.go
@@ -40,6 +40,15 @@
 	return out
 }
 
+// delaySteps returns steps that come later by d.
+func delaySteps(steps []Step, d time.Duration) []Step {
+	var out []Step
+	for _, step := range steps {
+		out = append(out, Step{At: step.At + d, Fault: step.Fault})
+	}
+	return out
+}
+
 // addSteps adds faults to steps, with random times of at most gap between them, from the start to the end of
 // the given length of time. The result is ordered by time.
 func addSteps(steps []Step, r *rand.Rand, gap, length time.Duration, newFault func(*rand.Rand) Fault) []Step {
--- a/standin/soak/silence.go
+++ b/standin/soak/silence.go
@@ -12,7 +12,7 @@
 
 // Times and counts of the silences.
 const (
-	calmTime      = 8 * time.Second         // from the start, in which silences are the only faults
+	calmTime      = 8 * time.Second         // from the start, in which silences, or cuts between instances and all engines, are the only faults
 	maxSilenceGap = 1500 * time.Millisecond // between the first silences of two successive series
 	minSilence    = 500 * time.Millisecond
 	maxSilence    = 1500 * time.Millisecond
@@ -42,10 +42,7 @@
 // overlap. Some begin together with a new version of the configuration. The result is ordered
 // by time.
 func AddSilences(steps []Step, r *rand.Rand, length time.Duration) []Step {
-	var out []Step
-	for _, step := range steps {
-		out = append(out, Step{At: step.At + calmTime, Fault: step.Fault})
-	}
+	out := delaySteps(steps, calmTime)
 	for at := randomDuration(r, maxSilenceGap); at < calmTime+length; at += randomDuration(r, maxSilenceGap) {
 		when := at
 		for range 1 + r.IntN(maxSeriesLength) {
--- a/standin/soak/soak.go
+++ b/standin/soak/soak.go
@@ -25,7 +25,7 @@
 	Crashing  bool          // copies of a request that crashes the engines that run it are sent
 	Silences  bool          // engines are silent for a while, also before the period of the other faults, and few retries are allowed
 	Limits    bool          // engines name limits of requests per second
-	Cuts      bool          // instances lose their paths to all engines for a time
+	Cuts      bool          // instances lose their paths to all engines for a time, also before the period of the other faults
 	Leaving   bool          // engines say in their answers that they leave or that they want no requests for a time
 	Length    time.Duration // the period in which faults are injected; zero means 8 s
 
--- a/standin/soak/soak_test.go
+++ b/standin/soak/soak_test.go
@@ -99,7 +99,7 @@
 
 // TestCutSeeds runs two fixed seeds with instances that lose their paths to all engines for a time.
 func TestCutSeeds(t *testing.T) {
-	runSeeds(t, soak.Config{Cuts: true, Callers: 24, Length: 8 * time.Second}, 50, 51)
+	runSeeds(t, soak.Config{Cuts: true, Callers: 24, Length: 5 * time.Second}, 50, 51)
 }
 
 // TestAddSilences checks that a seed always gives the same silences, beside the same other
