scheduler: an endpoint that wants nothing for a time is not probed either

Probes of targets, added for instances that are cut off, went to processes that leave or are closed.

--- a/scheduler/statement_test.go
+++ b/scheduler/statement_test.go
@@ -23,29 +23,63 @@
 	leaving map[identifier.Process]bool
 	closed  map[identifier.Process]time.Time
 	running []scheduler.Send
+	hops    []scheduler.Send // attempts through a peer
+	probes  []*scheduler.Target
 	lastRef scheduler.Ref
 	wakeAt  time.Time
 }
 
-// step submits e and checks that no request goes to a process that leaves or is closed.
+// step submits e and checks that no request and no probe goes to a process that leaves or is closed.
 func (m *statementModel) step(e scheduler.Event) {
 	for _, a := range m.core.Step(m.now, e) {
 		switch a := a.(type) {
 		case scheduler.WakeAt:
 			m.wakeAt = a.At
+		case scheduler.Probe:
+			m.check("probe", a.Target.Process())
+			m.probes = append(m.probes, a.Target)
 		case scheduler.Send:
-			p := a.Target.Process()
-			if m.leaving[p] {
-				m.t.Fatalf("%s: request %d sent to %v, which leaves", m.now.Sub(scripter.Start), a.Ref, p)
-			}
-			if m.now.Before(m.closed[p]) {
-				m.t.Fatalf("%s: request %d sent to %v, which is closed until %s", m.now.Sub(scripter.Start), a.Ref, p, m.closed[p].Sub(scripter.Start))
+			if a.Peer != "" {
+				m.hops = append(m.hops, a)
+				continue
 			}
+			m.check(fmt.Sprintf("request %d", a.Ref), a.Target.Process())
 			m.running = append(m.running, a)
 		}
 	}
 }
 
+// check fails if what is sent to a process should not be, because the process leaves or is closed.
+func (m *statementModel) check(what string, p identifier.Process) {
+	if m.leaving[p] {
+		m.t.Fatalf("%s: %s sent to %v, which leaves", m.now.Sub(scripter.Start), what, p)
+	}
+	if m.now.Before(m.closed[p]) {
+		m.t.Fatalf("%s: %s sent to %v, which is closed until %s", m.now.Sub(scripter.Start), what, p, m.closed[p].Sub(scripter.Start))
+	}
+}
+
+// endProbe ends the oldest probe.
+func (m *statementModel) endProbe() {
+	if len(m.probes) == 0 {
+		return
+	}
+	t := m.probes[0]
+	m.probes = m.probes[1:]
+	m.step(scheduler.Probed{Target: t, Answered: rapid.Bool().Draw(m.t, "answered")})
+}
+
+// endHop ends the oldest attempt through a peer.
+func (m *statementModel) endHop() {
+	if len(m.hops) == 0 {
+		return
+	}
+	a := m.hops[0]
+	m.hops = m.hops[1:]
+	endings := []scheduler.Ending{scheduler.Completed{}, scheduler.PeerRefused{Reason: scheduler.ReasonClosed, RetryAfter: time.Second}, scheduler.PeerRefused{Reason: scheduler.ReasonCutOff}, scheduler.Broken{}, scheduler.NotSent{}}
+	m.step(scheduler.Ended{Ref: a.Ref, Attempt: a.Attempt, Ending: endings[rapid.IntRange(0, len(endings)-1).Draw(m.t, "ending")]})
+}
+
 // pass lets time pass, with the ticks that the core requested.
 func (m *statementModel) pass(d time.Duration) {
 	end := m.now.Add(d)
@@ -126,24 +160,25 @@
 	m.lastRef++
 	m.step(scheduler.Arrived{Ref: m.lastRef, Request: scheduler.Request{
 		Fingerprint: identifier.Fingerprint(rapid.IntRange(1, 4).Draw(m.t, "fingerprint")), Service: "guides", Pool: "guides", Repeatable: true,
-		Stream: rapid.Bool().Draw(m.t, "stream"), ArrivedAt: m.now, LatencyGoal: 400 * time.Millisecond, Deadline: m.now.Add(5 * time.Second), MaxAttempts: 3,
+		Stream: rapid.Bool().Draw(m.t, "stream"), ArrivedAt: m.now, LatencyGoal: 400 * time.Millisecond, Deadline: m.now.Add(5 * time.Second), MaxAttempts: 3, ViaPeer: rapid.IntRange(0, 3).Draw(m.t, "viaPeer") == 0,
 	}})
 }
 
-// TestNoRequestToLeavingOrClosedProcess checks that no first attempt, retry, hedge, trial request or copy goes to a process that
+// TestNoRequestToLeavingOrClosedProcess checks that no first attempt, retry, hedge, trial request, copy, probe or request of a peer goes to a process that
 // has said that it leaves or that it wants no requests for a time, whatever the list shows meanwhile and
 // in whichever order answers, removals, new processes and new groups come.
 func TestNoRequestToLeavingOrClosedProcess(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		m := &statementModel{
 			t: t, now: scripter.Start, targets: map[identifier.Endpoint]scheduler.Target{}, leaving: map[identifier.Process]bool{}, closed: map[identifier.Process]time.Time{},
-			core: scheduler.New(scheduler.Config{RetryRatio: 1, RetrySlack: 1000, FirstStart: true}),
+			core: scheduler.New(scheduler.Config{Instance: "entry-1", RetryRatio: 1, RetrySlack: 1000, FirstStart: true}),
 		}
+		m.step(scheduler.InstancesSet{Instances: []scheduler.Instance{{Name: "entry-1"}, {Name: "entry-2"}}})
 		for i := range endpointCount {
 			m.relist(endpointName(i))
 		}
 		for range rapid.IntRange(20, 120).Draw(t, "steps") {
-			switch rapid.IntRange(0, 9).Draw(t, "step") {
+			switch rapid.IntRange(0, 11).Draw(t, "step") {
 			case 0:
 				m.relist(endpointName(rapid.IntRange(0, endpointCount-1).Draw(t, "endpoint")))
 			case 1, 2:
@@ -151,6 +186,10 @@
 			case 3, 4:
 				m.end()
 			case 5:
+				m.endProbe()
+			case 6:
+				m.endHop()
+			case 7:
 				m.pass(time.Duration(rapid.IntRange(1, 1500).Draw(t, "ms")) * time.Millisecond)
 			default:
 				m.arrive()
