--- a/standin/hosted/reach_test.go
+++ b/standin/hosted/reach_test.go
@@ -74,6 +74,7 @@
 // TestAllInstancesCutOffRefuseAtOnce cuts the paths between all instances and all endpoints. No
 // request can be served then, and each was held for more than a second before it was refused.
 func TestAllInstancesCutOffRefuseAtOnce(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	f := startFixture(t, fixtureConfig{instances: 2, engines: 6, plainEndpoints: 2, retrySlack: hosted.RetrySlack, hasLinks: true})
 	load := f.startLoad(f.instances)
@@ -103,6 +104,7 @@
 // and then ends two engines. Orders reach engines only from the instance that forms groups, so that no
 // group was formed until the end of the cut. Another instance, which reaches the engines, must form them.
 func TestFormingInstanceCutOffFromEndpointsIsReplaced(t *testing.T) {
+	t.Parallel()
 	f := startFixture(t, fixtureConfig{instances: 3, engines: 12, plainEndpoints: 2, retrySlack: hosted.RetrySlack, hasLinks: true})
 	former := f.formingInstance()
 	load := f.startLoad(f.instances)
@@ -277,6 +279,7 @@
 // requests are served through peers. The bytes that the cut held up reached the endpoints after it, which ran the requests once more
 // for nobody.
 func TestRequestsGivenUpBehindCutDoNotArriveLater(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	f := startFixture(t, fixtureConfig{instances: 3, engines: 6, plainEndpoints: 2, retrySlack: 10 * hosted.RetrySlack, hasLinks: true})
 	load := f.startLoad(f.instances[:1])
