scheduler, forwarder: requests of a model without groups wait also while links are lost; a peer's read timeout is its server's

The first was found on reading the diff: a pool of which no target is listed gave up its requests as cut off, although peers have the same list and a group may be formed.

--- a/forwarder/peer_serve.go
+++ b/forwarder/peer_serve.go
@@ -10,9 +10,6 @@
 	"amaranthmill/scheduler"
 )
 
-// peerBodyTime bounds the time in which the body of a request of a peer arrives.
-const peerBodyTime = 5 * time.Second
-
 // PeerHandler returns a handler that serves the requests that peers accepted and can't send to endpoints
 // themselves, and passes all other requests on to next. It belongs on an address that only peers reach.
 func (f *Forwarder) PeerHandler(next http.Handler) http.Handler {
@@ -47,21 +44,17 @@
 	f.run(w, x)
 }
 
-// acceptHop reads a request of a peer. A body that does not arrive in time is an error; the connection
-// has no deadline for the answer.
+// acceptHop reads a request of a peer. How long the body may take is up to the server.
 func (f *Forwarder) acceptHop(w http.ResponseWriter, r *http.Request, hop *hopRequest, arrivedAt time.Time) (*exchange, error) {
 	fields, err := f.cfg.Dialect.ParseRequest(r.Header)
 	if err != nil {
 		return nil, err
 	}
 	fields.LastEventID = hop.LastEvent
-	controller := http.NewResponseController(w)
-	_ = controller.SetReadDeadline(arrivedAt.Add(peerBodyTime)) // if that fails, so does reading
 	body, err := f.readBody(w, r)
 	if err != nil {
 		return nil, err
 	}
-	_ = controller.SetReadDeadline(time.Time{})
 	x := &exchange{
 		ref: scheduler.Ref(f.lastRef.Add(1)), arrivedAt: arrivedAt.Add(-hop.Age.Std()), match: hop.match(), fields: fields, request: r, body: body,
 		hasBody: r.ContentLength != 0 || len(body) > 0, inbox: make(chan scheduler.Action, 4),
--- a/forwarder/peer_test.go
+++ b/forwarder/peer_test.go
@@ -168,6 +168,48 @@
 	is.Equal(string(rest), "data: f\n\nid: 6\ndata: g\n\n")
 }
 
+// TestStreamOutlastsReadTimeoutOfPeer checks that the time in which a request must arrive at a peer does not bound its answer, with and without
+// a body.
+func TestStreamOutlastsReadTimeoutOfPeer(t *testing.T) {
+	for _, method := range []string{http.MethodGet, http.MethodPost} {
+		t.Run(method, func(t *testing.T) {
+			is := is.New(t)
+			fl := newFleet(t, 1)
+			peer := fl.peers["peer-1"]
+			peer.server.Close()
+			peer.server = httptest.NewUnstartedServer(peer.f.PeerHandler(http.NotFoundHandler()))
+			peer.server.Config.ReadTimeout = 100 * time.Millisecond
+			peer.server.Start()
+			t.Cleanup(peer.server.Close)
+			peer.add(func(w http.ResponseWriter, r *http.Request) {
+				w.Header().Set("Content-Type", "text/event-stream")
+				w.Header().Set("Signature", "s")
+				for id := range 5 {
+					writeEvent(w, id)
+					select {
+					case <-r.Context().Done():
+						return
+					case <-time.After(peer.server.Config.ReadTimeout):
+					}
+				}
+			})
+			r, err := http.NewRequest(method, fl.fixture.server.URL+"/stream/x", strings.NewReader("body"))
+			is.NoErr(err)
+			if method == http.MethodGet {
+				r.Body, r.ContentLength = nil, 0
+			}
+			r.Header.Set("Id", "r1")
+			r.Header.Set("Key", "k1")
+			resp, err := http.DefaultClient.Do(r)
+			is.NoErr(err)
+			defer resp.Body.Close()
+			text, err := io.ReadAll(resp.Body)
+			is.NoErr(err)
+			is.Equal(strings.Count(string(text), "id: "), 5)
+		})
+	}
+}
+
 // TestStreamGoesOnThroughOtherPeer checks that a stream whose peer vanishes goes on through another one after the
 // caller's last event.
 func TestStreamGoesOnThroughOtherPeer(t *testing.T) {
--- a/scheduler/flight.go
+++ b/scheduler/flight.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"amaranthmill/internal/identifier"
 )
 
 // Bounds on the time of a request.
@@ -106,7 +108,7 @@
 	if !f.giveUpAt.IsZero() {
 		return // it waits already, and the next tick checks it
 	}
-	if reason == ReasonNoTarget && (f.ViaPeer || s.reach.isCutOff()) {
+	if reason == ReasonNoTarget && (f.ViaPeer || s.reach.isCutOff() && s.pools[f.Pool] != nil) {
 		s.giveUp(now, f, s.unservedReason(f)) // the instance that accepted f asks another one, or there is none
 		return
 	}
@@ -358,9 +360,9 @@
 	}
 }
 
-// noTargetReason returns the reason why no target of a pool is available.
-func (s *Scheduler) noTargetReason() Reason {
-	if s.reach.isCutOff() {
+// noTargetReason returns the reason why no target of a pool is available: none is listed, or this instance reaches none.
+func (s *Scheduler) noTargetReason(name identifier.Pool) Reason {
+	if s.pools[name] != nil && s.reach.isCutOff() {
 		return ReasonCutOff
 	}
 	return ReasonNoTarget
--- a/scheduler/peer.go
+++ b/scheduler/peer.go
@@ -223,7 +223,7 @@
 	case ReasonClosed, ReasonLimited, ReasonRetryBudget:
 		return r
 	}
-	return s.noTargetReason()
+	return s.noTargetReason(f.Pool)
 }
 
 // isPeerAttemptOverdue reports whether an attempt through a peer has made no progress for so long that
--- a/scheduler/session_test.go
+++ b/scheduler/session_test.go
@@ -162,6 +162,9 @@
 	case "idempotent":
 		q.Stream = false
 	}
+	if ev.Has("pool") {
+		q.Pool = identifier.Pool(ev.Str("pool"))
+	}
 	if ev.Has("timeout") {
 		q.Deadline = now.Add(ev.Duration("timeout"))
 	}
--- a/scheduler/wait.go
+++ b/scheduler/wait.go
@@ -91,7 +91,7 @@
 // outlookOf returns the outlook of the requests of a pool that wait.
 func (s *Scheduler) outlookOf(now time.Time, name identifier.Pool) outlook {
 	r := s.ratesOf(name)
-	o := outlook{reason: s.noTargetReason(), endingRate: r.endingRate(now), isOverloaded: r.isOverloaded(now)}
+	o := outlook{reason: s.noTargetReason(name), endingRate: r.endingRate(now), isOverloaded: r.isOverloaded(now)}
 	pl := s.pools[name]
 	if pl == nil {
 		return o
