forwarder, scheduler: a peer of an older version has not run a request

Callers of an instance that is cut off saw 502 for requests that may run once only, while the instances were being upgraded: an instance of a version before the exchange between instances answers 404 to it, and its answer, like any that is none of a peer, counted as one that may have run.

Evidence: TestPeerOfOlderVersionRefuses (with the older peer first in the order) failed with 502. Each answer of a version that knows the exchange has its field, also one that passes on an endpoint's own 404, so that 404 without the field says that nothing ran.

Change: such a peer is left out for five seconds, and the request goes through another one.

--- a/forwarder/peer_attempt.go
+++ b/forwarder/peer_attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"net/http"
 	"net/netip"
 	"time"
 
@@ -30,6 +31,10 @@
 		return f.sendErrorEnding(x, a, err)
 	}
 	defer answer.Close()
+	if isOfOlderVersion(answer) {
+		answer.Discard()
+		return scheduler.PeerRefused{Reason: scheduler.ReasonOlderVersion}
+	}
 	hop, err := parseHopAnswer(answer.Header)
 	if err != nil {
 		f.logBroken(x, err)
@@ -55,6 +60,13 @@
 	return ending
 }
 
+// isOfOlderVersion reports whether a peer's answer is that of a version which takes the request for a message to
+// itself, and knows none with its path. Each answer of a version that knows requests of other instances has the field, also if an
+// endpoint answered 404.
+func isOfOlderVersion(answer *requester.Answer) bool {
+	return answer.Status == http.StatusNotFound && len(answer.Header.Values(hopField)) == 0
+}
+
 // newHopRequest returns the request that is sent to a peer: the caller's, and what the peer needs to know.
 func (f *Forwarder) newHopRequest(x *exchange, address netip.AddrPort) *requester.Request {
 	route := x.match.Route
--- a/forwarder/peer_test.go
+++ b/forwarder/peer_test.go
@@ -430,6 +430,27 @@
 	is.True(!strings.Contains(body(resp), "foreign"))
 }
 
+// TestPeerOfOlderVersionRefuses guards against requests that are lost while the instances are upgraded: a peer that does not
+// know the exchange answers 404 without its field. Nothing has run, and another peer serves the request.
+func TestPeerOfOlderVersionRefuses(t *testing.T) {
+	for olderName, newerName := range map[identifier.Instance]identifier.Instance{"peer-1": "peer-2", "peer-2": "peer-1"} {
+		t.Run(string(olderName), func(t *testing.T) {
+			is := is.New(t)
+			fl := newFleet(t, 2)
+			older := httptest.NewServer(http.NewServeMux())
+			defer older.Close()
+			fl.peers[olderName].server.Close()
+			fl.peers[olderName].server = older
+			runs := fl.peers[newerName].add(func(w http.ResponseWriter, _ *http.Request) { signed(w, "ok") })
+			const requests = 12
+			for n := range requests {
+				is.Equal(fl.get(fmt.Sprint("/hold/", n)).StatusCode, http.StatusOK)
+			}
+			is.Equal(runs.Load(), int32(requests))
+		})
+	}
+}
+
 // TestCallersCannotSpeakAsPeers checks that the field of the exchanges between instances has no effect on the address of
 // callers, and does not reach endpoints.
 func TestCallersCannotSpeakAsPeers(t *testing.T) {
--- a/scheduler/outcome.go
+++ b/scheduler/outcome.go
@@ -14,6 +14,7 @@
 	ReasonNoTarget     Reason = "noTarget"     // no target serves the pool now
 	ReasonCutOff       Reason = "cutOff"       // this instance has lost its links to most endpoints, and no peer serves the request
 	ReasonStopping     Reason = "stopping"     // this instance stops and serves no more requests of peers
+	ReasonOlderVersion Reason = "olderVersion" // the peer does not know requests of other instances
 	ReasonFull         Reason = "full"         // every available target is full
 	ReasonClosed       Reason = "closed"       // every target has asked for no requests for a time
 	ReasonLimited      Reason = "limited"      // the limit of every target is used up
--- a/scheduler/peer.go
+++ b/scheduler/peer.go
@@ -15,7 +15,7 @@
 	maxPeerRefusals   = 3                      // peers that may refuse a request before it is given up
 	peerPause         = time.Second            // for which a peer that can't serve requests gets none
 	cutOffPause       = 250 * time.Millisecond // the same for a peer that is cut off from endpoints too, which may have its links back any moment
-	stoppingPause     = 5 * time.Second        // the same for a peer that stops
+	stoppingPause     = 5 * time.Second        // the same for a peer that stops, or that is of an older version
 	maxNotSent        = 2                      // targets that a request may fail to reach before it goes through a peer
 )
 
@@ -201,7 +201,7 @@
 	f.peerRefusal = e
 	f.triedPeers = append(f.triedPeers, p)
 	switch e.Reason {
-	case ReasonStopping:
+	case ReasonStopping, ReasonOlderVersion:
 		p.refuse(now.Add(stoppingPause))
 	case ReasonCutOff:
 		p.refuse(now.Add(cutOffPause))
