--- a/scheduler/bench_test.go
+++ b/scheduler/bench_test.go
@@ -68,6 +68,15 @@
 // benchSlots is the number of slots of a target in benchmarks of the queue.
 const benchSlots = 10
 
+// benchTargets returns n targets of one pool.
+func benchTargets(n int) []scheduler.Target {
+	var out []scheduler.Target
+	for i := range n {
+		out = append(out, scheduler.Target{ID: identifier.Endpoint(fmt.Sprintf("e%03d", i)), Pool: "guides", Slots: benchSlots})
+	}
+	return out
+}
+
 // benchQueue drives a Scheduler with full targets. Requests arrive at the rate at which others end.
 type benchQueue struct {
 	core    *scheduler.Scheduler
@@ -79,11 +88,7 @@
 
 func newBenchQueue(targets, waiting int) *benchQueue {
 	q := &benchQueue{core: scheduler.New(scheduler.Config{RetrySlack: 10, MaxTargetWait: time.Hour}), now: scripter.Start}
-	var list []scheduler.Target
-	for i := range targets {
-		list = append(list, scheduler.Target{ID: identifier.Endpoint(fmt.Sprintf("e%03d", i)), Pool: "guides", Slots: benchSlots})
-	}
-	q.step(scheduler.TargetsChanged{Complete: true, Changed: list})
+	q.step(scheduler.TargetsChanged{Complete: true, Changed: benchTargets(targets)})
 	for range targets*(benchSlots+1) + waiting {
 		q.arrive()
 	}
@@ -128,10 +133,7 @@
 		b.Run(fmt.Sprintf("instances=%d/targets=%d", size.instances, size.targets), func(b *testing.B) {
 			core := scheduler.New(scheduler.Config{Instance: "entry-0"})
 			now := scripter.Start
-			var targets []scheduler.Target
-			for i := range size.targets {
-				targets = append(targets, scheduler.Target{ID: identifier.Endpoint(fmt.Sprintf("e%d", i)), Pool: "guides", Slots: 14})
-			}
+			targets := benchTargets(size.targets)
 			core.Step(now, scheduler.TargetsChanged{Complete: true, Changed: targets})
 			var instances []scheduler.Instance
 			for i := range size.instances {
@@ -161,11 +163,7 @@
 		b.Run(fmt.Sprintf("instances=%d/targets=%d", size.instances, size.targets), func(b *testing.B) {
 			core := scheduler.New(scheduler.Config{Instance: "entry-0", FailureDomain: "d0", FirstStart: true})
 			now := scripter.Start
-			var targets []scheduler.Target
-			for i := range size.targets {
-				targets = append(targets, scheduler.Target{ID: identifier.Endpoint(fmt.Sprintf("e%d", i)), Pool: "guides", Slots: 14})
-			}
-			core.Step(now, scheduler.TargetsChanged{Complete: true, Changed: targets})
+			core.Step(now, scheduler.TargetsChanged{Complete: true, Changed: benchTargets(size.targets)})
 			var instances []scheduler.Instance
 			for i := range size.instances {
 				instances = append(instances, scheduler.Instance{Name: identifier.Instance(fmt.Sprintf("entry-%d", i)), FailureDomain: identifier.FailureDomain(fmt.Sprintf("d%d", i%10))})
