--- a/runner/hosted.go
+++ b/runner/hosted.go
@@ -1,18 +1,12 @@
 package runner
 
 import (
-	"cmp"
 	"context"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
-	"os"
-	"os/signal"
-	"runtime"
-	"runtime/debug"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"amaranthmill/configurer"
@@ -28,7 +22,6 @@
 	"amaranthmill/scheduler"
 	"amaranthmill/storeclient"
 
-	"github.com/oklog/run"
 	"github.com/rs/zerolog"
 	"go.opentelemetry.io/otel/metric"
 )
@@ -163,29 +156,6 @@
 	})
 }
 
-// setReach records whether this instance is cut off from most endpoints. An instance that is forms no groups:
-// its orders reach no engine, while a peer's do.
-func (h *hosted) setReach(isCutOff bool) {
-	h.isCutOff.Store(isCutOff)
-	go func() { h.formingLease.SetCandidate(!h.isCutOff.Load()) }()
-}
-
-// peerAddress returns the address at which a peer answers this instance, or false if it is not listed.
-func (h *hosted) peerAddress(name identifier.Instance) (netip.AddrPort, bool) {
-	p, ok := h.peers.Find(name)
-	return p.Address, ok
-}
-
-// probe reports whether anything comes from the endpoint of a target over a new connection.
-func (h *hosted) probe(ctx context.Context, t scheduler.Target) bool {
-	healthPath := ""
-	service, model := forwarder.SplitPool(t.Pool)
-	if s := h.resolver.Service(service); s != nil {
-		healthPath = s.HealthPath
-	}
-	return h.groupFormer.engines.IsAnswering(ctx, t.Address, model != "", healthPath)
-}
-
 // newHTTPClient returns a client whose connections fail soon after the other side stops
 // acknowledging; see requester.NewDialer.
 func newHTTPClient(source netip.Addr, ackTimeout time.Duration) *http.Client {
@@ -224,117 +194,3 @@
 		}
 	})
 }
-
-// checkReady returns the reason why the instance should get no requests, or nil if it is ready.
-func (h *hosted) checkReady() error {
-	if h.resolver.Version() == 0 {
-		return &resolver.NoConfigurationError{}
-	}
-	return nil
-}
-
-// RunHosted runs an instance on a platform until a signal stops it or one of its actors fails.
-// The settings s were read from path, which is read again when it changes. RunHosted returns
-// the same errors as Run.
-func RunHosted(path string, s *configurer.HostedSettings, logger zerolog.Logger) error {
-	runtime.GOMAXPROCS(s.Machine.Cores)
-	debug.SetMemoryLimit(int64(memoryShare * float64(s.Machine.MemoryMB) * (1 << 20)))
-	h, err := newHosted(s, logger)
-	if err != nil {
-		return err
-	}
-	callers := newHTTPServer(s.Listen.Callers.String(), h.forwarder)
-	draining := make(chan struct{})
-	var g run.Group
-	signals := make(chan os.Signal, 2)
-	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
-	defer signal.Stop(signals)
-	st := newStopper(signals)
-	st.notice, st.limit, st.logger = hostedStopNotice, s.Bounds.StopLimit.Std()-stopMargin, logger
-	st.drain = func() {
-		close(draining)
-		h.forwarder.Drain()
-	}
-	peers := newHTTPServer(s.Listen.Peers.String(), h.forwarder.PeerHandler(h.messenger.Handler()))
-	peers.ReadTimeout = peerReadTimeout
-	st.finish = func(ctx context.Context) error { return shutdownAll(ctx, callers, peers) }
-	g.Add(st.run, st.interrupt)
-	g.Add(newHTTPActor(callers, st.stopped))
-	g.Add(newHTTPActor(newHTTPServer(s.Listen.Readiness.String(), h.readinessHandler(draining)), nil))
-	g.Add(newHTTPActor(newHTTPServer(s.Listen.Metrics.String(), h.metrics), nil))
-	g.Add(newHTTPActor(peers, st.stopped))
-	reload := newReloader(path, s, logger, h.apply)
-	for _, actor := range []func(context.Context) error{h.replica.Run, h.view.run, h.groupFormer.run, h.quarantine.run, h.pruneConnections, reload.run} {
-		g.Add(newActor(actor))
-	}
-	for _, lease := range []*leaser.Leaser{h.formingLease, h.instanceLease} {
-		g.Add(newDrainedActor(lease.Run, draining))
-	}
-	logger.Info().Stringer("callers", s.Listen.Callers).Str("failureDomain", string(s.FailureDomain)).Msg("instance runs")
-	err = g.Run()
-	logger.Info().Err(err).Msg("instance ends")
-	return err
-}
-
-// shutdownAll shuts servers down at the same time: each accepts no more connections and completes the requests
-// in flight. It returns the first error.
-func shutdownAll(ctx context.Context, servers ...*http.Server) error {
-	ended := make(chan error, len(servers))
-	for _, s := range servers {
-		go func() { ended <- s.Shutdown(ctx) }()
-	}
-	var first error
-	for range servers {
-		first = cmp.Or(first, <-ended)
-	}
-	return first
-}
-
-// newDrainedActor returns an actor that runs f and cancels the context of f when draining is
-// closed. The actor itself ends when it is interrupted, even if f has not returned.
-func newDrainedActor(f func(context.Context) error, draining <-chan struct{}) (execute func() error, interrupt func(error)) {
-	ctx, cancel := context.WithCancel(context.Background())
-	execute = func() error {
-		work, stop := context.WithCancel(ctx)
-		go func() {
-			select {
-			case <-draining:
-			case <-ctx.Done():
-			}
-			stop()
-		}()
-		ended := make(chan error, 1)
-		go func() { ended <- f(work) }()
-		<-ctx.Done()
-		select {
-		case err := <-ended:
-			return err
-		default:
-			return nil
-		}
-	}
-	return execute, func(error) { cancel() }
-}
-
-// readinessHandler returns the handler of the load balancer's readiness checks.
-func (h *hosted) readinessHandler(draining <-chan struct{}) http.Handler {
-	mux := http.NewServeMux()
-	mux.HandleFunc("GET "+h.settings.Listen.ReadinessPath, func(w http.ResponseWriter, _ *http.Request) {
-		select {
-		case <-draining:
-			http.Error(w, "the instance is stopping", http.StatusServiceUnavailable)
-			return
-		default:
-		}
-		if err := h.checkReady(); err != nil {
-			http.Error(w, err.Error(), http.StatusServiceUnavailable)
-		}
-	})
-	return mux
-}
-
-// pruneConnections closes connections to endpoints that have been idle for too long, at
-// intervals until ctx is done.
-func (h *hosted) pruneConnections(ctx context.Context) error {
-	return runEvery(ctx, pruneInterval, func(context.Context) { h.requester.Prune() })
-}
