--- a/cmd/millctl/leaving.go
+++ b/cmd/millctl/leaving.go
@@ -2,14 +2,13 @@
 
 import (
 	"fmt"
-	"net/netip"
 	"time"
 
 	"amaranthmill/messenger"
 )
 
 func leavingCommands(a *app) []command {
-	return []command{{"leaving", "show endpoints that leave", "Shows the processes of endpoints that get no more requests because they leave, with the time and the way in which an instance learned it first: from the list (their entries in the store), from an answer to it, or from a peer. It asks an instance on the users' platform; --address is then the address at which the instance answers its peers (listen.peers in its settings). No token is needed.", &leavingCommand{app: a}}}
+	return []command{{"leaving", "show endpoints that leave", "Shows the processes of endpoints that get no more requests because they leave, with the time and the way in which an instance learned it first: from the list (their entries in the store), from an answer to it, or from a peer." + instanceHelp, &leavingCommand{app: a}}}
 }
 
 // leavingCommand shows the processes of endpoints that leave, as an instance knows them.
@@ -17,11 +16,7 @@
 
 // Execute runs the command.
 func (c *leavingCommand) Execute([]string) error {
-	var list []messenger.LeavingProcess
-	err := c.app.callInstance(func(o messenger.Operator, address netip.AddrPort) (err error) {
-		list, err = o.Leaving(c.app.ctx, address)
-		return err
-	})
+	list, err := query(c.app, messenger.Operator.Leaving)
 	if err != nil {
 		return err
 	}
--- a/cmd/millctl/limits.go
+++ b/cmd/millctl/limits.go
@@ -2,15 +2,13 @@
 
 import (
 	"fmt"
-	"net/netip"
 	"time"
 
 	"amaranthmill/messenger"
-	"amaranthmill/scheduler"
 )
 
 func limitCommands(a *app) []command {
-	return []command{{"limits", "show limits that endpoints name", "Shows the requests per second that processes of endpoints take from all instances together, as they say in their answers, with the age of the answer from which the instance knows it; 0 if a limit has ended within the last half minute. It asks an instance on the users' platform; --address is then the address at which the instance answers its peers (listen.peers in its settings). No token is needed.", &limitsCommand{app: a}}}
+	return []command{{"limits", "show limits that endpoints name", "Shows the requests per second that processes of endpoints take from all instances together, as they say in their answers, with the age of the answer from which the instance knows it; 0 if a limit has ended within the last half minute." + instanceHelp, &limitsCommand{app: a}}}
 }
 
 // limitsCommand shows the limits that endpoints name, as an instance knows them.
@@ -18,11 +16,7 @@
 
 // Execute runs the command.
 func (c *limitsCommand) Execute([]string) error {
-	var list []scheduler.LimitNews
-	err := c.app.callInstance(func(o messenger.Operator, address netip.AddrPort) (err error) {
-		list, err = o.Limits(c.app.ctx, address)
-		return err
-	})
+	list, err := query(c.app, messenger.Operator.Limits)
 	if err != nil {
 		return err
 	}
--- a/cmd/millctl/quarantine.go
+++ b/cmd/millctl/quarantine.go
@@ -1,27 +1,20 @@
 package main
 
 import (
-	"errors"
 	"fmt"
-	"net/http"
 	"net/netip"
 	"strings"
 	"time"
 
-	"amaranthmill/administrator"
 	"amaranthmill/internal/identifier"
 	"amaranthmill/messenger"
 	"amaranthmill/quarantiner"
 )
 
-// quarantineTimeout bounds one call of an instance.
-const quarantineTimeout = 5 * time.Second
-
 func quarantineCommands(a *app) []command {
-	const address = " It asks an instance on the users' platform; --address is then the address at which the instance answers its peers (listen.peers in its settings). No token is needed."
 	return []command{
-		{"list", "show what is quarantined", "Shows the requests and the parts of prompts that an instance refuses because endpoints ended under them, with the endpoints and the end of the quarantine." + address, &quarantineListCommand{app: a}},
-		{"lift", "end a quarantine", "Ends a quarantine at all instances. For a minute a request, and for 15 seconds a part, is then not suspected, so that it crashes endpoints freely if it is the cause." + address, &quarantineLiftCommand{app: a}},
+		{"list", "show what is quarantined", "Shows the requests and the parts of prompts that an instance refuses because endpoints ended under them, with the endpoints and the end of the quarantine." + instanceHelp, &quarantineListCommand{app: a}},
+		{"lift", "end a quarantine", "Ends a quarantine at all instances. For a minute a request, and for 15 seconds a part, is then not suspected, so that it crashes endpoints freely if it is the cause." + instanceHelp, &quarantineLiftCommand{app: a}},
 	}
 }
 
@@ -30,11 +23,7 @@
 
 // Execute runs the command.
 func (c *quarantineListCommand) Execute([]string) error {
-	var list []quarantiner.Quarantine
-	err := c.app.callInstance(func(o messenger.Operator, address netip.AddrPort) (err error) {
-		list, err = o.Quarantines(c.app.ctx, address)
-		return err
-	})
+	list, err := query(c.app, messenger.Operator.Quarantines)
 	if err != nil {
 		return err
 	}
@@ -90,19 +79,3 @@
 	}
 	return c.app.showResult(map[string]string{"lifted": fp.String()}, func() { c.app.printf("quarantine of %s lifted; the other instances are told at once\n", fp) })
 }
-
-// callInstance calls the instances of the global options in order until one answers.
-func (a *app) callInstance(call func(messenger.Operator, netip.AddrPort) error) error {
-	addresses, err := a.addresses()
-	if err != nil {
-		return err
-	}
-	operator := messenger.Operator{HTTP: &http.Client{Timeout: quarantineTimeout}}
-	for _, address := range addresses {
-		err = call(operator, address)
-		if err == nil || errors.As(err, new(*messenger.NotQuarantinedError)) || errors.As(err, new(*messenger.StatusError)) {
-			return err
-		}
-	}
-	return &administrator.UnreachableError{Cause: err}
-}
--- a/cmd/millctl/reach.go
+++ b/cmd/millctl/reach.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"net/netip"
 	"time"
 
 	"amaranthmill/messenger"
@@ -10,7 +9,7 @@
 )
 
 func reachCommands(a *app) []command {
-	return []command{{"reach", "show which endpoints and peers an instance reaches", "Shows since when an instance is cut off from most endpoints, which of them answered it nothing last, and the peers that send its requests to endpoints meanwhile: how many requests run through each, and until when a peer gets none because it could not serve one. It asks an instance on the users' platform; --address is then the address at which the instance answers its peers (listen.peers in its settings). No token is needed.", &reachCommand{app: a}}}
+	return []command{{"reach", "show which endpoints and peers an instance reaches", "Shows since when an instance is cut off from most endpoints, which of them answered it nothing last, and the peers that send its requests to endpoints meanwhile: how many requests run through each, and until when a peer gets none because it could not serve one." + instanceHelp, &reachCommand{app: a}}}
 }
 
 // reachCommand shows which endpoints and peers an instance reaches.
@@ -18,11 +17,7 @@
 
 // Execute runs the command.
 func (c *reachCommand) Execute([]string) error {
-	var status scheduler.ReachStatus
-	err := c.app.callInstance(func(o messenger.Operator, address netip.AddrPort) (err error) {
-		status, err = o.Reach(c.app.ctx, address)
-		return err
-	})
+	status, err := query(c.app, messenger.Operator.Reach)
 	if err != nil {
 		return err
 	}
