--- a/messenger/doc.go
+++ b/messenger/doc.go
@@ -1,6 +1,6 @@
 // Package messenger exchanges messages between the instances of a hosted system.
 //
-// There are seven kinds of message, each one small HTTP exchange:
+// There are eight kinds of message, each one small HTTP exchange:
 //   - A stall notice says that the requests of a replica group are stalled, so that the instance
 //     that forms groups checks the group at once. It goes to all peers if that instance is not known.
 //   - A leaving notice says that a process of an endpoint has said in an answer that it leaves. It goes
@@ -16,6 +16,8 @@
 //     rather than the store use it.
 //   - An announcement tells all peers which processes of endpoints ended while they ran a
 //     request or a part of its prompt. It is repeated to a peer that does not acknowledge it.
+//   - Limits that endpoints name are exchanged between an instance and one peer at a time, each of
+//     which learns what the other knows.
 //
 // An operator lists and lifts quarantines, and lists the endpoints that leave, limits and what an instance reaches, through the
 // same address; see Operator.
