replicator, endpointlister: logs say which call brought the return and why an endpoint without an entry is held

store regained named the last call that was made, not the one that the store answered, so that the time of a return could not be told from a call that went into silence. endpoint gone did not say what had held the endpoint, and the line on missing entries not how long it would.

Calls now carry when they were made and when the one before was, and their answers bring both back. The lister gives the reason and the end of each hold; the logs have heldBy and for. The scripts of endpointlister print both. No decision changes.

--- a/endpointlister/lister.go
+++ b/endpointlister/lister.go
@@ -71,13 +71,31 @@
 type EndpointDelisted struct {
 	ID        identifier.Endpoint
 	RemovedAt time.Time // when the removal of its entry was first observed
+	HeldBy    Hold      // what kept it on the list since then; HoldNone if nothing did
 }
 
 // EndpointHeld reports that an endpoint stays on the list although its entry is missing, because the
 // entry may have expired in an outage of the store.
 type EndpointHeld struct {
-	ID        identifier.Endpoint
-	StoreLost bool // the store answers neither this instance nor one that it reaches; otherwise a grace period runs
+	ID     identifier.Endpoint
+	HeldBy Hold
+	Until  time.Time // the end of the grace period, as known now; zero for HoldStoreLost
+}
+
+// Hold is the reason for which an endpoint without an entry stays on the list.
+type Hold uint8
+
+// The reasons.
+const (
+	HoldNone        Hold = iota
+	HoldStoreLost        // the store answers neither this instance nor one that it reaches
+	HoldAfterOutage      // Config.Grace has not passed since the store returned
+	HoldAfterCut         // Config.CutGrace has not passed since this instance heard of the store again
+)
+
+// String returns the name of the reason in logs.
+func (h Hold) String() string {
+	return [...]string{"none", "storeLost", "afterOutage", "afterCut"}[h]
 }
 
 // WakeAt requests a Ticked event at a time.
@@ -153,11 +171,20 @@
 	}
 	out := l.expire(now)
 	if _, held := l.missingSince[id]; held && !known {
-		out = append(out, EndpointHeld{ID: id, StoreLost: l.isUnseen(now)})
+		out = append(out, l.hold(now, id))
 	}
 	return out
 }
 
+// hold returns the action that reports why an endpoint without an entry stays on the list.
+func (l *Lister) hold(now time.Time, id identifier.Endpoint) EndpointHeld {
+	if l.isUnseen(now) {
+		return EndpointHeld{ID: id, HeldBy: HoldStoreLost}
+	}
+	until, reason := l.graceEnd()
+	return EndpointHeld{ID: id, HeldBy: reason, Until: until}
+}
+
 // recordContact records a time in which the store has answered an instance without interruption. Such
 // times with only a short gap between them count as one.
 func (l *Lister) recordContact(now time.Time, e StoreSeen) {
@@ -186,23 +213,29 @@
 	if len(l.missingSince) == 0 || l.isUnseen(now) {
 		return nil
 	}
-	if until := l.graceEnd(); now.Before(until) {
+	until, reason := l.graceEnd()
+	if now.Before(until) {
 		return []Action{WakeAt{At: until}}
 	}
 	var out []Action
 	for _, id := range slices.Sorted(maps.Keys(l.missingSince)) {
-		out = append(out, EndpointDelisted{ID: id, RemovedAt: l.missingSince[id]})
+		gone := EndpointDelisted{ID: id, RemovedAt: l.missingSince[id]}
+		if gone.RemovedAt.Before(until) {
+			gone.HeldBy = reason
+		}
+		out = append(out, gone)
 		delete(l.endpoints, id)
 		delete(l.missingSince, id)
 	}
 	return out
 }
 
-// graceEnd returns the time from which a missing entry shows that its endpoint has left.
-func (l *Lister) graceEnd() time.Time {
+// graceEnd returns the time from which a missing entry shows that its endpoint has left, and the
+// grace period that ends then.
+func (l *Lister) graceEnd() (time.Time, Hold) {
 	afterOutage, afterCut := l.seenSince.Add(l.cfg.Grace), l.reachedAt.Add(l.cfg.CutGrace)
 	if afterCut.After(afterOutage) {
-		return afterCut
+		return afterCut, HoldAfterCut
 	}
-	return afterOutage
+	return afterOutage, HoldAfterOutage
 }
--- a/endpointlister/session_test.go
+++ b/endpointlister/session_test.go
@@ -65,7 +65,9 @@
 		case endpointlister.EndpointDelisted:
 			changed = true
 			delete(s.listed, a.ID)
-			out = append(out, fmt.Sprintf("%s: leave %s", now.Sub(scripter.Start), a.ID))
+			out = append(out, fmt.Sprintf("%s: leave %s, held by %s", now.Sub(scripter.Start), a.ID, a.HeldBy))
+		case endpointlister.EndpointHeld:
+			out = append(out, fmt.Sprintf("%s: hold %s %s", now.Sub(scripter.Start), a.ID, describeHold(a)))
 		case endpointlister.WakeAt:
 			s.wakeAt = a.At
 		}
@@ -76,6 +78,13 @@
 	return out
 }
 
+func describeHold(a endpointlister.EndpointHeld) string {
+	if a.Until.IsZero() {
+		return a.HeldBy.String()
+	}
+	return fmt.Sprintf("%s until %s", a.HeldBy, a.Until.Sub(scripter.Start))
+}
+
 // describeList describes the listed endpoints in the order of their IDs.
 func (s *session) describeList() string {
 	var ids []string
--- a/replicator/action.go
+++ b/replicator/action.go
@@ -9,14 +9,23 @@
 // Action is an output of a Core: List, Watch, QueryPeers, WakeAt, NotifyChanges, Health or Contact.
 type Action interface{ action() }
 
-// List requests all entries from the store. All calls between two answers belong to one round.
-type List struct{ Round uint64 }
+// Call identifies a call to the store. Its answer or failure is reported with the same Call. All calls
+// between two answers belong to one round.
+type Call struct {
+	Round      uint64
+	At         time.Time // when the call was made
+	PreviousAt time.Time // when the call before it was made
+}
+
+// List requests all entries from the store.
+type List struct{ Call Call }
 
 // Watch requests the changes after a revision from the store. With Poll, the answer must not wait for
 // changes, because it shows that the store answers again.
 type Watch struct {
-	After, Round uint64
-	Poll         bool
+	After uint64
+	Poll  bool
+	Call  Call
 }
 
 // QueryPeers queries one peer for what its replica holds beyond a revision.
@@ -30,10 +39,9 @@
 
 // Health reports that the store was lost or answers again.
 type Health struct {
-	Lost         bool
-	Since        time.Time // if Lost, the time of the store's last answer; otherwise the time of the loss
-	CalledAt     time.Time // when the call was made that the store answered; zero if Lost
-	UnansweredAt time.Time // when the call before it was made, which failed or was not answered; zero if Lost
+	Lost     bool
+	Since    time.Time // if Lost, the time of the store's last answer; otherwise the time of the loss
+	Answered Call      // the call that the store answered; zero if Lost
 }
 
 // Contact is a time in which the store has answered a replica without interruption. As an action it
--- a/replicator/core.go
+++ b/replicator/core.go
@@ -36,7 +36,6 @@
 	fromPeer     bool // the entries came from a peer and have to be confirmed by a list from the store
 
 	calledAt     time.Time // when the last call was made
-	unansweredAt time.Time // when the call before that was made
 	answeredAt   time.Time // when the store last answered, this instance or the one at the top of those that it follows
 	lostAt       time.Time
 	round        uint64 // number of the store's answers to this replica
@@ -105,23 +104,23 @@
 }
 
 func (c *Core) handleList(now time.Time, e Listed) []Action {
-	if e.Round != c.round {
+	if e.Call.Round != c.round {
 		return nil // it may hold entries that have been removed since
 	}
 	if !c.listed && len(c.entries) == 0 {
 		c.removalFloor = e.Snapshot.Revision
 	}
-	out := c.handleSuccess(now, 0)
+	out := c.handleSuccess(now, 0, e.Call)
 	out = append(out, c.replaceEntries(e.Snapshot)...)
 	c.listed, c.fromPeer = true, false
 	return append(out, c.scheduleCall(now)...)
 }
 
 func (c *Core) handleWatch(now time.Time, e Watched) []Action {
-	if e.Round != c.round {
+	if e.Call.Round != c.round {
 		return nil // it may hold entries that have been removed since
 	}
-	out := c.handleSuccess(now, e.Age)
+	out := c.handleSuccess(now, e.Age, e.Call)
 	out = append(out, c.applyChanges(e.Changes)...)
 	return append(out, c.scheduleCall(now)...)
 }
@@ -143,15 +142,16 @@
 
 // startCall starts a List if the entries are incomplete or unconfirmed, and a Watch otherwise.
 func (c *Core) startCall(now time.Time) []Action {
-	c.unansweredAt, c.calledAt, c.nextCallAt = c.calledAt, now, time.Time{}
+	call := Call{Round: c.round, At: now, PreviousAt: c.calledAt}
+	c.calledAt, c.nextCallAt = now, time.Time{}
 	c.pending++
 	if c.failures > 0 {
 		c.nextCallAt = now.Add(c.maxBackoff)
 	}
 	if !c.listed || c.fromPeer {
-		return []Action{List{Round: c.round}}
+		return []Action{List{Call: call}}
 	}
-	return []Action{Watch{After: c.revision, Round: c.round, Poll: c.lost || c.failures > 0}}
+	return []Action{Watch{After: c.revision, Poll: c.lost || c.failures > 0, Call: call}}
 }
 
 // scheduleCall starts the next call after an answer, or delays it to the end of the interval so
@@ -171,7 +171,7 @@
 // handleSuccess records an answer whose content the store sent age before now. After a long time
 // without an answer the store counts as lost until now, although fewer calls than lossThreshold have
 // failed: entries may have expired.
-func (c *Core) handleSuccess(now time.Time, age time.Duration) []Action {
+func (c *Core) handleSuccess(now time.Time, age time.Duration, answered Call) []Action {
 	var out []Action
 	at := now.Add(-age)
 	isInterrupted := c.contactSince.IsZero() || isLonger(c.answeredAt, at, maxContactGap)
@@ -191,11 +191,11 @@
 		return out
 	}
 	c.lost, c.nextQueryAt, c.queryUntil = false, now, now.Add(c.contactTime)
-	return append(out, Health{Since: c.lostAt, CalledAt: c.calledAt, UnansweredAt: c.unansweredAt})
+	return append(out, Health{Since: c.lostAt, Answered: answered})
 }
 
 func (c *Core) handleFailure(now time.Time, e Failed) []Action {
-	if e.Round != c.round {
+	if e.Call.Round != c.round {
 		return nil
 	}
 	c.pending--
--- a/replicator/event.go
+++ b/replicator/event.go
@@ -15,7 +15,7 @@
 // Listed is the answer to a List action.
 type Listed struct {
 	Snapshot storeclient.Snapshot
-	Round    uint64 // of the List action
+	Call     Call // of the List action
 }
 
 // Watched is the answer to a Watch action. Age is the time since the store's answer from which the
@@ -23,14 +23,14 @@
 type Watched struct {
 	Changes storeclient.Changes
 	Age     time.Duration
-	Round   uint64 // of the Watch action
+	Call    Call // of the Watch action
 }
 
 // Failed reports that a call failed.
 type Failed struct {
-	Compacted bool   // the store no longer has the history that the call requested
-	NotSent   bool   // the store's client has rejected the call, because the store fails
-	Round     uint64 // of the List or Watch action
+	Compacted bool // the store no longer has the history that the call requested
+	NotSent   bool // the store's client has rejected the call, because the store fails
+	Call      Call // of the List or Watch action
 }
 
 // PeerAnswered is the answer to a QueryPeers action: what a peer's replica holds beyond this one.
--- a/replicator/example_test.go
+++ b/replicator/example_test.go
@@ -20,9 +20,9 @@
 	show(c.Step(now, replicator.Started{}))
 	show(c.Step(now, replicator.Listed{Snapshot: storeclient.Snapshot{Revision: 7, Entries: []storeclient.Entry{{Key: "a", Revision: 7}}}}))
 	c.Step(now.Add(time.Second), replicator.Ticked{}) // starts the watch
-	c.Step(now.Add(2*time.Second), replicator.Failed{Round: 1})
+	c.Step(now.Add(2*time.Second), replicator.Failed{Call: replicator.Call{Round: 1}})
 	c.Step(now.Add(2200*time.Millisecond), replicator.Ticked{}) // starts it again
-	show(c.Step(now.Add(3*time.Second), replicator.Failed{Round: 1}))
+	show(c.Step(now.Add(3*time.Second), replicator.Failed{Call: replicator.Call{Round: 1}}))
 	fmt.Println("at revision", c.Revision())
 	// Output:
 	// replicator.List
--- a/replicator/replicator.go
+++ b/replicator/replicator.go
@@ -181,7 +181,7 @@
 func (r *Replicator) handle(ctx context.Context, a Action) {
 	switch a := a.(type) {
 	case List:
-		go r.submit(ctx, func() Event { return r.listStore(ctx, a.Round) })
+		go r.submit(ctx, func() Event { return r.listStore(ctx, a.Call) })
 	case Watch:
 		go r.submit(ctx, func() Event { return r.watchChanges(ctx, a) })
 	case QueryPeers:
@@ -208,12 +208,12 @@
 	}
 }
 
-func (r *Replicator) listStore(ctx context.Context, round uint64) Event {
+func (r *Replicator) listStore(ctx context.Context, call Call) Event {
 	s, err := r.cfg.Store.Snapshot(ctx, "")
 	if err != nil {
-		return r.classifyFailure(err, round)
+		return r.classifyFailure(err, call)
 	}
-	return Listed{Snapshot: s, Round: round}
+	return Listed{Snapshot: s, Call: call}
 }
 
 func (r *Replicator) watchChanges(ctx context.Context, w Watch) Event {
@@ -225,9 +225,9 @@
 	}
 	ch, err := r.cfg.Store.Watch(ctx, "", w.After)
 	if err != nil {
-		return r.classifyFailure(err, w.Round)
+		return r.classifyFailure(err, w.Call)
 	}
-	return Watched{Changes: ch, Round: w.Round}
+	return Watched{Changes: ch, Call: w.Call}
 }
 
 // pollChanges asks the store first, because it answers at once if it can be reached, and the peer that
@@ -235,12 +235,12 @@
 func (r *Replicator) pollChanges(ctx context.Context, w Watch) Event {
 	ch, err := r.cfg.Store.Poll(ctx, "", w.After)
 	if err == nil {
-		return Watched{Changes: ch, Round: w.Round}
+		return Watched{Changes: ch, Call: w.Call}
 	}
 	if e, ok := r.watchUpstream(ctx, w); ok {
 		return e
 	}
-	return r.classifyFailure(err, w.Round)
+	return r.classifyFailure(err, w.Call)
 }
 
 // watchUpstream watches the peer that this replica follows. It returns false if there is none or it does
@@ -250,27 +250,27 @@
 		return nil, false
 	}
 	ch, ok := r.cfg.Upstream.Watch(ctx, w.After)
-	return Watched{Changes: ch.Changes, Age: ch.Age, Round: w.Round}, ok
+	return Watched{Changes: ch.Changes, Age: ch.Age, Call: w.Call}, ok
 }
 
-// classifyFailure returns the event for a failed call of a round. It logs most errors at debug level only,
+// classifyFailure returns the event for a failed call. It logs most errors at debug level only,
 // because the store's client counts and logs its failures.
-func (r *Replicator) classifyFailure(err error, round uint64) Event {
+func (r *Replicator) classifyFailure(err error, call Call) Event {
 	var compacted *storeclient.CompactedError
 	if errors.As(err, &compacted) {
 		r.cfg.Logger.Info().Uint64("revision", compacted.Revision).Msg("store has compacted the history after this revision; listing all entries again")
-		return Failed{Compacted: true, Round: round}
+		return Failed{Compacted: true, Call: call}
 	}
 	r.cfg.Logger.Debug().Err(err).Msg("store call failed; retrying after a delay")
 	var rejected *storeclient.CircuitError
-	return Failed{NotSent: errors.As(err, &rejected), Round: round}
+	return Failed{NotSent: errors.As(err, &rejected), Call: call}
 }
 
 func (r *Replicator) reportHealth(h Health) {
 	if h.Lost {
 		r.cfg.Logger.Warn().Dur("sinceAnswer", time.Since(h.Since)).Msg("store lost")
 	} else {
-		r.cfg.Logger.Info().Dur("lostFor", time.Since(h.Since)).Dur("sinceFailedCall", time.Since(h.UnansweredAt)).Dur("answer", time.Since(h.CalledAt)).
+		r.cfg.Logger.Info().Dur("lostFor", time.Since(h.Since)).Dur("sinceFailedCall", time.Since(h.Answered.PreviousAt)).Dur("answer", time.Since(h.Answered.At)).
 			Msg("store regained")
 	}
 	if r.cfg.OnHealth != nil {
--- a/replicator/session_test.go
+++ b/replicator/session_test.go
@@ -15,7 +15,7 @@
 type session struct {
 	core   *replicator.Core
 	wakeAt time.Time
-	round  uint64 // of the last call
+	call   replicator.Call // the last one
 }
 
 func TestSessions(t *testing.T) {
@@ -37,11 +37,11 @@
 	case "start":
 		e = replicator.Started{}
 	case "listed":
-		e = replicator.Listed{Snapshot: snapshot(ev), Round: s.roundOf(ev)}
+		e = replicator.Listed{Snapshot: snapshot(ev), Call: s.callOf(ev)}
 	case "watched":
-		e = replicator.Watched{Changes: changes(ev), Round: s.roundOf(ev)}
+		e = replicator.Watched{Changes: changes(ev), Call: s.callOf(ev)}
 	case "failed":
-		e = replicator.Failed{Compacted: ev.Bool("compacted"), NotSent: ev.Bool("notSent"), Round: s.roundOf(ev)}
+		e = replicator.Failed{Compacted: ev.Bool("compacted"), NotSent: ev.Bool("notSent"), Call: s.callOf(ev)}
 	case "peer":
 		e = replicator.PeerAnswered{Update: replicator.Update{Revision: uint64(ev.Int("revision")), Complete: !ev.Bool("changes"), Entries: entries(ev), IsInContact: ev.Has("contact"), ContactTime: ev.Duration("contact"), AnswerAge: ev.Duration("age")}}
 	case "pass":
@@ -56,9 +56,13 @@
 	return append(out, s.step(now, e)...), nil
 }
 
-// roundOf returns the round of the call that an event answers: that of the last call, unless the event
-// answers an earlier one.
-func (s *session) roundOf(ev scripter.Event) uint64 { return s.round - uint64(ev.Int("roundsAgo")) }
+// callOf returns the call that an event answers: the last one, unless the event answers one of an
+// earlier round.
+func (s *session) callOf(ev scripter.Event) replicator.Call {
+	call := s.call
+	call.Round -= uint64(ev.Int("roundsAgo"))
+	return call
+}
 
 // since describes the changes that a peer that follows the replica would receive.
 func (s *session) since(revision uint64) string {
@@ -109,9 +113,9 @@
 		line := ""
 		switch a := a.(type) {
 		case replicator.List:
-			line, s.round = "list", a.Round
+			line, s.call = "list", a.Call
 		case replicator.Watch:
-			line, s.round = fmt.Sprintf("watch after %d", a.After), a.Round
+			line, s.call = fmt.Sprintf("watch after %d", a.After), a.Call
 			if a.Poll {
 				line = fmt.Sprintf("poll after %d", a.After)
 			}
--- a/runner/hosted_store_meters.go
+++ b/runner/hosted_store_meters.go
@@ -33,6 +33,6 @@
 	record := func(step string, d time.Duration) {
 		m.recovery.Record(context.Background(), d.Seconds(), metric.WithAttributes(attribute.String("step", step)))
 	}
-	record("wait", h.CalledAt.Sub(h.UnansweredAt))
-	record("answer", now.Sub(h.CalledAt))
+	record("wait", h.Answered.At.Sub(h.Answered.PreviousAt))
+	record("answer", now.Sub(h.Answered.At))
 }
--- a/runner/hosted_view.go
+++ b/runner/hosted_view.go
@@ -217,7 +217,7 @@
 			v.endpoints[a.Endpoint.ID] = a.Endpoint
 		case endpointlister.EndpointDelisted:
 			delete(v.endpoints, a.ID)
-			v.hosted.logger.Info().Str("endpoint", string(a.ID)).Dur("age", time.Since(a.RemovedAt)).Msg("endpoint gone")
+			v.hosted.logger.Info().Str("endpoint", string(a.ID)).Dur("age", time.Since(a.RemovedAt)).Stringer("heldBy", a.HeldBy).Msg("endpoint gone")
 		case endpointlister.EndpointHeld:
 			v.held = append(v.held, a)
 		case endpointlister.WakeAt:
@@ -238,8 +238,12 @@
 	for _, h := range v.held[:min(len(v.held), maxLoggedIDs)] {
 		ids = append(ids, string(h.ID))
 	}
-	v.hosted.logger.Info().Int("count", len(v.held)).Strs("endpoints", ids).Bool("storeLost", v.held[0].StoreLost).
-		Msg("entries of endpoints are missing, the endpoints stay listed for now")
+	first := v.held[0]
+	line := v.hosted.logger.Info().Int("count", len(v.held)).Strs("endpoints", ids).Bool("storeLost", first.HeldBy == endpointlister.HoldStoreLost).Stringer("heldBy", first.HeldBy)
+	if !first.Until.IsZero() {
+		line = line.Dur("for", time.Until(first.Until))
+	}
+	line.Msg("entries of endpoints are missing, the endpoints stay listed for now")
 	v.held = nil
 }
 
