replicator: a watch that is overdue no longer delays the next call

Cause: calls overlapped only after a failure, and a watch that went into a cut is no failure until its timeout, 1.9 s after it was sent, or 3.3 s where the instance asks the one that it follows first. The first answer after the heal came as late, and the time for which an endpoint without an entry stays listed (2.2 s) runs from that answer.

Change: after 1.3 s, longer than the store (0.9 s) and a peer (1 s) hold a watch, the next calls are made at the intervals that apply after a failure, whether or not the watch has ended. A tick is requested for each due call, so that the queries of peers that follow a return begin at once rather than at the next answer.

--- a/replicator/core.go
+++ b/replicator/core.go
@@ -15,16 +15,18 @@
 	defaultMaxBackoff     = 400 * time.Millisecond
 	defaultPeerInterval   = 300 * time.Millisecond
 	defaultContactTime    = 2200 * time.Millisecond
+	defaultWatchTimeout   = 1300 * time.Millisecond
 	maxContactGap         = 2400 * time.Millisecond // between two answers of the store for which it counts as answering without interruption; entries live for three intervals of 1.2 s, so that none expires in less
 	lossThreshold         = 2                       // consecutive failures after which the store counts as lost; a single watch may be aborted at any time
 )
 
 // Core decides when to list, to watch and to query peers, and holds the replica. One call to the
-// store is pending while the store answers. After a failure the next calls are made at intervals
-// whether or not the previous ones have ended, because a call into silence ends only at its timeout.
+// store is pending while the store answers. After a failure, or if a watch is overdue, the next calls
+// are made at intervals whether or not the previous ones have ended, because a call into silence
+// ends only at its timeout.
 // Core is not safe for concurrent use.
 type Core struct {
-	minInterval, urgentInterval, backoff, maxBackoff, peerInterval, contactTime time.Duration
+	minInterval, urgentInterval, backoff, maxBackoff, peerInterval, contactTime, watchTimeout time.Duration
 
 	urgent bool
 
@@ -42,7 +44,7 @@
 	pending      int    // calls of this round that have not ended
 	failures     int
 	lost         bool
-	nextCallAt   time.Time // when the next call is due; zero while one is pending and none has failed
+	nextCallAt   time.Time // when the next call is due; zero while a list is pending and no call has failed
 	nextQueryAt  time.Time // when the next query to peers is due; zero for none
 	queryUntil   time.Time // end of the queries after the return of the store
 	contactSince time.Time // when the store began to answer without interruption
@@ -53,8 +55,8 @@
 	cfg = cfg.withDefaults()
 	return &Core{
 		minInterval: cfg.MinInterval, urgentInterval: cfg.UrgentInterval, backoff: cfg.Backoff, maxBackoff: cfg.MaxBackoff, peerInterval: cfg.PeerInterval,
-		contactTime: cfg.ContactTime,
-		entries:     map[string]storeclient.Entry{},
+		contactTime: cfg.ContactTime, watchTimeout: cfg.WatchTimeout,
+		entries: map[string]storeclient.Entry{},
 	}
 }
 
@@ -65,6 +67,7 @@
 	defaulter.Set(&c.MaxBackoff, defaultMaxBackoff)
 	defaulter.Set(&c.PeerInterval, defaultPeerInterval)
 	defaulter.Set(&c.ContactTime, defaultContactTime)
+	defaulter.Set(&c.WatchTimeout, defaultWatchTimeout)
 	return c
 }
 
@@ -73,7 +76,7 @@
 	switch e := e.(type) {
 	case Started:
 		c.answeredAt = now
-		return c.startCall(now)
+		return append(c.startCall(now), c.scheduleWake()...)
 	case UrgentSet:
 		c.urgent = e.On
 	case Listed:
@@ -143,15 +146,19 @@
 // startCall starts a List if the entries are incomplete or unconfirmed, and a Watch otherwise.
 func (c *Core) startCall(now time.Time) []Action {
 	call := Call{Round: c.round, At: now, PreviousAt: c.calledAt}
+	isUnanswered := c.failures > 0 || c.pending > 0
 	c.calledAt, c.nextCallAt = now, time.Time{}
 	c.pending++
-	if c.failures > 0 {
+	if isUnanswered {
 		c.nextCallAt = now.Add(c.maxBackoff)
 	}
 	if !c.listed || c.fromPeer {
 		return []Action{List{Call: call}}
 	}
-	return []Action{Watch{After: c.revision, Poll: c.lost || c.failures > 0, Call: call}}
+	if !isUnanswered {
+		c.nextCallAt = now.Add(c.watchTimeout)
+	}
+	return []Action{Watch{After: c.revision, Poll: c.lost || isUnanswered, Call: call}}
 }
 
 // scheduleCall starts the next call after an answer, or delays it to the end of the interval so
@@ -163,9 +170,9 @@
 	}
 	if at := c.calledAt.Add(interval); now.Before(at) {
 		c.nextCallAt = at
-		return []Action{c.scheduleWake()}
+		return c.scheduleWake()
 	}
-	return c.startCall(now)
+	return append(c.startCall(now), c.scheduleWake()...)
 }
 
 // handleSuccess records an answer whose content the store sent age before now. After a long time
@@ -254,17 +261,17 @@
 	if !c.nextCallAt.IsZero() && !now.Before(c.nextCallAt) {
 		out = append(out, c.startCall(now)...)
 	}
-	if c.nextCallAt.IsZero() && c.nextQueryAt.IsZero() {
-		return out
-	}
-	return append(out, c.scheduleWake())
+	return append(out, c.scheduleWake()...)
 }
 
-// scheduleWake requests a tick at the earlier of the next call and the next query to peers.
-func (c *Core) scheduleWake() WakeAt {
+// scheduleWake requests a tick at the earlier of the next call and the next query to peers, if one is due.
+func (c *Core) scheduleWake() []Action {
 	at := c.nextCallAt
 	if at.IsZero() || (!c.nextQueryAt.IsZero() && c.nextQueryAt.Before(at)) {
 		at = c.nextQueryAt
 	}
-	return WakeAt{At: at}
+	if at.IsZero() {
+		return nil
+	}
+	return []Action{WakeAt{At: at}}
 }
--- a/replicator/fleet_test.go
+++ b/replicator/fleet_test.go
@@ -54,6 +54,8 @@
 	peerCut [fleetSize][]span // of an instance from its peers
 	members [fleetSize]*member
 
+	losesHeldCalls bool // a watch that is sent into a cut, or answered in one, is lost
+
 	mu       sync.Mutex // guards the fields below
 	revision uint64
 	history  []storeclient.Change
@@ -76,11 +78,16 @@
 	timer  *time.Timer
 }
 
-func newWorld(seed uint64, random *rand.Rand) *world {
+func newWorld(seed uint64) *world {
 	w := &world{seed: seed, entries: map[string]storeclient.Entry{}, leftAt: map[string]time.Time{}, written: make(chan struct{})}
 	for i := range endpointCount {
 		w.write(fmt.Sprintf("e%d", i), false)
 	}
+	return w
+}
+
+// disrupt draws outages of the store and cuts of instances, one after the other.
+func (w *world) disrupt(random *rand.Rand) {
 	at := time.Now().Add(4 * time.Second)
 	for range disruptions {
 		s := span{at, at.Add(time.Second + time.Duration(random.Int64N(int64(6*time.Second))))}
@@ -99,7 +106,6 @@
 			}
 		}
 	}
-	return w
 }
 
 func isAway(spans []span, t time.Time, after time.Duration) bool {
@@ -122,10 +128,14 @@
 	w.written = make(chan struct{})
 }
 
-// reaches waits for the answer of a call of m, or fails after the timeout if the store is out of reach.
-func (m *member) reaches(ctx context.Context) error {
-	start := time.Now()
-	away := isAway(m.world.cuts[m.index], start, 0) || isAway(m.world.outages, start, 0)
+// isOutOfReach reports whether m does not reach the store at a time.
+func (m *member) isOutOfReach(t time.Time) bool {
+	return isAway(m.world.cuts[m.index], t, 0) || isAway(m.world.outages, t, 0)
+}
+
+// reaches waits for the answer of a call of m that was sent at sentAt, or fails after the timeout if the store is out of reach.
+func (m *member) reaches(ctx context.Context, sentAt time.Time) error {
+	away := m.isOutOfReach(time.Now()) || m.world.losesHeldCalls && m.isOutOfReach(sentAt)
 	wait := answerTime
 	if draw := hashOf(m.world.seed, uint64(m.index), m.calls.Add(1)); draw%lateShare == 0 {
 		wait += time.Duration(draw % uint64(maxLateness)) // the answer holds what was so when the store gave it
@@ -152,11 +162,12 @@
 		s.Entries = append(s.Entries, e)
 	}
 	w.mu.Unlock()
-	return s, m.reaches(ctx)
+	return s, m.reaches(ctx, time.Now())
 }
 
 func (m *member) Watch(ctx context.Context, _ string, after uint64) (storeclient.Changes, error) {
 	w := m.world
+	sentAt := time.Now()
 	hold := time.After(holdTime)
 	for held := false; ; {
 		w.mu.Lock()
@@ -173,15 +184,20 @@
 			return storeclient.Changes{}, ctx.Err()
 		}
 	}
-	return m.Poll(ctx, "", after)
+	return m.fetchChanges(ctx, after, sentAt)
 }
 
 func (m *member) Poll(ctx context.Context, _ string, after uint64) (storeclient.Changes, error) {
+	return m.fetchChanges(ctx, after, time.Now())
+}
+
+// fetchChanges returns the changes after a revision to a call that was sent at sentAt.
+func (m *member) fetchChanges(ctx context.Context, after uint64, sentAt time.Time) (storeclient.Changes, error) {
 	w := m.world
 	w.mu.Lock()
 	changes := storeclient.Changes{Revision: w.revision, Entries: slices.Clone(w.history[min(after, w.revision):])}
 	w.mu.Unlock()
-	return changes, m.reaches(ctx)
+	return changes, m.reaches(ctx, sentAt)
 }
 
 // FetchUpdate queries the other instances in turn, and the same one again while the store answers it.
@@ -221,11 +237,12 @@
 	return m.listed[key]
 }
 
-func (w *world) start(ctx context.Context, index int) *member {
+// start starts instance index. It follows upstream, or the store if that is nil.
+func (w *world) start(ctx context.Context, index int, upstream replicator.Upstream) *member {
 	m := &member{world: w, index: index, lister: endpointlister.New(endpointlister.Config{}), listed: map[string]bool{}}
 	m.timer = time.AfterFunc(time.Hour, func() { m.step(endpointlister.Ticked{}) })
 	m.replica = replicator.New(replicator.Config{
-		Store: m, Peers: m,
+		Store: m, Peers: m, Upstream: upstream,
 		OnContact: func(c replicator.Contact) { m.step(endpointlister.StoreSeen(c)) },
 		OnHealth: func(h replicator.Health) {
 			if h.Lost {
@@ -273,16 +290,20 @@
 		if isAway(w.outages, at, stableTime) {
 			continue
 		}
-		key := fmt.Sprintf("e%d", i)
-		time.AfterFunc(time.Until(at), func() {
-			w.write(key, true)
-			w.mu.Lock()
-			defer w.mu.Unlock()
-			w.leftAt[key] = time.Now()
-		})
+		w.leaveAt(fmt.Sprintf("e%d", i), at)
 	}
 }
 
+// leaveAt lets an endpoint leave at a time.
+func (w *world) leaveAt(key string, at time.Time) {
+	time.AfterFunc(time.Until(at), func() {
+		w.write(key, true)
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		w.leftAt[key] = time.Now()
+	})
+}
+
 // hashOf returns a hash of some numbers, which takes the place of a draw where the order of draws depends
 // on the order in which goroutines run.
 func hashOf(numbers ...uint64) uint64 {
@@ -298,12 +319,13 @@
 		synctest.Test(t, func(t *testing.T) {
 			ctx, cancel := context.WithCancel(t.Context())
 			random := rand.New(rand.NewPCG(seed, 0))
-			w := newWorld(seed, random)
+			w := newWorld(seed)
+			w.disrupt(random)
 			for i := range fleetSize {
 				w.members[i] = &member{}
 			}
 			for i := range fleetSize {
-				w.members[i] = w.start(ctx, i)
+				w.members[i] = w.start(ctx, i, nil)
 			}
 			time.Sleep(time.Second)
 			expired := w.expireEntries(random)
--- a/replicator/replicator.go
+++ b/replicator/replicator.go
@@ -67,6 +67,7 @@
 	Backoff        time.Duration // delay after the first failure, doubled for each consecutive one; 100 ms
 	MaxBackoff     time.Duration // upper bound of the delay after a failure; 400 ms
 	PeerInterval   time.Duration // between two queries to peers while the store is lost and after its return; 300 ms
+	WatchTimeout   time.Duration // for which a watch is the only call; longer than the store and peers hold a watch; 1.3 s
 	ContactTime    time.Duration // after the return of the store, in which peers are queried since when it has answered them; 2.2 s
 
 	Logger zerolog.Logger
