replicator: an instance passes on since when the store has answered its peers

Cause: an instance that returns queries one peer again and again as long as the store answers that peer, and a peer told only of its own contact. If the peer had itself just returned, the instance took the peer's return for that of the store and held endpoints for 2.2 s, although a third instance had been answered all the while, and the peer knew it.

Change: the contact that a replica tells begins at the earliest time known to it, its own or a peer's, if the store's answers to them lie at most 2 s apart. Its end is always an answer to the replica itself, so that old news does not circulate. The wire is unchanged. What one instance of a large fleet learns now reaches all within a few queries, where an open circuit lets an instance return up to 2.25 s after the heal.

--- a/replicator/action.go
+++ b/replicator/action.go
@@ -44,14 +44,6 @@
 	Answered Call      // the call that the store answered; zero if Lost
 }
 
-// Contact is a time in which the store has answered a replica without interruption. As an action it
-// reports that of a peer, before the changes that the peer returned.
-type Contact struct {
-	Since time.Time
-	Until time.Time // time of the last answer
-}
-
-func (Contact) action()       {}
 func (List) action()          {}
 func (Watch) action()         {}
 func (QueryPeers) action()    {}
--- a/replicator/core.go
+++ b/replicator/core.go
@@ -48,6 +48,7 @@
 	nextQueryAt  time.Time // when the next query to peers is due; zero for none
 	queryUntil   time.Time // end of the queries after the return of the store
 	contactSince time.Time // when the store began to answer without interruption
+	peerContact  Contact   // the last known time in which it has answered peers without interruption
 }
 
 // NewCore returns a Core for cfg. It uses only the durations of cfg.
@@ -128,21 +129,6 @@
 	return append(out, c.scheduleCall(now)...)
 }
 
-// Contact returns since when the store has answered this replica without interruption, or false if it
-// does not answer now.
-func (c *Core) Contact(now time.Time) (Contact, bool) {
-	if !c.listed || c.lost || isLonger(c.answeredAt, now, maxAnswerAge) {
-		return Contact{}, false
-	}
-	return Contact{Since: c.contactSince, Until: c.answeredAt}, true
-}
-
-// isLonger reports whether more than d lies between two times, by the monotonic clock or by the time
-// of day. Only the latter counts the time for which the process or its machine was suspended.
-func isLonger(from, to time.Time, d time.Duration) bool {
-	return to.Sub(from) > d || to.Round(0).Sub(from.Round(0)) > d
-}
-
 // startCall starts a List if the entries are incomplete or unconfirmed, and a Watch otherwise.
 func (c *Core) startCall(now time.Time) []Action {
 	call := Call{Round: c.round, At: now, PreviousAt: c.calledAt}
@@ -237,7 +223,9 @@
 	var out []Action
 	if u.IsInContact {
 		until := now.Add(-u.AnswerAge)
-		out = append(out, Contact{Since: until.Add(-u.ContactTime), Until: until})
+		contact := Contact{Since: until.Add(-u.ContactTime), Until: until}
+		c.peerContact = contact.extend(c.peerContact)
+		out = append(out, contact)
 	}
 	if !c.lost || u.Revision <= c.revision {
 		return out
--- a/replicator/session_test.go
+++ b/replicator/session_test.go
@@ -48,6 +48,8 @@
 		return out, nil
 	case "update":
 		return append(out, s.update(uint64(ev.Int("revision")))), nil
+	case "contact":
+		return append(out, s.contact(now)), nil
 	case "since":
 		return append(out, s.since(uint64(ev.Int("revision")))), nil
 	default:
@@ -64,6 +66,15 @@
 	return call
 }
 
+// contact describes the contact that a peer would be told of.
+func (s *session) contact(now time.Time) string {
+	c, ok := s.core.Contact(now)
+	if !ok {
+		return "told: no contact"
+	}
+	return fmt.Sprintf("told: contact from %s to %s", c.Since.Sub(scripter.Start), c.Until.Sub(scripter.Start))
+}
+
 // since describes the changes that a peer that follows the replica would receive.
 func (s *session) since(revision uint64) string {
 	ch, ok := s.core.ChangesSince(revision)
--- a/replicator/update.go
+++ b/replicator/update.go
@@ -14,7 +14,7 @@
 	Revision    uint64        // of the replica; zero if it has nothing newer
 	Complete    bool          // Entries is the complete replica rather than the changes
 	IsInContact bool          // the store answers the replica
-	ContactTime time.Duration // for which it has answered the replica without interruption until its last answer
+	ContactTime time.Duration // for which it has answered the replica, or peers of which that knows, without interruption until its last answer to the replica
 	AnswerAge   time.Duration // since that answer
 	Entries     []storeclient.Change
 }
