replicator: an instance whose peer has lost the store asks the store before it takes the peer's cut for an outage

Callers: an endpoint that had left got requests up to 2.7 s later (DRAIN), and a change of the configuration was up to 2.1 s late (CONFIG), at an instance that was in reach of the store all the while.

Cause: three times add up to more than one bound allows. The instance that is followed loses the store; what it tells is up to 1.5 s old when it stops; the follower then lets the store hold its watch for 0.9 s, or waits 1.35 s for the peer if that is silent too. 2.4 s without an answer count as an interruption in which entries may have expired, so the follower, whose path never failed, holds every endpoint without an entry for 2.2 s more. 1.5 s and 0.9 s are 2.4 s.

Change: after a watch of a peer has failed, the store is asked for an answer at once; and the time after which a watch no longer delays the next call, now 1.6 s, counts from the store's last answer as the peer told it, not from the call. An instance in reach of the store then has an answer of it at least each 1.6 s and the time of one call.

--- a/replicator/core.go
+++ b/replicator/core.go
@@ -15,7 +15,7 @@
 	defaultMaxBackoff     = 400 * time.Millisecond
 	defaultPeerInterval   = 300 * time.Millisecond
 	defaultContactTime    = 2200 * time.Millisecond
-	defaultWatchTimeout   = 1300 * time.Millisecond
+	defaultAnswerTimeout  = 1600 * time.Millisecond
 	maxContactGap         = 2400 * time.Millisecond // between two answers of the store for which it counts as answering without interruption; entries live for three intervals of 1.2 s, so that none expires in less
 	lossThreshold         = 2                       // consecutive failures after which the store counts as lost; a single watch may be aborted at any time
 )
@@ -26,7 +26,7 @@
 // ends only at its timeout.
 // Core is not safe for concurrent use.
 type Core struct {
-	minInterval, urgentInterval, backoff, maxBackoff, peerInterval, contactTime, watchTimeout time.Duration
+	minInterval, urgentInterval, backoff, maxBackoff, peerInterval, contactTime, answerTimeout time.Duration
 
 	urgent bool
 
@@ -56,7 +56,7 @@
 	cfg = cfg.withDefaults()
 	return &Core{
 		minInterval: cfg.MinInterval, urgentInterval: cfg.UrgentInterval, backoff: cfg.Backoff, maxBackoff: cfg.MaxBackoff, peerInterval: cfg.PeerInterval,
-		contactTime: cfg.ContactTime, watchTimeout: cfg.WatchTimeout,
+		contactTime: cfg.ContactTime, answerTimeout: cfg.AnswerTimeout,
 		entries: map[string]storeclient.Entry{},
 	}
 }
@@ -68,7 +68,7 @@
 	defaulter.Set(&c.MaxBackoff, defaultMaxBackoff)
 	defaulter.Set(&c.PeerInterval, defaultPeerInterval)
 	defaulter.Set(&c.ContactTime, defaultContactTime)
-	defaulter.Set(&c.WatchTimeout, defaultWatchTimeout)
+	defaulter.Set(&c.AnswerTimeout, defaultAnswerTimeout)
 	return c
 }
 
@@ -142,11 +142,21 @@
 		return []Action{List{Call: call}}
 	}
 	if !isUnanswered {
-		c.nextCallAt = now.Add(c.watchTimeout)
+		c.nextCallAt = c.overdueAt(now)
 	}
 	return []Action{Watch{After: c.revision, Poll: c.lost || isUnanswered, Call: call}}
 }
 
+// overdueAt returns when a watch that is made now no longer delays the next call. The time counts from the
+// last answer of the store, because what a peer told of it may be old.
+func (c *Core) overdueAt(now time.Time) time.Time {
+	at := c.answeredAt.Add(c.answerTimeout)
+	if soonest := now.Add(c.backoff); at.Before(soonest) {
+		return soonest
+	}
+	return at
+}
+
 // scheduleCall starts the next call after an answer, or delays it to the end of the interval so
 // that changes in quick succession share one call.
 func (c *Core) scheduleCall(now time.Time) []Action {
--- a/replicator/outage_test.go
+++ b/replicator/outage_test.go
@@ -14,6 +14,7 @@
 // Bounds of the tests, from the times within which the users require an instance to be up to date.
 const (
 	followerBound = 1500 * time.Millisecond // largest age of what a follower is told; changes are due after 2 s
+	changeBound   = 1800 * time.Millisecond // from a change to its arrival; what is left until it is due is for what the change takes effect on
 	returnBound   = 800 * time.Millisecond  // from the heal to the first answer; with the 2.2 s in which expired entries may return, within the 3 s after which a healed path counts as in order
 )
 
@@ -107,15 +108,15 @@
 	failedAt time.Time
 }
 
-func (u *peerUpstream) Watch(ctx context.Context, after uint64) (replicator.PeerChanges, bool) {
+func (u *peerUpstream) Watch(ctx context.Context, after uint64) (replicator.PeerChanges, error) {
 	if time.Since(u.failedAt) < 5*time.Second {
-		return replicator.PeerChanges{}, false
+		return replicator.PeerChanges{}, &replicator.NoPeerError{}
 	}
 	changes, err := u.replica.Watch(ctx, after, time.Second)
 	if err != nil {
 		u.failedAt = time.Now()
 	}
-	return changes, err == nil
+	return changes, err
 }
 
 // TestChangesReachFollowersOfCutInstanceInTime cuts the first of four instances that follow each other
@@ -155,6 +156,57 @@
 	}
 }
 
+// silentUpstream follows a replica whose instance does not answer peers from a time on.
+type silentUpstream struct {
+	peerUpstream
+	silentAt time.Time
+}
+
+func (u *silentUpstream) Watch(ctx context.Context, after uint64) (replicator.PeerChanges, error) {
+	ctx, cancel := context.WithDeadline(ctx, u.silentAt)
+	defer cancel()
+	changes, err := u.peerUpstream.Watch(ctx, after)
+	if ctx.Err() == nil {
+		return changes, err
+	}
+	time.Sleep(upstreamWait + upstreamTimeout) // the answer does not come
+	u.failedAt = time.Now()
+	return replicator.PeerChanges{}, errSilent
+}
+
+// TestChangeReachesFollowerOfSilentInstanceInTime cuts an instance off from the store and, at different times
+// after that, from the instance that follows it, and writes an entry just after the first cut. The follower
+// knew that its last answer was up to a second old, and waited for the silent instance as long
+// as for one that had just answered, so that it had the change up to 2.1 s late.
+func TestChangeReachesFollowerOfSilentInstanceInTime(t *testing.T) {
+	for delay := time.Duration(0); delay < 2*time.Second; delay += 50 * time.Millisecond {
+		synctest.Test(t, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(t.Context())
+			cutAt := time.Now().Add(5 * time.Second)
+			changeAt := cutAt.Add(10 * time.Millisecond)
+			followed := replicator.New(replicator.Config{
+				Store: &cutStore{changeAt: changeAt, cutAt: cutAt, healAt: cutAt.Add(time.Minute)}, OnChange: func([]storeclient.Change) {},
+			})
+			go func() { _ = followed.Run(ctx) }()
+			time.Sleep(170 * time.Millisecond) // the instances do not start at once
+			var seenAt time.Time
+			follower := replicator.New(replicator.Config{
+				Store:    &cutStore{changeAt: changeAt},
+				Upstream: &silentUpstream{peerUpstream: peerUpstream{replica: followed}, silentAt: cutAt.Add(delay)},
+				OnChange: func([]storeclient.Change) { seenAt = time.Now() },
+			})
+			go func() { _ = follower.Run(ctx) }()
+			time.Sleep(15 * time.Second)
+			cancel()
+			synctest.Wait()
+			time.Sleep(2 * time.Second) // calls without a context end
+			if late := seenAt.Sub(changeAt); seenAt.IsZero() || late > changeBound {
+				t.Errorf("the follower has a change %v late, with %v between the cuts", late, delay)
+			}
+		})
+	}
+}
+
 // TestReplicaReturnsSoonAfterHeal cuts an instance off from the store for different times. A call that
 // was sent into the cut kept the next one from being sent until it had timed out, so that the
 // instance came back up to two seconds after the heal.
--- a/replicator/replicator.go
+++ b/replicator/replicator.go
@@ -30,11 +30,16 @@
 
 // Upstream is a peer whose replica this replica may follow instead of the store.
 type Upstream interface {
-	// Watch returns the changes after a revision, as Store.Watch does, or false if there is
-	// currently no peer to follow.
-	Watch(ctx context.Context, after uint64) (PeerChanges, bool)
+	// Watch returns the changes after a revision, as Store.Watch does. Its error is *NoPeerError if
+	// there is currently no peer to follow, and another one if the peer has not answered.
+	Watch(ctx context.Context, after uint64) (PeerChanges, error)
 }
 
+// NoPeerError reports that there is currently no peer to follow.
+type NoPeerError struct{}
+
+func (*NoPeerError) Error() string { return "replicator: there is no peer to follow" }
+
 // PeerChanges are what a replica returns to a peer that follows it.
 type PeerChanges struct {
 	storeclient.Changes
@@ -67,7 +72,7 @@
 	Backoff        time.Duration // delay after the first failure, doubled for each consecutive one; 100 ms
 	MaxBackoff     time.Duration // upper bound of the delay after a failure; 400 ms
 	PeerInterval   time.Duration // between two queries to peers while the store is lost and after its return; 300 ms
-	WatchTimeout   time.Duration // for which a watch is the only call; longer than the store and peers hold a watch; 1.3 s
+	AnswerTimeout  time.Duration // after the store's last answer, in which a watch is the only call; longer than MinInterval and the time for which the store and peers hold a watch; 1.6 s
 	ContactTime    time.Duration // after the return of the store, in which peers are queried since when it has answered them; 2.2 s
 
 	Logger zerolog.Logger
@@ -221,16 +226,28 @@
 	if w.Poll {
 		return r.pollChanges(ctx, w)
 	}
-	if e, ok := r.watchUpstream(ctx, w); ok {
+	e, err := r.watchUpstream(ctx, w)
+	if err == nil {
 		return e
 	}
-	ch, err := r.cfg.Store.Watch(ctx, "", w.After)
+	ch, err := r.storeWatchAfter(err)(ctx, "", w.After)
 	if err != nil {
 		return r.classifyFailure(err, w.Call)
 	}
 	return Watched{Changes: ch, Call: w.Call}
 }
 
+// storeWatchAfter returns the call that gets changes from the store after a watch of the upstream has
+// failed. If a peer has not answered, the last answer of the store may be old, and the store must not
+// hold the call too.
+func (r *Replicator) storeWatchAfter(upstreamErr error) func(ctx context.Context, prefix string, after uint64) (storeclient.Changes, error) {
+	var noPeer *NoPeerError
+	if errors.As(upstreamErr, &noPeer) {
+		return r.cfg.Store.Watch
+	}
+	return r.cfg.Store.Poll
+}
+
 // pollChanges asks the store first, because it answers at once if it can be reached, and the peer that
 // this replica follows otherwise.
 func (r *Replicator) pollChanges(ctx context.Context, w Watch) Event {
@@ -238,20 +255,19 @@
 	if err == nil {
 		return Watched{Changes: ch, Call: w.Call}
 	}
-	if e, ok := r.watchUpstream(ctx, w); ok {
+	if e, upstreamErr := r.watchUpstream(ctx, w); upstreamErr == nil {
 		return e
 	}
 	return r.classifyFailure(err, w.Call)
 }
 
-// watchUpstream watches the peer that this replica follows. It returns false if there is none or it does
-// not answer.
-func (r *Replicator) watchUpstream(ctx context.Context, w Watch) (Event, bool) {
+// watchUpstream watches the peer that this replica follows. Its errors are those of Upstream.Watch.
+func (r *Replicator) watchUpstream(ctx context.Context, w Watch) (Event, error) {
 	if r.cfg.Upstream == nil {
-		return nil, false
+		return nil, &NoPeerError{}
 	}
-	ch, ok := r.cfg.Upstream.Watch(ctx, w.After)
-	return Watched{Changes: ch.Changes, Age: ch.Age, Call: w.Call}, ok
+	ch, err := r.cfg.Upstream.Watch(ctx, w.After)
+	return Watched{Changes: ch.Changes, Age: ch.Age, Call: w.Call}, err
 }
 
 // classifyFailure returns the event for a failed call. It logs most errors at debug level only,
--- a/replicator/return_test.go
+++ b/replicator/return_test.go
@@ -53,20 +53,21 @@
 	failedAt         time.Time
 }
 
-func (u *fleetUpstream) Watch(ctx context.Context, after uint64) (replicator.PeerChanges, bool) {
+func (u *fleetUpstream) Watch(ctx context.Context, after uint64) (replicator.PeerChanges, error) {
 	if time.Since(u.failedAt) < upstreamRetryTime {
-		return replicator.PeerChanges{}, false
+		return replicator.PeerChanges{}, &replicator.NoPeerError{}
 	}
-	if isAway(u.world.peerCut[u.follower], time.Now(), 0) {
+	now := time.Now()
+	if isAway(u.world.peerCut[u.follower], now, 0) || isAway(u.world.peerCut[u.parent], now, 0) {
 		time.Sleep(upstreamWait + upstreamTimeout)
 		u.failedAt = time.Now()
-		return replicator.PeerChanges{}, false
+		return replicator.PeerChanges{}, errSilent
 	}
 	changes, err := u.world.members[u.parent].replica.Watch(ctx, after, upstreamWait)
 	if err != nil {
 		u.failedAt = time.Now()
 	}
-	return changes, err == nil
+	return changes, err
 }
 
 // startFollowers starts the instances, of which every second one follows another one.
@@ -117,3 +118,20 @@
 		})
 	}
 }
+
+// TestFollowersDropWhatLeftAndKeepWhatExpired plays fleets as TestFleetDropsWhatLeftAndKeepsWhatExpired
+// does, in which every second instance follows another one and calls into a cut are lost. An instance that
+// comes back sooner must not take entries that expired in an outage for those of endpoints that left.
+func TestFollowersDropWhatLeftAndKeepWhatExpired(t *testing.T) {
+	for seed := range *fleetSeeds {
+		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				playFollowers(t, seed, func(w *world, random *rand.Rand) map[string]span {
+					w.disrupt(random)
+					w.leave(random)
+					return w.expireEntries(random)
+				})
+			})
+		})
+	}
+}
--- a/runner/hosted_upstream.go
+++ b/runner/hosted_upstream.go
@@ -34,25 +34,25 @@
 	u.direct = on
 }
 
-// Watch returns the changes after a revision from the peer that this instance follows. It
-// returns false if the instance follows no peer, if after is zero or if the watch fails.
-func (u *upstream) Watch(ctx context.Context, after uint64) (replicator.PeerChanges, bool) {
+// Watch returns the changes after a revision from the peer that this instance follows. Its error is
+// *replicator.NoPeerError if the instance follows no peer or after is zero, and otherwise that of the exchange.
+func (u *upstream) Watch(ctx context.Context, after uint64) (replicator.PeerChanges, error) {
 	peer, ok := u.selectPeer()
 	if !ok || after == 0 {
 		u.setFollowed("")
-		return replicator.PeerChanges{}, false
+		return replicator.PeerChanges{}, &replicator.NoPeerError{}
 	}
 	changes, err := u.hosted.messenger.WatchPeer(ctx, peer, after)
 	if err == nil {
 		u.setFollowed(peer.Instance)
-		return changes, true
+		return changes, nil
 	}
 	u.setFollowed("")
 	u.hosted.logger.Debug().Err(err).Str("peer", string(peer.Instance)).Msg("peer not followed")
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.failedAt[peer.Instance] = time.Now()
-	return replicator.PeerChanges{}, false
+	return replicator.PeerChanges{}, err
 }
 
 // setFollowed records and logs where this instance gets changes of the store from: from a peer, or
