--- a/replicator/fleet_test.go
+++ b/replicator/fleet_test.go
@@ -316,30 +316,37 @@
 // drop an endpoint whose entry expired in an outage of the store and returns in time.
 func TestFleetDropsWhatLeftAndKeepsWhatExpired(t *testing.T) {
 	for seed := range *fleetSeeds {
-		synctest.Test(t, func(t *testing.T) {
-			ctx, cancel := context.WithCancel(t.Context())
-			random := rand.New(rand.NewPCG(seed, 0))
-			w := newWorld(seed)
-			w.disrupt(random)
-			for i := range fleetSize {
-				w.members[i] = &member{}
-			}
-			for i := range fleetSize {
-				w.members[i] = w.start(ctx, i, nil)
-			}
-			time.Sleep(time.Second)
-			expired := w.expireEntries(random)
-			w.leave(random)
-			for end := time.Now().Add(fleetTime - 2*time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
-				w.check(t, seed, expired)
-			}
-			cancel()
-			synctest.Wait()
-			time.Sleep(2 * time.Second) // calls without a context end
+		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { playDisruptions(t, seed) })
 		})
 	}
 }
 
+// playDisruptions plays the world of a seed, in which each instance follows the store itself.
+func playDisruptions(t *testing.T, seed uint64) {
+	ctx, cancel := context.WithCancel(t.Context())
+	defer func() {
+		cancel()
+		synctest.Wait()
+		time.Sleep(2 * time.Second) // calls without a context end
+	}()
+	random := rand.New(rand.NewPCG(seed, 0))
+	w := newWorld(seed)
+	w.disrupt(random)
+	for i := range fleetSize {
+		w.members[i] = &member{}
+	}
+	for i := range fleetSize {
+		w.members[i] = w.start(ctx, i, nil)
+	}
+	time.Sleep(time.Second)
+	expired := w.expireEntries(random)
+	w.leave(random)
+	for end := time.Now().Add(fleetTime - 2*time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		w.check(t, seed, expired)
+	}
+}
+
 // check reports an endpoint that an instance lists or misses against the bounds.
 func (w *world) check(t *testing.T, seed uint64, expired map[string]span) {
 	now := time.Now()
