scheduler: what a process has said about itself holds also if its entry states an earlier start or none

Callers: a request goes to an endpoint that has said in an answer that it leaves (DRAIN), or that it wants no requests for a time (BUDGET), in touch or not.

Cause: a statement is kept by endpoint and process start, and the start comes from the endpoint's entry, which another writer may rewrite without it or with an earlier one while the process goes on. The statement then hung on no target.

Change: a target takes over leaving and closures from the process of its endpoint with the latest start that has stated either, if that is later than the listed one: an earlier process can't follow a later one. A later start is a new process, which has said nothing, as before. Limits are not taken over.

--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -63,6 +63,7 @@
 	peers   []*peer // in the order in which this instance prefers them
 
 	statements   map[identifier.Process]*statement
+	lastStated   map[identifier.Endpoint]identifier.Process // of each endpoint, the process with the latest start that has said that it leaves or is closed
 	restrictions map[identifier.Fingerprint]restriction
 	copies       map[identifier.Fingerprint]int // number of flights with a fingerprint
 
@@ -90,7 +91,7 @@
 	defaulter.Set(&cfg.MaxLoad, defaultMaxLoad)
 	defaulter.Set(&cfg.TickInterval, defaultTickInterval)
 	s := &Scheduler{
-		cfg: cfg, targets: map[identifier.Endpoint]*target{}, pools: map[identifier.Pool]*pool{}, statements: map[identifier.Process]*statement{},
+		cfg: cfg, targets: map[identifier.Endpoint]*target{}, pools: map[identifier.Pool]*pool{}, statements: map[identifier.Process]*statement{}, lastStated: map[identifier.Endpoint]identifier.Process{},
 		flights: map[Ref]*flight{}, queues: map[identifier.Pool]*queue{}, rates: map[identifier.Pool]*poolRates{}, restrictions: map[identifier.Fingerprint]restriction{}, copies: map[identifier.Fingerprint]int{}, budget: newRetryBudget(cfg),
 		instances: newInstanceList(Instance{Name: cfg.Instance, FailureDomain: cfg.FailureDomain}),
 	}
@@ -207,6 +208,7 @@
 		s.pools[t.Pool] = &pool{name: t.Pool}
 	}
 	s.pools[t.Pool].add(added)
+	s.inheritStatement(now, added)
 }
 
 // removeTarget removes a target, if there is one, and its pool if that is empty then.
--- a/scheduler/statement.go
+++ b/scheduler/statement.go
@@ -71,6 +71,38 @@
 	if e.ClosedFor > 0 {
 		s.close(now, st, min(e.ClosedFor, maxClosure))
 	}
+	if e.Leaving || e.ClosedFor > 0 {
+		s.recordStated(now, e.Process)
+	}
+}
+
+// recordStated records that p has said that it leaves or is closed, which also holds for the target of its
+// endpoint.
+func (s *Scheduler) recordStated(now time.Time, p identifier.Process) {
+	if last, ok := s.lastStated[p.Endpoint]; ok && last.Start > p.Start {
+		return
+	}
+	s.lastStated[p.Endpoint] = p
+	if t := s.targets[p.Endpoint]; t != nil {
+		s.inheritStatement(now, t)
+	}
+}
+
+// inheritStatement applies to t what a process of its endpoint that started later than the list says has
+// stated about leaving and closures. Another writer may have changed the start in the endpoint's
+// entry, or left it out, while the process goes on.
+func (s *Scheduler) inheritStatement(now time.Time, t *target) {
+	last, ok := s.lastStated[t.ID]
+	if !ok || last.Start <= t.ProcessStart {
+		return
+	}
+	from, to := s.statements[last], s.statementOf(now, t.Process())
+	if to.leavingSince.IsZero() {
+		to.leavingSince = from.leavingSince
+	}
+	if from.closedUntil.After(to.closedUntil) {
+		to.closedUntil, to.isReopening, to.trial = from.closedUntil, from.isReopening, nil
+	}
 }
 
 // close closes the process of st for d and up to a tenth of d more.
@@ -102,6 +134,9 @@
 		}
 		if now.Sub(st.statedAt) >= statementTTL {
 			delete(s.statements, p)
+			if s.lastStated[p.Endpoint] == p {
+				delete(s.lastStated, p.Endpoint)
+			}
 			if st.limit.perSecond > 0 {
 				s.emit(LimitChanged{Process: p})
 			}
--- a/scheduler/statement_test.go
+++ b/scheduler/statement_test.go
@@ -49,13 +49,22 @@
 	}
 }
 
-// check fails if what is sent to a process should not be, because the process leaves or is closed.
-func (m *statementModel) check(what string, p identifier.Process) {
-	if m.leaving[p] {
-		m.t.Fatalf("%s: %s sent to %v, which leaves", m.now.Sub(scripter.Start), what, p)
+// check fails if what is sent to a process should not be, because the process leaves or is closed, or the
+// one with the latest start of which the endpoint has said so does.
+func (m *statementModel) check(what string, listed identifier.Process) {
+	last := listed
+	for start := listed.Start; start <= lastStart; start++ {
+		if p := (identifier.Process{Endpoint: listed.Endpoint, Start: start}); m.leaving[p] || !m.closed[p].IsZero() {
+			last = p
+		}
 	}
-	if m.now.Before(m.closed[p]) {
-		m.t.Fatalf("%s: %s sent to %v, which is closed until %s", m.now.Sub(scripter.Start), what, p, m.closed[p].Sub(scripter.Start))
+	for _, p := range []identifier.Process{listed, last} {
+		if m.leaving[p] {
+			m.t.Fatalf("%s: %s sent to %v, and %v leaves", m.now.Sub(scripter.Start), what, listed, p)
+		}
+		if m.now.Before(m.closed[p]) {
+			m.t.Fatalf("%s: %s sent to %v, and %v is closed until %s", m.now.Sub(scripter.Start), what, listed, p, m.closed[p].Sub(scripter.Start))
+		}
 	}
 }
 
@@ -100,8 +109,10 @@
 	m.step(scheduler.TargetsChanged{Complete: true, Changed: list})
 }
 
-// endpointCount is small, so that pools are often closed whole.
-const endpointCount = 3
+const (
+	endpointCount = 3 // small, so that pools are often closed whole
+	lastStart     = 3 // of the processes of an endpoint; an entry may state an earlier one again, or none
+)
 
 func endpointName(i int) identifier.Endpoint { return identifier.Endpoint(fmt.Sprintf("e%d", i)) }
 
@@ -114,7 +125,7 @@
 		return
 	}
 	t.ID, t.Pool, t.Slots = id, "guides", 2
-	t.ProcessStart = identifier.ProcessStart(rapid.IntRange(1, 2).Draw(m.t, "processStart"))
+	t.ProcessStart = identifier.ProcessStart(rapid.IntRange(0, lastStart).Draw(m.t, "processStart"))
 	t.Epoch = identifier.Epoch(rapid.IntRange(1, 3).Draw(m.t, "epoch"))
 	t.Address = netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, 1}), uint16(rapid.IntRange(1, 2).Draw(m.t, "port")))
 	m.targets[id] = t
