--- a/runner/hosted.go
+++ b/runner/hosted.go
@@ -92,15 +92,39 @@
 		return nil, err
 	}
 	h.storeMeters = newStoreMeters(h.meter)
-	h.store = storeclient.New(storeclient.Config{
+	h.store = h.newStore()
+	h.requester = requester.New(requester.Config{IdentityHeader: platform.Headers{}.IdentityHeader(), SourceAddress: s.SourceAddress})
+	h.forwarder = h.newForwarder()
+	h.leaving = newLeavingProcesses(h.meter)
+	h.groupFormer = newGroupFormer(h)
+	h.quarantine = newQuarantine(h)
+	h.view = newView(h)
+	h.messenger = h.newMessenger()
+	h.upstream = &upstream{hosted: h, failedAt: map[identifier.Instance]time.Time{}}
+	h.replica = replicator.New(replicator.Config{
+		Store: h.store, Peers: h.messenger, Upstream: h.upstream, OnChange: h.view.applyChanges, OnHealth: h.view.setStoreHealth,
+		OnContact: h.view.recordContact, Logger: logger,
+	})
+	h.newLeases()
+	return h, nil
+}
+
+// newStore returns the client of the store. The budgets are this instance's share of the store's rates.
+func (h *hosted) newStore() *storeclient.Client {
+	s := h.settings
+	return storeclient.New(storeclient.Config{
 		Address: s.Store.Address, Instance: s.Instance, Dialect: platform.Store{}, HTTP: newHTTPClient(s.SourceAddress, storeTimeout),
 		ReadsPerSecond: storeShare * s.Store.ReadsPerSecond, WritesPerSecond: storeShare * s.Store.WritesPerSecond,
 		CallTimeout: storeTimeout, BackoffBase: storeBackoff, BackoffMax: storeBackoffMax, CircuitFailures: circuitFailures,
-		TrialDelayBase: circuitWait, TrialDelayMax: circuitWait, WatchWait: watchWait, Logger: logger, Meter: h.meter,
+		TrialDelayBase: circuitWait, TrialDelayMax: circuitWait, WatchWait: watchWait, Logger: h.logger, Meter: h.meter,
 	})
-	h.requester = requester.New(requester.Config{IdentityHeader: platform.Headers{}.IdentityHeader(), SourceAddress: s.SourceAddress})
-	h.forwarder = forwarder.New(forwarder.Config{
-		Resolver: h.resolver, Requester: h.requester, Dialect: platform.Headers{}, Logger: logger, Meter: h.meter,
+}
+
+// newForwarder returns the forwarder of callers' requests. Its callbacks use components that are created after it.
+func (h *hosted) newForwarder() *forwarder.Forwarder {
+	s := h.settings
+	return forwarder.New(forwarder.Config{
+		Resolver: h.resolver, Requester: h.requester, Dialect: platform.Headers{}, Logger: h.logger, Meter: h.meter,
 		Scheduler: scheduler.Config{
 			Instance: s.Instance, FailureDomain: s.FailureDomain, RetryRatio: retryShare * s.Bounds.RetryRatio, RetrySlack: retryShare * s.Bounds.RetrySlack,
 			RetryWindow: s.Bounds.RetryWindow.Std(), FirstStart: s.FirstStart, Random: rand.NewPCG(rand.Uint64(), rand.Uint64()),
@@ -114,11 +138,13 @@
 		OnReach:         h.setReach,
 		PeerAddress:     h.peerAddress, Probe: h.probe,
 	})
-	h.leaving = newLeavingProcesses(h.meter)
-	h.groupFormer = newGroupFormer(h)
-	h.quarantine = newQuarantine(h)
-	h.view = newView(h)
-	h.messenger = messenger.New(messenger.Config{
+}
+
+// newMessenger returns the messenger that answers peers from the other components. The replica is created after
+// it.
+func (h *hosted) newMessenger() *messenger.Messenger {
+	s := h.settings
+	return messenger.New(messenger.Config{
 		Instance: s.Instance, FailureDomain: s.FailureDomain, Peers: &h.peers,
 		Watch: func(ctx context.Context, after uint64, wait time.Duration) (replicator.PeerChanges, error) {
 			return h.replica.Watch(ctx, after, wait)
@@ -130,15 +156,8 @@
 		Reach:    h.forwarder.Reach, Quarantines: h.listQuarantines, Lift: h.liftQuarantine,
 		OnUnacknowledged: func(fp identifier.Fingerprint) {
 			h.quarantine.step.Submit(quarantiner.AnnouncementFailed{Fingerprint: fp})
-		}, HTTP: newHTTPClient(s.SourceAddress, peerTimeout), Timeout: peerTimeout, Logger: logger,
-	})
-	h.upstream = &upstream{hosted: h, failedAt: map[identifier.Instance]time.Time{}}
-	h.replica = replicator.New(replicator.Config{
-		Store: h.store, Peers: h.messenger, Upstream: h.upstream, OnChange: h.view.applyChanges, OnHealth: h.view.setStoreHealth,
-		OnContact: h.view.recordContact, Logger: logger,
+		}, HTTP: newHTTPClient(s.SourceAddress, peerTimeout), Timeout: peerTimeout, Logger: h.logger,
 	})
-	h.newLeases()
-	return h, nil
 }
 
 // newLeases creates the lease of the instance's own key and the lease of forming groups.
