replicator: a list is not repeated beside an overdue watch

A poll beside an overdue watch that was told that the history is gone started a list, and further ones each 0.4 s while the watch was pending, so that a list of a large fleet was fetched several times at once.

--- a/replicator/core.go
+++ b/replicator/core.go
@@ -132,19 +132,19 @@
 // startCall starts a List if the entries are incomplete or unconfirmed, and a Watch otherwise.
 func (c *Core) startCall(now time.Time) []Action {
 	call := Call{Round: c.round, At: now, PreviousAt: c.calledAt}
-	isUnanswered := c.failures > 0 || c.pending > 0
+	isList, isOverdue := !c.listed || c.fromPeer, c.pending > 0
 	c.calledAt, c.nextCallAt = now, time.Time{}
 	c.pending++
-	if isUnanswered {
+	switch {
+	case c.failures > 0 || isOverdue && !isList:
 		c.nextCallAt = now.Add(c.maxBackoff)
+	case !isList:
+		c.nextCallAt = c.overdueAt(now)
 	}
-	if !c.listed || c.fromPeer {
+	if isList {
 		return []Action{List{Call: call}}
 	}
-	if !isUnanswered {
-		c.nextCallAt = c.overdueAt(now)
-	}
-	return []Action{Watch{After: c.revision, Poll: c.lost || isUnanswered, Call: call}}
+	return []Action{Watch{After: c.revision, Poll: c.lost || c.failures > 0 || isOverdue, Call: call}}
 }
 
 // overdueAt returns when a watch that is made now no longer delays the next call. The time counts from the
