messenger: a peer that has itself just returned is not queried again and again

Callers: as in, in fleets of more than a few instances: an endpoint that left gets requests for longer than 2 s after a cut of all instances.

Cause: an instance keeps querying a peer as soon as the store answers that peer. After a cut of all, that is one that returned a moment ago, and what it can pass on is what its own single peer knows.

Change: a peer is queried again only if the store is known to have answered for 2.2 s; otherwise the next query goes to another peer, as to one without contact. The number of queries is the same.

Evidence: TestPeerThatHasJustReturnedIsNotAskedAgain, which learns 100 ms of a minute before. A large fleet that is cut off as a whole was not played.

--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -186,11 +186,15 @@
 	}
 }
 
+// minContactTime is the time for which the store must have answered a peer for the peer to be queried again.
+// What a peer knows that has itself just returned does not show whether the store was away.
+const minContactTime = 2200 * time.Millisecond
+
 // FetchUpdate queries one peer for what its replica holds beyond revision after, and for how long the
 // store has answered that peer. A Revision of zero means that the peer has nothing newer or did
-// not answer. The next call queries the same peer if the store answers it. Otherwise it queries
-// one of another failure domain than this call if there is one, because a failure domain may be cut off
-// as a whole.
+// not answer. The next call queries the same peer if the store has answered it for minContactTime.
+// Otherwise it queries one of another failure domain than this call if there is one, because a failure
+// domain may be cut off as a whole.
 func (m *Messenger) FetchUpdate(ctx context.Context, after uint64) replicator.Update {
 	now := time.Now()
 	p, ok := m.selector.next(now, m.cfg.Peers.All())
@@ -205,7 +209,7 @@
 	}
 	u := w.update()
 	hasNews := u.Revision > after
-	if !u.IsInContact {
+	if !u.IsInContact || u.ContactTime < minContactTime {
 		m.selector.reject(now, p.Instance, hasNews)
 	}
 	if !hasNews {
--- a/messenger/messenger_test.go
+++ b/messenger/messenger_test.go
@@ -54,6 +54,30 @@
 	return messenger.Peer{Instance: name, FailureDomain: domain, Address: netip.MustParseAddrPort(s.Listener.Addr().String())}
 }
 
+// TestPeerThatHasJustReturnedIsNotAskedAgain guards against an instance that asks one peer again and again
+// which has itself just returned, and so takes the peer's return for that of the store.
+func TestPeerThatHasJustReturnedIsNotAskedAgain(t *testing.T) {
+	is := is.New(t)
+	var peers messenger.Peers
+	contact := map[identifier.Instance]time.Duration{"alpine-1": 100 * time.Millisecond, "alpine-2": 200 * time.Millisecond, "marfa-1": 300 * time.Millisecond, "marfa-2": time.Minute}
+	for name, contactTime := range contact {
+		m := messenger.New(messenger.Config{UpdateSince: func(uint64) replicator.Update {
+			return replicator.Update{IsInContact: true, ContactTime: contactTime}
+		}})
+		s := httptest.NewServer(m.Handler())
+		t.Cleanup(s.Close)
+		domain, _, _ := strings.Cut(string(name), "-")
+		peers.Set(messenger.Peer{Instance: name, FailureDomain: identifier.FailureDomain(domain), Address: netip.MustParseAddrPort(s.Listener.Addr().String())})
+	}
+	m := messenger.New(messenger.Config{Instance: "alpine-3", FailureDomain: "alpine", Peers: &peers, HTTP: http.DefaultClient})
+	var longest time.Duration
+	for range contact {
+		longest = max(longest, m.FetchUpdate(t.Context(), 4).ContactTime)
+	}
+	is.Equal(longest, time.Minute)                                   // each peer was queried until one had it
+	is.Equal(m.FetchUpdate(t.Context(), 4).ContactTime, time.Minute) // and that one is queried again
+}
+
 // TestExchanges checks each exchange between instances.
 func TestExchanges(t *testing.T) {
 	is := is.New(t)
--- a/messenger/selector.go
+++ b/messenger/selector.go
@@ -14,8 +14,8 @@
 // deprioritizeTime is how long a peer that had nothing newer or did not answer ranks behind the others.
 const deprioritizeTime = 5 * time.Second
 
-// peerSelector selects the peer to query next for an update. It keeps selecting a peer that the store
-// answers, so that each change is not sent many times across the fleet. While it knows none, it
+// peerSelector selects the peer to query next for an update. It keeps selecting a peer that the store has
+// answered for some time, so that each change is not sent many times across the fleet. While it knows none, it
 // selects peers of the local failure domain and of others in turn. Each instance ranks the peers
 // differently, so that the instances do not all query the same peer. It is safe for concurrent use.
 type peerSelector struct {
@@ -47,7 +47,7 @@
 	}), true
 }
 
-// reject records that a peer which the store does not answer was queried. The next peer is of another
+// reject records that a peer was queried which the store does not answer or has not for long. The next peer is of another
 // failure domain if there is one. A peer that had no news ranks behind the others for deprioritizeTime.
 func (s *peerSelector) reject(now time.Time, name identifier.Instance, hasNews bool) {
 	s.mu.Lock()
--- a/replicator/fleet_test.go
+++ b/replicator/fleet_test.go
@@ -15,17 +15,18 @@
 
 // Bounds of the fleet test, as the users state them.
 const (
-	drainTime     = 2 * time.Second         // after which an endpoint that has left gets no request
-	stableTime    = 3 * time.Second         // after an outage or a cut, from which on an instance must keep the bounds
-	rewriteTime   = 1900 * time.Millisecond // after the store's return, within which the entries that expired in its outage are back
-	expiryTime    = 2400 * time.Millisecond // from the start of an outage to the first expiry: three intervals of 1.2 s, less the one that had begun
-	fleetTime     = 40 * time.Second        // of a world
-	disruptions   = 4                       // of a world, one after the other
-	peerTimeout   = 350 * time.Millisecond  // of a query of a peer
-	lateShare     = 6                       // one in so many answers of the store is late
-	maxLateness   = 700 * time.Millisecond
-	fleetSize     = 4
-	endpointCount = 24
+	drainTime       = 2 * time.Second         // after which an endpoint that has left gets no request
+	stableTime      = 3 * time.Second         // after an outage or a cut, from which on an instance must keep the bounds
+	rewriteTime     = 1900 * time.Millisecond // after the store's return, within which the entries that expired in its outage are back
+	expiryTime      = 2400 * time.Millisecond // from the start of an outage to the first expiry: three intervals of 1.2 s, less the one that had begun
+	fleetTime       = 40 * time.Second        // of a world
+	disruptions     = 4                       // of a world, one after the other
+	peerContactTime = 2200 * time.Millisecond // for which the store has answered a peer that is queried again
+	peerTimeout     = 350 * time.Millisecond  // of a query of a peer
+	lateShare       = 6                       // one in so many answers of the store is late
+	maxLateness     = 700 * time.Millisecond
+	fleetSize       = 4
+	endpointCount   = 24
 )
 
 // TestFleetDropsWhatLeftAndKeepsWhatExpired plays fleets whose store is away or answers late, and whose instances are cut
