--- a/replicator/outage_test.go
+++ b/replicator/outage_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -102,19 +103,38 @@
 	}
 }
 
+// failureTime is the time of the last failed watch of an upstream. It is safe for concurrent use.
+type failureTime struct {
+	mu sync.Mutex
+	at time.Time
+}
+
+func (f *failureTime) record() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.at = time.Now()
+}
+
+// isRecent reports whether no peer is followed because a watch has failed lately.
+func (f *failureTime) isRecent() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return time.Since(f.at) < upstreamRetryTime
+}
+
 // peerUpstream follows a replica, and the store for a time after a failed watch.
 type peerUpstream struct {
-	replica  *replicator.Replicator
-	failedAt time.Time
+	replica *replicator.Replicator
+	failed  failureTime
 }
 
 func (u *peerUpstream) Watch(ctx context.Context, after uint64) (replicator.PeerChanges, error) {
-	if time.Since(u.failedAt) < 5*time.Second {
+	if u.failed.isRecent() {
 		return replicator.PeerChanges{}, &replicator.NoPeerError{}
 	}
-	changes, err := u.replica.Watch(ctx, after, time.Second)
+	changes, err := u.replica.Watch(ctx, after, upstreamWait)
 	if err != nil {
-		u.failedAt = time.Now()
+		u.failed.record()
 	}
 	return changes, err
 }
@@ -170,7 +190,7 @@
 		return changes, err
 	}
 	time.Sleep(upstreamWait + upstreamTimeout) // the answer does not come
-	u.failedAt = time.Now()
+	u.failed.record()
 	return replicator.PeerChanges{}, errSilent
 }
 
--- a/replicator/replicator.go
+++ b/replicator/replicator.go
@@ -28,7 +28,8 @@
 	FetchUpdate(ctx context.Context, after uint64) Update
 }
 
-// Upstream is a peer whose replica this replica may follow instead of the store.
+// Upstream is a peer whose replica this replica may follow instead of the store. It must be safe for
+// concurrent use, because calls overlap after a failure.
 type Upstream interface {
 	// Watch returns the changes after a revision, as Store.Watch does. Its error is *NoPeerError if
 	// there is currently no peer to follow, and another one if the peer has not answered.
--- a/replicator/return_test.go
+++ b/replicator/return_test.go
@@ -50,22 +50,22 @@
 type fleetUpstream struct {
 	world            *world
 	follower, parent int
-	failedAt         time.Time
+	failed           failureTime
 }
 
 func (u *fleetUpstream) Watch(ctx context.Context, after uint64) (replicator.PeerChanges, error) {
-	if time.Since(u.failedAt) < upstreamRetryTime {
+	if u.failed.isRecent() {
 		return replicator.PeerChanges{}, &replicator.NoPeerError{}
 	}
 	now := time.Now()
 	if isAway(u.world.peerCut[u.follower], now, 0) || isAway(u.world.peerCut[u.parent], now, 0) {
 		time.Sleep(upstreamWait + upstreamTimeout)
-		u.failedAt = time.Now()
+		u.failed.record()
 		return replicator.PeerChanges{}, errSilent
 	}
 	changes, err := u.world.members[u.parent].replica.Watch(ctx, after, upstreamWait)
 	if err != nil {
-		u.failedAt = time.Now()
+		u.failed.record()
 	}
 	return changes, err
 }
