--- a/replicator/return_test.go
+++ b/replicator/return_test.go
@@ -84,7 +84,7 @@
 	}
 }
 
-// playFollowers plays a world whose calls into a cut are lost, as prepare has set it up, until end. It checks
+// playFollowers plays a world whose calls into a cut are lost, as prepare has set it up. It checks
 // the bounds for the endpoints that leave and those that prepare returns, whose entries expire.
 func playFollowers(t *testing.T, seed uint64, prepare func(*world, *rand.Rand) map[string]span) {
 	ctx, cancel := context.WithCancel(t.Context())
