--- a/configurer/hosted.go
+++ b/configurer/hosted.go
@@ -46,8 +46,9 @@
 
 // Machine holds the resources that the instance may use on its machine.
 type Machine struct {
-	Cores    int `json:"cores" validate:"gt=0"`
-	MemoryMB int `json:"memoryMB" validate:"gt=0"`
+	Cores    int     `json:"cores" validate:"gt=0"`
+	MemoryMB int     `json:"memoryMB" validate:"gt=0"`
+	LinkMbps float64 `json:"linkMbps" validate:"gte=0"` // bandwidth of the machine's link in Mbit/s; zero if it is not known
 }
 
 // Bounds are the times and rates that the platform's operator requires.
@@ -57,6 +58,8 @@
 	RetryRatio  float64            `json:"retryRatio" validate:"gte=0"` // retries per request, over all instances
 	RetrySlack  float64            `json:"retrySlack" validate:"gte=0"` // retries beyond that ratio in one window
 	RetryWindow formatter.Duration `json:"retryWindow"`                 // over which retries are counted; default 10s
+	ColdExcess  float64            `json:"coldExcess" validate:"gte=0"` // factor on the rate of a cold endpoint that its requests in one second must not exceed; zero if no endpoint is ever cold
+	ColdSlack   float64            `json:"coldSlack" validate:"gte=0"`  // requests that a cold endpoint may get in one second beyond that
 }
 
 // The defaults of the optional hosted settings.
--- a/resolver/configuration.go
+++ b/resolver/configuration.go
@@ -95,9 +95,17 @@
 	Name           identifier.Service
 	HealthPath     string
 	MaxConnections int            // to one endpoint, from all callers
+	Cold           ColdProfile    // the zero value if its endpoints are never cold
 	Engine         *EngineProfile // nil for a plain service
 }
 
+// ColdProfile describes the endpoints of a service that are cold: for a time after their start, or after their
+// failure domain was evacuated, they bear only a low rate of requests.
+type ColdProfile struct {
+	Duration  time.Duration // for which an endpoint is cold after its start
+	PerSecond float64       // requests that a cold endpoint takes from all instances together; zero for no limit
+}
+
 // EngineProfile describes the engines of a service and the models that they run.
 type EngineProfile struct {
 	Slots                  int // requests that one replica group runs concurrently
@@ -110,6 +118,7 @@
 	MeanAnswerTokens       int
 	PrefillTokensPerSecond float64       // prompt tokens that one engine processes per second
 	DecodeStep             time.Duration // time to generate one token at an otherwise idle engine
+	DecodeStepPerRequest   time.Duration // by which each running request lengthens that time
 }
 
 // Model returns the named model. The second result is false if the profile has no such model.
