router: a request waits for a target that is about to be usable

Cause, from the logs of the failing run: all six went to entry-4 in the first milliseconds after the groups became ready. entry-1 of the same failure domain served them already; entry-4 learns of it from reports, some tens of milliseconds later beside load, and no capacity of other domains was known yet. A request without a usable target was refused at once. Change: a first attempt waits up to 1 s, and at most a third of its time, while a target of its pool forms, was ready a second ago, or is suspended until its next report; it looks again each 50 ms. Targets that leave, and those that have been down for longer, are refused at once as before.

--- a/router/flight.go
+++ b/router/flight.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"slices"
 	"time"
 
 	"amaranthmill/internal/identifier"
@@ -60,6 +61,9 @@
 	if t == nil && f.mayHaveRun && r.waitUntil(now, f, now.Add(targetPollInterval)) {
 		return
 	}
+	if t == nil && f.attempt == 0 && r.isTargetExpected(now, f) && r.waitForExpected(now, f) {
+		return
+	}
 	if t == nil || !r.chargeAttempt(f) {
 		r.giveUp(now, f)
 		return
@@ -69,8 +73,8 @@
 
 // waitUntil makes f wait until the given time. It reports false if Config.MaxTargetWait or
 // the deadline of f ends before that. A request that may have run waits for a target to
-// recover instead of ending without its complete answer. A request that did not run is
-// refused at once unless it is suspected.
+// recover instead of ending without its complete answer. A request that did not run waits only
+// if it is suspected; see waitForExpected for the others.
 func (r *Router) waitUntil(now time.Time, f *flight, until time.Time) bool {
 	if f.waitDeadline.IsZero() {
 		f.waitDeadline = now.Add(r.cfg.MaxTargetWait)
@@ -82,6 +86,35 @@
 	return true
 }
 
+// Times of the wait of a request that has not run for a target that is expected to be usable soon.
+const (
+	expectedPollInterval = 50 * time.Millisecond
+	expectedMaxWait      = time.Second
+	expectedReturn       = time.Second // for which a target that is no longer ready is expected back: a report may have been late
+)
+
+// isTargetExpected reports whether a target for f is expected to be usable soon: it forms and has not been
+// ready yet, it was ready a moment ago, or it gets no requests until its next report. This instance may learn
+// later than others that a group is ready.
+func (r *Router) isTargetExpected(now time.Time, f *flight) bool {
+	pool := r.table.pools[f.Request.Pool]
+	return pool != nil && slices.ContainsFunc(pool.targets, func(t *target) bool { return t.isExpected(now) && t.canServe(f) })
+}
+
+// waitForExpected makes f wait for the next check whether a target is usable. It reports false once f has
+// waited for expectedMaxWait or a third of the time until its deadline.
+func (r *Router) waitForExpected(now time.Time, f *flight) bool {
+	if f.waitDeadline.IsZero() {
+		f.waitDeadline = now.Add(min(expectedMaxWait, f.Request.Deadline.Sub(now)/3))
+	}
+	until := now.Add(expectedPollInterval)
+	if until.After(f.waitDeadline) {
+		return false
+	}
+	r.emit(Wait{Ref: f.Ref, Until: until})
+	return true
+}
+
 // chargeAttempt reports whether the retry budget allows another attempt of f and deducts
 // that attempt. The first attempt and one that follows NotSent are not charged.
 func (r *Router) chargeAttempt(f *flight) bool {
--- a/router/target.go
+++ b/router/target.go
@@ -43,6 +43,7 @@
 	othersInFlight float64   // requests of other instances that run or wait there, estimated from the last report
 	suspendedAt    time.Time // when an attempt last failed in a way that suspends the target; zero for never
 	downSince      time.Time // when it was first reported as not ready or leaving; zero while it is ready
+	wasReady       bool      // this epoch and process start was reported as ready
 	samples        [sampleCount]ownSample
 	nextSample     int
 }
@@ -130,8 +131,9 @@
 	if isNew {
 		tt.lastNum++
 		t.num = tt.lastNum
-		t.suspendedAt = time.Time{}
+		t.suspendedAt, t.wasReady = time.Time{}, false
 	}
+	t.wasReady = t.wasReady || t.Ready
 	switch {
 	case t.Ready && !t.Leaving:
 		t.downSince = time.Time{}
@@ -174,6 +176,17 @@
 	return !suspended
 }
 
+// isExpected reports whether t is expected to take requests soon although it takes none now.
+func (t *target) isExpected(now time.Time) bool {
+	switch {
+	case t.Leaving:
+		return false
+	case t.Ready: // it is suspended until its next report
+		return true
+	}
+	return !t.wasReady || now.Sub(t.downSince) < expectedReturn
+}
+
 // wasReadySince reports whether t could have been chosen by some instance after the given time.
 func (t *target) wasReadySince(at time.Time) bool {
 	return t.downSince.After(at) || t.suspendedAt.After(at)
