scheduler, targetlister: nothing is sent to evacuated targets

Requests were sent to the endpoints of an evacuated failure domain all the time. targetlister sets Target.Evacuated, and the scheduler starts no attempt of any kind, trial or probe there; running requests go on. The property test of targetlister now draws evacuations too.

--- a/scheduler/choice.go
+++ b/scheduler/choice.go
@@ -80,6 +80,9 @@
 
 // waitReason returns the reason why no target of a pool is available for f.
 func (s *Scheduler) waitReason(now time.Time, f *flight, pl *pool) Reason {
+	if pl.isEvacuated() {
+		return ReasonEvacuated
+	}
 	m := pl.means(now)
 	for _, t := range pl.targets {
 		if !f.hasTried(now, t) && s.isFull(now, t, m) {
@@ -98,6 +101,9 @@
 // isFull reports whether t takes no request because of those that it runs: it has refused one, or
 // the estimate of its load says so.
 func (s *Scheduler) isFull(now time.Time, t *target, m means) bool {
+	if t.Evacuated {
+		return false
+	}
 	if now.Before(t.refusedUntil) {
 		return t.statement.admits(now) && !s.limitedUntil(now, t).After(now)
 	}
@@ -142,11 +148,11 @@
 	return score + 0.25*float64(min(t.consecutiveFailures, 8))
 }
 
-// mayTake reports whether t may take a request which no target runs: its process has neither said
+// mayTake reports whether t may take a request which no target runs: it is not evacuated, its process has neither said
 // that it leaves nor asked for no requests, its limit allows one, it has answered since this instance was cut off, and
 // either t is not stalled, or a trial request is due.
 func (s *Scheduler) mayTake(now time.Time, t *target) bool {
-	if !t.statement.admits(now) || now.Before(t.refusedUntil) || s.limitedUntil(now, t).After(now) {
+	if t.Evacuated || !t.statement.admits(now) || now.Before(t.refusedUntil) || s.limitedUntil(now, t).After(now) {
 		return false
 	}
 	if s.reach.isCutOff() && (t.isUnreachable() || !t.hasAnsweredSince(s.reach.cutSince)) {
--- a/scheduler/flight.go
+++ b/scheduler/flight.go
@@ -82,6 +82,10 @@
 		s.giveUp(now, f, ReasonDeadline)
 		return
 	}
+	if s.isEvacuated(f.Pool) {
+		s.giveUp(now, f, ReasonEvacuated)
+		return
+	}
 	if reason := s.blockingReason(f); reason != "" {
 		s.block(now, f, reason)
 		return
@@ -168,7 +172,10 @@
 		s.finish(f, s.restrictedOutcome(now, f, reason))
 	case f.refusedStatus != 0 && f.sentAttempts > 0:
 		s.countMiss(f)
-		s.finish(f, NotRun{Reason: ReasonAllRefused, RetryAfter: s.retryAfter(now, f)})
+		if reason != ReasonEvacuated {
+			reason = ReasonAllRefused
+		}
+		s.finish(f, NotRun{Reason: reason, RetryAfter: s.retryAfter(now, f)})
 	case f.sentAttempts > 0:
 		s.finish(f, Unknown{Reason: reason})
 	default:
--- a/scheduler/limit.go
+++ b/scheduler/limit.go
@@ -137,12 +137,12 @@
 	perSecond float64   // requests of this instance, after that
 }
 
-// limitOutlook returns the outlook of a pool if each target that may get requests at all is limited and may
+// limitOutlook returns the outlook of a pool if each target that may get requests at all, being neither evacuated nor leaving, is limited and may
 // get none now, and false otherwise.
 func (s *Scheduler) limitOutlook(now time.Time, pl *pool) (limitOutlook, bool) {
 	var o limitOutlook
 	for _, t := range pl.targets {
-		if t.statement.isLeaving() {
+		if t.Evacuated || t.statement.isLeaving() {
 			continue
 		}
 		at := s.limitedUntil(now, t)
--- a/scheduler/outcome.go
+++ b/scheduler/outcome.go
@@ -16,6 +16,7 @@
 	ReasonStopping     Reason = "stopping"     // this instance stops and serves no more requests of peers
 	ReasonOlderVersion Reason = "olderVersion" // the peer does not know requests of other instances
 	ReasonFull         Reason = "full"         // every available target is full
+	ReasonEvacuated    Reason = "evacuated"    // the failure domain of every target is evacuated
 	ReasonClosed       Reason = "closed"       // every target has asked for no requests for a time
 	ReasonLimited      Reason = "limited"      // the limit of every target is used up
 	ReasonStalled      Reason = "stalled"      // the target is stalled
--- a/scheduler/peer.go
+++ b/scheduler/peer.go
@@ -123,8 +123,8 @@
 // this instance has lost its links, or reaches no target of the pool although some are listed.
 func (s *Scheduler) mayGoThroughPeer(now time.Time, f *flight, reason Reason) bool {
 	switch {
-	case s.pools[f.Pool] == nil:
-		return false // peers have the same list
+	case s.pools[f.Pool] == nil || s.isEvacuated(f.Pool):
+		return false // peers have the same list and the same evacuations
 	case f.notSent >= maxNotSent:
 		return true
 	case s.reach.isCutOff():
@@ -133,12 +133,12 @@
 	return reason == ReasonNoTarget && s.pools[f.Pool].isUnreachable(now)
 }
 
-// isUnreachable reports whether this instance reaches none of p's targets. Fewer than minUnreachable may
+// isUnreachable reports whether this instance reaches none of p's targets that are not evacuated. Fewer than minUnreachable may
 // all be silent for a moment.
 func (p *pool) isUnreachable(now time.Time) bool {
-	isFew := len(p.targets) < minUnreachable
+	isFew := len(p.targets)-p.evacuated < minUnreachable
 	return !slices.ContainsFunc(p.targets, func(t *target) bool {
-		return !t.isUnreachable() || isFew && (t.stalledAt.IsZero() || now.Sub(t.stalledAt) < maxSilence)
+		return !t.Evacuated && (!t.isUnreachable() || isFew && (t.stalledAt.IsZero() || now.Sub(t.stalledAt) < maxSilence))
 	})
 }
 
--- a/scheduler/probe.go
+++ b/scheduler/probe.go
@@ -22,7 +22,7 @@
 	for r.probes < maxProbes && !now.Before(r.nextProbeAt) {
 		var next *target
 		for _, t := range s.targets {
-			if t.isProbed || !t.statement.admits(now) || t.hasAnsweredSince(r.cutSince) && !t.isUnreachable() {
+			if t.Evacuated || t.isProbed || !t.statement.admits(now) || t.hasAnsweredSince(r.cutSince) && !t.isUnreachable() {
 				continue
 			}
 			if next == nil || cmp.Or(t.probedAt.Compare(next.probedAt), cmp.Compare(t.ID, next.ID)) < 0 {
--- a/scheduler/reach.go
+++ b/scheduler/reach.go
@@ -43,7 +43,7 @@
 func (t *target) hasAnsweredSince(at time.Time) bool { return !t.contactAt.Before(at) }
 
 // updateReach counts the targets that can be reached and judges from them whether the instance
-// is cut off. A single target, or a few, may be silent while all others answer.
+// is cut off. Evacuated targets get neither requests nor probes and prove nothing. A single target, or a few, may be silent while all others answer.
 func (s *Scheduler) updateReach(now time.Time) {
 	r := &s.reach
 	since, failedSince := now.Add(-answerWindow), now.Add(-failureWindow)
@@ -53,6 +53,7 @@
 	r.unreachable, r.answering = 0, 0
 	for _, t := range s.targets {
 		switch {
+		case t.Evacuated:
 		case t.unreachableAt.After(failedSince):
 			r.unreachable++
 		case t.hasAnsweredSince(since):
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -109,6 +109,7 @@
 	case TargetsChanged:
 		s.changeTargets(now, e)
 		s.placeAllWaiting(now)
+		s.refuseEvacuated(now)
 	case InstancesSet:
 		s.instances.set(now, e.Instances)
 		s.budget.setInstances(len(s.instances.listed))
@@ -194,7 +195,7 @@
 func (s *Scheduler) setTarget(now time.Time, t Target) {
 	old := s.targets[t.ID]
 	if old != nil && old.Pool == t.Pool && old.isSameIncarnation(&t) {
-		old.Target = &t
+		s.pools[t.Pool].replaceTarget(old, &t)
 		return
 	}
 	s.removeTarget(t.ID)
--- a/scheduler/session_test.go
+++ b/scheduler/session_test.go
@@ -133,7 +133,7 @@
 func (s *session) setTarget(ev scripter.Event) {
 	t := scheduler.Target{
 		ID: identifier.Endpoint(ev.Str("endpoint")), Pool: "guides", FailureDomain: "here", Slots: 4,
-		ProcessStart: identifier.ProcessStart(ev.Int("processStart")), Group: identifier.Group(ev.Str("group")), Epoch: identifier.Epoch(ev.Int("epoch")), MemberMissing: ev.Bool("memberMissing"), SpansFabricDomains: ev.Bool("spansFabricDomains"),
+		ProcessStart: identifier.ProcessStart(ev.Int("processStart")), Group: identifier.Group(ev.Str("group")), Epoch: identifier.Epoch(ev.Int("epoch")), MemberMissing: ev.Bool("memberMissing"), SpansFabricDomains: ev.Bool("spansFabricDomains"), Evacuated: ev.Bool("evacuated"),
 	}
 	if ev.Has("domain") {
 		t.FailureDomain = identifier.FailureDomain(ev.Str("domain"))
--- a/scheduler/share.go
+++ b/scheduler/share.go
@@ -234,17 +234,21 @@
 	return rankingBasis{instances: s.instances.version, targets: pl.version}
 }
 
-// updateHomes computes the home of each instance, unless nothing has changed since the last call.
+// updateHomes computes the home of each instance, unless nothing has changed since the last call. An evacuated target
+// is no home, unless all are evacuated: its instances would be senders of no target.
 func (p *pool) updateHomes(basis rankingBasis, instances []hashedInstance) {
 	if p.homesBasis == basis {
 		return
 	}
 	p.homesBasis, p.homes = basis, p.homes[:0]
 	for _, in := range instances {
-		best := p.targets[0]
-		bestHash := mixHashes(best.hash, in.hash)
-		for _, t := range p.targets[1:] {
-			if h := mixHashes(t.hash, in.hash); h > bestHash || h == bestHash && t.ID < best.ID {
+		var best *target
+		bestHash := uint64(0)
+		for _, t := range p.targets {
+			if t.Evacuated && !p.isEvacuated() {
+				continue
+			}
+			if h := mixHashes(t.hash, in.hash); best == nil || h > bestHash || h == bestHash && t.ID < best.ID {
 				best, bestHash = t, h
 			}
 		}
--- a/scheduler/statement.go
+++ b/scheduler/statement.go
@@ -145,12 +145,12 @@
 }
 
 // reopensAt returns the earliest end of the closures of p's targets, or false if a target is
-// neither closed nor leaving, or none is closed.
+// neither closed nor leaving nor evacuated, or none is closed.
 func (p *pool) reopensAt(now time.Time) (time.Time, bool) {
 	var earliest time.Time
 	for _, t := range p.targets {
 		switch {
-		case t.statement.isLeaving():
+		case t.Evacuated || t.statement.isLeaving():
 		case !t.statement.isClosed(now):
 			return time.Time{}, false
 		case earliest.IsZero() || t.statement.closedUntil.Before(earliest):
@@ -164,7 +164,7 @@
 func (p *pool) slotsReopeningBy(at time.Time) int {
 	slots := 0
 	for _, t := range p.targets {
-		if !t.statement.isLeaving() && !t.statement.closedUntil.After(at) {
+		if !t.Evacuated && !t.statement.isLeaving() && !t.statement.closedUntil.After(at) {
 			slots += t.Slots
 		}
 	}
--- a/scheduler/target.go
+++ b/scheduler/target.go
@@ -19,7 +19,8 @@
 	Members            []identifier.Endpoint // members of the group
 	Slots              int                   // requests that the target runs concurrently
 	SpansFabricDomains bool                  // the group has members in more than one fabric domain, which makes it slower
-	MemberMissing      bool                  // fewer members of the group are listed than it needs, so that the target is used last
+	MemberMissing      bool                  // fewer members of the group are listed than it needs, or one is evacuated, so that the target is used last
+	Evacuated          bool                  // its failure domain is evacuated, so that nothing is sent to it; running requests go on
 }
 
 // isSameIncarnation reports whether t and o are the same process of the same endpoint in the
@@ -148,6 +149,7 @@
 	refusalsUntil  time.Time // end of the closure in which they were refused
 	limitReturnsAt time.Time // when the next caller should return who is refused because of limits
 	version        int       // counts the changes of targets
+	evacuated      int       // targets that are evacuated
 	homes          []*target // the home of each instance that shares limits, in their order; see Scheduler.computeShare
 	homesBasis     rankingBasis
 }
@@ -155,6 +157,7 @@
 // add adds a target.
 func (p *pool) add(t *target) {
 	p.version++
+	p.countEvacuated(t, 1)
 	t.position = len(p.targets)
 	p.targets = append(p.targets, t)
 }
@@ -162,6 +165,7 @@
 // remove removes a target. The last one takes its place.
 func (p *pool) remove(t *target) {
 	p.version++
+	p.countEvacuated(t, -1)
 	last := p.targets[len(p.targets)-1]
 	p.targets[t.position] = last
 	last.position = t.position
@@ -178,11 +182,12 @@
 	return means{otherRequests: p.meanOtherRequests(now), gap: p.meanGap(now)}
 }
 
-// meanOtherRequests returns the mean number of requests of other instances per target of p, from recent load reports.
+// meanOtherRequests returns the mean number of requests of other instances per target of p that is not evacuated, from
+// recent load reports.
 func (p *pool) meanOtherRequests(now time.Time) float64 {
 	sum, n := 0, 0
 	for _, t := range p.targets {
-		if !t.otherRequestsAt.IsZero() && now.Sub(t.otherRequestsAt) < loadReportTTL {
+		if !t.Evacuated && !t.otherRequestsAt.IsZero() && now.Sub(t.otherRequestsAt) < loadReportTTL {
 			sum += t.otherRequests
 			n++
 		}
--- a/scheduler/wait.go
+++ b/scheduler/wait.go
@@ -96,6 +96,10 @@
 	if pl == nil {
 		return o
 	}
+	if pl.isEvacuated() {
+		o.reason = ReasonEvacuated
+		return o
+	}
 	o.meanFirstEvent = pl.meanFirstEvent(now)
 	if l, isLimited := s.limitOutlook(now, pl); isLimited {
 		o.reason, o.limit = ReasonLimited, l
@@ -120,7 +124,7 @@
 // miss its latency goal and delay other requests past theirs.
 func (o outlook) isFutile(now time.Time, f *flight, position int) bool {
 	switch o.reason {
-	case ReasonCutOff:
+	case ReasonCutOff, ReasonEvacuated:
 		return true
 	case ReasonClosed:
 		return o.reopensAt.Add(reopenDelay).After(f.giveUpAt) || position > o.reopeningSlots
@@ -151,6 +155,8 @@
 func (s *Scheduler) retryAfter(now time.Time, f *flight) time.Duration {
 	o := s.outlookOf(now, f.Pool)
 	switch o.reason {
+	case ReasonEvacuated:
+		return evacuatedRetryAfter
 	case ReasonCutOff:
 		return s.cutOffRetryAfter(now)
 	case ReasonLimited:
--- a/targetlister/lister.go
+++ b/targetlister/lister.go
@@ -24,13 +24,14 @@
 	endpoints map[identifier.Endpoint]endpointlister.Endpoint
 	members   map[groupEpoch]map[identifier.Endpoint]bool // listed members of each group
 	targets   map[identifier.Endpoint]scheduler.Target
+	evacuated map[identifier.FailureDomain]bool
 }
 
 // New returns a Lister without services, which has no targets.
 func New() *Lister {
 	return &Lister{
 		services: map[identifier.Service]resolver.Service{}, endpoints: map[identifier.Endpoint]endpointlister.Endpoint{},
-		members: map[groupEpoch]map[identifier.Endpoint]bool{}, targets: map[identifier.Endpoint]scheduler.Target{},
+		members: map[groupEpoch]map[identifier.Endpoint]bool{}, targets: map[identifier.Endpoint]scheduler.Target{}, evacuated: map[identifier.FailureDomain]bool{},
 	}
 }
 
@@ -125,6 +126,7 @@
 	}
 	t := scheduler.Target{
 		ID: e.ID, Pool: forwarder.PoolOf(e.Service, ""), Address: e.Address, FailureDomain: e.FailureDomain, ProcessStart: e.ProcessStart, Slots: e.Slots,
+		Evacuated: l.evacuated[e.FailureDomain],
 	}
 	if service.Engine == nil || len(service.Engine.Models) == 0 {
 		return t, true
@@ -145,5 +147,5 @@
 	for _, id := range t.Members {
 		t.SpansFabricDomains = t.SpansFabricDomains || l.endpoints[id].FabricDomain != l.endpoints[t.ID].FabricDomain
 	}
-	t.MemberMissing = len(t.Members) < size
+	t.MemberMissing = len(t.Members) < size || l.hasEvacuatedMember(t)
 }
--- a/targetlister/property_test.go
+++ b/targetlister/property_test.go
@@ -30,7 +30,8 @@
 func drawEndpoint(t *rapid.T) endpointlister.Endpoint {
 	n := rapid.IntRange(0, endpointCount-1).Draw(t, "endpoint")
 	e := endpointlister.Endpoint{
-		ID: identifier.Endpoint(fmt.Sprintf("e%d", n)), Service: "ledger", Slots: rapid.IntRange(1, 2).Draw(t, "slots"), Draining: rapid.IntRange(0, 4).Draw(t, "draining") == 0,
+		FailureDomain: identifier.FailureDomain(fmt.Sprintf("z%d", n%3)),
+		ID:            identifier.Endpoint(fmt.Sprintf("e%d", n)), Service: "ledger", Slots: rapid.IntRange(1, 2).Draw(t, "slots"), Draining: rapid.IntRange(0, 4).Draw(t, "draining") == 0,
 		Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(n)}), 9000), ProcessStart: identifier.ProcessStart(rapid.IntRange(1, 2).Draw(t, "start")),
 	}
 	if n < 2 {
@@ -49,14 +50,26 @@
 	return e
 }
 
+// drawDomains draws the evacuated failure domains.
+func drawDomains(t *rapid.T) []identifier.FailureDomain {
+	var out []identifier.FailureDomain
+	for n := range 3 {
+		if rapid.Bool().Draw(t, "evacuated") {
+			out = append(out, identifier.FailureDomain(fmt.Sprintf("z%d", n)))
+		}
+	}
+	return out
+}
+
 var services = []resolver.Service{
 	{Name: "ledger"},
 	{Name: "guides", Engine: &resolver.EngineProfile{Models: []resolver.Model{{Name: "large", GroupSize: 3}, {Name: "small", GroupSize: 2}}}},
 }
 
 // rebuild returns the targets of a list that is derived from nothing.
-func rebuild(known []resolver.Service, list map[identifier.Endpoint]endpointlister.Endpoint) map[identifier.Endpoint]scheduler.Target {
+func rebuild(known []resolver.Service, evacuated []identifier.FailureDomain, list map[identifier.Endpoint]endpointlister.Endpoint) map[identifier.Endpoint]scheduler.Target {
 	l := targetlister.New()
+	l.SetEvacuated(evacuated)
 	l.SetServices(known)
 	out := map[identifier.Endpoint]scheduler.Target{}
 	for _, t := range l.Apply(endpointlister.Changes{Complete: true, Changed: slices.Collect(maps.Values(list))}).Changed {
@@ -66,8 +79,8 @@
 }
 
 // TestTargetsFollowList checks that the targets that result from the changes of a list are those of the
-// list as a whole, after any series of entries that are written and removed, outages of the store, and
-// configurations, in batches of any size.
+// list as a whole, after any series of entries that are written and removed, outages of the store, evacuations,
+// and configurations, in batches of any size.
 func TestTargetsFollowList(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		now := scripter.Start
@@ -75,6 +88,7 @@
 		var collector endpointlister.Collector
 		list, got := map[identifier.Endpoint]endpointlister.Endpoint{}, map[identifier.Endpoint]scheduler.Target{}
 		var known []resolver.Service
+		var evacuated []identifier.FailureDomain
 		apply := func(c scheduler.TargetsChanged) {
 			for _, id := range c.Removed {
 				delete(got, id)
@@ -96,7 +110,7 @@
 		}
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
 			now = now.Add(time.Duration(rapid.IntRange(0, 1500).Draw(t, "ms")) * time.Millisecond)
-			switch rapid.IntRange(0, 9).Draw(t, "step") {
+			switch rapid.IntRange(0, 10).Draw(t, "step") {
 			case 0:
 				step(endpointlister.StoreLost{})
 			case 1:
@@ -106,6 +120,9 @@
 			case 3:
 				known = services[:rapid.IntRange(0, len(services)).Draw(t, "services")]
 				apply(targets.SetServices(known))
+			case 10:
+				evacuated = drawDomains(t)
+				apply(targets.SetEvacuated(evacuated))
 			case 4, 5:
 				step(endpointlister.EntryRemoved{ID: drawEndpoint(t).ID})
 			default:
@@ -117,7 +134,7 @@
 			if changes, ok := collector.Take(); ok {
 				apply(targets.Apply(changes))
 			}
-			if want := rebuild(known, list); !reflect.DeepEqual(got, want) {
+			if want := rebuild(known, evacuated, list); !reflect.DeepEqual(got, want) {
 				t.Fatalf("targets %v, want %v", got, want)
 			}
 		}
