groupformer: the capacity of evacuated failure domains counts as absent

Engines of an evacuated domain counted in the supply of each model, so that other domains did not take over. They are now left out of the totals with which the domains in service are compared. Groups in the evacuated domain stay and are repaired as before, the last group of a model outside is not reassigned, and no new group spans evacuated and other domains. Without evacuations nothing changes.

--- a/groupformer/counts.go
+++ b/groupformer/counts.go
@@ -33,6 +33,9 @@
 		case c == nil:
 		case g.phase == phaseServing:
 			c.Serving++
+			if f.isEvacuated(g) {
+				c.Evacuated++
+			}
 		case g.phase == phaseDissolving:
 			c.Dissolving++
 		default:
--- /dev/null
+++ b/groupformer/evacuation.go
@@ -0,0 +1,73 @@
+package groupformer
+
+import (
+	"slices"
+
+	"amaranthmill/internal/identifier"
+)
+
+// setEvacuated replaces the evacuated failure domains. Their groups stay formed and are repaired as before.
+func (f *Former) setEvacuated(domains []identifier.FailureDomain) {
+	f.evacuated = map[identifier.FailureDomain]bool{}
+	for _, d := range domains {
+		f.evacuated[d] = true
+	}
+}
+
+// isEvacuated reports whether a known member of g is in an evacuated failure domain, so that g counts as absent.
+func (f *Former) isEvacuated(g *group) bool {
+	return len(f.evacuated) > 0 && slices.ContainsFunc(g.members, func(id identifier.Endpoint) bool {
+		e := f.engines[id]
+		return e != nil && f.evacuated[e.FailureDomain]
+	})
+}
+
+// isLastInService reports whether g is the last group of its model that serves in the failure domains which are not
+// evacuated, apart from the groups in chosen. It returns false while no domain is evacuated.
+func (f *Former) isLastInService(g *group, chosen []*group) bool {
+	if len(f.evacuated) == 0 || f.isEvacuated(g) {
+		return false
+	}
+	for _, o := range f.groups {
+		isOther := o != g && o.service == g.service && o.model.Name == g.model.Name && !slices.Contains(chosen, o)
+		if isOther && o.phase == phaseServing && !f.isEvacuated(o) && !f.isDraining(o) {
+			return false
+		}
+	}
+	return true
+}
+
+// totalSupplies are the supplies of one service over several failure domains.
+type totalSupplies struct {
+	inService *supply // over the domains that are not evacuated
+	all       *supply // over all domains
+}
+
+// newDomainSupply returns the supply of a failure domain without groups. A domain in service is compared with the total over
+// the domains in service, so that it takes over from evacuated ones. An evacuated domain is compared with the total over all
+// domains, so that its groups are repaired as before.
+func (t totalSupplies) newDomainSupply(isEvacuated bool) *supply {
+	s := newSupply(t.inService)
+	s.allDomains = t.all
+	if isEvacuated {
+		s.total = t.all
+	}
+	return s
+}
+
+// addTarget adds to the number of groups that a model's share of the engines would form.
+func (s *supply) addTarget(model string, groups float64) {
+	s.target[model] += groups
+	for _, t := range s.totals() {
+		t.target[model] += groups
+	}
+}
+
+// totals returns the totals in which s counts: that over all failure domains and, unless its domain is evacuated, that over
+// the domains in service.
+func (s *supply) totals() []*supply {
+	if s.total == s.allDomains {
+		return []*supply{s.allDomains}
+	}
+	return []*supply{s.total, s.allDomains}
+}
--- a/groupformer/event.go
+++ b/groupformer/event.go
@@ -10,7 +10,7 @@
 
 // Event is an input of a Former: EndpointsChanged, ServicesSet, LeaseSet, StoreHealthSet,
 // LatencyReported, FirstRequestReceived, HeadStalled, LeavingStated, Reported, Unreachable,
-// OrderEnded or Ticked.
+// EvacuationChanged, OrderEnded or Ticked.
 type Event interface{ event() }
 
 // EndpointsChanged changes the list of endpoints.
@@ -30,6 +30,10 @@
 // unreachable.
 type StoreHealthSet struct{ Lost bool }
 
+// EvacuationChanged replaces the evacuated failure domains, whose capacity counts as absent. The groups there stay and
+// are repaired.
+type EvacuationChanged struct{ Domains []identifier.FailureDomain }
+
 // LatencyReported reports how the requests of a model at one instance met their latency goal
 // in the last second.
 type LatencyReported struct {
@@ -108,6 +112,7 @@
 func (FirstRequestReceived) event() {}
 func (HeadStalled) event()          {}
 func (LeavingStated) event()        {}
+func (EvacuationChanged) event()    {}
 func (Reported) event()             {}
 func (Unreachable) event()          {}
 func (OrderEnded) event()           {}
@@ -205,6 +210,7 @@
 	Serving      int
 	Forming      int
 	Dissolving   int
+	Evacuated    int     // of the serving groups, those with a member in an evacuated failure domain, to which no requests are sent or only the last
 	TargetGroups float64 // groups that the model's share of the engines would form
 	Engines      int     // engines of the service that are neither dead nor draining
 	Idle         int     // of these, the engines that no group needs
--- a/groupformer/former.go
+++ b/groupformer/former.go
@@ -36,6 +36,7 @@
 	ordersIssued       uint64
 	loadBudgets        map[identifier.Service]*loadBudget
 	demands            map[poolKey]*demand
+	evacuated          map[identifier.FailureDomain]bool
 	beforeFirstRequest bool      // the system started for the first time and no request has arrived yet
 	storeLost          bool      // the store is unreachable
 	storeChangedAt     time.Time // when storeLost last changed
@@ -70,6 +71,8 @@
 		f.setServices(now, e.Services)
 	case LeaseSet:
 		f.setLease(e)
+	case EvacuationChanged:
+		f.setEvacuated(e.Domains)
 	case LatencyReported:
 		f.updateDemand(e)
 	case FirstRequestReceived:
--- a/groupformer/reassign.go
+++ b/groupformer/reassign.go
@@ -34,7 +34,7 @@
 
 // reassignGroups dissolves groups of other models whose engines complete a group of m, if
 // those models stay better supplied than m. A group that spans fabric domains qualifies in any
-// case. It reports whether it dissolved groups.
+// case. The last group of a model outside evacuated failure domains stays. It reports whether it dissolved groups.
 func (f *Former) reassignGroups(now time.Time, d *domain, s *supply, m resolver.Model, available int) bool {
 	lacking := m.GroupSize - available
 	given := map[string]float64{} // groups given so far, by model
@@ -46,6 +46,9 @@
 		if !f.spansFabricDomains(g) && !s.staysBetterSupplied(g.model, given[g.model.Name]+1, m) {
 			continue
 		}
+		if f.isLastInService(g, chosen) {
+			continue
+		}
 		given[g.model.Name]++
 		lacking -= f.countUsableMembers(g, d, m)
 		chosen = append(chosen, g)
--- a/groupformer/spanning.go
+++ b/groupformer/spanning.go
@@ -59,7 +59,7 @@
 }
 
 // formSpanningOf forms groups of m from the engines of several domains, first within one
-// failure domain, then across failure domains.
+// failure domain, then across failure domains, apart from evacuated ones.
 func (f *Former) formSpanningOf(now time.Time, m resolver.Model, parts [][]*engine) {
 	var remaining []*engine
 	for len(parts) > 0 {
@@ -73,7 +73,9 @@
 			f.createGroup(now, inDomain[0].Service, m, inDomain[:m.GroupSize])
 			inDomain = inDomain[m.GroupSize:]
 		}
-		remaining = append(remaining, inDomain...)
+		if !f.evacuated[failureDomain] {
+			remaining = append(remaining, inDomain...)
+		}
 	}
 	for len(remaining) >= m.GroupSize {
 		f.createGroup(now, remaining[0].Service, m, remaining[:m.GroupSize])
--- a/groupformer/supply.go
+++ b/groupformer/supply.go
@@ -13,7 +13,9 @@
 type supply struct {
 	groups map[string]float64 // groups that serve or form, by model; a group counts with its weight
 	target map[string]float64 // groups that the model's share of the engines would form, by model
-	total  *supply            // of the service over all failure domains; nil in the total itself
+	total  *supply            // of the service over all failure domains, without the evacuated ones unless this one is evacuated; nil in a total
+
+	allDomains *supply // of the service over all failure domains; nil in a total
 }
 
 func newSupply(total *supply) *supply {
@@ -23,8 +25,8 @@
 // add adds to the number of groups of a model.
 func (s *supply) add(model string, groups float64) {
 	s.groups[model] += groups
-	if s.total != nil {
-		s.total.groups[model] += groups
+	for _, t := range s.totals() {
+		t.groups[model] += groups
 	}
 }
 
@@ -36,20 +38,18 @@
 
 // supplies returns the supply of each service in each failure domain.
 func (f *Former) supplies(domains []*domain) map[supplyKey]*supply {
-	out, totals := map[supplyKey]*supply{}, map[identifier.Service]*supply{}
+	out, totals := map[supplyKey]*supply{}, map[identifier.Service]totalSupplies{}
 	for _, d := range domains {
 		k := supplyKey{d.service, d.failureDomain}
-		if totals[d.service] == nil {
-			totals[d.service] = newSupply(nil)
+		if totals[d.service].all == nil {
+			totals[d.service] = totalSupplies{inService: newSupply(nil), all: newSupply(nil)}
 		}
 		if out[k] == nil {
-			out[k] = newSupply(totals[d.service])
+			out[k] = totals[d.service].newDomainSupply(f.evacuated[d.failureDomain])
 		}
 		live := d.countLive()
 		for _, m := range d.profile.Models {
-			groups := f.targetGroups(d, m, live)
-			out[k].target[m.Name] += groups
-			totals[d.service].target[m.Name] += groups
+			out[k].addTarget(m.Name, f.targetGroups(d, m, live))
 		}
 	}
 	for _, g := range f.groups {
@@ -57,7 +57,12 @@
 		if g.phase == phaseDissolving || f.isDraining(g) || first == nil {
 			continue
 		}
-		if s := out[supplyKey{g.service, first.FailureDomain}]; s != nil {
+		s := out[supplyKey{g.service, first.FailureDomain}]
+		switch {
+		case s == nil:
+		case f.isEvacuated(g) && !f.evacuated[first.FailureDomain]: // another member is in an evacuated domain
+			s.allDomains.groups[g.model.Name] += f.weight(g)
+		default:
 			s.add(g.model.Name, f.weight(g))
 		}
 	}
