runner, messenger, millctl: evacuations reach the cores and the operator

The view steps the evacuator with the operator's entries. GET /evacuations at the peers' address and millctl evacuations show them for each instance; an instance of an older version answers 404. Log lines: failure domain evacuated, failure domain restored. Gauge: evacuated_failure_domains.

--- a/cmd/millctl/main.go
+++ b/cmd/millctl/main.go
@@ -88,6 +88,9 @@
 	if err := addSubcommands(parser.Command, reachCommands(a)); err != nil {
 		return err
 	}
+	if err := addSubcommands(parser.Command, evacuationCommands(a)); err != nil {
+		return err
+	}
 	if err := addSubcommands(keys, keyCommands(a)); err != nil {
 		return err
 	}
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -43,6 +43,7 @@
 	Quarantines      func() []quarantiner.Quarantine                                                             // the quarantines at this instance
 	Reach            func() scheduler.ReachStatus                                                                // the endpoints and peers that this instance reaches
 	Leaving          func() []LeavingProcess                                                                     // the processes of endpoints that leave, as this instance knows them
+	Evacuations      func() []Evacuation                                                                         // the evacuated failure domains, as this instance knows them
 	Lift             func(fp identifier.Fingerprint) bool                                                        // ends a quarantine at all instances; false if there is none at this instance
 	OnLimits         func(news []scheduler.LimitNews)                                                            // a peer reports what it knows about the limits of endpoints; must not block
 	OnStalled        func(head identifier.Endpoint)                                                              // a peer reports that the group with this head is stalled; must not block
@@ -99,6 +100,7 @@
 	mux.HandleFunc("POST "+pathLimits, m.serveLimits)
 	mux.HandleFunc("GET "+pathLimits, m.serveLimitList)
 	mux.HandleFunc("GET "+pathReach, m.serveReach)
+	mux.HandleFunc("GET "+pathEvacuations, m.serveEvacuations)
 	mux.HandleFunc("GET "+pathQuarantines, m.serveQuarantines)
 	mux.HandleFunc("DELETE "+pathQuarantines+"/{fingerprint}", m.serveLift)
 	return mux
--- a/messenger/wire.go
+++ b/messenger/wire.go
@@ -25,6 +25,7 @@
 	pathLimits      = "/limits"
 	pathQuarantines = "/quarantines"
 	pathReach       = "/reach"
+	pathEvacuations = "/evacuations"
 )
 
 // withAfter returns path with the revision of the local replica as query parameter.
--- a/runner/hosted_groupformer.go
+++ b/runner/hosted_groupformer.go
@@ -249,7 +249,7 @@
 func (f *groupFormer) recordCounts(s groupformer.GroupCounts) {
 	f.meters.setCounts(s)
 	f.hosted.logger.Info().Str("model", s.Model).Int("serving", s.Serving).Int("forming", s.Forming).Int("dissolving", s.Dissolving).
-		Float64("share", s.TargetGroups).Int("engines", s.Engines).Int("idle", s.Idle).Msg("groups")
+		Float64("share", s.TargetGroups).Int("engines", s.Engines).Int("idle", s.Idle).Int("evacuated", s.Evacuated).Msg("groups")
 }
 
 func (f *groupFormer) logDecision(n groupformer.LogDecision) {
--- a/runner/hosted_view.go
+++ b/runner/hosted_view.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"amaranthmill/endpointlister"
+	"amaranthmill/evacuator"
 	"amaranthmill/internal/identifier"
 	"amaranthmill/messenger"
 	"amaranthmill/platform"
@@ -33,10 +34,13 @@
 	targets   *targetlister.Lister
 	instances map[identifier.Instance]identifier.FailureDomain // including this one; the failure domain is empty if it is not known
 	holder    identifier.Instance                              // of the group-forming lease; empty if it is not known
+	evacuator *evacuator.Evacuator
+	evacuated []identifier.FailureDomain // as the components know it, sorted
 }
 
 func newView(h *hosted) *view {
-	v := &view{hosted: h, lister: endpointlister.New(endpointlister.Config{}), endpoints: map[identifier.Endpoint]endpointlister.Endpoint{}, targets: targetlister.New(), instances: map[identifier.Instance]identifier.FailureDomain{}}
+	v := &view{hosted: h, lister: endpointlister.New(endpointlister.Config{}), endpoints: map[identifier.Endpoint]endpointlister.Endpoint{}, targets: targetlister.New(), instances: map[identifier.Instance]identifier.FailureDomain{}, evacuator: evacuator.New()}
+	v.registerEvacuationGauge(h.meter)
 	v.timer = time.AfterFunc(time.Hour, func() { v.stepAndPublish(endpointlister.Ticked{}) })
 	return v
 }
@@ -49,10 +53,11 @@
 }
 
 // applyChanges applies changes of the store, in their order. The changes of the list of endpoints
-// are published together after the last one.
+// are published together after the last one. Evacuations begin before it is published and end after it.
 func (v *view) applyChanges(changes []storeclient.Change) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	evacuations := v.beginEvacuations(changes)
 	for _, c := range changes {
 		switch {
 		case platform.IsConfigurationKey(c.Key):
@@ -63,11 +68,20 @@
 			v.updateInstance(c)
 		case strings.HasPrefix(c.Key, lossPrefix):
 			v.hosted.quarantine.applyChange(c)
+		case isEvacuationKey(c.Key): // applied by beginEvacuations and endEvacuations
 		default:
 			v.updateEndpoint(c)
 		}
 	}
 	v.publish()
+	v.endEvacuations(evacuations)
+}
+
+// handleRestored handles the end of an evacuation, at which the failure domain is still evacuated for the components. What
+// must hold before requests are sent there again is done here: the endpoints of services with a cold limit count as cold
+// from now on. v.mu is held.
+func (v *view) handleRestored(a evacuator.Restored) {
+	v.hosted.logger.Info().Str("failureDomain", string(a.Domain)).Dur("lasted", a.Lasted).Msg("failure domain restored")
 }
 
 // applyConfiguration puts the operator's configuration in force. If the entry was deleted or
