groupformer: a domain in service takes over a model whose groups are all evacuated

Groups were reassigned only where an engine was free, so that a model whose groups were all in the evacuated domain stayed without any group outside. One domain in service now gives up groups of models that stay better supplied.

--- a/groupformer/evacuation.go
+++ b/groupformer/evacuation.go
@@ -2,8 +2,10 @@
 
 import (
 	"slices"
+	"time"
 
 	"amaranthmill/internal/identifier"
+	"amaranthmill/resolver"
 )
 
 // setEvacuated replaces the evacuated failure domains. Their groups stay formed and are repaired as before.
@@ -71,3 +73,33 @@
 	}
 	return []*supply{s.total, s.allDomains}
 }
+
+// isTakenOver reports whether all groups of a model are in evacuated failure domains, so that a domain in service should form one
+// before it completes the groups of other models.
+func (s *supply) isTakenOver(model string) bool {
+	return s.total != s.allDomains && s.total.groups[model] == 0 && s.allDomains.groups[model] > 0
+}
+
+// takeOver reassigns groups in one domain in service to each model whose groups are all in evacuated failure domains. Without it,
+// groups would be reassigned only where an engine is free.
+func (f *Former) takeOver(now time.Time, domains []*domain, supplies map[supplyKey]*supply) {
+	if len(f.evacuated) == 0 {
+		return
+	}
+	done := map[poolKey]bool{}
+	for _, d := range domains {
+		s := supplies[supplyKey{d.service, d.failureDomain}]
+		for _, m := range d.modelsBySize() {
+			k := poolKey{d.service, m.Name}
+			if done[k] || !s.isTakenOver(m.Name) || f.isReassigningAnywhere(domains, d.service, m) {
+				continue
+			}
+			done[k] = f.reassignGroups(now, d, s, m, len(joinableWithoutLoad(f.freeEngines(d), m)))
+		}
+	}
+}
+
+// isReassigningAnywhere reports whether a group is being dissolved so that its engines complete a group of m in some domain.
+func (f *Former) isReassigningAnywhere(domains []*domain, service identifier.Service, m resolver.Model) bool {
+	return slices.ContainsFunc(domains, func(d *domain) bool { return d.service == service && f.isReassigning(d, m) })
+}
--- a/groupformer/group.go
+++ b/groupformer/group.go
@@ -73,6 +73,7 @@
 	for _, d := range domains {
 		f.formGroups(now, d, supplies[supplyKey{d.service, d.failureDomain}])
 	}
+	f.takeOver(now, domains, supplies)
 	f.formSpanningGroups(now, domains)
 	f.loadWeights(now, domains, supplies)
 	f.emitCounts(now, domains)
--- a/groupformer/supply.go
+++ b/groupformer/supply.go
@@ -112,9 +112,18 @@
 }
 
 // modelsByDeficit returns d's models, the largest deficit first. Deficits count over all
-// failure domains, because the failure domains serve each other's callers.
+// failure domains in service, because the failure domains serve each other's callers. A model whose
+// groups are all evacuated comes before the others.
 func (d *domain) modelsByDeficit(s *supply) []resolver.Model {
 	out := d.modelsBySize()
-	slices.SortStableFunc(out, func(a, b resolver.Model) int { return cmp.Compare(s.total.deficit(b), s.total.deficit(a)) })
+	slices.SortStableFunc(out, func(a, b resolver.Model) int {
+		switch isFirst := s.isTakenOver(a.Name); {
+		case isFirst == s.isTakenOver(b.Name):
+			return cmp.Compare(s.total.deficit(b), s.total.deficit(a))
+		case isFirst:
+			return -1
+		}
+		return 1
+	})
 	return out
 }
