standin/soak: evacuations of failure domains, with a check of the bound

No request of an instance that was undisturbed for 5 s may reach a domain that has been evacuated for 5 s.

--- a/standin/cmd/standin/soak.go
+++ b/standin/cmd/standin/soak.go
@@ -12,21 +12,22 @@
 )
 
 type soakCommand struct {
-	First     uint64        `long:"first" default:"1" description:"the first seed"`
-	Seeds     uint64        `long:"seeds" default:"10" description:"how many seeds"`
-	Jobs      int           `long:"jobs" default:"2" description:"seeds at once"`
-	Instances int           `long:"instances" default:"3" description:"instances of each run"`
-	Engines   int           `long:"engines" default:"6" description:"engines of each of two domains"`
-	Callers   int           `long:"callers" default:"12" description:"callers of each run"`
-	Crashing  bool          `long:"crashing" description:"send copies of a request that crashes the engines that run it"`
-	Silences  bool          `long:"silences" description:"make engines silent for a while"`
-	Part      bool          `long:"crashing-part" description:"send requests that share one part of their prompts, which crashes the engines that answer them; --crashing is then ignored"`
-	Limits    bool          `long:"limits" description:"make engines name in their answers the requests per second that they take"`
-	Cuts      bool          `long:"cuts" description:"cut the paths between instances and all engines for a time"`
-	Leaving   bool          `long:"leaving" description:"make engines say in their answers that they leave, or that they want no requests for a time"`
-	Length    time.Duration `long:"length" default:"8s" description:"how long faults come"`
-	Logs      string        `long:"logs" description:"a folder in which the logs of runs that failed are kept"`
-	Verbose   bool          `long:"verbose" description:"print the faults of each run"`
+	First       uint64        `long:"first" default:"1" description:"the first seed"`
+	Seeds       uint64        `long:"seeds" default:"10" description:"how many seeds"`
+	Jobs        int           `long:"jobs" default:"2" description:"seeds at once"`
+	Instances   int           `long:"instances" default:"3" description:"instances of each run"`
+	Engines     int           `long:"engines" default:"6" description:"engines of each of two domains"`
+	Callers     int           `long:"callers" default:"12" description:"callers of each run"`
+	Crashing    bool          `long:"crashing" description:"send copies of a request that crashes the engines that run it"`
+	Silences    bool          `long:"silences" description:"make engines silent for a while"`
+	Part        bool          `long:"crashing-part" description:"send requests that share one part of their prompts, which crashes the engines that answer them; --crashing is then ignored"`
+	Limits      bool          `long:"limits" description:"make engines name in their answers the requests per second that they take"`
+	Cuts        bool          `long:"cuts" description:"cut the paths between instances and all engines for a time"`
+	Leaving     bool          `long:"leaving" description:"make engines say in their answers that they leave, or that they want no requests for a time"`
+	Evacuations bool          `long:"evacuations" description:"evacuate failure domains for a time"`
+	Length      time.Duration `long:"length" default:"8s" description:"how long faults come"`
+	Logs        string        `long:"logs" description:"a folder in which the logs of runs that failed are kept"`
+	Verbose     bool          `long:"verbose" description:"print the faults of each run"`
 }
 
 // Execute runs the seeds with the program amaranthmill in the folder of this one. It keeps the logs
@@ -76,7 +77,7 @@
 		return false
 	}
 	report, err := soak.Run(soak.Config{
-		Binary: binary, Dir: dir, Seed: seed, Instances: c.Instances, Engines: c.Engines, Callers: c.Callers, Crashing: c.Crashing, CrashingPart: c.Part, Silences: c.Silences, Leaving: c.Leaving, Limits: c.Limits, Cuts: c.Cuts, Length: c.Length,
+		Binary: binary, Dir: dir, Seed: seed, Instances: c.Instances, Engines: c.Engines, Callers: c.Callers, Crashing: c.Crashing, CrashingPart: c.Part, Silences: c.Silences, Leaving: c.Leaving, Limits: c.Limits, Cuts: c.Cuts, Evacuations: c.Evacuations, Length: c.Length,
 	})
 	mu.Lock()
 	defer mu.Unlock()
--- a/standin/hosted/store.go
+++ b/standin/hosted/store.go
@@ -89,6 +89,11 @@
 	if err != nil {
 		panic(err) // a test passed a type that can't be encoded
 	}
+	s.PutRaw(key, value)
+}
+
+// PutRaw writes a key without a lease, with a value that need not be JSON.
+func (s *Store) PutRaw(key string, value []byte) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.put(key, value, 0)
--- a/standin/soak/apply.go
+++ b/standin/soak/apply.go
@@ -63,6 +63,8 @@
 		s.limitEngine(f)
 	case CutEndpoints:
 		s.cutEndpoints(f)
+	case EvacuateDomain:
+		s.evacuateDomain(f)
 	case CloseEngine:
 		e := s.liveEngine(f.Engine)
 		s.applyFor(allEngines, f.For, func() { e.Close(f.For) }, func() {})
--- a/standin/soak/deployment.go
+++ b/standin/soak/deployment.go
@@ -47,9 +47,9 @@
 func (s *soak) addEngine(domain string) {
 	s.mu.Lock()
 	s.enginesAdded++
-	id := fmt.Sprintf("e%d", s.enginesAdded)
+	id, zone := fmt.Sprintf("e%d", s.enginesAdded), s.zoneOf(domain)
 	s.mu.Unlock()
-	e, err := s.platform.AddEngine(id, "here", domain, events)
+	e, err := s.platform.AddEngine(id, zone, domain, events)
 	if err != nil {
 		s.record.addViolation("engine %s: %v", id, err)
 		return
--- /dev/null
+++ b/standin/soak/evacuation_test.go
@@ -0,0 +1,35 @@
+package soak
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// TestIsEvacuated guards against a check that excuses requests to an evacuated failure domain, or that counts those which the bound
+// allows.
+func TestIsEvacuated(t *testing.T) {
+	start := time.Date(2026, 1, 5, 20, 0, 0, 0, time.UTC)
+	at := func(d time.Duration) time.Time { return start.Add(d) }
+	r := &record{
+		evacuations: []*evacuation{{zone: "here", start: at(10 * time.Second), end: at(18 * time.Second)}, {zone: "there", start: at(30 * time.Second)}},
+		disruptions: []*disruption{{instance: 1, start: at(11 * time.Second), end: at(12 * time.Second)}, {instance: allEngines, start: at(0), end: at(time.Minute)}},
+	}
+	for name, test := range map[string]struct {
+		zone     string
+		instance int
+		at       time.Duration
+		want     bool
+	}{
+		"within the bound":      {"here", 0, 14 * time.Second, false},
+		"later":                 {"here", 0, 15500 * time.Millisecond, true},
+		"other domain":          {"there", 0, 15500 * time.Millisecond, false},
+		"instance disturbed":    {"here", 1, 16500 * time.Millisecond, false},
+		"disturbed long before": {"here", 1, 17500 * time.Millisecond, true},
+		"after the end":         {"here", 0, 18500 * time.Millisecond, false},
+		"it lasts":              {"there", 0, time.Minute, true},
+	} {
+		t.Run(name, func(t *testing.T) { is.New(t).Equal(r.isEvacuated(test.zone, test.instance, at(test.at)), test.want) })
+	}
+}
--- a/standin/soak/fault.go
+++ b/standin/soak/fault.go
@@ -113,6 +113,13 @@
 		For      time.Duration
 	}
 
+	// EvacuateDomain evacuates a failure domain for a time. A malformed value must change nothing.
+	EvacuateDomain struct {
+		Domain    int
+		Malformed bool
+		For       time.Duration
+	}
+
 	// StoreDown makes the store refuse all calls for a time.
 	StoreDown struct{ For time.Duration }
 
@@ -153,6 +160,7 @@
 func (CloseEngine) fault()    {}
 func (LimitEngine) fault()    {}
 func (CutEndpoints) fault()   {}
+func (EvacuateDomain) fault() {}
 func (StoreDown) fault()      {}
 func (StoreSlow) fault()      {}
 func (StoreDeaf) fault()      {}
--- a/standin/soak/record.go
+++ b/standin/soak/record.go
@@ -48,6 +48,7 @@
 	requests    []sentRequest
 	disruptions []*disruption
 	cuts        []*disruption // of instances from all engines
+	evacuations []*evacuation // at most one lasts at a time
 	keyChanges  []keyChange
 	violations  []string
 }
--- a/standin/soak/soak.go
+++ b/standin/soak/soak.go
@@ -16,18 +16,19 @@
 
 // Config configures a run. Binary and Dir are required.
 type Config struct {
-	Binary    string // path of the program amaranthmill
-	Dir       string // an empty folder for settings and logs
-	Seed      uint64
-	Instances int           // zero means 3
-	Engines   int           // number of engines in each of two fabric domains; zero means 6
-	Callers   int           // zero means 12
-	Crashing  bool          // copies of a request that crashes the engines that run it are sent
-	Silences  bool          // engines are silent for a while, also before the period of the other faults, and few retries are allowed
-	Limits    bool          // engines name limits of requests per second
-	Cuts      bool          // instances lose their paths to all engines for a time, also before the period of the other faults
-	Leaving   bool          // engines say in their answers that they leave or that they want no requests for a time
-	Length    time.Duration // the period in which faults are injected; zero means 8 s
+	Binary      string // path of the program amaranthmill
+	Dir         string // an empty folder for settings and logs
+	Seed        uint64
+	Instances   int           // zero means 3
+	Engines     int           // number of engines in each of two fabric domains; zero means 6
+	Callers     int           // zero means 12
+	Crashing    bool          // copies of a request that crashes the engines that run it are sent
+	Silences    bool          // engines are silent for a while, also before the period of the other faults, and few retries are allowed
+	Limits      bool          // engines name limits of requests per second
+	Cuts        bool          // instances lose their paths to all engines for a time, also before the period of the other faults
+	Leaving     bool          // engines say in their answers that they leave or that they want no requests for a time
+	Evacuations bool          // failure domains are evacuated for a time
+	Length      time.Duration // the period in which faults are injected; zero means 8 s
 
 	CrashingPart bool // requests are sent that differ in all but a part of their prompts, which crashes the engines that answer them; Crashing is then ignored
 }
@@ -55,6 +56,8 @@
 	Crashes    int      // runs of the crashing requests
 	NotRun     int      // refused with a status that guarantees that the request was not run
 	Violations []string // of guarantees; empty if all were kept
+
+	BoundByEvacuations int // requests that were sent while an evacuation had to be in force at their instance
 }
 
 // soak is the state of one run.
@@ -169,6 +172,9 @@
 	if s.cfg.Cuts {
 		steps = AddEndpointCuts(steps, rand.New(rand.NewPCG(s.cfg.Seed, math.MaxUint64-3)), s.cfg.Length)
 	}
+	if s.cfg.Evacuations {
+		steps = AddEvacuations(steps, rand.New(rand.NewPCG(s.cfg.Seed, math.MaxUint64-4)), s.cfg.Length)
+	}
 	return steps
 }
 
@@ -186,6 +192,8 @@
 	}
 	out.Violations = append(out.Violations, s.record.findUnwantedRequests(s.platform.Engines())...)
 	out.Violations = append(out.Violations, s.record.findRequestsBeyondLimits(s.platform.Engines())...)
+	violations, bound := s.record.findRequestsToEvacuated(s.platform.Engines())
+	out.Violations, out.BoundByEvacuations = append(out.Violations, violations...), bound
 	if violation := s.record.checkServiceOfCutInstances(len(s.instances)); violation != "" {
 		out.Violations = append(out.Violations, violation)
 	}
--- a/standin/soak/soak_test.go
+++ b/standin/soak/soak_test.go
@@ -40,7 +40,7 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			t.Logf("%d requests, %d with a complete answer, %d refused, %d runs that crash their engine", report.Sent, report.Answered, report.NotRun, report.Crashes)
+			t.Logf("%d requests, %d with a complete answer, %d refused, %d runs that crash their engine, %d while an evacuation had to be in force", report.Sent, report.Answered, report.NotRun, report.Crashes, report.BoundByEvacuations)
 			for _, b := range report.Violations {
 				t.Error(b)
 			}
@@ -102,6 +102,11 @@
 	runSeeds(t, soak.Config{Cuts: true, Callers: 24, Length: 5 * time.Second}, 50, 51)
 }
 
+// TestEvacuationSeeds runs two fixed seeds with failure domains that are evacuated for a time.
+func TestEvacuationSeeds(t *testing.T) {
+	runSeeds(t, soak.Config{Evacuations: true, Length: 6 * time.Second}, 60, 61)
+}
+
 // TestAddSilences checks that a seed always gives the same silences, beside the same other
 // faults as without them, and that some silences begin before all other faults.
 func TestAddSilences(t *testing.T) {
