standin/hosted: the successor of the instance that forms groups knows an evacuation

Guards against groups of an evacuated domain that a new holder of the lease dissolves or counts as present.

--- a/standin/hosted/evacuation_test.go
+++ b/standin/hosted/evacuation_test.go
@@ -191,3 +191,34 @@
 	f.platform.Store.Remove("op/evacuate/here")
 	f.await("requests after the evacuation", func() bool { return len(f.plainEndpoints(i)) > 0 && f.plainEndpoints(i)["ledger-1"] })
 }
+
+// TestSuccessorOfFormingInstanceKnowsEvacuation ends the instance that forms groups while a failure domain is evacuated. Its successor must
+// know the evacuation from its own replica: the groups there must stay and count as evacuated, and nothing may be sent there.
+func TestSuccessorOfFormingInstanceKnowsEvacuation(t *testing.T) {
+	is := is.New(t)
+	f := startFixture(t, fixtureConfig{instances: 3, engines: 6, plainEndpoints: 1, retrySlack: hosted.RetrySlack})
+	f.addOtherDomain()
+	f.platform.Store.Put(evacuationKey, struct{}{})
+	for _, i := range f.instances {
+		f.await("the evacuation at "+i.name, func() bool { return strings.Contains(i.log(), "failure domain evacuated") })
+	}
+	old := f.formingInstance()
+	is.NoErr(old.command.Process.Kill())
+	var others []*instance
+	for _, i := range f.instances {
+		if i != old {
+			others = append(others, i)
+		}
+	}
+	f.await("groups that a successor counts as evacuated", func() bool {
+		return strings.Contains(others[0].log()+others[1].log(), `"evacuated":2,`)
+	})
+	load := f.startLoad(others)
+	time.Sleep(2 * time.Second)
+	is.Equal(load.stop().countFailed(), 0)
+	is.Equal(f.countHeadsThere(), 2)
+	for _, i := range others {
+		_, n := f.lastRunThere(i.name + "-load")
+		is.Equal(n, 0)
+	}
+}
--- a/targetlister/doc.go
+++ b/targetlister/doc.go
@@ -1,5 +1,6 @@
 // Package targetlister derives the targets of requests from the list of endpoints: the endpoints of
-// plain services and the heads of open replica groups, except those that drain.
+// plain services and the heads of open replica groups, except those that drain. Those in an evacuated failure domain stay targets
+// and are marked, so that their running requests go on.
 //
 // The core, Lister, is deterministic. It follows the changes of the list and returns the targets that
 // they change. A changed endpoint costs work for itself and for the members of the groups that it was
