--- a/runner/hosted_evacuation.go
+++ b/runner/hosted_evacuation.go
@@ -34,16 +34,19 @@
 // beginEvacuations applies the changes of evacuations in a batch, except that no evacuation ends before endEvacuations: the
 // list of endpoints of the same batch is published in between. It returns the actions. v.mu is held.
 func (v *view) beginEvacuations(changes []storeclient.Change) []evacuator.Action {
-	before := v.evacuator.Domains()
+	domains := v.evacuator.Domains()
 	var actions []evacuator.Action
 	for _, c := range changes {
 		if domain, ok := platform.ParseEvacuationKey(c.Key); ok {
 			actions = append(actions, v.evacuator.Step(time.Now(), evacuationEvent(domain, c))...)
 		}
 	}
-	if len(actions) > 0 {
-		v.setEvacuated(append(before, v.evacuator.Domains()...))
+	for _, a := range actions {
+		if begun, ok := a.(evacuator.Evacuated); ok {
+			domains = append(domains, begun.Domain)
+		}
 	}
+	v.setEvacuated(domains)
 	return actions
 }
 
@@ -72,9 +75,7 @@
 				Msg("entry of an evacuation is not JSON, the state of the failure domain stays")
 		}
 	}
-	if len(actions) > 0 {
-		v.setEvacuated(v.evacuator.Domains())
-	}
+	v.setEvacuated(v.evacuator.Domains())
 }
 
 func (v *view) logEvacuated(a evacuator.Evacuated) {
