scheduler, targetlister, forwarder, messenger: cold endpoints have a limit

Nothing used the cold rate of a service, so that cold engines got 28 to 31 requests in a second where 27.5 are allowed. A limit has several sources now: named by the process, and cold, from its entry, its answers or the news of other instances. Senders, bucket size and used part follow from window, excess and slack.

--- a/cmd/millctl/limits.go
+++ b/cmd/millctl/limits.go
@@ -8,10 +8,10 @@
 )
 
 func limitCommands(a *app) []command {
-	return []command{{"limits", "show limits that endpoints name", "Shows the requests per second that processes of endpoints take from all instances together, as they say in their answers, with the age of the answer from which the instance knows it; 0 if a limit has ended within the last half minute." + instanceHelp, &limitsCommand{app: a}}}
+	return []command{{"limits", "show limits of endpoints, with their sources", "Shows the requests per second that processes of endpoints take from all instances together, with the source of the limit: as they say in their answers (named), or because they are cold, as their entries (coldEntry) or answers (coldAnswer) say. AGE is that of the answer from which the instance knows it; the rate is 0 if a named limit has ended within the last half minute. COLD LEFT is the remaining cold time." + instanceHelp, &limitsCommand{app: a}}}
 }
 
-// limitsCommand shows the limits that endpoints name, as an instance knows them.
+// limitsCommand shows the limits of endpoints, as an instance knows them.
 type limitsCommand struct{ app *app }
 
 // Execute runs the command.
@@ -22,7 +22,11 @@
 	}
 	views := []limitView{}
 	for _, n := range list {
-		views = append(views, limitView{Endpoint: string(n.Process.Endpoint), ProcessStart: int64(n.Process.Start), PerSecond: n.PerSecond, Age: n.Age.Round(100 * time.Millisecond).String()})
+		v := limitView{Endpoint: string(n.Process.Endpoint), ProcessStart: int64(n.Process.Start), PerSecond: n.PerSecond, Age: n.Age.Round(100 * time.Millisecond).String(), Source: n.Source.String()}
+		if n.ColdFor > 0 {
+			v.ColdLeft = n.ColdFor.Round(100 * time.Millisecond).String()
+		}
+		views = append(views, v)
 	}
 	return c.app.showResult(views, func() { c.app.printLimits(views) })
 }
@@ -33,12 +37,14 @@
 	ProcessStart int64   `json:"processStart"`
 	PerSecond    float64 `json:"perSecond"`
 	Age          string  `json:"age"`
+	Source       string  `json:"source"`
+	ColdLeft     string  `json:"coldLeft,omitempty"`
 }
 
 func (a *app) printLimits(views []limitView) {
 	var rows []string
 	for _, v := range views {
-		rows = append(rows, fmt.Sprintf("%s\t%d\t%g\t%s", v.Endpoint, v.ProcessStart, v.PerSecond, v.Age))
+		rows = append(rows, fmt.Sprintf("%s\t%d\t%g\t%s\t%s\t%s", v.Endpoint, v.ProcessStart, v.PerSecond, v.Age, v.Source, v.ColdLeft))
 	}
-	a.table("ENDPOINT\tPROCESS START\tPER SECOND\tAGE", rows)
+	a.table("ENDPOINT\tPROCESS START\tPER SECOND\tAGE\tSOURCE\tCOLD LEFT", rows)
 }
--- a/endpointlister/lister.go
+++ b/endpointlister/lister.go
@@ -130,7 +130,7 @@
 func (l *Lister) Step(now time.Time, e Event) []Action {
 	switch e := e.(type) {
 	case EntryWritten:
-		return l.handleWritten(e.Endpoint)
+		return l.handleWritten(now, e.Endpoint)
 	case EntryRemoved:
 		return l.handleRemoved(now, e.ID)
 	case StoreLost:
@@ -151,9 +151,10 @@
 	return nil
 }
 
-func (l *Lister) handleWritten(e Endpoint) []Action {
+func (l *Lister) handleWritten(now time.Time, e Endpoint) []Action {
 	delete(l.missingSince, e.ID)
 	old, ok := l.endpoints[e.ID]
+	e.setWarmAt(now, old)
 	l.endpoints[e.ID] = e
 	if ok && old.isEqual(e) {
 		return nil
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -57,10 +57,10 @@
 	for _, m := range fields.Malformed {
 		f.logMalformed(x, a, process, m)
 	}
-	if fields.Leaving || fields.ClosedFor > 0 || f.changesLimit(process, fields.Limit) {
+	if fields.Leaving || fields.ClosedFor > 0 || fields.ColdFor > 0 || f.changesLimit(process, fields.Limit) {
 		f.logStatement(x, a, process, fields)
 		f.step.Submit(scheduler.ProcessStated{
-			Process: process, Leaving: fields.Leaving, ClosedFor: fields.ClosedFor, Limit: fields.Limit, SentAt: a.startedAt,
+			Process: process, Leaving: fields.Leaving, ClosedFor: fields.ClosedFor, Limit: fields.Limit, ColdFor: fields.ColdFor, SentAt: a.startedAt,
 		})
 	}
 }
--- a/forwarder/dialect.go
+++ b/forwarder/dialect.go
@@ -48,6 +48,7 @@
 	Leaving     bool          // the endpoint's process leaves
 	ClosedFor   time.Duration // the process wants no requests from this instance for so long; zero if it does not say so
 	Limit       scheduler.LimitStatement
+	ColdFor     time.Duration // remaining time in which the process is cold; zero if it does not say so
 	Load        scheduler.Load
 
 	Malformed []MalformedError // fields that are ignored, or that count as another value
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -31,7 +31,7 @@
 	Scheduler       scheduler.Config
 	HeldBytes       int64                            // bytes that the held answers of all requests may use beyond the first 64 KiB of each; zero means 64 MiB
 	OnStalled       func(t scheduler.Target)         // called when a target stalls; must not block
-	OnLimits        func(news []scheduler.LimitNews) // what this instance knows about the limits of endpoints, once a second while there is something; must not block
+	OnLimits        func(news []scheduler.LimitNews) // what this instance knows about the limits of endpoints, named and cold, once a second while there is something; must not block
 	OnLeaving       func(p identifier.Process)       // called once when a process says that it leaves; must not block
 	OnLatencyReport func(p scheduler.LatencyReport)  // called about once a second for each pool with requests; must not block
 	OnAttempt       func(e quarantiner.Event)        // called for each attempt and for each request that a restriction refuses, before the scheduler learns of it; must not block
@@ -60,6 +60,7 @@
 	random    *rand.Rand
 	exchanges map[scheduler.Ref]*exchange
 	limited   map[identifier.Process]bool // processes that name a limit
+	cold      map[identifier.Process]bool // processes that are cold
 }
 
 // New returns a Forwarder for cfg.
@@ -77,7 +78,7 @@
 		cfg.OnAttempt = func(quarantiner.Event) {}
 	}
 	defaulter.Set(&cfg.HeldBytes, defaultHeldBytes)
-	f := &Forwarder{cfg: cfg, core: scheduler.New(cfg.Scheduler), random: rand.New(cfg.Random), exchanges: map[scheduler.Ref]*exchange{}, limited: map[identifier.Process]bool{}}
+	f := &Forwarder{cfg: cfg, core: scheduler.New(cfg.Scheduler), random: rand.New(cfg.Random), exchanges: map[scheduler.Ref]*exchange{}, limited: map[identifier.Process]bool{}, cold: map[identifier.Process]bool{}}
 	f.held.left.Store(cfg.HeldBytes)
 	f.step = stepper.New(stepper.Config[scheduler.Event, scheduler.Action]{Core: f.core, Handle: f.handle})
 	f.meters = newMeters(cfg.Meter, cfg.Scheduler.FailureDomain)
@@ -179,6 +180,10 @@
 		}
 	case scheduler.LimitChanged:
 		f.changeLimit(a)
+	case scheduler.ColdChanged:
+		f.changeCold(a)
+	case scheduler.ColdSkipped:
+		f.meters.countColdSkip(a)
 	case scheduler.LimitReport:
 		if f.cfg.OnLimits != nil {
 			f.cfg.OnLimits(a.News)
--- a/forwarder/meters.go
+++ b/forwarder/meters.go
@@ -34,11 +34,13 @@
 	gap        metric.Float64Histogram
 	running    metric.Int64UpDownCounter
 	hops       metric.Int64Counter
+	coldSkips  metric.Int64Counter
 
 	mu      sync.Mutex // guards the fields below
 	routes  map[string]bool
 	budget  map[identifier.Service]float64
 	limited int64 // processes that name a limit
+	cold    int64 // processes that are cold
 	cutOff  int64 // 1 while the instance is cut off from most endpoints
 }
 
@@ -63,6 +65,7 @@
 		metric.WithFloat64Callback(out.observeBudget))
 	_, _ = m.Int64ObservableGauge("forwarder.limited", metric.WithDescription("Processes of endpoints that name a limit of requests per second."),
 		metric.WithInt64Callback(out.observeLimited))
+	out.registerCold(m)
 	_, _ = m.Int64ObservableGauge("forwarder.cut.off", metric.WithDescription("1 while this instance is cut off from most endpoints that it has tried, else 0."),
 		metric.WithInt64Callback(out.observeCutOff))
 	return out
--- a/messenger/limits.go
+++ b/messenger/limits.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -37,7 +38,12 @@
 	defer b.mu.Unlock()
 	var out []scheduler.LimitNews
 	for _, n := range b.news {
-		if n.Age += now.Sub(b.at); n.Age < limitBoardTTL {
+		passed := now.Sub(b.at)
+		n.Age += passed
+		if n.Source != scheduler.LimitNamed {
+			n.ColdFor -= passed
+		}
+		if n.Age < limitBoardTTL && n.ColdFor >= 0 {
 			out = append(out, n)
 		}
 	}
@@ -48,14 +54,30 @@
 type limitWire struct {
 	Endpoint     identifier.Endpoint     `json:"endpoint"`
 	ProcessStart identifier.ProcessStart `json:"processStart"`
-	PerSecond    float64                 `json:"perSecond"`
+	PerSecond    float64                 `json:"perSecond"` // coldWire if the limit is that of a cold process
 	Age          formatter.Duration      `json:"age"`
+	Cold         *coldLimitWire          `json:"cold,omitempty"`
+}
+
+// coldWire is the number of requests per second in the element of a cold process. Instances that do not know the field
+// cold leave out elements with such a number, instead of taking them for the end of a named limit.
+const coldWire = -1
+
+// coldLimitWire is the limit of a cold process.
+type coldLimitWire struct {
+	PerSecond float64            `json:"perSecond"`
+	Left      formatter.Duration `json:"left"` // remaining cold time
+	FromEntry bool               `json:"fromEntry,omitempty"`
 }
 
 func encodeLimits(news []scheduler.LimitNews) []limitWire {
 	out := make([]limitWire, len(news))
 	for i, n := range news {
 		out[i] = limitWire{Endpoint: n.Process.Endpoint, ProcessStart: n.Process.Start, PerSecond: n.PerSecond, Age: formatter.Duration(n.Age)}
+		if n.Source != scheduler.LimitNamed {
+			out[i].PerSecond = coldWire
+			out[i].Cold = &coldLimitWire{PerSecond: n.PerSecond, Left: formatter.Duration(n.ColdFor), FromEntry: n.Source == scheduler.LimitColdEntry}
+		}
 	}
 	return out
 }
@@ -65,11 +87,17 @@
 func decodeLimits(limits []limitWire) []scheduler.LimitNews {
 	var out []scheduler.LimitNews
 	for _, l := range limits {
-		if l.PerSecond < 0 || math.IsNaN(l.PerSecond) || l.Age < 0 {
+		n := scheduler.LimitNews{Process: identifier.Process{Endpoint: l.Endpoint, Start: l.ProcessStart}, PerSecond: l.PerSecond, Age: l.Age.Std()}
+		if c := l.Cold; c != nil {
+			n.PerSecond, n.ColdFor, n.Source = c.PerSecond, c.Left.Std(), scheduler.LimitColdAnswer
+			if c.FromEntry {
+				n.Source = scheduler.LimitColdEntry
+			}
+		}
+		if n.PerSecond < 0 || math.IsNaN(n.PerSecond) || n.Age < 0 || n.ColdFor < 0 {
 			continue
 		}
-		process := identifier.Process{Endpoint: l.Endpoint, Start: l.ProcessStart}
-		out = append(out, scheduler.LimitNews{Process: process, PerSecond: l.PerSecond, Age: l.Age.Std()})
+		out = append(out, n)
 	}
 	return out
 }
@@ -79,7 +107,8 @@
 func (m *Messenger) ExchangeLimits(ctx context.Context, news []scheduler.LimitNews) {
 	m.limits.set(time.Now(), news)
 	peers := m.cfg.Peers.All()
-	if len(peers) == 0 {
+	news = withoutEntries(news)
+	if len(peers) == 0 || len(news) == 0 {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, m.cfg.Timeout)
@@ -99,7 +128,12 @@
 		return
 	}
 	m.cfg.OnLimits(decodeLimits(limits))
-	m.writeJSON(w, encodeLimits(m.limits.current(time.Now())))
+	m.writeJSON(w, encodeLimits(withoutEntries(m.limits.current(time.Now()))))
+}
+
+// withoutEntries leaves out what each instance reads in the entries of endpoints.
+func withoutEntries(news []scheduler.LimitNews) []scheduler.LimitNews {
+	return slices.DeleteFunc(slices.Clone(news), func(n scheduler.LimitNews) bool { return n.Source == scheduler.LimitColdEntry })
 }
 
 // serveLimitList answers the operator with what this instance knows about limits.
@@ -107,7 +141,7 @@
 	m.writeJSON(w, encodeLimits(m.limits.current(time.Now())))
 }
 
-// Limits returns the limits that endpoints name, and those that ended less than half a minute ago with
+// Limits returns the limits that endpoints name, those of cold endpoints, and those that ended less than half a minute ago with
 // zero requests per second, as the instance that answers peers at an address knows them. Its error
 // is *StatusError or an error of the HTTP exchange.
 func (o Operator) Limits(ctx context.Context, address netip.AddrPort) ([]scheduler.LimitNews, error) {
--- a/runner/hosted.go
+++ b/runner/hosted.go
@@ -127,6 +127,7 @@
 		Resolver: h.resolver, Requester: h.requester, Dialect: platform.Headers{}, Logger: h.logger, Meter: h.meter,
 		Scheduler: scheduler.Config{
 			Instance: s.Instance, FailureDomain: s.FailureDomain, RetryRatio: retryShare * s.Bounds.RetryRatio, RetrySlack: retryShare * s.Bounds.RetrySlack,
+			ColdExcess: s.Bounds.ColdExcess, ColdSlack: s.Bounds.ColdSlack,
 			RetryWindow: s.Bounds.RetryWindow.Std(), FirstStart: s.FirstStart, Random: rand.NewPCG(rand.Uint64(), rand.Uint64()),
 		},
 		HeldBytes:       int64(heldShare * float64(s.Machine.MemoryMB) * (1 << 20)),
--- a/runner/hosted_groupformer.go
+++ b/runner/hosted_groupformer.go
@@ -242,6 +242,7 @@
 func (f *groupFormer) submitReport(a groupformer.FetchReport, r groupformer.Reported, via string) {
 	f.hosted.logger.Info().Str("endpoint", string(a.ID)).Str("reason", a.Reason).Uint64("orders", r.AcceptedOrders).Str("via", via).
 		Str("group", string(r.Endpoint.Membership.Group)).Stringer("state", r.Endpoint.Membership.State).Msg("engine reports")
+	f.reportCold(r)
 	f.step.Submit(r)
 }
 
--- a/runner/hosted_reach.go
+++ b/runner/hosted_reach.go
@@ -29,5 +29,7 @@
 	if s := h.resolver.Service(service); s != nil {
 		healthPath = s.HealthPath
 	}
-	return h.groupFormer.engines.IsAnswering(ctx, t.Address, model != "", healthPath)
+	isAnswering, coldFor := h.groupFormer.engines.IsAnswering(ctx, t.Address, model != "", healthPath)
+	h.forwarder.ReportCold(t.Process(), coldFor)
+	return isAnswering
 }
--- a/runner/hosted_view.go
+++ b/runner/hosted_view.go
@@ -32,6 +32,7 @@
 	endpoints map[identifier.Endpoint]endpointlister.Endpoint
 	targets   *targetlister.Lister
 	instances map[identifier.Instance]identifier.FailureDomain // including this one; the failure domain is empty if it is not known
+	ownKey    string                                           // value of this instance's own key; empty if it is not listed
 	holder    identifier.Instance                              // of the group-forming lease; empty if it is not known
 }
 
@@ -122,6 +123,9 @@
 // updateInstance applies a change of the key of this or another instance. v.mu is held.
 func (v *view) updateInstance(c storeclient.Change) {
 	name := identifier.Instance(strings.TrimPrefix(c.Key, instancePrefix))
+	if name == v.hosted.settings.Instance {
+		v.changeOwnKey(c)
+	}
 	if c.Deleted {
 		delete(v.instances, name)
 		v.hosted.peers.Remove(name)
--- a/scheduler/action.go
+++ b/scheduler/action.go
@@ -7,7 +7,7 @@
 )
 
 // Action is an output of a Scheduler: Send, Abandon, Wait, Finish, Stalled, Recovered,
-// ReachChanged, Probe, LeavingStated, LimitChanged, LimitReport, LatencyReport or WakeAt.
+// ReachChanged, Probe, LeavingStated, LimitChanged, ColdChanged, ColdSkipped, LimitReport, LatencyReport or WakeAt.
 type Action interface{ action() }
 
 // Send starts an attempt: the request is sent to Target, or to a peer, which sends it to an endpoint. An attempt that hedges others runs
@@ -80,6 +80,20 @@
 	PerSecond float64 // zero for none
 }
 
+// ColdChanged reports that a target has become cold, or that it is warm again.
+type ColdChanged struct {
+	Process   identifier.Process
+	PerSecond float64     // requests that it takes from all instances together; zero if it is warm
+	Until     time.Time   // as known now; zero if it is warm
+	Source    LimitSource // from which this instance knows it; LimitColdEntry or LimitColdAnswer
+}
+
+// ColdSkipped reports that a request was placed or had to wait while cold limits kept it from targets of its pool.
+type ColdSkipped struct {
+	Pool    identifier.Pool
+	Targets int // number of those targets
+}
+
 // LimitReport holds what this instance knows about limits of processes, sorted by process, for the
 // other instances. It comes once a second while there is something to report and requests are in flight.
 type LimitReport struct{ News []LimitNews }
@@ -108,5 +122,7 @@
 func (Probe) action()         {}
 func (LeavingStated) action() {}
 func (LimitChanged) action()  {}
+func (ColdChanged) action()   {}
+func (ColdSkipped) action()   {}
 func (LimitReport) action()   {}
 func (WakeAt) action()        {}
--- a/scheduler/attempt.go
+++ b/scheduler/attempt.go
@@ -56,7 +56,7 @@
 	if t.statement != nil && t.statement.isReopening {
 		t.statement.trial = a
 	}
-	if t.statement != nil && t.statement.limit.perSecond > 0 {
+	if t.statement != nil && t.statement.limit.isActive(now) {
 		t.statement.limit.take(now)
 	}
 	s.emit(Send{Ref: f.ref, Attempt: a.number, Target: t.Target, Load: d.load, Hedges: hedges})
--- a/scheduler/choice.go
+++ b/scheduler/choice.go
@@ -62,8 +62,10 @@
 		return nil, 0, ReasonNoTarget
 	}
 	if c, ok := s.chooseCandidate(now, f, s.freeTargets(now, pl)); ok {
+		s.countColdSkips(now, pl)
 		return c.target, c.load, ""
 	}
+	s.countColdSkips(now, pl)
 	return nil, 0, s.waitReason(now, f, pl)
 }
 
@@ -131,6 +133,9 @@
 	if t.MemberMissing {
 		score += missingMemberPenalty
 	}
+	if t.isCold(now) {
+		score += coldPenalty
+	}
 	if now.Sub(t.addedAt) < time.Second {
 		score += newTargetPenalty
 	}
--- a/scheduler/event.go
+++ b/scheduler/event.go
@@ -43,7 +43,8 @@
 	Leaving   bool          // it leaves, so that it gets no more requests
 	ClosedFor time.Duration // it wants no requests from this instance for so long; zero if it has not said so; more than a minute counts as a minute
 	Limit     LimitStatement
-	SentAt    time.Time // when the request was sent that the answer belongs to
+	ColdFor   time.Duration // remaining time in which it is cold; zero if it has not said so; more than a minute counts as a minute
+	SentAt    time.Time     // when the request was sent that the answer belongs to
 }
 
 // Bounds of a limit, in requests per second. A limit of MaxLimit limits nothing in practice.
--- a/scheduler/limit.go
+++ b/scheduler/limit.go
@@ -20,12 +20,30 @@
 	Process   identifier.Process
 	PerSecond float64       // zero if the process names no limit any more
 	Age       time.Duration // of the answer from which that is known
+	Source    LimitSource
+	ColdFor   time.Duration // remaining time in which the process is cold; zero for LimitNamed
 }
 
-// limit is the limit of a process and this instance's share of it.
+// LimitSource is where a limit comes from.
+type LimitSource uint8
+
+// The sources.
+const (
+	LimitNamed      LimitSource = iota // the process names the limit in its answers
+	LimitColdEntry                     // the process is cold, as its entry in the store says
+	LimitColdAnswer                    // the process is cold, as one of its answers says
+)
+
+// String returns the name of the source in logs and listings.
+func (s LimitSource) String() string {
+	return [...]string{"named", "coldEntry", "coldAnswer"}[s]
+}
+
+// limit is the limit of a process, which has several sources, and this instance's share of it.
 type limit struct {
-	perSecond float64   // requests that the process takes from all instances together; zero if it names no limit
+	perSecond float64   // requests that the process says it takes from all instances together; zero if it names no limit
 	knownAt   time.Time // time of the answer from which that is known, at this instance or another one
+	cold      coldSource
 
 	share    share
 	tokens   float64 // as of filledAt
@@ -34,6 +52,9 @@
 
 // nextAt returns when the next request may be sent.
 func (l *limit) nextAt(now time.Time) time.Time {
+	if l.isCold(now) {
+		return l.nextColdAt(now)
+	}
 	at := now
 	if missing := 1 - l.tokensAt(now); missing > 0 {
 		at = now.Add(time.Duration(missing / l.share.perSecond * float64(time.Second)))
@@ -74,7 +95,7 @@
 	for _, n := range news {
 		knownAt := now.Add(-n.Age)
 		st := s.statements[n.Process]
-		if n.PerSecond < 0 || st == nil && n.PerSecond == 0 || st != nil && !knownAt.After(st.limit.knownAt) {
+		if n.Source != LimitNamed || n.PerSecond < 0 || st == nil && n.PerSecond == 0 || st != nil && !knownAt.After(st.limit.knownAt) {
 			continue
 		}
 		perSecond := n.PerSecond
@@ -92,7 +113,7 @@
 	if perSecond == l.perSecond {
 		return
 	}
-	if l.perSecond == 0 {
+	if l.perSecond == 0 && !l.isCold(now) {
 		l.tokens, l.filledAt, l.share = 0, now, share{} // the request whose answer names the limit has used the first token
 	}
 	l.perSecond = perSecond
@@ -112,11 +133,14 @@
 		if age := now.Sub(st.limit.knownAt); !st.limit.knownAt.IsZero() && age < limitReportTTL {
 			news = append(news, LimitNews{Process: p, PerSecond: st.limit.perSecond, Age: age})
 		}
+		if n, ok := st.limit.coldNews(now, p); ok {
+			news = append(news, n)
+		}
 	}
 	if len(news) == 0 {
 		return
 	}
-	slices.SortFunc(news, func(a, b LimitNews) int { return a.Process.Compare(b.Process) })
+	slices.SortFunc(news, compareNews)
 	s.limitsReportedAt = now
 	s.emit(LimitReport{News: news})
 }
@@ -124,7 +148,7 @@
 // limitedUntil returns when t may get its next request because of its limit. It returns the zero time if t
 // has no limit.
 func (s *Scheduler) limitedUntil(now time.Time, t *target) time.Time {
-	if t.statement == nil || t.statement.limit.perSecond == 0 {
+	if t.statement == nil || !t.statement.limit.isActive(now) {
 		return time.Time{}
 	}
 	s.updateShare(now, t)
@@ -152,13 +176,13 @@
 		if !at.After(now) {
 			return limitOutlook{}, false
 		}
-		if t.statement.limit.perSecond == 0 {
+		if t.statement == nil || !t.statement.limit.isActive(now) {
 			continue
 		}
 		if o.nextAt.IsZero() || at.Before(o.nextAt) {
 			o.nextAt = at
 		}
-		o.perSecond += t.statement.limit.share.perSecond
+		o.perSecond += t.statement.limit.rateFrom(now, at, t.Slots)
 	}
 	return o, !o.nextAt.IsZero()
 }
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -24,6 +24,7 @@
 	defaultTrialInterval         = 1200 * time.Millisecond
 	defaultMaxLoad               = 1.1
 	defaultTickInterval          = 40 * time.Millisecond
+	defaultColdExcess            = 1
 )
 
 // Config configures a Scheduler. The zero value is usable.
@@ -46,6 +47,9 @@
 	TrialInterval         time.Duration // time between two trial requests to a stalled target; zero means 1.2 s
 	MaxLoad               float64       // load as a fraction of a target's slots from which the target gets no more requests; zero means 1.1
 	TickInterval          time.Duration // time between two checks of the targets' progress; zero means 40 ms
+
+	ColdExcess float64 // factor on the ColdLimit of a target that its requests in one second must not exceed; zero means 1
+	ColdSlack  float64 // requests that a cold target may get in one second beyond that
 }
 
 // Scheduler is the deterministic core that schedules requests. It is not safe for concurrent
@@ -69,6 +73,7 @@
 
 	instances        instanceList
 	limitsReportedAt time.Time
+	cold             map[identifier.Process]*statement // of the processes that were last reported as cold
 
 	random  *rand.Rand       // nil for no jitter
 	free    []candidate      // buffer of freeTargets
@@ -90,9 +95,10 @@
 	defaulter.Set(&cfg.TrialInterval, defaultTrialInterval)
 	defaulter.Set(&cfg.MaxLoad, defaultMaxLoad)
 	defaulter.Set(&cfg.TickInterval, defaultTickInterval)
+	defaulter.Set(&cfg.ColdExcess, defaultColdExcess)
 	s := &Scheduler{
 		cfg: cfg, targets: map[identifier.Endpoint]*target{}, pools: map[identifier.Pool]*pool{}, statements: map[identifier.Process]*statement{}, lastStated: map[identifier.Endpoint]identifier.Process{},
-		flights: map[Ref]*flight{}, queues: map[identifier.Pool]*queue{}, rates: map[identifier.Pool]*poolRates{}, restrictions: map[identifier.Fingerprint]restriction{}, copies: map[identifier.Fingerprint]int{}, budget: newRetryBudget(cfg),
+		flights: map[Ref]*flight{}, queues: map[identifier.Pool]*queue{}, rates: map[identifier.Pool]*poolRates{}, restrictions: map[identifier.Fingerprint]restriction{}, copies: map[identifier.Fingerprint]int{}, budget: newRetryBudget(cfg), cold: map[identifier.Process]*statement{},
 		instances: newInstanceList(Instance{Name: cfg.Instance, FailureDomain: cfg.FailureDomain}),
 	}
 	if cfg.Random != nil {
@@ -115,6 +121,7 @@
 		s.setPeers(s.instances.listed)
 	case LimitsReported:
 		s.handleLimitNews(now, e.News)
+		s.handleColdNews(now, e.News)
 	case RetryBudgetSet:
 		s.budget.ratio, s.budget.slack = e.Ratio, e.Slack
 		s.budget.setInstances(s.budget.instances)
@@ -148,6 +155,7 @@
 		s.checkWaiting(now)
 		s.reportLatency(now)
 		s.instances.update(now)
+		s.reportWarm(now)
 		s.reportLimits(now)
 	}
 	s.scheduleTick(now)
@@ -179,6 +187,7 @@
 		s.setTarget(now, t)
 	}
 	s.forgetStatements(now)
+	s.reportWarm(now)
 }
 
 // missingIn returns the targets that a new set lacks.
@@ -195,6 +204,7 @@
 	old := s.targets[t.ID]
 	if old != nil && old.Pool == t.Pool && old.isSameIncarnation(&t) {
 		old.Target = &t
+		s.updateCold(now, old, false)
 		return
 	}
 	s.removeTarget(t.ID)
@@ -209,6 +219,7 @@
 	}
 	s.pools[t.Pool].add(added)
 	s.inheritStatement(now, added)
+	s.updateCold(now, added, old == nil || old.Process() != t.Process())
 }
 
 // removeTarget removes a target, if there is one, and its pool if that is empty then.
--- a/scheduler/share.go
+++ b/scheduler/share.go
@@ -11,20 +11,20 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// A process that names a limit gets requests from some of the instances only, its senders. Each has a
-// token bucket. The buckets of n senders hold n*d tokens and together fill at the rate r of the limit,
-// so that at most n*d + w*r requests are sent in a time w. The numbers below keep that under one and
-// a half times the limit and five requests in four seconds, whatever the senders do at the same moment.
+// A process with a limit gets requests from some of the instances only, its senders. Each has a
+// token bucket. The buckets of n senders hold n*d tokens and together fill at u times the rate r of the limit,
+// so that at most n*d + w*u*r requests are sent in a time w, whatever the senders do at the same moment. limitBounds
+// derives n, d and u from what the operators allow in w.
 const (
-	minSenders     = 3                // number of senders of a process whose limit is near zero
-	sendersPerRate = 2                // further senders for each request per second of the limit
-	homeSenders    = 3                // senders may be up to six times the limit and this many, if each sends at most once in four seconds
-	limitUse       = 0.95             // fraction of the limit that the senders use
-	maxBucket      = 3                // tokens
-	trialUse       = 0.1              // fraction of the limit that the other instances use together while nothing is heard of it
-	maxTrialDelay  = 2 * time.Minute  // longest time from the end of limitNewsTTL to the first request of such an instance
-	shareInterval  = time.Second      // between two computations of a share while targets and instances change
-	departureTime  = 10 * time.Second // for which an instance that is no longer listed keeps its shares: it may be starting again, or the list may be incomplete after an outage
+	homeSenders   = 3                // senders may be up to six times the limit and this many, if each sends at most once in four seconds
+	limitUse      = 0.95             // fraction of the limit that the senders use, and of what the operators allow beyond the slack
+	slackReserve  = 1                // requests of the slack that are not used
+	minBurst      = 3                // tokens in all buckets together, unless the bound is so small that half of it is less
+	maxBucket     = 3                // tokens
+	trialUse      = 0.1              // fraction of the limit that the other instances use together while nothing is heard of it
+	maxTrialDelay = 2 * time.Minute  // longest time from the end of limitNewsTTL to the first request of such an instance
+	shareInterval = time.Second      // between two computations of a share while targets and instances change
+	departureTime = 10 * time.Second // for which an instance that is no longer listed keeps its shares: it may be starting again, or the list may be incomplete after an outage
 )
 
 // Instance is an instance that sends requests to the same targets.
@@ -40,6 +40,18 @@
 	departed map[identifier.Instance]departure // of instances that are no longer listed
 	sharing  []hashedInstance                  // the listed ones and those that departed a short time ago, sorted by name
 	version  int                               // counts the changes of sharing
+
+	ownListedSince time.Time // since when this instance is listed without interruption; zero if it is not
+}
+
+// settleTime is the time from when this instance is listed until it sends requests to cold targets. Lists are in force at all
+// instances within three seconds, and the requests that an instance sent before it knew a list are no longer in the window after
+// another one.
+const settleTime = 3*time.Second + coldWindow
+
+// isSettled reports whether all other instances have known for coldWindow that this instance is listed.
+func (l *instanceList) isSettled(now time.Time) bool {
+	return !l.ownListedSince.IsZero() && now.Sub(l.ownListedSince) >= settleTime
 }
 
 // hashedInstance is an instance with the hash of its name.
@@ -64,7 +76,9 @@
 func (l *instanceList) set(now time.Time, listed []Instance) {
 	listed = slices.Clone(listed)
 	if !containsInstance(listed, l.own.Name) {
-		listed = append(listed, l.own)
+		listed, l.ownListedSince = append(listed, l.own), time.Time{}
+	} else if l.ownListedSince.IsZero() {
+		l.ownListedSince = now
 	}
 	for _, in := range l.listed {
 		if !containsInstance(listed, in.Name) {
@@ -114,8 +128,52 @@
 
 // shareBasis is what a share depends on.
 type shareBasis struct {
-	perSecond float64
+	terms     limitTerms
 	ranking   rankingBasis
+	isSettled bool // of a cold process
+}
+
+// limitBounds are what the operators allow a process to get: excess times its limit, and slack requests, in each time of
+// the length window.
+type limitBounds struct {
+	window        time.Duration
+	excess, slack float64
+}
+
+// namedBounds are the bounds of a limit that a process names.
+var namedBounds = limitBounds{window: 4 * time.Second, excess: 1.5, slack: 5}
+
+// limitTerms is how much the senders of a process together may send.
+type limitTerms struct {
+	perSecond float64 // the limit
+	used      float64 // requests per second at which their buckets fill
+	burst     float64 // tokens that their buckets hold
+	isCold    bool    // the process is cold
+}
+
+// terms returns the terms of a limit that keep its bounds.
+func (b limitBounds) terms(perSecond float64) limitTerms {
+	window := b.window.Seconds()
+	total := limitUse*b.excess*perSecond*window + max(b.slack-slackReserve, 0)
+	used := min(limitUse*perSecond, (total-min(minBurst, total/2))/window)
+	return limitTerms{perSecond: perSecond, used: used, burst: total - used*window}
+}
+
+// countSenders returns the number of senders, of which each has at least one token if possible.
+func (t limitTerms) countSenders() int { return max(int(t.burst), 1) }
+
+// termsOf returns the terms of a limit. If the limit has several sources, the smallest applies.
+func (s *Scheduler) termsOf(now time.Time, l *limit) limitTerms {
+	named := namedBounds.terms(l.perSecond)
+	if !l.isCold(now) {
+		return named
+	}
+	cold := limitBounds{window: coldWindow, excess: s.cfg.ColdExcess, slack: s.cfg.ColdSlack}.terms(l.cold.perSecond)
+	cold.isCold = true
+	if l.perSecond > 0 {
+		cold.perSecond, cold.used, cold.burst = min(cold.perSecond, named.perSecond), min(cold.used, named.used), min(cold.burst, named.burst)
+	}
+	return cold
 }
 
 // updateShare computes this instance's share of the limit of t's process if what it depends on has changed.
@@ -125,24 +183,33 @@
 	if pl == nil {
 		return
 	}
-	basis := shareBasis{perSecond: l.perSecond, ranking: s.rankingBasis(pl)}
+	basis := shareBasis{terms: s.termsOf(now, l), ranking: s.rankingBasis(pl)}
+	if basis.terms.isCold {
+		basis.ranking.targets, basis.isSettled = 0, s.instances.isSettled(now)
+	}
 	old := l.share.basis
-	if basis == old || basis.perSecond == old.perSecond && now.Sub(l.share.computedAt) < shareInterval {
+	if basis == old || basis.terms == old.terms && !basis.terms.isCold && now.Sub(l.share.computedAt) < shareInterval {
 		return
 	}
-	sh := s.computeShare(t, pl, l.perSecond)
+	var sh share
+	if basis.terms.isCold {
+		sh = s.computeColdShare(now, t, basis.terms)
+	} else {
+		sh = s.computeShare(t, pl, basis.terms)
+	}
 	sh.basis, sh.computedAt = basis, now
 	l.setShare(now, sh)
 }
 
-// computeShare returns this instance's share of a limit. The senders of a process are chosen by
+// computeShare returns this instance's share of a limit that a process names. The senders of a process are chosen by
 // rendezvous hashing, so that all instances with the same lists of instances and targets choose the
 // same ones and a change moves few. Each instance has one target of each pool as its home, of which it
 // is a sender before others, so that each instance can serve the pool. Each failure domain
 // of the senders gets the same part of the limit, because callers are spread over the domains.
-func (s *Scheduler) computeShare(t *target, pl *pool, perSecond float64) share {
+func (s *Scheduler) computeShare(t *target, pl *pool, terms limitTerms) share {
+	perSecond := terms.perSecond
 	ranked, homes := s.rank(t, pl)
-	n := min(countSenders(perSecond, homes), len(ranked))
+	n := min(countNamedSenders(terms, homes), len(ranked))
 	senders := largest(ranked, n)
 	own := slices.IndexFunc(senders, func(r rankedInstance) bool { return r.Name == s.cfg.Instance })
 	if own < 0 {
@@ -155,7 +222,7 @@
 		domains[r.FailureDomain]++
 	}
 	part := 1 / float64(len(domains)*domains[senders[own].FailureDomain])
-	return share{isSender: true, perSecond: limitUse * perSecond * part, bucket: bucketSize(perSecond, n)}
+	return share{isSender: true, perSecond: terms.used * part, bucket: min(max(terms.burst/float64(n), 1), maxBucket)}
 }
 
 // rank returns the instances with their ranks as senders of t's process, and how many of them are at home
@@ -197,21 +264,15 @@
 	return ranked[:n]
 }
 
-// countSenders returns the number of senders for a limit, of which some are at home at its target.
-func countSenders(perSecond float64, homes int) int {
-	n := minSenders + int(sendersPerRate*perSecond)
-	if most := int(6*perSecond) + homeSenders; homes > n && float64(homes) > 4*perSecond {
+// countNamedSenders returns the number of senders for a limit that a process names, of which some are at home at its target.
+func countNamedSenders(terms limitTerms, homes int) int {
+	n := terms.countSenders()
+	if most := int(6*terms.perSecond) + homeSenders; homes > n && float64(homes) > 4*terms.perSecond {
 		return min(homes, most)
 	}
 	return n
 }
 
-// bucketSize returns the tokens that the bucket of each of n senders may hold, so that n of them and four
-// seconds of the limit stay below 5.7 times the limit and four requests.
-func bucketSize(perSecond float64, n int) float64 {
-	return min(max((1.9*perSecond+4)/float64(n), 1), maxBucket)
-}
-
 // rankedInstance is an instance with what its rank among the senders of a process depends on.
 type rankedInstance struct {
 	Instance
--- a/scheduler/statement.go
+++ b/scheduler/statement.go
@@ -68,6 +68,7 @@
 		s.emit(LeavingStated{Process: e.Process})
 	}
 	s.handleLimit(now, st, e)
+	s.handleColdAnswer(now, e.Process, e.ColdFor)
 	if e.ClosedFor > 0 {
 		s.close(now, st, min(e.ClosedFor, maxClosure))
 	}
--- a/scheduler/target.go
+++ b/scheduler/target.go
@@ -20,6 +20,8 @@
 	Slots              int                   // requests that the target runs concurrently
 	SpansFabricDomains bool                  // the group has members in more than one fabric domain, which makes it slower
 	MemberMissing      bool                  // fewer members of the group are listed than it needs, so that the target is used last
+	ColdLimit          float64               // requests per second that the target takes from all instances together while it is cold; zero for no limit
+	ColdUntil          time.Time             // until when the target is cold, as its entry says; zero or in the past if it is warm
 }
 
 // isSameIncarnation reports whether t and o are the same process of the same endpoint in the
@@ -44,6 +46,7 @@
 	prefillPenalty       = 0.25            // for each thousand prompt tokens still to be prefilled, because they delay first events
 	fabricSpanPenalty    = 0.6             // for a group that spans fabric domains
 	missingMemberPenalty = 2               // for a group with a missing member
+	coldPenalty          = 0.8             // for a cold target, so that warm ones with room are used first
 	newTargetPenalty     = 0.1             // for a target that was added less than a second ago, so that not all instances use it at once
 )
 
--- a/targetlister/lister.go
+++ b/targetlister/lister.go
@@ -4,6 +4,7 @@
 	"maps"
 	"reflect"
 	"slices"
+	"time"
 
 	"amaranthmill/endpointlister"
 	"amaranthmill/forwarder"
@@ -24,6 +25,7 @@
 	endpoints map[identifier.Endpoint]endpointlister.Endpoint
 	members   map[groupEpoch]map[identifier.Endpoint]bool // listed members of each group
 	targets   map[identifier.Endpoint]scheduler.Target
+	restored  map[identifier.FailureDomain]time.Time // when requests to a failure domain were last allowed again
 }
 
 // New returns a Lister without services, which has no targets.
@@ -31,6 +33,7 @@
 	return &Lister{
 		services: map[identifier.Service]resolver.Service{}, endpoints: map[identifier.Endpoint]endpointlister.Endpoint{},
 		members: map[groupEpoch]map[identifier.Endpoint]bool{}, targets: map[identifier.Endpoint]scheduler.Target{},
+		restored: map[identifier.FailureDomain]time.Time{},
 	}
 }
 
@@ -126,6 +129,7 @@
 	t := scheduler.Target{
 		ID: e.ID, Pool: forwarder.PoolOf(e.Service, ""), Address: e.Address, FailureDomain: e.FailureDomain, ProcessStart: e.ProcessStart, Slots: e.Slots,
 	}
+	l.setCold(&t, e, service.Cold)
 	if service.Engine == nil || len(service.Engine.Models) == 0 {
 		return t, true
 	}
