scheduler: cold times of answers count apart from those of entries

The property test found that an instance forgot what an answer had said about a cold time when the entry stated none afterwards: 45 requests in a second with 106 instances.

--- a/scheduler/cold.go
+++ b/scheduler/cold.go
@@ -33,9 +33,10 @@
 	return c.entryUntil
 }
 
-// source returns the source that says that the process is cold for the longest time.
+// source returns the source that says that the process is cold for the longest time. The entry does if the difference is
+// one of the ways that entry and answer took, so that what all instances read in entries is not spread as news.
 func (c *coldSource) source() LimitSource {
-	if c.answerUntil.After(c.entryUntil) {
+	if c.answerUntil.Sub(c.entryUntil) > coldTolerance {
 		return LimitColdAnswer
 	}
 	return LimitColdEntry
@@ -106,8 +107,8 @@
 	}
 }
 
-// lengthenCold records that a process is cold until a time, according to an answer of a time, unless it is known to be
-// cold until then, give or take coldTolerance.
+// lengthenCold records that a process is cold until a time, according to an answer of a time, unless its answers have said
+// so before, give or take coldTolerance.
 func (s *Scheduler) lengthenCold(now time.Time, p identifier.Process, answeredAt, until time.Time) {
 	t := s.targets[p.Endpoint]
 	if t == nil || t.Process() != p || t.ColdLimit <= 0 {
@@ -116,7 +117,7 @@
 	st := s.statementOf(now, p)
 	c := &st.limit.cold
 	c.perSecond = t.ColdLimit
-	if until.Sub(c.until()) <= coldTolerance {
+	if until.Sub(c.answerUntil) <= coldTolerance {
 		return
 	}
 	c.answerUntil, c.answeredAt = until, answeredAt
