scheduler, targetlister, messenger: tests of cold limits; a heartbeat costs the same in any fleet

The test of heartbeats found that a change of one target looked at all statements and sorted all cold processes.

--- a/scheduler/choice.go
+++ b/scheduler/choice.go
@@ -62,10 +62,8 @@
 		return nil, 0, ReasonNoTarget
 	}
 	if c, ok := s.chooseCandidate(now, f, s.freeTargets(now, pl)); ok {
-		s.countColdSkips(now, pl)
 		return c.target, c.load, ""
 	}
-	s.countColdSkips(now, pl)
 	return nil, 0, s.waitReason(now, f, pl)
 }
 
--- a/scheduler/cold.go
+++ b/scheduler/cold.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"time"
 
@@ -11,9 +10,10 @@
 
 // Times of what is known about cold targets.
 const (
-	coldWindow    = time.Second            // in which the operators count the requests of a cold target
-	maxColdAnswer = time.Minute            // longest cold time that one answer is believed
-	coldTolerance = 100 * time.Millisecond // by which an answer must lengthen a cold time to count: it is longer by its way than the process meant, and news that goes in circles each time again
+	coldWindow        = time.Second            // in which the operators count the requests of a cold target
+	maxColdAnswer     = time.Minute            // longest cold time that one answer is believed
+	maxColdCheckPause = time.Second            // between two searches for processes that are warm again, since an entry may end a cold time early
+	coldTolerance     = 100 * time.Millisecond // by which an answer must lengthen a cold time to count: it is longer by its way than the process meant, and news that goes in circles each time again
 )
 
 // coldSource is the coldness of a process as the source of a limit.
@@ -135,6 +135,9 @@
 	p := t.Process()
 	if s.cold[p] == nil {
 		s.cold[p] = t.statement
+		if end := l.cold.until(); len(s.cold) == 1 || end.Before(s.warmAt) {
+			s.warmAt = end
+		}
 		s.emit(ColdChanged{Process: p, PerSecond: l.cold.perSecond, Until: l.cold.until(), Source: l.cold.source()})
 	}
 	if l.cold.hasBucket {
@@ -152,15 +155,23 @@
 
 // reportWarm reports the processes that are no longer cold.
 func (s *Scheduler) reportWarm(now time.Time) {
-	if len(s.cold) == 0 {
+	if len(s.cold) == 0 || now.Before(s.warmAt) {
 		return
 	}
-	for _, p := range slices.SortedFunc(maps.Keys(s.cold), func(a, b identifier.Process) int { return a.Compare(b) }) {
-		if !s.cold[p].limit.isCold(now) {
-			delete(s.cold, p)
-			s.emit(ColdChanged{Process: p})
+	s.warmAt = now.Add(maxColdCheckPause)
+	var warm []identifier.Process
+	for p, st := range s.cold {
+		if end := st.limit.cold.until(); !st.limit.isCold(now) {
+			warm = append(warm, p)
+		} else if end.Before(s.warmAt) {
+			s.warmAt = end
 		}
 	}
+	slices.SortFunc(warm, identifier.Process.Compare)
+	for _, p := range warm {
+		delete(s.cold, p)
+		s.emit(ColdChanged{Process: p})
+	}
 }
 
 // coldNews returns what is known about the coldness of p, or false if p is not cold.
@@ -177,7 +188,7 @@
 
 // countColdSkips reports the targets of a pool from which only cold limits keep a request.
 func (s *Scheduler) countColdSkips(now time.Time, pl *pool) {
-	if len(s.cold) == 0 {
+	if len(s.cold) == 0 || pl == nil {
 		return
 	}
 	n := 0
--- a/scheduler/flight.go
+++ b/scheduler/flight.go
@@ -87,6 +87,7 @@
 		return
 	}
 	d, reason := s.chooseDestination(now, f)
+	s.countColdSkips(now, s.pools[f.Pool])
 	if d.isNone() && f.failedStatus != 0 && !f.answerStarted {
 		s.giveUp(now, f, reason) // the endpoint's error is passed through
 		return
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -66,14 +66,16 @@
 	reach   reach
 	peers   []*peer // in the order in which this instance prefers them
 
-	statements   map[identifier.Process]*statement
-	lastStated   map[identifier.Endpoint]identifier.Process // of each endpoint, the process with the latest start that has said that it leaves or is closed
-	restrictions map[identifier.Fingerprint]restriction
-	copies       map[identifier.Fingerprint]int // number of flights with a fingerprint
+	statements          map[identifier.Process]*statement
+	statementsCheckedAt time.Time                                  // when it was last checked which statements can be forgotten
+	lastStated          map[identifier.Endpoint]identifier.Process // of each endpoint, the process with the latest start that has said that it leaves or is closed
+	restrictions        map[identifier.Fingerprint]restriction
+	copies              map[identifier.Fingerprint]int // number of flights with a fingerprint
 
 	instances        instanceList
 	limitsReportedAt time.Time
 	cold             map[identifier.Process]*statement // of the processes that were last reported as cold
+	warmAt           time.Time                         // before which none of them is warm, as was known when they were last checked
 
 	random  *rand.Rand       // nil for no jitter
 	free    []candidate      // buffer of freeTargets
--- a/scheduler/session_test.go
+++ b/scheduler/session_test.go
@@ -27,7 +27,7 @@
 func TestSessions(t *testing.T) {
 	scripter.Run(t, "testdata/sessions", func(*testing.T) scripter.Session {
 		return &session{
-			core: scheduler.New(scheduler.Config{Instance: "a1", FailureDomain: "here", RetryRatio: 0.2, RetrySlack: 4, FirstStart: true}),
+			core: scheduler.New(scheduler.Config{Instance: "a1", FailureDomain: "here", RetryRatio: 0.2, RetrySlack: 4, FirstStart: true, ColdExcess: 1.5, ColdSlack: 5}),
 			refs: map[string]scheduler.Ref{}, names: map[scheduler.Ref]string{}, probed: map[string]*scheduler.Target{},
 		}
 	})
@@ -53,7 +53,7 @@
 	load := scheduler.Load{Running: ev.Int("running"), Waiting: ev.Int("waiting"), Slots: ev.Int("slots")}
 	switch ev.Name {
 	case "target":
-		s.setTarget(ev)
+		s.setTarget(now, ev)
 		return scheduler.TargetsChanged{Complete: true, Changed: slices.Clone(s.targets)}, nil
 	case "removed":
 		s.targets = slices.DeleteFunc(s.targets, func(t scheduler.Target) bool { return string(t.ID) == ev.Str("endpoint") })
@@ -67,7 +67,7 @@
 		return scheduler.Ended{Ref: ref, Attempt: attempt(ev), Ending: end, Load: load}, err
 	case "stated":
 		process := identifier.Process{Endpoint: identifier.Endpoint(ev.Str("endpoint")), Start: identifier.ProcessStart(ev.Int("processStart"))}
-		return scheduler.ProcessStated{Process: process, Leaving: ev.Bool("leaving"), ClosedFor: ev.Duration("closedFor"), Limit: limitStatement(ev), SentAt: now.Add(-ev.Duration("sentAgo"))}, nil
+		return scheduler.ProcessStated{Process: process, Leaving: ev.Bool("leaving"), ClosedFor: ev.Duration("closedFor"), Limit: limitStatement(ev), ColdFor: ev.Duration("coldFor"), SentAt: now.Add(-ev.Duration("sentAgo"))}, nil
 	case "instances":
 		var instances []scheduler.Instance
 		for _, name := range ev.List("names") {
@@ -77,7 +77,11 @@
 	case "news":
 		perSecond, err := strconv.ParseFloat(ev.Str("limit"), 64)
 		process := identifier.Process{Endpoint: identifier.Endpoint(ev.Str("endpoint"))}
-		return scheduler.LimitsReported{News: []scheduler.LimitNews{{Process: process, PerSecond: perSecond, Age: ev.Duration("age")}}}, err
+		news := scheduler.LimitNews{Process: process, PerSecond: perSecond, Age: ev.Duration("age"), ColdFor: ev.Duration("coldFor")}
+		if news.ColdFor > 0 {
+			news.Source = scheduler.LimitColdAnswer
+		}
+		return scheduler.LimitsReported{News: []scheduler.LimitNews{news}}, err
 	case "restricted":
 		return restriction(now, ev)
 	case "peerAnswered":
@@ -130,11 +134,14 @@
 func attempt(ev scripter.Event) int { return max(ev.Int("attempt"), 1) }
 
 // setTarget adds or replaces a target.
-func (s *session) setTarget(ev scripter.Event) {
+func (s *session) setTarget(now time.Time, ev scripter.Event) {
 	t := scheduler.Target{
 		ID: identifier.Endpoint(ev.Str("endpoint")), Pool: "guides", FailureDomain: "here", Slots: 4,
 		ProcessStart: identifier.ProcessStart(ev.Int("processStart")), Group: identifier.Group(ev.Str("group")), Epoch: identifier.Epoch(ev.Int("epoch")), MemberMissing: ev.Bool("memberMissing"), SpansFabricDomains: ev.Bool("spansFabricDomains"),
 	}
+	if ev.Has("coldLimit") {
+		t.ColdLimit, t.ColdUntil = float64(ev.Int("coldLimit")), now.Add(ev.Duration("coldFor"))
+	}
 	if ev.Has("domain") {
 		t.FailureDomain = identifier.FailureDomain(ev.Str("domain"))
 	}
@@ -233,10 +240,20 @@
 		return fmt.Sprintf("leaving %s", a.Process.Endpoint)
 	case scheduler.LimitChanged:
 		return fmt.Sprintf("limit of %s is %v", a.Process.Endpoint, a.PerSecond)
+	case scheduler.ColdChanged:
+		if a.PerSecond == 0 {
+			return fmt.Sprintf("warm %s", a.Process.Endpoint)
+		}
+		return fmt.Sprintf("cold %s limit=%v until %s from %s", a.Process.Endpoint, a.PerSecond, a.Until.Sub(scripter.Start), a.Source)
+	case scheduler.ColdSkipped:
+		return fmt.Sprintf("cold limits skip %d", a.Targets)
 	case scheduler.LimitReport:
 		line := "limits"
 		for _, n := range a.News {
 			line += fmt.Sprintf(" %s=%v(%s)", n.Process.Endpoint, n.PerSecond, n.Age)
+			if n.ColdFor > 0 {
+				line += fmt.Sprintf("[%s %s]", n.Source, n.ColdFor)
+			}
 		}
 		return line
 	case scheduler.Recovered:
--- a/scheduler/statement.go
+++ b/scheduler/statement.go
@@ -13,11 +13,12 @@
 
 // Bounds on what a process states about itself.
 const (
-	maxClosure    = time.Minute            // longest time for which one answer closes a process
-	statementTTL  = 10 * time.Minute       // after which the statement of a process that is no target is forgotten
-	closureJitter = 0.1                    // largest fraction of a closure that is added to it, so that the instances return at different times
-	returnSpacing = 100 * time.Millisecond // time between two groups of callers that return after a closure
-	reopenDelay   = 50 * time.Millisecond  // time from the end of a closure until a request that waits for it has been placed
+	maxClosure          = time.Minute            // longest time for which one answer closes a process
+	statementTTL        = 10 * time.Minute       // after which the statement of a process that is no target is forgotten
+	statementCheckPause = time.Second            // between two checks for such statements, so that a change of one target does not cost a look at all of them
+	closureJitter       = 0.1                    // largest fraction of a closure that is added to it, so that the instances return at different times
+	returnSpacing       = 100 * time.Millisecond // time between two groups of callers that return after a closure
+	reopenDelay         = 50 * time.Millisecond  // time from the end of a closure until a request that waits for it has been placed
 )
 
 // statement is what a process has said about itself in its answers. It outlives the target and
@@ -128,6 +129,10 @@
 
 // forgetStatements removes the statements of processes that are no targets any more.
 func (s *Scheduler) forgetStatements(now time.Time) {
+	if now.Sub(s.statementsCheckedAt) < statementCheckPause {
+		return
+	}
+	s.statementsCheckedAt = now
 	for p, st := range s.statements {
 		if t := s.targets[p.Endpoint]; t != nil && t.statement == st {
 			st.statedAt = now
