--- a/forwarder/fixture_test.go
+++ b/forwarder/fixture_test.go
@@ -57,9 +57,10 @@
 func (dialect) ParseAnswer(status int, h http.Header) forwarder.AnswerFields {
 	closedFor, _ := time.ParseDuration(h.Get("Closed-For"))
 	limit, _ := strconv.ParseFloat(h.Get("Limit"), 64)
+	coldFor, _ := time.ParseDuration(h.Get("Cold-For"))
 	return forwarder.AnswerFields{
 		NotRun: h.Get("Not-Run") != "", Signed: h.Get("Signature") != "", Encoded: h.Get("Content-Encoding") != "", Misdirected: status == 421,
-		Leaving: h.Get("Leaving") != "", ClosedFor: closedFor, Limit: scheduler.LimitStatement{IsKnown: true, PerSecond: limit},
+		Leaving: h.Get("Leaving") != "", ClosedFor: closedFor, Limit: scheduler.LimitStatement{IsKnown: true, PerSecond: limit}, ColdFor: coldFor,
 	}
 }
 
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -113,6 +113,7 @@
 func (s *Scheduler) Step(now time.Time, e Event) []Action {
 	s.actions = s.actions[:0]
 	s.budget.advance(now)
+	s.reportWarm(now)
 	switch e := e.(type) {
 	case TargetsChanged:
 		s.changeTargets(now, e)
@@ -157,7 +158,6 @@
 		s.checkWaiting(now)
 		s.reportLatency(now)
 		s.instances.update(now)
-		s.reportWarm(now)
 		s.reportLimits(now)
 	}
 	s.scheduleTick(now)
@@ -189,7 +189,6 @@
 		s.setTarget(now, t)
 	}
 	s.forgetStatements(now)
-	s.reportWarm(now)
 }
 
 // missingIn returns the targets that a new set lacks.
--- a/standin/cmd/standin/soak.go
+++ b/standin/cmd/standin/soak.go
@@ -22,6 +22,7 @@
 	Silences  bool          `long:"silences" description:"make engines silent for a while"`
 	Part      bool          `long:"crashing-part" description:"send requests that share one part of their prompts, which crashes the engines that answer them; --crashing is then ignored"`
 	Limits    bool          `long:"limits" description:"make engines name in their answers the requests per second that they take"`
+	Cold      bool          `long:"cold" description:"make engines cold after their start and at other times, when they take few requests per second"`
 	Cuts      bool          `long:"cuts" description:"cut the paths between instances and all engines for a time"`
 	Leaving   bool          `long:"leaving" description:"make engines say in their answers that they leave, or that they want no requests for a time"`
 	Length    time.Duration `long:"length" default:"8s" description:"how long faults come"`
@@ -76,7 +77,7 @@
 		return false
 	}
 	report, err := soak.Run(soak.Config{
-		Binary: binary, Dir: dir, Seed: seed, Instances: c.Instances, Engines: c.Engines, Callers: c.Callers, Crashing: c.Crashing, CrashingPart: c.Part, Silences: c.Silences, Leaving: c.Leaving, Limits: c.Limits, Cuts: c.Cuts, Length: c.Length,
+		Binary: binary, Dir: dir, Seed: seed, Instances: c.Instances, Engines: c.Engines, Callers: c.Callers, Crashing: c.Crashing, CrashingPart: c.Part, Silences: c.Silences, Leaving: c.Leaving, Limits: c.Limits, Cold: c.Cold, Cuts: c.Cuts, Length: c.Length,
 	})
 	mu.Lock()
 	defer mu.Unlock()
--- a/standin/hosted/answer.go
+++ b/standin/hosted/answer.go
@@ -15,6 +15,7 @@
 	w.Header().Set("X-Attempt-Id", id)
 	e.sayLeaving(w)
 	e.nameLimit(w, id)
+	e.sayCold(w)
 	if e.turnAway(w, id) {
 		return
 	}
@@ -26,6 +27,7 @@
 	}
 	e.mu.Lock()
 	e.runs[id] = append(e.runs[id], time.Now())
+	e.noteCold(r)
 	group, members, unframed := e.group, e.members, e.unframed
 	e.mu.Unlock()
 	if e.Domain != "" {
--- a/standin/hosted/engine.go
+++ b/standin/hosted/engine.go
@@ -40,6 +40,7 @@
 	silence         silence
 	statement       statement
 	limiting        limiting
+	cooling         cooling
 	unframed        bool                     // answers end with their connections
 	unframedAnswers map[*unframedAnswer]bool // those that have not ended
 	brokenEvent     int                      // ID of the event in which each stream breaks off; zero means none
@@ -77,6 +78,7 @@
 		return err
 	}
 	e.platform, e.store, e.addr, e.runs, e.born = p, p.Store, l.Addr().String(), map[string][]time.Time{}, time.Now().UnixMilli()
+	e.startCold(p.Cold)
 	e.wasReady, e.unframedAnswers = map[string]bool{}, map[*unframedAnswer]bool{}
 	if p.ListedAddress != nil {
 		if e.addr, err = p.ListedAddress(e.ID, e.addr); err != nil {
@@ -207,7 +209,7 @@
 		state = "draining"
 	}
 	out := map[string]any{
-		"service": e.Service, "address": e.addr, "zone": e.Zone, "version": "v1", "slots": 8, "state": state, "coldLeftMs": 0,
+		"service": e.Service, "address": e.addr, "zone": e.Zone, "version": "v1", "slots": 8, "state": state, "coldLeftMs": e.cooling.left().Milliseconds(),
 		"sequence": e.acceptedOrders, "born": e.born,
 	}
 	if e.Domain == "" {
@@ -230,6 +232,7 @@
 func (e *Engine) serveHealth(w http.ResponseWriter, _ *http.Request) {
 	e.awaitEndOfSilence()
 	w.Header().Set("X-Instance-Id", e.ID)
+	e.sayCold(w)
 	w.WriteHeader(http.StatusOK)
 }
 
--- a/standin/hosted/platform.go
+++ b/standin/hosted/platform.go
@@ -15,10 +15,11 @@
 }
 
 // Platform consists of a store, the engines of ModelService and the endpoints of
-// PlainService. It is safe for concurrent use after Start, once ListedAddress is set.
+// PlainService. It is safe for concurrent use after Start, once Cold and ListedAddress are set.
 type Platform struct {
 	Store         *Store
 	Models        []Model
+	Cold          Cold                                     // of all engines and endpoints that are started; set it before they are, and before Configure
 	ListedAddress func(id, address string) (string, error) // returns the address to publish for an engine that listens at address; if nil, address itself is published
 
 	server  *http.Server
@@ -154,10 +155,10 @@
 		"version": version,
 		"routes":  []any{route("guides", "/guides/", "stream", ModelService, 2), route("holds", "/holds/", "unsafe", PlainService, 2), route("lookups", "/lookups/", "safe", PlainService, 2)},
 		"services": []any{
-			map[string]any{"name": ModelService, "maxConns": 100, "engine": map[string]any{
+			map[string]any{"name": ModelService, "maxConns": 100, "coldStartS": p.Cold.Time.Seconds(), "coldPerS": p.Cold.PerSecond, "engine": map[string]any{
 				"slots": 8, "models": models, "loadsPerS": 50, "loads_at_once": 20, "keeps": 1, "formMs": formTime.Milliseconds(),
 			}},
-			map[string]any{"name": PlainService, "maxConns": 100, "healthPath": healthPath},
+			map[string]any{"name": PlainService, "maxConns": 100, "coldStartS": p.Cold.Time.Seconds(), "coldPerS": p.Cold.PerSecond, "healthPath": healthPath},
 		},
 		"limits":  map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 20, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
 		"tenants": []any{map[string]any{"name": Account, "apiKeys": keys}},
--- a/standin/hosted/settings.go
+++ b/standin/hosted/settings.go
@@ -20,17 +20,22 @@
 	Source     netip.Addr       // address of loopback from which the instance connects; the zero value leaves the choice to the system
 	StopLimit  time.Duration
 	RetrySlack int // retries that all instances together may accumulate
+	Cold       Cold
 }
 
 // Encode returns the settings file of an instance.
 func (s InstanceSettings) Encode() ([]byte, error) {
 	type object = map[string]any
+	bounds := object{"stopLimit": s.StopLimit.String(), "retryRatio": 0.2, "retrySlack": s.RetrySlack}
+	if s.Cold.PerSecond > 0 {
+		bounds["coldExcess"], bounds["coldSlack"] = s.Cold.Excess, s.Cold.Slack
+	}
 	return json.Marshal(object{
 		"instance": s.Name, "failureDomain": "here", "sourceAddress": s.Source,
 		"listen":  object{"callers": s.Ports[0], "readiness": s.Ports[1], "readinessPath": "/ready", "peers": s.Ports[2], "metrics": s.Ports[3]},
 		"store":   object{"address": s.Store, "readsPerSecond": 2000, "writesPerSecond": 400, "leaseMin": "1s"},
 		"machine": object{"cores": 1, "memoryMB": 500},
-		"bounds":  object{"stopLimit": s.StopLimit.String(), "retryRatio": 0.2, "retrySlack": s.RetrySlack}, "firstStart": true,
+		"bounds":  bounds, "firstStart": true,
 		"log": object{"level": "info"},
 	})
 }
--- a/standin/soak/apply.go
+++ b/standin/soak/apply.go
@@ -61,6 +61,8 @@
 		s.leaveEngine(f)
 	case LimitEngine:
 		s.limitEngine(f)
+	case ChillEngine:
+		s.liveEngine(f.Engine).Chill(f.For)
 	case CutEndpoints:
 		s.cutEndpoints(f)
 	case CloseEngine:
--- a/standin/soak/fault.go
+++ b/standin/soak/fault.go
@@ -105,6 +105,12 @@
 		For       time.Duration
 	}
 
+	// ChillEngine makes an engine or endpoint cold for a time, without a start.
+	ChillEngine struct {
+		Engine int
+		For    time.Duration
+	}
+
 	// CutEndpoints cuts the paths between an instance and all engines for a time, in silence or by resets. The store, the
 	// callers and the other instances reach the instance.
 	CutEndpoints struct {
@@ -152,6 +158,7 @@
 func (LeaveEngine) fault()    {}
 func (CloseEngine) fault()    {}
 func (LimitEngine) fault()    {}
+func (ChillEngine) fault()    {}
 func (CutEndpoints) fault()   {}
 func (StoreDown) fault()      {}
 func (StoreSlow) fault()      {}
--- a/standin/soak/soak.go
+++ b/standin/soak/soak.go
@@ -25,6 +25,7 @@
 	Crashing  bool          // copies of a request that crashes the engines that run it are sent
 	Silences  bool          // engines are silent for a while, also before the period of the other faults, and few retries are allowed
 	Limits    bool          // engines name limits of requests per second
+	Cold      bool          // engines are cold after their start, and at other times
 	Cuts      bool          // instances lose their paths to all engines for a time, also before the period of the other faults
 	Leaving   bool          // engines say in their answers that they leave or that they want no requests for a time
 	Length    time.Duration // the period in which faults are injected; zero means 8 s
@@ -87,6 +88,10 @@
 	defer p.Close()
 	s := &soak{cfg: cfg, platform: p, processes: spawner.Processes{Dir: cfg.Dir}, links: map[string]*relayer.Link{}, cuts: map[int]func(*relayer.Link){}, version: 1}
 	p.ListedAddress = s.addLink
+	if cfg.Cold {
+		p.Cold = coldEngines
+		p.Configure(s.version, firstKey)
+	}
 	defer s.close()
 	if err := s.startDeployment(); err != nil {
 		return Report{}, err
@@ -166,6 +171,9 @@
 	if s.cfg.Limits {
 		steps = AddLimits(steps, rand.New(rand.NewPCG(s.cfg.Seed, math.MaxUint64-2)), s.cfg.Length)
 	}
+	if s.cfg.Cold {
+		steps = AddCold(steps, rand.New(rand.NewPCG(s.cfg.Seed, math.MaxUint64-4)), s.cfg.Length)
+	}
 	if s.cfg.Cuts {
 		steps = AddEndpointCuts(steps, rand.New(rand.NewPCG(s.cfg.Seed, math.MaxUint64-3)), s.cfg.Length)
 	}
@@ -186,6 +194,7 @@
 	}
 	out.Violations = append(out.Violations, s.record.findUnwantedRequests(s.platform.Engines())...)
 	out.Violations = append(out.Violations, s.record.findRequestsBeyondLimits(s.platform.Engines())...)
+	out.Violations = append(out.Violations, s.record.findRequestsBeyondCold(s.platform.Engines(), s.platform.Cold.Allowed())...)
 	if violation := s.record.checkServiceOfCutInstances(len(s.instances)); violation != "" {
 		out.Violations = append(out.Violations, violation)
 	}
--- a/standin/soak/soak_test.go
+++ b/standin/soak/soak_test.go
@@ -97,6 +97,11 @@
 	runSeeds(t, soak.Config{Limits: true, Callers: 24, Length: 12 * time.Second}, 40)
 }
 
+// TestColdSeeds runs two fixed seeds with engines that are cold after their start and at other times.
+func TestColdSeeds(t *testing.T) {
+	runSeeds(t, soak.Config{Cold: true, Callers: 36, Length: 8 * time.Second}, 60, 61)
+}
+
 // TestCutSeeds runs two fixed seeds with instances that lose their paths to all engines for a time.
 func TestCutSeeds(t *testing.T) {
 	runSeeds(t, soak.Config{Cuts: true, Callers: 24, Length: 5 * time.Second}, 50, 51)
