--- a/messenger/doc.go
+++ b/messenger/doc.go
@@ -16,7 +16,7 @@
 //     rather than the store use it.
 //   - An announcement tells all peers which processes of endpoints ended while they ran a
 //     request or a part of its prompt. It is repeated to a peer that does not acknowledge it.
-//   - Limits that endpoints name are exchanged between an instance and one peer at a time, each of
+//   - Limits that endpoints name, and cold times that they state in answers, are exchanged between an instance and one peer at a time, each of
 //     which learns what the other knows.
 //
 // An operator lists and lifts quarantines, and lists the endpoints that leave, limits and what an instance reaches, through the
--- a/scheduler/cold.go
+++ b/scheduler/cold.go
@@ -70,10 +70,13 @@
 // rateFrom estimates the requests per second that this instance may send from a time on, at which the next one
 // may be sent. A process that is warm then takes as many as it has slots.
 func (l *limit) rateFrom(now, at time.Time, slots int) float64 {
-	if l.perSecond == 0 && l.isCold(now) && !at.Before(l.cold.until()) {
-		return float64(max(slots, 1))
+	if !l.isCold(now) || at.Before(l.cold.until()) {
+		return l.share.perSecond
 	}
-	return l.share.perSecond
+	if l.perSecond > 0 {
+		return l.perSecond // this instance's part of the limit that the process names is not known yet
+	}
+	return float64(max(slots, 1))
 }
 
 // isCold reports whether t is cold and has a limit because of that.
@@ -83,7 +86,7 @@
 
 // updateCold applies what the list says about the coldness of t. isNew is whether the process was no target before.
 func (s *Scheduler) updateCold(now time.Time, t *target, isNew bool) {
-	if t.statement == nil && (t.ColdLimit <= 0 || !t.ColdUntil.After(now)) {
+	if t.statement == nil && (t.ColdLimit <= 0 || !t.ColdUntil.After(now)) || t.ColdLimit <= 0 && t.statement.limit.cold.perSecond == 0 {
 		return
 	}
 	st := s.statementOf(now, t.Process())
