--- a/runner/hosted_view.go
+++ b/runner/hosted_view.go
@@ -33,6 +33,7 @@
 	endpoints map[identifier.Endpoint]endpointlister.Endpoint
 	targets   *targetlister.Lister
 	instances map[identifier.Instance]identifier.FailureDomain // including this one; the failure domain is empty if it is not known
+	ownKey    string                                           // value of this instance's own key; empty if it is not listed
 	holder    identifier.Instance                              // of the group-forming lease; empty if it is not known
 	evacuator *evacuator.Evacuator
 	evacuated []identifier.FailureDomain // as the components know it, sorted
@@ -82,6 +83,7 @@
 // from now on. v.mu is held.
 func (v *view) handleRestored(a evacuator.Restored) {
 	v.hosted.logger.Info().Str("failureDomain", string(a.Domain)).Dur("lasted", a.Lasted).Msg("failure domain restored")
+	v.hosted.forwarder.ChangeTargets(v.targets.SetRestored(a.Domain, time.Now()))
 }
 
 // applyConfiguration puts the operator's configuration in force. If the entry was deleted or
@@ -136,6 +138,9 @@
 // updateInstance applies a change of the key of this or another instance. v.mu is held.
 func (v *view) updateInstance(c storeclient.Change) {
 	name := identifier.Instance(strings.TrimPrefix(c.Key, instancePrefix))
+	if name == v.hosted.settings.Instance {
+		v.changeOwnKey(c)
+	}
 	if c.Deleted {
 		delete(v.instances, name)
 		v.hosted.peers.Remove(name)
--- a/scheduler/choice.go
+++ b/scheduler/choice.go
@@ -137,6 +137,9 @@
 	if t.MemberMissing {
 		score += missingMemberPenalty
 	}
+	if t.isCold(now) {
+		score += coldPenalty
+	}
 	if now.Sub(t.addedAt) < time.Second {
 		score += newTargetPenalty
 	}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -24,6 +24,7 @@
 	defaultTrialInterval         = 1200 * time.Millisecond
 	defaultMaxLoad               = 1.1
 	defaultTickInterval          = 40 * time.Millisecond
+	defaultColdExcess            = 1
 )
 
 // Config configures a Scheduler. The zero value is usable.
@@ -46,6 +47,9 @@
 	TrialInterval         time.Duration // time between two trial requests to a stalled target; zero means 1.2 s
 	MaxLoad               float64       // load as a fraction of a target's slots from which the target gets no more requests; zero means 1.1
 	TickInterval          time.Duration // time between two checks of the targets' progress; zero means 40 ms
+
+	ColdExcess float64 // factor on the ColdLimit of a target that its requests in one second must not exceed; zero means 1
+	ColdSlack  float64 // requests that a cold target may get in one second beyond that
 }
 
 // Scheduler is the deterministic core that schedules requests. It is not safe for concurrent
@@ -62,13 +66,16 @@
 	reach   reach
 	peers   []*peer // in the order in which this instance prefers them
 
-	statements   map[identifier.Process]*statement
-	lastStated   map[identifier.Endpoint]identifier.Process // of each endpoint, the process with the latest start that has said that it leaves or is closed
-	restrictions map[identifier.Fingerprint]restriction
-	copies       map[identifier.Fingerprint]int // number of flights with a fingerprint
+	statements          map[identifier.Process]*statement
+	statementsCheckedAt time.Time                                  // when it was last checked which statements can be forgotten
+	lastStated          map[identifier.Endpoint]identifier.Process // of each endpoint, the process with the latest start that has said that it leaves or is closed
+	restrictions        map[identifier.Fingerprint]restriction
+	copies              map[identifier.Fingerprint]int // number of flights with a fingerprint
 
 	instances        instanceList
 	limitsReportedAt time.Time
+	cold             map[identifier.Process]*statement // of the processes that were last reported as cold
+	warmAt           time.Time                         // before which none of them is warm, as was known when they were last checked
 
 	random  *rand.Rand       // nil for no jitter
 	free    []candidate      // buffer of freeTargets
@@ -90,9 +97,10 @@
 	defaulter.Set(&cfg.TrialInterval, defaultTrialInterval)
 	defaulter.Set(&cfg.MaxLoad, defaultMaxLoad)
 	defaulter.Set(&cfg.TickInterval, defaultTickInterval)
+	defaulter.Set(&cfg.ColdExcess, defaultColdExcess)
 	s := &Scheduler{
 		cfg: cfg, targets: map[identifier.Endpoint]*target{}, pools: map[identifier.Pool]*pool{}, statements: map[identifier.Process]*statement{}, lastStated: map[identifier.Endpoint]identifier.Process{},
-		flights: map[Ref]*flight{}, queues: map[identifier.Pool]*queue{}, rates: map[identifier.Pool]*poolRates{}, restrictions: map[identifier.Fingerprint]restriction{}, copies: map[identifier.Fingerprint]int{}, budget: newRetryBudget(cfg),
+		flights: map[Ref]*flight{}, queues: map[identifier.Pool]*queue{}, rates: map[identifier.Pool]*poolRates{}, restrictions: map[identifier.Fingerprint]restriction{}, copies: map[identifier.Fingerprint]int{}, budget: newRetryBudget(cfg), cold: map[identifier.Process]*statement{},
 		instances: newInstanceList(Instance{Name: cfg.Instance, FailureDomain: cfg.FailureDomain}),
 	}
 	if cfg.Random != nil {
@@ -105,6 +113,7 @@
 func (s *Scheduler) Step(now time.Time, e Event) []Action {
 	s.actions = s.actions[:0]
 	s.budget.advance(now)
+	s.reportWarm(now)
 	switch e := e.(type) {
 	case TargetsChanged:
 		s.changeTargets(now, e)
@@ -116,6 +125,7 @@
 		s.setPeers(s.instances.listed)
 	case LimitsReported:
 		s.handleLimitNews(now, e.News)
+		s.handleColdNews(now, e.News)
 	case RetryBudgetSet:
 		s.budget.ratio, s.budget.slack = e.Ratio, e.Slack
 		s.budget.setInstances(s.budget.instances)
@@ -196,6 +206,7 @@
 	old := s.targets[t.ID]
 	if old != nil && old.Pool == t.Pool && old.isSameIncarnation(&t) {
 		s.pools[t.Pool].replaceTarget(old, &t)
+		s.updateCold(now, old, false)
 		return
 	}
 	s.removeTarget(t.ID)
@@ -210,6 +221,7 @@
 	}
 	s.pools[t.Pool].add(added)
 	s.inheritStatement(now, added)
+	s.updateCold(now, added, old == nil || old.Process() != t.Process())
 }
 
 // removeTarget removes a target, if there is one, and its pool if that is empty then.
--- a/standin/soak/soak.go
+++ b/standin/soak/soak.go
@@ -29,6 +29,7 @@
 	Leaving     bool          // engines say in their answers that they leave or that they want no requests for a time
 	Evacuations bool          // failure domains are evacuated for a time
 	Length      time.Duration // the period in which faults are injected; zero means 8 s
+	Cold        bool          // engines are cold after their start, and at other times
 
 	CrashingPart bool // requests are sent that differ in all but a part of their prompts, which crashes the engines that answer them; Crashing is then ignored
 }
@@ -90,6 +91,10 @@
 	defer p.Close()
 	s := &soak{cfg: cfg, platform: p, processes: spawner.Processes{Dir: cfg.Dir}, links: map[string]*relayer.Link{}, cuts: map[int]func(*relayer.Link){}, version: 1}
 	p.ListedAddress = s.addLink
+	if cfg.Cold {
+		p.Cold = coldEngines
+		p.Configure(s.version, firstKey)
+	}
 	defer s.close()
 	if err := s.startDeployment(); err != nil {
 		return Report{}, err
@@ -169,6 +174,9 @@
 	if s.cfg.Limits {
 		steps = AddLimits(steps, rand.New(rand.NewPCG(s.cfg.Seed, math.MaxUint64-2)), s.cfg.Length)
 	}
+	if s.cfg.Cold {
+		steps = AddCold(steps, rand.New(rand.NewPCG(s.cfg.Seed, math.MaxUint64-4)), s.cfg.Length)
+	}
 	if s.cfg.Cuts {
 		steps = AddEndpointCuts(steps, rand.New(rand.NewPCG(s.cfg.Seed, math.MaxUint64-3)), s.cfg.Length)
 	}
@@ -194,6 +202,7 @@
 	out.Violations = append(out.Violations, s.record.findRequestsBeyondLimits(s.platform.Engines())...)
 	violations, bound := s.record.findRequestsToEvacuated(s.platform.Engines())
 	out.Violations, out.BoundByEvacuations = append(out.Violations, violations...), bound
+	out.Violations = append(out.Violations, s.record.findRequestsBeyondCold(s.platform.Engines(), s.platform.Cold.Allowed())...)
 	if violation := s.record.checkServiceOfCutInstances(len(s.instances)); violation != "" {
 		out.Violations = append(out.Violations, violation)
 	}
--- a/targetlister/lister.go
+++ b/targetlister/lister.go
@@ -4,6 +4,7 @@
 	"maps"
 	"reflect"
 	"slices"
+	"time"
 
 	"amaranthmill/endpointlister"
 	"amaranthmill/forwarder"
@@ -25,6 +26,7 @@
 	members   map[groupEpoch]map[identifier.Endpoint]bool // listed members of each group
 	targets   map[identifier.Endpoint]scheduler.Target
 	evacuated map[identifier.FailureDomain]bool
+	restored  map[identifier.FailureDomain]time.Time // when requests to a failure domain were last allowed again
 }
 
 // New returns a Lister without services, which has no targets.
@@ -32,6 +34,7 @@
 	return &Lister{
 		services: map[identifier.Service]resolver.Service{}, endpoints: map[identifier.Endpoint]endpointlister.Endpoint{},
 		members: map[groupEpoch]map[identifier.Endpoint]bool{}, targets: map[identifier.Endpoint]scheduler.Target{}, evacuated: map[identifier.FailureDomain]bool{},
+		restored: map[identifier.FailureDomain]time.Time{},
 	}
 }
 
@@ -128,6 +131,7 @@
 		ID: e.ID, Pool: forwarder.PoolOf(e.Service, ""), Address: e.Address, FailureDomain: e.FailureDomain, ProcessStart: e.ProcessStart, Slots: e.Slots,
 		Evacuated: l.evacuated[e.FailureDomain],
 	}
+	l.setCold(&t, e, service.Cold)
 	if service.Engine == nil || len(service.Engine.Models) == 0 {
 		return t, true
 	}
