scheduler, messenger, runner: instances report the work that arrives

The group former knew only the requests of its own instance, and only whether they met their goal. Each instance now counts, for each pool, the requests that arrive (also those that wait or are refused), their prompt tokens and the tokens of streams delivered in full, and reports them every 2 s to the instance that forms groups (POST /demand; an old peer answers 404, which is ignored).

--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -34,6 +34,7 @@
 	OnLimits        func(news []scheduler.LimitNews) // what this instance knows about the limits of endpoints, once a second while there is something; must not block
 	OnLeaving       func(p identifier.Process)       // called once when a process says that it leaves; must not block
 	OnLatencyReport func(p scheduler.LatencyReport)  // called about once a second for each pool with requests; must not block
+	OnDemand        func(r scheduler.DemandReport)   // the work that arrived at this instance, about every two seconds while there is some; must not block; nil means that nobody needs it
 	OnAttempt       func(e quarantiner.Event)        // called for each attempt and for each request that a restriction refuses, before the scheduler learns of it; must not block
 	OnReach         func(isCutOff bool)              // called with true once it is confirmed that this instance has lost its links to most endpoints, and with false when it has them again; must not block
 
@@ -183,6 +184,10 @@
 		if f.cfg.OnLimits != nil {
 			f.cfg.OnLimits(a.News)
 		}
+	case scheduler.DemandReport:
+		if f.cfg.OnDemand != nil {
+			f.cfg.OnDemand(a)
+		}
 	case scheduler.LatencyReport:
 		service, _ := SplitPool(a.Pool)
 		f.meters.setBudget(service, a.RetriesLeft)
--- a/groupformer/event.go
+++ b/groupformer/event.go
@@ -9,7 +9,7 @@
 )
 
 // Event is an input of a Former: EndpointsChanged, ServicesSet, LeaseSet, StoreHealthSet,
-// LatencyReported, FirstRequestReceived, HeadStalled, LeavingStated, Reported, Unreachable,
+// LatencyReported, DemandReported, FirstRequestReceived, HeadStalled, LeavingStated, Reported, Unreachable,
 // OrderEnded or Ticked.
 type Event interface{ event() }
 
@@ -39,6 +39,25 @@
 	MissedGoal int // of these, the requests answered after their goal or not at all
 }
 
+// DemandReported reports the work that arrived at one instance, also what it refused.
+type DemandReported struct {
+	Instance      identifier.Instance
+	FailureDomain identifier.FailureDomain // of the instance
+	Elapsed       time.Duration            // time that the counts cover, since the instance's previous report
+	Models        []ModelDemand
+}
+
+// ModelDemand counts the work for a model.
+type ModelDemand struct {
+	Service      identifier.Service
+	Model        string
+	Requests     int
+	Prompts      int // of Requests, those with a known number of prompt tokens
+	PromptTokens int // of these
+	Answers      int // streams that were delivered in full
+	AnswerTokens int // of these
+}
+
 // FirstRequestReceived reports that the first request has arrived.
 type FirstRequestReceived struct{}
 
@@ -105,6 +124,7 @@
 func (LeaseSet) event()             {}
 func (StoreHealthSet) event()       {}
 func (LatencyReported) event()      {}
+func (DemandReported) event()       {}
 func (FirstRequestReceived) event() {}
 func (HeadStalled) event()          {}
 func (LeavingStated) event()        {}
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -47,6 +47,7 @@
 	OnLimits         func(news []scheduler.LimitNews)                                                            // a peer reports what it knows about the limits of endpoints; must not block
 	OnStalled        func(head identifier.Endpoint)                                                              // a peer reports that the group with this head is stalled; must not block
 	OnLeaving        func(p identifier.Process)                                                                  // a peer reports that a process has said that it leaves; must not block
+	OnDemand         func(r groupformer.DemandReported)                                                          // a peer reports the work that arrived there; must not block
 	HTTP             *http.Client
 	Timeout          time.Duration // of one exchange with a peer; zero selects 600 ms
 	AnnounceInterval time.Duration // between two exchanges with announcements to one peer; zero selects 200 ms
@@ -95,6 +96,7 @@
 	mux.HandleFunc("GET "+pathLeaving, m.serveLeavingList)
 	mux.HandleFunc("POST "+pathReport, m.serveReport)
 	mux.HandleFunc("POST "+pathConnection, m.serveConnection)
+	mux.HandleFunc("POST "+pathDemand, m.serveDemand)
 	mux.HandleFunc("POST "+pathLosses, m.serveLosses)
 	mux.HandleFunc("POST "+pathLimits, m.serveLimits)
 	mux.HandleFunc("GET "+pathLimits, m.serveLimitList)
--- a/messenger/wire.go
+++ b/messenger/wire.go
@@ -23,6 +23,7 @@
 	pathConnection  = "/connection"
 	pathLosses      = "/losses"
 	pathLimits      = "/limits"
+	pathDemand      = "/demand"
 	pathQuarantines = "/quarantines"
 	pathReach       = "/reach"
 )
--- a/runner/hosted.go
+++ b/runner/hosted.go
@@ -134,6 +134,7 @@
 		OnLeaving:       h.reportLeaving,
 		OnLimits:        func(news []scheduler.LimitNews) { go h.messenger.ExchangeLimits(context.Background(), news) },
 		OnLatencyReport: func(p scheduler.LatencyReport) { go h.groupFormer.submitLatency(p) },
+		OnDemand:        func(r scheduler.DemandReport) { go h.reportDemand(r) },
 		OnAttempt:       func(e quarantiner.Event) { h.quarantine.step.Submit(e) },
 		OnReach:         h.setReach,
 		PeerAddress:     h.peerAddress, Probe: h.probe,
@@ -151,7 +152,7 @@
 		},
 		UpdateSince: func(after uint64) replicator.Update { return h.replica.UpdateSince(after) },
 		Report:      h.groupFormer.queryEngineForPeer, CheckConnection: h.checkConnectionForPeer, OnStalled: h.groupFormer.submitStall, OnLeaving: h.groupFormer.submitPeerLeaving, Leaving: h.leaving.list,
-		OnLimits: h.forwarder.ReportLimits,
+		OnLimits: h.forwarder.ReportLimits, OnDemand: h.groupFormer.submitDemand,
 		OnLosses: func(r quarantiner.Report) { h.quarantine.step.Submit(quarantiner.ReportReceived{Report: r}) },
 		Reach:    h.forwarder.Reach, Quarantines: h.listQuarantines, Lift: h.liftQuarantine,
 		OnUnacknowledged: func(fp identifier.Fingerprint) {
--- /dev/null
+++ b/runner/hosted_demand.go
@@ -0,0 +1,32 @@
+package runner
+
+import (
+	"context"
+
+	"amaranthmill/forwarder"
+	"amaranthmill/groupformer"
+	"amaranthmill/scheduler"
+)
+
+// reportDemand reports the work for models that arrived at this instance to the instance that forms groups.
+func (h *hosted) reportDemand(r scheduler.DemandReport) {
+	report := groupformer.DemandReported{Instance: h.settings.Instance, FailureDomain: h.settings.FailureDomain, Elapsed: r.Elapsed}
+	for _, p := range r.Pools {
+		if service, model := forwarder.SplitPool(p.Pool); model != "" {
+			report.Models = append(report.Models, groupformer.ModelDemand{
+				Service: service, Model: model, Requests: p.Requests, Prompts: p.Prompts, PromptTokens: p.PromptTokens, Answers: p.Answers, AnswerTokens: p.AnswerTokens,
+			})
+		}
+	}
+	if len(report.Models) == 0 {
+		return
+	}
+	if holder := h.view.formingHolder(); holder != h.settings.Instance {
+		h.messenger.ReportDemand(context.Background(), holder, report)
+		return
+	}
+	h.groupFormer.submitDemand(report)
+}
+
+// submitDemand submits the work that arrived at this instance or at a peer.
+func (f *groupFormer) submitDemand(r groupformer.DemandReported) { f.step.Submit(r) }
--- a/scheduler/action.go
+++ b/scheduler/action.go
@@ -7,7 +7,7 @@
 )
 
 // Action is an output of a Scheduler: Send, Abandon, Wait, Finish, Stalled, Recovered,
-// ReachChanged, Probe, LeavingStated, LimitChanged, LimitReport, LatencyReport or WakeAt.
+// ReachChanged, Probe, LeavingStated, LimitChanged, LimitReport, LatencyReport, DemandReport or WakeAt.
 type Action interface{ action() }
 
 // Send starts an attempt: the request is sent to Target, or to a peer, which sends it to an endpoint. An attempt that hedges others runs
--- a/scheduler/flight.go
+++ b/scheduler/flight.go
@@ -24,6 +24,7 @@
 	possibleRuns  int       // ended attempts that may have run
 	hasAbandoned  bool      // an attempt was abandoned, so that its target may run the request later
 	answerStarted bool      // an event of the answer has been received
+	events        int       // of the stream, received so far
 	giveUpAt      time.Time // end of the wait for a target; zero if the request does not wait
 	hedgeAfter    time.Time // f is not hedged before this time, because a target has refused a hedge
 	refusedStatus int       // status of the last refusal; zero if no target refused the request
@@ -73,6 +74,7 @@
 		s.budget.credit(now, f.Service)
 	}
 	s.ratesOf(f.Pool).countArrival(now)
+	s.demand.countArrival(now, f)
 	s.place(now, f)
 }
 
@@ -195,6 +197,7 @@
 // finish ends f. Its running attempts are abandoned.
 func (s *Scheduler) finish(f *flight, o Outcome) {
 	s.dequeue(f)
+	s.demand.countAnswer(f, o)
 	for len(f.running) > 0 {
 		s.abandon(f.running[0], ReasonEnded)
 	}
--- a/scheduler/progress.go
+++ b/scheduler/progress.go
@@ -20,6 +20,7 @@
 		s.countAnswer(now, a.flight)
 	}
 	a.hasEvent, a.flight.answerStarted = true, true
+	a.flight.events++
 	s.abandonOthers(a)
 }
 
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -59,6 +59,7 @@
 	rates   map[identifier.Pool]*poolRates
 	budget  retryBudget
 	latency latencyCounter
+	demand  demandCounter
 	reach   reach
 	peers   []*peer // in the order in which this instance prefers them
 
@@ -147,6 +148,7 @@
 		s.placeAllWaiting(now)
 		s.checkWaiting(now)
 		s.reportLatency(now)
+		s.reportDemand(now)
 		s.instances.update(now)
 		s.reportLimits(now)
 	}
