groupformer: engines are allocated by the work that arrives

Engines followed the operator's shares, moved by at most 1.5 after goals were missed at one instance. With 347 of 401 requests a second for m1, 96 of 171 engines stayed with m0. The demand of each instance now gives the groups that each model needs for its present work, after the loss of the largest failure domain and in a jump; allocations change only if that gains coverage, and lent groups complete their requests. Services whose profile states no decode time keep the present rule.

--- a/groupformer/counts.go
+++ b/groupformer/counts.go
@@ -1,6 +1,11 @@
 package groupformer
 
-import "time"
+import (
+	"time"
+
+	"amaranthmill/internal/identifier"
+	"amaranthmill/resolver"
+)
 
 // countsInterval is the interval between two reports of the group counts.
 const countsInterval = time.Second
@@ -18,7 +23,7 @@
 		for _, m := range d.profile.Models {
 			k := poolKey{d.service, m.Name}
 			if counts[k] == nil {
-				counts[k] = &GroupCounts{Service: d.service, Model: m.Name}
+				counts[k] = &GroupCounts{Service: d.service, Model: m.Name, Demand: f.demandEngines(d.service, m)}
 				keys = append(keys, k)
 			}
 			c := counts[k]
@@ -43,3 +48,13 @@
 		f.emit(*counts[k])
 	}
 }
+
+// demandEngines returns the engines that the present work for a model needs, or zero if it is not known.
+func (f *Former) demandEngines(service identifier.Service, m resolver.Model) float64 {
+	a := f.allocations[service]
+	if a == nil {
+		return 0
+	}
+	n, _ := a.needOf(m.Name)
+	return n.present * float64(m.GroupSize)
+}
--- a/groupformer/demand.go
+++ b/groupformer/demand.go
@@ -24,13 +24,14 @@
 // missedRatio returns the part of the requests that missed their goal.
 func (d *demand) missedRatio() float64 { return d.missedGoal / max(d.requests, 1) }
 
-// updateDemand records a latency report. The model's share grows if its requests miss their
+// updateDemand records a latency report of a service whose profile does not say how long requests take, so that the demand
+// can't be estimated from what arrives. The model's share grows if its requests miss their
 // goal more often than those of the service's best model; otherwise it returns towards the
 // operator's setting. Since currentShare normalizes the shares, a growing share shrinks the
 // others.
 func (f *Former) updateDemand(r LatencyReported) {
 	profile := f.services[r.Service]
-	if profile == nil {
+	if profile == nil || canEstimate(profile) {
 		return
 	}
 	d := f.demandOf(r.Service, r.Model)
@@ -57,6 +58,9 @@
 
 // currentShare returns the part of a service's engines that a model should have now.
 func (f *Former) currentShare(service identifier.Service, profile *resolver.EngineProfile, m resolver.Model) float64 {
+	if a := f.allocations[service]; a.isActive() {
+		return a.share(profile, m)
+	}
 	total := 0.0
 	for _, o := range profile.Models {
 		total += o.Share * f.demandOf(service, o.Name).shareFactor
--- /dev/null
+++ b/groupformer/demand_fleet_test.go
@@ -0,0 +1,195 @@
+package groupformer_test
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"time"
+
+	"amaranthmill/endpointlister"
+	"amaranthmill/groupformer"
+	"amaranthmill/internal/identifier"
+	"amaranthmill/resolver"
+)
+
+// demandProfile is the engine profile of the deployments under hard load.
+var demandProfile = resolver.EngineProfile{
+	Slots: 34, LoadsPerSecond: 14, FullSpeedLoads: 21, StagedModels: 1, OpenTime: 300 * time.Millisecond, MeanPromptTokens: 900, MeanAnswerTokens: 100,
+	PrefillTokensPerSecond: 46000, DecodeStep: 6070 * time.Microsecond, DecodeStepPerRequest: 241 * time.Microsecond,
+	Models: []resolver.Model{
+		{Name: "m0", GroupSize: 8, Share: 0.5, TimeFactor: 1, LoadTime: 16 * time.Second, WarmLoadTime: 1600 * time.Millisecond},
+		{Name: "m1", GroupSize: 4, Share: 0.5, TimeFactor: 0.6, LoadTime: 12 * time.Second, WarmLoadTime: 1100 * time.Millisecond},
+	},
+}
+
+// kind is a kind of request.
+type kind struct {
+	model          string
+	perSecond      float64
+	prompt, answer int
+}
+
+// hardLoad is the load of deployment J on 171 engines: 347 of 401 requests per second are for m1.
+var hardLoad = []kind{{"m1", 347, 674, 115}, {"m0", 33, 1420, 115}, {"m0", 21, 1960, 22}}
+
+// longestAnswer is the time of an answer of 115 tokens of m0 in a full group.
+const longestAnswer = 1650 * time.Millisecond
+
+// demandFleet is a fleet whose instances report the work that arrives.
+type demandFleet struct {
+	*fleet
+	kinds     []kind
+	factor    func(model string) float64 // on the requests per second, for each report
+	instances int
+	reporting func(instance int) bool // whether the reports of an instance arrive
+	lost      int                     // reports that did not arrive
+	carry     map[string]float64      // fractions of requests that are not reported yet
+	lent      int                     // groups dissolved for another model
+	formed    int
+	cut       int // groups whose running requests were aborted while it was lent
+	closing   map[identifier.Group]bool
+	changes   []groupformer.ShareChanged
+}
+
+// newDemandFleet returns a fleet with 19 engines in each of three fabric domains of each of three failure domains, all of
+// whose groups serve and all of whose hosts have both models. Its groups were formed with the operator's shares
+// of the given m0, which have changed to 0.5 since.
+func newDemandFleet(seed uint64, kinds []kind, m0Share float64) *demandFleet {
+	before := demandProfile
+	before.Models = slices.Clone(before.Models)
+	before.Models[0].Share, before.Models[1].Share = m0Share, 1-m0Share
+	f := &demandFleet{
+		fleet: newFleetWithProfile(&before, seed, 3, 3, 19), kinds: kinds, instances: 31, carry: map[string]float64{}, closing: map[identifier.Group]bool{},
+		factor: func(string) float64 { return 1 }, reporting: func(int) bool { return true },
+	}
+	f.observe = f.record
+	f.closeTime = longestAnswer
+	f.run(15 * time.Second)
+	f.startRequests()
+	f.profile = &demandProfile
+	f.step(groupformer.ServicesSet{Services: []resolver.Service{{Name: "guides", Engine: f.profile}}})
+	f.lent, f.formed = 0, 0
+	return f
+}
+
+// record counts what the Former decides.
+func (f *demandFleet) record(a groupformer.Action) {
+	switch a := a.(type) {
+	case groupformer.ShareChanged:
+		f.changes = append(f.changes, a)
+	case groupformer.Order:
+		if c, ok := a.Operation.(groupformer.Close); ok && c.Abort && f.closing[c.Group] {
+			f.cut++
+		}
+	case groupformer.LogDecision:
+		switch a.Decision {
+		case "dissolve:lent":
+			f.lent++
+			f.closing[a.Group] = true
+		case "form":
+			f.formed++
+		}
+	}
+}
+
+// startReports lets each instance report every two seconds from now on, at a phase of its own.
+func (f *demandFleet) startReports() {
+	for i := range f.instances {
+		f.schedule(time.Duration(i)*2*time.Second/time.Duration(f.instances), func() { f.report(i) })
+	}
+}
+
+func (f *demandFleet) report(i int) {
+	const interval = 2 * time.Second
+	f.schedule(interval, func() { f.report(i) })
+	r := groupformer.DemandReported{Instance: identifier.Instance(fmt.Sprintf("i%02d", i)), FailureDomain: identifier.FailureDomain(fmt.Sprintf("z%d", i%3)), Elapsed: interval}
+	byModel := map[string]int{}
+	for n, k := range f.kinds {
+		if _, ok := byModel[k.model]; !ok {
+			byModel[k.model] = len(r.Models)
+			r.Models = append(r.Models, groupformer.ModelDemand{Service: "guides", Model: k.model})
+		}
+		key := fmt.Sprintf("%d/%d", i, n)
+		exact := k.perSecond*f.factor(k.model)*interval.Seconds()/float64(f.instances) + f.carry[key]
+		whole := int(math.Floor(exact))
+		f.carry[key] = exact - float64(whole)
+		m := &r.Models[byModel[k.model]]
+		m.Requests += whole
+		m.Prompts += whole
+		m.PromptTokens += whole * k.prompt
+		m.Answers += whole
+		m.AnswerTokens += whole * k.answer
+	}
+	if !f.reporting(i) {
+		f.lost++
+		return
+	}
+	f.step(r)
+}
+
+// load returns the load of a model's groups, as a fraction of their slots, at a factor on the fleet's requests: the
+// requests that run if each of them takes the time that the profile states at that load. Groups that span fabric domains
+// do not count.
+func (f *demandFleet) load(model string, factor float64) float64 {
+	groups := float64(f.countWhole()[model])
+	m := f.findModel(model)
+	for load := 0.01; load < 3; load += 0.01 {
+		running := 0.0
+		step := f.profile.DecodeStep.Seconds() + load*float64(f.profile.Slots)*f.profile.DecodeStepPerRequest.Seconds()
+		for _, k := range f.kinds {
+			if k.model == model {
+				running += factor * k.perSecond * m.TimeFactor * (float64(k.prompt)/f.profile.PrefillTokensPerSecond + float64(k.answer)*step)
+			}
+		}
+		if running <= load*float64(f.profile.Slots)*groups {
+			return load
+		}
+	}
+	return math.Inf(1)
+}
+
+// countWhole returns the number of complete serving groups within one fabric domain, by model.
+func (f *demandFleet) countWhole() map[string]int {
+	out := map[string]int{}
+	for _, n := range f.countWholeByDomain() {
+		for model, groups := range n {
+			out[model] += groups
+		}
+	}
+	return out
+}
+
+// countWholeByDomain returns the same by failure domain.
+func (f *demandFleet) countWholeByDomain() map[identifier.FailureDomain]map[string]int {
+	out := map[identifier.FailureDomain]map[string]int{}
+	for _, h := range f.engines {
+		m := h.Membership
+		if h.dead || m.Rank != 0 || m.State != endpointlister.MemberOpen {
+			continue
+		}
+		whole := true
+		for _, id := range f.members[m.Group] {
+			e := f.engines[id]
+			whole = whole && !e.dead && e.Membership.IsSameGroup(m) && e.FabricDomain == h.FabricDomain
+		}
+		if !whole {
+			continue
+		}
+		if out[h.FailureDomain] == nil {
+			out[h.FailureDomain] = map[string]int{}
+		}
+		out[h.FailureDomain][h.Models[0]]++
+	}
+	return out
+}
+
+// idle returns the number of live engines that belong to no group.
+func (f *demandFleet) idle() int {
+	n := 0
+	for _, e := range f.engines {
+		if !e.dead && e.Membership.Group == "" {
+			n++
+		}
+	}
+	return n
+}
--- a/groupformer/dissolve.go
+++ b/groupformer/dissolve.go
@@ -55,7 +55,7 @@
 	}
 	switch head.Membership.State {
 	case endpointlister.MemberOpen:
-		if g.graceful && now.Sub(g.phaseSince) <= gracefulCloseLimit {
+		if g.graceful && now.Sub(g.phaseSince) <= g.closeLimit() {
 			f.sendOrder(now, head, Close{Group: g.name, Epoch: g.epoch})
 			return
 		}
@@ -70,7 +70,7 @@
 // advanceClosing aborts the running requests when the time for a graceful close has passed,
 // and queries a head that does not report an immediate close.
 func (f *Former) advanceClosing(now time.Time, g *group, head *engine) {
-	if g.graceful && now.Sub(g.phaseSince) > gracefulCloseLimit {
+	if g.graceful && now.Sub(g.phaseSince) > g.closeLimit() {
 		g.graceful = false
 		f.sendOrder(now, head, Close{Group: g.name, Epoch: g.epoch, Abort: true})
 		return
@@ -80,6 +80,15 @@
 	}
 }
 
+// closeLimit returns the time after which the requests that run in a dissolving group are aborted. A group that demand
+// dissolves without need completes them.
+func (g *group) closeLimit() time.Duration {
+	if g.lentByDemand {
+		return lentCloseLimit
+	}
+	return gracefulCloseLimit
+}
+
 // releaseUnconfirmed releases the members of g without confirmation that the head has left the
 // group. A head that does not answer need not be dead.
 func (f *Former) releaseUnconfirmed(now time.Time, g *group) {
--- /dev/null
+++ b/groupformer/estimate.go
@@ -0,0 +1,196 @@
+package groupformer
+
+import (
+	"maps"
+	"math"
+	"slices"
+	"time"
+
+	"amaranthmill/internal/identifier"
+	"amaranthmill/resolver"
+)
+
+// Parameters of the estimate of demand.
+const (
+	demandMemory     = 15 * time.Second // covered time after which a report's weight has fallen to 1/e
+	silentIntervals  = 3                // intervals without a report after which an instance's rates begin to fall
+	demandForgotten  = time.Minute      // without a report, after which an instance is forgotten
+	minKnownRequests = 50               // requests of a service below which the operator's shares apply; fewer say little about the shares
+	priorRequests    = 8                // weight of the profile's mean tokens among those that were measured
+	planLoad         = 0.7              // load at which requests meet their goals: at 0.8, a tenth of the requests waits twice as long as at 0.6
+	jumpLoad         = 0.75             // load that may be reached in a jump
+	jumpFactor       = 2.2              // of the requests of all models in a jump, which comes without notice
+)
+
+// workCounts holds decaying counts of the work for one model at one instance.
+type workCounts struct {
+	requests, prompts, promptTokens, answers, answerTokens float64
+}
+
+// add lets the counts decay by a factor and adds those of a report.
+func (c *workCounts) add(factor float64, m ModelDemand) {
+	c.requests = c.requests*factor + float64(m.Requests)
+	c.prompts = c.prompts*factor + float64(m.Prompts)
+	c.promptTokens = c.promptTokens*factor + float64(m.PromptTokens)
+	c.answers = c.answers*factor + float64(m.Answers)
+	c.answerTokens = c.answerTokens*factor + float64(m.AnswerTokens)
+}
+
+// instanceDemand is the work that arrives at one instance. Counts and the time that they cover decay together, so that the
+// rates are right from the first report on, whatever the phases of the instances.
+type instanceDemand struct {
+	failureDomain identifier.FailureDomain
+	reportedAt    time.Time
+	elapsed       time.Duration // of the last report
+	covered       float64       // seconds that the counts cover, decaying
+	models        map[poolKey]*workCounts
+}
+
+// add adds a report.
+func (d *instanceDemand) add(now time.Time, r DemandReported) {
+	factor := math.Exp(-r.Elapsed.Seconds() / demandMemory.Seconds())
+	d.failureDomain, d.reportedAt, d.elapsed = r.FailureDomain, now, r.Elapsed
+	d.covered = d.covered*factor + r.Elapsed.Seconds()
+	reported := map[poolKey]ModelDemand{}
+	for _, m := range r.Models {
+		k := poolKey{m.Service, m.Model}
+		reported[k] = m
+		if d.models[k] == nil {
+			d.models[k] = &workCounts{}
+		}
+	}
+	for k, c := range d.models {
+		c.add(factor, reported[k])
+	}
+}
+
+// weight returns the factor on the rates of an instance. It falls while the instance does not report: it has no requests, or
+// its reports are lost.
+func (d *instanceDemand) weight(now time.Time) float64 {
+	late := now.Sub(d.reportedAt) - silentIntervals*d.elapsed
+	return math.Exp(-max(late, 0).Seconds() / demandMemory.Seconds())
+}
+
+// arrivals is the work for one model that arrives at all instances.
+type arrivals struct {
+	known        float64 // decayed number of requests that the rate is measured from
+	perSecond    float64
+	byDomain     map[identifier.FailureDomain]float64 // requests per second, by the failure domain of the instances at which they arrive
+	promptTokens float64                              // mean of a request
+	answerTokens float64                              // mean of a request
+}
+
+// demandReports holds the reports of all instances.
+type demandReports struct {
+	instances map[identifier.Instance]*instanceDemand
+	firstAt   time.Time     // of the first report; zero before it
+	interval  time.Duration // longest time that a first report covered
+}
+
+// add adds a report and forgets instances that have not reported for demandForgotten.
+func (r *demandReports) add(now time.Time, report DemandReported) {
+	if r.instances == nil {
+		r.instances, r.firstAt = map[identifier.Instance]*instanceDemand{}, now
+	}
+	for name, d := range r.instances {
+		if now.Sub(d.reportedAt) > demandForgotten {
+			delete(r.instances, name)
+		}
+	}
+	d := r.instances[report.Instance]
+	if d == nil {
+		d = &instanceDemand{models: map[poolKey]*workCounts{}}
+		r.instances[report.Instance] = d
+		r.interval = max(r.interval, min(report.Elapsed, maxFirstInterval))
+	}
+	d.add(now, report)
+}
+
+// Bounds of the time after the first report in which the instances report for the first time.
+const (
+	minFirstInterval = 2 * time.Second
+	maxFirstInterval = 15 * time.Second
+)
+
+// isComplete reports whether each instance has had the time to report once.
+func (r *demandReports) isComplete(now time.Time) bool {
+	return r.instances != nil && now.Sub(r.firstAt) >= max(r.interval, minFirstInterval)
+}
+
+// arrivals sums the work for a model over the instances. This is the only place that sums demand over instances and
+// failure domains.
+func (r *demandReports) arrivals(now time.Time, k poolKey, profile *resolver.EngineProfile) arrivals {
+	out := arrivals{byDomain: map[identifier.FailureDomain]float64{}}
+	var t workCounts
+	for _, name := range slices.Sorted(maps.Keys(r.instances)) {
+		d := r.instances[name]
+		c := d.models[k]
+		if c == nil || d.covered <= 0 {
+			continue
+		}
+		w := d.weight(now)
+		rate := w * c.requests / d.covered
+		out.perSecond += rate
+		out.byDomain[d.failureDomain] += rate
+		out.known += w * c.requests
+		t.prompts += w * c.prompts
+		t.promptTokens += w * c.promptTokens
+		t.answers += w * c.answers
+		t.answerTokens += w * c.answerTokens
+	}
+	out.promptTokens = (t.promptTokens + priorRequests*float64(profile.MeanPromptTokens)) / (t.prompts + priorRequests)
+	out.answerTokens = (t.answerTokens + priorRequests*float64(profile.MeanAnswerTokens)) / (t.answers + priorRequests)
+	return out
+}
+
+// canEstimate reports whether the profile says how long requests take, so that demand can be estimated.
+func canEstimate(profile *resolver.EngineProfile) bool {
+	return profile != nil && len(profile.Models) > 1 && profile.Slots > 0 && profile.DecodeStep > 0
+}
+
+// need is what the work for a model needs, in groups, as a fraction.
+type need struct {
+	model   resolver.Model
+	present float64 // for the present work at planLoad
+	loss    float64 // the same after the loss of the largest failure domain
+	jump    float64 // for jumpFactor times the present work at jumpLoad; at least loss, because both are granted in this order
+}
+
+// groupsFor returns the groups that a rate of requests keeps at a load. A running request lengthens each step of the others.
+func groupsFor(profile *resolver.EngineProfile, m resolver.Model, a arrivals, perSecond, load float64) float64 {
+	factor := m.TimeFactor
+	if factor <= 0 {
+		factor = 1
+	}
+	running := load * float64(profile.Slots)
+	step := profile.DecodeStep.Seconds() + running*profile.DecodeStepPerRequest.Seconds()
+	prefill := 0.0
+	if profile.PrefillTokensPerSecond > 0 {
+		prefill = a.promptTokens / profile.PrefillTokensPerSecond * factor
+	}
+	bySlots := perSecond * (prefill + a.answerTokens*step*factor) / running
+	return max(bySlots, perSecond*prefill/load) // prompts are read one after the other
+}
+
+// needOf returns the need of a model. largestPart is the part of the engines that the largest failure domain has. A
+// model with a share keeps a group also without requests.
+func needOf(profile *resolver.EngineProfile, m resolver.Model, a arrivals, largestPart float64) need {
+	n := need{model: m, present: groupsFor(profile, m, a, a.perSecond, planLoad)}
+	if m.Share > 0 || a.perSecond > 0 {
+		n.present = max(n.present, 1)
+	}
+	n.loss = n.present
+	if largestPart < 1 {
+		n.loss /= 1 - largestPart
+	}
+	n.jump = max(n.loss, groupsFor(profile, m, a, jumpFactor*a.perSecond, jumpLoad))
+	return n
+}
+
+// coverage returns the part of the need that groups meet, at most 1.
+func (n need) coverage(groups float64) float64 {
+	if n.jump <= 0 {
+		return 1
+	}
+	return min(groups/n.jump, 1)
+}
--- a/groupformer/event.go
+++ b/groupformer/event.go
@@ -189,7 +189,7 @@
 	return ""
 }
 
-// Action is an output of a Former: Order, FetchReport, LogDecision, GroupCounts or WakeAt.
+// Action is an output of a Former: Order, FetchReport, LogDecision, ShareChanged, GroupCounts or WakeAt.
 type Action interface{ action() }
 
 // Order sends an order to an engine.
@@ -218,6 +218,21 @@
 	Elapsed  time.Duration // since the group's previous change of phase
 }
 
+// ShareChanged reports that demand has changed a model's share of the engines by more than a tenth of all engines, and why.
+type ShareChanged struct {
+	Service           identifier.Service
+	Model             string
+	Before, Share     float64 // part of the engines
+	Groups            int     // that demand asks for; zero if the operator's share applies
+	Engines           int     // that groups within a fabric domain can use
+	LargestPart       float64 // part of these engines that the largest failure domain has
+	RequestsPerSecond float64
+	PromptTokens      float64 // mean of a request
+	AnswerTokens      float64 // mean of a request
+
+	Present, Loss, Jump float64 // groups that the work needs, also after the loss of a failure domain, and also in a jump
+}
+
 // GroupCounts reports, once a second, the number of groups of a model.
 type GroupCounts struct {
 	Service      identifier.Service
@@ -228,13 +243,15 @@
 	TargetGroups float64 // groups that the model's share of the engines would form
 	Engines      int     // engines of the service that are neither dead nor draining
 	Idle         int     // of these, the engines that no group needs
+	Demand       float64 // engines that the model's present work needs; zero if it is not known
 }
 
 // WakeAt requests a Ticked event at a time, in addition to regular ones.
 type WakeAt struct{ At time.Time }
 
-func (GroupCounts) action() {}
-func (WakeAt) action()      {}
-func (Order) action()       {}
-func (FetchReport) action() {}
-func (LogDecision) action() {}
+func (ShareChanged) action() {}
+func (GroupCounts) action()  {}
+func (WakeAt) action()       {}
+func (Order) action()        {}
+func (FetchReport) action()  {}
+func (LogDecision) action()  {}
--- a/groupformer/fleet_engine_test.go
+++ b/groupformer/fleet_engine_test.go
@@ -39,7 +39,7 @@
 		m.State = endpointlister.MemberClosing
 		wait := time.Duration(0)
 		if !op.Abort {
-			wait = time.Second
+			wait = f.closeTime
 		}
 		f.scheduleIfUnchanged(e, wait, *m, func() { e.Membership.State = endpointlister.MemberReady })
 	case groupformer.Leave:
--- a/groupformer/fleet_test.go
+++ b/groupformer/fleet_test.go
@@ -65,6 +65,8 @@
 	listChanged        bool                                            // the list must be published again
 	members            map[identifier.Group][]identifier.Endpoint      // as ordered
 	wasReady           map[string]bool                                 // by "GROUP/ENGINE"
+	closeTime          time.Duration                                   // that the requests of a closing group take to complete
+	observe            func(groupformer.Action)                        // sees each action of the Former; nil for none
 }
 
 // scheduledCall is a call that is due at a time.
@@ -99,8 +101,8 @@
 
 func newFleetWithProfile(p *resolver.EngineProfile, seed uint64, failureDomains, fabricDomains, perDomain int) *fleet {
 	f := &fleet{
-		profile: p,
-		core:    groupformer.New(groupformer.Config{FirstStart: true}), rand: rand.New(rand.NewPCG(seed, seed)), now: time.Date(2026, 1, 5, 20, 0, 0, 0, time.UTC),
+		profile: p, closeTime: time.Second,
+		core: groupformer.New(groupformer.Config{FirstStart: true}), rand: rand.New(rand.NewPCG(seed, seed)), now: time.Date(2026, 1, 5, 20, 0, 0, 0, time.UTC),
 		engines: map[identifier.Endpoint]*fakeEngine{}, queries: map[identifier.Endpoint]int{}, dissolved: map[identifier.Group]bool{}, beforeFirstRequest: true, partitioned: map[identifier.FailureDomain]bool{},
 		members: map[identifier.Group][]identifier.Endpoint{}, wasReady: map[string]bool{},
 	}
@@ -189,6 +191,9 @@
 
 func (f *fleet) step(e groupformer.Event) {
 	for _, a := range slices.Clone(f.core.Step(f.now, e)) {
+		if f.observe != nil {
+			f.observe(a)
+		}
 		switch a := a.(type) {
 		case groupformer.Order:
 			f.order(a)
--- a/groupformer/form.go
+++ b/groupformer/form.go
@@ -53,6 +53,12 @@
 			return true
 		}
 		available := len(joinable) + len(joinableWithoutLoad(dissolving, m))
+		if f.keepsGroups(now, d) || f.allocations[d.service].isActive() {
+			if i == 0 && available >= m.GroupSize || f.isReassigning(d, m) {
+				return false
+			}
+			continue // reassignByDemand chooses the groups that are dissolved for m
+		}
 		if i == 0 && available >= m.GroupSize || f.isReassigning(d, m) || f.reassignGroups(now, d, s, m, available) {
 			return false
 		}
--- a/groupformer/former.go
+++ b/groupformer/former.go
@@ -36,10 +36,14 @@
 	ordersIssued       uint64
 	loadBudgets        map[identifier.Service]*loadBudget
 	demands            map[poolKey]*demand
-	beforeFirstRequest bool      // the system started for the first time and no request has arrived yet
-	storeLost          bool      // the store is unreachable
-	storeChangedAt     time.Time // when storeLost last changed
-	newEngineAt        time.Time // when an engine was last listed for the first time
+	demandReports      demandReports
+	allocations        map[identifier.Service]*allocation
+	absentDomains      map[identifier.FailureDomain]bool // failure domains whose capacity does not count for demand and deficits
+	keepsGroupsUntil   time.Time                         // until then, a new holder of the lease moves no group of a service with known demand to another model
+	beforeFirstRequest bool                              // the system started for the first time and no request has arrived yet
+	storeLost          bool                              // the store is unreachable
+	storeChangedAt     time.Time                         // when storeLost last changed
+	newEngineAt        time.Time                         // when an engine was last listed for the first time
 	countsEmittedAt    time.Time
 	plannedAt          time.Time // when all decisions were last taken
 	wakeAt             time.Time // of the tick that was requested; zero for none
@@ -53,7 +57,7 @@
 		drainTime:          cfg.DrainTime,
 		beforeFirstRequest: cfg.FirstStart, services: map[identifier.Service]*resolver.EngineProfile{}, engines: map[identifier.Endpoint]*engine{},
 		groups: map[identifier.Group]*group{}, released: map[identifier.Group]releasedGroup{}, loadBudgets: map[identifier.Service]*loadBudget{},
-		demands: map[poolKey]*demand{},
+		demands: map[poolKey]*demand{}, allocations: map[identifier.Service]*allocation{},
 	}
 }
 
@@ -69,9 +73,11 @@
 	case ServicesSet:
 		f.setServices(now, e.Services)
 	case LeaseSet:
-		f.setLease(e)
+		f.setLease(now, e)
 	case LatencyReported:
 		f.updateDemand(e)
+	case DemandReported:
+		f.demandReports.add(now, e)
 	case FirstRequestReceived:
 		f.beforeFirstRequest = false
 	case StoreHealthSet:
@@ -116,8 +122,10 @@
 
 // setLease records the lease. Under a new fence, the known groups are discarded and learned
 // again from the engines.
-func (f *Former) setLease(lease LeaseSet) {
+func (f *Former) setLease(now time.Time, lease LeaseSet) {
 	if lease.Fence > f.fence {
+		f.demandReports, f.allocations = demandReports{}, map[identifier.Service]*allocation{}
+		f.keepsGroupsUntil = now.Add(successorWait)
 		f.fence, f.epochsIssued = lease.Fence, 0
 		f.groups, f.assignedCurrent = map[identifier.Group]*group{}, false
 		f.released = map[identifier.Group]releasedGroup{}
--- a/groupformer/group.go
+++ b/groupformer/group.go
@@ -35,6 +35,7 @@
 	adopted       bool                    // an earlier holder of the lease formed it
 	reassignedTo  string                  // the model whose group its engines will complete; empty for none
 	reassignedIn  identifier.FabricDomain // the fabric domain of that group
+	lentByDemand  bool                    // demand reassigned it, not the loss of engines of a model
 	needsLoad     bool                    // a member must load weights to join
 	openOrderedAt time.Time               // when the head was last ordered to open
 }
@@ -50,6 +51,7 @@
 	incompleteFormingLimit = 2 * time.Second         // for the last member of an adopted group to appear
 	reopenInterval         = time.Second             // between two orders to open
 	gracefulCloseLimit     = 2500 * time.Millisecond // after which a graceful close becomes immediate
+	lentCloseLimit         = 20 * time.Second        // the same for a group that gives its engines to another model: its requests run to completion, and the longest deadline is 8 s
 	reportDelayLimit       = 800 * time.Millisecond  // beyond the expected time, after which an engine is queried
 	warmJoinTime           = 2 * time.Second         // expected time of a join without a load
 )
@@ -69,10 +71,12 @@
 		return
 	}
 	domains := f.domains()
+	f.updateAllocations(now, domains)
 	supplies := f.supplies(domains)
 	for _, d := range domains {
 		f.formGroups(now, d, supplies[supplyKey{d.service, d.failureDomain}])
 	}
+	f.reassignByDemand(now, domains, supplies)
 	f.formSpanningGroups(now, domains)
 	f.loadWeights(now, domains, supplies)
 	f.emitCounts(now, domains)
--- a/groupformer/supply.go
+++ b/groupformer/supply.go
@@ -45,6 +45,9 @@
 		if out[k] == nil {
 			out[k] = newSupply(totals[d.service])
 		}
+		if f.absentDomains[d.failureDomain] {
+			continue
+		}
 		live := d.countLive()
 		for _, m := range d.profile.Models {
 			groups := f.targetGroups(d, m, live)
@@ -54,11 +57,15 @@
 	}
 	for _, g := range f.groups {
 		first := f.firstKnownMember(g)
-		if g.phase == phaseDissolving || f.isDraining(g) || first == nil {
+		if g.phase == phaseDissolving || f.isDraining(g) || first == nil || f.absentDomains[first.FailureDomain] {
 			continue
 		}
+		weight := f.weight(g)
+		if weight < 1 && f.allocations[g.service].isActive() {
+			continue // an allocation counts only the engines that groups within a fabric domain can use
+		}
 		if s := out[supplyKey{g.service, first.FailureDomain}]; s != nil {
-			s.add(g.model.Name, f.weight(g))
+			s.add(g.model.Name, weight)
 		}
 	}
 	return out
@@ -73,8 +80,11 @@
 }
 
 // targetGroups returns the number of groups that a model's share of d's live engines would
-// form.
+// form, or d's part of the groups that demand asks for.
 func (f *Former) targetGroups(d *domain, m resolver.Model, live int) float64 {
+	if a := f.allocations[d.service]; a.isActive() {
+		return float64(a.groups[m.Name]) * float64(live) / float64(max(a.live, 1))
+	}
 	return f.currentShare(d.service, d.profile, m) * float64(live) / float64(m.GroupSize)
 }
 
