--- a/groupformer/allocation.go
+++ b/groupformer/allocation.go
@@ -14,10 +14,10 @@
 	firstGain        = 0.05                   // gain of coverage from which the operator's shares are left
 	refineGain       = 0.1                    // the same for a change within refineTime of the first, which rests on a few seconds of reports
 	changeGain       = 0.25                   // the same later; demand that varies by a fifth changes the coverage by less
-	refineTime       = 15 * time.Second
-	gainLasts        = 4 * time.Second // for which the gain of a change must last: two reports of each instance
-	shareLogged      = 0.1             // change of a share from which it is logged
-	successorWait    = 6 * time.Second // in which a new holder of the lease gets the reports of all instances, and moves no group to another model
+	refineTime       = 15 * time.Second       // since the demand was first known
+	gainLasts        = 4 * time.Second        // for which the gain of a change must last: two reports of each instance
+	shareLogged      = 0.1                    // change of a share from which it is logged
+	successorWait    = 6 * time.Second        // in which a new holder of the lease gets the reports of all instances, and moves no group to another model
 )
 
 // allocation is the number of groups of each model of a service that demand asks for. The zero value means that the
@@ -27,7 +27,7 @@
 	live      int            // live engines when groups were counted
 	capacity  int            // of these, the engines that groups within a fabric domain can use
 	needs     []need         // the latest estimate, in the order of the profile's models; nil if too little is known
-	since     time.Time      // when the operator's shares were left
+	since     time.Time      // when the demand was first known; zero before
 	gainSince time.Time      // since when a change would gain enough; zero while it would not
 	lookedAt  time.Time
 }
@@ -113,18 +113,23 @@
 		if a.isActive() && f.demandReports.isComplete(now) {
 			f.setAllocation(now, a, service, profile, c, nil)
 		}
+		a.since, a.gainSince = time.Time{}, time.Time{}
 		return
 	}
 	best := allocate(a.needs, c.usable)
 	switch {
-	case !a.isActive():
-		current := operatorGroups(profile, c.usable)
-		if lowestCoverage(a.needs, best)-lowestCoverage(a.needs, current) < firstGain {
+	case a.since.IsZero():
+		a.since = now
+		if lowestCoverage(a.needs, best)-lowestCoverage(a.needs, operatorGroups(profile, c.usable)) < firstGain {
 			return
 		}
 		if held, ok := f.heldGroups(a.needs, service, best, c); ok {
 			best = held
 		}
+	case !a.isActive():
+		if !a.gains(now, lowestCoverage(a.needs, best)-lowestCoverage(a.needs, operatorGroups(profile, c.usable))) {
+			return
+		}
 	case c.usable < a.usedEngines(profile) || c.usable >= a.capacity+smallestGroup(profile):
 		// engines were lost or came back, so that the groups must be counted again in any case
 	default:
@@ -199,7 +204,7 @@
 			adopted = adopted || g.adopted
 		}
 	}
-	if !adopted || used > c.usable || lowestCoverage(needs, best)-lowestCoverage(needs, held) >= refineGain {
+	if !adopted || used > c.usable || lowestCoverage(needs, best)-lowestCoverage(needs, held) >= firstGain {
 		return nil, false
 	}
 	fillUp(needs, held, c.usable-used)
@@ -322,9 +327,6 @@
 	for _, m := range profile.Models {
 		before[m.Name] = f.currentShare(service, profile, m)
 	}
-	if a.groups == nil {
-		a.since = now
-	}
 	a.groups, a.live, a.capacity, a.gainSince = groups, c.live, c.usable, time.Time{}
 	for _, m := range profile.Models {
 		share := f.currentShare(service, profile, m)
--- a/groupformer/demand_fleet_test.go
+++ b/groupformer/demand_fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -94,15 +95,20 @@
 
 // startReports lets each instance report every two seconds from now on, at a phase of its own.
 func (f *demandFleet) startReports() {
+	phases := rand.New(rand.NewPCG(f.rand.Uint64(), 1))
 	for i := range f.instances {
-		f.schedule(time.Duration(i)*2*time.Second/time.Duration(f.instances), func() { f.report(i) })
+		phase := time.Duration(phases.IntN(2000)) * time.Millisecond
+		if i == 0 {
+			phase = 0 // the first report, from which times are counted
+		}
+		f.schedule(phase, func() { f.report(i) })
 	}
 }
 
 func (f *demandFleet) report(i int) {
 	const interval = 2 * time.Second
 	f.schedule(interval, func() { f.report(i) })
-	r := groupformer.DemandReported{Instance: identifier.Instance(fmt.Sprintf("i%02d", i)), FailureDomain: identifier.FailureDomain(fmt.Sprintf("z%d", i%3)), Elapsed: interval}
+	r := groupformer.DemandReported{Instance: identifier.Instance(fmt.Sprintf("i%02d", i)), FailureDomain: identifier.FailureDomain(fmt.Sprintf("z%d", i%3)), Elapsed: interval, Instances: f.instances}
 	byModel := map[string]int{}
 	for n, k := range f.kinds {
 		if _, ok := byModel[k.model]; !ok {
--- a/groupformer/demand_test.go
+++ b/groupformer/demand_test.go
@@ -2,10 +2,15 @@
 
 import (
 	"fmt"
+	"math"
+	"math/rand/v2"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+
+	"amaranthmill/groupformer"
+	"amaranthmill/internal/identifier"
 )
 
 // jump is the factor on all requests in a jump, which comes without notice.
@@ -47,3 +52,183 @@
 		})
 	}
 }
+
+// randomLoad returns kinds of requests of a random mix, which need a random part of the fleet.
+func randomLoad(r *rand.Rand) []kind {
+	m1 := 0.1 + 0.8*r.Float64()
+	perSecond := 100 + 700*r.Float64()
+	return []kind{
+		{"m0", (1 - m1) * perSecond / 2, 600 + r.IntN(1400), 20 + r.IntN(100)},
+		{"m0", (1 - m1) * perSecond / 2, 600 + r.IntN(1400), 20 + r.IntN(100)},
+		{"m1", m1 * perSecond, 600 + r.IntN(1400), 20 + r.IntN(100)},
+	}
+}
+
+// TestNoiseMovesNoGroups guards against groups that move back and forth with demand that varies by a fifth around a mean, at
+// random from report to report or in waves.
+func TestNoiseMovesNoGroups(t *testing.T) {
+	const settle = 30 * time.Second
+	for seed := range uint64(24) {
+		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
+			is := is.New(t)
+			r := rand.New(rand.NewPCG(seed, 7))
+			f := newDemandFleet(seed, randomLoad(r), 0.5)
+			start := f.now
+			noise := map[string]float64{}
+			period := time.Duration(4+r.IntN(40)) * time.Second
+			f.factor = func(model string) float64 {
+				if seed%2 == 0 {
+					key := fmt.Sprintf("%s/%d", model, f.now.Sub(start)/(2*time.Second))
+					if noise[key] == 0 {
+						noise[key] = 0.8 + 0.4*r.Float64()
+					}
+					return noise[key]
+				}
+				phase := 0.0
+				if model == "m0" {
+					phase = math.Pi
+				}
+				return 1 + 0.2*math.Sin(2*math.Pi*f.now.Sub(start).Seconds()/period.Seconds()+phase)
+			}
+			f.startReports()
+			f.run(settle)
+			settled := f.lent
+			f.run(2 * time.Minute)
+			t.Log("lent", settled, f.lent, f.countWhole(), "period", period)
+			is.Equal(f.lent, settled)
+			is.Equal(f.cut, 0)
+			f.check(t)
+		})
+	}
+}
+
+// TestFittingDemandMovesNoGroups guards against reassignments in a deployment whose demand fits the operator's shares, without and
+// with losses of engines. The fleet without reports is the one that has no demand to follow.
+func TestFittingDemandMovesNoGroups(t *testing.T) {
+	fitting := []kind{{"m1", 120, 674, 115}, {"m0", 30, 1420, 115}}
+	for seed := range uint64(6) {
+		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
+			is := is.New(t)
+			lent := map[bool]int{}
+			for _, reports := range []bool{false, true} {
+				f := newDemandFleet(seed, fitting, 0.5)
+				f.reporting = func(int) bool { return reports }
+				f.startReports()
+				f.run(20 * time.Second)
+				is.Equal(f.lent, 0)
+				for range 5 {
+					f.crashMembers(2)
+					f.run(3 * time.Second)
+				}
+				f.run(20 * time.Second)
+				f.check(t)
+				lent[reports] = f.lent
+			}
+			t.Log("lent without reports", lent[false], "with reports", lent[true])
+			is.True(lent[true] <= lent[false])
+		})
+	}
+}
+
+// TestSuccessorKeepsGroups guards against a new holder of the lease that first applies the operator's shares and so undoes
+// what demand has moved, and against one that moves a group again for the noise of its first reports.
+func TestSuccessorKeepsGroups(t *testing.T) {
+	for seed := range uint64(6) {
+		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
+			is := is.New(t)
+			f := newDemandFleet(seed, hardLoad, 0.64)
+			f.startReports()
+			f.run(20 * time.Second)
+			before, lent := f.countWhole(), f.lent
+			f.replaceFormer(2)
+			noise := rand.New(rand.NewPCG(seed, 3))
+			f.factor = func(string) float64 { return 0.9 + 0.2*noise.Float64() }
+			f.run(30 * time.Second)
+			is.Equal(f.lent, lent)
+			is.Equal(f.countWhole(), before)
+			f.check(t)
+		})
+	}
+}
+
+// TestSuccessorDuringMoves guards against a new holder of the lease that leaves the demand half followed.
+func TestSuccessorDuringMoves(t *testing.T) {
+	for seed := range uint64(6) {
+		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
+			is := is.New(t)
+			f := newDemandFleet(seed, hardLoad, 0.64)
+			f.startReports()
+			f.run(3 * time.Second)
+			f.replaceFormer(2)
+			f.run(15 * time.Second)
+			t.Log(f.countWhole(), f.lent)
+			is.True(f.load("m1", jump) <= 0.75)
+			is.True(f.load("m0", jump) <= 0.75)
+			f.check(t)
+		})
+	}
+}
+
+// TestLostReports guards against engines that move because reports are lost: a third of them at random, all of a failure
+// domain, or all of those of peers of an earlier version, which never report. Shares are ratios.
+func TestLostReports(t *testing.T) {
+	for name, lost := range map[string]func(r *rand.Rand, instance int) bool{
+		"third":       func(r *rand.Rand, _ int) bool { return r.IntN(3) == 0 },
+		"domain":      func(_ *rand.Rand, instance int) bool { return instance%3 == 0 },
+		"oldVersions": func(_ *rand.Rand, instance int) bool { return instance < 20 },
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newDemandFleet(1, hardLoad, 0.64)
+			r := rand.New(rand.NewPCG(5, 5))
+			f.reporting = func(instance int) bool { return !lost(r, instance) }
+			f.startReports()
+			f.run(20 * time.Second)
+			t.Log(f.countWhole(), f.lent)
+			is.True(f.load("m1", jump) <= 0.75)
+			is.True(f.load("m0", jump) <= 0.75)
+			settled := f.lent
+			f.run(30 * time.Second)
+			is.Equal(f.lent, settled)
+		})
+	}
+}
+
+// TestAllReportsAreLost checks that groups stay while the last reports say enough, and that the operator's shares apply again
+// after that.
+func TestAllReportsAreLost(t *testing.T) {
+	is := is.New(t)
+	f := newDemandFleet(1, hardLoad, 0.64)
+	f.startReports()
+	f.run(20 * time.Second)
+	before := f.countWhole()
+	f.reporting = func(int) bool { return false }
+	f.run(15 * time.Second)
+	is.Equal(f.countWhole(), before)
+	f.run(3 * time.Minute)
+	t.Log(before, f.countWhole())
+	is.True(f.countWhole()["m0"] >= 8) // of the nine that half of the engines form
+}
+
+// TestFewRequestsMoveNoGroups guards against shares that follow a handful of requests.
+func TestFewRequestsMoveNoGroups(t *testing.T) {
+	is := is.New(t)
+	f := newDemandFleet(1, []kind{{"m1", 1, 674, 115}}, 0.5)
+	f.startReports()
+	f.run(time.Minute)
+	is.Equal(f.lent, 0)
+	is.Equal(len(f.changes), 0)
+}
+
+// TestDuplicateReporterIsOneInstance guards against work that counts twice because its instance restarted.
+func TestDuplicateReporterIsOneInstance(t *testing.T) {
+	is := is.New(t)
+	f := newDemandFleet(1, nil, 0.5)
+	for range 10 {
+		f.step(groupformer.DemandReported{Instance: identifier.Instance("i1"), FailureDomain: "z0", Elapsed: 2 * time.Second, Models: []groupformer.ModelDemand{
+			{Service: "guides", Model: "m1", Requests: 400, Prompts: 400, PromptTokens: 400 * 674, Answers: 400, AnswerTokens: 400 * 115},
+		}})
+		f.run(2 * time.Second)
+	}
+	is.Equal(f.lent, 0) // 200 requests per second fit the operator's share
+}
--- a/groupformer/estimate.go
+++ b/groupformer/estimate.go
@@ -85,6 +85,7 @@
 	instances map[identifier.Instance]*instanceDemand
 	firstAt   time.Time     // of the first report; zero before it
 	interval  time.Duration // longest time that a first report covered
+	listed    int           // instances that exist
 }
 
 // add adds a report and forgets instances that have not reported for demandForgotten.
@@ -97,6 +98,7 @@
 			delete(r.instances, name)
 		}
 	}
+	r.listed = report.Instances
 	d := r.instances[report.Instance]
 	if d == nil {
 		d = &instanceDemand{models: map[poolKey]*workCounts{}}
@@ -117,11 +119,20 @@
 	return r.instances != nil && now.Sub(r.firstAt) >= max(r.interval, minFirstInterval)
 }
 
+// maxSampleFactor bounds sampleFactor. A sample that is smaller says as much about the shares, which are ratios.
+const maxSampleFactor = 10
+
+// sampleFactor returns the factor from the work that was reported to all work. Instances of an earlier version never report.
+func (r *demandReports) sampleFactor() float64 {
+	return min(max(float64(r.listed)/float64(max(len(r.instances), 1)), 1), maxSampleFactor)
+}
+
 // arrivals sums the work for a model over the instances. This is the only place that sums demand over instances and
 // failure domains.
 func (r *demandReports) arrivals(now time.Time, k poolKey, profile *resolver.EngineProfile) arrivals {
 	out := arrivals{byDomain: map[identifier.FailureDomain]float64{}}
 	var t workCounts
+	sample := r.sampleFactor()
 	for _, name := range slices.Sorted(maps.Keys(r.instances)) {
 		d := r.instances[name]
 		c := d.models[k]
@@ -129,7 +140,7 @@
 			continue
 		}
 		w := d.weight(now)
-		rate := w * c.requests / d.covered
+		rate := sample * w * c.requests / d.covered
 		out.perSecond += rate
 		out.byDomain[d.failureDomain] += rate
 		out.known += w * c.requests
@@ -150,10 +161,11 @@
 
 // need is what the work for a model needs, in groups, as a fraction.
 type need struct {
-	model   resolver.Model
-	present float64 // for the present work at planLoad
-	loss    float64 // the same after the loss of the largest failure domain
-	jump    float64 // for jumpFactor times the present work at jumpLoad; at least loss, because both are granted in this order
+	model    resolver.Model
+	present  float64                              // for the present work at planLoad
+	loss     float64                              // the same after the loss of the largest failure domain
+	byDomain map[identifier.FailureDomain]float64 // requests per second, by the failure domain where they arrive
+	jump     float64                              // for jumpFactor times the present work at jumpLoad; at least loss, because both are granted in this order
 }
 
 // groupsFor returns the groups that a rate of requests keeps at a load. A running request lengthens each step of the others.
@@ -175,7 +187,7 @@
 // needOf returns the need of a model. largestPart is the part of the engines that the largest failure domain has. A
 // model with a share keeps a group also without requests.
 func needOf(profile *resolver.EngineProfile, m resolver.Model, a arrivals, largestPart float64) need {
-	n := need{model: m, present: groupsFor(profile, m, a, a.perSecond, planLoad)}
+	n := need{model: m, byDomain: a.byDomain, present: groupsFor(profile, m, a, a.perSecond, planLoad)}
 	if m.Share > 0 || a.perSecond > 0 {
 		n.present = max(n.present, 1)
 	}
--- a/groupformer/event.go
+++ b/groupformer/event.go
@@ -44,6 +44,7 @@
 	Instance      identifier.Instance
 	FailureDomain identifier.FailureDomain // of the instance
 	Elapsed       time.Duration            // time that the counts cover, since the instance's previous report
+	Instances     int                      // that the receiver lists, of which those that never report are assumed to get as much work as the others; zero if it is not known
 	Models        []ModelDemand
 }
 
--- a/groupformer/reassign_demand.go
+++ b/groupformer/reassign_demand.go
@@ -28,11 +28,12 @@
 	model  resolver.Model // which gets the engines
 	groups []*group
 	fewest float64 // the smallest number of groups that a giving model has in the failure domain
+	ratio  float64 // groups that the taking model has in the failure domain, relative to the requests that arrive there
 }
 
 // reassignByDemand dissolves groups of models that have more groups than demand asks for, for the model that lacks most. The
 // cheapest loan comes first: the one of the fewest groups, and among these the one in the failure domain where the giving
-// model has the most groups, so that the rest stays spread.
+// model has the most groups, so that the rest stays spread, or else where the taking model has the fewest for what arrives.
 func (f *Former) reassignByDemand(now time.Time, domains []*domain, supplies map[supplyKey]*supply) {
 	done := map[identifier.Service]bool{}
 	for _, d := range domains {
@@ -69,7 +70,7 @@
 			continue
 		}
 		slices.SortStableFunc(loans, func(a, b loan) int {
-			return cmp.Or(cmp.Compare(len(a.groups), len(b.groups)), cmp.Compare(b.fewest, a.fewest), cmp.Compare(a.supply.groups[m.Name], b.supply.groups[m.Name]))
+			return cmp.Or(cmp.Compare(len(a.groups), len(b.groups)), cmp.Compare(b.fewest, a.fewest), cmp.Compare(a.ratio, b.ratio))
 		})
 		f.lend(now, loans[0])
 		return true
@@ -127,6 +128,9 @@
 		return loan{}, false // its engines are there
 	}
 	l := loan{domain: d, supply: s, model: m}
+	if n, known := a.needOf(m.Name); known {
+		l.ratio = s.groups[m.Name] / max(n.byDomain[d.failureDomain], 1)
+	}
 	given := map[string]float64{}
 	usable := map[*group]int{}
 	for _, g := range f.reassignableGroups(d, m) {
--- a/runner/hosted_demand.go
+++ b/runner/hosted_demand.go
@@ -29,4 +29,7 @@
 }
 
 // submitDemand submits the work that arrived at this instance or at a peer.
-func (f *groupFormer) submitDemand(r groupformer.DemandReported) { f.step.Submit(r) }
+func (f *groupFormer) submitDemand(r groupformer.DemandReported) {
+	r.Instances = f.hosted.view.countInstances()
+	f.step.Submit(r)
+}
--- a/runner/hosted_view.go
+++ b/runner/hosted_view.go
@@ -111,6 +111,13 @@
 	return v.holder
 }
 
+// countInstances returns the number of instances that the store lists.
+func (v *view) countInstances() int {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return len(v.instances)
+}
+
 // isLive reports whether the list shows a process and does not show it as draining.
 func (v *view) isLive(p identifier.Process) bool {
 	v.mu.Lock()
