--- a/groupformer/allocation.go
+++ b/groupformer/allocation.go
@@ -11,8 +11,8 @@
 // Parameters of the decision to allocate engines by demand.
 const (
 	allocateInterval = 500 * time.Millisecond // between two looks at the demand of a service
-	firstGain        = 0.05                   // gain of coverage from which the operator's shares are left
-	refineGain       = 0.1                    // the same for a change within refineTime of the first, which rests on a few seconds of reports
+	firstGain        = 0.05                   // gain of coverage from which shares change within refineTime, in which they rest on a few seconds of reports
+	heldGain         = 0.03                   // gain from which a new holder of the lease leaves the groups that it finds
 	changeGain       = 0.25                   // the same later; demand that varies by a fifth changes the coverage by less
 	refineTime       = 15 * time.Second       // since the demand was first known
 	gainLasts        = 4 * time.Second        // for which the gain of a change must last: two reports of each instance
@@ -145,7 +145,7 @@
 func (a *allocation) gains(now time.Time, gain float64) bool {
 	limit := changeGain
 	if now.Sub(a.since) < refineTime {
-		limit = refineGain
+		limit = firstGain
 	}
 	if gain < limit {
 		a.gainSince = time.Time{}
@@ -204,7 +204,7 @@
 			adopted = adopted || g.adopted
 		}
 	}
-	if !adopted || used > c.usable || lowestCoverage(needs, best)-lowestCoverage(needs, held) >= firstGain {
+	if !adopted || used > c.usable || lowestCoverage(needs, best)-lowestCoverage(needs, held) >= heldGain {
 		return nil, false
 	}
 	fillUp(needs, held, c.usable-used)
--- a/groupformer/demand_fleet_test.go
+++ b/groupformer/demand_fleet_test.go
@@ -43,8 +43,8 @@
 	factor    func(model string) float64 // on the requests per second, for each report
 	instances int
 	reporting func(instance int) bool // whether the reports of an instance arrive
-	lost      int                     // reports that did not arrive
 	carry     map[string]float64      // fractions of requests that are not reported yet
+	fractions *rand.Rand              // source of the first of these
 	lent      int                     // groups dissolved for another model
 	formed    int
 	cut       int // groups whose running requests were aborted while it was lent
@@ -60,7 +60,7 @@
 	before.Models = slices.Clone(before.Models)
 	before.Models[0].Share, before.Models[1].Share = m0Share, 1-m0Share
 	f := &demandFleet{
-		fleet: newFleetWithProfile(&before, seed, 3, 3, 19), kinds: kinds, instances: 31, carry: map[string]float64{}, closing: map[identifier.Group]bool{},
+		fleet: newFleetWithProfile(&before, seed, 3, 3, 19), kinds: kinds, instances: 31, carry: map[string]float64{}, fractions: rand.New(rand.NewPCG(seed, 2)), closing: map[identifier.Group]bool{},
 		factor: func(string) float64 { return 1 }, reporting: func(int) bool { return true },
 	}
 	f.observe = f.record
@@ -116,6 +116,9 @@
 			r.Models = append(r.Models, groupformer.ModelDemand{Service: "guides", Model: k.model})
 		}
 		key := fmt.Sprintf("%d/%d", i, n)
+		if _, ok := f.carry[key]; !ok {
+			f.carry[key] = f.fractions.Float64()
+		}
 		exact := k.perSecond*f.factor(k.model)*interval.Seconds()/float64(f.instances) + f.carry[key]
 		whole := int(math.Floor(exact))
 		f.carry[key] = exact - float64(whole)
@@ -127,7 +130,7 @@
 		m.AnswerTokens += whole * k.answer
 	}
 	if !f.reporting(i) {
-		f.lost++
+		f.step(groupformer.Ticked{}) // the Former plans at the same times as with the report
 		return
 	}
 	f.step(r)
@@ -199,3 +202,67 @@
 	}
 	return n
 }
+
+// addEngines adds n engines without weights, each in a random fabric domain.
+func (f *demandFleet) addEngines(n int) {
+	for range n {
+		z, d := f.rand.IntN(3), f.rand.IntN(3)
+		f.add(identifier.FailureDomain(fmt.Sprintf("z%d", z)), identifier.FabricDomain(fmt.Sprintf("z%d-d%d", z, d)))
+	}
+}
+
+// inUse says how many live engines are in use, or why they are not.
+type inUse struct {
+	serving  float64 // in serving groups; a group that spans fabric domains counts with 0.4
+	joining  float64 // in other groups
+	loading  float64 // load their first weights
+	waiting  float64 // have no weights and do not load any
+	staging  float64 // have weights, belong to no group and load others
+	idle     float64 // have weights and belong to no group
+	m0, m1   float64 // serving groups within a fabric domain
+	m0s, m1s float64 // serving groups that span fabric domains
+}
+
+func (f *demandFleet) inUse() inUse {
+	var out inUse
+	whole, all := f.countWhole(), f.countServing()
+	out.m0, out.m1 = float64(whole["m0"]), float64(whole["m1"])
+	out.m0s, out.m1s = float64(all["m0"]-whole["m0"]), float64(all["m1"]-whole["m1"])
+	out.serving = 8*(out.m0+0.4*out.m0s) + 4*(out.m1+0.4*out.m1s)
+	members := 8*float64(all["m0"]) + 4*float64(all["m1"])
+	for _, e := range f.engines {
+		hasWeights := len(e.Models)+len(e.Staged) > 0
+		switch {
+		case e.dead:
+		case e.Membership.Group != "":
+			out.joining++
+		case !hasWeights && e.staging:
+			out.loading++
+		case !hasWeights:
+			out.waiting++
+		case e.staging:
+			out.staging++
+		default:
+			out.idle++
+		}
+	}
+	out.joining -= members
+	return out
+}
+
+func (u *inUse) fields() []*float64 {
+	return []*float64{&u.serving, &u.joining, &u.loading, &u.waiting, &u.staging, &u.idle, &u.m0, &u.m1, &u.m0s, &u.m1s}
+}
+
+func (u *inUse) add(o inUse) {
+	for i, v := range o.fields() {
+		*u.fields()[i] += *v
+	}
+}
+
+func (u *inUse) mean(n float64) inUse {
+	for _, v := range u.fields() {
+		*v = math.Round(*v/n*10) / 10
+	}
+	return *u
+}
--- a/groupformer/demand_test.go
+++ b/groupformer/demand_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"os"
 	"testing"
 	"time"
 
@@ -232,3 +233,31 @@
 	}
 	is.Equal(f.lent, 0) // 200 requests per second fit the operator's share
 }
+
+// TestEnginesInUseUnderLosses replays losses: two or three engines of groups crash every three seconds, and as many without
+// weights come back 6 s later. It guards against engines that stay idle while a model lacks groups.
+func TestEnginesInUseUnderLosses(t *testing.T) {
+	kinds := []kind{{"m0", 110, 1420, 115}, {"m1", 110, 674, 115}}
+	for seed := range uint64(8) {
+		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
+			f := newDemandFleet(seed, kinds, 0.64)
+			f.reporting = func(int) bool { return os.Getenv("NOREP") == "" }
+			f.startReports()
+			f.run(10 * time.Second)
+			t.Log(f.countWhole(), f.changes)
+			const rounds = 20
+			var sum inUse
+			for i := range rounds {
+				n := 2 + i%2
+				f.crashMembers(n)
+				f.schedule(6*time.Second, func() { f.addEngines(n) })
+				for range 3 {
+					f.run(time.Second)
+					sum.add(f.inUse())
+				}
+			}
+			t.Logf("%+v lent %d cut %d", sum.mean(3*rounds), f.lent, f.cut)
+			f.check(t)
+		})
+	}
+}
