groupformer: idle engines are used sooner under losses, and the second model is staged where it is needed

Under losses, engines waited for groups that could not be completed, and hosts of idle engines loaded a second model for 12 to 16 s. Engines are now reserved only for a group that can be completed, first loads complete groups and keep a quarter of the loads, and the lacking model is staged first on hosts of groups that can be given to it. Only for services whose demand can be estimated.

--- a/groupformer/demand_fleet_test.go
+++ b/groupformer/demand_fleet_test.go
@@ -5,6 +5,7 @@
 	"math"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"time"
 
 	"amaranthmill/endpointlister"
@@ -266,3 +267,25 @@
 	}
 	return *u
 }
+
+// unusedGroups returns, by fabric domain and model, the groups that idle engines could form there without a load.
+func (f *demandFleet) unusedGroups() map[string]int {
+	out := map[string]int{}
+	for _, e := range f.engines {
+		for _, m := range f.profile.Models {
+			key := string(e.FabricDomain) + "/" + m.Name
+			out[key] += 0
+			if !e.dead && e.listed && !e.staging && e.Membership.Group == "" && (slices.Contains(e.Models, m.Name) || slices.Contains(e.Staged, m.Name)) {
+				out[key]++
+			}
+		}
+	}
+	for _, m := range f.profile.Models {
+		for key := range out {
+			if strings.HasSuffix(key, "/"+m.Name) {
+				out[key] /= m.GroupSize
+			}
+		}
+	}
+	return out
+}
--- a/groupformer/demand_test.go
+++ b/groupformer/demand_test.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
-	"os"
 	"testing"
 	"time"
 
@@ -235,28 +234,49 @@
 }
 
 // TestEnginesInUseUnderLosses replays losses: two or three engines of groups crash every three seconds, and as many without
-// weights come back 6 s later. It guards against engines that stay idle while a model lacks groups.
+// weights come back 6 s later. It guards against a model that lacks most of its groups (5 of 12 were left) beside engines that
+// are not in use (47), and against engines of one fabric domain that could form a group and stay idle.
 func TestEnginesInUseUnderLosses(t *testing.T) {
 	kinds := []kind{{"m0", 110, 1420, 115}, {"m1", 110, 674, 115}}
 	for seed := range uint64(8) {
 		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
+			is := is.New(t)
 			f := newDemandFleet(seed, kinds, 0.64)
-			f.reporting = func(int) bool { return os.Getenv("NOREP") == "" }
 			f.startReports()
 			f.run(10 * time.Second)
-			t.Log(f.countWhole(), f.changes)
+			is.True(f.countWhole()["m0"] >= 12)
 			const rounds = 20
 			var sum inUse
+			leastM0, mostUnused := 12.0, 0.0
+			unusedSince, longest := map[string]time.Time{}, time.Duration(0)
 			for i := range rounds {
 				n := 2 + i%2
 				f.crashMembers(n)
 				f.schedule(6*time.Second, func() { f.addEngines(n) })
-				for range 3 {
-					f.run(time.Second)
-					sum.add(f.inUse())
+				for range 30 {
+					f.run(100 * time.Millisecond)
+					now := f.inUse()
+					sum.add(now)
+					unused := now.loading + now.waiting + now.staging + now.idle
+					leastM0, mostUnused = min(leastM0, now.m0+now.m0s), max(mostUnused, unused)
+					is.True(unused < 47)
+					for key, n := range f.unusedGroups() {
+						if n == 0 {
+							delete(unusedSince, key)
+						} else if unusedSince[key].IsZero() {
+							unusedSince[key] = f.now
+						}
+						if !unusedSince[key].IsZero() {
+							longest = max(longest, f.now.Sub(unusedSince[key]))
+						}
+					}
 				}
 			}
-			t.Logf("%+v lent %d cut %d", sum.mean(3*rounds), f.lent, f.cut)
+			mean := sum.mean(30 * rounds)
+			t.Logf("%+v lent %d, longest %s, least groups of m0 %v, most unused engines %v", mean, f.lent, longest, leastM0, mostUnused)
+			is.True(mean.m0 > 5)
+			is.True(longest <= 2*time.Second) // an engine may answer nothing for so long before it counts as dead
+			is.Equal(f.cut, 0)
 			f.check(t)
 		})
 	}
--- a/groupformer/estimate.go
+++ b/groupformer/estimate.go
@@ -19,6 +19,7 @@
 	priorRequests    = 8                // weight of the profile's mean tokens among those that were measured
 	planLoad         = 0.7              // load at which requests meet their goals: at 0.8, a tenth of the requests waits twice as long as at 0.6
 	jumpLoad         = 0.75             // load that may be reached in a jump
+	prefillLoad      = 0.9              // part of the time that a group may spend on prefill, also in a jump; more makes prompts wait for one another
 	jumpFactor       = 2.2              // of the requests of all models in a jump, which comes without notice
 )
 
@@ -181,7 +182,7 @@
 		prefill = a.promptTokens / profile.PrefillTokensPerSecond * factor
 	}
 	bySlots := perSecond * (prefill + a.answerTokens*step*factor) / running
-	return max(bySlots, perSecond*prefill/load) // prompts are read one after the other
+	return max(bySlots, perSecond*prefill/prefillLoad)
 }
 
 // needOf returns the need of a model. largestPart is the part of the engines that the largest failure domain has. A
--- a/groupformer/form.go
+++ b/groupformer/form.go
@@ -45,7 +45,7 @@
 	for i, m := range models {
 		joinable := joinableWithoutLoad(free, m)
 		if i > 0 {
-			joinable = withoutReserved(now, joinable, m, models[:i], s)
+			joinable = withoutReserved(now, joinable, m, f.completable(d, models[:i]), s)
 		}
 		if len(joinable) >= m.GroupSize {
 			f.createGroup(now, d.service, m, joinable[:m.GroupSize])
--- a/groupformer/load.go
+++ b/groupformer/load.go
@@ -56,6 +56,7 @@
 	if f.hasEngineWithoutWeights(domains) {
 		return
 	}
+	f.stageForDemand(now, domains, supplies)
 	for _, d := range domains {
 		f.stageSecondModels(now, d, supplies[supplyKey{d.service, d.failureDomain}])
 	}
@@ -106,7 +107,7 @@
 	if len(unloaded) == 0 {
 		return false
 	}
-	models := f.modelsToLoad(d, s)
+	models := f.completedFirst(d, f.modelsToLoad(d, s), len(unloaded))
 	for _, m := range models {
 		if len(unloaded) >= m.GroupSize && f.mayLoad(now, d, m.GroupSize) {
 			f.createGroup(now, d.service, m, unloaded[:m.GroupSize])
@@ -168,11 +169,11 @@
 		if e.isDeadOrDraining() || e.suspected || e.uncertain || e.pending != nil || e.stagingModel != "" || e.hasNoWeights() {
 			continue
 		}
-		if !f.isServing(e) && f.isAssigned(e) {
+		if !f.isServing(e) && (f.isAssigned(e) || f.mayJoinSoon(now, d, e)) {
 			continue
 		}
 		m, ok := pickSecondModel(d, s, e)
-		if ok && f.mayLoad(now, d, 1) {
+		if ok && f.mayLoad(now, d, 1) && f.leavesRoom(d) {
 			f.orderStage(now, d, e, m)
 		}
 	}
