groupformer, runner: metrics and log lines of demand, tests of the estimate and of allocations

former.demand, former.shares and former.reports, the field demand of the log line groups, and the log line share of engines changed with its inputs.

--- /dev/null
+++ b/groupformer/estimate_test.go
@@ -0,0 +1,124 @@
+package groupformer
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"amaranthmill/internal/identifier"
+	"amaranthmill/resolver"
+)
+
+var estimateProfile = resolver.EngineProfile{
+	Slots: 34, MeanPromptTokens: 900, MeanAnswerTokens: 100, PrefillTokensPerSecond: 46000, DecodeStep: 6070 * time.Microsecond, DecodeStepPerRequest: 241 * time.Microsecond,
+	Models: []resolver.Model{{Name: "m0", GroupSize: 8, Share: 0.5, TimeFactor: 1}, {Name: "m1", GroupSize: 4, Share: 0.5, TimeFactor: 0.6}},
+}
+
+// TestNeed checks the need of m1 on deployment J against a calculation by hand: at 0.7 of 34 slots a step takes 11.81 ms, so that a
+// request of 674 and 115 tokens takes 0.6 * (14.7 + 1,357.7) ms = 0.823 s.
+func TestNeed(t *testing.T) {
+	is := is.New(t)
+	a := arrivals{perSecond: 347, promptTokens: 674, answerTokens: 115}
+	n := needOf(&estimateProfile, estimateProfile.Models[1], a, 1.0/3)
+	is.True(math.Abs(n.present-347*0.823/23.8) < 0.05)
+	is.True(math.Abs(n.loss-1.5*n.present) < 1e-9)
+	is.True(n.jump > 25 && n.jump < 26)
+	idle := needOf(&estimateProfile, estimateProfile.Models[1], arrivals{}, 1.0/3)
+	is.Equal(idle.present, 1.0) // a model with a share keeps a group
+}
+
+// TestRatesAreRightFromFirstReport guards against estimates that grow with the number of reports, which would move groups although
+// nothing changes.
+func TestRatesAreRightFromFirstReport(t *testing.T) {
+	is := is.New(t)
+	now := time.Date(2026, 1, 5, 20, 0, 0, 0, time.UTC)
+	var r demandReports
+	k := poolKey{"guides", "m0"}
+	report := func(instance identifier.Instance, domain identifier.FailureDomain, instances int) {
+		r.add(now, DemandReported{
+			Instance: instance, FailureDomain: domain, Elapsed: 2 * time.Second, Instances: instances,
+			Models: []ModelDemand{{Service: "guides", Model: "m0", Requests: 40, Prompts: 40, PromptTokens: 40000, Answers: 40, AnswerTokens: 2000}},
+		})
+	}
+	for range 20 {
+		report("a", "z0", 2)
+		report("b", "z1", 2)
+		a := r.arrivals(now, k, &estimateProfile)
+		is.True(math.Abs(a.perSecond-40) < 1e-9)
+		is.True(math.Abs(a.byDomain["z1"]-20) < 1e-9)
+		now = now.Add(2 * time.Second)
+	}
+	a := r.arrivals(now, k, &estimateProfile)
+	is.True(a.promptTokens > 980 && a.answerTokens < 53) // the profile's means hardly count beside what was measured
+	report("a", "z0", 4)
+	is.True(math.Abs(r.arrivals(now, k, &estimateProfile).perSecond-80) < 1e-9) // two of four instances report
+	report("a", "z0", 2)
+	now = now.Add(20 * time.Second)
+	late := r.arrivals(now, k, &estimateProfile).perSecond
+	is.True(late < 20 && late > 10) // both are silent
+	now = now.Add(2 * time.Minute)
+	is.True(r.arrivals(now, k, &estimateProfile).known < minKnownRequests)
+}
+
+// TestAllocate checks, for random needs, that an allocation uses no more engines than there are, leaves no group unformed that a model with a
+// need could use, and gives each model a group if possible; and that no model gets its headroom for a jump before
+// the others have what their present work needs.
+func TestAllocate(t *testing.T) {
+	is := is.New(t)
+	r := rand.New(rand.NewPCG(1, 1))
+	for i := range 20000 {
+		var needs []need
+		smallest, sum := 1<<30, 0
+		for m := range 1 + r.IntN(3) {
+			size := 1 + r.IntN(10)
+			present := 12 * r.Float64()
+			needs = append(needs, need{model: resolver.Model{Name: fmt.Sprint(m), GroupSize: size}, present: present, loss: 1.5 * present, jump: 2.1 * present})
+			smallest = min(smallest, size)
+			sum += size
+		}
+		engines := r.IntN(300)
+		groups := allocate(needs, engines)
+		used, presentEngines, largest := 0, 0.0, 0
+		for _, n := range needs {
+			used += groups[n.model.Name] * n.model.GroupSize
+			presentEngines += n.present * float64(n.model.GroupSize)
+			largest = max(largest, n.model.GroupSize)
+		}
+		is.True(used <= engines)
+		is.True(engines-used < smallest)
+		for _, n := range needs {
+			if engines >= 3*sum {
+				is.True(groups[n.model.Name] > 0)
+			}
+			if presentEngines+float64(sum) <= float64(engines) && float64(groups[n.model.Name]) < math.Floor(n.present) {
+				t.Fatalf("case %d: model %s needs %.2f groups for its present work and has %d of %v, %d engines", i, n.model.Name, n.present, groups[n.model.Name], groups, engines)
+			}
+		}
+	}
+}
+
+// TestAbsentDomainHasNoCapacity guards against capacity of an absent failure domain that counts for demand: without it, the
+// allocation of the others must be what a fleet without that domain has.
+func TestAbsentDomainHasNoCapacity(t *testing.T) {
+	is := is.New(t)
+	f := New(Config{})
+	var domains []*domain
+	for i := range 9 {
+		d := &domain{service: "guides", profile: &estimateProfile, name: identifier.FabricDomain(fmt.Sprint(i)), failureDomain: identifier.FailureDomain(fmt.Sprint(i / 3))}
+		for range 19 {
+			d.engines = append(d.engines, &engine{listed: true})
+		}
+		domains = append(domains, d)
+	}
+	all := f.capacityOf("guides", domains)
+	is.Equal(all.usable, 144)
+	is.Equal(all.live, 171)
+	f.absentDomains = map[identifier.FailureDomain]bool{"1": true}
+	two := f.capacityOf("guides", domains)
+	is.Equal(two.usable, 96)
+	is.Equal(two.largestPart, 0.5)
+}
--- a/runner/hosted_demand.go
+++ b/runner/hosted_demand.go
@@ -30,6 +30,15 @@
 
 // submitDemand submits the work that arrived at this instance or at a peer.
 func (f *groupFormer) submitDemand(r groupformer.DemandReported) {
+	f.meters.demandReports.Add(context.Background(), 1)
 	r.Instances = f.hosted.view.countInstances()
 	f.step.Submit(r)
 }
+
+// logShare logs that demand has changed a model's share of the engines, and why.
+func (f *groupFormer) logShare(s groupformer.ShareChanged) {
+	f.meters.countShareChange(s.Model)
+	f.hosted.logger.Info().Str("service", string(s.Service)).Str("model", s.Model).Float64("before", s.Before).Float64("share", s.Share).Int("groups", s.Groups).
+		Int("engines", s.Engines).Float64("largestPart", s.LargestPart).Float64("perSecond", s.RequestsPerSecond).Float64("promptTokens", s.PromptTokens).
+		Float64("answerTokens", s.AnswerTokens).Float64("present", s.Present).Float64("loss", s.Loss).Float64("jump", s.Jump).Msg("share of engines changed")
+}
--- a/runner/hosted_groupformer.go
+++ b/runner/hosted_groupformer.go
@@ -129,6 +129,8 @@
 		go f.fetchReport(a)
 	case groupformer.LogDecision:
 		f.logDecision(a)
+	case groupformer.ShareChanged:
+		f.logShare(a)
 	case groupformer.GroupCounts:
 		f.recordCounts(a)
 	case groupformer.WakeAt:
@@ -249,7 +251,7 @@
 func (f *groupFormer) recordCounts(s groupformer.GroupCounts) {
 	f.meters.setCounts(s)
 	f.hosted.logger.Info().Str("model", s.Model).Int("serving", s.Serving).Int("forming", s.Forming).Int("dissolving", s.Dissolving).
-		Float64("share", s.TargetGroups).Int("engines", s.Engines).Int("idle", s.Idle).Msg("groups")
+		Float64("share", s.TargetGroups).Int("engines", s.Engines).Int("idle", s.Idle).Float64("demand", s.Demand).Msg("groups")
 }
 
 func (f *groupFormer) logDecision(n groupformer.LogDecision) {
