groupformer: reports cause no plan of their own, and lent groups complete their requests

A plan for each of 36 reports a second would cost more than all other plans. Staging looks at no further engine once the loads are used up.

--- a/groupformer/demand_fleet_test.go
+++ b/groupformer/demand_fleet_test.go
@@ -51,6 +51,7 @@
 	cut       int // groups whose running requests were aborted while it was lent
 	closing   map[identifier.Group]bool
 	changes   []groupformer.ShareChanged
+	staged    map[string]int // orders to stage, by "MODEL at MODEL OF THE ENGINE"
 }
 
 // newDemandFleet returns a fleet with 19 engines in each of three fabric domains of each of three failure domains, all of
@@ -61,7 +62,7 @@
 	before.Models = slices.Clone(before.Models)
 	before.Models[0].Share, before.Models[1].Share = m0Share, 1-m0Share
 	f := &demandFleet{
-		fleet: newFleetWithProfile(&before, seed, 3, 3, 19), kinds: kinds, instances: 31, carry: map[string]float64{}, fractions: rand.New(rand.NewPCG(seed, 2)), closing: map[identifier.Group]bool{},
+		fleet: newFleetWithProfile(&before, seed, 3, 3, 19), kinds: kinds, instances: 31, carry: map[string]float64{}, staged: map[string]int{}, fractions: rand.New(rand.NewPCG(seed, 2)), closing: map[identifier.Group]bool{},
 		factor: func(string) float64 { return 1 }, reporting: func(int) bool { return true },
 	}
 	f.observe = f.record
@@ -70,7 +71,7 @@
 	f.startRequests()
 	f.profile = &demandProfile
 	f.step(groupformer.ServicesSet{Services: []resolver.Service{{Name: "guides", Engine: f.profile}}})
-	f.lent, f.formed = 0, 0
+	f.lent, f.formed, f.staged = 0, 0, map[string]int{}
 	return f
 }
 
@@ -80,8 +81,13 @@
 	case groupformer.ShareChanged:
 		f.changes = append(f.changes, a)
 	case groupformer.Order:
-		if c, ok := a.Operation.(groupformer.Close); ok && c.Abort && f.closing[c.Group] {
-			f.cut++
+		switch o := a.Operation.(type) {
+		case groupformer.Close:
+			if o.Abort && f.closing[o.Group] {
+				f.cut++
+			}
+		case groupformer.Stage:
+			f.staged[fmt.Sprintf("%s at %v", o.Model, f.engines[a.ID].Models)]++
 		}
 	case groupformer.LogDecision:
 		switch a.Decision {
@@ -130,11 +136,9 @@
 		m.Answers += whole
 		m.AnswerTokens += whole * k.answer
 	}
-	if !f.reporting(i) {
-		f.step(groupformer.Ticked{}) // the Former plans at the same times as with the report
-		return
+	if f.reporting(i) {
+		f.step(r)
 	}
-	f.step(r)
 }
 
 // load returns the load of a model's groups, as a fraction of their slots, at a factor on the fleet's requests: the
--- a/groupformer/demand_test.go
+++ b/groupformer/demand_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -281,3 +282,28 @@
 		})
 	}
 }
+
+// TestSecondModelIsStagedWhereNeeded guards against loads of second models that go to hosts at random: no host has one at first, and
+// those of groups that m1 will get come before all others.
+func TestSecondModelIsStagedWhereNeeded(t *testing.T) {
+	is := is.New(t)
+	f := newDemandFleet(1, hardLoad, 0.64)
+	for _, e := range f.engines {
+		if len(e.Models) > 0 {
+			e.Staged = slices.Clone(e.Models)
+		}
+	}
+	f.listChanged = true
+	f.startReports()
+	f.run(2500 * time.Millisecond)
+	f.staged = map[string]int{}
+	f.run(10 * time.Second)
+	t.Log(f.staged, f.countWhole())
+	is.Equal(len(f.staged), 1)
+	is.True(f.staged["m1 at [m0]"] > 0)
+	f.run(50 * time.Second)
+	t.Log(f.staged, f.countWhole())
+	is.True(f.load("m1", jump) <= 0.75)
+	is.True(f.load("m0", jump) <= 0.75)
+	is.Equal(f.cut, 0)
+}
--- a/groupformer/dissolve.go
+++ b/groupformer/dissolve.go
@@ -83,7 +83,7 @@
 // closeLimit returns the time after which the requests that run in a dissolving group are aborted. A group that demand
 // dissolves without need completes them.
 func (g *group) closeLimit() time.Duration {
-	if g.lentByDemand {
+	if g.lent {
 		return lentCloseLimit
 	}
 	return gracefulCloseLimit
--- a/groupformer/estimate.go
+++ b/groupformer/estimate.go
@@ -87,6 +87,7 @@
 	firstAt   time.Time     // of the first report; zero before it
 	interval  time.Duration // longest time that a first report covered
 	listed    int           // instances that exist
+	forgotAt  time.Time     // when silent instances were last forgotten
 }
 
 // add adds a report and forgets instances that have not reported for demandForgotten.
@@ -94,10 +95,9 @@
 	if r.instances == nil {
 		r.instances, r.firstAt = map[identifier.Instance]*instanceDemand{}, now
 	}
-	for name, d := range r.instances {
-		if now.Sub(d.reportedAt) > demandForgotten {
-			delete(r.instances, name)
-		}
+	if now.Sub(r.forgotAt) > demandForgotten/4 {
+		r.forgotAt = now
+		maps.DeleteFunc(r.instances, func(_ identifier.Instance, d *instanceDemand) bool { return now.Sub(d.reportedAt) > demandForgotten })
 	}
 	r.listed = report.Instances
 	d := r.instances[report.Instance]
--- a/groupformer/former.go
+++ b/groupformer/former.go
@@ -78,6 +78,7 @@
 		f.updateDemand(e)
 	case DemandReported:
 		f.demandReports.add(now, e)
+		return nil // the next tick takes it into account; a plan for each report of each instance would cost more than all others
 	case FirstRequestReceived:
 		f.beforeFirstRequest = false
 	case StoreHealthSet:
--- a/groupformer/group.go
+++ b/groupformer/group.go
@@ -35,7 +35,7 @@
 	adopted       bool                    // an earlier holder of the lease formed it
 	reassignedTo  string                  // the model whose group its engines will complete; empty for none
 	reassignedIn  identifier.FabricDomain // the fabric domain of that group
-	lentByDemand  bool                    // demand reassigned it, not the loss of engines of a model
+	lent          bool                    // its requests complete before its engines go to another model; only where demand can be estimated
 	needsLoad     bool                    // a member must load weights to join
 	openOrderedAt time.Time               // when the head was last ordered to open
 }
--- a/groupformer/load.go
+++ b/groupformer/load.go
@@ -173,9 +173,13 @@
 			continue
 		}
 		m, ok := pickSecondModel(d, s, e)
-		if ok && f.mayLoad(now, d, 1) && f.leavesRoom(d) {
-			f.orderStage(now, d, e, m)
+		if !ok {
+			continue
+		}
+		if !f.mayLoad(now, d, 1) || !f.leavesRoom(d) {
+			return // neither depends on the engine
 		}
+		f.orderStage(now, d, e, m)
 	}
 }
 
--- a/groupformer/reassign_demand.go
+++ b/groupformer/reassign_demand.go
@@ -81,7 +81,7 @@
 // lend dissolves the groups of a loan.
 func (f *Former) lend(now time.Time, l loan) {
 	for _, g := range l.groups {
-		g.graceful, g.lentByDemand, g.reassignedTo, g.reassignedIn = true, true, l.model.Name, l.domain.name
+		g.graceful, g.lent, g.reassignedTo, g.reassignedIn = true, true, l.model.Name, l.domain.name
 		f.dissolve(now, g, "", "lent")
 		if !f.spansFabricDomains(g) {
 			l.supply.add(g.model.Name, -1)
@@ -93,7 +93,7 @@
 func (f *Former) promisedGroups(service identifier.Service) map[string]float64 {
 	out := map[string]float64{}
 	for _, g := range f.groups {
-		if g.service != service || g.phase != phaseDissolving || !g.lentByDemand || f.spansFabricDomains(g) {
+		if g.service != service || g.phase != phaseDissolving || !g.lent || f.spansFabricDomains(g) {
 			continue
 		}
 		if m, known := f.services[service].Model(g.reassignedTo); known {
@@ -111,7 +111,7 @@
 			continue
 		}
 		groups++
-		if g.phase == phaseDissolving && g.lentByDemand {
+		if g.phase == phaseDissolving && g.lent {
 			lent++
 		}
 	}
--- a/groupformer/use.go
+++ b/groupformer/use.go
@@ -96,9 +96,12 @@
 			if g == nil || g.phase != phaseServing || s.total.groups[g.model.Name] <= float64(a.groups[g.model.Name]) || e.hasLoaded(m.Name) || e.hasStaged(m.Name) {
 				continue
 			}
-			if e.isDeadOrDraining() || e.suspected || e.uncertain || e.pending != nil || e.stagingModel != "" || !f.mayLoad(now, d, 1) {
+			if e.isDeadOrDraining() || e.suspected || e.uncertain || e.pending != nil || e.stagingModel != "" {
 				continue
 			}
+			if !f.mayLoad(now, d, 1) || !f.leavesRoom(d) {
+				break
+			}
 			f.orderStage(now, d, e, m)
 		}
 	}
