--- a/groupformer/allocation.go
+++ b/groupformer/allocation.go
@@ -15,7 +15,7 @@
 	heldGain         = 0.03                   // gain from which a new holder of the lease leaves the groups that it finds
 	changeGain       = 0.25                   // the same later; demand that varies by a fifth changes the coverage by less
 	refineTime       = 15 * time.Second       // since the demand was first known
-	gainLasts        = 4 * time.Second        // for which the gain of a change must last: two reports of each instance
+	gainLasts        = 4 * time.Second        // for which the gain of a change must last: two reports of each instance; within refineTime, one
 	shareLogged      = 0.1                    // change of a share from which it is logged
 	successorWait    = 6 * time.Second        // in which a new holder of the lease gets the reports of all instances, and moves no group to another model
 )
@@ -143,9 +143,9 @@
 
 // gains reports whether the gain of a change is large enough and has lasted.
 func (a *allocation) gains(now time.Time, gain float64) bool {
-	limit := changeGain
+	limit, lasts := changeGain, gainLasts
 	if now.Sub(a.since) < refineTime {
-		limit = firstGain
+		limit, lasts = firstGain, minFirstInterval
 	}
 	if gain < limit {
 		a.gainSince = time.Time{}
@@ -154,7 +154,7 @@
 	if a.gainSince.IsZero() {
 		a.gainSince = now
 	}
-	return now.Sub(a.gainSince) >= gainLasts
+	return now.Sub(a.gainSince) >= lasts
 }
 
 // usedEngines returns the engines of the allocated groups.
--- a/groupformer/use.go
+++ b/groupformer/use.go
@@ -9,25 +9,31 @@
 
 // This file holds what puts the engines of a service whose demand can be estimated to use sooner.
 
-// completable returns the models of which a group can be completed in d from engines that are in no group, or soon will be.
-// Engines are reserved only for these. For a service whose demand can't be estimated, it returns all models.
+// completable returns the models of which a group can be completed in d without a load from engines that are in no group, or
+// soon will be. Engines are reserved only for these, because a load takes longer than a reservation lasts. For a service whose demand can't be estimated, it returns all models.
 func (f *Former) completable(d *domain, models []resolver.Model) []resolver.Model {
 	if !canEstimate(d.profile) {
 		return models
 	}
-	return slices.DeleteFunc(slices.Clone(models), func(m resolver.Model) bool { return f.countAvailable(d, m) < m.GroupSize })
+	return slices.DeleteFunc(slices.Clone(models), func(m resolver.Model) bool { return f.countAvailable(d, m, false) < m.GroupSize })
 }
 
-// countAvailable returns the number of d's engines that can join a group of m now, or after their group has dissolved or a
-// load that is in progress.
-func (f *Former) countAvailable(d *domain, m resolver.Model) int {
+// countAvailable returns the number of d's engines that can join a group of m now or after their group has dissolved, with those
+// that load it or without them.
+func (f *Former) countAvailable(d *domain, m resolver.Model, withLoading bool) int {
 	n := 0
 	for _, e := range d.engines {
 		g := f.groups[e.Membership.Group]
 		if e.isDeadOrDraining() || f.isAssigned(e) && (g == nil || g.phase != phaseDissolving) {
 			continue
 		}
-		if e.stagingModel == m.Name || e.hasLoaded(m.Name) || e.hasStaged(m.Name) {
+		if e.stagingModel != "" {
+			if withLoading && e.stagingModel == m.Name {
+				n++
+			}
+			continue
+		}
+		if e.hasLoaded(m.Name) || e.hasStaged(m.Name) {
 			n++
 		}
 	}
@@ -41,7 +47,7 @@
 		return models
 	}
 	completes := func(m resolver.Model) bool {
-		available := f.countAvailable(d, m)
+		available := f.countAvailable(d, m, true)
 		return available%m.GroupSize > 0 && available%m.GroupSize+unloaded >= m.GroupSize
 	}
 	out := slices.Clone(models)
