--- a/groupformer/supply.go
+++ b/groupformer/supply.go
@@ -57,13 +57,17 @@
 		if g.phase == phaseDissolving || f.isDraining(g) || first == nil {
 			continue
 		}
+		weight := f.weight(g)
+		if weight < 1 && f.allocations[g.service].isActive() {
+			continue // an allocation counts only the engines that groups within a fabric domain can use
+		}
 		s := out[supplyKey{g.service, first.FailureDomain}]
 		switch {
 		case s == nil:
 		case f.isEvacuated(g) && !f.evacuated[first.FailureDomain]: // another member is in an evacuated domain
-			s.allDomains.groups[g.model.Name] += f.weight(g)
+			s.allDomains.groups[g.model.Name] += weight
 		default:
-			s.add(g.model.Name, f.weight(g))
+			s.add(g.model.Name, weight)
 		}
 	}
 	return out
@@ -78,8 +82,11 @@
 }
 
 // targetGroups returns the number of groups that a model's share of d's live engines would
-// form.
+// form, or d's part of the groups that demand asks for.
 func (f *Former) targetGroups(d *domain, m resolver.Model, live int) float64 {
+	if a := f.allocations[d.service]; a.isActive() {
+		return float64(a.groups[m.Name]) * float64(live) / float64(max(a.live, 1))
+	}
 	return f.currentShare(d.service, d.profile, m) * float64(live) / float64(m.GroupSize)
 }
 
--- /dev/null
+++ b/runner/hosted_demand.go
@@ -0,0 +1,44 @@
+package runner
+
+import (
+	"context"
+
+	"amaranthmill/forwarder"
+	"amaranthmill/groupformer"
+	"amaranthmill/scheduler"
+)
+
+// reportDemand reports the work for models that arrived at this instance to the instance that forms groups.
+func (h *hosted) reportDemand(r scheduler.DemandReport) {
+	report := groupformer.DemandReported{Instance: h.settings.Instance, FailureDomain: h.settings.FailureDomain, Elapsed: r.Elapsed}
+	for _, p := range r.Pools {
+		if service, model := forwarder.SplitPool(p.Pool); model != "" {
+			report.Models = append(report.Models, groupformer.ModelDemand{
+				Service: service, Model: model, Requests: p.Requests, Prompts: p.Prompts, PromptTokens: p.PromptTokens, Answers: p.Answers, AnswerTokens: p.AnswerTokens,
+			})
+		}
+	}
+	if len(report.Models) == 0 {
+		return
+	}
+	if holder := h.view.formingHolder(); holder != h.settings.Instance {
+		h.messenger.ReportDemand(context.Background(), holder, report)
+		return
+	}
+	h.groupFormer.submitDemand(report)
+}
+
+// submitDemand submits the work that arrived at this instance or at a peer.
+func (f *groupFormer) submitDemand(r groupformer.DemandReported) {
+	f.meters.demandReports.Add(context.Background(), 1)
+	r.Instances = f.hosted.view.countInstances()
+	f.step.Submit(r)
+}
+
+// logShare logs that demand has changed a model's share of the engines, and why.
+func (f *groupFormer) logShare(s groupformer.ShareChanged) {
+	f.meters.countShareChange(s.Model)
+	f.hosted.logger.Info().Str("service", string(s.Service)).Str("model", s.Model).Float64("before", s.Before).Float64("share", s.Share).Int("groups", s.Groups).
+		Int("engines", s.Engines).Float64("largestPart", s.LargestPart).Float64("perSecond", s.RequestsPerSecond).Float64("promptTokens", s.PromptTokens).
+		Float64("answerTokens", s.AnswerTokens).Float64("present", s.Present).Float64("loss", s.Loss).Float64("jump", s.Jump).Msg("share of engines changed")
+}
