estimator, scheduler: learned concurrency limits of targets

Requests queued inside engines and went to slow groups until they stalled. A pool learns how times to the first event and gaps grow with load, each target its speed relative to that; targets past the load at which a request would miss its goals come after all others.

--- a/scheduler/action.go
+++ b/scheduler/action.go
@@ -7,7 +7,7 @@
 )
 
 // Action is an output of a Scheduler: Send, Abandon, Wait, Finish, Stalled, Recovered,
-// ReachChanged, Probe, LeavingStated, LimitChanged, LimitReport, LatencyReport or WakeAt.
+// ReachChanged, Probe, LeavingStated, LimitChanged, LimitReport, LatencyReport, CapacityChanged or WakeAt.
 type Action interface{ action() }
 
 // Send starts an attempt: the request is sent to Target, or to a peer, which sends it to an endpoint. An attempt that hedges others runs
@@ -94,19 +94,26 @@
 	RetriesLeft float64 // retries that this instance may still make for the pool's service
 }
 
+// CapacityChanged reports that the learned limit of a target differs by more than a quarter from the one reported last.
+type CapacityChanged struct {
+	Capacity
+	Previous float64 // the limit reported last
+}
+
 // WakeAt requests a Ticked event at At. It replaces the previous WakeAt.
 type WakeAt struct{ At time.Time }
 
-func (LatencyReport) action() {}
-func (Send) action()          {}
-func (Abandon) action()       {}
-func (Wait) action()          {}
-func (Finish) action()        {}
-func (Stalled) action()       {}
-func (Recovered) action()     {}
-func (ReachChanged) action()  {}
-func (Probe) action()         {}
-func (LeavingStated) action() {}
-func (LimitChanged) action()  {}
-func (LimitReport) action()   {}
-func (WakeAt) action()        {}
+func (LatencyReport) action()   {}
+func (Send) action()            {}
+func (Abandon) action()         {}
+func (Wait) action()            {}
+func (Finish) action()          {}
+func (Stalled) action()         {}
+func (Recovered) action()       {}
+func (ReachChanged) action()    {}
+func (Probe) action()           {}
+func (LeavingStated) action()   {}
+func (LimitChanged) action()    {}
+func (LimitReport) action()     {}
+func (CapacityChanged) action() {}
+func (WakeAt) action()          {}
--- a/scheduler/attempt.go
+++ b/scheduler/attempt.go
@@ -15,6 +15,9 @@
 	hasEvent       bool      // an event of the attempt has been received
 	lastProgressAt time.Time // time of the last progress of the attempt, or of its start
 	hedges         Reason    // why the attempt was started beside another attempt; empty if it was not
+	load           float64   // of the target when the attempt was sent
+	tokensAhead    int       // prompt tokens that the target had to read before its first event, as far as this instance knows
+	isPending      bool      // it counts in the backlog of its target
 }
 
 // mayHaveRun reports whether a may have begun to run at its target. A stream begins with its
@@ -40,6 +43,7 @@
 	s.dequeue(f)
 	f.attempts++
 	f.giveUpAt = time.Time{}
+	s.release(f)
 	a := &attempt{flight: f, number: f.attempts, target: d.target, peer: d.peer, sentAt: now, lastProgressAt: now, hedges: hedges}
 	f.running = append(f.running, a)
 	if d.peer != nil {
@@ -50,6 +54,7 @@
 	t := d.target
 	f.tried = append(f.tried, triedTarget{target: t, attempt: a.number})
 	t.attempts[f.ref] = a
+	a.enterBacklog(d.load)
 	if !t.stalledAt.IsZero() {
 		t.lastTrialAt = now
 	}
@@ -68,6 +73,7 @@
 		a.peer.running--
 	} else {
 		delete(a.target.attempts, a.flight.ref)
+		a.leaveBacklog()
 		if st := a.target.statement; st != nil && st.trial == a {
 			st.trial = nil
 		}
--- a/scheduler/attempt_end.go
+++ b/scheduler/attempt_end.go
@@ -25,11 +25,13 @@
 // process that has asked for no requests for a time.
 func (s *Scheduler) handleTargetEnd(now time.Time, a *attempt, e Ending, isTrial bool) {
 	f, t := a.flight, a.target
+	a.learnEnd(now, e)
 	switch end := e.(type) {
 	case Completed:
 		t.consecutiveFailures = 0
 		if !a.hasEvent {
 			t.recordFirstEvent(now, now.Sub(a.sentAt))
+			a.learnFirstEvent(now)
 			s.countAnswer(now, f)
 		}
 		s.recordProgress(now, t)
@@ -113,6 +115,7 @@
 	t.consecutiveFailures++
 	if t.stalledAt.IsZero() {
 		t.stalledAt = now
+		t.estimator.Reset()
 		s.emit(Stalled{Target: t.Target, Silence: 0})
 	}
 }
--- a/scheduler/choice.go
+++ b/scheduler/choice.go
@@ -11,6 +11,8 @@
 	target *target
 	load   float64 // as a fraction of its slots
 	score  float64 // the load and what else speaks against the target; the lowest is the best
+
+	slowness float64 // of the target, see estimator.Estimator; zero if its limit is not learned
 }
 
 // freeTargets returns the targets of a pool that may take a request which no target runs. The slice
@@ -32,14 +34,18 @@
 		return candidate{}, false
 	}
 	load := t.load(now, m.otherRequests)
-	return candidate{target: t, load: load, score: load + s.penalty(now, t, m.gap)}, load < s.cfg.MaxLoad
+	if load >= s.cfg.MaxLoad {
+		return candidate{}, false
+	}
+	slowness := t.slowness(now)
+	return candidate{target: t, load: load, score: load + s.penalty(now, t, m.gap, slowness), slowness: slowness}, true
 }
 
-// chooseCandidate returns the best of the candidates for f, or false if f has tried all of them. A copy of
-// a request shares the target of the first copy while that has enough free slots.
+// chooseCandidate returns the best of the candidates for f, or false if f has tried all of them or is held. Those past their
+// learned limits come after all others. A copy of a request shares the target of the first copy while that has enough free slots.
 func (s *Scheduler) chooseCandidate(now time.Time, f *flight, candidates []candidate) (candidate, bool) {
 	var best candidate
-	found := false
+	found, isBestWithin := false, false
 	shared := s.targetOfCopy(f)
 	for _, c := range candidates {
 		if f.hasTried(now, c.target) || len(f.running) > 0 && !c.target.stalledAt.IsZero() {
@@ -48,10 +54,17 @@
 		if c.target == shared && c.load < maxCopyLoad {
 			return c, true
 		}
-		if !found || c.score < best.score || c.score == best.score && s.winsTie(f, c.target, best.target) {
-			best, found = c, true
+		if found && isBestWithin && c.score > best.score {
+			continue
+		}
+		isWithin := c.isWithinLimit(now, f)
+		if !found || isWithin && !isBestWithin || isWithin == isBestWithin && (c.score < best.score || c.score == best.score && s.winsTie(f, c.target, best.target)) {
+			best, found, isBestWithin = c, true, isWithin
 		}
 	}
+	if found && !isBestWithin && s.mayHold(now, f, best, candidates) {
+		return candidate{}, false
+	}
 	return best, found
 }
 
@@ -64,6 +77,9 @@
 	if c, ok := s.chooseCandidate(now, f, s.freeTargets(now, pl)); ok {
 		return c.target, c.load, ""
 	}
+	if f.isHeld(now) {
+		return nil, 0, ReasonPastLimits
+	}
 	return nil, 0, s.waitReason(now, f, pl)
 }
 
@@ -120,8 +136,8 @@
 
 // penalty returns the value that is added to the load of t to get its score. Like the load,
 // it is a fraction of t's slots.
-func (s *Scheduler) penalty(now time.Time, t *target, poolMeanGap time.Duration) float64 {
-	score := prefillPenalty * float64(t.prefillBacklog()) / 1000
+func (s *Scheduler) penalty(now time.Time, t *target, poolMeanGap time.Duration, slowness float64) float64 {
+	score := prefillPenalty * float64(t.backlog) / 1000
 	if t.FailureDomain != s.cfg.FailureDomain {
 		score += remoteDomainPenalty
 	}
@@ -134,7 +150,9 @@
 	if now.Sub(t.addedAt) < time.Second {
 		score += newTargetPenalty
 	}
-	if poolMeanGap > 0 && now.Sub(t.gapMeasuredAt) < latencySampleTTL {
+	if slowness > 0 {
+		score += slowPenalty*(slowness-1) + failurePenalty*t.estimator.FailureRate(now)
+	} else if poolMeanGap > 0 && now.Sub(t.gapMeasuredAt) < latencySampleTTL {
 		if ratio := float64(t.meanGap) / float64(poolMeanGap); ratio > slowThreshold {
 			score += slowPenalty * (ratio - 1)
 		}
--- a/scheduler/flight.go
+++ b/scheduler/flight.go
@@ -25,6 +25,8 @@
 	hasAbandoned  bool      // an attempt was abandoned, so that its target may run the request later
 	answerStarted bool      // an event of the answer has been received
 	giveUpAt      time.Time // end of the wait for a target; zero if the request does not wait
+	heldUntil     time.Time // end of the time for which f waits because all targets are past their learned limits; zero if it was not held yet
+	isCountedHeld bool      // f counts in Scheduler.held
 	hedgeAfter    time.Time // f is not hedged before this time, because a target has refused a hedge
 	refusedStatus int       // status of the last refusal; zero if no target refused the request
 	failedStatus  int       // status of the endpoint's last own error, which can be passed through; zero for none
@@ -195,6 +197,7 @@
 // finish ends f. Its running attempts are abandoned.
 func (s *Scheduler) finish(f *flight, o Outcome) {
 	s.dequeue(f)
+	s.release(f)
 	for len(f.running) > 0 {
 		s.abandon(f.running[0], ReasonEnded)
 	}
--- a/scheduler/outcome.go
+++ b/scheduler/outcome.go
@@ -16,6 +16,7 @@
 	ReasonStopping     Reason = "stopping"     // this instance stops and serves no more requests of peers
 	ReasonOlderVersion Reason = "olderVersion" // the peer does not know requests of other instances
 	ReasonFull         Reason = "full"         // every available target is full
+	ReasonPastLimits   Reason = "pastLimits"   // every available target has so many requests that this one would probably miss its goals; it waits for a moment only
 	ReasonClosed       Reason = "closed"       // every target has asked for no requests for a time
 	ReasonLimited      Reason = "limited"      // the limit of every target is used up
 	ReasonStalled      Reason = "stalled"      // the target is stalled
--- a/scheduler/progress.go
+++ b/scheduler/progress.go
@@ -30,8 +30,10 @@
 	switch {
 	case e.Event && a.hasEvent:
 		t.recordGap(now, now.Sub(a.lastProgressAt))
+		a.learnGap(now)
 	case e.Event:
 		t.recordFirstEvent(now, now.Sub(a.sentAt))
+		a.learnFirstEvent(now)
 	}
 	if e.Event && a.isTrial() {
 		t.statement.reopen()
--- a/scheduler/queue.go
+++ b/scheduler/queue.go
@@ -49,10 +49,11 @@
 	}
 }
 
-// position returns the position of f among the waiting requests of its pool, from 1.
+// position returns the position of f among the waiting requests of its pool, from 1. Held requests don't count: without the learned
+// limits they would not wait.
 func (s *Scheduler) position(f *flight) int {
 	i, _ := s.queues[f.Pool].find(f)
-	return i + 1
+	return i + 1 - s.heldBefore(f, i)
 }
 
 // placeAllWaiting places the waiting requests of all pools as far as targets are available.
@@ -111,7 +112,7 @@
 		outlook := s.outlookOf(now, pool)
 		position := 0
 		for _, f := range slices.Clone(s.queues[pool].flights) {
-			if s.checkWait(now, f, position+1, outlook) {
+			if s.checkWait(now, f, position+1, outlook) && !f.isHeld(now) {
 				position++
 			}
 		}
@@ -128,7 +129,7 @@
 		s.giveUp(now, f, blocked)
 	case blocked != "" && !now.Before(f.giveUpAt):
 		s.giveUp(now, f, blocked)
-	case blocked != "":
+	case blocked != "", f.isHeld(now):
 		return true
 	case !now.Before(f.giveUpAt) || o.isFutile(now, f, position):
 		s.giveUp(now, f, o.reason)
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -67,6 +67,10 @@
 	restrictions map[identifier.Fingerprint]restriction
 	copies       map[identifier.Fingerprint]int // number of flights with a fingerprint
 
+	held               int       // requests that wait because all targets are past their learned limits
+	holdEndsAt         time.Time // the earliest end of such a wait since the last tick; zero if there is none
+	capacityReportedAt time.Time
+
 	instances        instanceList
 	limitsReportedAt time.Time
 
@@ -140,8 +144,9 @@
 		s.handleProbed(now, e)
 		s.placeAllWaiting(now)
 	case Ticked:
-		s.wakeAt = time.Time{}
+		s.wakeAt, s.holdEndsAt = time.Time{}, time.Time{}
 		s.checkStalls(now)
+		s.checkOverdue(now)
 		s.updateReach(now)
 		s.probe(now)
 		s.placeAllWaiting(now)
@@ -149,6 +154,7 @@
 		s.reportLatency(now)
 		s.instances.update(now)
 		s.reportLimits(now)
+		s.reportCapacity(now)
 	}
 	s.scheduleTick(now)
 	return s.actions
@@ -159,10 +165,17 @@
 // scheduleTick requests the next tick while any request is in flight or the instance is cut off. A tick that was requested
 // and has not come yet stays due, also when its time has passed.
 func (s *Scheduler) scheduleTick(now time.Time) {
-	if len(s.flights) == 0 && !s.reach.isCutOff() || !s.wakeAt.IsZero() {
+	if len(s.flights) == 0 && !s.reach.isCutOff() {
+		return
+	}
+	at := now.Add(s.cfg.TickInterval)
+	if s.held > 0 && !s.holdEndsAt.IsZero() && s.holdEndsAt.Before(at) {
+		at = later(s.holdEndsAt, now.Add(minTickInterval))
+	}
+	if !s.wakeAt.IsZero() && !at.Before(s.wakeAt) {
 		return
 	}
-	s.wakeAt = now.Add(s.cfg.TickInterval)
+	s.wakeAt = at
 	s.emit(WakeAt{At: s.wakeAt})
 }
 
@@ -205,9 +218,10 @@
 	}
 	s.targets[t.ID] = added
 	if s.pools[t.Pool] == nil {
-		s.pools[t.Pool] = &pool{name: t.Pool}
+		s.pools[t.Pool] = &pool{name: t.Pool, capacity: newPoolCapacity()}
 	}
 	s.pools[t.Pool].add(added)
+	added.pool = s.pools[t.Pool]
 	s.inheritStatement(now, added)
 }
 
--- a/scheduler/stall.go
+++ b/scheduler/stall.go
@@ -77,6 +77,7 @@
 	}
 	if t.stalledAt.IsZero() {
 		t.stalledAt, t.lastTrialAt = now, now
+		t.estimator.Reset()
 		s.emit(Stalled{Target: t.Target, Silence: silence})
 	}
 	return true
--- a/scheduler/target.go
+++ b/scheduler/target.go
@@ -4,6 +4,7 @@
 	"net/netip"
 	"time"
 
+	"amaranthmill/estimator"
 	"amaranthmill/internal/identifier"
 )
 
@@ -73,6 +74,13 @@
 	consecutiveRefusals  int        // refusals since the last progress of a request
 	refusedUntil         time.Time  // until when the target gets no requests because it has refused one
 	statement            *statement // what the process has said about itself; nil if nothing
+
+	pool      *pool
+	estimator estimator.Estimator
+	isLoaded  bool    // its endpoint has reported its load
+	backlog   int     // prompt tokens of this instance's requests that it has not yet prefilled
+	pending   int     // attempts without an event
+	toldLimit float64 // the learned limit that was reported last; zero if none was
 }
 
 // load estimates the requests at t as a fraction of its slots. As the last load report ages,
@@ -86,22 +94,12 @@
 	return (float64(len(t.attempts)) + otherRequests) / float64(max(t.Slots, 1))
 }
 
-// prefillBacklog returns the number of prompt tokens of this instance's requests that t has not yet prefilled.
-func (t *target) prefillBacklog() int {
-	n := 0
-	for _, a := range t.attempts {
-		if !a.hasEvent {
-			n += a.flight.PromptTokens
-		}
-	}
-	return n
-}
-
 // recordLoad derives the requests of other instances from a load report, which includes this instance's requests.
 func (t *target) recordLoad(now time.Time, l Load) {
 	if l.Slots == 0 {
 		return
 	}
+	t.isLoaded = true
 	t.otherRequests = max(0, l.Running+l.Waiting-len(t.attempts))
 	t.otherRequestsAt = now
 }
@@ -150,6 +148,7 @@
 	version        int       // counts the changes of targets
 	homes          []*target // the home of each instance that shares limits, in their order; see Scheduler.computeShare
 	homesBasis     rankingBasis
+	capacity       poolCapacity
 }
 
 // add adds a target.
@@ -175,7 +174,10 @@
 }
 
 func (p *pool) means(now time.Time) means {
-	return means{otherRequests: p.meanOtherRequests(now), gap: p.meanGap(now)}
+	m := means{otherRequests: p.meanOtherRequests(now), gap: p.meanGap(now)}
+	p.capacity.otherRequests = m.otherRequests
+	p.refreshCapacity(now)
+	return m
 }
 
 // meanOtherRequests returns the mean number of requests of other instances per target of p, from recent load reports.
