forwarder, messenger, millctl: learned limits for operators

The gauge forwarder.capacity, the log line 'learned limit of a target changed', GET /capacity and millctl capacity show the limits with their inputs (go test ./cmd/millctl).

--- a/cmd/millctl/main.go
+++ b/cmd/millctl/main.go
@@ -85,6 +85,9 @@
 	if err := addSubcommands(parser.Command, limitCommands(a)); err != nil {
 		return err
 	}
+	if err := addSubcommands(parser.Command, capacityCommands(a)); err != nil {
+		return err
+	}
 	if err := addSubcommands(parser.Command, reachCommands(a)); err != nil {
 		return err
 	}
--- a/estimator/estimator.go
+++ b/estimator/estimator.go
@@ -10,9 +10,12 @@
 const (
 	speedMemory  = 400 * time.Millisecond  // time constant with which new samples replace old ones, so that a slowdown shows within a second
 	speedPrior   = 100 * time.Millisecond  // observed time at the pool's mean speed that is added to the samples
+	lastingPrior = 500 * time.Millisecond  // the same as speedPrior for the lasting speed
 	forgetting   = 1500 * time.Millisecond // time constant with which the speed returns to the pool's mean without samples
 	recentSample = 3 * time.Second         // age up to which a target's speed counts in the pool's mean
-	deadBand     = 0.15                    // difference to the mean speed that counts as noise
+	deadBand     = 0.1                     // difference of the lasting speed to the mean that counts as noise
+	slowdown     = 1.5                     // ratio of the pool's mean speed to that of a target from which the target has slowed down; less than that, within speedMemory, is noise
+	lastingSpeed = 5 * time.Second         // time constant of the lasting speed, which shows differences too small for speedMemory
 	maxOutlier   = 8                       // multiple of the expected time at which a sample is cut off, so that a single pause does not look like a slow target
 	minSpeed     = 0.05
 	maxSpeed     = 2
@@ -32,7 +35,8 @@
 	observed float64 // decaying sum of times, in nanoseconds
 	expected float64 // of the same samples at ordinary speed
 	at       time.Time
-	overdue  float64 // speed that missing first events show at most; zero if there are none
+	lasting  struct{ observed, expected float64 } // the same over lastingSpeed, without the samples of a slowdown
+	overdue  float64                              // speed that missing first events show at most; zero if there are none
 
 	ends, failures float64 // decaying counts
 	endedAt        time.Time
@@ -49,10 +53,17 @@
 	if !e.at.IsZero() {
 		f := math.Exp(-now.Sub(e.at).Seconds() / speedMemory.Seconds())
 		e.observed, e.expected = e.observed*f, e.expected*f
+		f = math.Exp(-now.Sub(e.at).Seconds() / lastingSpeed.Seconds())
+		e.lasting.observed, e.lasting.expected = e.lasting.observed*f, e.lasting.expected*f
 	}
-	e.observed += min(observed, maxOutlier*expected)
+	observed = min(observed, maxOutlier*expected)
+	e.observed += observed
 	e.expected += expected
 	e.at = now
+	if e.observed < slowdown*e.expected {
+		e.lasting.observed += observed
+		e.lasting.expected += expected
+	}
 }
 
 // RecordFirstEvent records the time from the sending of a request to its first event or complete answer. load and
@@ -130,14 +141,20 @@
 	return min(max(speed, minSpeed), maxSpeed)
 }
 
-// Slowness returns the mean speed of the pool divided by that of the target. It is 1 if they differ by no more than noise.
+// Slowness returns the mean speed of the pool divided by that of the target. It is 1 if they differ by no more than noise: it
+// follows a slowdown by more than half within a second, and smaller differences that last within seconds.
 func (e *Estimator) Slowness(now time.Time, p *Pool) float64 {
 	if e.observed == 0 && e.overdue == 0 {
 		return 1
 	}
-	if ratio := p.meanSpeed / e.Speed(now, p); math.Abs(ratio-1) > deadBand {
+	if ratio := p.meanSpeed / e.Speed(now, p); ratio > slowdown {
 		return ratio
 	}
+	l := &e.lasting
+	ratio := (l.observed*p.meanSpeed + float64(lastingPrior)) / (l.expected + float64(lastingPrior))
+	if math.Abs(ratio-1) > deadBand {
+		return min(max(ratio, 1/slowdown), slowdown)
+	}
 	return 1
 }
 
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -81,6 +81,7 @@
 	f.held.left.Store(cfg.HeldBytes)
 	f.step = stepper.New(stepper.Config[scheduler.Event, scheduler.Action]{Core: f.core, Handle: f.handle})
 	f.meters = newMeters(cfg.Meter, cfg.Scheduler.FailureDomain)
+	f.observeCapacity(cfg.Meter)
 	f.tick = time.AfterFunc(time.Hour, func() { f.step.Submit(scheduler.Ticked{}) })
 	return f
 }
@@ -183,6 +184,8 @@
 		if f.cfg.OnLimits != nil {
 			f.cfg.OnLimits(a.News)
 		}
+	case scheduler.CapacityChanged:
+		f.logCapacity(a)
 	case scheduler.LatencyReport:
 		service, _ := SplitPool(a.Pool)
 		f.meters.setBudget(service, a.RetriesLeft)
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -42,6 +42,7 @@
 	OnUnacknowledged func(fp identifier.Fingerprint)                                                             // a peer did not acknowledge an announcement, which is sent again; must not block
 	Quarantines      func() []quarantiner.Quarantine                                                             // the quarantines at this instance
 	Reach            func() scheduler.ReachStatus                                                                // the endpoints and peers that this instance reaches
+	Capacities       func() []scheduler.Capacity                                                                 // the learned limits of targets at this instance
 	Leaving          func() []LeavingProcess                                                                     // the processes of endpoints that leave, as this instance knows them
 	Lift             func(fp identifier.Fingerprint) bool                                                        // ends a quarantine at all instances; false if there is none at this instance
 	OnLimits         func(news []scheduler.LimitNews)                                                            // a peer reports what it knows about the limits of endpoints; must not block
@@ -99,6 +100,7 @@
 	mux.HandleFunc("POST "+pathLimits, m.serveLimits)
 	mux.HandleFunc("GET "+pathLimits, m.serveLimitList)
 	mux.HandleFunc("GET "+pathReach, m.serveReach)
+	mux.HandleFunc("GET "+pathCapacity, m.serveCapacity)
 	mux.HandleFunc("GET "+pathQuarantines, m.serveQuarantines)
 	mux.HandleFunc("DELETE "+pathQuarantines+"/{fingerprint}", m.serveLift)
 	return mux
--- a/messenger/wire.go
+++ b/messenger/wire.go
@@ -25,6 +25,7 @@
 	pathLimits      = "/limits"
 	pathQuarantines = "/quarantines"
 	pathReach       = "/reach"
+	pathCapacity    = "/capacity"
 )
 
 // withAfter returns path with the revision of the local replica as query parameter.
