--- a/estimator/estimator.go
+++ b/estimator/estimator.go
@@ -152,8 +152,11 @@
 	}
 	l := &e.lasting
 	ratio := (l.observed*p.meanSpeed + float64(lastingPrior)) / (l.expected + float64(lastingPrior))
-	if math.Abs(ratio-1) > deadBand {
-		return min(max(ratio, 1/slowdown), slowdown)
+	switch {
+	case ratio > 1+deadBand:
+		return min(ratio-deadBand, slowdown)
+	case ratio < 1-deadBand:
+		return max(ratio+deadBand, 1/slowdown)
 	}
 	return 1
 }
--- a/scheduler/choice.go
+++ b/scheduler/choice.go
@@ -150,13 +150,17 @@
 	if now.Sub(t.addedAt) < time.Second {
 		score += newTargetPenalty
 	}
-	if slowness > 0 {
-		score += slowPenalty*(slowness-1) + failurePenalty*t.estimator.FailureRate(now)
-	} else if poolMeanGap > 0 && now.Sub(t.gapMeasuredAt) < latencySampleTTL {
+	slow := 0.0
+	if poolMeanGap > 0 && now.Sub(t.gapMeasuredAt) < latencySampleTTL {
 		if ratio := float64(t.meanGap) / float64(poolMeanGap); ratio > slowThreshold {
-			score += slowPenalty * (ratio - 1)
+			slow = slowPenalty * (ratio - 1)
 		}
 	}
+	if slowness > 0 {
+		slow = max(slow, slowPenalty*(slowness-1))
+		score += failurePenalty * t.estimator.FailureRate(now)
+	}
+	score += slow
 	return score + 0.25*float64(min(t.consecutiveFailures, 8))
 }
 
--- a/scheduler/hold.go
+++ b/scheduler/hold.go
@@ -16,12 +16,12 @@
 
 // mayHold reports whether f, for which all candidates are past their learned limits, waits for a moment instead of going to best,
 // and begins the wait. It does once in the life of f, if f has not been sent yet, if a lower load would let it meet its
-// goals, if it has time to lose and if more than enough places are free below the hard maximum.
+// goals, if it has time to lose, if more than enough places are free below the hard maximum and if requests don't arrive faster than others end.
 func (s *Scheduler) mayHold(now time.Time, f *flight, best candidate, candidates []candidate) bool {
 	if !f.heldUntil.IsZero() {
 		return f.isHeld(now)
 	}
-	if f.attempts > 0 || f.ViaPeer || s.held >= maxHeld || !best.isHelpedByWaiting(now, f) {
+	if f.attempts > 0 || f.ViaPeer || s.held >= maxHeld || s.ratesOf(f.Pool).isOverloaded(now) || !best.isHelpedByWaiting(now, f) {
 		return false
 	}
 	seats := -seatsPerHeld * (s.held + 1)
