--- a/messenger/wire.go
+++ b/messenger/wire.go
@@ -27,6 +27,7 @@
 	pathQuarantines = "/quarantines"
 	pathReach       = "/reach"
 	pathEvacuations = "/evacuations"
+	pathCapacity    = "/capacity"
 )
 
 // withAfter returns path with the revision of the local replica as query parameter.
--- a/scheduler/flight.go
+++ b/scheduler/flight.go
@@ -26,6 +26,8 @@
 	answerStarted bool      // an event of the answer has been received
 	events        int       // of the stream, received so far
 	giveUpAt      time.Time // end of the wait for a target; zero if the request does not wait
+	heldUntil     time.Time // end of the time for which f waits because all targets are past their learned limits; zero if it was not held yet
+	isCountedHeld bool      // f counts in Scheduler.held
 	hedgeAfter    time.Time // f is not hedged before this time, because a target has refused a hedge
 	refusedStatus int       // status of the last refusal; zero if no target refused the request
 	failedStatus  int       // status of the endpoint's last own error, which can be passed through; zero for none
@@ -206,6 +208,7 @@
 func (s *Scheduler) finish(f *flight, o Outcome) {
 	s.dequeue(f)
 	s.demand.countAnswer(f, o)
+	s.release(f)
 	for len(f.running) > 0 {
 		s.abandon(f.running[0], ReasonEnded)
 	}
