resolver, scheduler, runner: an event of a stream counts with the tokens that it holds

Cause: the demand counts events of streams as tokens, but an engine decodes several steps in one pass (stride in its profile: 5 here), whose tokens form one event. Change: the instance multiplies by the tokens of an event.

--- a/resolver/configuration.go
+++ b/resolver/configuration.go
@@ -117,6 +117,7 @@
 	MeanPromptTokens       int
 	MeanAnswerTokens       int
 	PrefillTokensPerSecond float64       // prompt tokens that one engine processes per second
+	TokensPerEvent         int           // tokens that an event of a stream holds, because an engine decodes so many steps in one pass; at least 1
 	DecodeStep             time.Duration // time to generate one token at an otherwise idle engine
 	DecodeStepPerRequest   time.Duration // by which each running request lengthens that time
 }
--- a/runner/hosted_demand.go
+++ b/runner/hosted_demand.go
@@ -5,6 +5,7 @@
 
 	"amaranthmill/forwarder"
 	"amaranthmill/groupformer"
+	"amaranthmill/internal/identifier"
 	"amaranthmill/scheduler"
 )
 
@@ -14,7 +15,7 @@
 	for _, p := range r.Pools {
 		if service, model := forwarder.SplitPool(p.Pool); model != "" {
 			report.Models = append(report.Models, groupformer.ModelDemand{
-				Service: service, Model: model, Requests: p.Requests, Prompts: p.Prompts, PromptTokens: p.PromptTokens, Answers: p.Answers, AnswerTokens: p.AnswerTokens,
+				Service: service, Model: model, Requests: p.Requests, Prompts: p.Prompts, PromptTokens: p.PromptTokens, Answers: p.Answers, AnswerTokens: p.AnswerEvents * h.tokensPerEvent(service),
 			})
 		}
 	}
@@ -28,6 +29,14 @@
 	h.groupFormer.submitDemand(report)
 }
 
+// tokensPerEvent returns the number of tokens that an event of a service's streams holds.
+func (h *hosted) tokensPerEvent(service identifier.Service) int {
+	if s := h.resolver.Service(service); s != nil && s.Engine != nil {
+		return max(s.Engine.TokensPerEvent, 1)
+	}
+	return 1
+}
+
 // submitDemand submits the work that arrived at this instance or at a peer.
 func (f *groupFormer) submitDemand(r groupformer.DemandReported) {
 	f.meters.demandReports.Add(context.Background(), 1)
--- a/scheduler/demand.go
+++ b/scheduler/demand.go
@@ -24,7 +24,7 @@
 	Prompts      int // of Requests, those with a known number of prompt tokens
 	PromptTokens int // of these
 	Answers      int // streams that were delivered in full since the last report
-	AnswerTokens int // events of these
+	AnswerEvents int // of these; an event may hold several tokens
 }
 
 // DemandReport reports the work that arrived since the last report, sorted by pool. It comes about every two
@@ -76,7 +76,7 @@
 	}
 	d := c.of(f.Pool)
 	d.Answers++
-	d.AnswerTokens += f.events
+	d.AnswerEvents += f.events
 }
 
 // reportDemand emits a demand report once the interval is over. Without anything to report, the next report covers the
