--- a/scheduler/cold_disturb_test.go
+++ b/scheduler/cold_disturb_test.go
@@ -29,25 +29,15 @@
 			w.chill(true, e)
 		}
 	}
-	if w.cfg.mass && elapsed%(14*time.Second) == 0 {
-		w.leaveAndReturn(w.instances[len(w.instances)/2:], 11*time.Second)
-	}
-	if w.cfg.mass && elapsed%(14*time.Second) == 5*time.Second {
-		w.burst()
-		for _, in := range w.instances { // with no memory of what they sent
-			if !in.isGone {
-				w.start(in)
-				w.showInstances(in, w.listed())
-				w.showTargets(in, w.endpoints...)
-			}
-		}
-		w.at(w.now.Add(100*time.Millisecond), w.burst)
+	if w.cfg.mass {
+		w.disturbMany(elapsed)
+		return
 	}
 	interval := 400 * time.Millisecond
 	if len(w.instances) < 10 {
 		interval = 5 * time.Second
 	}
-	if elapsed%interval == 0 && !w.cfg.mass {
+	if elapsed%interval == 0 {
 		w.disturbInstance(w.instances[w.random.IntN(len(w.instances))])
 	}
 }
@@ -128,3 +118,26 @@
 		}
 	})
 }
+
+// disturbMany cuts half of the instances off, or lets them leave and return, and starts all instances again.
+func (w *coldWorld) disturbMany(elapsed time.Duration) {
+	half := w.instances[len(w.instances)/2:]
+	switch {
+	case w.cfg.cuts && elapsed%(20*time.Second) == 0:
+		for _, in := range half {
+			w.cut(in, 14*time.Second) // longer than their keys last, and shorter than the others count them
+		}
+	case !w.cfg.cuts && elapsed%(14*time.Second) == 0:
+		w.leaveAndReturn(half, 11*time.Second)
+	case !w.cfg.cuts && elapsed%(14*time.Second) == 5*time.Second:
+		w.burst()
+		for _, in := range w.instances { // with no memory of what they sent
+			if !in.isGone {
+				w.start(in)
+				w.showInstances(in, w.listed())
+				w.showTargets(in, w.endpoints...)
+			}
+		}
+		w.at(w.now.Add(100*time.Millisecond), w.burst)
+	}
+}
--- a/scheduler/cold_test.go
+++ b/scheduler/cold_test.go
@@ -17,6 +17,7 @@
 		{instances: 31, endpoints: 6, coldTime: 3 * time.Second, restarts: true, cuts: true, restored: true, demand: 20},
 		{instances: 31, endpoints: 4, coldTime: 60 * time.Second, restarts: true, restored: true, demand: 2},
 		{instances: 31, endpoints: 3, coldTime: 60 * time.Second, mass: true, restored: true, demand: 2},
+		{instances: 31, endpoints: 3, coldTime: 60 * time.Second, mass: true, cuts: true, steady: true, demand: 2},
 		{instances: 31, endpoints: 3, coldTime: 3 * time.Second, restarts: true, answers: true, shared: true, demand: 30},
 		{instances: 106, endpoints: 4, coldTime: 3 * time.Second, restarts: true, cuts: true, restored: true, answers: true, demand: 10},
 		{instances: 106, endpoints: 3, coldTime: 60 * time.Second, mass: true, restored: true, demand: 2},
--- a/scheduler/cold_world_test.go
+++ b/scheduler/cold_world_test.go
@@ -34,7 +34,7 @@
 	shared               bool    // endpoints name limits as well
 	demand               float64 // requests per second for each endpoint
 	steady               bool    // all endpoints stay cold, and have to be used
-	mass                 bool    // half of the instances leave at once, and return at once
+	mass                 bool    // half of the instances leave at once, and return at once; with cuts, they are cut off at once
 }
 
 func (c coldCase) String() string {
