estimator: what a slowdown showed is forgotten gradually

A target that had slowed down counted as ordinary as soon as its speed without samples came within the threshold, and a missing first event was forgotten when a hedge replaced its request.

--- a/estimator/curve.go
+++ b/estimator/curve.go
@@ -9,9 +9,9 @@
 const (
 	loadBins    = 13  // of a curve; the last one holds all higher loads
 	loadBin     = 0.1 // width of a load bin, as a fraction of the slots
-	timeBuckets = 40
+	timeBuckets = 76
 	firstBucket = float64(time.Millisecond) // upper bound of the first time bucket
-	bucketRatio = 1.25                      // of the bounds of two neighbouring time buckets; 40 buckets reach 6 s
+	bucketRatio = 1.12                      // of the bounds of two neighbouring time buckets; 76 buckets reach 5.5 s
 )
 
 // Times and weights of a curve.
@@ -20,7 +20,7 @@
 	minBinWeight  = 6                      // samples below which a bin takes its value from lower loads
 	refreshPause  = 100 * time.Millisecond // between two evaluations of new samples, because gaps come by the hundred in a second
 	maxBinWeight  = 2000                   // samples that a bin remembers at most
-	logBucketSize = 0.22314355131420976    // natural logarithm of bucketRatio
+	logBucketSize = 0.11332868530700317    // natural logarithm of bucketRatio
 )
 
 // curve holds the distribution of a time by the load at which it was measured. Its mean and quantile don't fall as
@@ -150,6 +150,14 @@
 	return out
 }
 
+// measuredMeanAt returns the mean at a load, or zero without enough samples at that load.
+func (c *curve) measuredMeanAt(load float64) float64 {
+	if i := binOf(load); c.bins[i].weight >= minBinWeight {
+		return c.means[i]
+	}
+	return 0
+}
+
 // meanAt returns the mean at a load; at loads below all samples it returns that of the lowest load with samples.
 func (c *curve) meanAt(load float64) float64 {
 	for i := binOf(load); i < loadBins; i++ {
--- a/estimator/estimator.go
+++ b/estimator/estimator.go
@@ -8,15 +8,15 @@
 // Times and weights of the speed of a target. Observed times are its weight: a stream that runs for a while counts
 // as much as a first event that takes as long.
 const (
-	speedMemory  = 400 * time.Millisecond  // time constant with which new samples replace old ones, so that a slowdown shows within a second
-	speedPrior   = 100 * time.Millisecond  // observed time at the pool's mean speed that is added to the samples
-	lastingPrior = 500 * time.Millisecond  // the same as speedPrior for the lasting speed
-	forgetting   = 1500 * time.Millisecond // time constant with which the speed returns to the pool's mean without samples
-	recentSample = 3 * time.Second         // age up to which a target's speed counts in the pool's mean
-	deadBand     = 0.1                     // difference of the lasting speed to the mean that counts as noise
-	slowdown     = 1.5                     // ratio of the pool's mean speed to that of a target from which the target has slowed down; less than that, within speedMemory, is noise
-	lastingSpeed = 5 * time.Second         // time constant of the lasting speed, which shows differences too small for speedMemory
-	maxOutlier   = 8                       // multiple of the expected time at which a sample is cut off, so that a single pause does not look like a slow target
+	speedMemory  = 400 * time.Millisecond // time constant with which new samples replace old ones, so that a slowdown shows within a second
+	speedPrior   = 100 * time.Millisecond // observed time at the pool's mean speed that is added to the samples
+	lastingPrior = 500 * time.Millisecond // the same as speedPrior for the lasting speed
+	forgetting   = 3 * time.Second        // time constant with which the speed returns to the pool's mean without samples
+	recentSample = 3 * time.Second        // age up to which a target's speed counts in the pool's mean
+	deadBand     = 0.1                    // difference of the lasting speed to the mean that counts as noise
+	slowdown     = 1.5                    // ratio of the pool's mean speed to that of a target from which the target has slowed down; less than that, within speedMemory, is noise
+	lastingSpeed = 5 * time.Second        // time constant of the lasting speed, which shows differences too small for speedMemory
+	maxOutlier   = 8                      // multiple of the expected time at which a sample is cut off, so that a single pause does not look like a slow target
 	minSpeed     = 0.05
 	maxSpeed     = 2
 	queueingLoad = 0.9 // from which times to the first event hold waits for a slot, and say little about the speed
@@ -32,11 +32,12 @@
 // Estimator holds what is known about one target. The zero value is the prior: the target is as fast as the mean of its
 // pool, and no request fails there.
 type Estimator struct {
-	observed float64 // decaying sum of times, in nanoseconds
-	expected float64 // of the same samples at ordinary speed
-	at       time.Time
-	lasting  struct{ observed, expected float64 } // the same over lastingSpeed, without the samples of a slowdown
-	overdue  float64                              // speed that missing first events show at most; zero if there are none
+	observed  float64 // decaying sum of times, in nanoseconds
+	expected  float64 // of the same samples at ordinary speed
+	at        time.Time
+	lasting   struct{ observed, expected float64 } // the same over lastingSpeed, without the samples of a slowdown
+	overdue   float64                              // speed that a missing first event has shown at most; zero if none is missing
+	overdueAt time.Time
 
 	ends, failures float64 // decaying counts
 	endedAt        time.Time
@@ -72,8 +73,9 @@
 	if p.isOrdinary(e.Speed(now, p)) {
 		p.addFirstEvent(now, load, tokensAhead, d)
 	}
-	if load < queueingLoad {
-		e.add(now, float64(d), float64(p.MeanFirstEvent(load, tokensAhead)))
+	e.overdue = 0
+	if mean := p.firstEvents.measuredMeanAt(load); mean > 0 && load < queueingLoad {
+		e.add(now, float64(d), mean+p.cost.perToken*float64(tokensAhead))
 	}
 }
 
@@ -82,20 +84,17 @@
 	if p.isOrdinary(e.Speed(now, p)) {
 		p.gaps.add(now, load, d)
 	}
-	e.add(now, float64(d), p.gaps.meanAt(load))
+	e.add(now, float64(d), p.gaps.measuredMeanAt(load))
 }
 
-// ClearOverdue forgets missing first events. Call it before the calls of RecordOverdue at one time.
-func (e *Estimator) ClearOverdue() { e.overdue = 0 }
-
-// RecordOverdue records that a first event is missing after d.
-func (e *Estimator) RecordOverdue(p *Pool, load float64, tokensAhead int, d time.Duration) {
+// RecordOverdue records that a first event is missing after d. The next first event ends what this says about the target.
+func (e *Estimator) RecordOverdue(now time.Time, p *Pool, load float64, tokensAhead int, d time.Duration) {
 	expected := p.firstEvents.quantiles[binOf(load)] + p.cost.perToken*float64(tokensAhead)
 	if load >= queueingLoad || expected <= 0 || float64(d) < minOverdue*expected {
 		return
 	}
 	if speed := max(expected/float64(d), minSpeed); e.overdue == 0 || speed < e.overdue {
-		e.overdue = speed
+		e.overdue, e.overdueAt = speed, now
 	}
 }
 
@@ -126,29 +125,35 @@
 func (e *Estimator) Speed(now time.Time, p *Pool) float64 {
 	speed := p.meanSpeed
 	if e.observed > 0 {
-		measured := (e.expected + float64(speedPrior)) / (e.observed + float64(speedPrior)/p.meanSpeed)
-		age := now.Sub(e.at)
-		switch {
-		case age <= 0:
-			speed = measured
-		case age < 8*forgetting:
-			speed += (measured - speed) * math.Exp(-age.Seconds()/forgetting.Seconds())
-		}
+		speed = forget(e.measured(p), p.meanSpeed, now.Sub(e.at))
 	}
 	if e.overdue > 0 {
-		speed = min(speed, e.overdue)
+		speed = min(speed, forget(e.overdue, p.meanSpeed, now.Sub(e.overdueAt)))
 	}
 	return min(max(speed, minSpeed), maxSpeed)
 }
 
+// measured returns the speed that the samples show.
+func (e *Estimator) measured(p *Pool) float64 {
+	return (e.expected + float64(speedPrior)) / (e.observed + float64(speedPrior)/p.meanSpeed)
+}
+
+// forget returns a speed on its way to the mean after a time without samples.
+func forget(speed, mean float64, age time.Duration) float64 {
+	if age <= 0 {
+		return speed
+	}
+	return mean + (speed-mean)*math.Exp(-age.Seconds()/forgetting.Seconds())
+}
+
 // Slowness returns the mean speed of the pool divided by that of the target. It is 1 if they differ by no more than noise: it
 // follows a slowdown by more than half within a second, and smaller differences that last within seconds.
 func (e *Estimator) Slowness(now time.Time, p *Pool) float64 {
 	if e.observed == 0 && e.overdue == 0 {
 		return 1
 	}
-	if ratio := p.meanSpeed / e.Speed(now, p); ratio > slowdown {
-		return ratio
+	if e.overdue > 0 || e.measured(p)*slowdown < p.meanSpeed {
+		return max(p.meanSpeed/e.Speed(now, p), 1)
 	}
 	l := &e.lasting
 	ratio := (l.observed*p.meanSpeed + float64(lastingPrior)) / (l.expected + float64(lastingPrior))
--- a/estimator/pool.go
+++ b/estimator/pool.go
@@ -38,15 +38,16 @@
 	return &Pool{firstEvents: curve{quantile: firstEventQuantile}, gaps: curve{quantile: gapQuantile}, meanSpeed: 1}
 }
 
-// Refresh evaluates the samples that were added since the last call. meanSpeed is the mean speed of the targets that
-// have recent samples, or zero if none has any.
-func (p *Pool) Refresh(now time.Time, meanSpeed float64) {
+// meanPrior is the number of targets of speed 1 that are added to those with recent samples for the mean speed, so that a
+// single slow target does not make the others look fast.
+const meanPrior = 2
+
+// Refresh evaluates the samples that were added since the last call. speeds is the sum of the speeds of the n targets
+// that have recent samples.
+func (p *Pool) Refresh(now time.Time, speeds float64, n int) {
 	p.firstEvents.refresh(now)
 	p.gaps.refresh(now)
-	p.meanSpeed = 1
-	if meanSpeed > 0 {
-		p.meanSpeed = meanSpeed
-	}
+	p.meanSpeed = (speeds + meanPrior) / float64(n+meanPrior)
 }
 
 // HasSamples reports whether p predicts times to the first event.
--- a/scheduler/capacity.go
+++ b/scheduler/capacity.go
@@ -57,10 +57,7 @@
 			n++
 		}
 	}
-	if n > 0 {
-		sum /= float64(n)
-	}
-	c.model.Refresh(now, sum)
+	c.model.Refresh(now, sum, n)
 }
 
 // isLearned reports whether a limit is learned for t: it runs a model or reports its load, and requests with a goal were answered in its pool.
@@ -162,13 +159,12 @@
 // this way before any of its answers does.
 func (s *Scheduler) checkOverdue(now time.Time) {
 	for _, t := range s.targets {
-		t.estimator.ClearOverdue()
 		if t.pending == 0 || !t.isLearned() {
 			continue
 		}
 		for _, a := range t.attempts {
 			if a.isPending && a.flight.isEstimated(t) {
-				t.estimator.RecordOverdue(t.pool.capacity.model, a.load, a.tokensAhead, now.Sub(a.sentAt))
+				t.estimator.RecordOverdue(now, t.pool.capacity.model, a.load, a.tokensAhead, now.Sub(a.sentAt))
 			}
 		}
 	}
