replicator, messenger, runner: large values by reference and difference, tree by link bandwidth

Ten versions per second of a large configuration saturated narrow links, because each version went in full to up to 12 followers, and small entries queued behind it. A follower now gets references to values above 16 KiB and fetches them by /value, compressed with the version that it holds as dictionary. A replica whose value is missing passes the reference on, and tells a peer that does not know references a revision before it, so that none skips the value. Where all instances of a failure domain name their link, those with wide links are at the top of the tree.

--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -13,6 +13,7 @@
 
 	"github.com/rs/zerolog"
 
+	"amaranthmill/differ"
 	"amaranthmill/groupformer"
 	"amaranthmill/internal/defaulter"
 	"amaranthmill/internal/identifier"
@@ -47,6 +48,8 @@
 	OnLimits         func(news []scheduler.LimitNews)                                                            // a peer reports what it knows about the limits of endpoints; must not block
 	OnStalled        func(head identifier.Endpoint)                                                              // a peer reports that the group with this head is stalled; must not block
 	OnLeaving        func(p identifier.Process)                                                                  // a peer reports that a process has said that it leaves; must not block
+	Values           Values                                                                                      // the large values of the local replica; the zero value sends all values in full
+	OnTransfer       func(t ValueTransfer)                                                                       // a large value was sent to or received from a peer; must not block; may be nil
 	HTTP             *http.Client
 	Timeout          time.Duration // of one exchange with a peer; zero selects 600 ms
 	AnnounceInterval time.Duration // between two exchanges with announcements to one peer; zero selects 200 ms
@@ -59,6 +62,8 @@
 	selector  peerSelector
 	announcer announcer
 	limits    limitBoard
+	values    valueCache
+	decoder   differ.Decoder
 }
 
 // New returns a Messenger for cfg.
@@ -90,6 +95,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+pathUpdate, m.serveUpdate)
 	mux.HandleFunc("GET "+pathChanges, m.serveChanges)
+	mux.HandleFunc("GET "+pathValue, m.serveValue)
 	mux.HandleFunc("POST "+pathStalled, m.serveStalled)
 	mux.HandleFunc("POST "+pathLeaving, m.serveLeaving)
 	mux.HandleFunc("GET "+pathLeaving, m.serveLeavingList)
@@ -109,7 +115,11 @@
 	if !ok {
 		return
 	}
-	m.writeJSON(w, encodeUpdate(m.cfg.UpdateSince(after)))
+	updateSince := m.cfg.UpdateSince
+	if m.defersLarge(r) {
+		updateSince = m.cfg.Values.UpdateWithReferences
+	}
+	m.writeJSON(w, encodeUpdate(updateSince(after)))
 }
 
 // parseAfter returns the revision of the peer's replica. If it is malformed, parseAfter responds with
@@ -141,7 +151,14 @@
 	if !ok {
 		return
 	}
-	changes, err := m.cfg.Watch(r.Context(), after, changesWait)
+	watch, wait := m.cfg.Watch, changesWait
+	if m.defersLarge(r) {
+		watch = m.cfg.Values.Watch
+	}
+	if r.URL.Query().Has(parameterPoll) {
+		wait = 0
+	}
+	changes, err := watch(r.Context(), after, wait)
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusServiceUnavailable)
 		return
@@ -154,8 +171,20 @@
 func (m *Messenger) WatchPeer(ctx context.Context, p Peer, after uint64) (replicator.PeerChanges, error) {
 	ctx, cancel := context.WithTimeout(ctx, m.cfg.Timeout+changesWait)
 	defer cancel()
+	return m.fetchChanges(ctx, p, m.withAfter(pathChanges, after))
+}
+
+// PollPeer returns the changes of a peer's replica after a revision without waiting for any. A peer that does
+// not know the call waits as in WatchPeer. Its errors are those of WatchPeer.
+func (m *Messenger) PollPeer(ctx context.Context, p Peer, after uint64) (replicator.PeerChanges, error) {
+	ctx, cancel := context.WithTimeout(ctx, m.cfg.Timeout)
+	defer cancel()
+	return m.fetchChanges(ctx, p, m.withAfter(pathChanges, after)+"&"+parameterPoll+"=1")
+}
+
+func (m *Messenger) fetchChanges(ctx context.Context, p Peer, path string) (replicator.PeerChanges, error) {
 	var w changesWire
-	if err := m.exchange(ctx, p, http.MethodGet, withAfter(pathChanges, after), nil, &w); err != nil {
+	if err := m.exchange(ctx, p, http.MethodGet, path, nil, &w); err != nil {
 		return replicator.PeerChanges{}, err
 	}
 	return w.changes(), nil
@@ -204,7 +233,7 @@
 	ctx, cancel := context.WithTimeout(ctx, m.cfg.Timeout)
 	defer cancel()
 	var w updateWire
-	if err := m.exchange(ctx, p, http.MethodGet, withAfter(pathUpdate, after), nil, &w); err != nil {
+	if err := m.exchange(ctx, p, http.MethodGet, m.withAfter(pathUpdate, after), nil, &w); err != nil {
 		m.cfg.Logger.Debug().Err(err).Str("peer", string(p.Instance)).Msg("peer did not return an update; querying another peer next")
 	}
 	u := w.update()
@@ -213,7 +242,7 @@
 		m.selector.reject(now, p.Instance, hasNews)
 	}
 	if !hasNews {
-		u.Revision, u.Complete, u.Entries = 0, false, nil
+		u.Revision, u.Complete, u.Entries, u.References = 0, false, nil, nil
 	}
 	return u
 }
--- a/messenger/peer.go
+++ b/messenger/peer.go
@@ -14,6 +14,7 @@
 	Instance      identifier.Instance
 	FailureDomain identifier.FailureDomain
 	Address       netip.AddrPort
+	LinkMbps      float64 // bandwidth of the instance's link in Mbit/s; zero if it is not known
 }
 
 // Compare orders peers by instance name.
--- a/messenger/wire.go
+++ b/messenger/wire.go
@@ -25,11 +25,17 @@
 	pathLimits      = "/limits"
 	pathQuarantines = "/quarantines"
 	pathReach       = "/reach"
+	pathValue       = "/value"
 )
 
-// withAfter returns path with the revision of the local replica as query parameter.
-func withAfter(path string, after uint64) string {
-	return path + "?after=" + strconv.FormatUint(after, 10)
+// withAfter returns path with the revision of the local replica as query parameter, and with the one that asks for
+// references if this instance can fetch their values. Peers ignore parameters that they do not know.
+func (m *Messenger) withAfter(path string, after uint64) string {
+	path += "?after=" + strconv.FormatUint(after, 10)
+	if m.cfg.Values.isSet() {
+		path += "&" + parameterDeferLarge + "=1"
+	}
+	return path
 }
 
 // updateWire is the wire form of replicator.Update.
@@ -44,14 +50,15 @@
 
 func encodeUpdate(u replicator.Update) updateWire {
 	return updateWire{
-		Revision: u.Revision, Whole: u.Complete, Entries: encodeEntries(u.Entries),
+		Revision: u.Revision, Whole: u.Complete, Entries: append(encodeEntries(u.Entries), encodeReferences(u.References)...),
 		InContact: u.IsInContact, ContactTime: formatter.Duration(u.ContactTime), AnswerAge: formatter.Duration(u.AnswerAge),
 	}
 }
 
 func (w updateWire) update() replicator.Update {
+	entries, references := decodeEntries(w.Entries)
 	return replicator.Update{
-		Revision: w.Revision, Complete: w.Whole, Entries: decodeEntries(w.Entries),
+		Revision: w.Revision, Complete: w.Whole, Entries: entries, References: references,
 		IsInContact: w.InContact, ContactTime: max(w.ContactTime.Std(), 0), AnswerAge: max(w.AnswerAge.Std(), 0),
 	}
 }
@@ -68,18 +75,29 @@
 	Value    []byte `json:"value,omitempty"`
 	Revision uint64 `json:"revision"`
 	Deleted  bool   `json:"deleted,omitempty"`
+	Deferred bool   `json:"deferred,omitempty"` // the value is not included; pathValue returns it
+	Size     int    `json:"size,omitempty"`     // of a value that is not included
 }
 
 func encodeChanges(c replicator.PeerChanges) changesWire {
-	return changesWire{Revision: c.Revision, Entries: encodeEntries(c.Entries), Age: formatter.Duration(c.Age)}
+	return changesWire{Revision: c.Revision, Entries: append(encodeEntries(c.Entries), encodeReferences(c.References)...), Age: formatter.Duration(c.Age)}
 }
 
 func (w changesWire) changes() replicator.PeerChanges {
+	entries, references := decodeEntries(w.Entries)
 	return replicator.PeerChanges{
-		Changes: storeclient.Changes{Revision: w.Revision, Entries: decodeEntries(w.Entries)}, Age: max(w.Age.Std(), 0),
+		Changes: storeclient.Changes{Revision: w.Revision, Entries: entries}, References: references, Age: max(w.Age.Std(), 0),
 	}
 }
 
+func encodeReferences(references []replicator.Reference) []changeWire {
+	var out []changeWire
+	for _, r := range references {
+		out = append(out, changeWire{Key: r.Key, Revision: r.Revision, Deferred: true, Size: r.Size})
+	}
+	return out
+}
+
 func encodeEntries(entries []storeclient.Change) []changeWire {
 	var out []changeWire
 	for _, e := range entries {
@@ -88,12 +106,15 @@
 	return out
 }
 
-func decodeEntries(entries []changeWire) []storeclient.Change {
-	var out []storeclient.Change
+func decodeEntries(entries []changeWire) (out []storeclient.Change, references []replicator.Reference) {
 	for _, e := range entries {
+		if e.Deferred {
+			references = append(references, replicator.Reference{Key: e.Key, Revision: e.Revision, Size: max(e.Size, 0)})
+			continue
+		}
 		out = append(out, storeclient.Change{Entry: storeclient.Entry{Key: e.Key, Value: e.Value, Revision: e.Revision}, Deleted: e.Deleted})
 	}
-	return out
+	return out, references
 }
 
 // stalledWire reports that the requests at a group's head are stalled.
--- a/replicator/action.go
+++ b/replicator/action.go
@@ -6,7 +6,8 @@
 	"amaranthmill/storeclient"
 )
 
-// Action is an output of a Core: List, Watch, QueryPeers, WakeAt, NotifyChanges, Health or Contact.
+// Action is an output of a Core: List, Watch, QueryPeers, FetchValue, WakeAt, NotifyChanges,
+// Health or Contact.
 type Action interface{ action() }
 
 // Call identifies a call to the store. Its answer or failure is reported with the same Call. All calls
--- a/replicator/core.go
+++ b/replicator/core.go
@@ -31,8 +31,10 @@
 	urgent bool
 
 	entries      map[string]storeclient.Entry
-	removed      []storeclient.Change // the latest maxRemovals removals, in order of revision
-	removalFloor uint64               // removals up to this revision may be missing from removed
+	missing      map[string]*missingValue // values of which only references are known, by key
+	fetches      uint64                   // number of the last fetch of a value
+	removed      []storeclient.Change     // the latest maxRemovals removals, in order of revision
+	removalFloor uint64                   // removals up to this revision may be missing from removed
 	revision     uint64
 	listed       bool // the entries are complete as of revision
 	fromPeer     bool // the entries came from a peer and have to be confirmed by a list from the store
@@ -57,7 +59,7 @@
 	return &Core{
 		minInterval: cfg.MinInterval, urgentInterval: cfg.UrgentInterval, backoff: cfg.Backoff, maxBackoff: cfg.MaxBackoff, peerInterval: cfg.PeerInterval,
 		contactTime: cfg.ContactTime, answerTimeout: cfg.AnswerTimeout,
-		entries: map[string]storeclient.Entry{},
+		entries: map[string]storeclient.Entry{}, missing: map[string]*missingValue{},
 	}
 }
 
@@ -86,6 +88,10 @@
 		return c.handleWatch(now, e)
 	case Failed:
 		return c.handleFailure(now, e)
+	case ValueFetched:
+		return c.handleValue(now, e)
+	case ValueFailed:
+		return c.handleValueFailure(now, e)
 	case PeerAnswered:
 		return c.handleUpdate(now, e.Update)
 	case Ticked:
@@ -115,7 +121,7 @@
 		c.removalFloor = e.Snapshot.Revision
 	}
 	out := c.handleSuccess(now, 0, e.Call)
-	out = append(out, c.replaceEntries(e.Snapshot)...)
+	out = append(out, c.replaceEntries(now, e.Snapshot)...)
 	c.listed, c.fromPeer = true, false
 	return append(out, c.scheduleCall(now)...)
 }
@@ -125,7 +131,8 @@
 		return nil // it may hold entries that have been removed since
 	}
 	out := c.handleSuccess(now, e.Age, e.Call)
-	out = append(out, c.applyChanges(e.Changes)...)
+	out = append(out, c.applyChanges(now, e.Changes)...)
+	out = append(out, c.applyReferences(now, e.References)...)
 	return append(out, c.scheduleCall(now)...)
 }
 
@@ -241,10 +248,16 @@
 		return out
 	}
 	if !u.Complete {
-		return append(out, c.applyChanges(storeclient.Changes{Revision: u.Revision, Entries: u.Entries})...)
+		out = append(out, c.applyChanges(now, storeclient.Changes{Revision: u.Revision, Entries: u.Entries})...)
+	} else {
+		c.fromPeer = true
+		out = append(out, c.replaceEntries(now, u.snapshot(), u.References...)...)
 	}
-	c.fromPeer = true
-	return append(out, c.replaceEntries(u.snapshot())...)
+	if len(u.References) == 0 {
+		return out
+	}
+	out = append(out, c.applyReferences(now, u.References)...)
+	return append(out, c.scheduleWake()...)
 }
 
 func (c *Core) handleTick(now time.Time) []Action {
@@ -254,19 +267,23 @@
 	}
 	if !c.nextQueryAt.IsZero() && !now.Before(c.nextQueryAt) {
 		c.nextQueryAt = now.Add(c.peerInterval)
-		out = append(out, QueryPeers{After: c.revision})
+		out = append(out, QueryPeers{After: c.completeRevision()})
 	}
 	if !c.nextCallAt.IsZero() && !now.Before(c.nextCallAt) {
 		out = append(out, c.startCall(now)...)
 	}
+	out = append(out, c.startFetches(now)...)
 	return append(out, c.scheduleWake()...)
 }
 
-// scheduleWake requests a tick at the earlier of the next call and the next query to peers, if one is due.
+// scheduleWake requests a tick at the earliest of the next call, the next query to peers and the next fetch
+// of a value, if one is due.
 func (c *Core) scheduleWake() []Action {
 	at := c.nextCallAt
-	if at.IsZero() || (!c.nextQueryAt.IsZero() && c.nextQueryAt.Before(at)) {
-		at = c.nextQueryAt
+	for _, next := range []time.Time{c.nextQueryAt, c.nextFetchAt()} {
+		if at.IsZero() || (!next.IsZero() && next.Before(at)) {
+			at = next
+		}
 	}
 	if at.IsZero() {
 		return nil
--- a/replicator/entries.go
+++ b/replicator/entries.go
@@ -3,16 +3,22 @@
 import (
 	"maps"
 	"slices"
+	"time"
 
 	"amaranthmill/storeclient"
 )
 
-// replaceEntries replaces the entries by a complete list. It keeps entries with a later revision.
-func (c *Core) replaceEntries(s storeclient.Snapshot) []Action {
+// replaceEntries replaces the entries by a complete list. It keeps entries with a later revision, and those
+// of which the list has a reference.
+func (c *Core) replaceEntries(now time.Time, s storeclient.Snapshot, references ...Reference) []Action {
 	var changes []storeclient.Change
 	listed := make(map[string]bool, len(s.Entries))
+	for _, r := range references {
+		listed[r.Key] = true
+	}
 	for _, e := range s.Entries {
 		listed[e.Key] = true
+		c.dropMissing(e.Key, e.Revision)
 		if old, ok := c.entries[e.Key]; !ok || old.Revision < e.Revision {
 			c.entries[e.Key] = e
 			changes = append(changes, storeclient.Change{Entry: e})
@@ -24,6 +30,12 @@
 			changes = append(changes, removal)
 			c.recordRemoval(removal)
 			delete(c.entries, key)
+			c.restartFetch(now, key)
+		}
+	}
+	for _, key := range slices.Sorted(maps.Keys(c.missing)) {
+		if !listed[key] && c.dropMissing(key, s.Revision) {
+			c.recordRemoval(storeclient.Change{Entry: storeclient.Entry{Key: key, Revision: s.Revision}, Deleted: true})
 		}
 	}
 	c.revision = max(c.revision, s.Revision)
@@ -31,16 +43,21 @@
 }
 
 // applyChanges applies the changes of a watch. It ignores changes older than the stored entry.
-func (c *Core) applyChanges(w storeclient.Changes) []Action {
+func (c *Core) applyChanges(now time.Time, w storeclient.Changes) []Action {
 	var changes []storeclient.Change
 	for _, ch := range w.Entries {
+		wasMissing := c.dropMissing(ch.Key, ch.Revision)
 		old, ok := c.entries[ch.Key]
+		if !ok && ch.Deleted && wasMissing {
+			c.recordRemoval(ch) // followers may know the reference
+		}
 		if ok && old.Revision >= ch.Revision || !ok && ch.Deleted {
 			continue
 		}
 		if ch.Deleted {
 			delete(c.entries, ch.Key)
 			c.recordRemoval(ch)
+			c.restartFetch(now, ch.Key)
 		} else {
 			c.entries[ch.Key] = ch.Entry
 		}
--- a/replicator/event.go
+++ b/replicator/event.go
@@ -6,7 +6,8 @@
 	"amaranthmill/storeclient"
 )
 
-// Event is an input of a Core: Started, UrgentSet, Listed, Watched, Failed, PeerAnswered or Ticked.
+// Event is an input of a Core: Started, UrgentSet, Listed, Watched, Failed, PeerAnswered,
+// ValueFetched, ValueFailed or Ticked.
 type Event interface{ event() }
 
 // Started makes the Core request the first list.
@@ -21,9 +22,10 @@
 // Watched is the answer to a Watch action. Age is the time since the store's answer from which the
 // changes come; it is zero if the store itself has just answered.
 type Watched struct {
-	Changes storeclient.Changes
-	Age     time.Duration
-	Call    Call // of the Watch action
+	Changes    storeclient.Changes
+	References []Reference // to large values that changed
+	Age        time.Duration
+	Call       Call // of the Watch action
 }
 
 // Failed reports that a call failed.
--- a/replicator/replicator.go
+++ b/replicator/replicator.go
@@ -36,6 +36,16 @@
 	Watch(ctx context.Context, after uint64) (PeerChanges, error)
 }
 
+// PollingUpstream is an Upstream that can be queried without waiting. A Replicator whose watch is overdue queries it
+// before the store, so that an instance with a narrow link does not need the store when the peer that it
+// follows dies.
+type PollingUpstream interface {
+	Upstream
+	// Poll returns the changes after a revision from a peer whose answer is not overdue. Its errors are those of
+	// Watch.
+	Poll(ctx context.Context, after uint64) (PeerChanges, error)
+}
+
 // NoPeerError reports that there is currently no peer to follow.
 type NoPeerError struct{}
 
@@ -44,7 +54,8 @@
 // PeerChanges are what a replica returns to a peer that follows it.
 type PeerChanges struct {
 	storeclient.Changes
-	Age time.Duration // since the store's last answer, to the replica or to the one that it follows
+	References []Reference   // to large values that changed, whose values the follower fetches
+	Age        time.Duration // since the store's last answer, to the replica or to the one that it follows
 }
 
 // StaleError reports that a peer can't follow this replica, because the store has not answered
@@ -68,6 +79,9 @@
 	OnHealth  func(Health)               // may be nil
 	OnContact func(Contact)              // the store answers a peer; may be nil
 
+	Values  ValueSource        // fetches the values of references; nil if Upstream and Peers return no references
+	OnValue func(ValueArrival) // a value that was fetched is about to be applied; may be nil
+
 	MinInterval    time.Duration // between two calls to the store; 300 ms
 	UrgentInterval time.Duration // replaces MinInterval while changes are urgent; 100 ms
 	Backoff        time.Duration // delay after the first failure, doubled for each consecutive one; 100 ms
@@ -79,7 +93,8 @@
 	Logger zerolog.Logger
 }
 
-// Replicator drives a Core. UpdateSince, Watch and SetUrgent are safe for concurrent use.
+// Replicator drives a Core. UpdateSince, UpdateWithReferences, Watch, WatchReferences, Value and SetUrgent are
+// safe for concurrent use.
 type Replicator struct {
 	cfg    Config
 	events chan Event
@@ -87,7 +102,8 @@
 
 	mu       sync.Mutex // guards the fields below
 	core     *Core
-	answered chan struct{} // closed and replaced at each answer of the store and each change of the replica's revision
+	answered chan struct{} // closed and replaced at each answer of the store and each change of the replica
+	versions versions      // the last versions of large values
 }
 
 // New returns a Replicator for cfg.
@@ -100,7 +116,11 @@
 func (r *Replicator) UpdateSince(after uint64) Update {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	u := r.core.UpdateSince(after)
+	return r.addContact(r.core.UpdateSince(after))
+}
+
+// addContact returns u with for how long the store has answered this replica. r.mu is held.
+func (r *Replicator) addContact(u Update) Update {
 	now := time.Now()
 	if contact, ok := r.core.Contact(now); ok {
 		u.IsInContact, u.ContactTime, u.AnswerAge = true, contact.Until.Sub(contact.Since), now.Sub(contact.Until)
@@ -112,13 +132,21 @@
 // shows that there are none, and returns them to a peer that follows this replica. It does not
 // wait longer than the replica is fresh. Its error is *StaleError.
 func (r *Replicator) Watch(ctx context.Context, after uint64, wait time.Duration) (PeerChanges, error) {
+	return r.watch(ctx, after, wait, func() (PeerChanges, bool) {
+		changes, known := r.core.ChangesSince(after)
+		return PeerChanges{Changes: changes}, known
+	})
+}
+
+// watch does what Watch does with the changes that changesSince returns, which is called with r.mu held.
+func (r *Replicator) watch(ctx context.Context, after uint64, wait time.Duration, changesSince func() (PeerChanges, bool)) (PeerChanges, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
 	var firstAnswer time.Time
 	for {
 		r.mu.Lock()
 		answered, answeredAt, revision := r.answered, r.core.AnsweredAt(), r.core.Revision()
-		changes, known := r.core.ChangesSince(after)
+		changes, known := changesSince()
 		r.mu.Unlock()
 		now := time.Now()
 		age := now.Sub(answeredAt)
@@ -129,7 +157,8 @@
 			firstAnswer = answeredAt
 		}
 		if revision > after || answeredAt.After(firstAnswer) || ctx.Err() != nil {
-			return PeerChanges{Changes: changes, Age: age}, nil
+			changes.Age = age
+			return changes, nil
 		}
 		awaitAnswer(ctx, answered, maxAnswerAge-age)
 	}
@@ -175,7 +204,8 @@
 	r.mu.Lock()
 	revision, answeredAt := r.core.Revision(), r.core.AnsweredAt()
 	actions := r.core.Step(time.Now(), e)
-	if r.core.Revision() > revision || !r.core.AnsweredAt().Equal(answeredAt) {
+	hasNewValues := r.versions.add(actions)
+	if hasNewValues || r.core.Revision() > revision || !r.core.AnsweredAt().Equal(answeredAt) {
 		close(r.answered)
 		r.answered = make(chan struct{})
 	}
@@ -191,6 +221,8 @@
 		go r.submit(ctx, func() Event { return r.listStore(ctx, a.Call) })
 	case Watch:
 		go r.submit(ctx, func() Event { return r.watchChanges(ctx, a) })
+	case FetchValue:
+		go r.submit(ctx, func() Event { return r.fetchValue(ctx, a) })
 	case QueryPeers:
 		if r.cfg.Peers != nil {
 			go r.submit(ctx, func() Event { return PeerAnswered{Update: r.cfg.Peers.FetchUpdate(ctx, a.After)} })
@@ -250,8 +282,14 @@
 }
 
 // pollChanges asks the store first, because it answers at once if it can be reached, and the peer that
-// this replica follows otherwise.
+// this replica follows otherwise. While the store is not lost, a PollingUpstream comes before the store.
 func (r *Replicator) pollChanges(ctx context.Context, w Watch) Event {
+	if upstream, ok := r.cfg.Upstream.(PollingUpstream); ok && !r.isLost() {
+		ch, err := upstream.Poll(ctx, w.After)
+		if err == nil {
+			return Watched{Changes: ch.Changes, References: ch.References, Age: ch.Age, Call: w.Call}
+		}
+	}
 	ch, err := r.cfg.Store.Poll(ctx, "", w.After)
 	if err == nil {
 		return Watched{Changes: ch, Call: w.Call}
@@ -262,13 +300,20 @@
 	return r.classifyFailure(err, w.Call)
 }
 
+// isLost reports whether the store is lost or the replica incomplete.
+func (r *Replicator) isLost() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.core.AnsweredAt().IsZero()
+}
+
 // watchUpstream watches the peer that this replica follows. Its errors are those of Upstream.Watch.
 func (r *Replicator) watchUpstream(ctx context.Context, w Watch) (Event, error) {
 	if r.cfg.Upstream == nil {
 		return nil, &NoPeerError{}
 	}
 	ch, err := r.cfg.Upstream.Watch(ctx, w.After)
-	return Watched{Changes: ch.Changes, Age: ch.Age, Call: w.Call}, err
+	return Watched{Changes: ch.Changes, References: ch.References, Age: ch.Age, Call: w.Call}, err
 }
 
 // classifyFailure returns the event for a failed call. It logs most errors at debug level only,
--- a/replicator/update.go
+++ b/replicator/update.go
@@ -17,6 +17,7 @@
 	ContactTime time.Duration // for which it has answered the replica, or peers of which that knows, without interruption until its last answer to the replica
 	AnswerAge   time.Duration // since that answer
 	Entries     []storeclient.Change
+	References  []Reference // to values that the replica itself is missing; nil for a peer that does not know references
 }
 
 func (u Update) snapshot() storeclient.Snapshot {
@@ -30,15 +31,20 @@
 }
 
 // UpdateSince returns what the replica holds beyond a revision: the changes if all of them are
-// still known, and otherwise the complete replica.
+// still known, and otherwise the complete replica. Its Revision lies before the first value that is missing, so
+// that the receiver does not skip that value.
 func (c *Core) UpdateSince(after uint64) Update {
-	if c.revision <= after {
+	if c.completeRevision() <= after {
 		return Update{}
 	}
+	return c.updateSince(after)
+}
+
+func (c *Core) updateSince(after uint64) Update {
 	if changes, ok := c.ChangesSince(after); ok {
 		return Update{Revision: changes.Revision, Entries: changes.Entries}
 	}
-	u := Update{Revision: c.revision, Complete: true}
+	u := Update{Revision: c.completeRevision(), Complete: true}
 	for _, key := range slices.Sorted(maps.Keys(c.entries)) {
 		u.Entries = append(u.Entries, storeclient.Change{Entry: c.entries[key]})
 	}
@@ -58,12 +64,13 @@
 }
 
 // ChangesSince returns the changes after a revision, sorted by revision, or false if the replica no
-// longer knows all of them.
+// longer knows all of them. Their Revision lies before the first value that is missing, so that a follower
+// asks for that value again; changes after it are included, because none of them waits for another one.
 func (c *Core) ChangesSince(after uint64) (storeclient.Changes, bool) {
 	if after < c.removalFloor || !c.listed {
 		return storeclient.Changes{}, false
 	}
-	out := storeclient.Changes{Revision: c.revision}
+	out := storeclient.Changes{Revision: c.completeRevision()}
 	for _, e := range c.entries {
 		if e.Revision > after {
 			out.Entries = append(out.Entries, storeclient.Change{Entry: e})
--- a/runner/hosted.go
+++ b/runner/hosted.go
@@ -68,6 +68,7 @@
 	metrics       http.Handler
 	store         *storeclient.Client
 	storeMeters   *storeMeters
+	valueMeters   *valueMeters
 	replica       *replicator.Replicator
 	resolver      *resolver.Resolver
 	requester     *requester.Requester
@@ -91,7 +92,7 @@
 	if h.meter, h.metrics, err = newMeter(); err != nil {
 		return nil, err
 	}
-	h.storeMeters = newStoreMeters(h.meter)
+	h.storeMeters, h.valueMeters = newStoreMeters(h.meter), newValueMeters(h.meter)
 	h.store = h.newStore()
 	h.requester = requester.New(requester.Config{IdentityHeader: platform.Headers{}.IdentityHeader(), SourceAddress: s.SourceAddress})
 	h.forwarder = h.newForwarder()
@@ -100,10 +101,10 @@
 	h.quarantine = newQuarantine(h)
 	h.view = newView(h)
 	h.messenger = h.newMessenger()
-	h.upstream = &upstream{hosted: h, failedAt: map[identifier.Instance]time.Time{}}
+	h.upstream = &upstream{hosted: h, failedAt: map[identifier.Instance]time.Time{}, pending: map[identifier.Instance]int{}}
 	h.replica = replicator.New(replicator.Config{
 		Store: h.store, Peers: h.messenger, Upstream: h.upstream, OnChange: h.view.applyChanges, OnHealth: h.view.setStoreHealth,
-		OnContact: h.view.recordContact, Logger: logger,
+		OnContact: h.view.recordContact, Values: h.upstream, OnValue: h.valueMeters.countArrival, Logger: logger,
 	})
 	h.newLeases()
 	return h, nil
@@ -150,7 +151,8 @@
 			return h.replica.Watch(ctx, after, wait)
 		},
 		UpdateSince: func(after uint64) replicator.Update { return h.replica.UpdateSince(after) },
-		Report:      h.groupFormer.queryEngineForPeer, CheckConnection: h.checkConnectionForPeer, OnStalled: h.groupFormer.submitStall, OnLeaving: h.groupFormer.submitPeerLeaving, Leaving: h.leaving.list,
+		Values:      h.replicaValues(), OnTransfer: h.valueMeters.countTransfer,
+		Report: h.groupFormer.queryEngineForPeer, CheckConnection: h.checkConnectionForPeer, OnStalled: h.groupFormer.submitStall, OnLeaving: h.groupFormer.submitPeerLeaving, Leaving: h.leaving.list,
 		OnLimits: h.forwarder.ReportLimits,
 		OnLosses: func(r quarantiner.Report) { h.quarantine.step.Submit(quarantiner.ReportReceived{Report: r}) },
 		Reach:    h.forwarder.Reach, Quarantines: h.listQuarantines, Lift: h.liftQuarantine,
@@ -166,7 +168,7 @@
 	process := fmt.Sprintf("%s/%d", s.Instance, time.Now().UnixNano())
 	h.instanceLease = leaser.New(leaser.Config{
 		Platform: h.store, Key: instancePrefix + string(s.Instance), Owner: string(s.Instance) + "/",
-		Token: fmt.Sprintf("%s %s %s", process, s.Listen.Peers, s.FailureDomain), TTL: max(instanceTTL, s.Store.LeaseMin.Std()),
+		Token: fmt.Sprintf("%s %s %s", process, s.Listen.Peers, s.FailureDomain) + linkWord(s.Machine.LinkMbps), TTL: max(instanceTTL, s.Store.LeaseMin.Std()),
 		OnHold: func(leaser.Hold) {}, ReleaseTimeout: s.Bounds.StopLimit.Std(),
 	})
 	h.formingLease = leaser.New(leaser.Config{
--- a/runner/hosted_upstream.go
+++ b/runner/hosted_upstream.go
@@ -9,6 +9,7 @@
 	"amaranthmill/internal/identifier"
 	"amaranthmill/messenger"
 	"amaranthmill/replicator"
+	"amaranthmill/storeclient"
 )
 
 const (
@@ -16,8 +17,12 @@
 	followRetryDelay = 5 * time.Second // after a failed watch of a peer, before that peer is followed again
 )
 
-// upstream follows the replica of another instance in the local failure domain, so that only one
-// instance of each failure domain queries the store. It implements replicator.Upstream.
+// maxParentAttempts bounds the peers that one call tries in the tree by link bandwidth.
+const maxParentAttempts = 3
+
+// upstream follows the replica of another instance in the local failure domain, so that only one or two
+// instances of each failure domain query the store. It implements replicator.PollingUpstream and
+// replicator.ValueSource.
 type upstream struct {
 	hosted *hosted
 
@@ -25,6 +30,7 @@
 	followed identifier.Instance               // the peer that answered the last watch; empty for the store
 	direct   bool                              // this instance needs changes without delay and follows no peer
 	failedAt map[identifier.Instance]time.Time // last failed watch of each peer
+	pending  map[identifier.Instance]int       // watches of each peer that have not ended
 }
 
 // setDirect sets whether this instance always queries the store itself.
@@ -35,24 +41,108 @@
 }
 
 // Watch returns the changes after a revision from the peer that this instance follows. Its error is
-// *replicator.NoPeerError if the instance follows no peer or after is zero, and otherwise that of the exchange.
+// *replicator.NoPeerError if the instance follows no peer or after is zero, and otherwise that of the exchange. In the
+// tree by link bandwidth, the next peer takes the place of one that does not answer; it does not wait for
+// changes, because the last answer of the store may be old by then.
 func (u *upstream) Watch(ctx context.Context, after uint64) (replicator.PeerChanges, error) {
-	peer, ok := u.selectPeer()
-	if !ok || after == 0 {
-		u.setFollowed("")
+	var err error = &replicator.NoPeerError{}
+	fetch := u.hosted.messenger.WatchPeer
+	for range maxParentAttempts {
+		peer, byLink, ok := u.selectPeer()
+		if !ok || after == 0 {
+			break
+		}
+		var changes replicator.PeerChanges
+		if changes, err = u.follow(ctx, peer, after, fetch); err == nil || !byLink || ctx.Err() != nil {
+			return changes, err
+		}
+		fetch = u.hosted.messenger.PollPeer
+	}
+	u.setFollowed("")
+	return replicator.PeerChanges{}, err
+}
+
+// Poll returns the changes after a revision from another peer than those whose watch is overdue, which are not
+// followed for a time. Its error is *replicator.NoPeerError if there is none or the tree is not by link bandwidth.
+func (u *upstream) Poll(ctx context.Context, after uint64) (replicator.PeerChanges, error) {
+	if _, byLink, ok := u.selectPeer(); !ok || !byLink || after == 0 {
 		return replicator.PeerChanges{}, &replicator.NoPeerError{}
 	}
-	changes, err := u.hosted.messenger.WatchPeer(ctx, peer, after)
+	u.mu.Lock()
+	for name := range u.pending {
+		u.failedAt[name] = time.Now()
+	}
+	u.mu.Unlock()
+	peer, _, ok := u.selectPeer()
+	if !ok {
+		return replicator.PeerChanges{}, &replicator.NoPeerError{}
+	}
+	return u.follow(ctx, peer, after, u.hosted.messenger.PollPeer)
+}
+
+// follow fetches the changes after a revision from peer and records whether it answered.
+func (u *upstream) follow(ctx context.Context, peer messenger.Peer, after uint64, fetch func(context.Context, messenger.Peer, uint64) (replicator.PeerChanges, error)) (replicator.PeerChanges, error) {
+	u.mu.Lock()
+	u.pending[peer.Instance]++
+	u.mu.Unlock()
+	changes, err := fetch(ctx, peer, after)
+	u.mu.Lock()
+	if u.pending[peer.Instance]--; u.pending[peer.Instance] == 0 {
+		delete(u.pending, peer.Instance)
+	}
+	if err != nil {
+		u.failedAt[peer.Instance] = time.Now()
+	}
+	u.mu.Unlock()
 	if err == nil {
 		u.setFollowed(peer.Instance)
 		return changes, nil
 	}
 	u.setFollowed("")
 	u.hosted.logger.Debug().Err(err).Str("peer", string(peer.Instance)).Msg("peer not followed")
+	return replicator.PeerChanges{}, err
+}
+
+// maxValuePeers bounds the peers that are tried for a value before the store.
+const maxValuePeers = 2
+
+// FetchValue fetches the value of a reference from the peer that this instance follows, from another one if that
+// fails, and finally from the store.
+func (u *upstream) FetchValue(ctx context.Context, r replicator.Reference, base storeclient.Entry) (storeclient.Entry, error) {
+	for _, peer := range u.valuePeers() {
+		e, err := u.hosted.messenger.FetchValue(ctx, peer, r, base)
+		if err == nil {
+			return e, nil
+		}
+		u.hosted.logger.Debug().Err(err).Str("peer", string(peer.Instance)).Str("key", r.Key).Uint64("revision", r.Revision).Msg("value not fetched from peer")
+	}
+	e, err := u.hosted.store.GetAtLeast(ctx, r.Key, r.Revision)
+	if err == nil {
+		u.hosted.logger.Info().Str("key", r.Key).Uint64("revision", e.Revision).Int("size", len(e.Value)).Msg("value fetched from the store, because no peer has returned it")
+	}
+	return e, err
+}
+
+// valuePeers returns the peers to fetch a value from, in the order in which to try them: the one that this instance
+// follows, and those that precede it in the tree.
+func (u *upstream) valuePeers() []messenger.Peer {
+	domainInstances := u.domainInstances()
+	if knowsLinks(domainInstances) {
+		domainInstances = newLinkTree(domainInstances).instances
+	}
+	own := slices.IndexFunc(domainInstances, func(p messenger.Peer) bool { return p.Instance == u.hosted.settings.Instance })
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.failedAt[peer.Instance] = time.Now()
-	return replicator.PeerChanges{}, err
+	var out []messenger.Peer
+	for _, p := range domainInstances[:own] {
+		switch {
+		case p.Instance == u.followed:
+			out = slices.Insert(out, 0, p)
+		case time.Since(u.failedAt[p.Instance]) >= followRetryDelay:
+			out = append(out, p)
+		}
+	}
+	return out[:min(len(out), maxValuePeers)]
 }
 
 // setFollowed records and logs where this instance gets changes of the store from: from a peer, or
@@ -77,24 +167,43 @@
 	return (position - 1) / maxFollowers, true
 }
 
-// selectPeer returns the peer to follow, or false if there is none. The first instance of a
-// failure domain in the order of their names queries the store.
-func (u *upstream) selectPeer() (messenger.Peer, bool) {
+// domainInstances returns the instances of the local failure domain with this one, sorted by name.
+func (u *upstream) domainInstances() []messenger.Peer {
 	s := u.hosted.settings
-	domainInstances := []messenger.Peer{{Instance: s.Instance}}
+	out := []messenger.Peer{{Instance: s.Instance, LinkMbps: s.Machine.LinkMbps}}
 	for _, p := range u.hosted.peers.All() {
 		if p.FailureDomain == s.FailureDomain {
-			domainInstances = append(domainInstances, p)
+			out = append(out, p)
 		}
 	}
-	slices.SortFunc(domainInstances, messenger.Peer.Compare)
-	ownIndex := slices.IndexFunc(domainInstances, func(p messenger.Peer) bool { return p.Instance == s.Instance })
-	parent, follows := parentOf(ownIndex)
+	slices.SortFunc(out, messenger.Peer.Compare)
+	return out
+}
+
+// selectPeer returns the peer to follow, and whether the tree is by link bandwidth, or false if there is none.
+// In the tree by name, the first instance of a failure domain queries the store. In the tree by link
+// bandwidth, peers whose watch has failed recently have no place, so that others take over their
+// followers.
+func (u *upstream) selectPeer() (peer messenger.Peer, byLink, ok bool) {
+	s := u.hosted.settings
+	domainInstances := u.domainInstances()
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	if u.direct || !follows {
-		return messenger.Peer{}, false
+	if u.direct {
+		return messenger.Peer{}, false, false
+	}
+	if knowsLinks(domainInstances) {
+		reachable := slices.DeleteFunc(domainInstances, func(p messenger.Peer) bool {
+			return p.Instance != s.Instance && time.Since(u.failedAt[p.Instance]) < followRetryDelay
+		})
+		peer, ok = newLinkTree(reachable).parent(messenger.Peer{Instance: s.Instance})
+		return peer, true, ok
+	}
+	ownIndex := slices.IndexFunc(domainInstances, func(p messenger.Peer) bool { return p.Instance == s.Instance })
+	parent, follows := parentOf(ownIndex)
+	if !follows {
+		return messenger.Peer{}, false, false
 	}
-	peer := domainInstances[parent]
-	return peer, time.Since(u.failedAt[peer.Instance]) >= followRetryDelay
+	peer = domainInstances[parent]
+	return peer, false, time.Since(u.failedAt[peer.Instance]) >= followRetryDelay
 }
--- a/runner/hosted_view.go
+++ b/runner/hosted_view.go
@@ -144,7 +144,7 @@
 }
 
 // addPeer adds a peer, unless it is this instance, from the value of its key, "<process> <address>
-// <failure domain> <lease>". It returns the failure domain, which is empty if the value has none.
+// <failure domain> [link=<Mbit/s>] <lease>". It returns the failure domain, which is empty if the value has none.
 func (v *view) addPeer(name identifier.Instance, value string) identifier.FailureDomain {
 	words := strings.Fields(value)
 	if len(words) < 3 {
@@ -159,7 +159,7 @@
 		v.hosted.logger.Warn().Err(err).Str("peer", string(name)).Msg("entry of a peer has no valid address, the peer is ignored")
 		return domain
 	}
-	v.hosted.peers.Set(messenger.Peer{Instance: name, FailureDomain: domain, Address: address})
+	v.hosted.peers.Set(messenger.Peer{Instance: name, FailureDomain: domain, Address: address, LinkMbps: parseLink(words[3:])})
 	return domain
 }
 
--- a/storeclient/entry.go
+++ b/storeclient/entry.go
@@ -18,6 +18,16 @@
 	return stored.entry(), nil
 }
 
+// GetAtLeast returns the entry of key at a revision or a later one. Its errors are *NotFoundError and
+// *UnavailableError, whose cause is *StaleError if the store returned an older one.
+func (c *Client) GetAtLeast(ctx context.Context, key string, revision uint64) (Entry, error) {
+	stored, err := c.get(ctx, key, revision)
+	if err != nil {
+		return Entry{}, err
+	}
+	return stored.entry(), nil
+}
+
 // get returns key as stored. It repeats the read if the answer is stale, that is, older than
 // revision atLeast.
 func (c *Client) get(ctx context.Context, key string, atLeast uint64) (StoredEntry, error) {
