--- a/replicator/session_test.go
+++ b/replicator/session_test.go
@@ -39,15 +39,25 @@
 	case "listed":
 		e = replicator.Listed{Snapshot: snapshot(ev), Call: s.callOf(ev)}
 	case "watched":
-		e = replicator.Watched{Changes: changes(ev), Call: s.callOf(ev)}
+		e = replicator.Watched{Changes: changes(ev), References: references(ev), Call: s.callOf(ev)}
+	case "value":
+		e = replicator.ValueFetched{Number: uint64(ev.Int("number")), Entry: storeclient.Entry{Key: ev.Str("key"), Revision: uint64(ev.Int("revision"))}}
+	case "noValue":
+		e = replicator.ValueFailed{Number: uint64(ev.Int("number")), Key: ev.Str("key")}
 	case "failed":
 		e = replicator.Failed{Compacted: ev.Bool("compacted"), NotSent: ev.Bool("notSent"), Call: s.callOf(ev)}
 	case "peer":
-		e = replicator.PeerAnswered{Update: replicator.Update{Revision: uint64(ev.Int("revision")), Complete: !ev.Bool("changes"), Entries: entries(ev), IsInContact: ev.Has("contact"), ContactTime: ev.Duration("contact"), AnswerAge: ev.Duration("age")}}
+		e = replicator.PeerAnswered{Update: replicator.Update{Revision: uint64(ev.Int("revision")), Complete: !ev.Bool("changes"), Entries: entries(ev), References: references(ev), IsInContact: ev.Has("contact"), ContactTime: ev.Duration("contact"), AnswerAge: ev.Duration("age")}}
 	case "pass":
 		return out, nil
 	case "update":
 		return append(out, s.update(uint64(ev.Int("revision")))), nil
+	case "updateWithReferences":
+		u := s.core.UpdateWithReferences(uint64(ev.Int("revision")))
+		return append(out, fmt.Sprintf("update: %s references %s at %d complete=%t", describe(u.Entries), describeReferences(u.References), u.Revision, u.Complete)), nil
+	case "referencesSince":
+		ch, refs, _ := s.core.ReferencesSince(uint64(ev.Int("revision")))
+		return append(out, fmt.Sprintf("since: %s references %s at %d", describe(ch.Entries), describeReferences(refs), ch.Revision)), nil
 	case "contact":
 		return append(out, s.contact(now)), nil
 	case "since":
@@ -106,6 +116,29 @@
 	return out
 }
 
+// references parses "key@revision" words joined by "+".
+func references(ev scripter.Event) []replicator.Reference {
+	var out []replicator.Reference
+	for word := range strings.SplitSeq(ev.Str("references"), "+") {
+		key, revision, ok := strings.Cut(word, "@")
+		if !ok {
+			continue
+		}
+		r := replicator.Reference{Key: key, Size: 1 << 20}
+		_, _ = fmt.Sscan(revision, &r.Revision)
+		out = append(out, r)
+	}
+	return out
+}
+
+func describeReferences(references []replicator.Reference) string {
+	var out []string
+	for _, r := range references {
+		out = append(out, fmt.Sprintf("%s@%d", r.Key, r.Revision))
+	}
+	return strings.Join(out, " ")
+}
+
 func snapshot(ev scripter.Event) storeclient.Snapshot {
 	s := storeclient.Snapshot{Revision: uint64(ev.Int("revision"))}
 	for _, ch := range entries(ev) {
@@ -130,6 +163,8 @@
 			if a.Poll {
 				line = fmt.Sprintf("poll after %d", a.After)
 			}
+		case replicator.FetchValue:
+			line = fmt.Sprintf("fetch %d %s@%d base %d", a.Number, a.Key, a.Revision, a.Base)
 		case replicator.QueryPeers:
 			line = fmt.Sprintf("query peers after %d", a.After)
 		case replicator.NotifyChanges:
