--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -155,8 +155,8 @@
 	if m.defersLarge(r) {
 		watch = m.cfg.Values.Watch
 	}
-	if r.URL.Query().Has(parameterPoll) {
-		wait = 0
+	if ms, err := strconv.Atoi(r.URL.Query().Get(parameterWait)); err == nil {
+		wait = min(max(time.Duration(ms)*time.Millisecond, 0), changesWait)
 	}
 	changes, err := watch(r.Context(), after, wait)
 	if err != nil {
@@ -174,12 +174,12 @@
 	return m.fetchChanges(ctx, p, m.withAfter(pathChanges, after))
 }
 
-// PollPeer returns the changes of a peer's replica after a revision without waiting for any. A peer that does
-// not know the call waits as in WatchPeer. Its errors are those of WatchPeer.
-func (m *Messenger) PollPeer(ctx context.Context, p Peer, after uint64) (replicator.PeerChanges, error) {
-	ctx, cancel := context.WithTimeout(ctx, m.cfg.Timeout)
+// WatchPeerFor is WatchPeer with a bound on the time for which the peer waits for changes, which peers of versions
+// before this call do not keep.
+func (m *Messenger) WatchPeerFor(ctx context.Context, p Peer, after uint64, wait time.Duration) (replicator.PeerChanges, error) {
+	ctx, cancel := context.WithTimeout(ctx, m.cfg.Timeout+wait)
 	defer cancel()
-	return m.fetchChanges(ctx, p, m.withAfter(pathChanges, after)+"&"+parameterPoll+"=1")
+	return m.fetchChanges(ctx, p, fmt.Sprintf("%s&%s=%d", m.withAfter(pathChanges, after), parameterWait, wait.Milliseconds()))
 }
 
 func (m *Messenger) fetchChanges(ctx context.Context, p Peer, path string) (replicator.PeerChanges, error) {
--- a/messenger/value.go
+++ b/messenger/value.go
@@ -21,7 +21,7 @@
 // Query parameters of the exchanges about the replica.
 const (
 	parameterDeferLarge = "deferLarge" // large values are returned as references
-	parameterPoll       = "poll"       // the answer does not wait for changes
+	parameterWait       = "waitMs"     // longest time for which the answer waits for changes
 )
 
 // Headers of an answer with a value. The body is the value, compressed by package differ.
--- a/runner/hosted_upstream.go
+++ b/runner/hosted_upstream.go
@@ -9,7 +9,8 @@
 	"amaranthmill/internal/identifier"
 	"amaranthmill/messenger"
 	"amaranthmill/replicator"
-	"amaranthmill/storeclient"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 const (
@@ -17,6 +18,11 @@
 	followRetryDelay = 5 * time.Second // after a failed watch of a peer, before that peer is followed again
 )
 
+// linkWatchWait is the longest time for which a peer holds a watch in the tree by link bandwidth. An instance notices
+// within this time and peerTimeout that the peer does not answer, and has a version from the next one in time. All
+// instances of that tree know the bound, because they name their links.
+const linkWatchWait = 400 * time.Millisecond
+
 // maxParentAttempts bounds the peers that one call tries in the tree by link bandwidth.
 const maxParentAttempts = 3
 
@@ -46,17 +52,19 @@
 // changes, because the last answer of the store may be old by then.
 func (u *upstream) Watch(ctx context.Context, after uint64) (replicator.PeerChanges, error) {
 	var err error = &replicator.NoPeerError{}
-	fetch := u.hosted.messenger.WatchPeer
-	for range maxParentAttempts {
+	for attempt := range maxParentAttempts {
 		peer, byLink, ok := u.selectPeer()
 		if !ok || after == 0 {
 			break
 		}
+		wait := time.Duration(0)
+		if attempt == 0 {
+			wait = linkWatchWait
+		}
 		var changes replicator.PeerChanges
-		if changes, err = u.follow(ctx, peer, after, fetch); err == nil || !byLink || ctx.Err() != nil {
+		if changes, err = u.follow(ctx, peer, after, byLink, wait); err == nil || !byLink || ctx.Err() != nil {
 			return changes, err
 		}
-		fetch = u.hosted.messenger.PollPeer
 	}
 	u.setFollowed("")
 	return replicator.PeerChanges{}, err
@@ -77,11 +85,18 @@
 	if !ok {
 		return replicator.PeerChanges{}, &replicator.NoPeerError{}
 	}
-	return u.follow(ctx, peer, after, u.hosted.messenger.PollPeer)
+	return u.follow(ctx, peer, after, true, 0)
 }
 
-// follow fetches the changes after a revision from peer and records whether it answered.
-func (u *upstream) follow(ctx context.Context, peer messenger.Peer, after uint64, fetch func(context.Context, messenger.Peer, uint64) (replicator.PeerChanges, error)) (replicator.PeerChanges, error) {
+// follow fetches the changes after a revision from peer and records whether it answered. In the tree by link
+// bandwidth, the peer waits for changes for at most wait.
+func (u *upstream) follow(ctx context.Context, peer messenger.Peer, after uint64, byLink bool, wait time.Duration) (replicator.PeerChanges, error) {
+	fetch := u.hosted.messenger.WatchPeer
+	if byLink {
+		fetch = func(ctx context.Context, p messenger.Peer, after uint64) (replicator.PeerChanges, error) {
+			return u.hosted.messenger.WatchPeerFor(ctx, p, after, wait)
+		}
+	}
 	u.mu.Lock()
 	u.pending[peer.Instance]++
 	u.mu.Unlock()
@@ -103,48 +118,6 @@
 	return replicator.PeerChanges{}, err
 }
 
-// maxValuePeers bounds the peers that are tried for a value before the store.
-const maxValuePeers = 2
-
-// FetchValue fetches the value of a reference from the peer that this instance follows, from another one if that
-// fails, and finally from the store.
-func (u *upstream) FetchValue(ctx context.Context, r replicator.Reference, base storeclient.Entry) (storeclient.Entry, error) {
-	for _, peer := range u.valuePeers() {
-		e, err := u.hosted.messenger.FetchValue(ctx, peer, r, base)
-		if err == nil {
-			return e, nil
-		}
-		u.hosted.logger.Debug().Err(err).Str("peer", string(peer.Instance)).Str("key", r.Key).Uint64("revision", r.Revision).Msg("value not fetched from peer")
-	}
-	e, err := u.hosted.store.GetAtLeast(ctx, r.Key, r.Revision)
-	if err == nil {
-		u.hosted.logger.Info().Str("key", r.Key).Uint64("revision", e.Revision).Int("size", len(e.Value)).Msg("value fetched from the store, because no peer has returned it")
-	}
-	return e, err
-}
-
-// valuePeers returns the peers to fetch a value from, in the order in which to try them: the one that this instance
-// follows, and those that precede it in the tree.
-func (u *upstream) valuePeers() []messenger.Peer {
-	domainInstances := u.domainInstances()
-	if knowsLinks(domainInstances) {
-		domainInstances = newLinkTree(domainInstances).instances
-	}
-	own := slices.IndexFunc(domainInstances, func(p messenger.Peer) bool { return p.Instance == u.hosted.settings.Instance })
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	var out []messenger.Peer
-	for _, p := range domainInstances[:own] {
-		switch {
-		case p.Instance == u.followed:
-			out = slices.Insert(out, 0, p)
-		case time.Since(u.failedAt[p.Instance]) >= followRetryDelay:
-			out = append(out, p)
-		}
-	}
-	return out[:min(len(out), maxValuePeers)]
-}
-
 // setFollowed records and logs where this instance gets changes of the store from: from a peer, or
 // from the store itself if peer is empty.
 func (u *upstream) setFollowed(peer identifier.Instance) {
@@ -196,7 +169,9 @@
 		reachable := slices.DeleteFunc(domainInstances, func(p messenger.Peer) bool {
 			return p.Instance != s.Instance && time.Since(u.failedAt[p.Instance]) < followRetryDelay
 		})
-		peer, ok = newLinkTree(reachable).parent(messenger.Peer{Instance: s.Instance})
+		if peer, ok = newLinkTree(reachable).parent(messenger.Peer{Instance: s.Instance}); !ok && s.Machine.LinkMbps < narrowLinkMbps {
+			peer, ok = u.selectRemotePeer()
+		}
 		return peer, true, ok
 	}
 	ownIndex := slices.IndexFunc(domainInstances, func(p messenger.Peer) bool { return p.Instance == s.Instance })
@@ -207,3 +182,22 @@
 	peer = domainInstances[parent]
 	return peer, false, time.Since(u.failedAt[peer.Instance]) >= followRetryDelay
 }
+
+// selectRemotePeer returns an instance with a wide link in another failure domain, or false if there is none. An instance
+// with a narrow link at the top of its tree follows it, because its link does not carry the versions of a large
+// configuration that the store sends in full. There is no loop, because an instance with a wide link only
+// follows one whose link is not narrower. u.mu is held.
+func (u *upstream) selectRemotePeer() (messenger.Peer, bool) {
+	s := u.hosted.settings
+	var best messenger.Peer
+	var bestRank uint64
+	for _, p := range u.hosted.peers.All() {
+		if p.FailureDomain == s.FailureDomain || p.LinkMbps < narrowLinkMbps || time.Since(u.failedAt[p.Instance]) < followRetryDelay {
+			continue
+		}
+		if rank := xxhash.Sum64String(string(s.Instance) + "/" + string(p.Instance)); best.Instance == "" || rank > bestRank {
+			best, bestRank = p, rank
+		}
+	}
+	return best, best.Instance != ""
+}
--- /dev/null
+++ b/runner/load_test.go
@@ -0,0 +1,515 @@
+package runner
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"amaranthmill/configurer"
+	"amaranthmill/internal/formatter"
+	"amaranthmill/internal/identifier"
+
+	"github.com/rs/zerolog"
+)
+
+// The load: the failure domain of a deployment in which a configuration that has grown to 1,640 routes changes ten
+// times per second.
+const (
+	loadRoutes      = 1640
+	loadVersions    = 40
+	loadInterval    = 100 * time.Millisecond
+	loadNarrow      = 35
+	loadNarrowMbps  = 14
+	loadWide        = 2
+	loadWideMbps    = 200
+	loadOneWayDelay = 1400 * time.Microsecond
+	callOverhead    = 350 // bytes of the headers of a call and of its answer, of each
+
+	inForceBound    = 1500 * time.Millisecond // from the store's acknowledgement of a version until it or a later one is in force
+	smallEntryBound = 300 * time.Millisecond  // from the parent having a small entry until its follower has it
+	applyCost       = 60 * time.Millisecond   // of decoding and putting in force one version at 0.134 cores, which virtual time does not count
+)
+
+// simulatedLink is the link of an instance in one direction. Bytes of all connections pass one after the other.
+type simulatedLink struct {
+	mbps  float64
+	mu    sync.Mutex // guards the fields below
+	until time.Time  // when the bytes that have been sent will have passed
+	bytes int64
+}
+
+// pass waits until n bytes have passed, or ctx ends.
+func (l *simulatedLink) pass(ctx context.Context, n int) error {
+	l.mu.Lock()
+	now := time.Now()
+	if l.until.Before(now) {
+		l.until = now
+	}
+	l.until = l.until.Add(time.Duration(float64(n*8) / l.mbps * float64(time.Microsecond)))
+	l.bytes += int64(n)
+	wait := l.until.Sub(now)
+	l.mu.Unlock()
+	return sleepContext(ctx, wait)
+}
+
+func (l *simulatedLink) total() int64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.bytes
+}
+
+func sleepContext(ctx context.Context, d time.Duration) error {
+	select {
+	case <-time.After(d):
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// loadNode is an instance with its links.
+type loadNode struct {
+	fleet    *loadFleet
+	name     string
+	hosted   *hosted
+	up, down simulatedLink
+	handler  http.Handler
+
+	mu      sync.Mutex // guards the fields below
+	dead    bool
+	silent  bool // calls of a dead instance have no answer; otherwise they are refused
+	isOld   bool // answers as the version before references did
+	seen    map[string]time.Time
+	storeIn int64 // bytes from the store
+}
+
+// loadFleet is a store and the instances of one failure domain.
+type loadFleet struct {
+	store *loadStore
+	nodes map[string]*loadNode // by address
+	order []*loadNode
+}
+
+// RoundTrip sends a request of a node to the store or another node over the links of both. It implements
+// http.RoundTripper.
+func (n *loadNode) RoundTrip(r *http.Request) (*http.Response, error) {
+	ctx := r.Context()
+	if n.isDead() {
+		return nil, fmt.Errorf("instance %s is dead", n.name)
+	}
+	if err := n.up.pass(ctx, callOverhead); err != nil {
+		return nil, err
+	}
+	if err := sleepContext(ctx, loadOneWayDelay); err != nil {
+		return nil, err
+	}
+	peer := n.fleet.nodes[r.URL.Host]
+	handler := http.Handler(n.fleet.store)
+	if peer != nil {
+		handler = peer.handler
+		if err := peer.checkAlive(ctx); err != nil {
+			return nil, err
+		}
+		if peer.isOld {
+			r = r.Clone(ctx)
+			r.URL.RawQuery = "after=" + r.URL.Query().Get("after")
+			if r.URL.Path == "/value" {
+				return &http.Response{StatusCode: http.StatusNotFound, Body: http.NoBody, Header: http.Header{}, Request: r}, nil
+			}
+		}
+		if err := peer.down.pass(ctx, callOverhead); err != nil {
+			return nil, err
+		}
+	}
+	answer := httptest.NewRecorder()
+	handler.ServeHTTP(answer, r)
+	body := answer.Body.Bytes()
+	if peer != nil {
+		if err := peer.checkAlive(ctx); err != nil {
+			return nil, err
+		}
+		if err := peer.up.pass(ctx, len(body)+callOverhead); err != nil {
+			return nil, err
+		}
+	}
+	if err := sleepContext(ctx, loadOneWayDelay); err != nil {
+		return nil, err
+	}
+	if err := n.down.pass(ctx, len(body)+callOverhead); err != nil {
+		return nil, err
+	}
+	if peer == nil {
+		n.mu.Lock()
+		n.storeIn += int64(len(body))
+		n.mu.Unlock()
+	}
+	return &http.Response{StatusCode: answer.Code, Header: answer.Header(), Body: io.NopCloser(bytes.NewReader(body)), ContentLength: int64(len(body)), Request: r}, nil
+}
+
+// checkAlive returns an error if the node is dead, at once or when ctx ends.
+func (n *loadNode) checkAlive(ctx context.Context) error {
+	n.mu.Lock()
+	dead, silent := n.dead, n.silent
+	n.mu.Unlock()
+	if dead && silent {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	if dead {
+		return fmt.Errorf("instance %s refuses connections", n.name)
+	}
+	return nil
+}
+
+// die ends the node; its calls have no answer, or are refused.
+func (n *loadNode) die(silent bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.dead, n.silent = true, silent
+}
+
+func (n *loadNode) isDead() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.dead
+}
+
+// storeBytes returns the bytes that the node has received from the store.
+func (n *loadNode) storeBytes() int64 {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.storeIn
+}
+
+// loadStore is a store that answers in the platform's dialect.
+type loadStore struct {
+	mu       sync.Mutex // guards the fields below
+	revision uint64
+	history  []loadItem
+	written  chan struct{} // closed and replaced at each write
+	down     bool
+}
+
+type loadItem struct {
+	Key       string `json:"key"`
+	Value     []byte `json:"value"`
+	Revision  uint64 `json:"revision"`
+	Tombstone bool   `json:"tombstone,omitempty"`
+}
+
+type loadAnswer struct {
+	Items         []loadItem `json:"items,omitempty"`
+	Events        []loadItem `json:"events,omitempty"`
+	StoreRevision uint64     `json:"storeRevision"`
+}
+
+func (s *loadStore) put(key string, value []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	s.history = append(s.history, loadItem{Key: key, Value: value, Revision: s.revision})
+	close(s.written)
+	s.written = make(chan struct{})
+}
+
+// latest returns the current entries.
+func (s *loadStore) latest() []loadItem {
+	byKey := map[string]int{}
+	var out []loadItem
+	for _, item := range s.history {
+		if i, ok := byKey[item.Key]; ok {
+			out[i] = item
+			continue
+		}
+		byKey[item.Key] = len(out)
+		out = append(out, item)
+	}
+	return out
+}
+
+func (s *loadStore) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	query := r.URL.Query()
+	after, _ := strconv.ParseUint(query.Get("after"), 10, 64)
+	wait, _ := strconv.Atoi(query.Get("waitMs"))
+	timeout := time.After(time.Duration(wait) * time.Millisecond)
+	for held := wait == 0; r.URL.Path == "/v1/kv-watch" && !held; {
+		s.mu.Lock()
+		revision, written := s.revision, s.written
+		s.mu.Unlock()
+		if revision > after {
+			break
+		}
+		select {
+		case <-written:
+		case <-timeout:
+			held = true
+		case <-r.Context().Done():
+			return
+		}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	var out any
+	switch r.URL.Path {
+	case "/v1/kv-range":
+		out = loadAnswer{Items: s.latest(), StoreRevision: s.revision}
+	case "/v1/kv-watch":
+		out = loadAnswer{Events: s.history[min(after, s.revision):], StoreRevision: s.revision}
+	default:
+		for _, item := range s.latest() {
+			if item.Key == query.Get("key") {
+				out = item
+			}
+		}
+	}
+	_ = json.NewEncoder(w).Encode(out)
+}
+
+// loadConfiguration returns a configuration with n routes, one of which differs in each version.
+func loadConfiguration(version, n int) []byte {
+	var b strings.Builder
+	fmt.Fprintf(&b, `{"version":%d,"routes":[`, version)
+	for i := range n {
+		if i > 0 {
+			b.WriteByte(',')
+		}
+		timeout := 8000
+		if i == version*37%n {
+			timeout = 7000 + version
+		}
+		fmt.Fprintf(&b, `{"name":"route-%04d","host":"h%03d.example","prefix":"/p%04d/","kind":"stream","timeoutMs":%d,"latencyGoalMs":300,"gapTargetMs":200,"priority":%d,"service":"guides","trafficSplit":[],"maxAttempts":2,"public":false,"sticky":true,"resumable":true}`,
+			i, i*7919%997, i, timeout, i%3)
+	}
+	b.WriteString(`],"services":[{"name":"guides","maxConns":100}],"limits":{},"tenants":[]}`)
+	return []byte(b.String())
+}
+
+// newLoadFleet starts the instances of the load. Those with wide links have the last names, so that the tree by name
+// would put narrow ones at the top.
+// The last one is in another failure domain.
+func newLoadFleet(ctx context.Context, t *testing.T, links []float64) *loadFleet {
+	f := &loadFleet{store: &loadStore{written: make(chan struct{})}, nodes: map[string]*loadNode{}}
+	f.store.put("op/config", loadConfiguration(1, loadRoutes-loadVersions))
+	for i, mbps := range links {
+		n := &loadNode{fleet: f, name: fmt.Sprintf("entry-%02d", i), up: simulatedLink{mbps: mbps}, down: simulatedLink{mbps: mbps}, seen: map[string]time.Time{}}
+		address := netip.MustParseAddrPort(fmt.Sprintf("10.0.0.%d:7", i+1))
+		f.nodes[address.String()] = n
+		f.order = append(f.order, n)
+		f.store.put(instancePrefix+n.name, fmt.Appendf(nil, "%s/1 %s %s%s 7", n.name, address, f.domainOf(i), linkWord(mbps)))
+	}
+	for i, n := range f.order {
+		n.start(ctx, t, f.domainOf(i), links[i])
+	}
+	return f
+}
+
+// domainOf returns the failure domain of an instance by its number.
+func (f *loadFleet) domainOf(i int) identifier.FailureDomain {
+	if i == loadNarrow+loadWide {
+		return "d2"
+	}
+	return "d1"
+}
+
+func (n *loadNode) start(ctx context.Context, t *testing.T, domain identifier.FailureDomain, mbps float64) {
+	s := &configurer.HostedSettings{Instance: identifier.Instance(n.name), FailureDomain: domain}
+	s.Machine.MemoryMB, s.Machine.LinkMbps = 136, mbps
+	s.Store.Address = netip.MustParseAddrPort("10.0.1.1:7")
+	s.Store.ReadsPerSecond, s.Store.WritesPerSecond, s.Store.LeaseMin = 1000, 1000, formatter.Duration(time.Second)
+	h, err := newHostedWith(s, zerolog.Nop(), func(netip.Addr, time.Duration) *http.Client { return &http.Client{Transport: n} })
+	if err != nil {
+		t.Fatal(err)
+	}
+	n.hosted, n.handler = h, h.messenger.Handler()
+	go func() { _ = h.replica.Run(ctx) }()
+	go func() { _ = h.view.run(ctx) }()
+}
+
+// hasKey reports whether the replica of the node has a version of a key at a revision or a later one.
+func (n *loadNode) hasKey(key string, revision uint64) bool {
+	_, err := n.hosted.replica.Value(context.Background(), key, revision, 0, 0)
+	return err == nil
+}
+
+// loadCase is a variant of the load.
+type loadCase struct {
+	name    string
+	disturb func(f *loadFleet) // in the middle of the load; may be nil
+}
+
+// TestLargeConfigurationOnNarrowLinks replays the load in virtual time with the program's own exchanges, trees and
+// views. Each version in full saturated the links of the instances, so that versions were in force past 3 s and
+// small entries came as late. In the variants, instances with wide links die, with and without refusing
+// connections. The followers must go over to the other one, or to one of another failure domain, in time, and not to the store.
+func TestLargeConfigurationOnNarrowLinks(t *testing.T) {
+	wide := func(f *loadFleet, i int) *loadNode { return f.order[loadNarrow+i] }
+	for _, c := range []loadCase{
+		{name: "undisturbed"},
+		{name: "refuses", disturb: func(f *loadFleet) { wide(f, 0).die(false) }},
+		{name: "silent", disturb: func(f *loadFleet) { wide(f, 0).die(true) }},
+		{name: "second silent", disturb: func(f *loadFleet) { wide(f, 1).die(true) }},
+		{name: "both refuse", disturb: func(f *loadFleet) {
+			wide(f, 0).die(false)
+			wide(f, 1).die(false)
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { playLoad(t, c) })
+		})
+	}
+}
+
+func playLoad(t *testing.T, c loadCase) {
+	ctx, cancel := context.WithCancel(t.Context())
+	links := make([]float64, loadNarrow+loadWide+1) // the last one is in another failure domain
+	for i := range links {
+		links[i] = loadNarrowMbps
+		if i >= loadNarrow {
+			links[i] = loadWideMbps
+		}
+	}
+	f := newLoadFleet(ctx, t, links)
+	time.Sleep(3 * time.Second)
+	f.expectVersion(t, 1, "before the load")
+	atStart := f.storeBytes()
+	if c.disturb != nil {
+		time.AfterFunc(loadVersions*loadInterval/2+13*time.Millisecond, func() { c.disturb(f) })
+	}
+	f.replay(t)
+	f.report(t, atStart)
+	cancel()
+	synctest.Wait()
+	time.Sleep(10 * time.Second) // calls without a context end
+}
+
+func (f *loadFleet) expectVersion(t *testing.T, version int, when string) {
+	for _, n := range f.order {
+		if got := int(n.hosted.resolver.Version()); got < version && !n.isDead() {
+			t.Errorf("%s: version %d is in force at %s, not %d", when, got, n.name, version)
+		}
+	}
+}
+
+func (f *loadFleet) storeBytes() map[*loadNode]int64 {
+	out := map[*loadNode]int64{}
+	for _, n := range f.order {
+		out[n] = n.storeBytes()
+	}
+	return out
+}
+
+// replay writes the versions and a small entry every 50 ms, and checks every 5 ms what is in force and what the replicas
+// have.
+func (f *loadFleet) replay(t *testing.T) {
+	type written struct {
+		at       time.Time
+		key      string
+		revision uint64
+		version  int // zero for a small entry
+	}
+	var writes []written
+	start := time.Now()
+	worst := map[string]time.Duration{}
+	parentHad := map[*loadNode]map[string]time.Time{}
+	inForce := map[*loadNode]map[int]bool{}
+	lastVersion := map[*loadNode]int{}
+	for _, n := range f.order {
+		parentHad[n], inForce[n] = map[string]time.Time{}, map[int]bool{}
+	}
+	for step := 0; time.Since(start) < loadVersions*loadInterval+inForceBound+time.Second; step++ {
+		if elapsed := time.Since(start); elapsed < loadVersions*loadInterval {
+			if step%20 == 0 {
+				version := 2 + step/20
+				f.store.put("op/config", loadConfiguration(version, loadRoutes-loadVersions+version))
+				writes = append(writes, written{at: time.Now(), key: "op/config", revision: f.store.revision, version: version})
+			}
+			if step%10 == 0 {
+				key := fmt.Sprintf("mill/loss/%d", step)
+				f.store.put(key, []byte("{}"))
+				writes = append(writes, written{at: time.Now(), key: key, revision: f.store.revision})
+			}
+		}
+		for _, n := range f.order {
+			if n.isDead() {
+				continue
+			}
+			version := int(n.hosted.resolver.Version())
+			if version < lastVersion[n] {
+				t.Fatalf("%s went back from version %d to %d", n.name, lastVersion[n], version)
+			}
+			lastVersion[n] = version
+			parent := f.parentOf(n)
+			for _, w := range writes {
+				late := time.Since(w.at)
+				switch {
+				case w.version > 0 && !inForce[n][w.version]:
+					if version >= w.version {
+						inForce[n][w.version] = true
+						worst["version in force"] = max(worst["version in force"], late)
+					} else if late+applyCost > inForceBound {
+						t.Errorf("%s: version %d is not in force after %v", n.name, w.version, late+applyCost)
+						inForce[n][w.version] = true
+					}
+				case w.version == 0 && parent != nil && !parent.isDead() && parentHad[n][w.key].IsZero() && parent.hasKey(w.key, w.revision):
+					parentHad[n][w.key] = time.Now()
+				}
+				if had := parentHad[n][w.key]; w.version == 0 && !had.IsZero() && n.seen[w.key].IsZero() {
+					late := time.Since(had)
+					if n.hasKey(w.key, w.revision) {
+						n.seen[w.key] = time.Now()
+						worst["small entry"] = max(worst["small entry"], late)
+					} else if late > smallEntryBound {
+						t.Errorf("%s: small entry %s is missing %v after the parent had it", n.name, w.key, late)
+						n.seen[w.key] = time.Now()
+					}
+				}
+			}
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	t.Logf("longest: version in force %v plus %v to apply it, small entry after its parent %v", worst["version in force"], applyCost, worst["small entry"])
+}
+
+// parentOf returns the node that n follows now, or nil for the store.
+func (f *loadFleet) parentOf(n *loadNode) *loadNode {
+	peer, _, ok := n.hosted.upstream.selectPeer()
+	if !ok {
+		return nil
+	}
+	return f.nodes[peer.Address.String()]
+}
+
+// report logs the bytes per link and checks that no instance with a narrow link has used the store.
+func (f *loadFleet) report(t *testing.T, atStart map[*loadNode]int64) {
+	var users []string
+	var narrowDown, narrowUp, wideDown, wideUp int64
+	for _, n := range f.order {
+		if n.down.mbps < loadWideMbps {
+			narrowDown, narrowUp = max(narrowDown, n.down.total()), max(narrowUp, n.up.total())
+			if n.storeBytes() > atStart[n] {
+				users = append(users, n.name)
+			}
+			continue
+		}
+		wideDown, wideUp = max(wideDown, n.down.total()), max(wideUp, n.up.total())
+	}
+	if len(users) > 0 {
+		t.Errorf("instances with narrow links have used the store during the load: %v", users)
+	}
+	t.Logf("largest bytes per link with the start: narrow %d down, %d up; wide %d down, %d up", narrowDown, narrowUp, wideDown, wideUp)
+}
