replicator: fleets with large values, and removals of entries that a replica never had

A replica that learned of a write and the removal of the entry at once did not keep the removal, so that a follower that had the entry from another replica kept it for good. It now keeps every removal that is news to it. A peer that does not know references is told no removal beyond its revision.

--- a/replicator/entries.go
+++ b/replicator/entries.go
@@ -48,8 +48,8 @@
 	for _, ch := range w.Entries {
 		wasMissing := c.dropMissing(ch.Key, ch.Revision)
 		old, ok := c.entries[ch.Key]
-		if !ok && ch.Deleted && wasMissing {
-			c.recordRemoval(ch) // followers may know the reference
+		if !ok && ch.Deleted && (wasMissing || ch.Revision > c.revision) {
+			c.recordRemoval(ch) // a follower may have the entry from another replica, or know a reference
 		}
 		if ok && old.Revision >= ch.Revision || !ok && ch.Deleted {
 			continue
--- a/replicator/reference.go
+++ b/replicator/reference.go
@@ -176,7 +176,7 @@
 // ReferencesSince returns the changes after a revision as ChangesSince does, but references in place of large
 // values and of values that are missing. Revision is that of the replica.
 func (c *Core) ReferencesSince(after uint64) (changes storeclient.Changes, references []Reference, ok bool) {
-	all, ok := c.ChangesSince(after)
+	all, ok := c.allChangesSince(after)
 	if !ok {
 		return storeclient.Changes{}, nil, false
 	}
@@ -198,7 +198,10 @@
 	if c.revision <= after {
 		return Update{}
 	}
-	u := c.updateSince(after)
+	u := c.completeUpdate()
+	if changes, ok := c.allChangesSince(after); ok {
+		u.Complete, u.Entries = false, changes.Entries
+	}
 	u.Revision, u.References = c.revision, c.missingSince(after)
 	return u
 }
--- a/replicator/update.go
+++ b/replicator/update.go
@@ -37,13 +37,14 @@
 	if c.completeRevision() <= after {
 		return Update{}
 	}
-	return c.updateSince(after)
-}
-
-func (c *Core) updateSince(after uint64) Update {
 	if changes, ok := c.ChangesSince(after); ok {
 		return Update{Revision: changes.Revision, Entries: changes.Entries}
 	}
+	return c.completeUpdate()
+}
+
+// completeUpdate returns the complete replica.
+func (c *Core) completeUpdate() Update {
 	u := Update{Revision: c.completeRevision(), Complete: true}
 	for _, key := range slices.Sorted(maps.Keys(c.entries)) {
 		u.Entries = append(u.Entries, storeclient.Change{Entry: c.entries[key]})
@@ -65,12 +66,22 @@
 
 // ChangesSince returns the changes after a revision, sorted by revision, or false if the replica no
 // longer knows all of them. Their Revision lies before the first value that is missing, so that a follower
-// asks for that value again; changes after it are included, because none of them waits for another one.
+// asks for that value again. Writes after it are included, because none of them waits for another one. Removals are
+// not: a follower that went over to a replica of a lower revision would get the entry again.
 func (c *Core) ChangesSince(after uint64) (storeclient.Changes, bool) {
+	out, ok := c.allChangesSince(after)
+	out.Revision = min(out.Revision, c.completeRevision())
+	out.Entries = slices.DeleteFunc(out.Entries, func(ch storeclient.Change) bool { return ch.Deleted && ch.Revision > out.Revision })
+	return out, ok
+}
+
+// allChangesSince returns all changes after a revision with the replica's revision, or false if the replica no longer
+// knows all of them.
+func (c *Core) allChangesSince(after uint64) (storeclient.Changes, bool) {
 	if after < c.removalFloor || !c.listed {
 		return storeclient.Changes{}, false
 	}
-	out := storeclient.Changes{Revision: c.completeRevision()}
+	out := storeclient.Changes{Revision: c.revision}
 	for _, e := range c.entries {
 		if e.Revision > after {
 			out.Entries = append(out.Entries, storeclient.Change{Entry: e})
