--- a/standin/cmd/standin/soak.go
+++ b/standin/cmd/standin/soak.go
@@ -24,6 +24,7 @@
 	Limits    bool          `long:"limits" description:"make engines name in their answers the requests per second that they take"`
 	Cuts      bool          `long:"cuts" description:"cut the paths between instances and all engines for a time"`
 	Leaving   bool          `long:"leaving" description:"make engines say in their answers that they leave, or that they want no requests for a time"`
+	Large     bool          `long:"large-configuration" description:"let the configuration grow to 1,640 routes and change ten times per second, beside the faults and after the last one"`
 	Length    time.Duration `long:"length" default:"8s" description:"how long faults come"`
 	Logs      string        `long:"logs" description:"a folder in which the logs of runs that failed are kept"`
 	Verbose   bool          `long:"verbose" description:"print the faults of each run"`
@@ -76,7 +77,7 @@
 		return false
 	}
 	report, err := soak.Run(soak.Config{
-		Binary: binary, Dir: dir, Seed: seed, Instances: c.Instances, Engines: c.Engines, Callers: c.Callers, Crashing: c.Crashing, CrashingPart: c.Part, Silences: c.Silences, Leaving: c.Leaving, Limits: c.Limits, Cuts: c.Cuts, Length: c.Length,
+		Binary: binary, Dir: dir, Seed: seed, Instances: c.Instances, Engines: c.Engines, Callers: c.Callers, Crashing: c.Crashing, CrashingPart: c.Part, Silences: c.Silences, Leaving: c.Leaving, Limits: c.Limits, Cuts: c.Cuts, Large: c.Large, Length: c.Length,
 	})
 	mu.Lock()
 	defer mu.Unlock()
--- a/standin/hosted/platform.go
+++ b/standin/hosted/platform.go
@@ -27,6 +27,7 @@
 	mu          sync.Mutex
 	engines     []*Engine
 	violations  []string
+	moreRoutes  int           // routes of PlainService in the configuration beside the usual ones
 	crashMarker string        // text in the body of requests that crash their engine; empty for none
 	crashPart   string        // ID of the part of prompts that crashes engines; empty for none
 	onCrash     func(*Engine) // replaces an engine that a request crashed
@@ -137,6 +138,17 @@
 	return out
 }
 
+// SetMoreRoutes sets how many routes of PlainService the next versions of the configuration have beside the usual
+// ones. MoreRoutePrefix returns their prefixes.
+func (p *Platform) SetMoreRoutes(n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.moreRoutes = n
+}
+
+// MoreRoutePrefix returns the prefix of a route by its number, from 0.
+func MoreRoutePrefix(n int) string { return fmt.Sprintf("/more/%d/", n) }
+
 // Configure writes a version of the configuration to the store, with the given API keys for
 // Account.
 func (p *Platform) Configure(version int, keys ...string) {
@@ -150,9 +162,15 @@
 			"service": service, "maxAttempts": attempts, "public": false, "sticky": kind == "stream", "resumable": kind == "stream",
 		}
 	}
+	routes := []any{route("guides", "/guides/", "stream", ModelService, 2), route("holds", "/holds/", "unsafe", PlainService, 2), route("lookups", "/lookups/", "safe", PlainService, 2)}
+	p.mu.Lock()
+	for n := range p.moreRoutes {
+		routes = append(routes, route(fmt.Sprintf("more-%d", n), MoreRoutePrefix(n), "safe", PlainService, 2))
+	}
+	p.mu.Unlock()
 	p.Store.Put("op/config", map[string]any{
 		"version": version,
-		"routes":  []any{route("guides", "/guides/", "stream", ModelService, 2), route("holds", "/holds/", "unsafe", PlainService, 2), route("lookups", "/lookups/", "safe", PlainService, 2)},
+		"routes":  routes,
 		"services": []any{
 			map[string]any{"name": ModelService, "maxConns": 100, "engine": map[string]any{
 				"slots": 8, "models": models, "loadsPerS": 50, "loads_at_once": 20, "keeps": 1, "formMs": formTime.Milliseconds(),
--- a/standin/hosted/settings.go
+++ b/standin/hosted/settings.go
@@ -19,7 +19,8 @@
 	Store      netip.AddrPort   // address of the store
 	Source     netip.Addr       // address of loopback from which the instance connects; the zero value leaves the choice to the system
 	StopLimit  time.Duration
-	RetrySlack int // retries that all instances together may accumulate
+	LinkMbps   float64 // bandwidth of the machine's link; zero if it is not known
+	RetrySlack int     // retries that all instances together may accumulate
 }
 
 // Encode returns the settings file of an instance.
@@ -29,7 +30,7 @@
 		"instance": s.Name, "failureDomain": "here", "sourceAddress": s.Source,
 		"listen":  object{"callers": s.Ports[0], "readiness": s.Ports[1], "readinessPath": "/ready", "peers": s.Ports[2], "metrics": s.Ports[3]},
 		"store":   object{"address": s.Store, "readsPerSecond": 2000, "writesPerSecond": 400, "leaseMin": "1s"},
-		"machine": object{"cores": 1, "memoryMB": 500},
+		"machine": object{"cores": 1, "memoryMB": 500, "linkMbps": s.LinkMbps},
 		"bounds":  object{"stopLimit": s.StopLimit.String(), "retryRatio": 0.2, "retrySlack": s.RetrySlack}, "firstStart": true,
 		"log": object{"level": "info"},
 	})
--- a/standin/soak/apply.go
+++ b/standin/soak/apply.go
@@ -78,6 +78,8 @@
 		s.changeKeys(f.Add)
 	case Reconfigure:
 		s.configure()
+	case GrowConfiguration:
+		s.growConfiguration()
 	}
 }
 
--- a/standin/soak/deployment.go
+++ b/standin/soak/deployment.go
@@ -122,7 +122,7 @@
 	if i.store, err = relayer.New(netip.MustParseAddrPort(s.platform.Address())); err != nil {
 		return err
 	}
-	text, err := hosted.InstanceSettings{Name: fmt.Sprintf("entry-%d", n), Ports: ports, Store: i.store.Address(), Source: sourceOf(n), StopLimit: stopLimit, RetrySlack: s.cfg.retrySlack()}.Encode()
+	text, err := hosted.InstanceSettings{Name: fmt.Sprintf("entry-%d", n), Ports: ports, Store: i.store.Address(), Source: sourceOf(n), StopLimit: stopLimit, RetrySlack: s.cfg.retrySlack(), LinkMbps: s.cfg.linkMbps(n)}.Encode()
 	if err != nil {
 		return err
 	}
--- a/standin/soak/fault.go
+++ b/standin/soak/fault.go
@@ -133,32 +133,36 @@
 
 	// Reconfigure writes a new version of the configuration with the same content.
 	Reconfigure struct{}
+
+	// GrowConfiguration writes a new version of the configuration with one more route.
+	GrowConfiguration struct{}
 )
 
-func (KillInstance) fault()   {}
-func (StopInstance) fault()   {}
-func (FreezeInstance) fault() {}
-func (ReloadSettings) fault() {}
-func (CutLink) fault()        {}
-func (DelayLink) fault()      {}
-func (ResetLink) fault()      {}
-func (SilenceLink) fault()    {}
-func (CrashEngine) fault()    {}
-func (DrainEngine) fault()    {}
-func (HideEngine) fault()     {}
-func (SlowEngine) fault()     {}
-func (DeafEngine) fault()     {}
-func (SilenceEngine) fault()  {}
-func (LeaveEngine) fault()    {}
-func (CloseEngine) fault()    {}
-func (LimitEngine) fault()    {}
-func (CutEndpoints) fault()   {}
-func (StoreDown) fault()      {}
-func (StoreSlow) fault()      {}
-func (StoreDeaf) fault()      {}
-func (Compact) fault()        {}
-func (ChangeKeys) fault()     {}
-func (Reconfigure) fault()    {}
+func (KillInstance) fault()      {}
+func (StopInstance) fault()      {}
+func (FreezeInstance) fault()    {}
+func (ReloadSettings) fault()    {}
+func (CutLink) fault()           {}
+func (DelayLink) fault()         {}
+func (ResetLink) fault()         {}
+func (SilenceLink) fault()       {}
+func (CrashEngine) fault()       {}
+func (DrainEngine) fault()       {}
+func (HideEngine) fault()        {}
+func (SlowEngine) fault()        {}
+func (DeafEngine) fault()        {}
+func (SilenceEngine) fault()     {}
+func (LeaveEngine) fault()       {}
+func (CloseEngine) fault()       {}
+func (LimitEngine) fault()       {}
+func (CutEndpoints) fault()      {}
+func (StoreDown) fault()         {}
+func (StoreSlow) fault()         {}
+func (StoreDeaf) fault()         {}
+func (Compact) fault()           {}
+func (ChangeKeys) fault()        {}
+func (Reconfigure) fault()       {}
+func (GrowConfiguration) fault() {}
 
 // LinkKind is the kind of a link, by the two sides that it connects.
 type LinkKind uint8
--- a/standin/soak/soak.go
+++ b/standin/soak/soak.go
@@ -27,6 +27,7 @@
 	Limits    bool          // engines name limits of requests per second
 	Cuts      bool          // instances lose their paths to all engines for a time, also before the period of the other faults
 	Leaving   bool          // engines say in their answers that they leave or that they want no requests for a time
+	Large     bool          // the configuration grows to many routes and changes ten times per second, also after the last fault, and instances name the bandwidths of their links
 	Length    time.Duration // the period in which faults are injected; zero means 8 s
 
 	CrashingPart bool // requests are sent that differ in all but a part of their prompts, which crashes the engines that answer them; Crashing is then ignored
@@ -68,6 +69,7 @@
 
 	version        int  // of the configuration
 	secondKeyValid bool // in the configuration
+	moreRoutes     int  // in the configuration
 
 	mu           sync.Mutex               // guards the fields below
 	links        map[string]*relayer.Link // to engines, by engine ID
@@ -149,6 +151,9 @@
 	stop()
 	callers.Wait()
 	s.awaitService("after the last fault", recoveryTimeout, r)
+	if s.cfg.Large {
+		s.checkLargeConfiguration()
+	}
 	s.summarize(&out)
 	return out
 }
@@ -166,6 +171,9 @@
 	if s.cfg.Limits {
 		steps = AddLimits(steps, rand.New(rand.NewPCG(s.cfg.Seed, math.MaxUint64-2)), s.cfg.Length)
 	}
+	if s.cfg.Large {
+		steps = AddVersions(steps, s.cfg.Length)
+	}
 	if s.cfg.Cuts {
 		steps = AddEndpointCuts(steps, rand.New(rand.NewPCG(s.cfg.Seed, math.MaxUint64-3)), s.cfg.Length)
 	}
--- a/standin/soak/soak_test.go
+++ b/standin/soak/soak_test.go
@@ -102,6 +102,11 @@
 	runSeeds(t, soak.Config{Cuts: true, Callers: 24, Length: 5 * time.Second}, 50, 51)
 }
 
+// TestLargeConfigurationSeeds runs a fixed seed with a configuration of 1,640 routes that changes ten times per second.
+func TestLargeConfigurationSeeds(t *testing.T) {
+	runSeeds(t, soak.Config{Large: true, Length: 6 * time.Second}, 60)
+}
+
 // TestAddSilences checks that a seed always gives the same silences, beside the same other
 // faults as without them, and that some silences begin before all other faults.
 func TestAddSilences(t *testing.T) {
