--- a/runner/hosted_view.go
+++ b/runner/hosted_view.go
@@ -33,6 +33,7 @@
 	targets   *targetlister.Lister
 	instances map[identifier.Instance]identifier.FailureDomain // including this one; the failure domain is empty if it is not known
 	pace      configurationPace
+	decoder   platform.ConfigurationDecoder
 	holder    identifier.Instance // of the group-forming lease; empty if it is not known
 }
 
@@ -79,7 +80,7 @@
 		v.hosted.logger.Warn().Msg("configuration was deleted from the store, the one in force stays")
 		return
 	}
-	configuration, err := platform.DecodeConfiguration(c.Value)
+	configuration, err := v.decoder.Decode(c.Value)
 	if err != nil {
 		v.hosted.logger.Error().Err(err).Uint64("revision", c.Revision).Msg("configuration can't be decoded, the one in force stays")
 		return
