--- a/replicator/replicator.go
+++ b/replicator/replicator.go
@@ -82,6 +82,8 @@
 	Values  ValueSource        // fetches the values of references; nil if Upstream and Peers return no references
 	OnValue func(ValueArrival) // a value that was fetched is about to be applied; may be nil
 
+	ListAfterTimeout bool // after a call for changes that has timed out, list instead while there are large values: the store sends each version of a value that has changed, which a narrow link may not carry in time
+
 	MinInterval    time.Duration // between two calls to the store; 300 ms
 	UrgentInterval time.Duration // replaces MinInterval while changes are urgent; 100 ms
 	Backoff        time.Duration // delay after the first failure, doubled for each consecutive one; 100 ms
@@ -104,6 +106,7 @@
 	core     *Core
 	answered chan struct{} // closed and replaced at each answer of the store and each change of the replica
 	versions versions      // the last versions of large values
+	timedOut bool          // the last call for changes to the store has timed out
 }
 
 // New returns a Replicator for cfg.
@@ -249,6 +252,7 @@
 
 func (r *Replicator) listStore(ctx context.Context, call Call) Event {
 	s, err := r.cfg.Store.Snapshot(ctx, "")
+	r.recordTimeout(nil) // if the list fails too, the next call is for changes again
 	if err != nil {
 		return r.classifyFailure(err, call)
 	}
@@ -263,13 +267,31 @@
 	if err == nil {
 		return e
 	}
+	if r.prefersList() {
+		return r.listStore(ctx, w.Call)
+	}
 	ch, err := r.storeWatchAfter(err)(ctx, "", w.After)
+	r.recordTimeout(err)
 	if err != nil {
 		return r.classifyFailure(err, w.Call)
 	}
 	return Watched{Changes: ch, Call: w.Call}
 }
 
+// prefersList reports whether the next call to the store is a list although the history is known.
+func (r *Replicator) prefersList() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.cfg.ListAfterTimeout && r.timedOut && len(r.versions.entries) > 0
+}
+
+// recordTimeout records whether a call for changes to the store, which ended with err, has timed out.
+func (r *Replicator) recordTimeout(err error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.timedOut = errors.Is(err, context.DeadlineExceeded)
+}
+
 // storeWatchAfter returns the call that gets changes from the store after a watch of the upstream has
 // failed. If a peer has not answered, the last answer of the store may be old, and the store must not
 // hold the call too.
@@ -290,7 +312,11 @@
 			return Watched{Changes: ch.Changes, References: ch.References, Age: ch.Age, Call: w.Call}
 		}
 	}
+	if r.prefersList() {
+		return r.listStore(ctx, w.Call)
+	}
 	ch, err := r.cfg.Store.Poll(ctx, "", w.After)
+	r.recordTimeout(err)
 	if err == nil {
 		return Watched{Changes: ch, Call: w.Call}
 	}
--- a/runner/load_test.go
+++ b/runner/load_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -49,18 +50,25 @@
 	bytes int64
 }
 
-// pass waits until n bytes have passed, or ctx ends.
+// pass waits until n bytes have passed, or ctx ends, after which the rest is not sent.
 func (l *simulatedLink) pass(ctx context.Context, n int) error {
 	l.mu.Lock()
 	now := time.Now()
 	if l.until.Before(now) {
 		l.until = now
 	}
-	l.until = l.until.Add(time.Duration(float64(n*8) / l.mbps * float64(time.Microsecond)))
+	cost := time.Duration(float64(n*8) / l.mbps * float64(time.Microsecond))
+	l.until = l.until.Add(cost)
 	l.bytes += int64(n)
-	wait := l.until.Sub(now)
+	passedAt := l.until
 	l.mu.Unlock()
-	return sleepContext(ctx, wait)
+	err := sleepContext(ctx, passedAt.Sub(now))
+	if err != nil {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		l.until = l.until.Add(-max(min(cost, time.Until(passedAt)), 0))
+	}
+	return err
 }
 
 func (l *simulatedLink) total() int64 {
@@ -108,6 +116,9 @@
 	if n.isDead() {
 		return nil, fmt.Errorf("instance %s is dead", n.name)
 	}
+	if n.isOld {
+		r = withoutNewParameters(r)
+	}
 	if err := n.up.pass(ctx, callOverhead); err != nil {
 		return nil, err
 	}
@@ -122,8 +133,7 @@
 			return nil, err
 		}
 		if peer.isOld {
-			r = r.Clone(ctx)
-			r.URL.RawQuery = "after=" + r.URL.Query().Get("after")
+			r = withoutNewParameters(r)
 			if r.URL.Path == "/value" {
 				return &http.Response{StatusCode: http.StatusNotFound, Body: http.NoBody, Header: http.Header{}, Request: r}, nil
 			}
@@ -157,6 +167,15 @@
 	return &http.Response{StatusCode: answer.Code, Header: answer.Header(), Body: io.NopCloser(bytes.NewReader(body)), ContentLength: int64(len(body)), Request: r}, nil
 }
 
+// withoutNewParameters returns a request without the parameters that the version before references does not know.
+func withoutNewParameters(r *http.Request) *http.Request {
+	out := r.Clone(r.Context())
+	query := out.URL.Query()
+	query.Del("deferLarge")
+	out.URL.RawQuery = query.Encode()
+	return out
+}
+
 // checkAlive returns an error if the node is dead, at once or when ctx ends.
 func (n *loadNode) checkAlive(ctx context.Context) error {
 	n.mu.Lock()
@@ -302,14 +321,18 @@
 // newLoadFleet starts the instances of the load. Those with wide links have the last names, so that the tree by name
 // would put narrow ones at the top.
 // The last one is in another failure domain.
-func newLoadFleet(ctx context.Context, t *testing.T, links []float64) *loadFleet {
+func newLoadFleet(ctx context.Context, t *testing.T, links []float64, old ...int) *loadFleet {
 	f := &loadFleet{store: &loadStore{written: make(chan struct{})}, nodes: map[string]*loadNode{}}
 	f.store.put("op/config", loadConfiguration(1, loadRoutes-loadVersions))
 	for i, mbps := range links {
 		n := &loadNode{fleet: f, name: fmt.Sprintf("entry-%02d", i), up: simulatedLink{mbps: mbps}, down: simulatedLink{mbps: mbps}, seen: map[string]time.Time{}}
 		address := netip.MustParseAddrPort(fmt.Sprintf("10.0.0.%d:7", i+1))
+		n.isOld = slices.Contains(old, i)
 		f.nodes[address.String()] = n
 		f.order = append(f.order, n)
+		if n.isOld {
+			mbps = 0 // it does not name its link
+		}
 		f.store.put(instancePrefix+n.name, fmt.Appendf(nil, "%s/1 %s %s%s 7", n.name, address, f.domainOf(i), linkWord(mbps)))
 	}
 	for i, n := range f.order {
@@ -318,6 +341,34 @@
 	return f
 }
 
+// TestLargeConfigurationBesideOldInstances plays a rolling restart in which the configuration changes: instances of the
+// version before references, which send and get values in full, are at the top, in the middle and at the bottom of
+// the tree. Every instance must end with the newest version.
+func TestLargeConfigurationBesideOldInstances(t *testing.T) {
+	for _, old := range [][]int{{0}, {1, 2}, {0, 13}, {3, 14}, {1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14}} {
+		synctest.Test(t, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(t.Context())
+			links := make([]float64, 16) // of which the last two instances follow others than the first
+			for i := range links {
+				links[i] = loadNarrowMbps
+			}
+			links[0] = loadWideMbps
+			f := newLoadFleet(ctx, t, links, old...)
+			time.Sleep(3 * time.Second)
+			f.expectVersion(t, 1, "before the load")
+			for version := 2; version <= 11; version++ {
+				f.store.put("op/config", loadConfiguration(version, loadRoutes-loadVersions+version))
+				time.Sleep(loadInterval)
+			}
+			time.Sleep(8 * time.Second)
+			f.expectVersion(t, 11, fmt.Sprintf("with old instances %v", old))
+			cancel()
+			synctest.Wait()
+			time.Sleep(10 * time.Second) // calls without a context end
+		})
+	}
+}
+
 // domainOf returns the failure domain of an instance by its number.
 func (f *loadFleet) domainOf(i int) identifier.FailureDomain {
 	if i == loadNarrow+loadWide {
