runner: watches in the tree by link bandwidth end with the answers of the store

Watches that were held for less time than the store holds one got out of step: deep in the tree the last answer of the store counted as too old, and instances with narrow links polled the store (seen in the both_refuse variant of the replay with a hold of 700 ms). Where links are known, the store now holds a watch for 500 ms and a peer for 600 ms.

--- a/runner/hosted.go
+++ b/runner/hosted.go
@@ -46,6 +46,7 @@
 	storeShare           = 0.05                    // maximum fraction of the store's rates that one instance uses
 	narrowLinkMbps       = 100                     // Mbit/s, below which a link counts as narrow: ten versions per second of a configuration of 385 KB take 41 Mbit/s from the store, and an instance has other traffic
 	narrowAcquireDelay   = 700 * time.Millisecond  // for which the group-forming lease must be free before an instance with a narrow link acquires it; with a tick of 200 ms, it delays the succession by less than a second
+	linkStoreWait        = 500 * time.Millisecond  // maximum duration of one watch of the store where the link is known; see linkWatchWait
 	linkMinInterval      = 200 * time.Millisecond  // between two watches where the link is known; with the default of 300 ms, a small entry may need longer than 0.3 s to a follower while values change all the time
 	formingTTL           = 4 * time.Second         // after a holder has died, another instance acquires the lease within this time
 	formingCheckInterval = 10 * time.Second        // the replica reports when the key is deleted; the check covers the case that it does not
@@ -127,7 +128,7 @@
 		Address: s.Store.Address, Instance: s.Instance, Dialect: platform.Store{}, HTTP: h.newClient(s.SourceAddress, storeTimeout),
 		ReadsPerSecond: storeShare * s.Store.ReadsPerSecond, WritesPerSecond: storeShare * s.Store.WritesPerSecond,
 		CallTimeout: storeTimeout, BackoffBase: storeBackoff, BackoffMax: storeBackoffMax, CircuitFailures: circuitFailures,
-		TrialDelayBase: circuitWait, TrialDelayMax: circuitWait, WatchWait: watchWait, Logger: h.logger, Meter: h.meter,
+		TrialDelayBase: circuitWait, TrialDelayMax: circuitWait, WatchWait: storeWait(s.Machine.LinkMbps), Logger: h.logger, Meter: h.meter,
 	})
 }
 
@@ -196,6 +197,14 @@
 	return 0
 }
 
+// storeWait returns the longest time for which the store holds a watch.
+func storeWait(linkMbps float64) time.Duration {
+	if linkMbps > 0 {
+		return linkStoreWait
+	}
+	return watchWait
+}
+
 // minInterval returns the time between two watches, or zero for the default.
 func minInterval(linkMbps float64) time.Duration {
 	if linkMbps > 0 {
--- a/runner/hosted_tree.go
+++ b/runner/hosted_tree.go
@@ -38,7 +38,7 @@
 	maxRoots         = 2  // instances of a failure domain that watch the store; a second one takes over half of the followers, and all when the first dies
 	wideFactor       = 2  // times the median of the failure domain from which a link counts as wide
 	minLinkFollowers = 4  // of an instance with a link that is narrower than the median
-	maxLinkFollowers = 48 // of an instance with a wide link; each costs it some 7 calls per second while values change
+	maxLinkFollowers = 20 // of an instance with a wide link; each costs it 2 calls per second, of some 300 bytes, while nothing changes
 )
 
 // knowsLinks reports whether all instances name the bandwidth of their links.
--- a/runner/hosted_upstream.go
+++ b/runner/hosted_upstream.go
@@ -20,8 +20,10 @@
 
 // linkWatchWait is the longest time for which a peer holds a watch in the tree by link bandwidth. An instance notices
 // within this time and peerTimeout that the peer does not answer, and has a version from the next one in time. All
-// instances of that tree know the bound, because they name their links.
-const linkWatchWait = 400 * time.Millisecond
+// instances of that tree know the bound, because they name their links. It is longer than linkStoreWait, so that the
+// answers of the store end the watches at all levels at once; with a shorter one, the levels wait for one another, and
+// the lowest take their peers' knowledge for too old.
+const linkWatchWait = 600 * time.Millisecond
 
 // maxParentAttempts bounds the peers that one call tries in the tree by link bandwidth.
 const maxParentAttempts = 3
--- a/runner/load_replay_test.go
+++ b/runner/load_replay_test.go
@@ -47,6 +47,7 @@
 	f := newLoadFleet(ctx, t, links)
 	time.Sleep(3 * time.Second)
 	f.expectVersion(t, 1, "before the load")
+	f.logIdleCalls(t)
 	atStart := f.storeBytes()
 	if c.disturb != nil {
 		time.AfterFunc(loadVersions*loadInterval/2+13*time.Millisecond, func() { c.disturb(f) })
@@ -110,6 +111,26 @@
 	t.Logf("longest: version in force %v plus %v to apply it, small entry after its parent %v", version, applyCost, small)
 }
 
+// logIdleCalls logs the calls per second of the instances while nothing changes.
+func (f *loadFleet) logIdleCalls(t *testing.T) {
+	const length = 5 * time.Second
+	before := map[*loadNode]int64{}
+	for _, n := range f.order {
+		before[n] = n.up.total() + n.down.total()
+	}
+	time.Sleep(length)
+	var narrow, wide int64
+	for _, n := range f.order {
+		calls := (n.up.total() + n.down.total() - before[n]) / (2 * callOverhead) // the bodies are nearly empty
+		if n.down.mbps < loadWideMbps {
+			narrow = max(narrow, calls)
+		} else {
+			wide = max(wide, calls)
+		}
+	}
+	t.Logf("idle: %.1f calls per second at an instance with a narrow link, %.1f with a wide one", float64(narrow)/length.Seconds(), float64(wide)/length.Seconds())
+}
+
 // loadWrite is a write of the load that the store has acknowledged.
 type loadWrite struct {
 	at       time.Time
--- a/runner/load_test.go
+++ b/runner/load_test.go
@@ -395,4 +395,3 @@
 	_, err := n.hosted.replica.Value(context.Background(), key, revision, 0, 0)
 	return err == nil
 }
-
