--- a/messenger/doc.go
+++ b/messenger/doc.go
@@ -1,6 +1,6 @@
 // Package messenger exchanges messages between the instances of a hosted system.
 //
-// There are eight kinds of message, each one small HTTP exchange:
+// There are nine kinds of message, each one small HTTP exchange:
 //   - A stall notice says that the requests of a replica group are stalled, so that the instance
 //     that forms groups checks the group at once. It goes to all peers if that instance is not known.
 //   - A leaving notice says that a process of an endpoint has said in an answer that it leaves. It goes
@@ -14,6 +14,9 @@
 //     can't reach the store.
 //   - A watch waits for changes of a peer's replica. Instances that follow another instance
 //     rather than the store use it.
+//   - A fetch of a value returns a large value of a peer's replica, of which an update or a watch has returned
+//     only a reference. It is compressed, with the version that this instance has as dictionary if the peer has
+//     that too.
 //   - An announcement tells all peers which processes of endpoints ended while they ran a
 //     request or a part of its prompt. It is repeated to a peer that does not acknowledge it.
 //   - Limits that endpoints name are exchanged between an instance and one peer at a time, each of
--- a/replicator/doc.go
+++ b/replicator/doc.go
@@ -6,4 +6,8 @@
 // time. A peer returns the changes after a revision, or its complete replica if it no longer knows
 // all of them. An entry is replaced only by one with a later revision, so a delayed answer never reverts
 // the replica.
+//
+// A peer that follows the replica gets references to large values, if it knows them, and fetches the values beside
+// its watch. While a value is missing, the replica passes the reference on, and tells peers that do not know
+// references a revision before that value, so that none of them skips it.
 package replicator
--- a/storeclient/session_test.go
+++ b/storeclient/session_test.go
@@ -78,6 +78,8 @@
 	switch ev.Name {
 	case "get":
 		e, err = c.Get(ctx, key)
+	case "getAtLeast":
+		e, err = c.GetAtLeast(ctx, key, revision)
 	case "create":
 		e, err = c.Create(ctx, key, value, storeclient.LeaseID(ev.Str("lease")))
 	case "swap":
