--- a/runner/hosted.go
+++ b/runner/hosted.go
@@ -44,6 +44,10 @@
 	circuitSpacing       = 12 * time.Millisecond   // between two trial calls of different instances on average, which lengthens the wait from 26 instances on, so that the calls of an outage don't grow with the fleet
 	watchWait            = 900 * time.Millisecond  // maximum duration of one watch; it bounds how long a silently lost connection to the store goes unnoticed
 	storeShare           = 0.05                    // maximum fraction of the store's rates that one instance uses
+	narrowLinkMbps       = 100                     // Mbit/s, below which a link counts as narrow: ten versions per second of a configuration of 385 KB take 41 Mbit/s from the store, and an instance has other traffic
+	narrowAcquireDelay   = 700 * time.Millisecond  // for which the group-forming lease must be free before an instance with a narrow link acquires it; with a tick of 200 ms, it delays the succession by less than a second
+	linkStoreWait        = 500 * time.Millisecond  // maximum duration of one watch of the store where the link is known; see linkWatchWait
+	linkMinInterval      = 200 * time.Millisecond  // between two watches where the link is known; with the default of 300 ms, a small entry may need longer than 0.3 s to a follower while values change all the time
 	formingTTL           = 4 * time.Second         // after a holder has died, another instance acquires the lease within this time
 	formingCheckInterval = 10 * time.Second        // the replica reports when the key is deleted; the check covers the case that it does not
 	formingCheckSpacing  = time.Second             // between two checks of different instances on average, which lengthens the interval in a large fleet
@@ -68,6 +72,8 @@
 	metrics       http.Handler
 	store         *storeclient.Client
 	storeMeters   *storeMeters
+	valueMeters   *valueMeters
+	newClient     func(source netip.Addr, ackTimeout time.Duration) *http.Client // of the store and of peers
 	replica       *replicator.Replicator
 	resolver      *resolver.Resolver
 	requester     *requester.Requester
@@ -86,12 +92,17 @@
 
 // newHosted creates the components and connects them. It does not start them.
 func newHosted(s *configurer.HostedSettings, logger zerolog.Logger) (*hosted, error) {
-	h := &hosted{settings: s, logger: logger, resolver: &resolver.Resolver{}}
+	return newHostedWith(s, logger, newHTTPClient)
+}
+
+// newHostedWith creates the components with clients of the store and of peers that newClient returns.
+func newHostedWith(s *configurer.HostedSettings, logger zerolog.Logger, newClient func(source netip.Addr, ackTimeout time.Duration) *http.Client) (*hosted, error) {
+	h := &hosted{settings: s, logger: logger, resolver: &resolver.Resolver{}, newClient: newClient}
 	var err error
 	if h.meter, h.metrics, err = newMeter(); err != nil {
 		return nil, err
 	}
-	h.storeMeters = newStoreMeters(h.meter)
+	h.storeMeters, h.valueMeters = newStoreMeters(h.meter), newValueMeters(h.meter)
 	h.store = h.newStore()
 	h.requester = requester.New(requester.Config{IdentityHeader: platform.Headers{}.IdentityHeader(), SourceAddress: s.SourceAddress})
 	h.forwarder = h.newForwarder()
@@ -100,10 +111,11 @@
 	h.quarantine = newQuarantine(h)
 	h.view = newView(h)
 	h.messenger = h.newMessenger()
-	h.upstream = &upstream{hosted: h, failedAt: map[identifier.Instance]time.Time{}}
+	h.upstream = &upstream{hosted: h, failedAt: map[identifier.Instance]time.Time{}, pending: map[identifier.Instance]int{}}
 	h.replica = replicator.New(replicator.Config{
 		Store: h.store, Peers: h.messenger, Upstream: h.upstream, OnChange: h.view.applyChanges, OnHealth: h.view.setStoreHealth,
-		OnContact: h.view.recordContact, Logger: logger,
+		OnContact: h.view.recordContact, Values: h.upstream, OnValue: h.valueMeters.countArrival,
+		MinInterval: minInterval(s.Machine.LinkMbps), ListAfterTimeout: s.Machine.LinkMbps > 0 && s.Machine.LinkMbps < narrowLinkMbps, Logger: logger,
 	})
 	h.newLeases()
 	return h, nil
@@ -113,10 +125,10 @@
 func (h *hosted) newStore() *storeclient.Client {
 	s := h.settings
 	return storeclient.New(storeclient.Config{
-		Address: s.Store.Address, Instance: s.Instance, Dialect: platform.Store{}, HTTP: newHTTPClient(s.SourceAddress, storeTimeout),
+		Address: s.Store.Address, Instance: s.Instance, Dialect: platform.Store{}, HTTP: h.newClient(s.SourceAddress, storeTimeout),
 		ReadsPerSecond: storeShare * s.Store.ReadsPerSecond, WritesPerSecond: storeShare * s.Store.WritesPerSecond,
 		CallTimeout: storeTimeout, BackoffBase: storeBackoff, BackoffMax: storeBackoffMax, CircuitFailures: circuitFailures,
-		TrialDelayBase: circuitWait, TrialDelayMax: circuitWait, WatchWait: watchWait, Logger: h.logger, Meter: h.meter,
+		TrialDelayBase: circuitWait, TrialDelayMax: circuitWait, WatchWait: storeWait(s.Machine.LinkMbps), Logger: h.logger, Meter: h.meter,
 	})
 }
 
@@ -152,13 +164,14 @@
 			return h.replica.Watch(ctx, after, wait)
 		},
 		UpdateSince: func(after uint64) replicator.Update { return h.replica.UpdateSince(after) },
-		Report:      h.groupFormer.queryEngineForPeer, CheckConnection: h.checkConnectionForPeer, OnStalled: h.groupFormer.submitStall, OnLeaving: h.groupFormer.submitPeerLeaving, Leaving: h.leaving.list,
+		Values:      h.replicaValues(), OnTransfer: h.valueMeters.countTransfer,
+		Report: h.groupFormer.queryEngineForPeer, CheckConnection: h.checkConnectionForPeer, OnStalled: h.groupFormer.submitStall, OnLeaving: h.groupFormer.submitPeerLeaving, Leaving: h.leaving.list,
 		OnLimits: h.forwarder.ReportLimits, OnDemand: h.groupFormer.submitDemand,
 		OnLosses: func(r quarantiner.Report) { h.quarantine.step.Submit(quarantiner.ReportReceived{Report: r}) },
 		Reach:    h.forwarder.Reach, Evacuations: h.view.listEvacuations, Capacities: h.forwarder.Capacities, Quarantines: h.listQuarantines, Lift: h.liftQuarantine,
 		OnUnacknowledged: func(fp identifier.Fingerprint) {
 			h.quarantine.step.Submit(quarantiner.AnnouncementFailed{Fingerprint: fp})
-		}, HTTP: newHTTPClient(s.SourceAddress, peerTimeout), Timeout: peerTimeout, Logger: h.logger,
+		}, HTTP: h.newClient(s.SourceAddress, peerTimeout), Timeout: peerTimeout, Logger: h.logger,
 	})
 }
 
@@ -168,15 +181,40 @@
 	process := fmt.Sprintf("%s/%d", s.Instance, time.Now().UnixNano())
 	h.instanceLease = leaser.New(leaser.Config{
 		Platform: h.store, Key: instancePrefix + string(s.Instance), Owner: string(s.Instance) + "/",
-		Token: fmt.Sprintf("%s %s %s", process, s.Listen.Peers, s.FailureDomain), TTL: max(instanceTTL, s.Store.LeaseMin.Std()),
+		Token: fmt.Sprintf("%s %s %s", process, s.Listen.Peers, s.FailureDomain) + linkWord(s.Machine.LinkMbps), TTL: max(instanceTTL, s.Store.LeaseMin.Std()),
 		OnHold: func(leaser.Hold) {}, ReleaseTimeout: s.Bounds.StopLimit.Std(),
 	})
 	h.formingLease = leaser.New(leaser.Config{
 		Platform: h.store, Key: formingKey, Owner: string(s.Instance) + "/", Token: process, CheckInterval: formingCheckInterval,
-		TTL: max(formingTTL, s.Store.LeaseMin.Std()), OnHold: h.groupFormer.setLease, ReleaseTimeout: s.Bounds.StopLimit.Std(),
+		TTL: max(formingTTL, s.Store.LeaseMin.Std()), AcquireDelay: acquireDelay(s.Machine.LinkMbps), OnHold: h.groupFormer.setLease, ReleaseTimeout: s.Bounds.StopLimit.Std(),
 	})
 }
 
+// acquireDelay returns for how long the group-forming lease must be free before an instance acquires it. The holder
+// queries the store directly, so that one with a wide link should come first.
+func acquireDelay(linkMbps float64) time.Duration {
+	if linkMbps > 0 && linkMbps < narrowLinkMbps {
+		return narrowAcquireDelay
+	}
+	return 0
+}
+
+// storeWait returns the longest time for which the store holds a watch.
+func storeWait(linkMbps float64) time.Duration {
+	if linkMbps > 0 {
+		return linkStoreWait
+	}
+	return watchWait
+}
+
+// minInterval returns the time between two watches, or zero for the default.
+func minInterval(linkMbps float64) time.Duration {
+	if linkMbps > 0 {
+		return linkMinInterval
+	}
+	return 0
+}
+
 // newHTTPClient returns a client whose connections fail soon after the other side stops
 // acknowledging; see requester.NewDialer.
 func newHTTPClient(source netip.Addr, ackTimeout time.Duration) *http.Client {
--- a/runner/hosted_view.go
+++ b/runner/hosted_view.go
@@ -37,6 +37,8 @@
 	holder    identifier.Instance                              // of the group-forming lease; empty if it is not known
 	evacuator *evacuator.Evacuator
 	evacuated []identifier.FailureDomain // as the components know it, sorted
+	pace      configurationPace
+	decoder   platform.ConfigurationDecoder
 }
 
 func newView(h *hosted) *view {
@@ -50,6 +52,7 @@
 func (v *view) run(ctx context.Context) error {
 	<-ctx.Done()
 	v.timer.Stop()
+	v.stopPace()
 	return nil
 }
 
@@ -62,7 +65,7 @@
 	for _, c := range changes {
 		switch {
 		case platform.IsConfigurationKey(c.Key):
-			v.applyConfiguration(c)
+			v.paceConfiguration(c)
 		case c.Key == formingKey:
 			v.setFormingHolder(c)
 		case strings.HasPrefix(c.Key, instancePrefix):
@@ -93,7 +96,7 @@
 		v.hosted.logger.Warn().Msg("configuration was deleted from the store, the one in force stays")
 		return
 	}
-	configuration, err := platform.DecodeConfiguration(c.Value)
+	configuration, err := v.decoder.Decode(c.Value)
 	if err != nil {
 		v.hosted.logger.Error().Err(err).Uint64("revision", c.Revision).Msg("configuration can't be decoded, the one in force stays")
 		return
@@ -170,7 +173,7 @@
 }
 
 // addPeer adds a peer, unless it is this instance, from the value of its key, "<process> <address>
-// <failure domain> <lease>". It returns the failure domain, which is empty if the value has none.
+// <failure domain> [link=<Mbit/s>] <lease>". It returns the failure domain, which is empty if the value has none.
 func (v *view) addPeer(name identifier.Instance, value string) identifier.FailureDomain {
 	words := strings.Fields(value)
 	if len(words) < 3 {
@@ -185,7 +188,7 @@
 		v.hosted.logger.Warn().Err(err).Str("peer", string(name)).Msg("entry of a peer has no valid address, the peer is ignored")
 		return domain
 	}
-	v.hosted.peers.Set(messenger.Peer{Instance: name, FailureDomain: domain, Address: address})
+	v.hosted.peers.Set(messenger.Peer{Instance: name, FailureDomain: domain, Address: address, LinkMbps: parseLink(words[3:])})
 	return domain
 }
 
--- a/standin/hosted/settings.go
+++ b/standin/hosted/settings.go
@@ -21,6 +21,7 @@
 	StopLimit  time.Duration
 	RetrySlack int // retries that all instances together may accumulate
 	Cold       Cold
+	LinkMbps   float64 // bandwidth of the machine's link; zero if it is not known
 }
 
 // Encode returns the settings file of an instance.
@@ -34,7 +35,7 @@
 		"instance": s.Name, "failureDomain": "here", "sourceAddress": s.Source,
 		"listen":  object{"callers": s.Ports[0], "readiness": s.Ports[1], "readinessPath": "/ready", "peers": s.Ports[2], "metrics": s.Ports[3]},
 		"store":   object{"address": s.Store, "readsPerSecond": 2000, "writesPerSecond": 400, "leaseMin": "1s"},
-		"machine": object{"cores": 1, "memoryMB": 500},
+		"machine": object{"cores": 1, "memoryMB": 500, "linkMbps": s.LinkMbps},
 		"bounds":  bounds, "firstStart": true,
 		"log": object{"level": "info"},
 	})
--- a/standin/soak/soak.go
+++ b/standin/soak/soak.go
@@ -30,6 +30,7 @@
 	Evacuations bool          // failure domains are evacuated for a time
 	Length      time.Duration // the period in which faults are injected; zero means 8 s
 	Cold        bool          // engines are cold after their start, and at other times
+	Large       bool          // the configuration grows to many routes and changes ten times per second, also after the last fault, and instances name the bandwidths of their links
 
 	CrashingPart bool // requests are sent that differ in all but a part of their prompts, which crashes the engines that answer them; Crashing is then ignored
 }
@@ -72,6 +73,7 @@
 
 	version        int  // of the configuration
 	secondKeyValid bool // in the configuration
+	moreRoutes     int  // in the configuration
 
 	mu           sync.Mutex               // guards the fields below
 	links        map[string]*relayer.Link // to engines, by engine ID
@@ -157,6 +159,9 @@
 	stop()
 	callers.Wait()
 	s.awaitService("after the last fault", recoveryTimeout, r)
+	if s.cfg.Large {
+		s.checkLargeConfiguration()
+	}
 	s.summarize(&out)
 	return out
 }
@@ -177,6 +182,9 @@
 	if s.cfg.Cold {
 		steps = AddCold(steps, rand.New(rand.NewPCG(s.cfg.Seed, math.MaxUint64-4)), s.cfg.Length)
 	}
+	if s.cfg.Large {
+		steps = AddVersions(steps, s.cfg.Length)
+	}
 	if s.cfg.Cuts {
 		steps = AddEndpointCuts(steps, rand.New(rand.NewPCG(s.cfg.Seed, math.MaxUint64-3)), s.cfg.Length)
 	}
