--- a/runner/hosted_demand.go
+++ b/runner/hosted_demand.go
@@ -10,14 +10,7 @@
 
 // reportDemand reports the work for models that arrived at this instance to the instance that forms groups.
 func (h *hosted) reportDemand(r scheduler.DemandReport) {
-	report := groupformer.DemandReported{Instance: h.settings.Instance, FailureDomain: h.settings.FailureDomain, Elapsed: r.Elapsed}
-	for _, p := range r.Pools {
-		if service, model := forwarder.SplitPool(p.Pool); model != "" {
-			report.Models = append(report.Models, groupformer.ModelDemand{
-				Service: service, Model: model, Requests: p.Requests, Prompts: p.Prompts, PromptTokens: p.PromptTokens, Answers: p.Answers, AnswerTokens: p.AnswerTokens,
-			})
-		}
-	}
+	report := groupformer.DemandReported{Instance: h.settings.Instance, FailureDomain: h.settings.FailureDomain, Elapsed: r.Elapsed, Models: modelDemands(r.Pools)}
 	if len(report.Models) == 0 {
 		return
 	}
@@ -28,6 +21,19 @@
 	h.groupFormer.submitDemand(report)
 }
 
+// modelDemands returns the work of the pools that run a model.
+func modelDemands(pools []scheduler.PoolDemand) []groupformer.ModelDemand {
+	var out []groupformer.ModelDemand
+	for _, p := range pools {
+		if service, model := forwarder.SplitPool(p.Pool); model != "" {
+			out = append(out, groupformer.ModelDemand{
+				Service: service, Model: model, Requests: p.Requests, Prompts: p.Prompts, PromptTokens: p.PromptTokens, Answers: p.Answers, AnswerTokens: p.AnswerTokens,
+			})
+		}
+	}
+	return out
+}
+
 // submitDemand submits the work that arrived at this instance or at a peer.
 func (f *groupFormer) submitDemand(r groupformer.DemandReported) {
 	f.meters.demandReports.Add(context.Background(), 1)
