scheduler: a hedge that can't have begun, and a run at a process that has ended, leave the route's attempts to others

Cause, from their log lines: a hedge sent because a first event came late was abandoned some milliseconds later, when that event came, and counted as one of the two runs; when the group then stood still, nothing was left. Change: an attempt without an event that was abandoned before its prompt can have been prefilled does not count (the prefill rate is in the engines' profile), the bound for the first event includes the prefill of the prompts that wait at the target, and runs at processes that have ended do not count against maxAttempts. What may have run is still never answered as not run.

--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -101,6 +101,11 @@
 	f.step.Submit(scheduler.LimitsReported{News: news})
 }
 
+// ReportProcessEnded reports that a process of an endpoint has ended.
+func (f *Forwarder) ReportProcessEnded(p identifier.Process) {
+	f.step.Submit(scheduler.ProcessEnded{Process: p})
+}
+
 // SetRetryBudget changes the retry budget that all instances share: ratio is the number of
 // retries that each request allows, and slack the number that may accumulate.
 func (f *Forwarder) SetRetryBudget(ratio, slack float64) {
--- a/forwarder/serve.go
+++ b/forwarder/serve.go
@@ -147,6 +147,7 @@
 	q := scheduler.Request{
 		Fingerprint: x.identity, Parts: partFingerprints(x.parts), Service: x.service, Pool: x.pool, Repeatable: route.IsRepeatable(), Stream: route.Kind == resolver.KindStream,
 		ArrivedAt: x.arrivedAt, PromptTokens: x.fields.PromptTokens, LatencyGoal: route.LatencyGoal, GapGoal: route.GapGoal, Deadline: x.deadline, MaxAttempts: route.MaxAttempts, Priority: x.match.Priority,
+		MinRunDelay: f.minRunDelay(x),
 	}
 	if x.origin != nil {
 		q.ViaPeer, q.Avoid = true, x.origin.FailedAt
@@ -154,6 +155,20 @@
 	return q
 }
 
+// minRunDelay returns the time that a replica group needs at least to prefill the prompt of x's request, or zero if
+// that is not known.
+func (f *Forwarder) minRunDelay(x *exchange) time.Duration {
+	s := f.cfg.Resolver.Service(x.service)
+	if s == nil || s.Engine == nil || s.Engine.PrefillTokensPerSecond <= 0 {
+		return 0
+	}
+	model, ok := s.Engine.Model(x.fields.Model)
+	if !ok {
+		return 0
+	}
+	return time.Duration(float64(x.fields.PromptTokens) / s.Engine.PrefillTokensPerSecond * model.TimeFactor * float64(time.Second))
+}
+
 // poolOf returns the pool of the targets that can serve a request of a service.
 func (f *Forwarder) poolOf(service identifier.Service, fields RequestFields) identifier.Pool {
 	if s := f.cfg.Resolver.Service(service); s != nil && s.Engine != nil && len(s.Engine.Models) > 0 {
--- a/runner/hosted_quarantine.go
+++ b/runner/hosted_quarantine.go
@@ -130,6 +130,7 @@
 	accepted := q.hosted.acceptsConnections(context.Background(), a.Process.Endpoint, a.Address)
 	if !accepted {
 		q.hosted.logger.Info().Str("endpoint", string(a.Process.Endpoint)).Int64("processStart", int64(a.Process.Start)).Msg("endpoint accepts no connection after one to it broke")
+		q.hosted.forwarder.ReportProcessEnded(a.Process)
 	}
 	q.step.Submit(quarantiner.ConnectionChecked{Process: a.Process, Accepted: accepted})
 }
--- a/scheduler/attempt.go
+++ b/scheduler/attempt.go
@@ -23,8 +23,11 @@
 // mayHaveRun reports whether a may have begun to run at its target. A stream begins with its
 // first event. A stream without an event has therefore not begun if the running streams at
 // the target have made no progress since it was sent. If the target had no running stream when
-// it stalled, a stream without an event may have begun.
-func (a *attempt) mayHaveRun() bool {
+// it stalled, a stream without an event may have begun. No request begins before its prompt is prefilled.
+func (a *attempt) mayHaveRun(now time.Time) bool {
+	if a.peer == nil && !a.hasEvent && now.Sub(a.sentAt)+abandonDelay < a.flight.MinRunDelay {
+		return false
+	}
 	return a.peer != nil || a.hasEvent || !a.flight.Stream || !a.target.streamsStalled || a.target.lastProgressAt.After(a.sentAt)
 }
 
@@ -82,15 +85,20 @@
 }
 
 // abandon ends a, whose request goes on with another attempt.
-func (s *Scheduler) abandon(a *attempt, reason Reason) {
+func (s *Scheduler) abandon(now time.Time, a *attempt, reason Reason) {
 	f := a.flight
 	f.sentAttempts++
 	f.hasAbandoned = true
-	if a.mayHaveRun() {
-		f.possibleRuns++
+	if a.mayHaveRun(now) {
+		f.recordRun(a)
 	}
+	s.cancel(a, reason)
+}
+
+// cancel ends a, whose request goes on with another attempt or has ended.
+func (s *Scheduler) cancel(a *attempt, reason Reason) {
 	s.drop(a)
-	s.emit(Abandon{Ref: f.ref, Attempt: a.number, Reason: reason})
+	s.emit(Abandon{Ref: a.flight.ref, Attempt: a.number, Reason: reason})
 }
 
 // findRunning returns the attempt of the request ref with this number if it runs, or nil.
--- a/scheduler/attempt_end.go
+++ b/scheduler/attempt_end.go
@@ -54,11 +54,11 @@
 		if !a.hasEvent {
 			t.unreachableAt = now
 		}
-		f.countPossibleRun()
+		f.countPossibleRun(a)
 		s.retry(now, f, ReasonAnswerLost)
 	case Abandoned: // the scheduler drops an attempt when it abandons it
 	case Expired:
-		f.countPossibleRun()
+		f.countPossibleRun(a)
 		s.giveUp(now, f, ReasonDeadline)
 	}
 }
@@ -85,17 +85,11 @@
 // handleEndpointError goes on after an endpoint has answered a with its own error.
 func (s *Scheduler) handleEndpointError(now time.Time, a *attempt, e Failed) {
 	f := a.flight
-	f.countPossibleRun()
+	f.countPossibleRun(a)
 	f.failedStatus, f.failedAttempt = e.Status, a.number
 	s.retry(now, f, ReasonEndpointFail)
 }
 
-// countPossibleRun counts an ended attempt that may have run.
-func (f *flight) countPossibleRun() {
-	f.sentAttempts++
-	f.possibleRuns++
-}
-
 // allowAgain allows further attempts at the target of a, which refused f, from a time on. If
 // another attempt of f runs, f is hedged again only from that time on.
 func (f *flight) allowAgain(a *attempt, at time.Time) {
@@ -134,7 +128,7 @@
 	case len(f.running) > 0:
 	case !f.Repeatable:
 		s.giveUp(now, f, reason)
-	case f.possibleRuns >= f.maxRuns():
+	case s.countRuns(f) >= f.maxRuns():
 		s.giveUp(now, f, ReasonAttempts)
 	default:
 		s.place(now, f)
--- a/scheduler/event.go
+++ b/scheduler/event.go
@@ -7,7 +7,7 @@
 )
 
 // Event is an input of a Scheduler: TargetsChanged, InstancesSet, RetryBudgetSet, RestrictionSet,
-// ProcessStated, LimitsReported, Arrived, Progressed, Ended, CallerLeft, PeerAnswered, Probed or Ticked.
+// ProcessStated, ProcessEnded, LimitsReported, Arrived, Progressed, Ended, CallerLeft, PeerAnswered, Probed or Ticked.
 type Event interface{ event() }
 
 // TargetsChanged changes the set of targets. No target is in both Changed and Removed.
@@ -47,6 +47,10 @@
 	SentAt    time.Time     // when the request was sent that the answer belongs to
 }
 
+// ProcessEnded reports that a process of an endpoint has ended: its address accepts no connection after one to
+// it broke. Attempts there no longer count against Request.MaxAttempts.
+type ProcessEnded struct{ Process identifier.Process }
+
 // Bounds of a limit, in requests per second. A limit of MaxLimit limits nothing in practice.
 const (
 	MinLimit = 0.05
@@ -102,6 +106,7 @@
 func (RetryBudgetSet) event() {}
 func (RestrictionSet) event() {}
 func (ProcessStated) event()  {}
+func (ProcessEnded) event()   {}
 func (Arrived) event()        {}
 func (Progressed) event()     {}
 func (Ended) event()          {}
--- a/scheduler/flight.go
+++ b/scheduler/flight.go
@@ -20,8 +20,8 @@
 	attempts      int        // number of attempts so far
 	running       []*attempt // one attempt, or several while the request is hedged; none while it waits
 	tried         []triedTarget
-	sentAttempts  int       // ended attempts that may have reached a target
-	possibleRuns  int       // ended attempts that may have run
+	sentAttempts  int // ended attempts that may have reached a target
+	possibleRuns  []possibleRun
 	hasAbandoned  bool      // an attempt was abandoned, so that its target may run the request later
 	answerStarted bool      // an event of the answer has been received
 	events        int       // of the stream, received so far
@@ -156,7 +156,9 @@
 
 // hasNotRun reports whether f has certainly not run, because each target that received it answered
 // that it refused the request.
-func (f *flight) hasNotRun() bool { return f.possibleRuns == 0 && !f.hasAbandoned && !f.answerStarted }
+func (f *flight) hasNotRun() bool {
+	return len(f.possibleRuns) == 0 && !f.hasAbandoned && !f.answerStarted
+}
 
 // maxRuns returns the number of targets that may run f.
 func (f *flight) maxRuns() int { return max(f.MaxAttempts, 1) }
@@ -167,7 +169,7 @@
 	switch {
 	case f.failedStatus != 0 && !f.answerStarted:
 		s.finish(f, PassedThrough{Status: f.failedStatus, Attempt: f.failedAttempt})
-	case f.possibleRuns > 0 || f.hasAbandoned || f.answerStarted:
+	case len(f.possibleRuns) > 0 || f.hasAbandoned || f.answerStarted:
 		s.countMiss(f)
 		s.finish(f, Unknown{Reason: reason})
 	case f.sentAttempts == 0 && f.peerRefusal.RetryAfter > 0 && f.peerRefusal.Reason == reason:
@@ -210,7 +212,7 @@
 	s.demand.countAnswer(f, o)
 	s.release(f)
 	for len(f.running) > 0 {
-		s.abandon(f.running[0], ReasonEnded)
+		s.cancel(f.running[0], ReasonEnded)
 	}
 	delete(s.flights, f.ref)
 	if s.copies[f.Fingerprint]--; s.copies[f.Fingerprint] <= 0 {
@@ -226,7 +228,7 @@
 		return
 	}
 	for len(f.running) > 0 {
-		s.abandon(f.running[0], ReasonCallerGone)
+		s.cancel(f.running[0], ReasonCallerGone)
 	}
 	s.finish(f, CallerGone{})
 }
--- a/scheduler/hedge.go
+++ b/scheduler/hedge.go
@@ -37,8 +37,8 @@
 	if d.isNone() || !s.budget.trySpend(f.Service) {
 		return
 	}
-	if f.possibleRuns+len(f.running) >= f.maxRuns() {
-		s.abandon(a, reason)
+	if s.countRuns(f)+s.countRunning(f) >= f.maxRuns() {
+		s.abandon(now, a, reason)
 	}
 	s.start(now, f, d, reason)
 }
@@ -55,15 +55,15 @@
 	if s.isRestricted(f) {
 		return false
 	}
-	runs := f.possibleRuns + len(f.running)
-	if len(f.running) > 1 && !a.mayHaveRun() {
+	runs := s.countRuns(f) + s.countRunning(f)
+	if len(f.running) > 1 && !a.mayHaveRun(now) {
 		runs--
 	}
 	return runs < f.maxRuns()
 }
 
 // abandonOthers ends the other attempts of a's request, because a has made progress.
-func (s *Scheduler) abandonOthers(a *attempt) {
+func (s *Scheduler) abandonOthers(now time.Time, a *attempt) {
 	for len(a.flight.running) > 1 {
 		other := a.flight.running[0]
 		if other == a {
@@ -73,6 +73,6 @@
 		if other.number > a.number {
 			reason = ReasonRecovered
 		}
-		s.abandon(other, reason)
+		s.abandon(now, other, reason)
 	}
 }
--- a/scheduler/peer_end.go
+++ b/scheduler/peer_end.go
@@ -21,12 +21,12 @@
 	case Failed:
 		s.handleEndpointError(now, a, end)
 	case Broken:
-		f.countPossibleRun()
+		f.countPossibleRun(a)
 		p.hasServed = false
 		f.triedPeers = append(f.triedPeers, p)
 		s.retry(now, f, ReasonAnswerLost)
 	case Expired:
-		f.countPossibleRun()
+		f.countPossibleRun(a)
 		s.giveUp(now, f, ReasonDeadline)
 	}
 }
--- a/scheduler/progress.go
+++ b/scheduler/progress.go
@@ -21,7 +21,7 @@
 	}
 	a.hasEvent, a.flight.answerStarted = true, true
 	a.flight.events++
-	s.abandonOthers(a)
+	s.abandonOthers(now, a)
 }
 
 // recordTargetProgress records what the progress of an attempt says about its target.
--- a/scheduler/request.go
+++ b/scheduler/request.go
@@ -24,6 +24,7 @@
 	Deadline     time.Time     // after which the caller no longer waits for the answer
 	MaxAttempts  int           // number of targets that may run the request
 	Priority     int           // 0 is the highest priority
+	MinRunDelay  time.Duration // from the arrival at an idle target until the request begins to run; zero if unknown
 
 	ViaPeer bool                  // another instance accepted the request and counts its retries; it is sent to endpoints from here only
 	Avoid   []identifier.Endpoint // endpoints that get no attempt, because earlier ones failed there
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -67,6 +67,8 @@
 	reach   reach
 	peers   []*peer // in the order in which this instance prefers them
 
+	endedProcesses map[identifier.Process]time.Time // when each was learned to have ended
+
 	statements          map[identifier.Process]*statement
 	statementsCheckedAt time.Time                                  // when it was last checked which statements can be forgotten
 	lastStated          map[identifier.Endpoint]identifier.Process // of each endpoint, the process with the latest start that has said that it leaves or is closed
@@ -142,6 +144,8 @@
 		}
 	case ProcessStated:
 		s.handleStatement(now, e)
+	case ProcessEnded:
+		s.handleProcessEnded(now, e.Process)
 	case Arrived:
 		s.handleArrival(now, e)
 	case Progressed:
--- a/scheduler/session_test.go
+++ b/scheduler/session_test.go
@@ -68,6 +68,8 @@
 	case "stated":
 		process := identifier.Process{Endpoint: identifier.Endpoint(ev.Str("endpoint")), Start: identifier.ProcessStart(ev.Int("processStart"))}
 		return scheduler.ProcessStated{Process: process, Leaving: ev.Bool("leaving"), ClosedFor: ev.Duration("closedFor"), Limit: limitStatement(ev), ColdFor: ev.Duration("coldFor"), SentAt: now.Add(-ev.Duration("sentAgo"))}, nil
+	case "processEnded":
+		return scheduler.ProcessEnded{Process: identifier.Process{Endpoint: identifier.Endpoint(ev.Str("endpoint")), Start: identifier.ProcessStart(ev.Int("processStart"))}}, nil
 	case "instances":
 		var instances []scheduler.Instance
 		for _, name := range ev.List("names") {
@@ -154,7 +156,7 @@
 	q := scheduler.Request{
 		Fingerprint: identifier.Fingerprint(ev.Int("fingerprint")), Service: "guides", Pool: "guides", Repeatable: true, Stream: true, ArrivedAt: now, LatencyGoal: 400 * time.Millisecond,
 		GapGoal: 200 * time.Millisecond, Deadline: now.Add(8 * time.Second), MaxAttempts: 2, Priority: ev.Int("priority"), PromptTokens: ev.Int("prompt"),
-		ViaPeer: ev.Bool("viaPeer"),
+		ViaPeer: ev.Bool("viaPeer"), MinRunDelay: ev.Duration("minRunDelay"),
 	}
 	for _, id := range ev.List("avoid") {
 		q.Avoid = append(q.Avoid, identifier.Endpoint(id))
--- a/scheduler/stall.go
+++ b/scheduler/stall.go
@@ -105,7 +105,7 @@
 	if streaming {
 		return silence, true, silence >= bounds.stream
 	}
-	bound := bounds.firstEvent
+	bound := bounds.firstEvent + t.pendingRunDelay()
 	if t.load(now, bounds.otherRequests) >= fullLoad {
 		bound *= fullStallFactor
 	}
--- a/scheduler/target.go
+++ b/scheduler/target.go
@@ -98,6 +98,18 @@
 	return (float64(len(t.attempts)) + otherRequests) / float64(max(t.Slots, 1))
 }
 
+// pendingRunDelay returns the sum of the times that t needs at least to prefill the prompts of this instance's
+// requests that have no event yet.
+func (t *target) pendingRunDelay() time.Duration {
+	var sum time.Duration
+	for _, a := range t.attempts {
+		if !a.hasEvent {
+			sum += a.flight.MinRunDelay
+		}
+	}
+	return sum
+}
+
 // recordLoad derives the requests of other instances from a load report, which includes this instance's requests.
 func (t *target) recordLoad(now time.Time, l Load) {
 	if l.Slots == 0 {
