groupformer: the time of prefill counts in full beside that of the decode steps

Cause: its prefill takes 1.9 groups' whole time on J, 2.9 on R. The estimate took the larger of the decode and the prefill need; a group does either, so both add up. Change: at planLoad they do, in a jump as before.

--- a/groupformer/estimate.go
+++ b/groupformer/estimate.go
@@ -170,7 +170,9 @@
 	jump     float64                              // for jumpFactor times the present work at jumpLoad; at least loss, because both are granted in this order
 }
 
-// groupsFor returns the groups that a rate of requests keeps at a load. A running request lengthens each step of the others.
+// groupsFor returns the groups that a rate of requests keeps at a load. A running request lengthens each step of the others. At
+// planLoad the time of prefill counts in full beside that of the decode steps, because a group does either; in a jump, which
+// lasts some seconds, decode steps may come later.
 func groupsFor(profile *resolver.EngineProfile, m resolver.Model, a arrivals, perSecond, load float64) float64 {
 	factor := m.TimeFactor
 	if factor <= 0 {
@@ -183,6 +185,9 @@
 		prefill = a.promptTokens / profile.PrefillTokensPerSecond * factor
 	}
 	bySlots := perSecond * (prefill + a.answerTokens*step*factor) / running
+	if load <= planLoad {
+		return bySlots + perSecond*prefill
+	}
 	return max(bySlots, perSecond*prefill/prefillLoad)
 }
 
