scheduler: requests past all learned limits wait for a moment

A request for which all targets are past their limits is held at the instance for at most an eighth of its latency goal, in the order of the queue, while more than two places for each held request are free below the hard maximum; a held request is not refused.

--- a/scheduler/capacity.go
+++ b/scheduler/capacity.go
@@ -103,10 +103,10 @@
 	return c.target.pool.capacity.model.Meets(g, min(c.slowness, 1), 0)
 }
 
-// expectedFirstEvent returns the time to the first event of f that is expected if f is sent to c's target.
-func (c *candidate) expectedFirstEvent(f *flight) time.Duration {
-	mean := c.target.pool.capacity.model.MeanFirstEvent(c.load, c.target.backlog+f.PromptTokens)
-	return time.Duration(float64(mean) * max(c.slowness, 1))
+// leastFirstEvent returns the time to the first event of f that is expected at an idle target of the same speed.
+func (c *candidate) leastFirstEvent(f *flight) time.Duration {
+	mean := c.target.pool.capacity.model.MeanFirstEvent(0, f.PromptTokens)
+	return time.Duration(float64(mean) * min(c.slowness, 1))
 }
 
 // enterBacklog counts a, which was sent while its target had a load, in the backlog of the target.
--- a/scheduler/choice.go
+++ b/scheduler/choice.go
@@ -74,7 +74,11 @@
 	if pl == nil {
 		return nil, 0, ReasonNoTarget
 	}
-	if c, ok := s.chooseCandidate(now, f, s.freeTargets(now, pl)); ok {
+	free := s.freeTargets(now, pl)
+	if s.held > 0 && f.attempts == 0 && s.endCrowdedHolds(now, pl, free) {
+		free = s.freeTargets(now, pl)
+	}
+	if c, ok := s.chooseCandidate(now, f, free); ok {
 		return c.target, c.load, ""
 	}
 	if f.isHeld(now) {
--- a/scheduler/fleet_test.go
+++ b/scheduler/fleet_test.go
@@ -23,7 +23,7 @@
 	delay     time.Duration
 	requests  map[scheduler.Ref]*fleetRequest
 	results   []*fleetRequest
-	log       func(format string, args ...any) // of actions; may be nil
+	onAction  func(scheduler.Action) // called for each action; may be nil
 }
 
 // fleetConfig describes a fleet and its load.
@@ -186,8 +186,8 @@
 		case scheduler.Finish:
 			f.requests[a.Ref].outcome = a.Outcome
 		}
-		if f.log != nil {
-			f.log("%s %T %+v", f.since(), a, a)
+		if f.onAction != nil {
+			f.onAction(a)
 		}
 	}
 	for _, do := range later {
--- a/scheduler/hold.go
+++ b/scheduler/hold.go
@@ -16,22 +16,18 @@
 
 // mayHold reports whether f, for which all candidates are past their learned limits, waits for a moment instead of going to best,
 // and begins the wait. It does once in the life of f, if f has not been sent yet, if a lower load would let it meet its
-// goals, if it has time to lose, if more than enough places are free below the hard maximum and if requests don't arrive faster than others end.
+// goals, if it has time to lose and if more than enough places are free below the hard maximum.
 func (s *Scheduler) mayHold(now time.Time, f *flight, best candidate, candidates []candidate) bool {
 	if !f.heldUntil.IsZero() {
 		return f.isHeld(now)
 	}
-	if f.attempts > 0 || f.ViaPeer || s.held >= maxHeld || s.ratesOf(f.Pool).isOverloaded(now) || !best.isHelpedByWaiting(now, f) {
+	if f.attempts > 0 || f.ViaPeer || s.held >= maxHeld || !best.isHelpedByWaiting(now, f) {
 		return false
 	}
-	seats := -seatsPerHeld * (s.held + 1)
-	for _, c := range candidates {
-		seats += int((s.cfg.MaxLoad - c.load) * float64(c.target.Slots))
-	}
-	if seats < 0 {
+	if s.seats(candidates) < seatsPerHeld*(s.held+1) {
 		return false
 	}
-	left := f.ArrivedAt.Add(f.LatencyGoal).Sub(now) - best.expectedFirstEvent(f)
+	left := f.ArrivedAt.Add(f.LatencyGoal).Sub(now) - best.leastFirstEvent(f)
 	wait := min(f.LatencyGoal/holdDivisor, left/2)
 	if wait < minHold {
 		return false
@@ -44,6 +40,31 @@
 	return true
 }
 
+// seats returns the number of requests that the candidates may take up to the hard maximum.
+func (s *Scheduler) seats(candidates []candidate) int {
+	seats := 0
+	for _, c := range candidates {
+		seats += int((s.cfg.MaxLoad - c.load) * float64(c.target.Slots))
+	}
+	return seats
+}
+
+// endCrowdedHolds places the held requests of a pool, before a request that arrives, if few places are free below the hard maximum. It
+// returns whether it did.
+func (s *Scheduler) endCrowdedHolds(now time.Time, pl *pool, candidates []candidate) bool {
+	q := s.queues[pl.name]
+	if q == nil || s.seats(candidates) >= seatsPerHeld*s.held {
+		return false
+	}
+	for _, f := range q.flights {
+		if f.isHeld(now) {
+			f.heldUntil = now
+		}
+	}
+	s.placeWaiting(now, pl.name)
+	return true
+}
+
 // release ends the hold of f, if it is held.
 func (s *Scheduler) release(f *flight) {
 	if f.isCountedHeld {
--- a/scheduler/queue.go
+++ b/scheduler/queue.go
@@ -131,7 +131,7 @@
 		s.giveUp(now, f, blocked)
 	case blocked != "", f.isHeld(now):
 		return true
-	case !now.Before(f.giveUpAt) || o.isFutile(now, f, position):
+	case !now.Before(f.giveUpAt) || !f.isCountedHeld && o.isFutile(now, f, position):
 		s.giveUp(now, f, o.reason)
 	default:
 		return true
