--- a/scheduler/hold.go
+++ b/scheduler/hold.go
@@ -65,6 +65,22 @@
 	return true
 }
 
+// nextHoldEnd returns the earliest end of a hold, or the zero time if no request is held.
+func (s *Scheduler) nextHoldEnd(now time.Time) time.Time {
+	var next time.Time
+	if s.held == 0 {
+		return next
+	}
+	for _, q := range s.queues {
+		for _, f := range q.flights {
+			if f.isHeld(now) && (next.IsZero() || f.heldUntil.Before(next)) {
+				next = f.heldUntil
+			}
+		}
+	}
+	return next
+}
+
 // release ends the hold of f, if it is held.
 func (s *Scheduler) release(f *flight) {
 	if f.isCountedHeld {
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -68,7 +68,7 @@
 	copies       map[identifier.Fingerprint]int // number of flights with a fingerprint
 
 	held               int       // requests that wait because all targets are past their learned limits
-	holdEndsAt         time.Time // the earliest end of such a wait since the last tick; zero if there is none
+	holdEndsAt         time.Time // the earliest end of such a wait; zero if there is none
 	capacityReportedAt time.Time
 
 	instances        instanceList
@@ -144,13 +144,14 @@
 		s.handleProbed(now, e)
 		s.placeAllWaiting(now)
 	case Ticked:
-		s.wakeAt, s.holdEndsAt = time.Time{}, time.Time{}
+		s.wakeAt = time.Time{}
 		s.checkStalls(now)
 		s.checkOverdue(now)
 		s.updateReach(now)
 		s.probe(now)
 		s.placeAllWaiting(now)
 		s.checkWaiting(now)
+		s.holdEndsAt = s.nextHoldEnd(now)
 		s.reportLatency(now)
 		s.instances.update(now)
 		s.reportLimits(now)
