--- a/scheduler/hold.go
+++ b/scheduler/hold.go
@@ -6,7 +6,7 @@
 const (
 	holdDivisor     = 8                    // a request is held at most its latency goal divided by this
 	minHold         = 5 * time.Millisecond // below which holding is not worth a tick
-	maxHeld         = 64                   // requests held at once
+	maxHeld         = 16                   // requests held at once; each costs a look at all targets when an attempt ends, and few are needed at 15 requests a second
 	minTickInterval = 5 * time.Millisecond // between a step and the tick that ends a hold
 	seatsPerHeld    = 2                    // free places below the hard maximum for each held request, so that holding never costs one its place
 )
