--- a/estimator/estimator.go
+++ b/estimator/estimator.go
@@ -173,14 +173,22 @@
 	TokensAhead int           // prompt tokens that the target has to read before, including those of the request
 }
 
+// Need returns the time until the first event that a target of a slowness would probably keep at a load, with prompt tokens ahead. It is
+// zero without samples.
+func (p *Pool) Need(tokensAhead int, slowness, load float64) time.Duration {
+	late := p.firstEvents.quantiles[binOf(load)]
+	if late == 0 {
+		return 0
+	}
+	return time.Duration((late + p.cost.perToken*float64(tokensAhead)) * slowness / p.meanSpeed)
+}
+
 // Meets reports whether a target of a slowness would meet the goals at a load. A pool without samples meets all.
 func (p *Pool) Meets(g Goals, slowness, load float64) bool {
-	i := binOf(load)
-	factor := slowness / p.meanSpeed
-	if (p.firstEvents.quantiles[i]+p.cost.perToken*float64(g.TokensAhead))*factor > float64(g.FirstEvent) {
-		return p.firstEvents.quantiles[i] == 0
+	if need := p.Need(g.TokensAhead, slowness, load); need > 0 && need > g.FirstEvent {
+		return false
 	}
-	return g.Gap == 0 || p.gaps.quantiles[i]*factor <= float64(g.Gap)
+	return g.Gap == 0 || p.gaps.quantiles[binOf(load)]*slowness/p.meanSpeed <= float64(g.Gap)
 }
 
 // Limit returns the load up to which a target of a slowness meets the goals, from 0 to maxLoad.
--- a/scheduler/bench_capacity_test.go
+++ b/scheduler/bench_capacity_test.go
@@ -76,3 +76,37 @@
 		q.step(scheduler.Ticked{})
 	}
 }
+
+// BenchmarkHeldRequests measures one arrival, one end and one tick while all targets are past their limits, so that the largest number of requests is held.
+func BenchmarkHeldRequests(b *testing.B) {
+	for _, targets := range []int{20, 200} {
+		b.Run(fmt.Sprintf("targets=%d", targets), func(b *testing.B) {
+			q := newLearnedQueue(targets, targets*benchSlots/2)
+			arrive := func() {
+				q.lastRef++
+				q.step(scheduler.Arrived{Ref: q.lastRef, Request: scheduler.Request{
+					Service: "guides", Pool: "guides", Repeatable: true, Stream: true, ArrivedAt: q.now, LatencyGoal: 400 * time.Millisecond,
+					Deadline: q.now.Add(300 * time.Hour), MaxAttempts: 2,
+				}})
+			}
+			for range 2 * targets { // their first events are late, at loads from 0.5
+				arrive()
+			}
+			q.now = q.now.Add(600 * time.Millisecond)
+			for _, s := range q.running[targets*benchSlots/2:] {
+				q.step(scheduler.Progressed{Ref: s.Ref, Attempt: s.Attempt, Event: true, Load: scheduler.Load{Running: 7, Slots: benchSlots}})
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				q.now = q.now.Add(2 * time.Millisecond)
+				arrive()
+				if len(q.running) > 7*targets {
+					oldest := q.running[0]
+					q.running = q.running[1:]
+					q.step(scheduler.Ended{Ref: oldest.Ref, Attempt: oldest.Attempt, Ending: scheduler.Completed{}})
+				}
+				q.step(scheduler.Ticked{})
+			}
+		})
+	}
+}
--- a/scheduler/hold.go
+++ b/scheduler/hold.go
@@ -1,6 +1,9 @@
 package scheduler
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Bounds of the time for which a request is held.
 const (
@@ -40,6 +43,22 @@
 	return true
 }
 
+// leastNeed returns a time that a held request needs to have left at least to be within the limit of a candidate, so that not
+// each held request has to look at all of them. It returns zero if no request is held.
+func (s *Scheduler) leastNeed(candidates []candidate) time.Duration {
+	if s.held == 0 || len(candidates) == 0 {
+		return 0
+	}
+	least := time.Duration(math.MaxInt64)
+	for _, c := range candidates {
+		if c.slowness == 0 || !c.target.stalledAt.IsZero() {
+			return 0
+		}
+		least = min(least, c.target.pool.capacity.model.Need(c.target.backlog, c.slowness, c.load))
+	}
+	return least
+}
+
 // seats returns the number of requests that the candidates may take up to the hard maximum.
 func (s *Scheduler) seats(candidates []candidate) int {
 	seats := 0
--- a/scheduler/queue.go
+++ b/scheduler/queue.go
@@ -72,8 +72,9 @@
 		return
 	}
 	free := s.freeTargets(now, pl)
+	need := s.leastNeed(free)
 	for i := 0; i < len(q.flights) && len(free) > 0; {
-		if f := q.flights[i]; !s.placeAt(now, f, pl, &free) {
+		if f := q.flights[i]; f.isHeld(now) && f.ArrivedAt.Add(f.LatencyGoal).Sub(now) < need || !s.placeAt(now, f, pl, &free) {
 			i++
 		}
 	}
