--- a/scheduler/queue.go
+++ b/scheduler/queue.go
@@ -72,8 +72,9 @@
 		return
 	}
 	free := s.freeTargets(now, pl)
+	need := s.leastNeed(free)
 	for i := 0; i < len(q.flights) && len(free) > 0; {
-		if f := q.flights[i]; !s.placeAt(now, f, pl, &free) {
+		if f := q.flights[i]; f.isHeld(now) && f.ArrivedAt.Add(f.LatencyGoal).Sub(now) < need || !s.placeAt(now, f, pl, &free) {
 			i++
 		}
 	}
@@ -131,7 +132,7 @@
 		s.giveUp(now, f, blocked)
 	case blocked != "", f.isHeld(now):
 		return true
-	case !now.Before(f.giveUpAt) || o.isFutile(now, f, position):
+	case !now.Before(f.giveUpAt) || !f.isCountedHeld && o.isFutile(now, f, position):
 		s.giveUp(now, f, o.reason)
 	default:
 		return true
