groupformer: groups that are out because of losses count as need

Cause: a lost engine takes its whole group out for some six seconds, so that the larger groups are out more often; the estimate knew arrivals only. Change: the decaying rate of lost groups of a model, times that outage, adds to each of its needs.

--- a/groupformer/allocation.go
+++ b/groupformer/allocation.go
@@ -184,7 +184,7 @@
 	for _, m := range profile.Models {
 		a := f.demandReports.arrivals(now, poolKey{service, m.Name}, profile)
 		known += a.known
-		needs = append(needs, needOf(profile, m, a, c.largestPart))
+		needs = append(needs, needOf(profile, m, a, c.largestPart, f.groupsOut(now, service, m.Name)))
 	}
 	if known < minKnownRequests {
 		return nil
--- a/groupformer/dissolve.go
+++ b/groupformer/dissolve.go
@@ -32,6 +32,7 @@
 // dissolve starts to dissolve g.
 func (f *Former) dissolve(now time.Time, g *group, cause identifier.Endpoint, reason string) {
 	f.emit(LogDecision{Group: g.name, Epoch: g.epoch, Model: g.model.Name, Endpoint: cause, Decision: "dissolve:" + reason, Members: len(g.members), Elapsed: now.Sub(g.phaseSince)})
+	f.countLoss(now, g, reason)
 	g.phase, g.phaseSince = phaseDissolving, now
 }
 
--- a/groupformer/estimate.go
+++ b/groupformer/estimate.go
@@ -191,9 +191,9 @@
 	return max(bySlots, perSecond*prefill/prefillLoad)
 }
 
-// needOf returns the need of a model. largestPart is the part of the engines that the largest failure domain has. A
-// model with a share keeps a group also without requests.
-func needOf(profile *resolver.EngineProfile, m resolver.Model, a arrivals, largestPart float64) need {
+// needOf returns the need of a model. largestPart is the part of the engines that the largest failure domain has, and out the
+// number of groups that are out of service because of losses. A model with a share keeps a group also without requests.
+func needOf(profile *resolver.EngineProfile, m resolver.Model, a arrivals, largestPart, out float64) need {
 	perSecond := a.perSecond
 	if a.known > 0 {
 		perSecond *= 1 + errorMargin/math.Sqrt(a.known)
@@ -202,11 +202,12 @@
 	if m.Share > 0 || a.perSecond > 0 {
 		n.present = max(n.present, 1)
 	}
-	n.loss = n.present
+	n.loss = n.present + out
 	if largestPart < 1 {
-		n.loss /= 1 - largestPart
+		n.loss = n.present/(1-largestPart) + out
 	}
-	n.jump = max(n.loss, groupsFor(profile, m, a, jumpFactor*perSecond, jumpLoad))
+	n.present += out
+	n.jump = max(n.loss, groupsFor(profile, m, a, jumpFactor*perSecond, jumpLoad)+out)
 	return n
 }
 
--- a/groupformer/estimate_test.go
+++ b/groupformer/estimate_test.go
@@ -23,11 +23,11 @@
 func TestNeed(t *testing.T) {
 	is := is.New(t)
 	a := arrivals{perSecond: 347, promptTokens: 674, answerTokens: 115}
-	n := needOf(&estimateProfile, estimateProfile.Models[1], a, 1.0/3)
+	n := needOf(&estimateProfile, estimateProfile.Models[1], a, 1.0/3, 0)
 	is.True(math.Abs(n.present-347*0.823/23.8) < 0.05)
 	is.True(math.Abs(n.loss-1.5*n.present) < 1e-9)
 	is.True(n.jump > 25 && n.jump < 26)
-	idle := needOf(&estimateProfile, estimateProfile.Models[1], arrivals{}, 1.0/3)
+	idle := needOf(&estimateProfile, estimateProfile.Models[1], arrivals{}, 1.0/3, 0)
 	is.Equal(idle.present, 1.0) // a model with a share keeps a group
 }
 
@@ -122,3 +122,25 @@
 	is.Equal(two.usable, 96)
 	is.Equal(two.largestPart, 0.5)
 }
+
+// TestLostGroupsCountAsNeed guards against a model with large groups that has too few of them while engines die: each lost engine
+// ends the group of all its members, and another one serves only some seconds later.
+func TestLostGroupsCountAsNeed(t *testing.T) {
+	is := is.New(t)
+	f := New(Config{})
+	now := time.Unix(0, 0)
+	m := estimateProfile.Models[0]
+	for range 60 { // a group each two seconds for two minutes
+		now = now.Add(2 * time.Second)
+		f.countLoss(now, &group{service: "guides", model: m, phase: phaseServing}, "dead")
+		f.countLoss(now, &group{service: "guides", model: m, phase: phaseServing}, "lent") // no loss
+	}
+	out := f.groupsOut(now, "guides", m.Name)
+	is.True(out > 2.5 && out < 3.5) // six seconds of half a group per second
+	a := arrivals{perSecond: 30, promptTokens: 1000, answerTokens: 100}
+	with, without := needOf(&estimateProfile, m, a, 1.0/3, out), needOf(&estimateProfile, m, a, 1.0/3, 0)
+	is.True(with.present > without.present+2.5)
+	is.True(with.loss > without.loss+2.5)
+	is.True(f.groupsOut(now.Add(time.Minute), "guides", m.Name) < 0.1) // losses are forgotten
+	is.Equal(f.groupsOut(now, "guides", "other"), 0.0)
+}
