groupformer: shares follow a change of the mix while engines are scarce

With scarce engines the lowest coverage stays at 0.5 to 0.6 whatever is changed, so that a gain of 0.25 was out of reach once demand had been known for 15 s. With m1 at 300/s and m0 at 80/s, and m1 at 700/s after 40 s, no group moved (load of m1 1.39, of m0 0.26).

A gain of 0.05 now suffices while a model lacks groups for its present work and another one can spare a group.

TestSharesFollowChangeOfMix: the same change ends at loads of 0.85 and 0.36, with 7 groups of m0, whose present need is 7.14. Failed before for 9 of 18 cases.

--- a/groupformer/allocation.go
+++ b/groupformer/allocation.go
@@ -13,7 +13,7 @@
 	allocateInterval = 500 * time.Millisecond // between two looks at the demand of a service
 	firstGain        = 0.05                   // gain of coverage from which shares change within refineTime, in which they rest on a few seconds of reports
 	heldGain         = 0.03                   // gain from which a new holder of the lease leaves the groups that it finds
-	changeGain       = 0.25                   // the same later; demand that varies by a fifth changes the coverage by less
+	changeGain       = 0.25                   // the same later, unless a model lacks groups for its present work that another one can spare; demand that varies by a fifth changes the coverage by less
 	refineTime       = 15 * time.Second       // since the demand was first known
 	gainLasts        = 4 * time.Second        // for which the gain of a change must last: two reports of each instance; within refineTime, one
 	shareLogged      = 0.1                    // change of a share from which it is logged
@@ -127,27 +127,32 @@
 			best = held
 		}
 	case !a.isActive():
-		if !a.gains(now, lowestCoverage(a.needs, best)-lowestCoverage(a.needs, operatorGroups(profile, c.usable))) {
+		if !a.gains(now, best, operatorGroups(profile, c.usable)) {
 			return
 		}
 	case c.usable < a.usedEngines(profile) || c.usable >= a.capacity+smallestGroup(profile):
 		// engines were lost or came back, so that the groups must be counted again in any case
 	default:
 		a.capacity, a.live = c.usable, c.live
-		if !a.gains(now, lowestCoverage(a.needs, best)-lowestCoverage(a.needs, a.groups)) {
+		if !a.gains(now, best, a.groups) {
 			return
 		}
 	}
 	f.setAllocation(now, a, service, profile, c, best)
 }
 
-// gains reports whether the gain of a change is large enough and has lasted.
-func (a *allocation) gains(now time.Time, gain float64) bool {
+// gains reports whether the gain of a change from current to best is large enough and has lasted. Where engines are scarce, the
+// lowest coverage may stay below 0.6 whatever is changed, so that firstGain suffices while a model lacks groups for its present work
+// that another one can spare.
+func (a *allocation) gains(now time.Time, best, current map[string]int) bool {
 	limit, lasts := changeGain, gainLasts
+	if isPresentUneven(a.needs, current) {
+		limit = firstGain
+	}
 	if now.Sub(a.since) < refineTime {
 		limit, lasts = firstGain, minFirstInterval
 	}
-	if gain < limit {
+	if lowestCoverage(a.needs, best)-lowestCoverage(a.needs, current) < limit {
 		a.gainSince = time.Time{}
 		return false
 	}
@@ -157,6 +162,17 @@
 	return now.Sub(a.gainSince) >= lasts
 }
 
+// isPresentUneven reports whether a model has fewer groups than its present work needs while another one could give a group and keep
+// what its own needs. If all models lack groups, a change only shifts the lack.
+func isPresentUneven(needs []need, groups map[string]int) bool {
+	lacks, spares := false, false
+	for _, n := range needs {
+		lacks = lacks || float64(groups[n.model.Name]) < n.present
+		spares = spares || float64(groups[n.model.Name]-1) >= n.present
+	}
+	return lacks && spares
+}
+
 // usedEngines returns the engines of the allocated groups.
 func (a *allocation) usedEngines(profile *resolver.EngineProfile) int {
 	n := 0
