groupformer: a loan leaves a model the groups that serve it

Groups that form counted as what a giver keeps, so that the last serving group of a model could be lent. Groups that serve must now meet the giver's present need alone, or its allocation if that is less; one that is neither draining nor evacuated stays in any case, also if it spans fabric domains.

--- a/groupformer/evacuation.go
+++ b/groupformer/evacuation.go
@@ -27,18 +27,25 @@
 // isLastInService reports whether g is the last group of its model that serves in the failure domains which are not
 // evacuated, apart from the groups in chosen. It returns false while no domain is evacuated.
 func (f *Former) isLastInService(g *group, chosen []*group) bool {
-	if len(f.evacuated) == 0 || f.isEvacuated(g) {
-		return false
-	}
+	return len(f.evacuated) > 0 && !f.isEvacuated(g) && f.isLastServing(g, chosen)
+}
+
+// isLastServing reports whether no other group of g's model serves that is neither draining, nor evacuated, nor in chosen.
+func (f *Former) isLastServing(g *group, chosen []*group) bool {
 	for _, o := range f.groups {
 		isOther := o != g && o.service == g.service && o.model.Name == g.model.Name && !slices.Contains(chosen, o)
-		if isOther && o.phase == phaseServing && !f.isEvacuated(o) && !f.isDraining(o) {
+		if isOther && f.isInService(o) {
 			return false
 		}
 	}
 	return true
 }
 
+// isInService reports whether g serves and is neither draining nor evacuated.
+func (f *Former) isInService(g *group) bool {
+	return g.phase == phaseServing && !f.isEvacuated(g) && !f.isDraining(g)
+}
+
 // totalSupplies are the supplies of one service over several failure domains.
 type totalSupplies struct {
 	inService *supply // over the domains that are not evacuated
--- a/groupformer/reassign_demand.go
+++ b/groupformer/reassign_demand.go
@@ -135,7 +135,10 @@
 	usable := map[*group]int{}
 	for _, g := range f.reassignableGroups(d, m) {
 		spans := f.spansFabricDomains(g)
-		if !spans && (g.model.Name == m.Name || !f.canGive(a, s, g.model, given[g.model.Name]+1, m)) {
+		if !spans && (g.model.Name == m.Name || !f.canGive(a, d.service, s, g.model, given[g.model.Name]+1, m)) {
+			continue
+		}
+		if f.isLastInService(g, l.groups) || g.model.Name != m.Name && f.isLastServing(g, l.groups) {
 			continue
 		}
 		usable[g] = f.countUsableMembers(g, d, m)
@@ -168,16 +171,28 @@
 }
 
 // canGive reports whether a model may give groups to m: it keeps the groups that demand asks for, and its need stays met, or
-// it stays clearly better covered than m is now.
-func (f *Former) canGive(a *allocation, s *supply, giver resolver.Model, groups float64, m resolver.Model) bool {
+// it stays clearly better covered than m is now. The groups that serve must meet its present need alone, or its allocation if
+// that is less, because groups that form may take a load or fail.
+func (f *Former) canGive(a *allocation, service identifier.Service, s *supply, giver resolver.Model, groups float64, m resolver.Model) bool {
 	left := s.total.groups[giver.Name] - groups
 	if left < float64(a.groups[giver.Name]) {
 		return false
 	}
 	from, known := a.needOf(giver.Name)
 	to, _ := a.needOf(m.Name)
-	if !known {
+	if !known || f.countInService(service, giver)-groups < min(from.present, float64(a.groups[giver.Name])) {
 		return false
 	}
 	return from.coverage(left) >= 1 || from.coverage(left) >= lentCoverRatio*to.coverage(s.total.groups[m.Name])
 }
+
+// countInService returns the groups of a model within a fabric domain that serve and are neither draining nor evacuated.
+func (f *Former) countInService(service identifier.Service, m resolver.Model) float64 {
+	n := 0.0
+	for _, g := range f.groups {
+		if g.service == service && g.model.Name == m.Name && f.isInService(g) && !f.spansFabricDomains(g) {
+			n++
+		}
+	}
+	return n
+}
