groupformer: needs are corrected by missed goals of all instances

Cause: the estimate does not know all that delays requests: prefill beside decode steps, outages of groups, how tight goals are. An estimate that adds the time of prefill in full, tried in, took engines from the other model also where both met their goals.

--- a/groupformer/allocation.go
+++ b/groupformer/allocation.go
@@ -23,13 +23,14 @@
 // allocation is the number of groups of each model of a service that demand asks for. The zero value means that the
 // operator's shares apply.
 type allocation struct {
-	groups    map[string]int // nil while the operator's shares apply
-	live      int            // live engines when groups were counted
-	capacity  int            // of these, the engines that groups within a fabric domain can use
-	needs     []need         // the latest estimate, in the order of the profile's models; nil if too little is known
-	since     time.Time      // when the demand was first known; zero before
-	gainSince time.Time      // since when a change would gain enough; zero while it would not
-	lookedAt  time.Time
+	groups      map[string]int // nil while the operator's shares apply
+	live        int            // live engines when groups were counted
+	capacity    int            // of these, the engines that groups within a fabric domain can use
+	needs       []need         // the latest estimate, in the order of the profile's models; nil if too little is known
+	since       time.Time      // when the demand was first known; zero before
+	isCorrected bool           // a model clearly misses its goals more often than another
+	gainSince   time.Time      // since when a change would gain enough; zero while it would not
+	lookedAt    time.Time
 }
 
 // isActive reports whether demand has replaced the operator's shares.
@@ -109,6 +110,7 @@
 // updateAllocation changes the allocation of a service if the demand asks for it.
 func (f *Former) updateAllocation(now time.Time, a *allocation, service identifier.Service, profile *resolver.EngineProfile, c fleetCapacity) {
 	a.needs = f.estimateNeeds(now, service, profile, c)
+	a.isCorrected = f.isCorrected(service, profile)
 	if a.needs == nil || c.usable == 0 {
 		if a.isActive() && f.demandReports.isComplete(now) {
 			f.setAllocation(now, a, service, profile, c, nil)
@@ -146,7 +148,7 @@
 // that another one can spare.
 func (a *allocation) gains(now time.Time, best, current map[string]int) bool {
 	limit, lasts := changeGain, gainLasts
-	if isPresentUneven(a.needs, current) {
+	if isPresentUneven(a.needs, current) || a.isCorrected {
 		limit = firstGain
 	}
 	if now.Sub(a.since) < refineTime {
@@ -196,15 +198,18 @@
 		return nil
 	}
 	var needs []need
+	var arrived []arrivals
 	known := 0.0
 	for _, m := range profile.Models {
 		a := f.demandReports.arrivals(now, poolKey{service, m.Name}, profile)
 		known += a.known
+		arrived = append(arrived, a)
 		needs = append(needs, needOf(profile, m, a, c.largestPart, f.groupsOut(now, service, m.Name)))
 	}
 	if known < minKnownRequests {
 		return nil
 	}
+	f.correctNeeds(service, profile, arrived, needs)
 	return needs
 }
 
--- a/groupformer/estimate.go
+++ b/groupformer/estimate.go
@@ -26,7 +26,7 @@
 
 // workCounts holds decaying counts of the work for one model at one instance.
 type workCounts struct {
-	requests, prompts, promptTokens, answers, answerTokens float64
+	requests, prompts, promptTokens, answers, answerTokens, judged, missedGoal float64
 }
 
 // add lets the counts decay by a factor and adds those of a report.
@@ -36,6 +36,8 @@
 	c.promptTokens = c.promptTokens*factor + float64(m.PromptTokens)
 	c.answers = c.answers*factor + float64(m.Answers)
 	c.answerTokens = c.answerTokens*factor + float64(m.AnswerTokens)
+	c.judged = c.judged*factor + float64(m.Judged)
+	c.missedGoal = c.missedGoal*factor + float64(m.MissedGoal)
 }
 
 // instanceDemand is the work that arrives at one instance. Counts and the time that they cover decay together, so that the
@@ -80,6 +82,8 @@
 	byDomain     map[identifier.FailureDomain]float64 // requests per second, by the failure domain of the instances at which they arrive
 	promptTokens float64                              // mean of a request
 	answerTokens float64                              // mean of a request
+	judged       float64                              // decayed number of requests by which missedPart is known
+	missedPart   float64                              // part of the requests that missed their latency goal or were given up
 }
 
 // demandReports holds the reports of all instances.
@@ -150,8 +154,11 @@
 		t.promptTokens += w * c.promptTokens
 		t.answers += w * c.answers
 		t.answerTokens += w * c.answerTokens
+		t.judged += w * c.judged
+		t.missedGoal += w * c.missedGoal
 	}
 	out.promptTokens = (t.promptTokens + priorRequests*float64(profile.MeanPromptTokens)) / (t.prompts + priorRequests)
+	out.judged, out.missedPart = t.judged, t.missedGoal/max(t.judged, 1)
 	out.answerTokens = (t.answerTokens + priorRequests*float64(profile.MeanAnswerTokens)) / (t.answers + priorRequests)
 	return out
 }
@@ -170,9 +177,7 @@
 	jump     float64                              // for jumpFactor times the present work at jumpLoad; at least loss, because both are granted in this order
 }
 
-// groupsFor returns the groups that a rate of requests keeps at a load. A running request lengthens each step of the others. At
-// planLoad the time of prefill counts in full beside that of the decode steps, because a group does either; in a jump, which
-// lasts some seconds, decode steps may come later.
+// groupsFor returns the groups that a rate of requests keeps at a load. A running request lengthens each step of the others.
 func groupsFor(profile *resolver.EngineProfile, m resolver.Model, a arrivals, perSecond, load float64) float64 {
 	factor := m.TimeFactor
 	if factor <= 0 {
@@ -185,9 +190,6 @@
 		prefill = a.promptTokens / profile.PrefillTokensPerSecond * factor
 	}
 	bySlots := perSecond * (prefill + a.answerTokens*step*factor) / running
-	if load <= planLoad {
-		return bySlots + perSecond*prefill
-	}
 	return max(bySlots, perSecond*prefill/prefillLoad)
 }
 
--- a/groupformer/event.go
+++ b/groupformer/event.go
@@ -61,6 +61,8 @@
 	PromptTokens int // of these
 	Answers      int // streams that were delivered in full
 	AnswerTokens int // of these
+	Judged       int // requests that were answered or given up
+	MissedGoal   int // of these, those that missed their latency goal or were given up
 }
 
 // FirstRequestReceived reports that the first request has arrived.
--- a/groupformer/former.go
+++ b/groupformer/former.go
@@ -38,6 +38,7 @@
 	demands            map[poolKey]*demand
 	demandReports      demandReports
 	groupLosses        map[poolKey]*lossRate
+	corrections        map[poolKey]float64 // of the needs, because of missed goals
 	allocations        map[identifier.Service]*allocation
 	evacuated          map[identifier.FailureDomain]bool // failure domains whose capacity does not count for demand and deficits
 	keepsGroupsUntil   time.Time                         // until then, a new holder of the lease moves no group of a service with known demand to another model
@@ -58,7 +59,7 @@
 		drainTime:          cfg.DrainTime,
 		beforeFirstRequest: cfg.FirstStart, services: map[identifier.Service]*resolver.EngineProfile{}, engines: map[identifier.Endpoint]*engine{},
 		groups: map[identifier.Group]*group{}, released: map[identifier.Group]releasedGroup{}, loadBudgets: map[identifier.Service]*loadBudget{},
-		demands: map[poolKey]*demand{}, groupLosses: map[poolKey]*lossRate{}, allocations: map[identifier.Service]*allocation{},
+		demands: map[poolKey]*demand{}, groupLosses: map[poolKey]*lossRate{}, corrections: map[poolKey]float64{}, allocations: map[identifier.Service]*allocation{},
 	}
 }
 
--- a/messenger/demand.go
+++ b/messenger/demand.go
@@ -26,6 +26,8 @@
 	PromptTokens int                `json:"promptTokens,omitempty"`
 	Answers      int                `json:"answers,omitempty"`
 	AnswerTokens int                `json:"answerTokens,omitempty"`
+	Judged       int                `json:"judged,omitempty"`
+	MissedGoal   int                `json:"missedGoal,omitempty"`
 }
 
 func encodeDemand(r groupformer.DemandReported) demandWire {
@@ -41,7 +43,7 @@
 func (w demandWire) demand() (groupformer.DemandReported, bool) {
 	out := groupformer.DemandReported{Instance: w.Instance, FailureDomain: w.FailureDomain, Elapsed: w.Elapsed.Std()}
 	for _, m := range w.Models {
-		if min(m.Requests, m.Prompts, m.PromptTokens, m.Answers, m.AnswerTokens) < 0 {
+		if min(m.Requests, m.Prompts, m.PromptTokens, m.Answers, m.AnswerTokens, m.Judged, m.MissedGoal) < 0 {
 			return groupformer.DemandReported{}, false
 		}
 		out.Models = append(out.Models, groupformer.ModelDemand(m))
--- a/runner/hosted_demand.go
+++ b/runner/hosted_demand.go
@@ -36,7 +36,7 @@
 	for _, p := range pools {
 		if service, model := forwarder.SplitPool(p.Pool); model != "" {
 			out = append(out, groupformer.ModelDemand{
-				Service: service, Model: model, Requests: p.Requests, Prompts: p.Prompts, PromptTokens: p.PromptTokens, Answers: p.Answers, AnswerTokens: p.AnswerEvents * tokensPerEvent(service),
+				Service: service, Model: model, Requests: p.Requests, Prompts: p.Prompts, PromptTokens: p.PromptTokens, Answers: p.Answers, AnswerTokens: p.AnswerEvents * tokensPerEvent(service), Judged: p.Judged, MissedGoal: p.MissedGoal,
 			})
 		}
 	}
--- a/scheduler/demand.go
+++ b/scheduler/demand.go
@@ -25,6 +25,8 @@
 	PromptTokens int // of these
 	Answers      int // streams that were delivered in full since the last report
 	AnswerEvents int // of these; an event may hold several tokens
+	Judged       int // requests that got their first event or complete answer, or ended as NotRun or Unknown
+	MissedGoal   int // of these, those after their latency goal, and those that ended as NotRun or Unknown
 }
 
 // DemandReport reports the work that arrived since the last report, sorted by pool. It comes about every two
@@ -68,6 +70,15 @@
 	}
 }
 
+// countGoal counts a request by whether it met its latency goal.
+func (c *demandCounter) countGoal(f *flight, missedGoal bool) {
+	d := c.of(f.Pool)
+	d.Judged++
+	if missedGoal {
+		d.MissedGoal++
+	}
+}
+
 // countAnswer counts the events of a stream that ended. A stream that was not delivered in full does not count, because
 // its events understate the work of a request.
 func (c *demandCounter) countAnswer(f *flight, o Outcome) {
--- a/scheduler/demand_test.go
+++ b/scheduler/demand_test.go
@@ -65,8 +65,8 @@
 	s.step(scheduler.Ended{Ref: first, Attempt: 1, Ending: scheduler.Completed{}})
 	s.run(2 * time.Second)
 	is.Equal(s.reports, []scheduler.DemandReport{{Elapsed: 2 * time.Second, Pools: []scheduler.PoolDemand{
-		{Pool: "guides/m0", Requests: 2, Prompts: 1, PromptTokens: 100, Answers: 1, AnswerEvents: 7},
-		{Pool: "guides/m1", Requests: 1, Prompts: 1, PromptTokens: 50},
+		{Pool: "guides/m0", Requests: 2, Prompts: 1, PromptTokens: 100, Answers: 1, AnswerEvents: 7, Judged: 1},
+		{Pool: "guides/m1", Requests: 1, Prompts: 1, PromptTokens: 50, Judged: 1, MissedGoal: 1},
 	}}})
 }
 
--- a/scheduler/flight.go
+++ b/scheduler/flight.go
@@ -195,6 +195,7 @@
 func (s *Scheduler) countMiss(f *flight) {
 	if !f.ViaPeer {
 		s.latency.count(f, true)
+		s.demand.countGoal(f, true)
 	}
 }
 
--- a/scheduler/progress.go
+++ b/scheduler/progress.go
@@ -45,7 +45,9 @@
 // countAnswer counts the first event or complete answer of f against its latency goal.
 func (s *Scheduler) countAnswer(now time.Time, f *flight) {
 	if !f.answerStarted && !f.ViaPeer {
-		s.latency.count(f, now.Sub(f.ArrivedAt) > f.LatencyGoal)
+		missedGoal := now.Sub(f.ArrivedAt) > f.LatencyGoal
+		s.latency.count(f, missedGoal)
+		s.demand.countGoal(f, missedGoal)
 	}
 }
 
