groupformer: the operator's shares are left only for a clear gain

Cause: a gain of 0.05 of the coverage of a jump sufficed to leave the shares. Change: it takes 0.25, as later changes do, unless the present work is covered unevenly.

--- a/groupformer/allocation.go
+++ b/groupformer/allocation.go
@@ -122,7 +122,7 @@
 	switch {
 	case a.since.IsZero():
 		a.since = now
-		if lowestCoverage(a.needs, best)-lowestCoverage(a.needs, operatorGroups(profile, c.usable)) < firstGain {
+		if lowestCoverage(a.needs, best)-lowestCoverage(a.needs, operatorGroups(profile, c.usable)) < changeGain {
 			return
 		}
 		if held, ok := f.heldGroups(a.needs, service, best, c); ok {
@@ -151,7 +151,7 @@
 	if isPresentUneven(a.needs, current) || a.isCorrected {
 		limit = firstGain
 	}
-	if now.Sub(a.since) < refineTime {
+	if a.isActive() && now.Sub(a.since) < refineTime {
 		limit, lasts = firstGain, minFirstInterval
 	}
 	if lowestCoverage(a.needs, best)-lowestCoverage(a.needs, current) < limit {
