scheduler: explanation of where a request would go

Operators could not ask why a request would be sent to a target, wait or be refused. The choice of a target now names the obstacle and the penalties that it applies; the order in which penalties are added is kept. go test -p 2 ./scheduler passes (72 s).

--- a/scheduler/choice.go
+++ b/scheduler/choice.go
@@ -143,21 +143,27 @@
 // penalty returns the value that is added to the load of t to get its score. Like the load,
 // it is a fraction of t's slots.
 func (s *Scheduler) penalty(now time.Time, t *target, poolMeanGap time.Duration, slowness float64) float64 {
-	score := prefillPenalty * float64(t.backlog) / 1000
+	p := s.penalties(now, t, poolMeanGap, slowness)
+	return p.sum()
+}
+
+// penalties returns the parts of the penalty of t.
+func (s *Scheduler) penalties(now time.Time, t *target, poolMeanGap time.Duration, slowness float64) (p penalties) {
+	p[penaltyPrefill] = prefillPenalty * float64(t.backlog) / 1000
 	if t.FailureDomain != s.cfg.FailureDomain {
-		score += remoteDomainPenalty
+		p[penaltyRemoteDomain] = remoteDomainPenalty
 	}
 	if t.SpansFabricDomains {
-		score += fabricSpanPenalty
+		p[penaltyFabricSpan] = fabricSpanPenalty
 	}
 	if t.MemberMissing {
-		score += missingMemberPenalty
+		p[penaltyMissingMember] = missingMemberPenalty
 	}
 	if t.isCold(now) {
-		score += coldPenalty
+		p[penaltyCold] = coldPenalty
 	}
 	if now.Sub(t.addedAt) < time.Second {
-		score += newTargetPenalty
+		p[penaltyNewTarget] = newTargetPenalty
 	}
 	slow := 0.0
 	if poolMeanGap > 0 && now.Sub(t.gapMeasuredAt) < latencySampleTTL {
@@ -167,27 +173,39 @@
 	}
 	if slowness > 0 {
 		slow = max(slow, slowPenalty*(slowness-1))
-		score += failurePenalty * t.estimator.FailureRate(now)
+		p[penaltyFailureRate] = failurePenalty * t.estimator.FailureRate(now)
 	}
-	score += slow
-	return score + 0.25*float64(min(t.consecutiveFailures, 8))
+	p[penaltySlow] = slow
+	p[penaltyFailuresInARow] = 0.25 * float64(min(t.consecutiveFailures, 8))
+	return p
 }
 
-// mayTake reports whether t may take a request which no target runs: it is not evacuated, its process has neither said
-// that it leaves nor asked for no requests, its limit allows one, it has answered since this instance was cut off, and
-// either t is not stalled, or a trial request is due.
-func (s *Scheduler) mayTake(now time.Time, t *target) bool {
-	if t.Evacuated || !t.statement.admits(now) || now.Before(t.refusedUntil) || s.limitedUntil(now, t).After(now) {
-		return false
-	}
-	if s.reach.isCutOff() && (t.isUnreachable() || !t.hasAnsweredSince(s.reach.cutSince)) {
-		return false
-	}
-	if t.stalledAt.IsZero() {
-		return true
-	}
-	if t.contactAt.After(t.stalledAt) && t.contactAt.After(t.lastTrialAt) {
-		return true // its endpoint has answered a probe
-	}
-	return len(t.attempts) == 0 && now.Sub(t.lastTrialAt) >= s.cfg.TrialInterval && now.Sub(t.stalledAt) >= s.cfg.TrialInterval
+// mayTake reports whether t may take a request which no target runs.
+func (s *Scheduler) mayTake(now time.Time, t *target) bool { return s.obstacleOf(now, t) == "" }
+
+// obstacleOf returns what keeps t from taking a request which no target runs, or "": it is evacuated, its process has said
+// that it leaves or asked for no requests, its limit allows none, it has not answered since this instance was cut off, or
+// it is stalled and no trial request is due.
+func (s *Scheduler) obstacleOf(now time.Time, t *target) Obstacle {
+	switch {
+	case t.Evacuated:
+		return ObstacleEvacuated
+	case t.statement.isLeaving():
+		return ObstacleLeaving
+	case t.statement.isClosed(now):
+		return ObstacleClosed
+	case !t.statement.admits(now):
+		return ObstacleReopening
+	case now.Before(t.refusedUntil):
+		return ObstacleRefused
+	case s.limitedUntil(now, t).After(now):
+		return ObstacleLimited
+	case s.reach.isCutOff() && (t.isUnreachable() || !t.hasAnsweredSince(s.reach.cutSince)):
+		return ObstacleUnreachable
+	case t.stalledAt.IsZero(), t.contactAt.After(t.stalledAt) && t.contactAt.After(t.lastTrialAt):
+		return "" // not stalled, or its endpoint has answered a probe
+	case len(t.attempts) == 0 && now.Sub(t.lastTrialAt) >= s.cfg.TrialInterval && now.Sub(t.stalledAt) >= s.cfg.TrialInterval:
+		return ""
+	}
+	return ObstacleStalled
 }
--- /dev/null
+++ b/scheduler/penalty.go
@@ -0,0 +1,40 @@
+package scheduler
+
+// Indexes of penalties.
+const (
+	penaltyPrefill = iota
+	penaltyRemoteDomain
+	penaltyFabricSpan
+	penaltyMissingMember
+	penaltyCold
+	penaltyNewTarget
+	penaltyFailureRate
+	penaltySlow
+	penaltyFailuresInARow
+	penaltyCount
+)
+
+// penaltyNames are the names of the penalties in explanations.
+var penaltyNames = [penaltyCount]string{"prefill", "remoteDomain", "fabricSpan", "missingMember", "cold", "newTarget", "failureRate", "slow", "failuresInARow"}
+
+// penalties holds the parts of a target's penalty, each as a fraction of its slots.
+type penalties [penaltyCount]float64
+
+func (p *penalties) sum() float64 {
+	total := 0.0
+	for _, v := range p {
+		total += v
+	}
+	return total
+}
+
+// named returns the penalties that are not zero.
+func (p *penalties) named() []Penalty {
+	var out []Penalty
+	for i, v := range p {
+		if v != 0 {
+			out = append(out, Penalty{Name: penaltyNames[i], Value: v})
+		}
+	}
+	return out
+}
