--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -14,6 +14,7 @@
 	"github.com/rs/zerolog"
 
 	"amaranthmill/differ"
+	"amaranthmill/forwarder"
 	"amaranthmill/groupformer"
 	"amaranthmill/internal/defaulter"
 	"amaranthmill/internal/identifier"
@@ -44,6 +45,7 @@
 	Quarantines      func() []quarantiner.Quarantine                                                             // the quarantines at this instance
 	Reach            func() scheduler.ReachStatus                                                                // the endpoints and peers that this instance reaches
 	Capacities       func() []scheduler.Capacity                                                                 // the learned limits of targets at this instance
+	Explain          func(q forwarder.Query) forwarder.Explanation                                               // what a request would get at this instance
 	Leaving          func() []LeavingProcess                                                                     // the processes of endpoints that leave, as this instance knows them
 	Evacuations      func() []Evacuation                                                                         // the evacuated failure domains, as this instance knows them
 	Lift             func(fp identifier.Fingerprint) bool                                                        // ends a quarantine at all instances; false if there is none at this instance
@@ -111,6 +113,7 @@
 	mux.HandleFunc("GET "+pathReach, m.serveReach)
 	mux.HandleFunc("GET "+pathEvacuations, m.serveEvacuations)
 	mux.HandleFunc("GET "+pathCapacity, m.serveCapacity)
+	mux.HandleFunc("POST "+pathExplain, m.serveExplain)
 	mux.HandleFunc("GET "+pathQuarantines, m.serveQuarantines)
 	mux.HandleFunc("DELETE "+pathQuarantines+"/{fingerprint}", m.serveLift)
 	return mux
--- a/messenger/wire.go
+++ b/messenger/wire.go
@@ -28,6 +28,7 @@
 	pathReach       = "/reach"
 	pathEvacuations = "/evacuations"
 	pathCapacity    = "/capacity"
+	pathExplain     = "/explain"
 	pathValue       = "/value"
 )
 
--- a/runner/hosted.go
+++ b/runner/hosted.go
@@ -168,7 +168,7 @@
 		Report: h.groupFormer.queryEngineForPeer, CheckConnection: h.checkConnectionForPeer, OnStalled: h.groupFormer.submitStall, OnLeaving: h.groupFormer.submitPeerLeaving, Leaving: h.leaving.list,
 		OnLimits: h.forwarder.ReportLimits, OnDemand: h.groupFormer.submitDemand,
 		OnLosses: func(r quarantiner.Report) { h.quarantine.step.Submit(quarantiner.ReportReceived{Report: r}) },
-		Reach:    h.forwarder.Reach, Evacuations: h.view.listEvacuations, Capacities: h.forwarder.Capacities, Quarantines: h.listQuarantines, Lift: h.liftQuarantine,
+		Reach:    h.forwarder.Reach, Evacuations: h.view.listEvacuations, Capacities: h.forwarder.Capacities, Explain: h.forwarder.Explain, Quarantines: h.listQuarantines, Lift: h.liftQuarantine,
 		OnUnacknowledged: func(fp identifier.Fingerprint) {
 			h.quarantine.step.Submit(quarantiner.AnnouncementFailed{Fingerprint: fp})
 		}, HTTP: h.newClient(s.SourceAddress, peerTimeout), Timeout: peerTimeout, Logger: h.logger,
