--- a/cmd/millctl/explain.go
+++ b/cmd/millctl/explain.go
@@ -7,17 +7,26 @@
 	"amaranthmill/diagnoser"
 )
 
-// explainCommand explains the outcome of one request from log files.
+// explainCommand explains the outcome of one request from log files, or where a request would go now.
 type explainCommand struct {
 	app        *app
+	Request    explainOptions `group:"Request that is explained and not sent"`
 	Positional struct {
 		Request string   `positional-arg-name:"REQUEST" description:"what the caller sent as the identity of its request, or can read in the answer"`
-		Logs    []string `positional-arg-name:"LOG" description:"log files of instances; - is standard input" required:"1"`
-	} `positional-args:"yes" required:"yes"`
+		Logs    []string `positional-arg-name:"LOG" description:"log files of instances; - is standard input"`
+	} `positional-args:"yes"`
 }
 
 // Execute runs the command.
 func (c *explainCommand) Execute([]string) error {
+	switch {
+	case c.Positional.Request == "" && c.Request.isSet():
+		return c.explainPlacement()
+	case c.Request.isSet():
+		return &usageError{message: "explain: give either REQUEST and LOG, or --host and --path, not both"}
+	case len(c.Positional.Logs) == 0:
+		return &usageError{message: "explain: give REQUEST and at least one LOG to explain what became of a request, or --host and --path to explain where one would go now"}
+	}
 	var all []diagnoser.Line
 	unread := 0
 	for _, path := range c.Positional.Logs {
--- a/cmd/millctl/fleet.go
+++ b/cmd/millctl/fleet.go
@@ -11,7 +11,7 @@
 	return []command{
 		{"groups", "show the replica groups", "Shows the replica groups, their members and whether they serve.", &groupsCommand{app: a}},
 		{"instances", "show the instances", "Shows the entry instances, and the engines and plain services.", &instancesCommand{app: a}},
-		{"explain", "explain a request from log files", "Finds in log files of instances the lines of one request and those on what it depended on, by time, and says in words what became of it. It calls no instance.", &explainCommand{app: a}},
+		{"explain", "explain a request from log files, or where one would go now", "With REQUEST and LOG it finds in log files of instances the lines of one request and those on what it depended on, by time, and says in words what became of it; it calls no instance. With --host and --path it asks every instance that --address names where such a request would go now, and why; nothing is sent or changed. It lists what instances know differently. --address is then the address at which an instance answers its peers (listen.peers in its settings). No token is needed.", &explainCommand{app: a}},
 		{"audit", "read and verify the audit trail", "Prints the audit trail. With --verify it reads the whole trail, checks its chain of hashes and prints an anchor to be kept elsewhere; --anchor checks against one that was kept.", &auditCommand{app: a}},
 	}
 }
