--- a/scheduler/choice.go
+++ b/scheduler/choice.go
@@ -38,7 +38,7 @@
 		return candidate{}, false
 	}
 	slowness := t.slowness(now)
-	return candidate{target: t, load: load, score: load + s.penalty(now, t, m.gap, slowness), slowness: slowness}, true
+	return candidate{target: t, load: load, score: load + s.penalty(now, t, m.gap, slowness, nil), slowness: slowness}, true
 }
 
 // chooseCandidate returns the best of the candidates for f, or false if f has tried all of them or is held. Those past their
@@ -141,29 +141,24 @@
 }
 
 // penalty returns the value that is added to the load of t to get its score. Like the load,
-// it is a fraction of t's slots.
-func (s *Scheduler) penalty(now time.Time, t *target, poolMeanGap time.Duration, slowness float64) float64 {
-	p := s.penalties(now, t, poolMeanGap, slowness)
-	return p.sum()
-}
-
-// penalties returns the parts of the penalty of t.
-func (s *Scheduler) penalties(now time.Time, t *target, poolMeanGap time.Duration, slowness float64) (p penalties) {
-	p[penaltyPrefill] = prefillPenalty * float64(t.backlog) / 1000
+// it is a fraction of t's slots. Its parts are recorded in parts unless that is nil.
+func (s *Scheduler) penalty(now time.Time, t *target, poolMeanGap time.Duration, slowness float64, parts *penalties) float64 {
+	score := prefillPenalty * float64(t.backlog) / 1000
+	parts.record(penaltyPrefill, score)
 	if t.FailureDomain != s.cfg.FailureDomain {
-		p[penaltyRemoteDomain] = remoteDomainPenalty
+		score += parts.record(penaltyRemoteDomain, remoteDomainPenalty)
 	}
 	if t.SpansFabricDomains {
-		p[penaltyFabricSpan] = fabricSpanPenalty
+		score += parts.record(penaltyFabricSpan, fabricSpanPenalty)
 	}
 	if t.MemberMissing {
-		p[penaltyMissingMember] = missingMemberPenalty
+		score += parts.record(penaltyMissingMember, missingMemberPenalty)
 	}
 	if t.isCold(now) {
-		p[penaltyCold] = coldPenalty
+		score += parts.record(penaltyCold, coldPenalty)
 	}
 	if now.Sub(t.addedAt) < time.Second {
-		p[penaltyNewTarget] = newTargetPenalty
+		score += parts.record(penaltyNewTarget, newTargetPenalty)
 	}
 	slow := 0.0
 	if poolMeanGap > 0 && now.Sub(t.gapMeasuredAt) < latencySampleTTL {
@@ -173,11 +168,10 @@
 	}
 	if slowness > 0 {
 		slow = max(slow, slowPenalty*(slowness-1))
-		p[penaltyFailureRate] = failurePenalty * t.estimator.FailureRate(now)
+		score += parts.record(penaltyFailureRate, failurePenalty*t.estimator.FailureRate(now))
 	}
-	p[penaltySlow] = slow
-	p[penaltyFailuresInARow] = 0.25 * float64(min(t.consecutiveFailures, 8))
-	return p
+	score += parts.record(penaltySlow, slow)
+	return score + parts.record(penaltyFailuresInARow, 0.25*float64(min(t.consecutiveFailures, 8)))
 }
 
 // mayTake reports whether t may take a request which no target runs.
--- a/scheduler/explain.go
+++ b/scheduler/explain.go
@@ -144,11 +144,12 @@
 // explainCandidate returns what counts for and against t for f.
 func (s *Scheduler) explainCandidate(now time.Time, f *flight, t *target, m means) Candidate {
 	slowness := t.slowness(now)
-	p := s.penalties(now, t, m.gap, slowness)
+	var p penalties
+	penalty := s.penalty(now, t, m.gap, slowness, &p)
 	c := candidate{target: t, load: t.load(now, m.otherRequests), slowness: slowness}
 	out := Candidate{
 		Target: t.Target, Obstacle: s.obstacleOf(now, t), Load: c.load, LoadAge: -1, PastLimit: !c.isWithinLimit(now, f),
-		Penalties: p.named(), Score: c.load + p.sum(), StalledSince: t.stalledAt,
+		Penalties: p.named(), Score: c.load + penalty, StalledSince: t.stalledAt,
 	}
 	switch {
 	case out.Obstacle != "":
--- a/scheduler/explain_test.go
+++ b/scheduler/explain_test.go
@@ -31,7 +31,7 @@
 const (
 	explainSeeds  = 16
 	explainEvents = 1200 // of each seed
-	dumpInterval  = 10    // explanations of which one is checked for changes of the state, because a dump takes longer than all else
+	dumpInterval  = 10   // explanations of which one is checked for changes of the state, because a dump takes longer than all else
 )
 
 // TestExplanationIsWhatARequestGets guards against an explanation that names another target, position or refusal than a
--- a/scheduler/penalty.go
+++ b/scheduler/penalty.go
@@ -20,12 +20,12 @@
 // penalties holds the parts of a target's penalty, each as a fraction of its slots.
 type penalties [penaltyCount]float64
 
-func (p *penalties) sum() float64 {
-	total := 0.0
-	for _, v := range p {
-		total += v
+// record records a part unless p is nil, and returns it.
+func (p *penalties) record(i int, v float64) float64 {
+	if p != nil {
+		p[i] = v
 	}
-	return total
+	return v
 }
 
 // named returns the penalties that are not zero.
