--- a/messenger/operator.go
+++ b/messenger/operator.go
@@ -40,7 +40,7 @@
 	return fmt.Sprintf("messenger: the instance has no quarantine of fingerprint %s", e.Fingerprint)
 }
 
-// Operator lists and lifts quarantines and lists endpoints that leave and evacuations at instances for the operator.
+// Operator lists and lifts quarantines, lists endpoints that leave and evacuations, and explains requests at instances for the operator.
 // HTTP is required.
 type Operator struct{ HTTP *http.Client }
 
--- a/scheduler/explain_test.go
+++ b/scheduler/explain_test.go
@@ -1,6 +1,8 @@
 package scheduler_test
 
 import (
+	"cmp"
+	"flag"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -25,11 +27,14 @@
 	targets []scheduler.Target
 	lastRef scheduler.Ref
 	running []scheduler.Send
+	waiting map[scheduler.Ref]scheduler.Wait
+	request map[scheduler.Ref]scheduler.Request
 	counts  map[string]int // of decisions
 }
 
+var explainSeeds = flag.Uint64("explainSeeds", 16, "number of simulated schedulers of TestExplanationIsWhatARequestGets")
+
 const (
-	explainSeeds  = 16
 	explainEvents = 1200 // of each seed
 	dumpInterval  = 10   // explanations of which one is checked for changes of the state, because a dump takes longer than all else
 )
@@ -39,7 +44,7 @@
 // targets that are cold, limited, evacuated, closed, leaving, full, stalled and unreachable.
 func TestExplanationIsWhatARequestGets(t *testing.T) {
 	counts := map[string]int{}
-	for seed := range uint64(explainSeeds) {
+	for seed := range *explainSeeds {
 		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
 			w := newExplainWorld(t, seed, counts)
 			for range explainEvents {
@@ -55,7 +60,7 @@
 }
 
 func newExplainWorld(t *testing.T, seed uint64, counts map[string]int) *explainWorld {
-	w := &explainWorld{t: t, random: rand.New(rand.NewPCG(seed, 11)), now: scripter.Start, counts: counts}
+	w := &explainWorld{t: t, random: rand.New(rand.NewPCG(seed, 11)), now: scripter.Start, counts: counts, waiting: map[scheduler.Ref]scheduler.Wait{}, request: map[scheduler.Ref]scheduler.Request{}}
 	w.core = scheduler.New(scheduler.Config{
 		Instance: "entry-0", FailureDomain: "d0", FirstStart: true, ColdExcess: coldExcess, ColdSlack: coldSlack, Random: rand.NewPCG(seed, 12),
 	})
@@ -88,6 +93,11 @@
 			w.wakeAt = a.At
 		case scheduler.Send:
 			w.running = append(w.running, a)
+			delete(w.waiting, a.Ref)
+		case scheduler.Wait:
+			w.waiting[a.Ref] = a
+		case scheduler.Finish:
+			delete(w.waiting, a.Ref)
 		case scheduler.Abandon:
 			w.drop(a.Ref, a.Attempt)
 		}
@@ -222,6 +232,7 @@
 	q := w.drawRequest()
 	explanation := w.explain(q)
 	d := explanation.Decision
+	w.request[w.lastRef] = q
 	for _, a := range w.step(scheduler.Arrived{Ref: w.lastRef, Request: q}) {
 		switch a := a.(type) {
 		case scheduler.Send:
@@ -230,6 +241,7 @@
 			w.count(a)
 		case scheduler.Wait:
 			w.check(d.Waits() && a.Reason == d.Reason && a.Until.Equal(d.GivenUpAt), d, a)
+			w.checkPosition(d)
 			w.counts["wait "+string(a.Reason)]++
 		case scheduler.Finish:
 			o, ok := a.Outcome.(scheduler.NotRun)
@@ -252,6 +264,24 @@
 	return out
 }
 
+// checkPosition compares the position of the last request with the requests that wait for its pool. Requests that are held for a
+// moment don't count.
+func (w *explainWorld) checkPosition(d scheduler.Decision) {
+	q, position := w.request[w.lastRef], 1
+	for ref, wait := range w.waiting {
+		o := w.request[ref]
+		if ref == w.lastRef || o.Pool != q.Pool || wait.Reason == scheduler.ReasonPastLimits {
+			continue
+		}
+		if cmp.Or(cmp.Compare(o.Priority, q.Priority), o.Deadline.Compare(q.Deadline), cmp.Compare(ref, w.lastRef)) < 0 {
+			position++
+		}
+	}
+	if d.Position != position {
+		w.t.Errorf("request %d: explained at position %d, but waits at position %d", w.lastRef, d.Position, position)
+	}
+}
+
 func (w *explainWorld) count(s scheduler.Send) {
 	if s.Peer != "" {
 		w.counts["peer"]++
