scheduler: a process that answers again has not ended, and holds that are over cost no looks

Found in review, each before anyone met it. Each arrival looked at all targets three times while a request whose hold was over waited. Change: an answer ends the belief, as its TTL does; attempts in progress are not hedged; the second look is for holds that go on only.

--- a/scheduler/attempt_end.go
+++ b/scheduler/attempt_end.go
@@ -128,7 +128,7 @@
 	case len(f.running) > 0:
 	case !f.Repeatable:
 		s.giveUp(now, f, reason)
-	case s.countRuns(f) >= f.maxRuns():
+	case s.countRuns(now, f) >= f.maxRuns():
 		s.giveUp(now, f, ReasonAttempts)
 	default:
 		s.place(now, f)
--- a/scheduler/hedge.go
+++ b/scheduler/hedge.go
@@ -37,7 +37,7 @@
 	if d.isNone() || !s.budget.trySpend(f.Service) {
 		return
 	}
-	if s.countRuns(f)+s.countRunning(f) >= f.maxRuns() {
+	if s.countRuns(now, f)+s.countRunning(now, f) >= f.maxRuns() {
 		s.abandon(now, a, reason)
 	}
 	s.start(now, f, d, reason)
@@ -55,7 +55,7 @@
 	if s.isRestricted(f) {
 		return false
 	}
-	runs := s.countRuns(f) + s.countRunning(f)
+	runs := s.countRuns(now, f) + s.countRunning(now, f)
 	if len(f.running) > 1 && !a.mayHaveRun(now) {
 		runs--
 	}
--- a/scheduler/hold.go
+++ b/scheduler/hold.go
@@ -75,13 +75,16 @@
 	if q == nil || s.seats(candidates) >= seatsPerHeld*s.held {
 		return false
 	}
+	hasHeld := false
 	for _, f := range q.flights {
 		if f.isHeld(now) {
-			f.heldUntil = now
+			f.heldUntil, hasHeld = now, true
 		}
 	}
-	s.placeWaiting(now, pl.name)
-	return true
+	if hasHeld {
+		s.placeWaiting(now, pl.name)
+	}
+	return hasHeld
 }
 
 // nextHoldEnd returns the earliest end of a hold, or the zero time if no request is held.
--- a/scheduler/progress.go
+++ b/scheduler/progress.go
@@ -59,6 +59,7 @@
 
 // recordLife records that t has answered, which ends a stall of t.
 func (s *Scheduler) recordLife(now time.Time, t *target) {
+	delete(s.endedProcesses, t.Process())
 	t.recordContact(now)
 	t.lastProgressAt = now
 	t.streamsStalled = false
--- a/scheduler/runs.go
+++ b/scheduler/runs.go
@@ -21,10 +21,10 @@
 
 // countRuns returns the number of ended attempts of f that count against f.MaxAttempts: those that may have
 // run, except at processes that have ended since.
-func (s *Scheduler) countRuns(f *flight) int {
+func (s *Scheduler) countRuns(now time.Time, f *flight) int {
 	n := 0
 	for _, r := range f.possibleRuns {
-		if _, hasEnded := s.endedProcesses[r.process]; !hasEnded {
+		if !s.hasEnded(now, r.process) {
 			n++
 		}
 	}
@@ -32,19 +32,23 @@
 }
 
 // countRunning returns the number of running attempts of f that count against f.MaxAttempts.
-func (s *Scheduler) countRunning(f *flight) int {
+func (s *Scheduler) countRunning(now time.Time, f *flight) int {
 	n := 0
 	for _, a := range f.running {
-		if a.target != nil {
-			if _, hasEnded := s.endedProcesses[a.target.Process()]; hasEnded {
-				continue
-			}
+		if a.target == nil || !s.hasEnded(now, a.target.Process()) {
+			n++
 		}
-		n++
 	}
 	return n
 }
 
+// hasEnded reports whether a process is known to have ended. One without a start time is never, because its successor
+// at the endpoint looks the same.
+func (s *Scheduler) hasEnded(now time.Time, p identifier.Process) bool {
+	at, ok := s.endedProcesses[p]
+	return ok && now.Sub(at) < endedProcessTTL && p.Start != 0
+}
+
 // countPossibleRun counts the ended attempt a, which may have run.
 func (f *flight) countPossibleRun(a *attempt) {
 	f.sentAttempts++
@@ -60,7 +64,7 @@
 }
 
 // handleProcessEnded records that a process has ended and hedges its requests, which no longer count
-// the attempts there.
+// the attempts there. An attempt that makes progress is not hedged: the process may have closed its listener only.
 func (s *Scheduler) handleProcessEnded(now time.Time, p identifier.Process) {
 	if s.endedProcesses == nil {
 		s.endedProcesses = map[identifier.Process]time.Time{}
@@ -73,7 +77,7 @@
 	s.endedProcesses[p] = now
 	for _, f := range s.runningFlights() {
 		last := f.running[len(f.running)-1]
-		if last.target != nil && last.target.Process() == p {
+		if last.target != nil && last.target.Process() == p && now.Sub(last.lastProgressAt) >= s.cfg.MinStreamStall {
 			s.hedge(now, last, ReasonStalled)
 		}
 	}
