scheduler, runner: an instance without requests reports its demand too

A listed instance that got no requests for models never reported, and counted as one that gets as much work as the others: the estimate was up to ten times too high. Each instance now looks every second whether a report is due, where engines follow demand, and also sends one without work. What never reports is an instance of an earlier version. Other deployments send no such reports.

--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -34,7 +34,7 @@
 	OnLimits        func(news []scheduler.LimitNews) // what this instance knows about the limits of endpoints, named and cold, once a second while there is something; must not block
 	OnLeaving       func(p identifier.Process)       // called once when a process says that it leaves; must not block
 	OnLatencyReport func(p scheduler.LatencyReport)  // called about once a second for each pool with requests; must not block
-	OnDemand        func(r scheduler.DemandReport)   // the work that arrived at this instance, about every two seconds while there is some; must not block; nil means that nobody needs it
+	OnDemand        func(r scheduler.DemandReport)   // the work that arrived at this instance, about every two seconds while there is some or RequestDemand is called; must not block; nil means that nobody needs it
 	OnAttempt       func(e quarantiner.Event)        // called for each attempt and for each request that a restriction refuses, before the scheduler learns of it; must not block
 	OnReach         func(isCutOff bool)              // called with true once it is confirmed that this instance has lost its links to most endpoints, and with false when it has them again; must not block
 
@@ -101,6 +101,9 @@
 	f.step.Submit(scheduler.LimitsReported{News: news})
 }
 
+// RequestDemand asks for a report of the work that arrived, also if nothing has arrived, if the interval since the last report is over.
+func (f *Forwarder) RequestDemand() { f.step.Submit(scheduler.DemandDue{}) }
+
 // ReportProcessEnded reports that a process of an endpoint has ended.
 func (f *Forwarder) ReportProcessEnded(p identifier.Process) {
 	f.step.Submit(scheduler.ProcessEnded{Process: p})
--- a/groupformer/allocation.go
+++ b/groupformer/allocation.go
@@ -90,7 +90,7 @@
 func (f *Former) updateAllocations(now time.Time, domains []*domain) {
 	done := map[identifier.Service]bool{}
 	for _, d := range domains {
-		if done[d.service] || !canEstimate(d.profile) {
+		if done[d.service] || !FollowsDemand(d.profile) {
 			continue
 		}
 		done[d.service] = true
--- a/groupformer/demand.go
+++ b/groupformer/demand.go
@@ -31,7 +31,7 @@
 // others.
 func (f *Former) updateDemand(r LatencyReported) {
 	profile := f.services[r.Service]
-	if profile == nil || canEstimate(profile) {
+	if profile == nil || FollowsDemand(profile) {
 		return
 	}
 	d := f.demandOf(r.Service, r.Model)
--- a/groupformer/estimate.go
+++ b/groupformer/estimate.go
@@ -124,7 +124,8 @@
 // maxSampleFactor bounds sampleFactor. A sample that is smaller says as much about the shares, which are ratios.
 const maxSampleFactor = 10
 
-// sampleFactor returns the factor from the work that was reported to all work. Instances of an earlier version never report.
+// sampleFactor returns the factor from the work that was reported to all work. Instances of an earlier version never
+// report; others report also without work.
 func (r *demandReports) sampleFactor() float64 {
 	return min(max(float64(r.listed)/float64(max(len(r.instances), 1)), 1), maxSampleFactor)
 }
@@ -156,8 +157,9 @@
 	return out
 }
 
-// canEstimate reports whether the profile says how long requests take, so that demand can be estimated.
-func canEstimate(profile *resolver.EngineProfile) bool {
+// FollowsDemand reports whether the engines of a profile follow demand: it says how long requests take, so that demand can be
+// estimated, and has several models.
+func FollowsDemand(profile *resolver.EngineProfile) bool {
 	return profile != nil && len(profile.Models) > 1 && profile.Slots > 0 && profile.DecodeStep > 0
 }
 
--- a/groupformer/estimate_test.go
+++ b/groupformer/estimate_test.go
@@ -122,3 +122,22 @@
 	is.Equal(two.usable, 96)
 	is.Equal(two.largestPart, 0.5)
 }
+
+// TestInstancesWithoutWorkAreKnown guards against listed instances without requests that count like the others, which made the
+// estimate up to ten times too high.
+func TestInstancesWithoutWorkAreKnown(t *testing.T) {
+	is := is.New(t)
+	now := time.Date(2026, 1, 5, 20, 0, 0, 0, time.UTC)
+	var r demandReports
+	for range 5 {
+		for i := range 10 {
+			report := DemandReported{Instance: identifier.Instance(fmt.Sprint(i)), FailureDomain: "z0", Elapsed: 2 * time.Second, Instances: 10}
+			if i == 0 {
+				report.Models = []ModelDemand{{Service: "guides", Model: "m0", Requests: 40}}
+			}
+			r.add(now, report)
+		}
+		now = now.Add(2 * time.Second)
+	}
+	is.True(math.Abs(r.arrivals(now, poolKey{"guides", "m0"}, &estimateProfile).perSecond-20) < 1e-9)
+}
--- a/groupformer/reassign.go
+++ b/groupformer/reassign.go
@@ -57,7 +57,7 @@
 		return false
 	}
 	for _, g := range chosen {
-		g.graceful, g.lent, g.reassignedTo, g.reassignedIn = true, canEstimate(d.profile), m.Name, d.name
+		g.graceful, g.lent, g.reassignedTo, g.reassignedIn = true, FollowsDemand(d.profile), m.Name, d.name
 		f.dissolve(now, g, "", "lent")
 		s.add(g.model.Name, -1)
 	}
--- a/groupformer/reassign_demand.go
+++ b/groupformer/reassign_demand.go
@@ -18,7 +18,7 @@
 // keepsGroups reports whether a new holder of the lease does not know the demand of d's service yet. The operator's shares apply
 // until it does, and moving groups by them would undo what its predecessor has done.
 func (f *Former) keepsGroups(now time.Time, d *domain) bool {
-	return now.Before(f.keepsGroupsUntil) && canEstimate(d.profile) && !f.beforeFirstRequest
+	return now.Before(f.keepsGroupsUntil) && FollowsDemand(d.profile) && !f.beforeFirstRequest
 }
 
 // loan is a set of groups that could be dissolved so that their engines form groups of another model.
--- a/groupformer/use.go
+++ b/groupformer/use.go
@@ -12,7 +12,7 @@
 // completable returns the models of which a group can be completed in d without a load from engines that are in no group, or
 // soon will be. Engines are reserved only for these, because a load takes longer than a reservation lasts. For a service whose demand can't be estimated, it returns all models.
 func (f *Former) completable(d *domain, models []resolver.Model) []resolver.Model {
-	if !canEstimate(d.profile) {
+	if !FollowsDemand(d.profile) {
 		return models
 	}
 	return slices.DeleteFunc(slices.Clone(models), func(m resolver.Model) bool { return f.countAvailable(d, m, false) < m.GroupSize })
@@ -43,7 +43,7 @@
 // completedFirst sorts models to load so that those come first of which the engines without weights complete a group together with
 // engines of d that have the model already. Otherwise such engines wait for others.
 func (f *Former) completedFirst(d *domain, models []resolver.Model, unloaded int) []resolver.Model {
-	if !canEstimate(d.profile) || f.beforeFirstRequest {
+	if !FollowsDemand(d.profile) || f.beforeFirstRequest {
 		return models
 	}
 	completes := func(m resolver.Model) bool {
@@ -69,7 +69,7 @@
 
 // mayJoinSoon reports whether the idle engine e of d should rather wait for a group than load the weights of another model.
 func (f *Former) mayJoinSoon(now time.Time, d *domain, e *engine) bool {
-	return canEstimate(d.profile) && !f.beforeFirstRequest && now.Sub(e.idleSince) < idleBeforeStaging
+	return FollowsDemand(d.profile) && !f.beforeFirstRequest && now.Sub(e.idleSince) < idleBeforeStaging
 }
 
 // firstLoadPart is the part of the loads at full speed that is kept for engines without weights. Loads of second models would
@@ -78,7 +78,7 @@
 
 // leavesRoom reports whether the load of a second model leaves room for the loads of engines without weights.
 func (f *Former) leavesRoom(d *domain) bool {
-	if !canEstimate(d.profile) || f.beforeFirstRequest {
+	if !FollowsDemand(d.profile) || f.beforeFirstRequest {
 		return true
 	}
 	return f.countLoads(d.service) < max(int((1-firstLoadPart)*float64(d.profile.FullSpeedLoads)), 1)
--- a/runner/hosted_demand.go
+++ b/runner/hosted_demand.go
@@ -2,17 +2,24 @@
 
 import (
 	"context"
+	"slices"
+	"time"
 
 	"amaranthmill/forwarder"
 	"amaranthmill/groupformer"
 	"amaranthmill/internal/identifier"
+	"amaranthmill/resolver"
 	"amaranthmill/scheduler"
 )
 
+// demandCheckInterval is the time between two looks at whether a demand report is due, by which the report of an instance without
+// requests may be late.
+const demandCheckInterval = time.Second
+
 // reportDemand reports the work for models that arrived at this instance to the instance that forms groups.
 func (h *hosted) reportDemand(r scheduler.DemandReport) {
-	report := groupformer.DemandReported{Instance: h.settings.Instance, FailureDomain: h.settings.FailureDomain, Elapsed: r.Elapsed, Models: modelDemands(r.Pools, h.tokensPerEvent)}
-	if len(report.Models) == 0 {
+	report, ok := h.demandOf(r)
+	if !ok {
 		return
 	}
 	if holder := h.view.formingHolder(); holder != h.settings.Instance {
@@ -22,6 +29,28 @@
 	h.groupFormer.submitDemand(report)
 }
 
+// demandOf returns the work for models in r, or false if the deployment does not need it. A report without work is needed where
+// engines follow demand, because an instance that never reports is assumed to get as much work as the others.
+func (h *hosted) demandOf(r scheduler.DemandReport) (groupformer.DemandReported, bool) {
+	report := groupformer.DemandReported{Instance: h.settings.Instance, FailureDomain: h.settings.FailureDomain, Elapsed: r.Elapsed, Models: modelDemands(r.Pools, h.tokensPerEvent)}
+	return report, len(report.Models) > 0 || h.followsDemand()
+}
+
+// followsDemand reports whether the engines of a service follow the demand for its models.
+func (h *hosted) followsDemand() bool {
+	c := h.resolver.Configuration()
+	return c != nil && slices.ContainsFunc(c.Services, func(s resolver.Service) bool { return groupformer.FollowsDemand(s.Engine) })
+}
+
+// requestDemand asks for demand reports where engines follow demand, until ctx is done. It returns nil.
+func (h *hosted) requestDemand(ctx context.Context) error {
+	return runEvery(ctx, demandCheckInterval, func(context.Context) {
+		if h.followsDemand() {
+			h.forwarder.RequestDemand()
+		}
+	})
+}
+
 // tokensPerEvent returns the number of tokens that an event of a service's streams holds.
 func (h *hosted) tokensPerEvent(service identifier.Service) int {
 	if s := h.resolver.Service(service); s != nil && s.Engine != nil {
--- a/runner/hosted_run.go
+++ b/runner/hosted_run.go
@@ -57,7 +57,7 @@
 	g.Add(newHTTPActor(newHTTPServer(s.Listen.Metrics.String(), h.metrics), nil))
 	g.Add(newHTTPActor(peers, st.stopped))
 	reload := newReloader(path, s, logger, h.apply)
-	for _, actor := range []func(context.Context) error{h.replica.Run, h.view.run, h.groupFormer.run, h.quarantine.run, h.pruneConnections, reload.run} {
+	for _, actor := range []func(context.Context) error{h.replica.Run, h.view.run, h.groupFormer.run, h.quarantine.run, h.pruneConnections, h.requestDemand, reload.run} {
 		g.Add(newActor(actor))
 	}
 	for _, lease := range []*leaser.Leaser{h.formingLease, h.instanceLease} {
--- a/scheduler/demand.go
+++ b/scheduler/demand.go
@@ -28,7 +28,7 @@
 }
 
 // DemandReport reports the work that arrived since the last report, sorted by pool. It comes about every two
-// seconds, less often in a large fleet, while requests are in flight and there is something to report.
+// seconds, less often in a large fleet. Without pools it says that nothing arrived, and comes only after DemandDue.
 type DemandReport struct {
 	Elapsed time.Duration // time that the counts cover
 	Pools   []PoolDemand
@@ -38,7 +38,7 @@
 
 // demandCounter counts the work that arrives, by pool.
 type demandCounter struct {
-	since time.Time // when the counts begin; zero before the first request
+	since time.Time // when the counts begin; zero before the first request and the first DemandDue
 	pools map[identifier.Pool]*PoolDemand
 }
 
@@ -79,12 +79,15 @@
 	d.AnswerEvents += f.events
 }
 
-// reportDemand emits a demand report once the interval is over. Without anything to report, the next report covers the
-// time as well.
-func (s *Scheduler) reportDemand(now time.Time) {
+// reportDemand emits a demand report once the interval is over. Without anything to report, it emits an empty one if isDue is set, and
+// otherwise the next report covers the time as well.
+func (s *Scheduler) reportDemand(now time.Time, isDue bool) {
 	c := &s.demand
 	interval := max(demandInterval, time.Duration(len(s.instances.listed))*demandSpacing)
-	if len(c.pools) == 0 || now.Sub(c.since) < interval {
+	if isDue && c.since.IsZero() {
+		c.since = now
+	}
+	if len(c.pools) == 0 && !isDue || now.Sub(c.since) < interval {
 		return
 	}
 	report := DemandReport{Elapsed: min(now.Sub(c.since), demandMaxAge)}
--- a/scheduler/demand_test.go
+++ b/scheduler/demand_test.go
@@ -114,3 +114,35 @@
 	is.True(len(s.reports) <= 6) // 370 instances send at most 36 reports per second
 	is.True(len(s.reports) >= 5)
 }
+
+// TestInstanceWithoutRequestsReports guards against an instance that never reports because it gets no requests, and is therefore
+// assumed to get as much work as the others. Its reports and those of its first requests cover each moment once.
+func TestInstanceWithoutRequestsReports(t *testing.T) {
+	is := is.New(t)
+	s := newDemandSession()
+	due := func(n int) {
+		for range n {
+			s.step(scheduler.DemandDue{})
+			s.now = s.now.Add(time.Second)
+		}
+	}
+	due(10)
+	is.Equal(s.reports, []scheduler.DemandReport{{Elapsed: 2 * time.Second}, {Elapsed: 2 * time.Second}, {Elapsed: 2 * time.Second}, {Elapsed: 2 * time.Second}})
+	s.arrive("guides/m0", 10, false)
+	due(1)
+	is.Equal(len(s.reports), 5)
+	is.Equal(s.reports[4].Elapsed, 2*time.Second)
+	is.Equal(s.reports[4].Pools, []scheduler.PoolDemand{{Pool: "guides/m0", Requests: 1, Prompts: 1, PromptTokens: 10}})
+}
+
+// TestIdleReportsAreSpreadInLargeFleets guards against reports without work that come more often than others.
+func TestIdleReportsAreSpreadInLargeFleets(t *testing.T) {
+	is := is.New(t)
+	s := newDemandSession()
+	s.step(scheduler.InstancesSet{Instances: make([]scheduler.Instance, 370)})
+	for range 62 {
+		s.step(scheduler.DemandDue{})
+		s.now = s.now.Add(time.Second)
+	}
+	is.Equal(len(s.reports), 5) // one each 10.36 s, seen at the next second
+}
--- a/scheduler/event.go
+++ b/scheduler/event.go
@@ -7,7 +7,7 @@
 )
 
 // Event is an input of a Scheduler: TargetsChanged, InstancesSet, RetryBudgetSet, RestrictionSet,
-// ProcessStated, ProcessEnded, LimitsReported, Arrived, Progressed, Ended, CallerLeft, PeerAnswered, Probed or Ticked.
+// ProcessStated, ProcessEnded, LimitsReported, Arrived, Progressed, Ended, CallerLeft, PeerAnswered, Probed, DemandDue or Ticked.
 type Event interface{ event() }
 
 // TargetsChanged changes the set of targets. No target is in both Changed and Removed.
@@ -97,6 +97,10 @@
 	Answered bool
 }
 
+// DemandDue asks for a DemandReport if the interval since the last one is over, also if nothing has arrived. Ticks don't come while no
+// request is in flight.
+type DemandDue struct{}
+
 // Ticked follows a WakeAt action at its time.
 type Ticked struct{}
 
@@ -113,4 +117,5 @@
 func (CallerLeft) event()     {}
 func (Probed) event()         {}
 func (PeerAnswered) event()   {}
+func (DemandDue) event()      {}
 func (Ticked) event()         {}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -159,6 +159,8 @@
 	case Probed:
 		s.handleProbed(now, e)
 		s.placeAllWaiting(now)
+	case DemandDue:
+		s.reportDemand(now, true)
 	case Ticked:
 		s.wakeAt, s.holdEndsAt = time.Time{}, time.Time{}
 		s.checkStalls(now)
@@ -168,7 +170,7 @@
 		s.placeAllWaiting(now)
 		s.checkWaiting(now)
 		s.reportLatency(now)
-		s.reportDemand(now)
+		s.reportDemand(now, false)
 		s.instances.update(now)
 		s.reportLimits(now)
 		s.reportCapacity(now)
