groupformer: a new holder of the lease waits for the reports of a large fleet

Instances report every 28 ms times their number, which is longer than the 6 s for which a successor kept groups in fleets of more than 215. It now keeps them until each instance had the time to report and the demand has been looked at, at most 21.5 s, and 6 s if nothing is reported.

--- a/groupformer/allocation.go
+++ b/groupformer/allocation.go
@@ -17,9 +17,13 @@
 	refineTime       = 15 * time.Second       // since the demand was first known
 	gainLasts        = 4 * time.Second        // for which the gain of a change must last: two reports of each instance; within refineTime, one
 	shareLogged      = 0.1                    // change of a share from which it is logged
-	successorWait    = 6 * time.Second        // in which a new holder of the lease gets the reports of all instances, and moves no group to another model
+	successorWait    = 6 * time.Second        // for which a new holder of the lease moves no group to another model
 )
 
+// successorLimit bounds the time for which a new holder of the lease moves no group to another model while it has reports but not yet
+// those of all instances, which take 10 s in a fleet of 370.
+const successorLimit = successorWait + maxFirstInterval + allocateInterval
+
 // allocation is the number of groups of each model of a service that demand asks for. The zero value means that the
 // operator's shares apply.
 type allocation struct {
--- a/groupformer/demand_fleet_test.go
+++ b/groupformer/demand_fleet_test.go
@@ -43,6 +43,7 @@
 	kinds     []kind
 	factor    func(model string) float64 // on the requests per second, for each report
 	instances int
+	interval  time.Duration // between two reports of an instance
 	reporting func(instance int) bool // whether the reports of an instance arrive
 	carry     map[string]float64      // fractions of requests that are not reported yet
 	fractions *rand.Rand              // source of the first of these, and of random arrivals
@@ -63,7 +64,7 @@
 	before.Models = slices.Clone(before.Models)
 	before.Models[0].Share, before.Models[1].Share = m0Share, 1-m0Share
 	f := &demandFleet{
-		fleet: newFleetWithProfile(&before, seed, 3, 3, 19), kinds: kinds, instances: 31, carry: map[string]float64{}, staged: map[string]int{}, fractions: rand.New(rand.NewPCG(seed, 2)), closing: map[identifier.Group]bool{},
+		fleet: newFleetWithProfile(&before, seed, 3, 3, 19), kinds: kinds, instances: 31, interval: 2 * time.Second, carry: map[string]float64{}, staged: map[string]int{}, fractions: rand.New(rand.NewPCG(seed, 2)), closing: map[identifier.Group]bool{},
 		factor: func(string) float64 { return 1 }, reporting: func(int) bool { return true },
 	}
 	f.observe = f.record
@@ -101,11 +102,11 @@
 	}
 }
 
-// startReports lets each instance report every two seconds from now on, at a phase of its own.
+// startReports lets each instance report at the interval from now on, at a phase of its own.
 func (f *demandFleet) startReports() {
 	phases := rand.New(rand.NewPCG(f.rand.Uint64(), 1))
 	for i := range f.instances {
-		phase := time.Duration(phases.IntN(2000)) * time.Millisecond
+		phase := time.Duration(phases.IntN(int(f.interval.Milliseconds()))) * time.Millisecond
 		if i == 0 {
 			phase = 0 // the first report, from which times are counted
 		}
@@ -114,7 +115,7 @@
 }
 
 func (f *demandFleet) report(i int) {
-	const interval = 2 * time.Second
+	interval := f.interval
 	f.schedule(interval, func() { f.report(i) })
 	r := groupformer.DemandReported{Instance: identifier.Instance(fmt.Sprintf("i%02d", i)), FailureDomain: identifier.FailureDomain(fmt.Sprintf("z%d", i%3)), Elapsed: interval, Instances: f.instances}
 	byModel := map[string]int{}
--- a/groupformer/demand_test.go
+++ b/groupformer/demand_test.go
@@ -175,6 +175,36 @@
 	}
 }
 
+// TestSuccessorWaitsForReportsOfLargeFleet guards against a new holder of the lease that moves groups by the operator's shares because
+// the instances of a large fleet report less often than it waits.
+func TestSuccessorWaitsForReportsOfLargeFleet(t *testing.T) {
+	for seed := range uint64(3) {
+		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
+			is := is.New(t)
+			f := newDemandFleet(seed, hardLoad, 0.64)
+			f.instances, f.interval = 370, 10360*time.Millisecond
+			f.startReports()
+			f.run(40 * time.Second)
+			before, lent := f.countWhole(), f.lent
+			f.replaceFormer(2)
+			f.run(40 * time.Second)
+			t.Log(before, f.countWhole(), lent, f.lent)
+			is.Equal(f.lent, lent)
+			is.Equal(f.countWhole(), before)
+			f.check(t)
+		})
+	}
+}
+
+// TestSuccessorWithoutReportsMovesGroups guards against a new holder of the lease that waits for reports which never come.
+func TestSuccessorWithoutReportsMovesGroups(t *testing.T) {
+	is := is.New(t)
+	f := newDemandFleet(1, hardLoad, 0.64)
+	f.replaceFormer(2)
+	f.run(20 * time.Second)
+	is.True(f.countWhole()["m0"] < 12) // half of the engines form nine
+}
+
 // TestSuccessorDuringMoves guards against a new holder of the lease that leaves the demand half followed.
 func TestSuccessorDuringMoves(t *testing.T) {
 	for seed := range uint64(6) {
--- a/groupformer/estimate.go
+++ b/groupformer/estimate.go
@@ -116,9 +116,12 @@
 	maxFirstInterval = 15 * time.Second
 )
 
+// hasBegun reports whether an instance has reported.
+func (r *demandReports) hasBegun() bool { return r.instances != nil }
+
 // isComplete reports whether each instance has had the time to report once.
 func (r *demandReports) isComplete(now time.Time) bool {
-	return r.instances != nil && now.Sub(r.firstAt) >= max(r.interval, minFirstInterval)
+	return r.hasBegun() && now.Sub(r.firstAt) >= max(r.interval, minFirstInterval)
 }
 
 // maxSampleFactor bounds sampleFactor. A sample that is smaller says as much about the shares, which are ratios.
--- a/groupformer/former.go
+++ b/groupformer/former.go
@@ -39,7 +39,7 @@
 	demandReports      demandReports
 	allocations        map[identifier.Service]*allocation
 	evacuated          map[identifier.FailureDomain]bool // failure domains whose capacity does not count for demand and deficits
-	keepsGroupsUntil   time.Time                         // until then, a new holder of the lease moves no group of a service with known demand to another model
+	leaseBeganAt       time.Time                         // when this instance got the lease under its fence
 	beforeFirstRequest bool                              // the system started for the first time and no request has arrived yet
 	storeLost          bool                              // the store is unreachable
 	storeChangedAt     time.Time                         // when storeLost last changed
@@ -128,7 +128,7 @@
 func (f *Former) setLease(now time.Time, lease LeaseSet) {
 	if lease.Fence > f.fence {
 		f.demandReports, f.allocations = demandReports{}, map[identifier.Service]*allocation{}
-		f.keepsGroupsUntil = now.Add(successorWait)
+		f.leaseBeganAt = now
 		f.fence, f.epochsIssued = lease.Fence, 0
 		f.groups, f.assignedCurrent = map[identifier.Group]*group{}, false
 		f.released = map[identifier.Group]releasedGroup{}
--- a/groupformer/reassign_demand.go
+++ b/groupformer/reassign_demand.go
@@ -18,7 +18,12 @@
 // keepsGroups reports whether a new holder of the lease does not know the demand of d's service yet. The operator's shares apply
 // until it does, and moving groups by them would undo what its predecessor has done.
 func (f *Former) keepsGroups(now time.Time, d *domain) bool {
-	return now.Before(f.keepsGroupsUntil) && FollowsDemand(d.profile) && !f.beforeFirstRequest
+	if !FollowsDemand(d.profile) || f.beforeFirstRequest {
+		return false
+	}
+	held := now.Sub(f.leaseBeganAt)
+	isAwaited := f.demandReports.hasBegun() && !f.demandReports.isComplete(now.Add(-allocateInterval)) // until the demand has been looked at
+	return held < successorWait || isAwaited && held < successorLimit
 }
 
 // loan is a set of groups that could be dissolved so that their engines form groups of another model.
