--- a/groupformer/demand_fleet_test.go
+++ b/groupformer/demand_fleet_test.go
@@ -43,7 +43,7 @@
 	kinds     []kind
 	factor    func(model string) float64 // on the requests per second, for each report
 	instances int
-	interval  time.Duration // between two reports of an instance
+	interval  time.Duration           // between two reports of an instance
 	reporting func(instance int) bool // whether the reports of an instance arrive
 	carry     map[string]float64      // fractions of requests that are not reported yet
 	fractions *rand.Rand              // source of the first of these, and of random arrivals
--- a/groupformer/estimate.go
+++ b/groupformer/estimate.go
@@ -29,13 +29,13 @@
 	requests, prompts, promptTokens, answers, answerTokens float64
 }
 
-// add lets the counts decay by a factor and adds those of a report.
-func (c *workCounts) add(factor float64, m ModelDemand) {
-	c.requests = c.requests*factor + float64(m.Requests)
-	c.prompts = c.prompts*factor + float64(m.Prompts)
-	c.promptTokens = c.promptTokens*factor + float64(m.PromptTokens)
-	c.answers = c.answers*factor + float64(m.Answers)
-	c.answerTokens = c.answerTokens*factor + float64(m.AnswerTokens)
+// add lets the counts decay by a factor and adds those of a report, multiplied by weight.
+func (c *workCounts) add(factor, weight float64, m ModelDemand) {
+	c.requests = c.requests*factor + weight*float64(m.Requests)
+	c.prompts = c.prompts*factor + weight*float64(m.Prompts)
+	c.promptTokens = c.promptTokens*factor + weight*float64(m.PromptTokens)
+	c.answers = c.answers*factor + weight*float64(m.Answers)
+	c.answerTokens = c.answerTokens*factor + weight*float64(m.AnswerTokens)
 }
 
 // instanceDemand is the work that arrives at one instance. Counts and the time that they cover decay together, so that the
@@ -48,11 +48,13 @@
 	models        map[poolKey]*workCounts
 }
 
-// add adds a report.
+// add adds a report. One that covers more than demandMemory weighs as much as one of that time, because most of what it covers
+// would have decayed if it had been reported in parts.
 func (d *instanceDemand) add(now time.Time, r DemandReported) {
 	factor := math.Exp(-r.Elapsed.Seconds() / demandMemory.Seconds())
+	weight := min(demandMemory.Seconds()/max(r.Elapsed.Seconds(), 1e-9), 1)
 	d.failureDomain, d.reportedAt, d.elapsed = r.FailureDomain, now, r.Elapsed
-	d.covered = d.covered*factor + r.Elapsed.Seconds()
+	d.covered = d.covered*factor + weight*r.Elapsed.Seconds()
 	reported := map[poolKey]ModelDemand{}
 	for _, m := range r.Models {
 		k := poolKey{m.Service, m.Model}
@@ -62,7 +64,7 @@
 		}
 	}
 	for k, c := range d.models {
-		c.add(factor, reported[k])
+		c.add(factor, weight, reported[k])
 	}
 }
 
--- a/groupformer/estimate_test.go
+++ b/groupformer/estimate_test.go
@@ -141,3 +141,29 @@
 	}
 	is.True(math.Abs(r.arrivals(now, poolKey{"guides", "m0"}, &estimateProfile).perSecond-20) < 1e-9)
 }
+
+// TestReportAfterIdleTimeIsSoonOutweighed guards against one report that covers an idle minute and keeps the rate down: the same work must be
+// known as soon as if the instance had reported the idle time at each interval.
+func TestReportAfterIdleTimeIsSoonOutweighed(t *testing.T) {
+	is := is.New(t)
+	const interval = 2 * time.Second
+	now := time.Date(2026, 1, 5, 20, 0, 0, 0, time.UTC)
+	var once, often demandReports
+	report := func(r *demandReports, elapsed time.Duration, requests int) {
+		r.add(now, DemandReported{Instance: "a", FailureDomain: "z0", Elapsed: elapsed, Instances: 1, Models: []ModelDemand{{Service: "guides", Model: "m0", Requests: requests}}})
+	}
+	for range 30 {
+		now = now.Add(interval)
+		report(&often, interval, 0)
+	}
+	report(&once, time.Minute, 0)
+	k := poolKey{"guides", "m0"}
+	for i := range 15 {
+		now = now.Add(interval)
+		report(&once, interval, 80)
+		report(&often, interval, 80)
+		got, want := once.arrivals(now, k, &estimateProfile).perSecond, often.arrivals(now, k, &estimateProfile).perSecond
+		t.Log(time.Duration(i+1)*interval, got, want)
+		is.True(got >= 0.95*want)
+	}
+}
