--- a/groupformer/estimate.go
+++ b/groupformer/estimate.go
@@ -29,15 +29,15 @@
 	requests, prompts, promptTokens, answers, answerTokens, judged, missedGoal float64
 }
 
-// add lets the counts decay by a factor and adds those of a report.
-func (c *workCounts) add(factor float64, m ModelDemand) {
-	c.requests = c.requests*factor + float64(m.Requests)
-	c.prompts = c.prompts*factor + float64(m.Prompts)
-	c.promptTokens = c.promptTokens*factor + float64(m.PromptTokens)
-	c.answers = c.answers*factor + float64(m.Answers)
-	c.answerTokens = c.answerTokens*factor + float64(m.AnswerTokens)
-	c.judged = c.judged*factor + float64(m.Judged)
-	c.missedGoal = c.missedGoal*factor + float64(m.MissedGoal)
+// add lets the counts decay by a factor and adds those of a report, multiplied by weight.
+func (c *workCounts) add(factor, weight float64, m ModelDemand) {
+	c.requests = c.requests*factor + weight*float64(m.Requests)
+	c.prompts = c.prompts*factor + weight*float64(m.Prompts)
+	c.promptTokens = c.promptTokens*factor + weight*float64(m.PromptTokens)
+	c.answers = c.answers*factor + weight*float64(m.Answers)
+	c.answerTokens = c.answerTokens*factor + weight*float64(m.AnswerTokens)
+	c.judged = c.judged*factor + weight*float64(m.Judged)
+	c.missedGoal = c.missedGoal*factor + weight*float64(m.MissedGoal)
 }
 
 // instanceDemand is the work that arrives at one instance. Counts and the time that they cover decay together, so that the
@@ -50,11 +50,13 @@
 	models        map[poolKey]*workCounts
 }
 
-// add adds a report.
+// add adds a report. One that covers more than demandMemory weighs as much as one of that time, because most of what it covers
+// would have decayed if it had been reported in parts.
 func (d *instanceDemand) add(now time.Time, r DemandReported) {
 	factor := math.Exp(-r.Elapsed.Seconds() / demandMemory.Seconds())
+	weight := min(demandMemory.Seconds()/max(r.Elapsed.Seconds(), 1e-9), 1)
 	d.failureDomain, d.reportedAt, d.elapsed = r.FailureDomain, now, r.Elapsed
-	d.covered = d.covered*factor + r.Elapsed.Seconds()
+	d.covered = d.covered*factor + weight*r.Elapsed.Seconds()
 	reported := map[poolKey]ModelDemand{}
 	for _, m := range r.Models {
 		k := poolKey{m.Service, m.Model}
@@ -64,7 +66,7 @@
 		}
 	}
 	for k, c := range d.models {
-		c.add(factor, reported[k])
+		c.add(factor, weight, reported[k])
 	}
 }
 
@@ -120,15 +122,19 @@
 	maxFirstInterval = 15 * time.Second
 )
 
+// hasBegun reports whether an instance has reported.
+func (r *demandReports) hasBegun() bool { return r.instances != nil }
+
 // isComplete reports whether each instance has had the time to report once.
 func (r *demandReports) isComplete(now time.Time) bool {
-	return r.instances != nil && now.Sub(r.firstAt) >= max(r.interval, minFirstInterval)
+	return r.hasBegun() && now.Sub(r.firstAt) >= max(r.interval, minFirstInterval)
 }
 
 // maxSampleFactor bounds sampleFactor. A sample that is smaller says as much about the shares, which are ratios.
 const maxSampleFactor = 10
 
-// sampleFactor returns the factor from the work that was reported to all work. Instances of an earlier version never report.
+// sampleFactor returns the factor from the work that was reported to all work. Instances of an earlier version never
+// report; others report also without work.
 func (r *demandReports) sampleFactor() float64 {
 	return min(max(float64(r.listed)/float64(max(len(r.instances), 1)), 1), maxSampleFactor)
 }
@@ -163,8 +169,9 @@
 	return out
 }
 
-// canEstimate reports whether the profile says how long requests take, so that demand can be estimated.
-func canEstimate(profile *resolver.EngineProfile) bool {
+// FollowsDemand reports whether the engines of a profile follow demand: it says how long requests take, so that demand can be
+// estimated, and has several models.
+func FollowsDemand(profile *resolver.EngineProfile) bool {
 	return profile != nil && len(profile.Models) > 1 && profile.Slots > 0 && profile.DecodeStep > 0
 }
 
--- a/groupformer/estimate_test.go
+++ b/groupformer/estimate_test.go
@@ -144,3 +144,48 @@
 	is.True(f.groupsOut(now.Add(time.Minute), "guides", m.Name) < 0.1) // losses are forgotten
 	is.Equal(f.groupsOut(now, "guides", "other"), 0.0)
 }
+
+// TestInstancesWithoutWorkAreKnown guards against listed instances without requests that count like the others, which made the
+// estimate up to ten times too high.
+func TestInstancesWithoutWorkAreKnown(t *testing.T) {
+	is := is.New(t)
+	now := time.Date(2026, 1, 5, 20, 0, 0, 0, time.UTC)
+	var r demandReports
+	for range 5 {
+		for i := range 10 {
+			report := DemandReported{Instance: identifier.Instance(fmt.Sprint(i)), FailureDomain: "z0", Elapsed: 2 * time.Second, Instances: 10}
+			if i == 0 {
+				report.Models = []ModelDemand{{Service: "guides", Model: "m0", Requests: 40}}
+			}
+			r.add(now, report)
+		}
+		now = now.Add(2 * time.Second)
+	}
+	is.True(math.Abs(r.arrivals(now, poolKey{"guides", "m0"}, &estimateProfile).perSecond-20) < 1e-9)
+}
+
+// TestReportAfterIdleTimeIsSoonOutweighed guards against one report that covers an idle minute and keeps the rate down: the same work must be
+// known as soon as if the instance had reported the idle time at each interval.
+func TestReportAfterIdleTimeIsSoonOutweighed(t *testing.T) {
+	is := is.New(t)
+	const interval = 2 * time.Second
+	now := time.Date(2026, 1, 5, 20, 0, 0, 0, time.UTC)
+	var once, often demandReports
+	report := func(r *demandReports, elapsed time.Duration, requests int) {
+		r.add(now, DemandReported{Instance: "a", FailureDomain: "z0", Elapsed: elapsed, Instances: 1, Models: []ModelDemand{{Service: "guides", Model: "m0", Requests: requests}}})
+	}
+	for range 30 {
+		now = now.Add(interval)
+		report(&often, interval, 0)
+	}
+	report(&once, time.Minute, 0)
+	k := poolKey{"guides", "m0"}
+	for i := range 15 {
+		now = now.Add(interval)
+		report(&once, interval, 80)
+		report(&often, interval, 80)
+		got, want := once.arrivals(now, k, &estimateProfile).perSecond, often.arrivals(now, k, &estimateProfile).perSecond
+		t.Log(time.Duration(i+1)*interval, got, want)
+		is.True(got >= 0.95*want)
+	}
+}
