scheduler, messenger: an instance that starts learns from its peers which evacuations have ended

Cause: the end of an evacuation was known only to the processes that saw the key being deleted. Change: the cold time after an evacuation is a source of its own (coldRestored) and travels with the news of limits. An instance that starts asks three peers when its first target with a cold rate is listed, unless the whole system starts for the first time. It serves meanwhile, so that a start of all instances at once takes no longer than before. Weighed and not taken: to take the endpoints of the first list for restored.

Checks changed: TestRestoredDomainIsCold expects a change of the endpoint whose entry states a longer time, since RestoredUntil is told to peers.

--- a/cmd/millctl/limits.go
+++ b/cmd/millctl/limits.go
@@ -8,7 +8,7 @@
 )
 
 func limitCommands(a *app) []command {
-	return []command{{"limits", "show limits of endpoints, with their sources", "Shows the requests per second that processes of endpoints take from all instances together, with the source of the limit: as they say in their answers (named), or because they are cold, as their entries (coldEntry) or answers (coldAnswer) say. AGE is that of the answer from which the instance knows it; the rate is 0 if a named limit has ended within the last half minute. COLD LEFT is the remaining cold time." + instanceHelp, &limitsCommand{app: a}}}
+	return []command{{"limits", "show limits of endpoints, with their sources", "Shows the requests per second that processes of endpoints take from all instances together, with the source of the limit: as they say in their answers (named), or because they are cold, as their entries (coldEntry) or answers (coldAnswer) say, or because the evacuation of their failure domain has ended (coldRestored). AGE is that of the answer from which the instance knows it; the rate is 0 if a named limit has ended within the last half minute. COLD LEFT is the remaining cold time." + instanceHelp, &limitsCommand{app: a}}}
 }
 
 // limitsCommand shows the limits of endpoints, as an instance knows them.
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -32,6 +32,7 @@
 	HeldBytes       int64                            // bytes that the held answers of all requests may use beyond the first 64 KiB of each; zero means 64 MiB
 	OnStalled       func(t scheduler.Target)         // called when a target stalls; must not block
 	OnLimits        func(news []scheduler.LimitNews) // what this instance knows about the limits of endpoints, named and cold, once a second while there is something; must not block
+	OnLimitQuery    func()                           // other instances are to be asked what they know about the limits of endpoints; must not block
 	OnLeaving       func(p identifier.Process)       // called once when a process says that it leaves; must not block
 	OnLatencyReport func(p scheduler.LatencyReport)  // called about once a second for each pool with requests; must not block
 	OnDemand        func(r scheduler.DemandReport)   // the work that arrived at this instance, about every two seconds while there is some; must not block; nil means that nobody needs it
@@ -191,6 +192,10 @@
 		f.changeCold(a)
 	case scheduler.ColdSkipped:
 		f.meters.countColdSkip(a)
+	case scheduler.LimitQuery:
+		if f.cfg.OnLimitQuery != nil {
+			f.cfg.OnLimitQuery()
+		}
 	case scheduler.LimitReport:
 		if f.cfg.OnLimits != nil {
 			f.cfg.OnLimits(a.News)
--- a/messenger/cold_test.go
+++ b/messenger/cold_test.go
@@ -20,6 +20,7 @@
 	news := []scheduler.LimitNews{
 		{Process: process, PerSecond: 2.5, Age: time.Second},
 		{Process: process, PerSecond: 15, Age: time.Second, Source: scheduler.LimitColdAnswer, ColdFor: 2 * time.Second},
+		{Process: process, PerSecond: 15, Source: scheduler.LimitColdRestored, ColdFor: 2 * time.Second},
 		{Process: process, PerSecond: 15, Source: scheduler.LimitColdEntry, ColdFor: 2 * time.Second},
 	}
 	body, err := json.Marshal(encodeLimits(news))
@@ -30,10 +31,10 @@
 	var old []struct{ PerSecond float64 }
 	is.NoErr(json.Unmarshal(body, &old))
 	is.Equal(old[0].PerSecond, 2.5)
-	is.True(old[1].PerSecond < 0 && old[2].PerSecond < 0)
+	is.True(old[1].PerSecond < 0 && old[2].PerSecond < 0 && old[3].PerSecond < 0)
 
 	is.Equal(len(decodeLimits([]limitWire{{PerSecond: coldWire}, {PerSecond: coldWire, Cold: &coldLimitWire{PerSecond: -1}}, {Cold: &coldLimitWire{PerSecond: 1, Left: -1}}})), 0) // malformed
-	is.Equal(withoutEntries(news), news[:2])                                                                                                                                       // each instance reads the entries itself
+	is.Equal(withoutEntries(news), news[:3])                                                                                                                                       // each instance reads the entries itself
 
 	board := limitBoard{}
 	now := time.Now()
--- a/messenger/limits.go
+++ b/messenger/limits.go
@@ -68,6 +68,7 @@
 	PerSecond float64            `json:"perSecond"`
 	Left      formatter.Duration `json:"left"` // remaining cold time
 	FromEntry bool               `json:"fromEntry,omitempty"`
+	Restored  bool               `json:"restored,omitempty"` // an evacuation has ended
 }
 
 func encodeLimits(news []scheduler.LimitNews) []limitWire {
@@ -76,7 +77,7 @@
 		out[i] = limitWire{Endpoint: n.Process.Endpoint, ProcessStart: n.Process.Start, PerSecond: n.PerSecond, Age: formatter.Duration(n.Age)}
 		if n.Source != scheduler.LimitNamed {
 			out[i].PerSecond = coldWire
-			out[i].Cold = &coldLimitWire{PerSecond: n.PerSecond, Left: formatter.Duration(n.ColdFor), FromEntry: n.Source == scheduler.LimitColdEntry}
+			out[i].Cold = &coldLimitWire{PerSecond: n.PerSecond, Left: formatter.Duration(n.ColdFor), FromEntry: n.Source == scheduler.LimitColdEntry, Restored: n.Source == scheduler.LimitColdRestored}
 		}
 	}
 	return out
@@ -90,8 +91,11 @@
 		n := scheduler.LimitNews{Process: identifier.Process{Endpoint: l.Endpoint, Start: l.ProcessStart}, PerSecond: l.PerSecond, Age: l.Age.Std()}
 		if c := l.Cold; c != nil {
 			n.PerSecond, n.ColdFor, n.Source = c.PerSecond, c.Left.Std(), scheduler.LimitColdAnswer
-			if c.FromEntry {
+			switch {
+			case c.FromEntry:
 				n.Source = scheduler.LimitColdEntry
+			case c.Restored:
+				n.Source = scheduler.LimitColdRestored
 			}
 		}
 		if n.PerSecond < 0 || math.IsNaN(n.PerSecond) || n.Age < 0 || n.ColdFor < 0 {
@@ -111,9 +115,28 @@
 	if len(peers) == 0 || len(news) == 0 {
 		return
 	}
+	m.exchangeLimits(ctx, peers[rand.IntN(len(peers))], news)
+}
+
+// queriedPeers is the number of peers that QueryLimits asks. One of them may be gone, or have started a moment ago too.
+const queriedPeers = 3
+
+// QueryLimits asks a few peers, chosen at random, at the same time what they know about the limits of endpoints. It returns when all have
+// answered or failed.
+func (m *Messenger) QueryLimits(ctx context.Context) {
+	peers := slices.Clone(m.cfg.Peers.All())
+	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	var calls sync.WaitGroup
+	for _, p := range peers[:min(len(peers), queriedPeers)] {
+		calls.Go(func() { m.exchangeLimits(ctx, p, nil) })
+	}
+	calls.Wait()
+}
+
+// exchangeLimits tells a peer news of limits, and passes on what it answers.
+func (m *Messenger) exchangeLimits(ctx context.Context, p Peer, news []scheduler.LimitNews) {
 	ctx, cancel := context.WithTimeout(ctx, m.cfg.Timeout)
 	defer cancel()
-	p := peers[rand.IntN(len(peers))]
 	var answer []limitWire
 	if err := m.exchange(ctx, p, http.MethodPost, pathLimits, encodeLimits(news), &answer); err != nil {
 		m.cfg.Logger.Debug().Err(err).Str("peer", string(p.Instance)).Msg("limits not exchanged with a peer; exchanging them with another one next")
--- a/messenger/messenger_test.go
+++ b/messenger/messenger_test.go
@@ -151,6 +151,29 @@
 	is.True(answer[0].Age >= known.Age)
 }
 
+// TestQueriedPeersTellLimits checks that an instance which knows no limits is told those that its peers know: one that has just started
+// has nothing to exchange, and sent requests beyond limits that all others knew.
+func TestQueriedPeersTellLimits(t *testing.T) {
+	is := is.New(t)
+	received := make(chan []scheduler.LimitNews, 2)
+	other := messenger.New(messenger.Config{Peers: &messenger.Peers{}, HTTP: http.DefaultClient, OnLimits: func([]scheduler.LimitNews) {}})
+	s := httptest.NewServer(other.Handler())
+	defer s.Close()
+	known := scheduler.LimitNews{Process: identifier.Process{Endpoint: "e1", Start: 7}, PerSecond: 15, Source: scheduler.LimitColdRestored, ColdFor: time.Minute}
+	other.ExchangeLimits(t.Context(), []scheduler.LimitNews{known}) // it has no peers
+	var peers messenger.Peers
+	peers.Set(messenger.Peer{Instance: "alpine-1", FailureDomain: "alpine", Address: netip.MustParseAddrPort(s.Listener.Addr().String())})
+	peers.Set(messenger.Peer{Instance: "alpine-2", FailureDomain: "alpine", Address: netip.MustParseAddrPort("127.0.0.1:1")}) // is gone
+	m := messenger.New(messenger.Config{Peers: &peers, HTTP: http.DefaultClient, OnLimits: func(news []scheduler.LimitNews) { received <- news }})
+	m.QueryLimits(t.Context())
+	is.Equal(len(received), 1)
+	answer := <-received
+	is.Equal(len(answer), 1)
+	is.Equal(answer[0].Process, known.Process)
+	is.Equal(answer[0].Source, known.Source)
+	is.True(answer[0].ColdFor > 0 && answer[0].ColdFor <= known.ColdFor)
+}
+
 // TestEndlessAnswersOfPeers checks that an answer of a peer without end is given up after a bound of
 // bytes or the exchange's timeout, and that the connection is closed.
 func TestEndlessAnswersOfPeers(t *testing.T) {
--- a/runner/hosted.go
+++ b/runner/hosted.go
@@ -146,6 +146,7 @@
 		OnStalled:       h.reportStall,
 		OnLeaving:       h.reportLeaving,
 		OnLimits:        func(news []scheduler.LimitNews) { go h.messenger.ExchangeLimits(context.Background(), news) },
+		OnLimitQuery:    func() { go h.messenger.QueryLimits(context.Background()) },
 		OnLatencyReport: func(p scheduler.LatencyReport) { go h.groupFormer.submitLatency(p) },
 		OnDemand:        func(r scheduler.DemandReport) { go h.reportDemand(r) },
 		OnAttempt:       func(e quarantiner.Event) { h.quarantine.step.Submit(e) },
--- a/scheduler/action.go
+++ b/scheduler/action.go
@@ -7,7 +7,7 @@
 )
 
 // Action is an output of a Scheduler: Send, Abandon, Wait, Finish, Stalled, Recovered,
-// ReachChanged, Probe, LeavingStated, LimitChanged, ColdChanged, ColdSkipped, LimitReport, LatencyReport, DemandReport, CapacityChanged or WakeAt.
+// ReachChanged, Probe, LeavingStated, LimitChanged, ColdChanged, ColdSkipped, LimitReport, LimitQuery, LatencyReport, DemandReport, CapacityChanged or WakeAt.
 type Action interface{ action() }
 
 // Send starts an attempt: the request is sent to Target, or to a peer, which sends it to an endpoint. An attempt that hedges others runs
@@ -85,7 +85,7 @@
 	Process   identifier.Process
 	PerSecond float64     // requests that it takes from all instances together; zero if it is warm
 	Until     time.Time   // as known now; zero if it is warm
-	Source    LimitSource // from which this instance knows it; LimitColdEntry or LimitColdAnswer
+	Source    LimitSource // from which this instance knows it; LimitColdEntry, LimitColdAnswer or LimitColdRestored
 }
 
 // ColdSkipped reports that a request was placed or had to wait while cold limits kept it from targets of its pool.
@@ -98,6 +98,9 @@
 // other instances. It comes once a second while there is something to report and requests are in flight.
 type LimitReport struct{ News []LimitNews }
 
+// LimitQuery asks other instances what they know about limits of processes, to be reported with LimitsReported.
+type LimitQuery struct{}
+
 // LatencyReport counts the requests of a pool over the last second by whether they met their latency goal.
 type LatencyReport struct {
 	Pool       identifier.Pool
@@ -131,5 +134,6 @@
 func (ColdChanged) action()     {}
 func (ColdSkipped) action()     {}
 func (LimitReport) action()     {}
+func (LimitQuery) action()      {}
 func (CapacityChanged) action() {}
 func (WakeAt) action()          {}
--- a/scheduler/cold.go
+++ b/scheduler/cold.go
@@ -18,26 +18,28 @@
 
 // coldSource is the coldness of a process as the source of a limit.
 type coldSource struct {
-	perSecond   float64   // requests that the cold process takes from all instances together; zero for no limit
-	entryUntil  time.Time // end of the cold time as the process's entry says
-	answerUntil time.Time // the same as its answers say
-	answeredAt  time.Time // time of the answer, at this instance or another one
-	hasBucket   bool      // the process has been cold before, so that its tokens go on
+	perSecond     float64   // requests that the cold process takes from all instances together; zero for no limit
+	entryUntil    time.Time // end of the cold time as the process's entry says
+	answerUntil   time.Time // the same as its answers say
+	restoredUntil time.Time // the same after the end of an evacuation, which this instance or another one saw
+	answeredAt    time.Time // time of the answer, at this instance or another one
+	hasBucket     bool      // the process has been cold before, so that its tokens go on
 }
 
 // until returns the end of the cold time.
 func (c *coldSource) until() time.Time {
-	if c.answerUntil.After(c.entryUntil) {
-		return c.answerUntil
-	}
-	return c.entryUntil
+	return later(later(c.entryUntil, c.restoredUntil), c.answerUntil)
 }
 
 // source returns the source that says that the process is cold for the longest time. The entry does if the difference is
-// one of the ways that entry and answer took, so that what all instances read in entries is not spread as news.
+// one of the ways that entry and answer took, so that what all instances read in entries is not spread as news. The end of
+// an evacuation is spread, because an instance that starts later can't read it anywhere.
 func (c *coldSource) source() LimitSource {
-	if c.answerUntil.Sub(c.entryUntil) > coldTolerance {
+	switch {
+	case c.answerUntil.Sub(later(c.entryUntil, c.restoredUntil)) > coldTolerance:
 		return LimitColdAnswer
+	case !c.restoredUntil.IsZero() && !c.restoredUntil.Before(c.entryUntil):
+		return LimitColdRestored
 	}
 	return LimitColdEntry
 }
@@ -90,7 +92,12 @@
 		return
 	}
 	st := s.statementOf(now, t.Process())
-	st.limit.cold.perSecond, st.limit.cold.entryUntil = max(t.ColdLimit, 0), t.ColdUntil
+	c := &st.limit.cold
+	if t.RestoredUntil.After(c.restoredUntil) {
+		c.restoredUntil = t.RestoredUntil
+		s.limitsReportedAt = time.Time{} // the next tick reports it, for instances that start meanwhile
+	}
+	c.perSecond, c.entryUntil = max(t.ColdLimit, 0), t.ColdUntil
 	s.beginCold(now, t, isNew)
 }
 
@@ -101,15 +108,47 @@
 	}
 }
 
-// handleColdNews records what other instances have learned from the answers of processes about their coldness.
+// handleColdNews records what other instances have learned about the coldness of processes from their answers, and from ends of
+// evacuations.
 func (s *Scheduler) handleColdNews(now time.Time, news []LimitNews) {
 	for _, n := range news {
-		if n.Source == LimitColdAnswer && n.ColdFor > 0 {
-			s.lengthenCold(now, n.Process, now.Add(-n.Age), now.Add(min(n.ColdFor, maxColdAnswer)))
+		if n.ColdFor <= 0 {
+			continue
+		}
+		until := now.Add(min(n.ColdFor, maxColdAnswer))
+		switch n.Source {
+		case LimitColdAnswer:
+			s.lengthenCold(now, n.Process, now.Add(-n.Age), until)
+		case LimitColdRestored:
+			s.lengthenRestored(now, n.Process, until)
 		}
 	}
 }
 
+// lengthenRestored records that a process is cold until a time because an evacuation has ended, unless that is known, give
+// or take coldTolerance. The process may not be listed here yet.
+func (s *Scheduler) lengthenRestored(now time.Time, p identifier.Process, until time.Time) {
+	c := &s.statementOf(now, p).limit.cold
+	if until.Sub(c.restoredUntil) <= coldTolerance {
+		return
+	}
+	c.restoredUntil = until
+	if t := s.targets[p.Endpoint]; t != nil && t.Process() == p && t.ColdLimit > 0 {
+		c.perSecond = t.ColdLimit
+		s.beginCold(now, t, false)
+	}
+}
+
+// queryLimits asks other instances once what they know about limits, when the first target of a service with a cold rate is
+// listed: an instance that has just started does not know which evacuations have ended a short time ago.
+func (s *Scheduler) queryLimits(changed []Target) {
+	if s.hasQueriedLimits || s.cfg.FirstStart || !slices.ContainsFunc(changed, func(t Target) bool { return t.ColdLimit > 0 }) {
+		return
+	}
+	s.hasQueriedLimits = true
+	s.emit(LimitQuery{})
+}
+
 // lengthenCold records that a process is cold until a time, according to an answer of a time, unless its answers have said
 // so before, give or take coldTolerance.
 func (s *Scheduler) lengthenCold(now time.Time, p identifier.Process, answeredAt, until time.Time) {
--- a/scheduler/cold_disturb_test.go
+++ b/scheduler/cold_disturb_test.go
@@ -13,7 +13,7 @@
 		return
 	}
 	if elapsed == coldFirstTime && w.cfg.steady {
-		w.chill(true, w.endpoints...)
+		w.chill(!w.cfg.restored, w.endpoints...)
 	}
 	if elapsed%time.Second == 0 { // the endpoints write their entries
 		w.tell(func(in *coldInstance) { w.showTargets(in, w.endpoints...) })
@@ -24,7 +24,7 @@
 		case w.cfg.restored && w.random.IntN(2) == 0:
 			w.chill(false, w.endpoints...)
 		case w.cfg.answers && w.random.IntN(2) == 0:
-			e.byAnswer, e.coldUntil = true, w.now.Add(w.cfg.coldTime)
+			e.byAnswer, e.byRestore, e.coldUntil = true, false, w.now.Add(w.cfg.coldTime)
 		default:
 			w.chill(true, e)
 		}
@@ -46,11 +46,27 @@
 func (w *coldWorld) chill(starts bool, endpoints ...*coldEndpoint) {
 	for _, e := range endpoints {
 		e.coldUntil, e.byAnswer, e.limited = w.now.Add(w.cfg.coldTime), false, w.cfg.shared
+		e.byRestore, e.restoredAt = !starts, w.now
 		if starts {
 			e.start++
+			e.entryUntil = e.coldUntil
+		}
+	}
+	w.tell(func(in *coldInstance) {
+		if !starts {
+			w.restore(in, endpoints)
+		}
+		w.showTargets(in, endpoints...)
+	})
+}
+
+// restore lets an instance see that the evacuation of endpoints has ended.
+func (w *coldWorld) restore(in *coldInstance, endpoints []*coldEndpoint) {
+	for _, e := range endpoints {
+		if e.byRestore {
+			in.restored[e.id] = w.now.Add(w.cfg.coldTime)
 		}
 	}
-	w.tell(func(in *coldInstance) { w.showTargets(in, endpoints...) })
 }
 
 // disturbInstance starts an instance again, lets it leave or return, or cuts it off.
@@ -112,6 +128,7 @@
 			return
 		}
 		w.showInstances(in, w.listed())
+		w.restore(in, w.endpoints)
 		w.showTargets(in, w.endpoints...)
 		if !in.isListed {
 			w.list(in)
--- a/scheduler/cold_test.go
+++ b/scheduler/cold_test.go
@@ -19,6 +19,7 @@
 		{instances: 31, endpoints: 3, coldTime: 60 * time.Second, mass: true, restored: true, demand: 2},
 		{instances: 31, endpoints: 3, coldTime: 60 * time.Second, mass: true, cuts: true, steady: true, demand: 2},
 		{instances: 31, endpoints: 3, coldTime: 3 * time.Second, restarts: true, answers: true, shared: true, demand: 30},
+		{instances: 31, endpoints: 3, coldTime: 60 * time.Second, restarts: true, restored: true, steady: true, demand: 2},
 		{instances: 106, endpoints: 4, coldTime: 3 * time.Second, restarts: true, cuts: true, restored: true, answers: true, demand: 10},
 		{instances: 106, endpoints: 3, coldTime: 60 * time.Second, mass: true, restored: true, demand: 2},
 	} {
@@ -40,6 +41,8 @@
 	if len(w.sent) == 0 {
 		w.t.Errorf("%s, seed %d: no cold endpoint got a request", w.cfg, seed)
 	}
+	most := 0
+	defer func() { w.t.Logf("at most %d requests in a second", most) }()
 	for p, sent := range w.sent {
 		worst, first := 0, 0
 		for last := range sent {
@@ -48,6 +51,7 @@
 			}
 			worst = max(worst, last-first+1)
 		}
+		most = max(most, worst)
 		if float64(worst) > allowed {
 			w.t.Errorf("%s, seed %d: %s/%d got %d requests in a second, allowed %.1f", w.cfg, seed, p.Endpoint, p.Start, worst, allowed)
 		}
--- a/scheduler/cold_world_test.go
+++ b/scheduler/cold_world_test.go
@@ -14,13 +14,15 @@
 
 // The cold endpoints of deployment J, and the bound of its operators on the requests that they get in one second.
 const (
-	coldRate      = 15.0
-	coldExcess    = 1.5
-	coldSlack     = 5.0
-	coldTestStep  = 10 * time.Millisecond
-	coldNewsDelay = 2900 * time.Millisecond // longest time until a change of the lists is known at an instance
-	coldKeyTime   = 6 * time.Second         // from the cut of an instance until it is no longer listed
-	coldFirstTime = 10 * time.Second        // from the start of the world to the first cold endpoint
+	coldRate          = 15.0
+	coldExcess        = 1.5
+	coldSlack         = 5.0
+	coldTestStep      = 10 * time.Millisecond
+	coldNewsDelay     = 2900 * time.Millisecond // longest time until a change of the lists is known at an instance
+	coldKeyTime       = 6 * time.Second         // from the cut of an instance until it is no longer listed
+	coldGossipTime    = 4 * time.Second         // from the start of an instance until others have told it what is in no entry
+	coldNewsTolerance = 100 * time.Millisecond  // by which news must lengthen a known time to count
+	coldFirstTime     = 10 * time.Second        // from the start of the world to the first cold endpoint
 )
 
 // coldCase is a fleet whose endpoints are cold again and again.
@@ -61,24 +63,28 @@
 }
 
 type coldInstance struct {
-	name     identifier.Instance
-	core     *scheduler.Scheduler
-	wakeAt   time.Time
-	lastRef  scheduler.Ref
-	life     int // number of the process
-	news     []scheduler.LimitNews
-	informed map[identifier.Process]coldKnowledge
-	isListed bool
-	isGone   bool      // it has left and serves nothing
-	cutUntil time.Time // no news before
-	nextNews time.Time // time of the last news that is on its way
+	name      identifier.Instance
+	core      *scheduler.Scheduler
+	wakeAt    time.Time
+	lastRef   scheduler.Ref
+	life      int // number of the process
+	news      []scheduler.LimitNews
+	informed  map[identifier.Process]coldKnowledge
+	restored  map[identifier.Endpoint]time.Time // ends of cold times after evacuations that the process saw end
+	board     []scheduler.LimitNews             // what others that ask are told
+	boardAt   time.Time
+	startedAt time.Time
+	isListed  bool
+	isGone    bool      // it has left and serves nothing
+	cutUntil  time.Time // no news before
+	nextNews  time.Time // time of the last news that is on its way
 }
 
 // coldKnowledge is what an instance has been told about the cold time of a process.
-type coldKnowledge struct{ entryUntil, answerUntil time.Time }
+type coldKnowledge struct{ entryUntil, answerUntil, restoredUntil time.Time }
 
 func (k coldKnowledge) isCold(now time.Time) bool {
-	return now.Before(k.entryUntil) || now.Before(k.answerUntil)
+	return now.Before(k.entryUntil) || now.Before(k.answerUntil) || now.Before(k.restoredUntil)
 }
 
 // tellAnswer records that an instance was told by an answer, or by another instance, that a process is cold for a time.
@@ -90,12 +96,25 @@
 	in.informed[p] = k
 }
 
+// tellRestored records that an instance was told by another one that a process is cold for a time because an evacuation has ended. News
+// that lengthens a known time by no more than 100 ms is ignored, since it may be the instance's own, longer by its way.
+func (w *coldWorld) tellRestored(in *coldInstance, p identifier.Process, coldFor time.Duration) {
+	k := in.informed[p]
+	if until := w.now.Add(coldFor); until.Sub(k.restoredUntil) > coldNewsTolerance {
+		k.restoredUntil = until
+	}
+	in.informed[p] = k
+}
+
 type coldEndpoint struct {
-	id        identifier.Endpoint
-	start     identifier.ProcessStart
-	coldUntil time.Time
-	byAnswer  bool // its cold time is in its answers only
-	limited   bool
+	id         identifier.Endpoint
+	start      identifier.ProcessStart
+	coldUntil  time.Time
+	entryUntil time.Time // as its entry says, which does not know of evacuations
+	restoredAt time.Time
+	byAnswer   bool // its cold time is in its answers only
+	byRestore  bool // it is cold since the end of an evacuation
+	limited    bool
 }
 
 func (e *coldEndpoint) process() identifier.Process {
@@ -120,8 +139,9 @@
 
 // start starts a process of an instance, which knows nothing of an earlier one.
 func (w *coldWorld) start(in *coldInstance) {
-	in.core = scheduler.New(scheduler.Config{Instance: in.name, FailureDomain: "here", RetryRatio: 1, RetrySlack: 1000, FirstStart: true, ColdExcess: coldExcess, ColdSlack: coldSlack})
+	in.core = scheduler.New(scheduler.Config{Instance: in.name, FailureDomain: "here", RetryRatio: 1, RetrySlack: 1000, FirstStart: in.life == 0, ColdExcess: coldExcess, ColdSlack: coldSlack})
 	in.wakeAt, in.informed, in.news, in.isGone, in.cutUntil, in.nextNews = time.Time{}, map[identifier.Process]coldKnowledge{}, nil, false, time.Time{}, time.Time{}
+	in.restored, in.board, in.startedAt = map[identifier.Endpoint]time.Time{}, nil, w.now
 	in.life++
 }
 
@@ -144,10 +164,16 @@
 func (w *coldWorld) showTargets(in *coldInstance, endpoints ...*coldEndpoint) {
 	var e scheduler.TargetsChanged
 	for _, p := range endpoints {
-		t := scheduler.Target{ID: p.id, Pool: "guides", FailureDomain: "here", Slots: 34, ProcessStart: p.start, ColdLimit: coldRate, ColdUntil: w.entryEnd(p, w.now)}
+		t := scheduler.Target{ID: p.id, Pool: "guides", FailureDomain: "here", Slots: 34, ProcessStart: p.start, ColdLimit: coldRate, ColdUntil: w.entryEnd(p, w.now), RestoredUntil: in.restored[p.id]}
+		if t.RestoredUntil.After(t.ColdUntil) {
+			t.ColdUntil = t.RestoredUntil
+		}
 		e.Changed = append(e.Changed, t)
 		k := in.informed[p.process()]
 		k.entryUntil = t.ColdUntil
+		if t.RestoredUntil.After(k.restoredUntil) {
+			k.restoredUntil = t.RestoredUntil
+		}
 		in.informed[p.process()] = k
 	}
 	w.step(in, e)
@@ -155,10 +181,10 @@
 
 // entryEnd returns the end of the cold time that an entry states which is received at a time.
 func (w *coldWorld) entryEnd(p *coldEndpoint, received time.Time) time.Time {
-	if p.byAnswer || !p.coldUntil.After(received) {
+	if p.byAnswer || !p.entryUntil.After(received) {
 		return time.Time{}
 	}
-	return p.coldUntil.Add(time.Duration(w.random.IntN(200)) * time.Millisecond)
+	return p.entryUntil.Add(time.Duration(w.random.IntN(200)) * time.Millisecond)
 }
 
 // tell lets news reach each instance after a random time, unless it is cut off.
@@ -193,16 +219,44 @@
 			if a.Peer == "" {
 				w.serve(in, a)
 			}
+		case scheduler.LimitQuery:
+			w.queryNews(in)
 		case scheduler.LimitReport:
 			w.exchangeNews(in, a)
 		}
 	}
 }
 
+// queryNews asks three other instances what they know about limits.
+func (w *coldWorld) queryNews(in *coldInstance) {
+	for range 3 {
+		other := w.instances[w.random.IntN(len(w.instances))]
+		if other == in || other.isGone || w.now.Before(other.cutUntil) {
+			continue
+		}
+		var news []scheduler.LimitNews
+		for _, n := range other.board {
+			if n.Source != scheduler.LimitNamed {
+				n.ColdFor -= w.now.Sub(other.boardAt)
+			}
+			if n.ColdFor > 0 {
+				news = append(news, n)
+			}
+		}
+		life := in.life
+		w.at(w.now.Add(coldTestStep), func() {
+			if in.life == life {
+				w.inform(in, news)
+			}
+		})
+	}
+}
+
 // exchangeNews exchanges what an instance knows about limits with another one.
 func (w *coldWorld) exchangeNews(in *coldInstance, r scheduler.LimitReport) {
 	other := w.instances[w.random.IntN(len(w.instances))]
 	in.news = slices.DeleteFunc(slices.Clone(r.News), func(n scheduler.LimitNews) bool { return n.Source == scheduler.LimitColdEntry })
+	in.board, in.boardAt = in.news, w.now
 	if other == in || other.isGone || w.now.Before(other.cutUntil) || w.now.Before(in.cutUntil) {
 		return
 	}
@@ -221,8 +275,13 @@
 func (w *coldWorld) inform(in *coldInstance, news []scheduler.LimitNews) {
 	w.step(in, scheduler.LimitsReported{News: news})
 	for _, n := range news {
-		if n.Source == scheduler.LimitColdAnswer {
-			w.tellAnswer(in, n.Process, n.ColdFor)
+		switch n.Source {
+		case scheduler.LimitColdAnswer:
+			if w.now.Add(n.ColdFor).Sub(in.informed[n.Process].answerUntil) > coldNewsTolerance {
+				w.tellAnswer(in, n.Process, n.ColdFor)
+			}
+		case scheduler.LimitColdRestored:
+			w.tellRestored(in, n.Process, n.ColdFor)
 		}
 	}
 }
@@ -233,7 +292,7 @@
 	e, p, life := w.endpoints[i], a.Target.Process(), in.life
 	if e.process() == p && w.now.Before(e.coldUntil) {
 		w.total++
-		if in.informed[p].isCold(w.now) {
+		if in.informed[p].isCold(w.now) || w.mustKnow(in, e) {
 			w.sent[p] = append(w.sent[p], w.now)
 		}
 	}
@@ -260,6 +319,12 @@
 	})
 }
 
+// mustKnow reports whether an instance that started after an evacuation had ended must have learned of that from others, if
+// no start of all instances at once has made all forget it.
+func (w *coldWorld) mustKnow(in *coldInstance, e *coldEndpoint) bool {
+	return e.byRestore && !w.cfg.mass && in.life > 1 && !w.now.Before(in.cutUntil) && in.startedAt.After(e.restoredAt.Add(coldNewsDelay)) && w.now.Sub(in.startedAt) >= coldGossipTime
+}
+
 // play lets the world go on for a time.
 func (w *coldWorld) play(length time.Duration) {
 	perStep := w.cfg.demand * float64(w.cfg.endpoints) * coldTestStep.Seconds()
--- a/scheduler/limit.go
+++ b/scheduler/limit.go
@@ -29,14 +29,15 @@
 
 // The sources.
 const (
-	LimitNamed      LimitSource = iota // the process names the limit in its answers
-	LimitColdEntry                     // the process is cold, as its entry in the store says
-	LimitColdAnswer                    // the process is cold, as one of its answers says
+	LimitNamed        LimitSource = iota // the process names the limit in its answers
+	LimitColdEntry                       // the process is cold, as its entry in the store says
+	LimitColdAnswer                      // the process is cold, as one of its answers says
+	LimitColdRestored                    // the process is cold because the evacuation of its failure domain has ended
 )
 
 // String returns the name of the source in logs and listings.
 func (s LimitSource) String() string {
-	return [...]string{"named", "coldEntry", "coldAnswer"}[s]
+	return [...]string{"named", "coldEntry", "coldAnswer", "coldRestored"}[s]
 }
 
 // limit is the limit of a process, which has several sources, and this instance's share of it.
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -81,6 +81,7 @@
 
 	instances        instanceList
 	limitsReportedAt time.Time
+	hasQueriedLimits bool
 	cold             map[identifier.Process]*statement // of the processes that were last reported as cold
 	warmAt           time.Time                         // before which none of them is warm, as was known when they were last checked
 
@@ -208,6 +209,7 @@
 	for _, t := range e.Changed {
 		s.setTarget(now, t)
 	}
+	s.queryLimits(e.Changed)
 	s.forgetStatements(now)
 }
 
--- a/scheduler/target.go
+++ b/scheduler/target.go
@@ -23,7 +23,8 @@
 	MemberMissing      bool                  // fewer members of the group are listed than it needs, or one is evacuated, so that the target is used last
 	Evacuated          bool                  // its failure domain is evacuated, so that nothing is sent to it; running requests go on
 	ColdLimit          float64               // requests per second that the target takes from all instances together while it is cold; zero for no limit
-	ColdUntil          time.Time             // until when the target is cold, as its entry says; zero or in the past if it is warm
+	ColdUntil          time.Time             // until when the target is cold, as its entry says, and RestoredUntil; zero or in the past if it is warm
+	RestoredUntil      time.Time             // until when the target is cold because this instance saw the evacuation of its failure domain end; zero if it saw none
 }
 
 // isSameIncarnation reports whether t and o are the same process of the same endpoint in the
--- a/targetlister/cold.go
+++ b/targetlister/cold.go
@@ -30,8 +30,10 @@
 	}
 	t.ColdLimit, t.ColdUntil = cold.PerSecond, e.WarmAt
 	if at, ok := l.restored[e.FailureDomain]; ok {
-		if until := at.Add(cold.Duration); until.After(t.ColdUntil) {
+		until := at.Add(cold.Duration)
+		if until.After(t.ColdUntil) {
 			t.ColdUntil = until
 		}
+		t.RestoredUntil = until
 	}
 }
--- a/targetlister/cold_test.go
+++ b/targetlister/cold_test.go
@@ -30,8 +30,9 @@
 	until := scripter.Start.Add(3 * time.Second)
 	changed := l.SetRestored("north", scripter.Start)
 	is.Equal(len(changed.Removed), 0)
-	is.Equal(ends(changed), map[string]time.Time{"a": until})
+	is.Equal(ends(changed), map[string]time.Time{"a": until, "b": longer})
 	is.Equal(changed.Changed[0].ColdLimit, 15.0)
+	is.Equal(changed.Changed[0].RestoredUntil, until)                // which other instances are told
 	is.Equal(len(l.SetRestored("north", scripter.Start).Changed), 0) // nothing new
 
 	shown := l.Apply(endpointlister.Changes{Changed: []endpointlister.Endpoint{
