scheduler: an entry with an earlier or no start gives a cold process no second bucket

Cause: each process that was no target before got a full bucket at each sender. An entry that is rewritten with an earlier or no start time while the process goes on counted as such a process, and so did the right one that followed. Change: the bucket is filled only if the start is later than all with which the endpoint was listed before. Else the tokens, the share and the cold times go on; a cold time that the rewritten entry does not state holds until the next write. The senders of a cold process are ranked by the name of its endpoint, not by its start, so that instances which know different starts agree on them.

--- a/scheduler/cold.go
+++ b/scheduler/cold.go
@@ -86,8 +86,12 @@
 	return t.statement != nil && t.statement.limit.isCold(now)
 }
 
-// updateCold applies what the list says about the coldness of t. isNew is whether the process was no target before.
-func (s *Scheduler) updateCold(now time.Time, t *target, isNew bool) {
+// updateCold applies what the list says about the coldness of t.
+func (s *Scheduler) updateCold(now time.Time, t *target) {
+	isNew, goesOn := false, false
+	if t.ColdLimit > 0 {
+		isNew, goesOn = s.recordStart(now, t)
+	}
 	if t.statement == nil && (t.ColdLimit <= 0 || !t.ColdUntil.After(now)) || t.ColdLimit <= 0 && t.statement.limit.cold.perSecond == 0 {
 		return
 	}
@@ -97,10 +101,43 @@
 		c.restoredUntil = t.RestoredUntil
 		s.limitsReportedAt = time.Time{} // the next tick reports it, for instances that start meanwhile
 	}
-	c.perSecond, c.entryUntil = max(t.ColdLimit, 0), t.ColdUntil
+	c.perSecond = max(t.ColdLimit, 0)
+	if !goesOn || t.ColdUntil.After(c.entryUntil) {
+		c.entryUntil = t.ColdUntil
+	}
 	s.beginCold(now, t, isNew)
 }
 
+// listedStarts are the starts with which the entries of an endpoint of a service with a cold rate were listed.
+type listedStarts struct {
+	latest, last identifier.ProcessStart
+	lastAt       time.Time // when the entry was last listed
+}
+
+// recordStart records the start with which t is listed, and reports whether it is later than all before. If it is another one that
+// is not later, another writer has changed or left out the start while the process goes on, or the process has written the right one
+// again: what is known about its coldness and its tokens go on.
+func (s *Scheduler) recordStart(now time.Time, t *target) (isNew, goesOn bool) {
+	known, ok := s.starts[t.ID]
+	isNew = !ok || t.ProcessStart > known.latest
+	if from := s.statements[identifier.Process{Endpoint: t.ID, Start: known.last}]; ok && !isNew && t.ProcessStart != known.last && from != nil && from.limit.cold.hasBucket {
+		goesOn = true
+		to := s.statementOf(now, t.Process())
+		to.limit.cold, to.limit.share, to.limit.tokens, to.limit.filledAt = from.limit.cold, from.limit.share, from.limit.tokens, from.limit.filledAt
+	}
+	s.starts[t.ID] = listedStarts{latest: max(known.latest, t.ProcessStart), last: t.ProcessStart, lastAt: now}
+	return isNew, goesOn
+}
+
+// forgetStarts forgets the starts of endpoints that are no targets any more.
+func (s *Scheduler) forgetStarts(now time.Time) {
+	for id, known := range s.starts {
+		if s.targets[id] == nil && now.Sub(known.lastAt) >= statementTTL {
+			delete(s.starts, id)
+		}
+	}
+}
+
 // handleColdAnswer records that a process has said that it is cold.
 func (s *Scheduler) handleColdAnswer(now time.Time, p identifier.Process, coldFor time.Duration) {
 	if coldFor > 0 {
@@ -166,8 +203,8 @@
 	s.beginCold(now, t, false)
 }
 
-// beginCold gives t a bucket and reports t if it has become cold. The bucket of a new process is full, because no
-// instance has sent it a request. The one of a process that was cold before goes on, so that a process which is cold again and
+// beginCold gives t a bucket and reports t if it has become cold. The bucket of a new process, which started later than all
+// that its endpoint was listed with before, is full, because no instance has sent it a request. The one of a process that was cold before goes on, so that a process which is cold again and
 // again gets no new bucket each time.
 func (s *Scheduler) beginCold(now time.Time, t *target, isNew bool) {
 	l := &t.statement.limit
@@ -245,7 +282,7 @@
 }
 
 // computeColdShare returns this instance's share of the limit of a cold process. Its senders are chosen by the names of
-// the instances and of the process alone, and each has the same part, so that two instances which know different
+// the instances and of the endpoint alone, and each has the same part, so that two instances which know different
 // targets or failure domains do not disagree. An instance that has started or returned a short time ago is no
 // sender: by the time that it becomes one, every other instance counts it, and the one in whose place it is has stopped.
 func (s *Scheduler) computeColdShare(now time.Time, t *target, terms limitTerms) share {
@@ -254,7 +291,7 @@
 	}
 	s.ranked = s.ranked[:0]
 	for _, in := range s.instances.sharing {
-		s.ranked = append(s.ranked, rankedInstance{Instance: in.Instance, hash: mixHashes(t.hash, in.hash)})
+		s.ranked = append(s.ranked, rankedInstance{Instance: in.Instance, hash: mixHashes(t.endpointHash, in.hash)})
 	}
 	n := min(terms.countSenders(), len(s.ranked))
 	senders := largest(s.ranked, n)
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -82,8 +82,9 @@
 	instances        instanceList
 	limitsReportedAt time.Time
 	hasQueriedLimits bool
-	cold             map[identifier.Process]*statement // of the processes that were last reported as cold
-	warmAt           time.Time                         // before which none of them is warm, as was known when they were last checked
+	starts           map[identifier.Endpoint]listedStarts // of the endpoints of services with a cold rate
+	cold             map[identifier.Process]*statement    // of the processes that were last reported as cold
+	warmAt           time.Time                            // before which none of them is warm, as was known when they were last checked
 
 	random  *rand.Rand       // nil for no jitter
 	free    []candidate      // buffer of freeTargets
@@ -108,7 +109,7 @@
 	defaulter.Set(&cfg.ColdExcess, defaultColdExcess)
 	s := &Scheduler{
 		cfg: cfg, targets: map[identifier.Endpoint]*target{}, pools: map[identifier.Pool]*pool{}, statements: map[identifier.Process]*statement{}, lastStated: map[identifier.Endpoint]identifier.Process{},
-		flights: map[Ref]*flight{}, queues: map[identifier.Pool]*queue{}, rates: map[identifier.Pool]*poolRates{}, restrictions: map[identifier.Fingerprint]restriction{}, copies: map[identifier.Fingerprint]int{}, budget: newRetryBudget(cfg), cold: map[identifier.Process]*statement{},
+		flights: map[Ref]*flight{}, queues: map[identifier.Pool]*queue{}, rates: map[identifier.Pool]*poolRates{}, restrictions: map[identifier.Fingerprint]restriction{}, copies: map[identifier.Fingerprint]int{}, budget: newRetryBudget(cfg), cold: map[identifier.Process]*statement{}, starts: map[identifier.Endpoint]listedStarts{},
 		instances: newInstanceList(Instance{Name: cfg.Instance, FailureDomain: cfg.FailureDomain}),
 	}
 	if cfg.Random != nil {
@@ -227,11 +228,11 @@
 	old := s.targets[t.ID]
 	if old != nil && old.Pool == t.Pool && old.isSameIncarnation(&t) {
 		s.pools[t.Pool].replaceTarget(old, &t)
-		s.updateCold(now, old, false)
+		s.updateCold(now, old)
 		return
 	}
 	s.removeTarget(t.ID)
-	added := &target{Target: &t, hash: hashOf(fmt.Sprintf("%s/%d", t.ID, t.ProcessStart)), attempts: map[Ref]*attempt{}, addedAt: now, statement: s.statements[t.Process()]}
+	added := &target{Target: &t, hash: hashOf(fmt.Sprintf("%s/%d", t.ID, t.ProcessStart)), endpointHash: hashOf(string(t.ID)), attempts: map[Ref]*attempt{}, addedAt: now, statement: s.statements[t.Process()]}
 	if old != nil && old.isSameIncarnation(&t) {
 		added = old // its measurements hold in the other pool
 		added.Target = &t
@@ -243,7 +244,7 @@
 	s.pools[t.Pool].add(added)
 	added.pool = s.pools[t.Pool]
 	s.inheritStatement(now, added)
-	s.updateCold(now, added, old == nil || old.Process() != t.Process())
+	s.updateCold(now, added)
 }
 
 // removeTarget removes a target, if there is one, and its pool if that is empty then.
--- a/scheduler/statement.go
+++ b/scheduler/statement.go
@@ -133,6 +133,7 @@
 		return
 	}
 	s.statementsCheckedAt = now
+	s.forgetStarts(now)
 	for p, st := range s.statements {
 		if t := s.targets[p.Endpoint]; t != nil && t.statement == st {
 			st.statedAt = now
--- a/scheduler/target.go
+++ b/scheduler/target.go
@@ -58,6 +58,7 @@
 	*Target // never modified, because actions refer to it
 
 	hash                 uint64           // of the process
+	endpointHash         uint64           // of its name alone, which ranks the senders of a cold process
 	position             int              // in the targets of its pool
 	attempts             map[Ref]*attempt // running attempts at the target
 	addedAt              time.Time        // when this instance first saw this incarnation
