standin/soak: seeds of evacuations must have checked one, and cold engines have a random stream of their own

Change: a test with evacuations fails if the bound applied to no request of any of its seeds. Measured: TestPlanDrawsFromOwnStreams failed before.

--- a/standin/soak/evacuation_test.go
+++ b/standin/soak/evacuation_test.go
@@ -1,12 +1,41 @@
 package soak
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 )
 
+// TestPlanDrawsFromOwnStreams checks that evacuations and cold engines of a seed have nothing to do with each other. They drew from the same random
+// stream, so that each first evacuation began at twice the time of the first cold engine.
+func TestPlanDrawsFromOwnStreams(t *testing.T) {
+	is := is.New(t)
+	const seeds = 20
+	dependent := 0
+	for seed := range uint64(seeds) {
+		s := &soak{cfg: Config{Seed: seed, Cold: true, Evacuations: true, Length: 6 * time.Second}}
+		var cold, evacuated time.Duration
+		for _, step := range s.plan(rand.New(rand.NewPCG(seed, seed))) {
+			switch step.Fault.(type) {
+			case ChillEngine:
+				if cold == 0 {
+					cold = step.At
+				}
+			case EvacuateDomain:
+				if evacuated == 0 {
+					evacuated = step.At
+				}
+			}
+		}
+		if (evacuated - 2*cold).Abs() <= 2*time.Millisecond {
+			dependent++
+		}
+	}
+	is.True(dependent < seeds/2)
+}
+
 // TestIsEvacuated guards against a check that excuses requests to an evacuated failure domain, or that counts those which the bound
 // allows.
 func TestIsEvacuated(t *testing.T) {
--- a/standin/soak/soak.go
+++ b/standin/soak/soak.go
@@ -166,30 +166,40 @@
 	return out
 }
 
+// The random streams of the faults of each kind.
+const (
+	silenceStream = math.MaxUint64 - iota
+	statementStream
+	limitStream
+	cutStream
+	evacuationStream
+	coldStream
+)
+
 // plan returns the faults of the run. Silences and statements have generators of their own, so
 // that a seed gives the same other faults without them.
 func (s *soak) plan(r *rand.Rand) []Step {
 	steps := Plan(r, s.cfg.Length)
 	if s.cfg.Silences {
-		steps = AddSilences(steps, rand.New(rand.NewPCG(s.cfg.Seed, math.MaxUint64)), s.cfg.Length)
+		steps = AddSilences(steps, rand.New(rand.NewPCG(s.cfg.Seed, silenceStream)), s.cfg.Length)
 	}
 	if s.cfg.Leaving {
-		steps = AddStatements(steps, rand.New(rand.NewPCG(s.cfg.Seed, math.MaxUint64-1)), s.cfg.Length)
+		steps = AddStatements(steps, rand.New(rand.NewPCG(s.cfg.Seed, statementStream)), s.cfg.Length)
 	}
 	if s.cfg.Limits {
-		steps = AddLimits(steps, rand.New(rand.NewPCG(s.cfg.Seed, math.MaxUint64-2)), s.cfg.Length)
+		steps = AddLimits(steps, rand.New(rand.NewPCG(s.cfg.Seed, limitStream)), s.cfg.Length)
 	}
 	if s.cfg.Cold {
-		steps = AddCold(steps, rand.New(rand.NewPCG(s.cfg.Seed, math.MaxUint64-4)), s.cfg.Length)
+		steps = AddCold(steps, rand.New(rand.NewPCG(s.cfg.Seed, coldStream)), s.cfg.Length)
 	}
 	if s.cfg.Large {
 		steps = AddVersions(steps, s.cfg.Length)
 	}
 	if s.cfg.Cuts {
-		steps = AddEndpointCuts(steps, rand.New(rand.NewPCG(s.cfg.Seed, math.MaxUint64-3)), s.cfg.Length)
+		steps = AddEndpointCuts(steps, rand.New(rand.NewPCG(s.cfg.Seed, cutStream)), s.cfg.Length)
 	}
 	if s.cfg.Evacuations {
-		steps = AddEvacuations(steps, rand.New(rand.NewPCG(s.cfg.Seed, math.MaxUint64-4)), s.cfg.Length)
+		steps = AddEvacuations(steps, rand.New(rand.NewPCG(s.cfg.Seed, evacuationStream)), s.cfg.Length)
 	}
 	return steps
 }
--- a/standin/soak/soak_test.go
+++ b/standin/soak/soak_test.go
@@ -8,6 +8,7 @@
 	"os"
 	"reflect"
 	"slices"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -29,8 +30,15 @@
 }
 
 // runSeeds runs each seed with a configuration as a parallel subtest and reports the violations. If
-// the configuration has a request that crashes its engines, that must have run.
+// the configuration has a request that crashes its engines, that must have run; if it has evacuations, the bound on them must have applied to
+// a request of at least one seed.
 func runSeeds(t *testing.T, cfg soak.Config, seeds ...uint64) {
+	var bound atomic.Int64
+	t.Cleanup(func() { // after all seeds
+		if bound.Load() == 0 && cfg.Evacuations && !t.Failed() {
+			t.Error("no request was sent while an evacuation had to be in force, so that the seeds have checked none")
+		}
+	})
 	for _, seed := range seeds {
 		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
 			t.Parallel()
@@ -41,6 +49,7 @@
 				t.Fatal(err)
 			}
 			t.Logf("%d requests, %d with a complete answer, %d refused, %d runs that crash their engine, %d while an evacuation had to be in force", report.Sent, report.Answered, report.NotRun, report.Crashes, report.BoundByEvacuations)
+			bound.Add(int64(report.BoundByEvacuations))
 			for _, b := range report.Violations {
 				t.Error(b)
 			}
