--- a/scheduler/cold.go
+++ b/scheduler/cold.go
@@ -18,26 +18,28 @@
 
 // coldSource is the coldness of a process as the source of a limit.
 type coldSource struct {
-	perSecond   float64   // requests that the cold process takes from all instances together; zero for no limit
-	entryUntil  time.Time // end of the cold time as the process's entry says
-	answerUntil time.Time // the same as its answers say
-	answeredAt  time.Time // time of the answer, at this instance or another one
-	hasBucket   bool      // the process has been cold before, so that its tokens go on
+	perSecond     float64   // requests that the cold process takes from all instances together; zero for no limit
+	entryUntil    time.Time // end of the cold time as the process's entry says
+	answerUntil   time.Time // the same as its answers say
+	restoredUntil time.Time // the same after the end of an evacuation, which this instance or another one saw
+	answeredAt    time.Time // time of the answer, at this instance or another one
+	hasBucket     bool      // the process has been cold before, so that its tokens go on
 }
 
 // until returns the end of the cold time.
 func (c *coldSource) until() time.Time {
-	if c.answerUntil.After(c.entryUntil) {
-		return c.answerUntil
-	}
-	return c.entryUntil
+	return later(later(c.entryUntil, c.restoredUntil), c.answerUntil)
 }
 
 // source returns the source that says that the process is cold for the longest time. The entry does if the difference is
-// one of the ways that entry and answer took, so that what all instances read in entries is not spread as news.
+// one of the ways that entry and answer took, so that what all instances read in entries is not spread as news. The end of
+// an evacuation is spread, because an instance that starts later can't read it anywhere.
 func (c *coldSource) source() LimitSource {
-	if c.answerUntil.Sub(c.entryUntil) > coldTolerance {
+	switch {
+	case c.answerUntil.Sub(later(c.entryUntil, c.restoredUntil)) > coldTolerance:
 		return LimitColdAnswer
+	case !c.restoredUntil.IsZero() && !c.restoredUntil.Before(c.entryUntil):
+		return LimitColdRestored
 	}
 	return LimitColdEntry
 }
@@ -84,16 +86,58 @@
 	return t.statement != nil && t.statement.limit.isCold(now)
 }
 
-// updateCold applies what the list says about the coldness of t. isNew is whether the process was no target before.
-func (s *Scheduler) updateCold(now time.Time, t *target, isNew bool) {
+// updateCold applies what the list says about the coldness of t.
+func (s *Scheduler) updateCold(now time.Time, t *target) {
+	isNew, goesOn := false, false
+	if t.ColdLimit > 0 {
+		isNew, goesOn = s.recordStart(now, t)
+	}
 	if t.statement == nil && (t.ColdLimit <= 0 || !t.ColdUntil.After(now)) || t.ColdLimit <= 0 && t.statement.limit.cold.perSecond == 0 {
 		return
 	}
 	st := s.statementOf(now, t.Process())
-	st.limit.cold.perSecond, st.limit.cold.entryUntil = max(t.ColdLimit, 0), t.ColdUntil
+	c := &st.limit.cold
+	if t.RestoredUntil.After(c.restoredUntil) {
+		c.restoredUntil = t.RestoredUntil
+		s.limitsReportedAt = time.Time{} // the next tick reports it, for instances that start meanwhile
+	}
+	c.perSecond = max(t.ColdLimit, 0)
+	if !goesOn || t.ColdUntil.After(c.entryUntil) {
+		c.entryUntil = t.ColdUntil
+	}
 	s.beginCold(now, t, isNew)
 }
 
+// listedStarts are the starts with which the entries of an endpoint of a service with a cold rate were listed.
+type listedStarts struct {
+	latest, last identifier.ProcessStart
+	lastAt       time.Time // when the entry was last listed
+}
+
+// recordStart records the start with which t is listed, and reports whether it is later than all before. If it is another one that
+// is not later, another writer has changed or left out the start while the process goes on, or the process has written the right one
+// again: what is known about its coldness and its tokens go on.
+func (s *Scheduler) recordStart(now time.Time, t *target) (isNew, goesOn bool) {
+	known, ok := s.starts[t.ID]
+	isNew = !ok || t.ProcessStart > known.latest
+	if from := s.statements[identifier.Process{Endpoint: t.ID, Start: known.last}]; ok && !isNew && t.ProcessStart != known.last && from != nil && from.limit.cold.hasBucket {
+		goesOn = true
+		to := s.statementOf(now, t.Process())
+		to.limit.cold, to.limit.share, to.limit.tokens, to.limit.filledAt = from.limit.cold, from.limit.share, from.limit.tokens, from.limit.filledAt
+	}
+	s.starts[t.ID] = listedStarts{latest: max(known.latest, t.ProcessStart), last: t.ProcessStart, lastAt: now}
+	return isNew, goesOn
+}
+
+// forgetStarts forgets the starts of endpoints that are no targets any more.
+func (s *Scheduler) forgetStarts(now time.Time) {
+	for id, known := range s.starts {
+		if s.targets[id] == nil && now.Sub(known.lastAt) >= statementTTL {
+			delete(s.starts, id)
+		}
+	}
+}
+
 // handleColdAnswer records that a process has said that it is cold.
 func (s *Scheduler) handleColdAnswer(now time.Time, p identifier.Process, coldFor time.Duration) {
 	if coldFor > 0 {
@@ -101,15 +145,47 @@
 	}
 }
 
-// handleColdNews records what other instances have learned from the answers of processes about their coldness.
+// handleColdNews records what other instances have learned about the coldness of processes from their answers, and from ends of
+// evacuations.
 func (s *Scheduler) handleColdNews(now time.Time, news []LimitNews) {
 	for _, n := range news {
-		if n.Source == LimitColdAnswer && n.ColdFor > 0 {
-			s.lengthenCold(now, n.Process, now.Add(-n.Age), now.Add(min(n.ColdFor, maxColdAnswer)))
+		if n.ColdFor <= 0 {
+			continue
+		}
+		until := now.Add(min(n.ColdFor, maxColdAnswer))
+		switch n.Source {
+		case LimitColdAnswer:
+			s.lengthenCold(now, n.Process, now.Add(-n.Age), until)
+		case LimitColdRestored:
+			s.lengthenRestored(now, n.Process, until)
 		}
 	}
 }
 
+// lengthenRestored records that a process is cold until a time because an evacuation has ended, unless that is known, give
+// or take coldTolerance. The process may not be listed here yet.
+func (s *Scheduler) lengthenRestored(now time.Time, p identifier.Process, until time.Time) {
+	c := &s.statementOf(now, p).limit.cold
+	if until.Sub(c.restoredUntil) <= coldTolerance {
+		return
+	}
+	c.restoredUntil = until
+	if t := s.targets[p.Endpoint]; t != nil && t.Process() == p && t.ColdLimit > 0 {
+		c.perSecond = t.ColdLimit
+		s.beginCold(now, t, false)
+	}
+}
+
+// queryLimits asks other instances once what they know about limits, when the first target of a service with a cold rate is
+// listed: an instance that has just started does not know which evacuations have ended a short time ago.
+func (s *Scheduler) queryLimits(changed []Target) {
+	if s.hasQueriedLimits || s.cfg.FirstStart || !slices.ContainsFunc(changed, func(t Target) bool { return t.ColdLimit > 0 }) {
+		return
+	}
+	s.hasQueriedLimits = true
+	s.emit(LimitQuery{})
+}
+
 // lengthenCold records that a process is cold until a time, according to an answer of a time, unless its answers have said
 // so before, give or take coldTolerance.
 func (s *Scheduler) lengthenCold(now time.Time, p identifier.Process, answeredAt, until time.Time) {
@@ -127,8 +203,8 @@
 	s.beginCold(now, t, false)
 }
 
-// beginCold gives t a bucket and reports t if it has become cold. The bucket of a new process is full, because no
-// instance has sent it a request. The one of a process that was cold before goes on, so that a process which is cold again and
+// beginCold gives t a bucket and reports t if it has become cold. The bucket of a new process, which started later than all
+// that its endpoint was listed with before, is full, because no instance has sent it a request. The one of a process that was cold before goes on, so that a process which is cold again and
 // again gets no new bucket each time.
 func (s *Scheduler) beginCold(now time.Time, t *target, isNew bool) {
 	l := &t.statement.limit
@@ -206,7 +282,7 @@
 }
 
 // computeColdShare returns this instance's share of the limit of a cold process. Its senders are chosen by the names of
-// the instances and of the process alone, and each has the same part, so that two instances which know different
+// the instances and of the endpoint alone, and each has the same part, so that two instances which know different
 // targets or failure domains do not disagree. An instance that has started or returned a short time ago is no
 // sender: by the time that it becomes one, every other instance counts it, and the one in whose place it is has stopped.
 func (s *Scheduler) computeColdShare(now time.Time, t *target, terms limitTerms) share {
@@ -215,7 +291,7 @@
 	}
 	s.ranked = s.ranked[:0]
 	for _, in := range s.instances.sharing {
-		s.ranked = append(s.ranked, rankedInstance{Instance: in.Instance, hash: mixHashes(t.hash, in.hash)})
+		s.ranked = append(s.ranked, rankedInstance{Instance: in.Instance, hash: mixHashes(t.endpointHash, in.hash)})
 	}
 	n := min(terms.countSenders(), len(s.ranked))
 	senders := largest(s.ranked, n)
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -81,8 +81,10 @@
 
 	instances        instanceList
 	limitsReportedAt time.Time
-	cold             map[identifier.Process]*statement // of the processes that were last reported as cold
-	warmAt           time.Time                         // before which none of them is warm, as was known when they were last checked
+	hasQueriedLimits bool
+	starts           map[identifier.Endpoint]listedStarts // of the endpoints of services with a cold rate
+	cold             map[identifier.Process]*statement    // of the processes that were last reported as cold
+	warmAt           time.Time                            // before which none of them is warm, as was known when they were last checked
 
 	random  *rand.Rand       // nil for no jitter
 	free    []candidate      // buffer of freeTargets
@@ -107,7 +109,7 @@
 	defaulter.Set(&cfg.ColdExcess, defaultColdExcess)
 	s := &Scheduler{
 		cfg: cfg, targets: map[identifier.Endpoint]*target{}, pools: map[identifier.Pool]*pool{}, statements: map[identifier.Process]*statement{}, lastStated: map[identifier.Endpoint]identifier.Process{},
-		flights: map[Ref]*flight{}, queues: map[identifier.Pool]*queue{}, rates: map[identifier.Pool]*poolRates{}, restrictions: map[identifier.Fingerprint]restriction{}, copies: map[identifier.Fingerprint]int{}, budget: newRetryBudget(cfg), cold: map[identifier.Process]*statement{},
+		flights: map[Ref]*flight{}, queues: map[identifier.Pool]*queue{}, rates: map[identifier.Pool]*poolRates{}, restrictions: map[identifier.Fingerprint]restriction{}, copies: map[identifier.Fingerprint]int{}, budget: newRetryBudget(cfg), cold: map[identifier.Process]*statement{}, starts: map[identifier.Endpoint]listedStarts{},
 		instances: newInstanceList(Instance{Name: cfg.Instance, FailureDomain: cfg.FailureDomain}),
 	}
 	if cfg.Random != nil {
@@ -211,6 +213,7 @@
 	for _, t := range e.Changed {
 		s.setTarget(now, t)
 	}
+	s.queryLimits(e.Changed)
 	s.forgetStatements(now)
 }
 
@@ -228,11 +231,11 @@
 	old := s.targets[t.ID]
 	if old != nil && old.Pool == t.Pool && old.isSameIncarnation(&t) {
 		s.pools[t.Pool].replaceTarget(old, &t)
-		s.updateCold(now, old, false)
+		s.updateCold(now, old)
 		return
 	}
 	s.removeTarget(t.ID)
-	added := &target{Target: &t, hash: hashOf(fmt.Sprintf("%s/%d", t.ID, t.ProcessStart)), attempts: map[Ref]*attempt{}, addedAt: now, statement: s.statements[t.Process()]}
+	added := &target{Target: &t, hash: hashOf(fmt.Sprintf("%s/%d", t.ID, t.ProcessStart)), endpointHash: hashOf(string(t.ID)), attempts: map[Ref]*attempt{}, addedAt: now, statement: s.statements[t.Process()]}
 	if old != nil && old.isSameIncarnation(&t) {
 		added = old // its measurements hold in the other pool
 		added.Target = &t
@@ -244,7 +247,7 @@
 	s.pools[t.Pool].add(added)
 	added.pool = s.pools[t.Pool]
 	s.inheritStatement(now, added)
-	s.updateCold(now, added, old == nil || old.Process() != t.Process())
+	s.updateCold(now, added)
 }
 
 // removeTarget removes a target, if there is one, and its pool if that is empty then.
