groupformer: the first look leaves the operator's shares also where the present work is nearly uncovered

Change: the first look counts a model within a fifth of its present need as lacking groups; later the operator's shares are left for a gain of 0.4 or an uncovered present need only.

--- a/groupformer/allocation.go
+++ b/groupformer/allocation.go
@@ -14,6 +14,8 @@
 	firstGain        = 0.05                   // gain of coverage from which shares change within refineTime, in which they rest on a few seconds of reports
 	heldGain         = 0.03                   // gain from which a new holder of the lease leaves the groups that it finds
 	changeGain       = 0.25                   // the same later, unless a model lacks groups for its present work that another one can spare; demand that varies by a fifth changes the coverage by less
+	leaveGain        = 0.4                    // the same for the operator's shares, which have been in force since the demand was first known
+	startMargin      = 1.2                    // demand that varies by a fifth
 	refineTime       = 15 * time.Second       // since the demand was first known
 	gainLasts        = 4 * time.Second        // for which the gain of a change must last: two reports of each instance; within refineTime, one
 	shareLogged      = 0.1                    // change of a share from which it is logged
@@ -126,7 +128,7 @@
 	switch {
 	case a.since.IsZero():
 		a.since = now
-		if lowestCoverage(a.needs, best)-lowestCoverage(a.needs, operatorGroups(profile, c.usable)) < changeGain {
+		if !a.startGains(best, operatorGroups(profile, c.usable)) {
 			return
 		}
 		if held, ok := f.heldGroups(a.needs, service, best, c); ok {
@@ -147,11 +149,29 @@
 	f.setAllocation(now, a, service, profile, c, best)
 }
 
+// startGains reports whether a change from the operator's shares gains enough when the demand is known for the first time.
+// Within startMargin of their present need, models count as lacking groups, so that noise does not move groups later.
+func (a *allocation) startGains(best, operator map[string]int) bool {
+	limit := changeGain
+	scaled := make([]need, len(a.needs))
+	for i, n := range a.needs {
+		n.present *= startMargin
+		scaled[i] = n
+	}
+	if isPresentUneven(scaled, operator) {
+		limit = firstGain
+	}
+	return lowestCoverage(a.needs, best)-lowestCoverage(a.needs, operator) >= limit
+}
+
 // gains reports whether the gain of a change from current to best is large enough and has lasted. Where engines are scarce, the
 // lowest coverage may stay below 0.6 whatever is changed, so that firstGain suffices while a model lacks groups for its present work
 // that another one can spare.
 func (a *allocation) gains(now time.Time, best, current map[string]int) bool {
 	limit, lasts := changeGain, gainLasts
+	if !a.isActive() && now.Sub(a.since) >= refineTime {
+		limit = leaveGain
+	}
 	if isPresentUneven(a.needs, current) || a.isCorrected {
 		limit = firstGain
 	}
