runner: a malformed or deleted configuration leaves the valid one that waits

A malformed large configuration, or a deletion, took the place of the valid one that waited to be put in force, so that an instance stayed at the version before it. Those that wait now stay as fallbacks until one is in force.

--- a/runner/hosted_pace.go
+++ b/runner/hosted_pace.go
@@ -1,6 +1,7 @@
 package runner
 
 import (
+	"slices"
 	"time"
 
 	"amaranthmill/replicator"
@@ -15,44 +16,58 @@
 // configurationPace bounds how often a large configuration is put in force. Its zero value is ready for use.
 // The mutex of the view guards it.
 type configurationPace struct {
-	nextAt  time.Time // from when the next large one may be put in force
-	waiting *storeclient.Change
-	timer   *time.Timer // applies waiting; nil before the first
+	nextAt  time.Time            // from when the next large one may be put in force
+	waiting []storeclient.Change // large ones in order of arrival; the older ones are fallbacks for newer ones that can't be decoded
+	timer   *time.Timer          // applies the newest valid one of waiting; nil before the first
 }
 
 // paceConfiguration puts a configuration in force, at once if it is small or the last large one is old enough.
-// Otherwise it waits, and a newer one takes its place in the meantime. v.mu is held.
+// Otherwise it waits, and a newer valid one takes its place in the meantime. A deletion leaves those that wait.
+// v.mu is held.
 func (v *view) paceConfiguration(c storeclient.Change) {
 	now := time.Now()
-	isLarge := !c.Deleted && len(c.Value) > replicator.LargeSize
-	if !isLarge || !now.Before(v.pace.nextAt) {
-		v.pace.waiting = nil
+	switch {
+	case c.Deleted:
 		v.applyConfiguration(c)
-		if isLarge {
-			v.pace.nextAt = time.Now().Add(configurationInterval)
+		return
+	case len(c.Value) <= replicator.LargeSize:
+		if v.applyConfiguration(c) {
+			v.pace.waiting = nil
 		}
 		return
 	}
-	isFirst := v.pace.waiting == nil
-	v.pace.waiting = &c
+	v.pace.waiting = append(v.pace.waiting, c)
 	switch {
+	case !now.Before(v.pace.nextAt):
+		v.applyNewest()
 	case v.pace.timer == nil:
 		v.pace.timer = time.AfterFunc(v.pace.nextAt.Sub(now), v.applyWaiting)
-	case isFirst:
+	case len(v.pace.waiting) == 1:
 		v.pace.timer.Reset(v.pace.nextAt.Sub(now))
 	}
 }
 
-// applyWaiting puts the configuration in force that waits, if there is one.
+// applyNewest puts the newest valid configuration of those that wait in force. v.mu is held.
+func (v *view) applyNewest() {
+	for _, c := range slices.Backward(v.pace.waiting) {
+		if v.applyConfiguration(c) {
+			break
+		}
+	}
+	v.pace.waiting = nil
+	v.pace.nextAt = time.Now().Add(configurationInterval)
+}
+
+// applyWaiting puts a configuration in force that waits, if there is one and it is due.
 func (v *view) applyWaiting() {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if c := v.pace.waiting; c != nil {
-		v.paceConfiguration(*c)
+	if len(v.pace.waiting) > 0 && !time.Now().Before(v.pace.nextAt) {
+		v.applyNewest()
 	}
 }
 
-// stopPace drops the configuration that waits.
+// stopPace drops the configurations that wait.
 func (v *view) stopPace() {
 	v.mu.Lock()
 	defer v.mu.Unlock()
--- a/runner/hosted_view.go
+++ b/runner/hosted_view.go
@@ -90,24 +90,26 @@
 }
 
 // applyConfiguration puts the operator's configuration in force. If the entry was deleted or
-// can't be decoded, the configuration in force stays. v.mu is held.
-func (v *view) applyConfiguration(c storeclient.Change) {
+// can't be decoded, the configuration in force stays. It returns whether the configuration was put in force.
+// v.mu is held.
+func (v *view) applyConfiguration(c storeclient.Change) bool {
 	if c.Deleted {
 		v.hosted.logger.Warn().Msg("configuration was deleted from the store, the one in force stays")
-		return
+		return false
 	}
 	configuration, err := v.decoder.Decode(c.Value)
 	if err != nil {
 		v.hosted.logger.Error().Err(err).Uint64("revision", c.Revision).Msg("configuration can't be decoded, the one in force stays")
-		return
+		return false
 	}
 	if !v.hosted.resolver.Set(configuration) {
-		return
+		return false
 	}
 	v.hosted.logger.Info().Uint64("version", uint64(configuration.Version)).Uint64("revision", c.Revision).
 		Int("routes", len(configuration.Routes)).Int("accounts", len(configuration.Accounts)).Msg("configuration in force")
 	v.hosted.groupFormer.setServices(configuration.Services)
 	v.hosted.forwarder.ChangeTargets(v.targets.SetServices(configuration.Services))
+	return true
 }
 
 // setFormingHolder records the instance that forms groups. If the key was deleted, this instance
