replicator: a complete update has the references to all missing values

UpdateWithReferences left out references up to the revision of the receiver, also where it returned the complete replica. A receiver deletes the keys that a complete update does not name, and so deleted values that it had and the sender was missing.

--- a/replicator/reference.go
+++ b/replicator/reference.go
@@ -193,16 +193,17 @@
 }
 
 // UpdateWithReferences returns what UpdateSince does, but with references to the values that are missing, so
-// that they do not delay the other entries.
+// that they do not delay the other entries. A complete update has the references of all of them, because the
+// receiver deletes the keys that it does not name.
 func (c *Core) UpdateWithReferences(after uint64) Update {
 	if c.revision <= after {
 		return Update{}
 	}
-	u := c.completeUpdate()
 	if changes, ok := c.allChangesSince(after); ok {
-		u.Complete, u.Entries = false, changes.Entries
+		return Update{Revision: c.revision, Entries: changes.Entries, References: c.missingSince(after)}
 	}
-	u.Revision, u.References = c.revision, c.missingSince(after)
+	u := c.completeUpdate()
+	u.Revision, u.References = c.revision, c.missingSince(0)
 	return u
 }
 
