replicator: followers within an interval passed by a list are told so

With a key written at 105 and removed at 108, a replica that went by list from 100 to 110 told a follower at 106 that nothing had changed, so that the follower kept the key. A replica now keeps the intervals that it has passed by lists (the last 32, because a second list must not hide the first) and does not answer changes after a revision strictly within one. Followers at other revisions are answered as before.

--- a/replicator/core.go
+++ b/replicator/core.go
@@ -35,6 +35,7 @@
 	fetches      uint64                   // number of the last fetch of a value
 	removed      []storeclient.Change     // the latest maxRemovals removals, in order of revision
 	removalFloor uint64                   // removals up to this revision may be missing from removed
+	gaps         []gap                    // the latest maxGaps gaps above removalFloor, in order of revision
 	revision     uint64
 	listed       bool // the entries are complete as of revision
 	fromPeer     bool // the entries came from a peer and have to be confirmed by a list from the store
--- a/replicator/entries.go
+++ b/replicator/entries.go
@@ -38,6 +38,7 @@
 			c.recordRemoval(storeclient.Change{Entry: storeclient.Entry{Key: key, Revision: s.Revision}, Deleted: true})
 		}
 	}
+	c.recordGap(s.Revision)
 	c.revision = max(c.revision, s.Revision)
 	return notify(changes)
 }
--- a/replicator/update.go
+++ b/replicator/update.go
@@ -64,6 +64,33 @@
 	c.removed = append(c.removed, ch)
 }
 
+// maxGaps bounds the number of gaps that are kept.
+const maxGaps = 32
+
+// gap is an interval of revisions that the replica has passed by a list. A key that was written and removed within it
+// is in neither of the lists, so that the replica does not know the removal. A follower that was strictly within it
+// may have the key.
+type gap struct {
+	from, to uint64
+}
+
+// recordGap keeps the gap from the revision of the replica to that of a list, and drops the oldest one beyond maxGaps.
+func (c *Core) recordGap(listed uint64) {
+	if listed <= c.revision+1 {
+		return
+	}
+	if len(c.gaps) >= maxGaps {
+		c.removalFloor = max(c.removalFloor, c.gaps[0].to)
+		c.gaps = slices.Delete(c.gaps, 0, 1)
+	}
+	c.gaps = append(c.gaps, gap{from: c.revision, to: listed})
+}
+
+// isInGap reports whether a revision lies strictly within a gap.
+func (c *Core) isInGap(revision uint64) bool {
+	return slices.ContainsFunc(c.gaps, func(g gap) bool { return g.from < revision && revision < g.to })
+}
+
 // ChangesSince returns the changes after a revision, sorted by revision, or false if the replica no
 // longer knows all of them. Their Revision lies before the first value that is missing, so that a follower
 // asks for that value again. Writes after it are included, because none of them waits for another one. Removals are
@@ -78,7 +105,7 @@
 // allChangesSince returns all changes after a revision with the replica's revision, or false if the replica no longer
 // knows all of them.
 func (c *Core) allChangesSince(after uint64) (storeclient.Changes, bool) {
-	if after < c.removalFloor || !c.listed {
+	if after < c.removalFloor || !c.listed || c.isInGap(after) {
 		return storeclient.Changes{}, false
 	}
 	out := storeclient.Changes{Revision: c.revision}
