runner: a value is fetched from the store beside peers that are silent

A fetch from two silent peers went on to the store only when both calls had timed out, after some 3 s. The store is now tried after a further valueHedgeDelay. TestValueComesFromStoreBesideSilentPeers fails without this change; it needs at most 1.15 s.

--- a/runner/hosted_values.go
+++ b/runner/hosted_values.go
@@ -60,54 +60,67 @@
 // Bounds of a fetch of a value.
 const (
 	maxValuePeers   = 2                      // that are tried before the store
-	valueHedgeDelay = 400 * time.Millisecond // after which the next peer is tried too; a difference takes a few milliseconds, and a value of 1,640 routes in full some 10 ms at 14 Mbit/s
+	valueHedgeDelay = 400 * time.Millisecond // after which the next peer or the store is tried too; a difference takes a few milliseconds, and a value of 1,640 routes in full some 10 ms at 14 Mbit/s
 )
 
-// fetchedValue is the outcome of a fetch of a value from a peer.
+// fetchedValue is the outcome of a fetch of a value.
 type fetchedValue struct {
-	peer  messenger.Peer
 	entry storeclient.Entry
 	err   error
 }
 
-// FetchValue fetches the value of a reference from the peer that this instance follows, and from another one
-// beside it if that fails or has not answered in time. If both fail, it fetches the value from the store.
+// FetchValue fetches the value of a reference from the peer that this instance follows. Another peer, and after it the
+// store, is tried beside the pending fetches when one fails or the last one has not answered in time. The error
+// is that of the source that failed last.
 func (u *upstream) FetchValue(ctx context.Context, r replicator.Reference, base storeclient.Entry) (storeclient.Entry, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	peers := u.valuePeers()
-	fetched := make(chan fetchedValue, len(peers))
-	pending := 0
-	for next := 0; next < len(peers) || pending > 0; {
+	var sources []func() fetchedValue
+	for _, p := range u.valuePeers() {
+		sources = append(sources, func() fetchedValue { return u.fetchFromPeer(ctx, p, r, base) })
+	}
+	sources = append(sources, func() fetchedValue { return u.fetchFromStore(ctx, r) })
+	fetched := make(chan fetchedValue, len(sources))
+	var last fetchedValue
+	for pending := 0; len(sources) > 0 || pending > 0; {
 		var hedge <-chan time.Time
-		if next < len(peers) {
+		if len(sources) > 0 {
+			source := sources[0]
+			go func() { fetched <- source() }()
 			pending++
-			go func(p messenger.Peer) {
-				e, err := u.hosted.messenger.FetchValue(ctx, p, r, base)
-				fetched <- fetchedValue{p, e, err}
-			}(peers[next])
-			next++
+			sources = sources[1:]
 		}
-		if next < len(peers) {
+		if len(sources) > 0 {
 			timer := time.NewTimer(valueHedgeDelay)
 			defer timer.Stop()
 			hedge = timer.C
 		}
 		select {
-		case f := <-fetched:
+		case last = <-fetched:
 			pending--
-			if f.err == nil {
-				return f.entry, nil
+			if last.err == nil {
+				return last.entry, nil
 			}
-			u.hosted.logger.Debug().Err(f.err).Str("peer", string(f.peer.Instance)).Str("key", r.Key).Uint64("revision", r.Revision).Msg("value not fetched from peer")
 		case <-hedge:
 		}
 	}
+	return storeclient.Entry{}, last.err
+}
+
+func (u *upstream) fetchFromPeer(ctx context.Context, p messenger.Peer, r replicator.Reference, base storeclient.Entry) fetchedValue {
+	e, err := u.hosted.messenger.FetchValue(ctx, p, r, base)
+	if err != nil && ctx.Err() == nil {
+		u.hosted.logger.Debug().Err(err).Str("peer", string(p.Instance)).Str("key", r.Key).Uint64("revision", r.Revision).Msg("value not fetched from peer")
+	}
+	return fetchedValue{e, err}
+}
+
+func (u *upstream) fetchFromStore(ctx context.Context, r replicator.Reference) fetchedValue {
 	e, err := u.hosted.store.GetAtLeast(ctx, r.Key, r.Revision)
 	if err == nil {
 		u.hosted.logger.Info().Str("key", r.Key).Uint64("revision", e.Revision).Int("size", len(e.Value)).Msg("value fetched from the store, because no peer has returned it")
 	}
-	return e, err
+	return fetchedValue{e, err}
 }
 
 // valuePeers returns the peers to fetch a value from, in the order in which to try them: the one that this instance
--- a/runner/load_replay_test.go
+++ b/runner/load_replay_test.go
@@ -7,6 +7,11 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"github.com/matryer/is"
+
+	"amaranthmill/replicator"
+	"amaranthmill/storeclient"
 )
 
 // loadCase is a variant of the load.
@@ -231,3 +236,27 @@
 	}
 	t.Logf("largest bytes per link with the start: narrow %d down, %d up; wide %d down, %d up", narrowDown, narrowUp, wideDown, wideUp)
 }
+
+// TestValueComesFromStoreBesideSilentPeers checks that a fetch from two peers that have fallen silent goes on to the
+// store while their calls are pending. It waited until both calls had timed out, 3 s, past the bound of a version.
+func TestValueComesFromStoreBesideSilentPeers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		f := newLoadFleet(ctx, t, []float64{loadNarrowMbps, loadWideMbps, loadWideMbps, loadNarrowMbps, loadNarrowMbps})
+		time.Sleep(2 * time.Second)
+		f.order[1].die(true)
+		f.order[2].die(true)
+		u := f.order[0].hosted.upstream
+		is.Equal(len(u.valuePeers()), maxValuePeers)
+		start := time.Now()
+		e, err := u.FetchValue(ctx, replicator.Reference{Key: "op/config", Revision: 1}, storeclient.Entry{})
+		is.NoErr(err)
+		is.Equal(e.Value, loadConfiguration(1, loadRoutes-loadVersions))
+		const transfer = 350 * time.Millisecond // of the value in base64 over a narrow link
+		is.True(time.Since(start) <= maxValuePeers*valueHedgeDelay+transfer)
+		cancel()
+		synctest.Wait()
+		time.Sleep(10 * time.Second) // calls without a context end
+	})
+}
