--- a/runner/load_replay_test.go
+++ b/runner/load_replay_test.go
@@ -33,6 +33,10 @@
 			wide(f, 0).die(false)
 			wide(f, 1).die(false)
 		}},
+		{name: "both silent", disturb: func(f *loadFleet) {
+			wide(f, 0).die(true)
+			wide(f, 1).die(true)
+		}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) { playLoad(t, c) })
