groupformer: room for a jump comes before room for the loss of a failure domain

The 144 engines that groups within fabric domains can use suffice on deployment J for the present work and the jump of both models (139.5 engines), but not for the loss of a failure domain for m0 as well (151): 6 and 24 groups, load of m1 in a jump 0.85.

The rule for scarce engines now looks at the load without it, and a gain of 0.01 suffices, as one group of many gains less than 0.05.

TestSuccessorDuringMoves, TestLostReports, TestSecondModelIsStagedWhereNeeded and TestEnginesFollowDemand pass again.

--- a/groupformer/allocation.go
+++ b/groupformer/allocation.go
@@ -14,6 +14,7 @@
 	firstGain        = 0.05                   // gain of coverage from which shares change within refineTime, in which they rest on a few seconds of reports
 	heldGain         = 0.03                   // gain from which a new holder of the lease leaves the groups that it finds
 	changeGain       = 0.25                   // the same later, unless a model lacks groups for its present work that another one can spare; demand that varies by a fifth changes the coverage by less
+	unevenGain       = 0.01                   // while a model's load exceeds planLoad and another one can spare a group; in a large fleet a group gains less than firstGain
 	refineTime       = 15 * time.Second       // since the demand was first known
 	gainLasts        = 4 * time.Second        // for which the gain of a change must last: two reports of each instance; within refineTime, one
 	shareLogged      = 0.1                    // change of a share from which it is logged
@@ -146,12 +147,12 @@
 }
 
 // gains reports whether the gain of a change from current to best is large enough and has lasted. Where engines are scarce, the
-// lowest coverage may stay below 0.6 whatever is changed, so that firstGain suffices while a model lacks groups for its present work
+// lowest coverage may stay below 0.6 whatever is changed, so that unevenGain suffices while a model lacks groups for its present work
 // that another one can spare.
 func (a *allocation) gains(now time.Time, best, current map[string]int) bool {
 	limit, lasts := changeGain, gainLasts
 	if isPresentUneven(a.needs, current) {
-		limit = firstGain
+		limit = unevenGain
 	}
 	if now.Sub(a.since) < refineTime {
 		limit, lasts = firstGain, minFirstInterval
@@ -166,12 +167,13 @@
 	return now.Sub(a.gainSince) >= lasts
 }
 
-// isPresentUneven reports whether a model has fewer groups than its present work needs while another one could give a group and keep
+// isPresentUneven reports whether a model has fewer groups than its present work needs at planLoad, as in a jump without the
+// full time of prefill, which some seconds of a jump would exceed, while another one could give a group and keep
 // what its own needs. If all models lack groups, a change only shifts the lack.
 func isPresentUneven(needs []need, groups map[string]int) bool {
 	lacks, spares := false, false
 	for _, n := range needs {
-		lacks = lacks || float64(groups[n.model.Name]) < n.present
+		lacks = lacks || float64(groups[n.model.Name]) < n.burst/jumpFactor*jumpLoad/planLoad
 		spares = spares || float64(groups[n.model.Name]-1) >= n.present
 	}
 	return lacks && spares
@@ -253,15 +255,15 @@
 	return lowest
 }
 
-// allocate returns the groups of each model that engines should form: first what the present work needs, then what it needs after
-// the loss of a failure domain, then what a jump needs, and the rest in proportion to that. What is not sufficient
+// allocate returns the groups of each model that engines should form: first what the present work needs, then what a jump
+// needs, then what the present work needs after the loss of a failure domain, and the rest in proportion to that. What is not sufficient
 // for all models is shared in proportion to what they lack.
 func allocate(needs []need, engines int) map[string]int {
 	given := make([]float64, len(needs)) // engines
 	left := float64(engines)
 	for _, level := range []func(need) float64{
 		func(n need) float64 { return n.present },
-		func(n need) float64 { return n.loss },
+		func(n need) float64 { return n.burst },
 		func(n need) float64 { return n.jump },
 	} {
 		lacks, total := make([]float64, len(needs)), 0.0
--- a/groupformer/estimate.go
+++ b/groupformer/estimate.go
@@ -174,7 +174,8 @@
 	present  float64                              // for the present work at planLoad
 	loss     float64                              // the same after the loss of the largest failure domain
 	byDomain map[identifier.FailureDomain]float64 // requests per second, by the failure domain where they arrive
-	jump     float64                              // for jumpFactor times the present work at jumpLoad; at least loss, because both are granted in this order
+	burst    float64                              // for jumpFactor times the present work at jumpLoad
+	jump     float64                              // the larger of loss and burst
 }
 
 // groupsFor returns the groups that a rate of requests keeps at a load. A running request lengthens each step of the others. At
@@ -213,7 +214,8 @@
 	if largestPart < 1 {
 		n.loss /= 1 - largestPart
 	}
-	n.jump = max(n.loss, groupsFor(profile, m, a, jumpFactor*perSecond, jumpLoad))
+	n.burst = groupsFor(profile, m, a, jumpFactor*perSecond, jumpLoad)
+	n.jump = max(n.loss, n.burst)
 	return n
 }
 
--- a/groupformer/reassign_demand.go
+++ b/groupformer/reassign_demand.go
@@ -188,7 +188,11 @@
 	if !known || f.countInService(service, giver)-groups < min(from.present, float64(a.groups[giver.Name])) {
 		return false
 	}
-	return from.coverage(left) >= 1 || from.coverage(left) >= lentCoverRatio*to.coverage(s.total.groups[m.Name])
+	taken := s.total.groups[m.Name]
+	if taken < to.burst && left >= from.burst {
+		return true // room for a jump comes before room for the loss of a failure domain
+	}
+	return from.coverage(left) >= 1 || from.coverage(left) >= lentCoverRatio*to.coverage(taken)
 }
 
 // countInService returns the groups of a model within a fabric domain that serve and are neither draining nor evacuated.
