--- a/groupformer/allocation.go
+++ b/groupformer/allocation.go
@@ -254,13 +254,23 @@
 	return out
 }
 
-// lowestCoverage returns the coverage of the model whose need is met least.
+// lowestCoverage returns the mean of two coverages, each of the model whose need is met least: of the need for a jump, and of the
+// need after the loss of a failure domain. What one model gains for a jump must outweigh what another loses for a loss.
 func lowestCoverage(needs []need, groups map[string]int) float64 {
-	lowest := 1.0
+	burst, loss := 1.0, 1.0
 	for _, n := range needs {
-		lowest = min(lowest, n.coverage(float64(groups[n.model.Name])))
+		g := float64(groups[n.model.Name])
+		burst, loss = min(burst, coverage(g, n.burst)), min(loss, coverage(g, n.loss))
 	}
-	return lowest
+	return (burst + loss) / 2
+}
+
+// coverage returns the part of a need that groups meet, at most 1.
+func coverage(groups, need float64) float64 {
+	if need <= 0 {
+		return 1
+	}
+	return min(groups/need, 1)
 }
 
 // allocate returns the groups of each model that engines should form: first what the present work needs, then what a jump
--- a/groupformer/estimate.go
+++ b/groupformer/estimate.go
@@ -228,9 +228,4 @@
 }
 
 // coverage returns the part of the need that groups meet, at most 1.
-func (n need) coverage(groups float64) float64 {
-	if n.jump <= 0 {
-		return 1
-	}
-	return min(groups/n.jump, 1)
-}
+func (n need) coverage(groups float64) float64 { return coverage(groups, n.jump) }
