groupformer: idle time before the first request does not count

Change: time before an instance's first request does not count, and the first look comes after the first report that has work.

--- a/groupformer/estimate.go
+++ b/groupformer/estimate.go
@@ -51,11 +51,15 @@
 }
 
 // add adds a report. One that covers more than demandMemory weighs as much as one of that time, because most of what it covers
-// would have decayed if it had been reported in parts.
+// would have decayed if it had been reported in parts. Time before the first request says nothing about the rate: when traffic begins,
+// the rate is known from the first report that has work.
 func (d *instanceDemand) add(now time.Time, r DemandReported) {
 	factor := math.Exp(-r.Elapsed.Seconds() / demandMemory.Seconds())
 	weight := min(demandMemory.Seconds()/max(r.Elapsed.Seconds(), 1e-9), 1)
 	d.failureDomain, d.reportedAt, d.elapsed = r.FailureDomain, now, r.Elapsed
+	if len(d.models)+len(r.Models) == 0 {
+		return
+	}
 	d.covered = d.covered*factor + weight*r.Elapsed.Seconds()
 	reported := map[poolKey]ModelDemand{}
 	for _, m := range r.Models {
@@ -91,7 +95,7 @@
 // demandReports holds the reports of all instances.
 type demandReports struct {
 	instances map[identifier.Instance]*instanceDemand
-	firstAt   time.Time     // of the first report; zero before it
+	firstAt   time.Time     // of the first report that has work; zero before it
 	interval  time.Duration // longest time that a first report covered
 	listed    int           // instances that exist
 	forgotAt  time.Time     // when silent instances were last forgotten
@@ -100,7 +104,10 @@
 // add adds a report and forgets instances that have not reported for demandForgotten.
 func (r *demandReports) add(now time.Time, report DemandReported) {
 	if r.instances == nil {
-		r.instances, r.firstAt = map[identifier.Instance]*instanceDemand{}, now
+		r.instances = map[identifier.Instance]*instanceDemand{}
+	}
+	if r.firstAt.IsZero() && len(report.Models) > 0 {
+		r.firstAt = now
 	}
 	if now.Sub(r.forgotAt) > demandForgotten/4 {
 		r.forgotAt = now
@@ -122,10 +129,10 @@
 	maxFirstInterval = 15 * time.Second
 )
 
-// hasBegun reports whether an instance has reported.
-func (r *demandReports) hasBegun() bool { return r.instances != nil }
+// hasBegun reports whether an instance has reported work.
+func (r *demandReports) hasBegun() bool { return !r.firstAt.IsZero() }
 
-// isComplete reports whether each instance has had the time to report once.
+// isComplete reports whether each instance has had the time to report its work once.
 func (r *demandReports) isComplete(now time.Time) bool {
 	return r.hasBegun() && now.Sub(r.firstAt) >= max(r.interval, minFirstInterval)
 }
--- a/groupformer/estimate_test.go
+++ b/groupformer/estimate_test.go
@@ -165,6 +165,24 @@
 	is.True(math.Abs(r.arrivals(now, poolKey{"guides", "m0"}, &estimateProfile).perSecond-20) < 1e-9)
 }
 
+// TestIdleTimeBeforeFirstRequestDoesNotCount guards against idle reports of a system that waits for its traffic, which kept the estimate
+// down for 15 s, so that shares did not change before a burst.
+func TestIdleTimeBeforeFirstRequestDoesNotCount(t *testing.T) {
+	is := is.New(t)
+	now := time.Date(2026, 1, 5, 20, 0, 0, 0, time.UTC)
+	var r demandReports
+	report := DemandReported{Instance: "i0", FailureDomain: "z0", Elapsed: 2 * time.Second, Instances: 1}
+	for range 8 {
+		r.add(now, report)
+		now = now.Add(2 * time.Second)
+	}
+	is.True(!r.hasBegun())
+	report.Models = []ModelDemand{{Service: "guides", Model: "m0", Requests: 40}}
+	r.add(now, report)
+	is.True(r.hasBegun())
+	is.True(math.Abs(r.arrivals(now, poolKey{"guides", "m0"}, &estimateProfile).perSecond-20) < 1e-9)
+}
+
 // TestReportAfterIdleTimeIsSoonOutweighed guards against one report that covers an idle minute and keeps the rate down: the same work must be
 // known as soon as if the instance had reported the idle time at each interval.
 func TestReportAfterIdleTimeIsSoonOutweighed(t *testing.T) {
