scheduler: run the tests of learned limits in parallel

With the race detector they ran one after another and took more than four minutes, so that the package came near to the time limit of scripts/test on a busy machine (442 s of 480 s). Neither bounds nor loads are changed.

--- a/scheduler/capacity_test.go
+++ b/scheduler/capacity_test.go
@@ -89,8 +89,10 @@
 // TestLearnedLimitsServeAsManyInTime guards against learned limits with which fewer requests meet their goals, or more are rejected, than with the
 // plain least-load choice. A difference within two standard errors counts as none, because the two choices meet different chances.
 func TestLearnedLimitsServeAsManyInTime(t *testing.T) {
+	t.Parallel()
 	for _, l := range simLoads() {
 		t.Run(l.name, func(t *testing.T) {
+			t.Parallel()
 			var inTime, rejected []float64
 			for seed := range uint64(loadSeeds) {
 				plain, learned := l.simulate(seed, false), l.simulate(seed, true)
@@ -127,6 +129,7 @@
 // TestSlowGroupsGetFewRequests guards against a seventh of the groups that goes on getting its share while it is slow, and against one that
 // does not get it again afterwards.
 func TestSlowGroupsGetFewRequests(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	l := simLoad{instances: 30, engines: 21, perSecond: 250, prepare: func(f *fleet, _ fleetConfig) {
 		for _, e := range f.engines[:3] {
@@ -146,6 +149,7 @@
 
 // TestFailingGroupsGetFewRequests guards against groups that look idle because they fail half of their requests, and so get more.
 func TestFailingGroupsGetFewRequests(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	l := simLoad{instances: 30, engines: 21, perSecond: 250, prepare: func(f *fleet, _ fleetConfig) {
 		for _, e := range f.engines[:3] {
@@ -179,6 +183,7 @@
 // TestEqualTargetsGetEqualParts guards against limits that swing: equal targets get parts of the requests that differ no more than with the plain
 // choice, within two standard errors.
 func TestEqualTargetsGetEqualParts(t *testing.T) {
+	t.Parallel()
 	var more []float64
 	for seed := range uint64(loadSeeds) {
 		l := simLoad{instances: 30, engines: 18, perSecond: 250}
@@ -194,6 +199,7 @@
 // TestHeldRequestsAreNotRefused guards against a request that is refused because it was held, and against more refusals in all than with the
 // plain choice, at the only instance of a pool, which loads its targets up to their hard maximum.
 func TestHeldRequestsAreNotRefused(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	simulate := func(seed uint64, learns bool) (held map[scheduler.Ref]bool, refused []scheduler.Ref) {
 		c := fleetConfig{
