--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -31,9 +31,11 @@
 	Scheduler       scheduler.Config
 	HeldBytes       int64                            // bytes that the held answers of all requests may use beyond the first 64 KiB of each; zero means 64 MiB
 	OnStalled       func(t scheduler.Target)         // called when a target stalls; must not block
-	OnLimits        func(news []scheduler.LimitNews) // what this instance knows about the limits of endpoints, once a second while there is something; must not block
+	OnLimits        func(news []scheduler.LimitNews) // what this instance knows about the limits of endpoints, named and cold, once a second while there is something; must not block
+	OnLimitQuery    func()                           // other instances are to be asked what they know about the limits of endpoints; must not block
 	OnLeaving       func(p identifier.Process)       // called once when a process says that it leaves; must not block
 	OnLatencyReport func(p scheduler.LatencyReport)  // called about once a second for each pool with requests; must not block
+	OnDemand        func(r scheduler.DemandReport)   // the work that arrived at this instance, about every two seconds while there is some or RequestDemand is called; must not block; nil means that nobody needs it
 	OnAttempt       func(e quarantiner.Event)        // called for each attempt and for each request that a restriction refuses, before the scheduler learns of it; must not block
 	OnReach         func(isCutOff bool)              // called with true once it is confirmed that this instance has lost its links to most endpoints, and with false when it has them again; must not block
 
@@ -60,6 +62,7 @@
 	random    *rand.Rand
 	exchanges map[scheduler.Ref]*exchange
 	limited   map[identifier.Process]bool // processes that name a limit
+	cold      map[identifier.Process]bool // processes that are cold
 }
 
 // New returns a Forwarder for cfg.
@@ -77,10 +80,11 @@
 		cfg.OnAttempt = func(quarantiner.Event) {}
 	}
 	defaulter.Set(&cfg.HeldBytes, defaultHeldBytes)
-	f := &Forwarder{cfg: cfg, core: scheduler.New(cfg.Scheduler), random: rand.New(cfg.Random), exchanges: map[scheduler.Ref]*exchange{}, limited: map[identifier.Process]bool{}}
+	f := &Forwarder{cfg: cfg, core: scheduler.New(cfg.Scheduler), random: rand.New(cfg.Random), exchanges: map[scheduler.Ref]*exchange{}, limited: map[identifier.Process]bool{}, cold: map[identifier.Process]bool{}}
 	f.held.left.Store(cfg.HeldBytes)
 	f.step = stepper.New(stepper.Config[scheduler.Event, scheduler.Action]{Core: f.core, Handle: f.handle})
 	f.meters = newMeters(cfg.Meter, cfg.Scheduler.FailureDomain)
+	f.observeCapacity(cfg.Meter)
 	f.tick = time.AfterFunc(time.Hour, func() { f.step.Submit(scheduler.Ticked{}) })
 	return f
 }
@@ -98,6 +102,14 @@
 	f.step.Submit(scheduler.LimitsReported{News: news})
 }
 
+// RequestDemand asks for a report of the work that arrived, also if nothing has arrived, if the interval since the last report is over.
+func (f *Forwarder) RequestDemand() { f.step.Submit(scheduler.DemandDue{}) }
+
+// ReportProcessEnded reports that a process of an endpoint has ended.
+func (f *Forwarder) ReportProcessEnded(p identifier.Process) {
+	f.step.Submit(scheduler.ProcessEnded{Process: p})
+}
+
 // SetRetryBudget changes the retry budget that all instances share: ratio is the number of
 // retries that each request allows, and slack the number that may accumulate.
 func (f *Forwarder) SetRetryBudget(ratio, slack float64) {
@@ -179,10 +191,24 @@
 		}
 	case scheduler.LimitChanged:
 		f.changeLimit(a)
+	case scheduler.ColdChanged:
+		f.changeCold(a)
+	case scheduler.ColdSkipped:
+		f.meters.countColdSkip(a)
+	case scheduler.LimitQuery:
+		if f.cfg.OnLimitQuery != nil {
+			f.cfg.OnLimitQuery()
+		}
 	case scheduler.LimitReport:
 		if f.cfg.OnLimits != nil {
 			f.cfg.OnLimits(a.News)
 		}
+	case scheduler.DemandReport:
+		if f.cfg.OnDemand != nil {
+			f.cfg.OnDemand(a)
+		}
+	case scheduler.CapacityChanged:
+		f.logCapacity(a)
 	case scheduler.LatencyReport:
 		service, _ := SplitPool(a.Pool)
 		f.meters.setBudget(service, a.RetriesLeft)
--- a/groupformer/dissolve.go
+++ b/groupformer/dissolve.go
@@ -32,6 +32,7 @@
 // dissolve starts to dissolve g.
 func (f *Former) dissolve(now time.Time, g *group, cause identifier.Endpoint, reason string) {
 	f.emit(LogDecision{Group: g.name, Epoch: g.epoch, Model: g.model.Name, Endpoint: cause, Decision: "dissolve:" + reason, Members: len(g.members), Elapsed: now.Sub(g.phaseSince)})
+	f.countLoss(now, g, reason)
 	g.phase, g.phaseSince = phaseDissolving, now
 }
 
@@ -55,7 +56,7 @@
 	}
 	switch head.Membership.State {
 	case endpointlister.MemberOpen:
-		if g.graceful && now.Sub(g.phaseSince) <= gracefulCloseLimit {
+		if g.graceful && now.Sub(g.phaseSince) <= g.closeLimit() {
 			f.sendOrder(now, head, Close{Group: g.name, Epoch: g.epoch})
 			return
 		}
@@ -70,7 +71,7 @@
 // advanceClosing aborts the running requests when the time for a graceful close has passed,
 // and queries a head that does not report an immediate close.
 func (f *Former) advanceClosing(now time.Time, g *group, head *engine) {
-	if g.graceful && now.Sub(g.phaseSince) > gracefulCloseLimit {
+	if g.graceful && now.Sub(g.phaseSince) > g.closeLimit() {
 		g.graceful = false
 		f.sendOrder(now, head, Close{Group: g.name, Epoch: g.epoch, Abort: true})
 		return
@@ -80,6 +81,15 @@
 	}
 }
 
+// closeLimit returns the time after which the requests that run in a dissolving group are aborted. A group that demand
+// dissolves without need completes them.
+func (g *group) closeLimit() time.Duration {
+	if g.lent {
+		return lentCloseLimit
+	}
+	return gracefulCloseLimit
+}
+
 // releaseUnconfirmed releases the members of g without confirmation that the head has left the
 // group. A head that does not answer need not be dead.
 func (f *Former) releaseUnconfirmed(now time.Time, g *group) {
--- a/groupformer/event.go
+++ b/groupformer/event.go
@@ -9,8 +9,8 @@
 )
 
 // Event is an input of a Former: EndpointsChanged, ServicesSet, LeaseSet, StoreHealthSet,
-// LatencyReported, FirstRequestReceived, HeadStalled, LeavingStated, Reported, Unreachable,
-// OrderEnded or Ticked.
+// LatencyReported, DemandReported, FirstRequestReceived, HeadStalled, LeavingStated, Reported, Unreachable,
+// EvacuationChanged, OrderEnded or Ticked.
 type Event interface{ event() }
 
 // EndpointsChanged changes the list of endpoints.
@@ -30,6 +30,10 @@
 // unreachable.
 type StoreHealthSet struct{ Lost bool }
 
+// EvacuationChanged replaces the evacuated failure domains, whose capacity counts as absent. The groups there stay and
+// are repaired.
+type EvacuationChanged struct{ Domains []identifier.FailureDomain }
+
 // LatencyReported reports how the requests of a model at one instance met their latency goal
 // in the last second.
 type LatencyReported struct {
@@ -39,6 +43,28 @@
 	MissedGoal int // of these, the requests answered after their goal or not at all
 }
 
+// DemandReported reports the work that arrived at one instance, also what it refused.
+type DemandReported struct {
+	Instance      identifier.Instance
+	FailureDomain identifier.FailureDomain // of the instance
+	Elapsed       time.Duration            // time that the counts cover, since the instance's previous report
+	Instances     int                      // that the receiver lists, of which those that never report are assumed to get as much work as the others; zero if it is not known
+	Models        []ModelDemand
+}
+
+// ModelDemand counts the work for a model.
+type ModelDemand struct {
+	Service      identifier.Service
+	Model        string
+	Requests     int
+	Prompts      int // of Requests, those with a known number of prompt tokens
+	PromptTokens int // of these
+	Answers      int // streams that were delivered in full
+	AnswerTokens int // of these
+	Judged       int // requests that were answered or given up
+	MissedGoal   int // of these, those that missed their latency goal or were given up
+}
+
 // FirstRequestReceived reports that the first request has arrived.
 type FirstRequestReceived struct{}
 
@@ -105,9 +131,11 @@
 func (LeaseSet) event()             {}
 func (StoreHealthSet) event()       {}
 func (LatencyReported) event()      {}
+func (DemandReported) event()       {}
 func (FirstRequestReceived) event() {}
 func (HeadStalled) event()          {}
 func (LeavingStated) event()        {}
+func (EvacuationChanged) event()    {}
 func (Reported) event()             {}
 func (Unreachable) event()          {}
 func (OrderEnded) event()           {}
@@ -169,7 +197,7 @@
 	return ""
 }
 
-// Action is an output of a Former: Order, FetchReport, LogDecision, GroupCounts or WakeAt.
+// Action is an output of a Former: Order, FetchReport, LogDecision, ShareChanged, GroupCounts or WakeAt.
 type Action interface{ action() }
 
 // Order sends an order to an engine.
@@ -198,6 +226,21 @@
 	Elapsed  time.Duration // since the group's previous change of phase
 }
 
+// ShareChanged reports that demand has changed a model's share of the engines by more than a tenth of all engines, and why.
+type ShareChanged struct {
+	Service           identifier.Service
+	Model             string
+	Before, Share     float64 // part of the engines
+	Groups            int     // that demand asks for; zero if the operator's share applies
+	Engines           int     // that groups within a fabric domain can use
+	LargestPart       float64 // part of these engines that the largest failure domain has
+	RequestsPerSecond float64
+	PromptTokens      float64 // mean of a request
+	AnswerTokens      float64 // mean of a request
+
+	Present, Loss, Jump float64 // groups that the work needs, also after the loss of a failure domain, and also in a jump
+}
+
 // GroupCounts reports, once a second, the number of groups of a model.
 type GroupCounts struct {
 	Service      identifier.Service
@@ -205,16 +248,19 @@
 	Serving      int
 	Forming      int
 	Dissolving   int
+	Evacuated    int     // of the serving groups, those with a member in an evacuated failure domain, to which no requests are sent or only the last
 	TargetGroups float64 // groups that the model's share of the engines would form
 	Engines      int     // engines of the service that are neither dead nor draining
 	Idle         int     // of these, the engines that no group needs
+	Demand       float64 // engines that the model's present work needs; zero if it is not known
 }
 
 // WakeAt requests a Ticked event at a time, in addition to regular ones.
 type WakeAt struct{ At time.Time }
 
-func (GroupCounts) action() {}
-func (WakeAt) action()      {}
-func (Order) action()       {}
-func (FetchReport) action() {}
-func (LogDecision) action() {}
+func (ShareChanged) action() {}
+func (GroupCounts) action()  {}
+func (WakeAt) action()       {}
+func (Order) action()        {}
+func (FetchReport) action()  {}
+func (LogDecision) action()  {}
--- a/groupformer/form.go
+++ b/groupformer/form.go
@@ -45,7 +45,7 @@
 	for i, m := range models {
 		joinable := joinableWithoutLoad(free, m)
 		if i > 0 {
-			joinable = withoutReserved(now, joinable, m, models[:i], s)
+			joinable = withoutReserved(now, joinable, m, f.completable(d, models[:i]), s)
 		}
 		if len(joinable) >= m.GroupSize {
 			f.createGroup(now, d.service, m, joinable[:m.GroupSize])
@@ -53,6 +53,12 @@
 			return true
 		}
 		available := len(joinable) + len(joinableWithoutLoad(dissolving, m))
+		if f.keepsGroups(now, d) || f.allocations[d.service].isActive() {
+			if i == 0 && available >= m.GroupSize || f.isReassigning(d, m) {
+				return false
+			}
+			continue // reassignByDemand chooses the groups that are dissolved for m
+		}
 		if i == 0 && available >= m.GroupSize || f.isReassigning(d, m) || f.reassignGroups(now, d, s, m, available) {
 			return false
 		}
--- a/groupformer/former.go
+++ b/groupformer/former.go
@@ -36,10 +36,16 @@
 	ordersIssued       uint64
 	loadBudgets        map[identifier.Service]*loadBudget
 	demands            map[poolKey]*demand
-	beforeFirstRequest bool      // the system started for the first time and no request has arrived yet
-	storeLost          bool      // the store is unreachable
-	storeChangedAt     time.Time // when storeLost last changed
-	newEngineAt        time.Time // when an engine was last listed for the first time
+	demandReports      demandReports
+	groupLosses        map[poolKey]*lossRate
+	corrections        map[poolKey]float64 // of the needs, because of missed goals
+	allocations        map[identifier.Service]*allocation
+	evacuated          map[identifier.FailureDomain]bool // failure domains whose capacity does not count for demand and deficits
+	leaseBeganAt       time.Time                         // when this instance got the lease under its fence
+	beforeFirstRequest bool                              // the system started for the first time and no request has arrived yet
+	storeLost          bool                              // the store is unreachable
+	storeChangedAt     time.Time                         // when storeLost last changed
+	newEngineAt        time.Time                         // when an engine was last listed for the first time
 	countsEmittedAt    time.Time
 	plannedAt          time.Time // when all decisions were last taken
 	wakeAt             time.Time // of the tick that was requested; zero for none
@@ -53,7 +59,7 @@
 		drainTime:          cfg.DrainTime,
 		beforeFirstRequest: cfg.FirstStart, services: map[identifier.Service]*resolver.EngineProfile{}, engines: map[identifier.Endpoint]*engine{},
 		groups: map[identifier.Group]*group{}, released: map[identifier.Group]releasedGroup{}, loadBudgets: map[identifier.Service]*loadBudget{},
-		demands: map[poolKey]*demand{},
+		demands: map[poolKey]*demand{}, groupLosses: map[poolKey]*lossRate{}, corrections: map[poolKey]float64{}, allocations: map[identifier.Service]*allocation{},
 	}
 }
 
@@ -69,9 +75,14 @@
 	case ServicesSet:
 		f.setServices(now, e.Services)
 	case LeaseSet:
-		f.setLease(e)
+		f.setLease(now, e)
+	case EvacuationChanged:
+		f.setEvacuated(e.Domains)
 	case LatencyReported:
 		f.updateDemand(e)
+	case DemandReported:
+		f.demandReports.add(now, e)
+		return nil // the next tick takes it into account; a plan for each report of each instance would cost more than all others
 	case FirstRequestReceived:
 		f.beforeFirstRequest = false
 	case StoreHealthSet:
@@ -116,8 +127,10 @@
 
 // setLease records the lease. Under a new fence, the known groups are discarded and learned
 // again from the engines.
-func (f *Former) setLease(lease LeaseSet) {
+func (f *Former) setLease(now time.Time, lease LeaseSet) {
 	if lease.Fence > f.fence {
+		f.demandReports, f.allocations = demandReports{}, map[identifier.Service]*allocation{}
+		f.leaseBeganAt = now
 		f.fence, f.epochsIssued = lease.Fence, 0
 		f.groups, f.assignedCurrent = map[identifier.Group]*group{}, false
 		f.released = map[identifier.Group]releasedGroup{}
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -13,6 +13,8 @@
 
 	"github.com/rs/zerolog"
 
+	"amaranthmill/differ"
+	"amaranthmill/forwarder"
 	"amaranthmill/groupformer"
 	"amaranthmill/internal/defaulter"
 	"amaranthmill/internal/identifier"
@@ -42,11 +44,17 @@
 	OnUnacknowledged func(fp identifier.Fingerprint)                                                             // a peer did not acknowledge an announcement, which is sent again; must not block
 	Quarantines      func() []quarantiner.Quarantine                                                             // the quarantines at this instance
 	Reach            func() scheduler.ReachStatus                                                                // the endpoints and peers that this instance reaches
+	Capacities       func() []scheduler.Capacity                                                                 // the learned limits of targets at this instance
+	Explain          func(q forwarder.Query) forwarder.Explanation                                               // what a request would get at this instance
 	Leaving          func() []LeavingProcess                                                                     // the processes of endpoints that leave, as this instance knows them
+	Evacuations      func() []Evacuation                                                                         // the evacuated failure domains, as this instance knows them
 	Lift             func(fp identifier.Fingerprint) bool                                                        // ends a quarantine at all instances; false if there is none at this instance
 	OnLimits         func(news []scheduler.LimitNews)                                                            // a peer reports what it knows about the limits of endpoints; must not block
 	OnStalled        func(head identifier.Endpoint)                                                              // a peer reports that the group with this head is stalled; must not block
 	OnLeaving        func(p identifier.Process)                                                                  // a peer reports that a process has said that it leaves; must not block
+	OnDemand         func(r groupformer.DemandReported)                                                          // a peer reports the work that arrived there; must not block
+	Values           Values                                                                                      // the large values of the local replica; the zero value sends all values in full
+	OnTransfer       func(t ValueTransfer)                                                                       // a large value was sent to or received from a peer; must not block; may be nil
 	HTTP             *http.Client
 	Timeout          time.Duration // of one exchange with a peer; zero selects 600 ms
 	AnnounceInterval time.Duration // between two exchanges with announcements to one peer; zero selects 200 ms
@@ -59,6 +67,8 @@
 	selector  peerSelector
 	announcer announcer
 	limits    limitBoard
+	values    valueCache
+	decoder   differ.Decoder
 }
 
 // New returns a Messenger for cfg.
@@ -90,15 +100,20 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+pathUpdate, m.serveUpdate)
 	mux.HandleFunc("GET "+pathChanges, m.serveChanges)
+	mux.HandleFunc("GET "+pathValue, m.serveValue)
 	mux.HandleFunc("POST "+pathStalled, m.serveStalled)
 	mux.HandleFunc("POST "+pathLeaving, m.serveLeaving)
 	mux.HandleFunc("GET "+pathLeaving, m.serveLeavingList)
 	mux.HandleFunc("POST "+pathReport, m.serveReport)
 	mux.HandleFunc("POST "+pathConnection, m.serveConnection)
+	mux.HandleFunc("POST "+pathDemand, m.serveDemand)
 	mux.HandleFunc("POST "+pathLosses, m.serveLosses)
 	mux.HandleFunc("POST "+pathLimits, m.serveLimits)
 	mux.HandleFunc("GET "+pathLimits, m.serveLimitList)
 	mux.HandleFunc("GET "+pathReach, m.serveReach)
+	mux.HandleFunc("GET "+pathEvacuations, m.serveEvacuations)
+	mux.HandleFunc("GET "+pathCapacity, m.serveCapacity)
+	mux.HandleFunc("POST "+pathExplain, m.serveExplain)
 	mux.HandleFunc("GET "+pathQuarantines, m.serveQuarantines)
 	mux.HandleFunc("DELETE "+pathQuarantines+"/{fingerprint}", m.serveLift)
 	return mux
@@ -109,7 +124,11 @@
 	if !ok {
 		return
 	}
-	m.writeJSON(w, encodeUpdate(m.cfg.UpdateSince(after)))
+	updateSince := m.cfg.UpdateSince
+	if m.defersLarge(r) {
+		updateSince = m.cfg.Values.UpdateWithReferences
+	}
+	m.writeJSON(w, encodeUpdate(updateSince(after)))
 }
 
 // parseAfter returns the revision of the peer's replica. If it is malformed, parseAfter responds with
@@ -141,7 +160,14 @@
 	if !ok {
 		return
 	}
-	changes, err := m.cfg.Watch(r.Context(), after, changesWait)
+	watch, wait := m.cfg.Watch, changesWait
+	if m.defersLarge(r) {
+		watch = m.cfg.Values.Watch
+	}
+	if ms, err := strconv.Atoi(r.URL.Query().Get(parameterWait)); err == nil {
+		wait = min(max(time.Duration(ms)*time.Millisecond, 0), changesWait)
+	}
+	changes, err := watch(r.Context(), after, wait)
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusServiceUnavailable)
 		return
@@ -154,8 +180,20 @@
 func (m *Messenger) WatchPeer(ctx context.Context, p Peer, after uint64) (replicator.PeerChanges, error) {
 	ctx, cancel := context.WithTimeout(ctx, m.cfg.Timeout+changesWait)
 	defer cancel()
+	return m.fetchChanges(ctx, p, m.withAfter(pathChanges, after))
+}
+
+// WatchPeerFor is WatchPeer with a bound on the time for which the peer waits for changes, which peers of versions
+// before this call do not keep.
+func (m *Messenger) WatchPeerFor(ctx context.Context, p Peer, after uint64, wait time.Duration) (replicator.PeerChanges, error) {
+	ctx, cancel := context.WithTimeout(ctx, m.cfg.Timeout+wait)
+	defer cancel()
+	return m.fetchChanges(ctx, p, fmt.Sprintf("%s&%s=%d", m.withAfter(pathChanges, after), parameterWait, wait.Milliseconds()))
+}
+
+func (m *Messenger) fetchChanges(ctx context.Context, p Peer, path string) (replicator.PeerChanges, error) {
 	var w changesWire
-	if err := m.exchange(ctx, p, http.MethodGet, withAfter(pathChanges, after), nil, &w); err != nil {
+	if err := m.exchange(ctx, p, http.MethodGet, path, nil, &w); err != nil {
 		return replicator.PeerChanges{}, err
 	}
 	return w.changes(), nil
@@ -204,7 +242,7 @@
 	ctx, cancel := context.WithTimeout(ctx, m.cfg.Timeout)
 	defer cancel()
 	var w updateWire
-	if err := m.exchange(ctx, p, http.MethodGet, withAfter(pathUpdate, after), nil, &w); err != nil {
+	if err := m.exchange(ctx, p, http.MethodGet, m.withAfter(pathUpdate, after), nil, &w); err != nil {
 		m.cfg.Logger.Debug().Err(err).Str("peer", string(p.Instance)).Msg("peer did not return an update; querying another peer next")
 	}
 	u := w.update()
@@ -213,7 +251,7 @@
 		m.selector.reject(now, p.Instance, hasNews)
 	}
 	if !hasNews {
-		u.Revision, u.Complete, u.Entries = 0, false, nil
+		u.Revision, u.Complete, u.Entries, u.References = 0, false, nil, nil
 	}
 	return u
 }
--- a/replicator/update.go
+++ b/replicator/update.go
@@ -17,6 +17,7 @@
 	ContactTime time.Duration // for which it has answered the replica, or peers of which that knows, without interruption until its last answer to the replica
 	AnswerAge   time.Duration // since that answer
 	Entries     []storeclient.Change
+	References  []Reference // to values that the replica itself is missing; nil for a peer that does not know references
 }
 
 func (u Update) snapshot() storeclient.Snapshot {
@@ -30,15 +31,21 @@
 }
 
 // UpdateSince returns what the replica holds beyond a revision: the changes if all of them are
-// still known, and otherwise the complete replica.
+// still known, and otherwise the complete replica. Its Revision lies before the first value that is missing, so
+// that the receiver does not skip that value.
 func (c *Core) UpdateSince(after uint64) Update {
-	if c.revision <= after {
+	if c.completeRevision() <= after {
 		return Update{}
 	}
 	if changes, ok := c.ChangesSince(after); ok {
 		return Update{Revision: changes.Revision, Entries: changes.Entries}
 	}
-	u := Update{Revision: c.revision, Complete: true}
+	return c.completeUpdate()
+}
+
+// completeUpdate returns the complete replica.
+func (c *Core) completeUpdate() Update {
+	u := Update{Revision: c.completeRevision(), Complete: true}
 	for _, key := range slices.Sorted(maps.Keys(c.entries)) {
 		u.Entries = append(u.Entries, storeclient.Change{Entry: c.entries[key]})
 	}
@@ -57,10 +64,48 @@
 	c.removed = append(c.removed, ch)
 }
 
+// maxGaps bounds the number of gaps that are kept.
+const maxGaps = 32
+
+// gap is an interval of revisions that the replica has passed by a list. A key that was written and removed within it
+// is in neither of the lists, so that the replica does not know the removal. A follower that was strictly within it
+// may have the key.
+type gap struct {
+	from, to uint64
+}
+
+// recordGap keeps the gap from the revision of the replica to that of a list, and drops the oldest one beyond maxGaps.
+func (c *Core) recordGap(listed uint64) {
+	if listed <= c.revision+1 {
+		return
+	}
+	if len(c.gaps) >= maxGaps {
+		c.removalFloor = max(c.removalFloor, c.gaps[0].to)
+		c.gaps = slices.Delete(c.gaps, 0, 1)
+	}
+	c.gaps = append(c.gaps, gap{from: c.revision, to: listed})
+}
+
+// isInGap reports whether a revision lies strictly within a gap.
+func (c *Core) isInGap(revision uint64) bool {
+	return slices.ContainsFunc(c.gaps, func(g gap) bool { return g.from < revision && revision < g.to })
+}
+
 // ChangesSince returns the changes after a revision, sorted by revision, or false if the replica no
-// longer knows all of them.
+// longer knows all of them. Their Revision lies before the first value that is missing, so that a follower
+// asks for that value again. Writes after it are included, because none of them waits for another one. Removals are
+// not: a follower that went over to a replica of a lower revision would get the entry again.
 func (c *Core) ChangesSince(after uint64) (storeclient.Changes, bool) {
-	if after < c.removalFloor || !c.listed {
+	out, ok := c.allChangesSince(after)
+	out.Revision = min(out.Revision, c.completeRevision())
+	out.Entries = slices.DeleteFunc(out.Entries, func(ch storeclient.Change) bool { return ch.Deleted && ch.Revision > out.Revision })
+	return out, ok
+}
+
+// allChangesSince returns all changes after a revision with the replica's revision, or false if the replica no longer
+// knows all of them.
+func (c *Core) allChangesSince(after uint64) (storeclient.Changes, bool) {
+	if after < c.removalFloor || !c.listed || c.isInGap(after) {
 		return storeclient.Changes{}, false
 	}
 	out := storeclient.Changes{Revision: c.revision}
--- a/runner/hosted_view.go
+++ b/runner/hosted_view.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"amaranthmill/endpointlister"
+	"amaranthmill/evacuator"
 	"amaranthmill/internal/identifier"
 	"amaranthmill/messenger"
 	"amaranthmill/platform"
@@ -32,11 +33,17 @@
 	endpoints map[identifier.Endpoint]endpointlister.Endpoint
 	targets   *targetlister.Lister
 	instances map[identifier.Instance]identifier.FailureDomain // including this one; the failure domain is empty if it is not known
+	ownKey    string                                           // value of this instance's own key; empty if it is not listed
 	holder    identifier.Instance                              // of the group-forming lease; empty if it is not known
+	evacuator *evacuator.Evacuator
+	evacuated []identifier.FailureDomain // as the components know it, sorted
+	pace      configurationPace
+	decoder   platform.ConfigurationDecoder
 }
 
 func newView(h *hosted) *view {
-	v := &view{hosted: h, lister: endpointlister.New(endpointlister.Config{}), endpoints: map[identifier.Endpoint]endpointlister.Endpoint{}, targets: targetlister.New(), instances: map[identifier.Instance]identifier.FailureDomain{}}
+	v := &view{hosted: h, lister: endpointlister.New(endpointlister.Config{}), endpoints: map[identifier.Endpoint]endpointlister.Endpoint{}, targets: targetlister.New(), instances: map[identifier.Instance]identifier.FailureDomain{}, evacuator: evacuator.New()}
+	v.registerEvacuationGauge(h.meter)
 	v.timer = time.AfterFunc(time.Hour, func() { v.stepAndPublish(endpointlister.Ticked{}) })
 	return v
 }
@@ -45,50 +52,64 @@
 func (v *view) run(ctx context.Context) error {
 	<-ctx.Done()
 	v.timer.Stop()
+	v.stopPace()
 	return nil
 }
 
 // applyChanges applies changes of the store, in their order. The changes of the list of endpoints
-// are published together after the last one.
+// are published together after the last one. Evacuations begin before it is published and end after it.
 func (v *view) applyChanges(changes []storeclient.Change) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	evacuations := v.beginEvacuations(changes)
 	for _, c := range changes {
 		switch {
 		case platform.IsConfigurationKey(c.Key):
-			v.applyConfiguration(c)
+			v.paceConfiguration(c)
 		case c.Key == formingKey:
 			v.setFormingHolder(c)
 		case strings.HasPrefix(c.Key, instancePrefix):
 			v.updateInstance(c)
 		case strings.HasPrefix(c.Key, lossPrefix):
 			v.hosted.quarantine.applyChange(c)
+		case isEvacuationKey(c.Key): // applied by beginEvacuations and endEvacuations
 		default:
 			v.updateEndpoint(c)
 		}
 	}
 	v.publish()
+	v.endEvacuations(evacuations)
+}
+
+// handleRestored handles the end of an evacuation, at which the failure domain is still evacuated for the components. What
+// must hold before requests are sent there again is done here: the endpoints of services with a cold limit count as cold
+// from now on. v.mu is held.
+func (v *view) handleRestored(a evacuator.Restored) {
+	v.hosted.logger.Info().Str("failureDomain", string(a.Domain)).Dur("lasted", a.Lasted).Msg("failure domain restored")
+	v.hosted.forwarder.ChangeTargets(v.targets.SetRestored(a.Domain, time.Now()))
 }
 
 // applyConfiguration puts the operator's configuration in force. If the entry was deleted or
-// can't be decoded, the configuration in force stays. v.mu is held.
-func (v *view) applyConfiguration(c storeclient.Change) {
+// can't be decoded, the configuration in force stays. It returns whether the configuration was put in force.
+// v.mu is held.
+func (v *view) applyConfiguration(c storeclient.Change) bool {
 	if c.Deleted {
 		v.hosted.logger.Warn().Msg("configuration was deleted from the store, the one in force stays")
-		return
+		return false
 	}
-	configuration, err := platform.DecodeConfiguration(c.Value)
+	configuration, err := v.decoder.Decode(c.Value)
 	if err != nil {
 		v.hosted.logger.Error().Err(err).Uint64("revision", c.Revision).Msg("configuration can't be decoded, the one in force stays")
-		return
+		return false
 	}
 	if !v.hosted.resolver.Set(configuration) {
-		return
+		return false
 	}
 	v.hosted.logger.Info().Uint64("version", uint64(configuration.Version)).Uint64("revision", c.Revision).
 		Int("routes", len(configuration.Routes)).Int("accounts", len(configuration.Accounts)).Msg("configuration in force")
 	v.hosted.groupFormer.setServices(configuration.Services)
 	v.hosted.forwarder.ChangeTargets(v.targets.SetServices(configuration.Services))
+	return true
 }
 
 // setFormingHolder records the instance that forms groups. If the key was deleted, this instance
@@ -111,6 +132,13 @@
 	return v.holder
 }
 
+// countInstances returns the number of instances that the store lists.
+func (v *view) countInstances() int {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return len(v.instances)
+}
+
 // isLive reports whether the list shows a process and does not show it as draining.
 func (v *view) isLive(p identifier.Process) bool {
 	v.mu.Lock()
@@ -122,6 +150,9 @@
 // updateInstance applies a change of the key of this or another instance. v.mu is held.
 func (v *view) updateInstance(c storeclient.Change) {
 	name := identifier.Instance(strings.TrimPrefix(c.Key, instancePrefix))
+	if name == v.hosted.settings.Instance {
+		v.changeOwnKey(c)
+	}
 	if c.Deleted {
 		delete(v.instances, name)
 		v.hosted.peers.Remove(name)
@@ -144,7 +175,7 @@
 }
 
 // addPeer adds a peer, unless it is this instance, from the value of its key, "<process> <address>
-// <failure domain> <lease>". It returns the failure domain, which is empty if the value has none.
+// <failure domain> [link=<Mbit/s>] <lease>". It returns the failure domain, which is empty if the value has none.
 func (v *view) addPeer(name identifier.Instance, value string) identifier.FailureDomain {
 	words := strings.Fields(value)
 	if len(words) < 3 {
@@ -159,7 +190,7 @@
 		v.hosted.logger.Warn().Err(err).Str("peer", string(name)).Msg("entry of a peer has no valid address, the peer is ignored")
 		return domain
 	}
-	v.hosted.peers.Set(messenger.Peer{Instance: name, FailureDomain: domain, Address: address})
+	v.hosted.peers.Set(messenger.Peer{Instance: name, FailureDomain: domain, Address: address, LinkMbps: parseLink(words[3:])})
 	return domain
 }
 
--- a/scheduler/action.go
+++ b/scheduler/action.go
@@ -7,7 +7,7 @@
 )
 
 // Action is an output of a Scheduler: Send, Abandon, Wait, Finish, Stalled, Recovered,
-// ReachChanged, Probe, LeavingStated, LimitChanged, LimitReport, LatencyReport or WakeAt.
+// ReachChanged, Probe, LeavingStated, LimitChanged, ColdChanged, ColdSkipped, LimitReport, LimitQuery, LatencyReport, DemandReport, CapacityChanged or WakeAt.
 type Action interface{ action() }
 
 // Send starts an attempt: the request is sent to Target, or to a peer, which sends it to an endpoint. An attempt that hedges others runs
@@ -80,10 +80,27 @@
 	PerSecond float64 // zero for none
 }
 
+// ColdChanged reports that a target has become cold, or that it is warm again.
+type ColdChanged struct {
+	Process   identifier.Process
+	PerSecond float64     // requests that it takes from all instances together; zero if it is warm
+	Until     time.Time   // as known now; zero if it is warm
+	Source    LimitSource // from which this instance knows it; LimitColdEntry, LimitColdAnswer or LimitColdRestored
+}
+
+// ColdSkipped reports that a request was placed or had to wait while cold limits kept it from targets of its pool.
+type ColdSkipped struct {
+	Pool    identifier.Pool
+	Targets int // number of those targets
+}
+
 // LimitReport holds what this instance knows about limits of processes, sorted by process, for the
 // other instances. It comes once a second while there is something to report and requests are in flight.
 type LimitReport struct{ News []LimitNews }
 
+// LimitQuery asks other instances what they know about limits of processes, to be reported with LimitsReported.
+type LimitQuery struct{}
+
 // LatencyReport counts the requests of a pool over the last second by whether they met their latency goal.
 type LatencyReport struct {
 	Pool       identifier.Pool
@@ -94,19 +111,29 @@
 	RetriesLeft float64 // retries that this instance may still make for the pool's service
 }
 
+// CapacityChanged reports that the learned limit of a target differs by more than a quarter from the one reported last.
+type CapacityChanged struct {
+	Capacity
+	Previous float64 // the limit reported last
+}
+
 // WakeAt requests a Ticked event at At. It replaces the previous WakeAt.
 type WakeAt struct{ At time.Time }
 
-func (LatencyReport) action() {}
-func (Send) action()          {}
-func (Abandon) action()       {}
-func (Wait) action()          {}
-func (Finish) action()        {}
-func (Stalled) action()       {}
-func (Recovered) action()     {}
-func (ReachChanged) action()  {}
-func (Probe) action()         {}
-func (LeavingStated) action() {}
-func (LimitChanged) action()  {}
-func (LimitReport) action()   {}
-func (WakeAt) action()        {}
+func (LatencyReport) action()   {}
+func (Send) action()            {}
+func (Abandon) action()         {}
+func (Wait) action()            {}
+func (Finish) action()          {}
+func (Stalled) action()         {}
+func (Recovered) action()       {}
+func (ReachChanged) action()    {}
+func (Probe) action()           {}
+func (LeavingStated) action()   {}
+func (LimitChanged) action()    {}
+func (ColdChanged) action()     {}
+func (ColdSkipped) action()     {}
+func (LimitReport) action()     {}
+func (LimitQuery) action()      {}
+func (CapacityChanged) action() {}
+func (WakeAt) action()          {}
--- a/scheduler/attempt.go
+++ b/scheduler/attempt.go
@@ -15,13 +15,19 @@
 	hasEvent       bool      // an event of the attempt has been received
 	lastProgressAt time.Time // time of the last progress of the attempt, or of its start
 	hedges         Reason    // why the attempt was started beside another attempt; empty if it was not
+	load           float64   // of the target when the attempt was sent
+	tokensAhead    int       // prompt tokens that the target had to read before its first event, as far as this instance knows
+	isPending      bool      // it counts in the backlog of its target
 }
 
 // mayHaveRun reports whether a may have begun to run at its target. A stream begins with its
 // first event. A stream without an event has therefore not begun if the running streams at
 // the target have made no progress since it was sent. If the target had no running stream when
-// it stalled, a stream without an event may have begun.
-func (a *attempt) mayHaveRun() bool {
+// it stalled, a stream without an event may have begun. No request begins before its prompt is prefilled.
+func (a *attempt) mayHaveRun(now time.Time) bool {
+	if a.peer == nil && !a.hasEvent && now.Sub(a.sentAt)+abandonDelay < a.flight.MinRunDelay {
+		return false
+	}
 	return a.peer != nil || a.hasEvent || !a.flight.Stream || !a.target.streamsStalled || a.target.lastProgressAt.After(a.sentAt)
 }
 
@@ -40,6 +46,7 @@
 	s.dequeue(f)
 	f.attempts++
 	f.giveUpAt = time.Time{}
+	s.release(f)
 	a := &attempt{flight: f, number: f.attempts, target: d.target, peer: d.peer, sentAt: now, lastProgressAt: now, hedges: hedges}
 	f.running = append(f.running, a)
 	if d.peer != nil {
@@ -50,13 +57,14 @@
 	t := d.target
 	f.tried = append(f.tried, triedTarget{target: t, attempt: a.number})
 	t.attempts[f.ref] = a
+	a.enterBacklog(d.load)
 	if !t.stalledAt.IsZero() {
 		t.lastTrialAt = now
 	}
 	if t.statement != nil && t.statement.isReopening {
 		t.statement.trial = a
 	}
-	if t.statement != nil && t.statement.limit.perSecond > 0 {
+	if t.statement != nil && t.statement.limit.isActive(now) {
 		t.statement.limit.take(now)
 	}
 	s.emit(Send{Ref: f.ref, Attempt: a.number, Target: t.Target, Load: d.load, Hedges: hedges})
@@ -68,6 +76,7 @@
 		a.peer.running--
 	} else {
 		delete(a.target.attempts, a.flight.ref)
+		a.leaveBacklog()
 		if st := a.target.statement; st != nil && st.trial == a {
 			st.trial = nil
 		}
@@ -76,15 +85,20 @@
 }
 
 // abandon ends a, whose request goes on with another attempt.
-func (s *Scheduler) abandon(a *attempt, reason Reason) {
+func (s *Scheduler) abandon(now time.Time, a *attempt, reason Reason) {
 	f := a.flight
 	f.sentAttempts++
 	f.hasAbandoned = true
-	if a.mayHaveRun() {
-		f.possibleRuns++
+	if a.mayHaveRun(now) {
+		f.recordRun(a)
 	}
+	s.cancel(a, reason)
+}
+
+// cancel ends a, whose request goes on with another attempt or has ended.
+func (s *Scheduler) cancel(a *attempt, reason Reason) {
 	s.drop(a)
-	s.emit(Abandon{Ref: f.ref, Attempt: a.number, Reason: reason})
+	s.emit(Abandon{Ref: a.flight.ref, Attempt: a.number, Reason: reason})
 }
 
 // findRunning returns the attempt of the request ref with this number if it runs, or nil.
--- a/scheduler/choice.go
+++ b/scheduler/choice.go
@@ -11,6 +11,8 @@
 	target *target
 	load   float64 // as a fraction of its slots
 	score  float64 // the load and what else speaks against the target; the lowest is the best
+
+	slowness float64 // of the target, see estimator.Estimator; zero if its limit is not learned
 }
 
 // freeTargets returns the targets of a pool that may take a request which no target runs. The slice
@@ -32,14 +34,18 @@
 		return candidate{}, false
 	}
 	load := t.load(now, m.otherRequests)
-	return candidate{target: t, load: load, score: load + s.penalty(now, t, m.gap)}, load < s.cfg.MaxLoad
+	if load >= s.cfg.MaxLoad {
+		return candidate{}, false
+	}
+	slowness := t.slowness(now)
+	return candidate{target: t, load: load, score: load + s.penalty(now, t, m.gap, slowness, nil), slowness: slowness}, true
 }
 
-// chooseCandidate returns the best of the candidates for f, or false if f has tried all of them. A copy of
-// a request shares the target of the first copy while that has enough free slots.
+// chooseCandidate returns the best of the candidates for f, or false if f has tried all of them or is held. Those past their
+// learned limits come after all others. A copy of a request shares the target of the first copy while that has enough free slots.
 func (s *Scheduler) chooseCandidate(now time.Time, f *flight, candidates []candidate) (candidate, bool) {
 	var best candidate
-	found := false
+	found, isBestWithin := false, false
 	shared := s.targetOfCopy(f)
 	for _, c := range candidates {
 		if f.hasTried(now, c.target) || len(f.running) > 0 && !c.target.stalledAt.IsZero() {
@@ -48,9 +54,16 @@
 		if c.target == shared && c.load < maxCopyLoad {
 			return c, true
 		}
-		if !found || c.score < best.score || c.score == best.score && s.winsTie(f, c.target, best.target) {
-			best, found = c, true
+		if found && isBestWithin && c.score > best.score {
+			continue
 		}
+		isWithin := c.isWithinLimit(now, f)
+		if !found || isWithin && !isBestWithin || isWithin == isBestWithin && (c.score < best.score || c.score == best.score && s.winsTie(f, c.target, best.target)) {
+			best, found, isBestWithin = c, true, isWithin
+		}
+	}
+	if found && !isBestWithin && s.mayHold(now, f, best, candidates) {
+		return candidate{}, false
 	}
 	return best, found
 }
@@ -61,9 +74,16 @@
 	if pl == nil {
 		return nil, 0, ReasonNoTarget
 	}
-	if c, ok := s.chooseCandidate(now, f, s.freeTargets(now, pl)); ok {
+	free := s.freeTargets(now, pl)
+	if s.held > 0 && f.attempts == 0 && s.endCrowdedHolds(now, pl, free) {
+		free = s.freeTargets(now, pl)
+	}
+	if c, ok := s.chooseCandidate(now, f, free); ok {
 		return c.target, c.load, ""
 	}
+	if f.isHeld(now) {
+		return nil, 0, ReasonPastLimits
+	}
 	return nil, 0, s.waitReason(now, f, pl)
 }
 
@@ -80,6 +100,9 @@
 
 // waitReason returns the reason why no target of a pool is available for f.
 func (s *Scheduler) waitReason(now time.Time, f *flight, pl *pool) Reason {
+	if pl.isEvacuated() {
+		return ReasonEvacuated
+	}
 	m := pl.means(now)
 	for _, t := range pl.targets {
 		if !f.hasTried(now, t) && s.isFull(now, t, m) {
@@ -98,6 +121,9 @@
 // isFull reports whether t takes no request because of those that it runs: it has refused one, or
 // the estimate of its load says so.
 func (s *Scheduler) isFull(now time.Time, t *target, m means) bool {
+	if t.Evacuated {
+		return false
+	}
 	if now.Before(t.refusedUntil) {
 		return t.statement.admits(now) && !s.limitedUntil(now, t).After(now)
 	}
@@ -119,44 +145,65 @@
 }
 
 // penalty returns the value that is added to the load of t to get its score. Like the load,
-// it is a fraction of t's slots.
-func (s *Scheduler) penalty(now time.Time, t *target, poolMeanGap time.Duration) float64 {
-	score := prefillPenalty * float64(t.prefillBacklog()) / 1000
+// it is a fraction of t's slots. Its parts are recorded in parts unless that is nil.
+func (s *Scheduler) penalty(now time.Time, t *target, poolMeanGap time.Duration, slowness float64, parts *penalties) float64 {
+	score := prefillPenalty * float64(t.backlog) / 1000
+	parts.record(penaltyPrefill, score)
 	if t.FailureDomain != s.cfg.FailureDomain {
-		score += remoteDomainPenalty
+		score += parts.record(penaltyRemoteDomain, remoteDomainPenalty)
 	}
 	if t.SpansFabricDomains {
-		score += fabricSpanPenalty
+		score += parts.record(penaltyFabricSpan, fabricSpanPenalty)
 	}
 	if t.MemberMissing {
-		score += missingMemberPenalty
+		score += parts.record(penaltyMissingMember, missingMemberPenalty)
+	}
+	if t.isCold(now) {
+		score += parts.record(penaltyCold, coldPenalty)
 	}
 	if now.Sub(t.addedAt) < time.Second {
-		score += newTargetPenalty
+		score += parts.record(penaltyNewTarget, newTargetPenalty)
 	}
+	slow := 0.0
 	if poolMeanGap > 0 && now.Sub(t.gapMeasuredAt) < latencySampleTTL {
 		if ratio := float64(t.meanGap) / float64(poolMeanGap); ratio > slowThreshold {
-			score += slowPenalty * (ratio - 1)
+			slow = slowPenalty * (ratio - 1)
 		}
 	}
-	return score + 0.25*float64(min(t.consecutiveFailures, 8))
+	if slowness > 0 {
+		slow = max(slow, slowPenalty*(slowness-1))
+		score += parts.record(penaltyFailureRate, failurePenalty*t.estimator.FailureRate(now))
+	}
+	score += parts.record(penaltySlow, slow)
+	return score + parts.record(penaltyFailuresInARow, 0.25*float64(min(t.consecutiveFailures, 8)))
 }
 
-// mayTake reports whether t may take a request which no target runs: its process has neither said
-// that it leaves nor asked for no requests, its limit allows one, it has answered since this instance was cut off, and
-// either t is not stalled, or a trial request is due.
-func (s *Scheduler) mayTake(now time.Time, t *target) bool {
-	if !t.statement.admits(now) || now.Before(t.refusedUntil) || s.limitedUntil(now, t).After(now) {
-		return false
-	}
-	if s.reach.isCutOff() && (t.isUnreachable() || !t.hasAnsweredSince(s.reach.cutSince)) {
-		return false
-	}
-	if t.stalledAt.IsZero() {
-		return true
-	}
-	if t.contactAt.After(t.stalledAt) && t.contactAt.After(t.lastTrialAt) {
-		return true // its endpoint has answered a probe
-	}
-	return len(t.attempts) == 0 && now.Sub(t.lastTrialAt) >= s.cfg.TrialInterval && now.Sub(t.stalledAt) >= s.cfg.TrialInterval
+// mayTake reports whether t may take a request which no target runs.
+func (s *Scheduler) mayTake(now time.Time, t *target) bool { return s.obstacleOf(now, t) == "" }
+
+// obstacleOf returns what keeps t from taking a request which no target runs, or "": it is evacuated, its process has said
+// that it leaves or asked for no requests, its limit allows none, it has not answered since this instance was cut off, or
+// it is stalled and no trial request is due.
+func (s *Scheduler) obstacleOf(now time.Time, t *target) Obstacle {
+	switch {
+	case t.Evacuated:
+		return ObstacleEvacuated
+	case t.statement.isLeaving():
+		return ObstacleLeaving
+	case t.statement.isClosed(now):
+		return ObstacleClosed
+	case !t.statement.admits(now):
+		return ObstacleReopening
+	case now.Before(t.refusedUntil):
+		return ObstacleRefused
+	case s.limitedUntil(now, t).After(now):
+		return ObstacleLimited
+	case s.reach.isCutOff() && (t.isUnreachable() || !t.hasAnsweredSince(s.reach.cutSince)):
+		return ObstacleUnreachable
+	case t.stalledAt.IsZero(), t.contactAt.After(t.stalledAt) && t.contactAt.After(t.lastTrialAt):
+		return "" // not stalled, or its endpoint has answered a probe
+	case len(t.attempts) == 0 && now.Sub(t.lastTrialAt) >= s.cfg.TrialInterval && now.Sub(t.stalledAt) >= s.cfg.TrialInterval:
+		return ""
+	}
+	return ObstacleStalled
 }
--- a/scheduler/event.go
+++ b/scheduler/event.go
@@ -7,7 +7,7 @@
 )
 
 // Event is an input of a Scheduler: TargetsChanged, InstancesSet, RetryBudgetSet, RestrictionSet,
-// ProcessStated, LimitsReported, Arrived, Progressed, Ended, CallerLeft, PeerAnswered, Probed or Ticked.
+// ProcessStated, ProcessEnded, LimitsReported, Arrived, Progressed, Ended, CallerLeft, PeerAnswered, Probed, DemandDue or Ticked.
 type Event interface{ event() }
 
 // TargetsChanged changes the set of targets. No target is in both Changed and Removed.
@@ -43,9 +43,14 @@
 	Leaving   bool          // it leaves, so that it gets no more requests
 	ClosedFor time.Duration // it wants no requests from this instance for so long; zero if it has not said so; more than a minute counts as a minute
 	Limit     LimitStatement
-	SentAt    time.Time // when the request was sent that the answer belongs to
+	ColdFor   time.Duration // remaining time in which it is cold; zero if it has not said so; more than a minute counts as a minute
+	SentAt    time.Time     // when the request was sent that the answer belongs to
 }
 
+// ProcessEnded reports that a process of an endpoint has ended: its address accepts no connection after one to
+// it broke. Attempts there no longer count against Request.MaxAttempts.
+type ProcessEnded struct{ Process identifier.Process }
+
 // Bounds of a limit, in requests per second. A limit of MaxLimit limits nothing in practice.
 const (
 	MinLimit = 0.05
@@ -92,6 +97,10 @@
 	Answered bool
 }
 
+// DemandDue asks for a DemandReport if the interval since the last one is over, also if nothing has arrived. Ticks don't come while no
+// request is in flight.
+type DemandDue struct{}
+
 // Ticked follows a WakeAt action at its time.
 type Ticked struct{}
 
@@ -101,10 +110,12 @@
 func (RetryBudgetSet) event() {}
 func (RestrictionSet) event() {}
 func (ProcessStated) event()  {}
+func (ProcessEnded) event()   {}
 func (Arrived) event()        {}
 func (Progressed) event()     {}
 func (Ended) event()          {}
 func (CallerLeft) event()     {}
 func (Probed) event()         {}
 func (PeerAnswered) event()   {}
+func (DemandDue) event()      {}
 func (Ticked) event()         {}
--- a/scheduler/flight.go
+++ b/scheduler/flight.go
@@ -20,11 +20,14 @@
 	attempts      int        // number of attempts so far
 	running       []*attempt // one attempt, or several while the request is hedged; none while it waits
 	tried         []triedTarget
-	sentAttempts  int       // ended attempts that may have reached a target
-	possibleRuns  int       // ended attempts that may have run
+	sentAttempts  int // ended attempts that may have reached a target
+	possibleRuns  []possibleRun
 	hasAbandoned  bool      // an attempt was abandoned, so that its target may run the request later
 	answerStarted bool      // an event of the answer has been received
+	events        int       // of the stream, received so far
 	giveUpAt      time.Time // end of the wait for a target; zero if the request does not wait
+	heldUntil     time.Time // end of the time for which f waits because all targets are past their learned limits; zero if it was not held yet
+	isCountedHeld bool      // f counts in Scheduler.held
 	hedgeAfter    time.Time // f is not hedged before this time, because a target has refused a hedge
 	refusedStatus int       // status of the last refusal; zero if no target refused the request
 	failedStatus  int       // status of the endpoint's last own error, which can be passed through; zero for none
@@ -73,6 +76,7 @@
 		s.budget.credit(now, f.Service)
 	}
 	s.ratesOf(f.Pool).countArrival(now)
+	s.demand.countArrival(now, f)
 	s.place(now, f)
 }
 
@@ -82,11 +86,16 @@
 		s.giveUp(now, f, ReasonDeadline)
 		return
 	}
+	if s.isEvacuated(f.Pool) {
+		s.giveUp(now, f, ReasonEvacuated)
+		return
+	}
 	if reason := s.blockingReason(f); reason != "" {
 		s.block(now, f, reason)
 		return
 	}
 	d, reason := s.chooseDestination(now, f)
+	s.countColdSkips(now, s.pools[f.Pool])
 	if d.isNone() && f.failedStatus != 0 && !f.answerStarted {
 		s.giveUp(now, f, reason) // the endpoint's error is passed through
 		return
@@ -147,7 +156,9 @@
 
 // hasNotRun reports whether f has certainly not run, because each target that received it answered
 // that it refused the request.
-func (f *flight) hasNotRun() bool { return f.possibleRuns == 0 && !f.hasAbandoned && !f.answerStarted }
+func (f *flight) hasNotRun() bool {
+	return len(f.possibleRuns) == 0 && !f.hasAbandoned && !f.answerStarted
+}
 
 // maxRuns returns the number of targets that may run f.
 func (f *flight) maxRuns() int { return max(f.MaxAttempts, 1) }
@@ -158,7 +169,7 @@
 	switch {
 	case f.failedStatus != 0 && !f.answerStarted:
 		s.finish(f, PassedThrough{Status: f.failedStatus, Attempt: f.failedAttempt})
-	case f.possibleRuns > 0 || f.hasAbandoned || f.answerStarted:
+	case len(f.possibleRuns) > 0 || f.hasAbandoned || f.answerStarted:
 		s.countMiss(f)
 		s.finish(f, Unknown{Reason: reason})
 	case f.sentAttempts == 0 && f.peerRefusal.RetryAfter > 0 && f.peerRefusal.Reason == reason:
@@ -168,7 +179,10 @@
 		s.finish(f, s.restrictedOutcome(now, f, reason))
 	case f.refusedStatus != 0 && f.sentAttempts > 0:
 		s.countMiss(f)
-		s.finish(f, NotRun{Reason: ReasonAllRefused, RetryAfter: s.retryAfter(now, f)})
+		if reason != ReasonEvacuated {
+			reason = ReasonAllRefused
+		}
+		s.finish(f, NotRun{Reason: reason, RetryAfter: s.retryAfter(now, f)})
 	case f.sentAttempts > 0:
 		s.finish(f, Unknown{Reason: reason})
 	default:
@@ -181,6 +195,7 @@
 func (s *Scheduler) countMiss(f *flight) {
 	if !f.ViaPeer {
 		s.latency.count(f, true)
+		s.demand.countGoal(f, true)
 	}
 }
 
@@ -195,8 +210,10 @@
 // finish ends f. Its running attempts are abandoned.
 func (s *Scheduler) finish(f *flight, o Outcome) {
 	s.dequeue(f)
+	s.demand.countAnswer(f, o)
+	s.release(f)
 	for len(f.running) > 0 {
-		s.abandon(f.running[0], ReasonEnded)
+		s.cancel(f.running[0], ReasonEnded)
 	}
 	delete(s.flights, f.ref)
 	if s.copies[f.Fingerprint]--; s.copies[f.Fingerprint] <= 0 {
@@ -212,7 +229,7 @@
 		return
 	}
 	for len(f.running) > 0 {
-		s.abandon(f.running[0], ReasonCallerGone)
+		s.cancel(f.running[0], ReasonCallerGone)
 	}
 	s.finish(f, CallerGone{})
 }
--- a/scheduler/progress.go
+++ b/scheduler/progress.go
@@ -20,7 +20,8 @@
 		s.countAnswer(now, a.flight)
 	}
 	a.hasEvent, a.flight.answerStarted = true, true
-	s.abandonOthers(a)
+	a.flight.events++
+	s.abandonOthers(now, a)
 }
 
 // recordTargetProgress records what the progress of an attempt says about its target.
@@ -30,8 +31,10 @@
 	switch {
 	case e.Event && a.hasEvent:
 		t.recordGap(now, now.Sub(a.lastProgressAt))
+		a.learnGap(now)
 	case e.Event:
 		t.recordFirstEvent(now, now.Sub(a.sentAt))
+		a.learnFirstEvent(now)
 	}
 	if e.Event && a.isTrial() {
 		t.statement.reopen()
@@ -42,7 +45,9 @@
 // countAnswer counts the first event or complete answer of f against its latency goal.
 func (s *Scheduler) countAnswer(now time.Time, f *flight) {
 	if !f.answerStarted && !f.ViaPeer {
-		s.latency.count(f, now.Sub(f.ArrivedAt) > f.LatencyGoal)
+		missedGoal := now.Sub(f.ArrivedAt) > f.LatencyGoal
+		s.latency.count(f, missedGoal)
+		s.demand.countGoal(f, missedGoal)
 	}
 }
 
@@ -54,6 +59,7 @@
 
 // recordLife records that t has answered, which ends a stall of t.
 func (s *Scheduler) recordLife(now time.Time, t *target) {
+	delete(s.endedProcesses, t.Process())
 	t.recordContact(now)
 	t.lastProgressAt = now
 	t.streamsStalled = false
--- a/scheduler/queue.go
+++ b/scheduler/queue.go
@@ -49,10 +49,11 @@
 	}
 }
 
-// position returns the position of f among the waiting requests of its pool, from 1.
+// position returns the position of f among the waiting requests of its pool, from 1. Held requests don't count: without the learned
+// limits they would not wait.
 func (s *Scheduler) position(f *flight) int {
 	i, _ := s.queues[f.Pool].find(f)
-	return i + 1
+	return i + 1 - s.heldBefore(f, i)
 }
 
 // placeAllWaiting places the waiting requests of all pools as far as targets are available.
@@ -71,8 +72,9 @@
 		return
 	}
 	free := s.freeTargets(now, pl)
+	need := s.leastNeed(free)
 	for i := 0; i < len(q.flights) && len(free) > 0; {
-		if f := q.flights[i]; !s.placeAt(now, f, pl, &free) {
+		if f := q.flights[i]; f.isHeld(now) && f.ArrivedAt.Add(f.LatencyGoal).Sub(now) < need || !s.placeAt(now, f, pl, &free) {
 			i++
 		}
 	}
@@ -111,7 +113,7 @@
 		outlook := s.outlookOf(now, pool)
 		position := 0
 		for _, f := range slices.Clone(s.queues[pool].flights) {
-			if s.checkWait(now, f, position+1, outlook) {
+			if s.checkWait(now, f, position+1, outlook) && !f.isHeld(now) {
 				position++
 			}
 		}
@@ -128,9 +130,9 @@
 		s.giveUp(now, f, blocked)
 	case blocked != "" && !now.Before(f.giveUpAt):
 		s.giveUp(now, f, blocked)
-	case blocked != "":
+	case blocked != "", f.isHeld(now):
 		return true
-	case !now.Before(f.giveUpAt) || o.isFutile(now, f, position):
+	case !now.Before(f.giveUpAt) || !f.isCountedHeld && o.isFutile(now, f, position):
 		s.giveUp(now, f, o.reason)
 	default:
 		return true
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -24,6 +24,7 @@
 	defaultTrialInterval         = 1200 * time.Millisecond
 	defaultMaxLoad               = 1.1
 	defaultTickInterval          = 40 * time.Millisecond
+	defaultColdExcess            = 1
 )
 
 // Config configures a Scheduler. The zero value is usable.
@@ -46,6 +47,9 @@
 	TrialInterval         time.Duration // time between two trial requests to a stalled target; zero means 1.2 s
 	MaxLoad               float64       // load as a fraction of a target's slots from which the target gets no more requests; zero means 1.1
 	TickInterval          time.Duration // time between two checks of the targets' progress; zero means 40 ms
+
+	ColdExcess float64 // factor on the ColdLimit of a target that its requests in one second must not exceed; zero means 1
+	ColdSlack  float64 // requests that a cold target may get in one second beyond that
 }
 
 // Scheduler is the deterministic core that schedules requests. It is not safe for concurrent
@@ -59,16 +63,28 @@
 	rates   map[identifier.Pool]*poolRates
 	budget  retryBudget
 	latency latencyCounter
+	demand  demandCounter
 	reach   reach
 	peers   []*peer // in the order in which this instance prefers them
 
-	statements   map[identifier.Process]*statement
-	lastStated   map[identifier.Endpoint]identifier.Process // of each endpoint, the process with the latest start that has said that it leaves or is closed
-	restrictions map[identifier.Fingerprint]restriction
-	copies       map[identifier.Fingerprint]int // number of flights with a fingerprint
+	endedProcesses map[identifier.Process]time.Time // when each was learned to have ended
+
+	statements          map[identifier.Process]*statement
+	statementsCheckedAt time.Time                                  // when it was last checked which statements can be forgotten
+	lastStated          map[identifier.Endpoint]identifier.Process // of each endpoint, the process with the latest start that has said that it leaves or is closed
+	restrictions        map[identifier.Fingerprint]restriction
+	copies              map[identifier.Fingerprint]int // number of flights with a fingerprint
+
+	held               int       // requests that wait because all targets are past their learned limits
+	holdEndsAt         time.Time // the earliest end of such a wait; zero if there is none
+	capacityReportedAt time.Time
 
 	instances        instanceList
 	limitsReportedAt time.Time
+	hasQueriedLimits bool
+	starts           map[identifier.Endpoint]listedStarts // of the endpoints of services with a cold rate
+	cold             map[identifier.Process]*statement    // of the processes that were last reported as cold
+	warmAt           time.Time                            // before which none of them is warm, as was known when they were last checked
 
 	random  *rand.Rand       // nil for no jitter
 	free    []candidate      // buffer of freeTargets
@@ -90,9 +106,10 @@
 	defaulter.Set(&cfg.TrialInterval, defaultTrialInterval)
 	defaulter.Set(&cfg.MaxLoad, defaultMaxLoad)
 	defaulter.Set(&cfg.TickInterval, defaultTickInterval)
+	defaulter.Set(&cfg.ColdExcess, defaultColdExcess)
 	s := &Scheduler{
 		cfg: cfg, targets: map[identifier.Endpoint]*target{}, pools: map[identifier.Pool]*pool{}, statements: map[identifier.Process]*statement{}, lastStated: map[identifier.Endpoint]identifier.Process{},
-		flights: map[Ref]*flight{}, queues: map[identifier.Pool]*queue{}, rates: map[identifier.Pool]*poolRates{}, restrictions: map[identifier.Fingerprint]restriction{}, copies: map[identifier.Fingerprint]int{}, budget: newRetryBudget(cfg),
+		flights: map[Ref]*flight{}, queues: map[identifier.Pool]*queue{}, rates: map[identifier.Pool]*poolRates{}, restrictions: map[identifier.Fingerprint]restriction{}, copies: map[identifier.Fingerprint]int{}, budget: newRetryBudget(cfg), cold: map[identifier.Process]*statement{}, starts: map[identifier.Endpoint]listedStarts{},
 		instances: newInstanceList(Instance{Name: cfg.Instance, FailureDomain: cfg.FailureDomain}),
 	}
 	if cfg.Random != nil {
@@ -105,16 +122,19 @@
 func (s *Scheduler) Step(now time.Time, e Event) []Action {
 	s.actions = s.actions[:0]
 	s.budget.advance(now)
+	s.reportWarm(now)
 	switch e := e.(type) {
 	case TargetsChanged:
 		s.changeTargets(now, e)
 		s.placeAllWaiting(now)
+		s.refuseEvacuated(now)
 	case InstancesSet:
 		s.instances.set(now, e.Instances)
 		s.budget.setInstances(len(s.instances.listed))
 		s.setPeers(s.instances.listed)
 	case LimitsReported:
 		s.handleLimitNews(now, e.News)
+		s.handleColdNews(now, e.News)
 	case RetryBudgetSet:
 		s.budget.ratio, s.budget.slack = e.Ratio, e.Slack
 		s.budget.setInstances(s.budget.instances)
@@ -126,6 +146,8 @@
 		}
 	case ProcessStated:
 		s.handleStatement(now, e)
+	case ProcessEnded:
+		s.handleProcessEnded(now, e.Process)
 	case Arrived:
 		s.handleArrival(now, e)
 	case Progressed:
@@ -139,16 +161,22 @@
 	case Probed:
 		s.handleProbed(now, e)
 		s.placeAllWaiting(now)
+	case DemandDue:
+		s.reportDemand(now, true)
 	case Ticked:
 		s.wakeAt = time.Time{}
 		s.checkStalls(now)
+		s.checkOverdue(now)
 		s.updateReach(now)
 		s.probe(now)
 		s.placeAllWaiting(now)
 		s.checkWaiting(now)
+		s.holdEndsAt = s.nextHoldEnd(now)
 		s.reportLatency(now)
+		s.reportDemand(now, false)
 		s.instances.update(now)
 		s.reportLimits(now)
+		s.reportCapacity(now)
 	}
 	s.scheduleTick(now)
 	return s.actions
@@ -159,10 +187,17 @@
 // scheduleTick requests the next tick while any request is in flight or the instance is cut off. A tick that was requested
 // and has not come yet stays due, also when its time has passed.
 func (s *Scheduler) scheduleTick(now time.Time) {
-	if len(s.flights) == 0 && !s.reach.isCutOff() || !s.wakeAt.IsZero() {
+	if len(s.flights) == 0 && !s.reach.isCutOff() {
+		return
+	}
+	at := now.Add(s.cfg.TickInterval)
+	if s.held > 0 && !s.holdEndsAt.IsZero() && s.holdEndsAt.Before(at) {
+		at = later(s.holdEndsAt, now.Add(minTickInterval))
+	}
+	if !s.wakeAt.IsZero() && !at.Before(s.wakeAt) {
 		return
 	}
-	s.wakeAt = now.Add(s.cfg.TickInterval)
+	s.wakeAt = at
 	s.emit(WakeAt{At: s.wakeAt})
 }
 
@@ -178,6 +213,7 @@
 	for _, t := range e.Changed {
 		s.setTarget(now, t)
 	}
+	s.queryLimits(e.Changed)
 	s.forgetStatements(now)
 }
 
@@ -194,21 +230,24 @@
 func (s *Scheduler) setTarget(now time.Time, t Target) {
 	old := s.targets[t.ID]
 	if old != nil && old.Pool == t.Pool && old.isSameIncarnation(&t) {
-		old.Target = &t
+		s.pools[t.Pool].replaceTarget(old, &t)
+		s.updateCold(now, old)
 		return
 	}
 	s.removeTarget(t.ID)
-	added := &target{Target: &t, hash: hashOf(fmt.Sprintf("%s/%d", t.ID, t.ProcessStart)), attempts: map[Ref]*attempt{}, addedAt: now, statement: s.statements[t.Process()]}
+	added := &target{Target: &t, hash: hashOf(fmt.Sprintf("%s/%d", t.ID, t.ProcessStart)), endpointHash: hashOf(string(t.ID)), attempts: map[Ref]*attempt{}, addedAt: now, statement: s.statements[t.Process()]}
 	if old != nil && old.isSameIncarnation(&t) {
 		added = old // its measurements hold in the other pool
 		added.Target = &t
 	}
 	s.targets[t.ID] = added
 	if s.pools[t.Pool] == nil {
-		s.pools[t.Pool] = &pool{name: t.Pool}
+		s.pools[t.Pool] = &pool{name: t.Pool, capacity: newPoolCapacity()}
 	}
 	s.pools[t.Pool].add(added)
+	added.pool = s.pools[t.Pool]
 	s.inheritStatement(now, added)
+	s.updateCold(now, added)
 }
 
 // removeTarget removes a target, if there is one, and its pool if that is empty then.
--- a/scheduler/stall.go
+++ b/scheduler/stall.go
@@ -77,6 +77,7 @@
 	}
 	if t.stalledAt.IsZero() {
 		t.stalledAt, t.lastTrialAt = now, now
+		t.estimator.Reset()
 		s.emit(Stalled{Target: t.Target, Silence: silence})
 	}
 	return true
@@ -104,7 +105,7 @@
 	if streaming {
 		return silence, true, silence >= bounds.stream
 	}
-	bound := bounds.firstEvent
+	bound := bounds.firstEvent + t.pendingRunDelay()
 	if t.load(now, bounds.otherRequests) >= fullLoad {
 		bound *= fullStallFactor
 	}
--- a/scheduler/target.go
+++ b/scheduler/target.go
@@ -4,6 +4,7 @@
 	"net/netip"
 	"time"
 
+	"amaranthmill/estimator"
 	"amaranthmill/internal/identifier"
 )
 
@@ -19,7 +20,11 @@
 	Members            []identifier.Endpoint // members of the group
 	Slots              int                   // requests that the target runs concurrently
 	SpansFabricDomains bool                  // the group has members in more than one fabric domain, which makes it slower
-	MemberMissing      bool                  // fewer members of the group are listed than it needs, so that the target is used last
+	MemberMissing      bool                  // fewer members of the group are listed than it needs, or one is evacuated, so that the target is used last
+	Evacuated          bool                  // its failure domain is evacuated, so that nothing is sent to it; running requests go on
+	ColdLimit          float64               // requests per second that the target takes from all instances together while it is cold; zero for no limit
+	ColdUntil          time.Time             // until when the target is cold, as its entry says, and RestoredUntil; zero or in the past if it is warm
+	RestoredUntil      time.Time             // until when the target is cold because this instance saw the evacuation of its failure domain end; zero if it saw none
 }
 
 // isSameIncarnation reports whether t and o are the same process of the same endpoint in the
@@ -44,6 +49,7 @@
 	prefillPenalty       = 0.25            // for each thousand prompt tokens still to be prefilled, because they delay first events
 	fabricSpanPenalty    = 0.6             // for a group that spans fabric domains
 	missingMemberPenalty = 2               // for a group with a missing member
+	coldPenalty          = 0.8             // for a cold target, so that warm ones with room are used first
 	newTargetPenalty     = 0.1             // for a target that was added less than a second ago, so that not all instances use it at once
 )
 
@@ -52,6 +58,7 @@
 	*Target // never modified, because actions refer to it
 
 	hash                 uint64           // of the process
+	endpointHash         uint64           // of its name alone, which ranks the senders of a cold process
 	position             int              // in the targets of its pool
 	attempts             map[Ref]*attempt // running attempts at the target
 	addedAt              time.Time        // when this instance first saw this incarnation
@@ -73,6 +80,13 @@
 	consecutiveRefusals  int        // refusals since the last progress of a request
 	refusedUntil         time.Time  // until when the target gets no requests because it has refused one
 	statement            *statement // what the process has said about itself; nil if nothing
+
+	pool      *pool
+	estimator estimator.Estimator
+	isLoaded  bool    // its endpoint has reported its load
+	backlog   int     // prompt tokens of this instance's requests that it has not yet prefilled
+	pending   int     // attempts without an event
+	toldLimit float64 // the learned limit that was reported last; zero if none was
 }
 
 // load estimates the requests at t as a fraction of its slots. As the last load report ages,
@@ -86,15 +100,16 @@
 	return (float64(len(t.attempts)) + otherRequests) / float64(max(t.Slots, 1))
 }
 
-// prefillBacklog returns the number of prompt tokens of this instance's requests that t has not yet prefilled.
-func (t *target) prefillBacklog() int {
-	n := 0
+// pendingRunDelay returns the sum of the times that t needs at least to prefill the prompts of this instance's
+// requests that have no event yet.
+func (t *target) pendingRunDelay() time.Duration {
+	var sum time.Duration
 	for _, a := range t.attempts {
 		if !a.hasEvent {
-			n += a.flight.PromptTokens
+			sum += a.flight.MinRunDelay
 		}
 	}
-	return n
+	return sum
 }
 
 // recordLoad derives the requests of other instances from a load report, which includes this instance's requests.
@@ -102,6 +117,7 @@
 	if l.Slots == 0 {
 		return
 	}
+	t.isLoaded = true
 	t.otherRequests = max(0, l.Running+l.Waiting-len(t.attempts))
 	t.otherRequestsAt = now
 }
@@ -148,13 +164,16 @@
 	refusalsUntil  time.Time // end of the closure in which they were refused
 	limitReturnsAt time.Time // when the next caller should return who is refused because of limits
 	version        int       // counts the changes of targets
+	evacuated      int       // targets that are evacuated
 	homes          []*target // the home of each instance that shares limits, in their order; see Scheduler.computeShare
 	homesBasis     rankingBasis
+	capacity       poolCapacity
 }
 
 // add adds a target.
 func (p *pool) add(t *target) {
 	p.version++
+	p.countEvacuated(t, 1)
 	t.position = len(p.targets)
 	p.targets = append(p.targets, t)
 }
@@ -162,6 +181,7 @@
 // remove removes a target. The last one takes its place.
 func (p *pool) remove(t *target) {
 	p.version++
+	p.countEvacuated(t, -1)
 	last := p.targets[len(p.targets)-1]
 	p.targets[t.position] = last
 	last.position = t.position
@@ -175,14 +195,18 @@
 }
 
 func (p *pool) means(now time.Time) means {
-	return means{otherRequests: p.meanOtherRequests(now), gap: p.meanGap(now)}
+	m := means{otherRequests: p.meanOtherRequests(now), gap: p.meanGap(now)}
+	p.capacity.otherRequests = m.otherRequests
+	p.refreshCapacity(now)
+	return m
 }
 
-// meanOtherRequests returns the mean number of requests of other instances per target of p, from recent load reports.
+// meanOtherRequests returns the mean number of requests of other instances per target of p that is not evacuated, from
+// recent load reports.
 func (p *pool) meanOtherRequests(now time.Time) float64 {
 	sum, n := 0, 0
 	for _, t := range p.targets {
-		if !t.otherRequestsAt.IsZero() && now.Sub(t.otherRequestsAt) < loadReportTTL {
+		if !t.Evacuated && !t.otherRequestsAt.IsZero() && now.Sub(t.otherRequestsAt) < loadReportTTL {
 			sum += t.otherRequests
 			n++
 		}
--- a/standin/soak/apply.go
+++ b/standin/soak/apply.go
@@ -61,8 +61,12 @@
 		s.leaveEngine(f)
 	case LimitEngine:
 		s.limitEngine(f)
+	case ChillEngine:
+		s.liveEngine(f.Engine).Chill(f.For)
 	case CutEndpoints:
 		s.cutEndpoints(f)
+	case EvacuateDomain:
+		s.evacuateDomain(f)
 	case CloseEngine:
 		e := s.liveEngine(f.Engine)
 		s.applyFor(allEngines, f.For, func() { e.Close(f.For) }, func() {})
@@ -78,6 +82,8 @@
 		s.changeKeys(f.Add)
 	case Reconfigure:
 		s.configure()
+	case GrowConfiguration:
+		s.growConfiguration()
 	}
 }
 
--- a/standin/soak/deployment.go
+++ b/standin/soak/deployment.go
@@ -47,9 +47,9 @@
 func (s *soak) addEngine(domain string) {
 	s.mu.Lock()
 	s.enginesAdded++
-	id := fmt.Sprintf("e%d", s.enginesAdded)
+	id, zone := fmt.Sprintf("e%d", s.enginesAdded), s.zoneOf(domain)
 	s.mu.Unlock()
-	e, err := s.platform.AddEngine(id, "here", domain, events)
+	e, err := s.platform.AddEngine(id, zone, domain, events)
 	if err != nil {
 		s.record.addViolation("engine %s: %v", id, err)
 		return
@@ -122,7 +122,7 @@
 	if i.store, err = relayer.New(netip.MustParseAddrPort(s.platform.Address())); err != nil {
 		return err
 	}
-	text, err := hosted.InstanceSettings{Name: fmt.Sprintf("entry-%d", n), Ports: ports, Store: i.store.Address(), Source: sourceOf(n), StopLimit: stopLimit, RetrySlack: s.cfg.retrySlack()}.Encode()
+	text, err := hosted.InstanceSettings{Name: fmt.Sprintf("entry-%d", n), Ports: ports, Store: i.store.Address(), Source: sourceOf(n), StopLimit: stopLimit, RetrySlack: s.cfg.retrySlack(), Cold: s.platform.Cold, LinkMbps: s.cfg.linkMbps(n)}.Encode()
 	if err != nil {
 		return err
 	}
--- a/standin/soak/fault.go
+++ b/standin/soak/fault.go
@@ -105,6 +105,12 @@
 		For       time.Duration
 	}
 
+	// ChillEngine makes an engine or endpoint cold for a time, without a start.
+	ChillEngine struct {
+		Engine int
+		For    time.Duration
+	}
+
 	// CutEndpoints cuts the paths between an instance and all engines for a time, in silence or by resets. The store, the
 	// callers and the other instances reach the instance.
 	CutEndpoints struct {
@@ -113,6 +119,13 @@
 		For      time.Duration
 	}
 
+	// EvacuateDomain evacuates a failure domain for a time. A malformed value must change nothing.
+	EvacuateDomain struct {
+		Domain    int
+		Malformed bool
+		For       time.Duration
+	}
+
 	// StoreDown makes the store refuse all calls for a time.
 	StoreDown struct{ For time.Duration }
 
@@ -133,32 +146,38 @@
 
 	// Reconfigure writes a new version of the configuration with the same content.
 	Reconfigure struct{}
+
+	// GrowConfiguration writes a new version of the configuration with one more route.
+	GrowConfiguration struct{}
 )
 
-func (KillInstance) fault()   {}
-func (StopInstance) fault()   {}
-func (FreezeInstance) fault() {}
-func (ReloadSettings) fault() {}
-func (CutLink) fault()        {}
-func (DelayLink) fault()      {}
-func (ResetLink) fault()      {}
-func (SilenceLink) fault()    {}
-func (CrashEngine) fault()    {}
-func (DrainEngine) fault()    {}
-func (HideEngine) fault()     {}
-func (SlowEngine) fault()     {}
-func (DeafEngine) fault()     {}
-func (SilenceEngine) fault()  {}
-func (LeaveEngine) fault()    {}
-func (CloseEngine) fault()    {}
-func (LimitEngine) fault()    {}
-func (CutEndpoints) fault()   {}
-func (StoreDown) fault()      {}
-func (StoreSlow) fault()      {}
-func (StoreDeaf) fault()      {}
-func (Compact) fault()        {}
-func (ChangeKeys) fault()     {}
-func (Reconfigure) fault()    {}
+func (KillInstance) fault()      {}
+func (StopInstance) fault()      {}
+func (FreezeInstance) fault()    {}
+func (ReloadSettings) fault()    {}
+func (CutLink) fault()           {}
+func (DelayLink) fault()         {}
+func (ResetLink) fault()         {}
+func (SilenceLink) fault()       {}
+func (CrashEngine) fault()       {}
+func (DrainEngine) fault()       {}
+func (HideEngine) fault()        {}
+func (SlowEngine) fault()        {}
+func (DeafEngine) fault()        {}
+func (SilenceEngine) fault()     {}
+func (LeaveEngine) fault()       {}
+func (CloseEngine) fault()       {}
+func (LimitEngine) fault()       {}
+func (ChillEngine) fault()       {}
+func (CutEndpoints) fault()      {}
+func (EvacuateDomain) fault()    {}
+func (StoreDown) fault()         {}
+func (StoreSlow) fault()         {}
+func (StoreDeaf) fault()         {}
+func (Compact) fault()           {}
+func (ChangeKeys) fault()        {}
+func (Reconfigure) fault()       {}
+func (GrowConfiguration) fault() {}
 
 // LinkKind is the kind of a link, by the two sides that it connects.
 type LinkKind uint8
--- a/standin/soak/soak.go
+++ b/standin/soak/soak.go
@@ -16,18 +16,21 @@
 
 // Config configures a run. Binary and Dir are required.
 type Config struct {
-	Binary    string // path of the program amaranthmill
-	Dir       string // an empty folder for settings and logs
-	Seed      uint64
-	Instances int           // zero means 3
-	Engines   int           // number of engines in each of two fabric domains; zero means 6
-	Callers   int           // zero means 12
-	Crashing  bool          // copies of a request that crashes the engines that run it are sent
-	Silences  bool          // engines are silent for a while, also before the period of the other faults, and few retries are allowed
-	Limits    bool          // engines name limits of requests per second
-	Cuts      bool          // instances lose their paths to all engines for a time, also before the period of the other faults
-	Leaving   bool          // engines say in their answers that they leave or that they want no requests for a time
-	Length    time.Duration // the period in which faults are injected; zero means 8 s
+	Binary      string // path of the program amaranthmill
+	Dir         string // an empty folder for settings and logs
+	Seed        uint64
+	Instances   int           // zero means 3
+	Engines     int           // number of engines in each of two fabric domains; zero means 6
+	Callers     int           // zero means 12
+	Crashing    bool          // copies of a request that crashes the engines that run it are sent
+	Silences    bool          // engines are silent for a while, also before the period of the other faults, and few retries are allowed
+	Limits      bool          // engines name limits of requests per second
+	Cuts        bool          // instances lose their paths to all engines for a time, also before the period of the other faults
+	Leaving     bool          // engines say in their answers that they leave or that they want no requests for a time
+	Evacuations bool          // failure domains are evacuated for a time
+	Length      time.Duration // the period in which faults are injected; zero means 8 s
+	Cold        bool          // engines are cold after their start, and at other times
+	Large       bool          // the configuration grows to many routes and changes ten times per second, also after the last fault, and instances name the bandwidths of their links
 
 	CrashingPart bool // requests are sent that differ in all but a part of their prompts, which crashes the engines that answer them; Crashing is then ignored
 }
@@ -55,6 +58,8 @@
 	Crashes    int      // runs of the crashing requests
 	NotRun     int      // refused with a status that guarantees that the request was not run
 	Violations []string // of guarantees; empty if all were kept
+
+	BoundByEvacuations int // requests that were sent while an evacuation had to be in force at their instance
 }
 
 // soak is the state of one run.
@@ -68,6 +73,7 @@
 
 	version        int  // of the configuration
 	secondKeyValid bool // in the configuration
+	moreRoutes     int  // in the configuration
 
 	mu           sync.Mutex               // guards the fields below
 	links        map[string]*relayer.Link // to engines, by engine ID
@@ -87,6 +93,10 @@
 	defer p.Close()
 	s := &soak{cfg: cfg, platform: p, processes: spawner.Processes{Dir: cfg.Dir}, links: map[string]*relayer.Link{}, cuts: map[int]func(*relayer.Link){}, version: 1}
 	p.ListedAddress = s.addLink
+	if cfg.Cold {
+		p.Cold = coldEngines
+		p.Configure(s.version, firstKey)
+	}
 	defer s.close()
 	if err := s.startDeployment(); err != nil {
 		return Report{}, err
@@ -149,25 +159,47 @@
 	stop()
 	callers.Wait()
 	s.awaitService("after the last fault", recoveryTimeout, r)
+	if s.cfg.Large {
+		s.checkLargeConfiguration()
+	}
 	s.summarize(&out)
 	return out
 }
 
+// The random streams of the faults of each kind.
+const (
+	silenceStream = math.MaxUint64 - iota
+	statementStream
+	limitStream
+	cutStream
+	evacuationStream
+	coldStream
+)
+
 // plan returns the faults of the run. Silences and statements have generators of their own, so
 // that a seed gives the same other faults without them.
 func (s *soak) plan(r *rand.Rand) []Step {
 	steps := Plan(r, s.cfg.Length)
 	if s.cfg.Silences {
-		steps = AddSilences(steps, rand.New(rand.NewPCG(s.cfg.Seed, math.MaxUint64)), s.cfg.Length)
+		steps = AddSilences(steps, rand.New(rand.NewPCG(s.cfg.Seed, silenceStream)), s.cfg.Length)
 	}
 	if s.cfg.Leaving {
-		steps = AddStatements(steps, rand.New(rand.NewPCG(s.cfg.Seed, math.MaxUint64-1)), s.cfg.Length)
+		steps = AddStatements(steps, rand.New(rand.NewPCG(s.cfg.Seed, statementStream)), s.cfg.Length)
 	}
 	if s.cfg.Limits {
-		steps = AddLimits(steps, rand.New(rand.NewPCG(s.cfg.Seed, math.MaxUint64-2)), s.cfg.Length)
+		steps = AddLimits(steps, rand.New(rand.NewPCG(s.cfg.Seed, limitStream)), s.cfg.Length)
+	}
+	if s.cfg.Cold {
+		steps = AddCold(steps, rand.New(rand.NewPCG(s.cfg.Seed, coldStream)), s.cfg.Length)
+	}
+	if s.cfg.Large {
+		steps = AddVersions(steps, s.cfg.Length)
 	}
 	if s.cfg.Cuts {
-		steps = AddEndpointCuts(steps, rand.New(rand.NewPCG(s.cfg.Seed, math.MaxUint64-3)), s.cfg.Length)
+		steps = AddEndpointCuts(steps, rand.New(rand.NewPCG(s.cfg.Seed, cutStream)), s.cfg.Length)
+	}
+	if s.cfg.Evacuations {
+		steps = AddEvacuations(steps, rand.New(rand.NewPCG(s.cfg.Seed, evacuationStream)), s.cfg.Length)
 	}
 	return steps
 }
@@ -186,6 +218,9 @@
 	}
 	out.Violations = append(out.Violations, s.record.findUnwantedRequests(s.platform.Engines())...)
 	out.Violations = append(out.Violations, s.record.findRequestsBeyondLimits(s.platform.Engines())...)
+	violations, bound := s.record.findRequestsToEvacuated(s.platform.Engines())
+	out.Violations, out.BoundByEvacuations = append(out.Violations, violations...), bound
+	out.Violations = append(out.Violations, s.record.findRequestsBeyondCold(s.platform.Engines(), s.platform.Cold.Allowed())...)
 	if violation := s.record.checkServiceOfCutInstances(len(s.instances)); violation != "" {
 		out.Violations = append(out.Violations, violation)
 	}
--- a/standin/soak/soak_test.go
+++ b/standin/soak/soak_test.go
@@ -8,6 +8,7 @@
 	"os"
 	"reflect"
 	"slices"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -29,8 +30,15 @@
 }
 
 // runSeeds runs each seed with a configuration as a parallel subtest and reports the violations. If
-// the configuration has a request that crashes its engines, that must have run.
+// the configuration has a request that crashes its engines, that must have run; if it has evacuations, the bound on them must have applied to
+// a request of at least one seed.
 func runSeeds(t *testing.T, cfg soak.Config, seeds ...uint64) {
+	var bound atomic.Int64
+	t.Cleanup(func() { // after all seeds
+		if bound.Load() == 0 && cfg.Evacuations && !t.Failed() {
+			t.Error("no request was sent while an evacuation had to be in force, so that the seeds have checked none")
+		}
+	})
 	for _, seed := range seeds {
 		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
 			t.Parallel()
@@ -40,7 +48,8 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			t.Logf("%d requests, %d with a complete answer, %d refused, %d runs that crash their engine", report.Sent, report.Answered, report.NotRun, report.Crashes)
+			t.Logf("%d requests, %d with a complete answer, %d refused, %d runs that crash their engine, %d while an evacuation had to be in force", report.Sent, report.Answered, report.NotRun, report.Crashes, report.BoundByEvacuations)
+			bound.Add(int64(report.BoundByEvacuations))
 			for _, b := range report.Violations {
 				t.Error(b)
 			}
@@ -97,11 +106,26 @@
 	runSeeds(t, soak.Config{Limits: true, Callers: 24, Length: 12 * time.Second}, 40)
 }
 
+// TestColdSeeds runs two fixed seeds with engines that are cold after their start and at other times.
+func TestColdSeeds(t *testing.T) {
+	runSeeds(t, soak.Config{Cold: true, Callers: 36, Length: 8 * time.Second}, 60, 61)
+}
+
 // TestCutSeeds runs two fixed seeds with instances that lose their paths to all engines for a time.
 func TestCutSeeds(t *testing.T) {
 	runSeeds(t, soak.Config{Cuts: true, Callers: 24, Length: 5 * time.Second}, 50, 51)
 }
 
+// TestEvacuationSeeds runs two fixed seeds with failure domains that are evacuated for a time.
+func TestEvacuationSeeds(t *testing.T) {
+	runSeeds(t, soak.Config{Evacuations: true, Length: 6 * time.Second}, 60, 61)
+}
+
+// TestLargeConfigurationSeeds runs a fixed seed with a configuration of 1,640 routes that changes ten times per second.
+func TestLargeConfigurationSeeds(t *testing.T) {
+	runSeeds(t, soak.Config{Large: true, Length: 6 * time.Second}, 60)
+}
+
 // TestAddSilences checks that a seed always gives the same silences, beside the same other
 // faults as without them, and that some silences begin before all other faults.
 func TestAddSilences(t *testing.T) {
--- a/targetlister/lister.go
+++ b/targetlister/lister.go
@@ -4,6 +4,7 @@
 	"maps"
 	"reflect"
 	"slices"
+	"time"
 
 	"amaranthmill/endpointlister"
 	"amaranthmill/forwarder"
@@ -24,13 +25,16 @@
 	endpoints map[identifier.Endpoint]endpointlister.Endpoint
 	members   map[groupEpoch]map[identifier.Endpoint]bool // listed members of each group
 	targets   map[identifier.Endpoint]scheduler.Target
+	evacuated map[identifier.FailureDomain]bool
+	restored  map[identifier.FailureDomain]time.Time // when requests to a failure domain were last allowed again
 }
 
 // New returns a Lister without services, which has no targets.
 func New() *Lister {
 	return &Lister{
 		services: map[identifier.Service]resolver.Service{}, endpoints: map[identifier.Endpoint]endpointlister.Endpoint{},
-		members: map[groupEpoch]map[identifier.Endpoint]bool{}, targets: map[identifier.Endpoint]scheduler.Target{},
+		members: map[groupEpoch]map[identifier.Endpoint]bool{}, targets: map[identifier.Endpoint]scheduler.Target{}, evacuated: map[identifier.FailureDomain]bool{},
+		restored: map[identifier.FailureDomain]time.Time{},
 	}
 }
 
@@ -125,7 +129,9 @@
 	}
 	t := scheduler.Target{
 		ID: e.ID, Pool: forwarder.PoolOf(e.Service, ""), Address: e.Address, FailureDomain: e.FailureDomain, ProcessStart: e.ProcessStart, Slots: e.Slots,
+		Evacuated: l.evacuated[e.FailureDomain],
 	}
+	l.setCold(&t, e, service.Cold)
 	if service.Engine == nil || len(service.Engine.Models) == 0 {
 		return t, true
 	}
@@ -145,5 +151,5 @@
 	for _, id := range t.Members {
 		t.SpansFabricDomains = t.SpansFabricDomains || l.endpoints[id].FabricDomain != l.endpoints[t.ID].FabricDomain
 	}
-	t.MemberMissing = len(t.Members) < size
+	t.MemberMissing = len(t.Members) < size || l.hasEvacuatedMember(t)
 }
