scheduler: explanations hold while requests are held; long functions split

An arrival can end the holds of waiting requests and place them. The explanation played this on the requests themselves, so that it changed their state, and took the actions for them as those of its own request. It now works on copies of the waiting requests and looks only at its own request's actions. Position counts held requests too: whether a request that already waits is held is not visible outside, so the test could not compare it; the test now compares positions without an exception.

--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -168,11 +168,7 @@
 			x.abandon(a)
 		}
 	case scheduler.Stalled:
-		f.logStalled(a)
-		f.meters.countStall(a.Target)
-		if f.cfg.OnStalled != nil {
-			f.cfg.OnStalled(*a.Target)
-		}
+		f.handleStalled(a)
 	case scheduler.Recovered:
 		f.cfg.Logger.Info().Str("endpoint", string(a.Target.ID)).Str("group", string(a.Target.Group)).Msg("target moves again")
 	case scheduler.ReachChanged:
@@ -184,11 +180,7 @@
 	case scheduler.Probe:
 		go f.probe(a.Target)
 	case scheduler.LeavingStated:
-		f.cfg.Logger.Info().Str("endpoint", string(a.Process.Endpoint)).Int64("processStart", int64(a.Process.Start)).Msg("endpoint says that it leaves; it gets no more requests")
-		f.meters.countLeaving()
-		if f.cfg.OnLeaving != nil {
-			f.cfg.OnLeaving(a.Process)
-		}
+		f.handleLeaving(a.Process)
 	case scheduler.LimitChanged:
 		f.changeLimit(a)
 	case scheduler.ColdChanged:
@@ -220,6 +212,22 @@
 	}
 }
 
+func (f *Forwarder) handleStalled(a scheduler.Stalled) {
+	f.logStalled(a)
+	f.meters.countStall(a.Target)
+	if f.cfg.OnStalled != nil {
+		f.cfg.OnStalled(*a.Target)
+	}
+}
+
+func (f *Forwarder) handleLeaving(p identifier.Process) {
+	f.cfg.Logger.Info().Str("endpoint", string(p.Endpoint)).Int64("processStart", int64(p.Start)).Msg("endpoint says that it leaves; it gets no more requests")
+	f.meters.countLeaving()
+	if f.cfg.OnLeaving != nil {
+		f.cfg.OnLeaving(p)
+	}
+}
+
 // probeTimeout bounds one probe of a target; endpoints answer within milliseconds.
 const probeTimeout = 300 * time.Millisecond
 
--- a/scheduler/copy.go
+++ b/scheduler/copy.go
@@ -49,20 +49,34 @@
 		copied.homes[i] = copies[t]
 	}
 	s.pools[pl.name] = &copied
-	if q.Fingerprint == 0 {
+	if q.Fingerprint != 0 {
+		for ref, f := range s.flights {
+			if f.Fingerprint == q.Fingerprint {
+				s.flights[ref] = f.withTargets(copies)
+			}
+		}
+	}
+	waiting := s.queues[q.Pool]
+	if waiting == nil {
 		return
 	}
-	for ref, f := range s.flights {
-		if f.Fingerprint == q.Fingerprint {
-			s.flights[ref] = f.withTargets(copies)
+	for i, f := range waiting.flights { // an arrival can end the holds of waiting requests and place them
+		if s.flights[f.ref] == f {
+			s.flights[f.ref] = f.withTargets(copies)
 		}
+		waiting.flights[i] = s.flights[f.ref]
 	}
 }
 
-// withTargets returns a copy of f whose attempts run at copies of their targets.
+// withTargets returns a copy of f whose attempts, ended ones too, are at copies of their targets.
 func (f *flight) withTargets(copies map[*target]*target) *flight {
 	out := *f
-	out.running = slices.Clone(f.running)
+	out.running, out.tried = slices.Clone(f.running), slices.Clone(f.tried)
+	for i, o := range out.tried {
+		if u := copies[o.target]; u != nil {
+			out.tried[i].target = u
+		}
+	}
 	for i, a := range out.running {
 		if u := copies[a.target]; u != nil {
 			b := *a
--- a/scheduler/explain.go
+++ b/scheduler/explain.go
@@ -53,7 +53,7 @@
 	Target     *Target
 	Peer       identifier.Instance
 	Reason     Reason        // why it waits or is refused
-	Position   int           // among the waiting requests of its pool, from 1
+	Position   int           // among the waiting requests of its pool, held ones too, from 1
 	ExpectedAt time.Time     // when it is expected to be sent if it waits; zero if that is not known
 	GivenUpAt  time.Time     // when it is given up if it waits
 	RetryAfter time.Duration // after which its caller should retry if it is refused
@@ -77,13 +77,17 @@
 	out := Explanation{Candidates: s.copyFor(&q).explainCandidates(now, ref, q)}
 	c := s.copyFor(&q)
 	for _, a := range c.Step(now, Arrived{Ref: ref, Request: q}) {
-		switch a := a.(type) {
+		switch a := a.(type) { // an arrival can also cause actions for waiting requests
 		case Send:
-			out.Decision = Decision{Target: a.Target, Peer: a.Peer}
+			if a.Ref == ref {
+				out.Decision = Decision{Target: a.Target, Peer: a.Peer}
+			}
 		case Wait:
-			out.Decision = c.explainWait(now, ref, a)
+			if a.Ref == ref {
+				out.Decision = c.explainWait(now, ref, a)
+			}
 		case Finish:
-			if o, ok := a.Outcome.(NotRun); ok {
+			if o, ok := a.Outcome.(NotRun); ok && a.Ref == ref {
 				out.Decision = Decision{Reason: o.Reason, RetryAfter: o.RetryAfter}
 			}
 		}
@@ -94,11 +98,12 @@
 // explainWait returns the decision that the request ref waits.
 func (s *Scheduler) explainWait(now time.Time, ref Ref, w Wait) Decision {
 	f := s.flights[ref]
-	d := Decision{Reason: w.Reason, Position: s.position(f), GivenUpAt: w.Until}
+	i, _ := s.queues[f.Pool].find(f)
+	d := Decision{Reason: w.Reason, Position: i + 1, GivenUpAt: w.Until}
 	if o := s.outlookOf(now, f.Pool); f.isHeld(now) {
 		d.ExpectedAt = f.heldUntil
 	} else if o.reason == w.Reason {
-		d.ExpectedAt = o.expectedAt(now, d.Position)
+		d.ExpectedAt = o.expectedAt(now, s.position(f))
 	}
 	return d
 }
@@ -127,6 +132,9 @@
 		return nil
 	}
 	f := &flight{Request: q, ref: ref}
+	if s.held > 0 {
+		s.endCrowdedHolds(now, pl, s.freeTargets(now, pl)) // as the arrival does
+	}
 	m := pl.means(now)
 	var out []Candidate
 	for _, t := range pl.targets {
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -164,24 +164,28 @@
 	case DemandDue:
 		s.reportDemand(now, true)
 	case Ticked:
-		s.wakeAt = time.Time{}
-		s.checkStalls(now)
-		s.checkOverdue(now)
-		s.updateReach(now)
-		s.probe(now)
-		s.placeAllWaiting(now)
-		s.checkWaiting(now)
-		s.holdEndsAt = s.nextHoldEnd(now)
-		s.reportLatency(now)
-		s.reportDemand(now, false)
-		s.instances.update(now)
-		s.reportLimits(now)
-		s.reportCapacity(now)
+		s.handleTick(now)
 	}
 	s.scheduleTick(now)
 	return s.actions
 }
 
+func (s *Scheduler) handleTick(now time.Time) {
+	s.wakeAt = time.Time{}
+	s.checkStalls(now)
+	s.checkOverdue(now)
+	s.updateReach(now)
+	s.probe(now)
+	s.placeAllWaiting(now)
+	s.checkWaiting(now)
+	s.holdEndsAt = s.nextHoldEnd(now)
+	s.reportLatency(now)
+	s.reportDemand(now, false)
+	s.instances.update(now)
+	s.reportLimits(now)
+	s.reportCapacity(now)
+}
+
 func (s *Scheduler) emit(a Action) { s.actions = append(s.actions, a) }
 
 // scheduleTick requests the next tick while any request is in flight or the instance is cut off. A tick that was requested
--- a/standin/soak/apply.go
+++ b/standin/soak/apply.go
@@ -70,6 +70,19 @@
 	case CloseEngine:
 		e := s.liveEngine(f.Engine)
 		s.applyFor(allEngines, f.For, func() { e.Close(f.For) }, func() {})
+	case StoreDown, StoreSlow, StoreDeaf, Compact:
+		s.applyToStore(f)
+	case ChangeKeys:
+		s.changeKeys(f.Add)
+	case Reconfigure:
+		s.configure()
+	case GrowConfiguration:
+		s.growConfiguration()
+	}
+}
+
+func (s *soak) applyToStore(f Fault) {
+	switch f := f.(type) {
 	case StoreDown:
 		s.applyFor(allInstances, f.For, func() { s.platform.Store.SetDown(true) }, func() { s.platform.Store.SetDown(false) })
 	case StoreSlow:
@@ -78,12 +91,6 @@
 		s.applyFor(allInstances, f.For, func() { s.platform.Store.LoseAnswers(f.In) }, func() { s.platform.Store.LoseAnswers(0) })
 	case Compact:
 		s.applyFor(allInstances, 0, s.platform.Store.Compact, func() {})
-	case ChangeKeys:
-		s.changeKeys(f.Add)
-	case Reconfigure:
-		s.configure()
-	case GrowConfiguration:
-		s.growConfiguration()
 	}
 }
 
