--- a/review/standin/leave.go
+++ b/review/standin/leave.go
@@ -54,7 +54,7 @@
 		if err := e.start(); err != nil {
 			return false, err
 		}
-		defer func() { close(e.stop); _ = e.server.Close() }()
+		defer e.crash()
 		engines = append(engines, e)
 	}
 	time.Sleep(300 * time.Millisecond)
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -10,7 +10,7 @@
 	"syscall"
 )
 
-var cases = map[string]func(*world) (bool, error){"drill": runDrill, "entry": runEntry, "leave": runLeave}
+var cases = map[string]func(*world) (bool, error){"drill": runDrill, "entry": runEntry, "leave": runLeave, "recover": runRecover}
 
 // Exit codes.
 const (
--- a/review/standin/model.go
+++ b/review/standin/model.go
@@ -55,8 +55,13 @@
 	staged     []string
 	generation int // counts the changes of the membership
 	running    int
+	crashed    bool
+	onCrash    func() // called when a request crashes the engine
 }
 
+// crashText in the body of a request crashes each engine that begins to run it.
+const crashText = "crash"
+
 // order is what an instance sends to an engine.
 type order struct {
 	Op       string   `json:"op"`
@@ -72,7 +77,7 @@
 	if err != nil {
 		return err
 	}
-	e.address, e.born, e.stop, e.staged = l.Addr().String(), time.Now().UnixMilli(), make(chan struct{}), []string{}
+	e.address, e.born, e.stop = l.Addr().String(), time.Now().UnixMilli(), make(chan struct{})
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /v1/report", e.serveReport)
 	mux.HandleFunc("POST /v1/order", e.serveOrder)
@@ -98,6 +103,10 @@
 // publish writes the engine's entry. It returns whether the store has accepted it.
 func (e *modelEngine) publish() bool {
 	e.mu.Lock()
+	if e.crashed {
+		e.mu.Unlock()
+		return false
+	}
 	entry := e.entry()
 	e.beats++
 	entry["sequence"] = e.beats
@@ -108,6 +117,9 @@
 // entry returns what the engine says of itself. e.mu is held.
 func (e *modelEngine) entry() map[string]any {
 	state, models := "ready", []any{}
+	if e.staged == nil {
+		e.staged = []string{}
+	}
 	if e.leaving {
 		state = "draining"
 	}
@@ -268,6 +280,25 @@
 	}()
 }
 
+// crash ends the engine's process. Its entry is removed after some beats of silence.
+func (e *modelEngine) crash() {
+	e.mu.Lock()
+	isFirst := !e.crashed
+	e.crashed = true
+	e.group, e.members = membership{}, nil
+	e.generation++
+	e.mu.Unlock()
+	if !isFirst {
+		return
+	}
+	e.rec.event("engine %s crashes", e.id)
+	close(e.stop)
+	go func() { _ = e.server.Close() }()
+	if e.onCrash != nil {
+		e.onCrash()
+	}
+}
+
 func (e *modelEngine) isHead() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -277,7 +308,7 @@
 // serve runs a stream. An engine that is no open head of the model's group does not run it.
 func (e *modelEngine) serve(w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get("X-Attempt-Id")
-	_, _ = io.Copy(io.Discard, r.Body)
+	body, _ := io.ReadAll(r.Body)
 	from := 0
 	if text := r.Header.Get("Last-Event-Id"); text != "" {
 		last, _ := strconv.Atoi(text)
@@ -297,6 +328,10 @@
 	defer func() { e.mu.Lock(); e.running--; e.mu.Unlock() }()
 	e.runs.add(run{at: time.Now(), id: id, engine: e.id, service: "guides", method: r.Method, target: r.RequestURI, tenant: r.Header.Get("X-Tenant")})
 	e.rec.event("engine %s as head of %s runs %s", e.id, group.Name, id)
+	if string(body) == crashText {
+		e.crash()
+		panic(http.ErrAbortHandler)
+	}
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.Header().Set("X-Server-Seal", seal(id))
 	flush := http.NewResponseController(w).Flush
