--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -28,7 +28,6 @@
 	status          int // zero if no answer came
 	body            string
 	sealed          bool
-	fresh           bool // it was the first on its channel
 	err             error
 }
 
@@ -68,7 +67,7 @@
 
 // send sends one attempt and waits for its answer until the time budget is over.
 func (c *channel) send(q request) result {
-	out := result{request: q, fresh: c.conn == nil}
+	out := result{request: q}
 	if c.conn == nil {
 		conn, err := net.DialTimeout("tcp", c.address, time.Second)
 		if err != nil {
--- a/review/standin/engine.go
+++ b/review/standin/engine.go
@@ -14,9 +14,9 @@
 
 // run is a request that an engine has begun to work on.
 type run struct {
-	at                            time.Time
-	id, engine, service           string
-	method, target, tenant, label string
+	at                     time.Time
+	id, engine, service    string
+	method, target, tenant string
 }
 
 // engine is an endpoint of a plain service.
@@ -34,7 +34,6 @@
 	tokens   chan struct{}
 	stop     chan struct{}
 	mu       sync.Mutex
-	leaving  bool
 	waiting  int
 	sequence int
 }
@@ -90,22 +89,12 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.sequence++
-	state := "ready"
-	if e.leaving {
-		state = "draining"
-	}
 	return map[string]any{
-		"service": e.service, "address": e.address, "zone": e.zone, "version": "v1", "slots": e.slots, "state": state, "coldLeftMs": 0,
+		"service": e.service, "address": e.address, "zone": e.zone, "version": "v1", "slots": e.slots, "state": "ready", "coldLeftMs": 0,
 		"sequence": e.sequence, "born": e.born,
 	}
 }
 
-// close ends the engine's process.
-func (e *engine) close() {
-	close(e.stop)
-	_ = e.server.Close()
-}
-
 // admit waits for a slot, or returns false if the queue is full.
 func (e *engine) admit(r *http.Request) bool {
 	e.mu.Lock()
--- a/review/standin/front.go
+++ b/review/standin/front.go
@@ -16,20 +16,13 @@
 
 // front is one entry instance: a process that is started with the command of the deploy file.
 type front struct {
-	name, zone, ip        string
-	address, ready        string // of callers, and of readiness checks
-	settings, log         string // paths
-	command               []string
-	process               *exec.Cmd
-	ended                 chan struct{}
-	memoryMB              int
-	killedForMemory       bool
-	readyAt               time.Time
-	portFront, portReady  int
-	portPeers             int
-	firstStart            bool
-	root, storeAddress    string
-	repositorySettingsDir string
+	name, zone, ip string
+	address, ready string // of callers, and of readiness checks
+	settings, log  string // paths
+	root           string // of the repository
+	command        []string
+	process        *exec.Cmd
+	ended          chan struct{} // closed when the process has ended
 }
 
 // readDeploy returns the command and the template of the only role of the deploy file.
@@ -87,7 +80,7 @@
 	}{{"fort-davis", 414, 1, 1500}, {"fort-davis", 414, 1, 1500}, {"alpine", 804, 2, 3000}, {"marfa", 544, 1, 2000}} {
 		f := &front{
 			name: fmt.Sprintf("front-%s-%d", m.zone, i+1), zone: m.zone, ip: fmt.Sprintf("127.%d.%d.%d", net1, net2, i+1),
-			command: command, memoryMB: m.memory, root: root,
+			command: command, root: root,
 		}
 		f.address, f.ready = fmt.Sprintf("%s:%d", f.ip, ports[0]), fmt.Sprintf("%s:%d", f.ip, ports[1])
 		f.settings, f.log = filepath.Join(dir, f.name+".json"), filepath.Join(dir, f.name+".log")
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -144,21 +144,6 @@
 	return reflect.DeepEqual(x, y)
 }
 
-// leave removes an engine's entry. It waits while the store is away.
-func (s *store) leave(id string) {
-	for {
-		s.mu.Lock()
-		if !s.away {
-			s.remove("servers/" + id)
-			delete(s.beats, id)
-			s.mu.Unlock()
-			return
-		}
-		s.mu.Unlock()
-		time.Sleep(50 * time.Millisecond)
-	}
-}
-
 // run ends leases and entries that have expired, until stop is closed.
 func (s *store) run(stop <-chan struct{}, silence time.Duration) {
 	t := time.NewTicker(50 * time.Millisecond)
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -93,6 +93,7 @@
 	w.clients.Wait()
 	w.endProcesses()
 	for _, e := range w.engines {
+		close(e.stop)
 		_ = e.server.Close()
 	}
 	_ = w.storeHTTP.Close()
