--- a/review/standin/entry.go
+++ b/review/standin/entry.go
@@ -10,7 +10,7 @@
 
 // Entries that another writer leaves in the store.
 const (
-	partialEntries  = 5
+	partialEntries  = 8
 	partialInterval = 3 * time.Second
 )
 
