storeclient: the era that the store names is read, logged and counted

An instance could not be told to have met a store that came back from an older copy: it logged only that the history was compacted, three times a second. Each answer's era is now read; a higher one is logged as a restore and counted, one that is missing, unreadable or lower is logged at most every 10 s. The replicator logs a list that is older than the replica. No decision changes.

--- a/replicator/replicator.go
+++ b/replicator/replicator.go
@@ -256,9 +256,20 @@
 	if err != nil {
 		return r.classifyFailure(err, call)
 	}
+	r.logOldList(s)
 	return Listed{Snapshot: s, Call: call}
 }
 
+// logOldList logs that a list has a lower revision than the replica.
+func (r *Replicator) logOldList(s storeclient.Snapshot) {
+	r.mu.Lock()
+	revision := r.core.Revision()
+	r.mu.Unlock()
+	if s.Revision < revision {
+		r.cfg.Logger.Warn().Uint64("revision", s.Revision).Uint64("replica", revision).Msg("list of the store is older than the replica, entries with a lower revision are ignored")
+	}
+}
+
 func (r *Replicator) watchChanges(ctx context.Context, w Watch) Event {
 	if w.Poll {
 		return r.pollChanges(ctx, w)
--- a/storeclient/client.go
+++ b/storeclient/client.go
@@ -38,6 +38,7 @@
 	mu      sync.Mutex // guards the fields below
 	random  *rand.Rand
 	circuit circuit
+	era     eraTracker
 }
 
 // New returns a Client for cfg. It makes no call.
@@ -52,6 +53,7 @@
 		circuit:  circuit{threshold: cfg.CircuitFailures, delayBase: cfg.TrialDelayBase, delayMax: cfg.TrialDelayMax},
 	}
 	c.meters = newMeters(cfg.Meter, c.circuitOpen)
+	registerEraGauge(cfg.Meter, c.Era)
 	return c
 }
 
@@ -180,6 +182,10 @@
 	if err != nil {
 		return answer{}, &MalformedError{Status: resp.StatusCode, Cause: err}
 	}
+	if reply.Result.showsState() {
+		named, problem := c.cfg.Dialect.Era(resp.Header)
+		_ = c.recordEra(call, named, problem) // only logged and counted
+	}
 	return answer{Reply: reply, status: resp.StatusCode, etag: resp.Header.Get("ETag")}, nil
 }
 
--- a/storeclient/dialect.go
+++ b/storeclient/dialect.go
@@ -1,6 +1,7 @@
 package storeclient
 
 import (
+	"net/http"
 	"net/url"
 	"time"
 )
@@ -68,6 +69,15 @@
 	ResultFailed           // the call may have had an effect
 )
 
+// showsState reports whether an answer with this result shows the state of the store at some revision.
+func (r Result) showsState() bool {
+	switch r {
+	case ResultCompacted, ResultBusy, ResultRefused, ResultFailed:
+		return false
+	}
+	return true
+}
+
 // Reply is a decoded answer of the store.
 type Reply struct {
 	Result    Result
@@ -98,4 +108,6 @@
 	Encode(c Call) Request
 	// Decode decodes the answer to c. It returns an error if the body is malformed.
 	Decode(c Call, status int, body []byte) (Reply, error)
+	// Era returns the era that the header of an answer names, zero if it names none, or what is wrong with the header.
+	Era(h http.Header) (era Era, problem string)
 }
--- a/storeclient/meters.go
+++ b/storeclient/meters.go
@@ -12,6 +12,9 @@
 type meters struct {
 	calls    metric.Int64Counter
 	duration metric.Float64Histogram
+
+	restores    metric.Int64Counter
+	foreignEras metric.Int64Counter
 }
 
 // newMeters registers the instruments with m. An instrument whose registration fails records nothing.
@@ -24,7 +27,9 @@
 			o.Observe(int64(btoi(circuitOpen())))
 			return nil
 		}))
-	return meters{calls: calls, duration: duration}
+	restores, _ := m.Int64Counter("store.restores", metric.WithDescription("Restores of the store from an older copy that this instance has noticed."))
+	foreignEras, _ := m.Int64Counter("store.answers.foreign_era", metric.WithDescription("Answers of the store that name no era or an earlier one than an answer before."))
+	return meters{calls: calls, duration: duration, restores: restores, foreignEras: foreignEras}
 }
 
 // count records one attempt. A refused attempt was not sent and has no duration.
--- a/storeclient/plain.go
+++ b/storeclient/plain.go
@@ -146,3 +146,6 @@
 	}
 	return Reply{}, nil
 }
+
+// Era returns zero: the protocol names no era.
+func (PlainDialect) Era(http.Header) (Era, string) { return 0, "" }
