--- a/endpointlister/lister.go
+++ b/endpointlister/lister.go
@@ -34,7 +34,10 @@
 type Event interface{ event() }
 
 // EntryWritten reports that an endpoint has written its entry.
-type EntryWritten struct{ Endpoint Endpoint }
+type EntryWritten struct {
+	Endpoint Endpoint
+	Sequence uint64 // number of writes of the entry since Endpoint.ProcessStart
+}
 
 // EntryRemoved reports that the entry of an endpoint is no longer in the store.
 type EntryRemoved struct{ ID identifier.Endpoint }
--- a/storeclient/client.go
+++ b/storeclient/client.go
@@ -62,6 +62,7 @@
 	Reply
 	status int
 	etag   string
+	era    Era // zero if the result does not show the store's state
 }
 
 // attempt sends call once. It returns *UnavailableError or, for a write that may have an effect,
@@ -182,11 +183,13 @@
 	if err != nil {
 		return answer{}, &MalformedError{Status: resp.StatusCode, Cause: err}
 	}
+	out := answer{Reply: reply, status: resp.StatusCode, etag: resp.Header.Get("ETag")}
 	if reply.Result.showsState() {
 		named, problem := c.cfg.Dialect.Era(resp.Header)
 		_ = c.recordEra(call, named, problem) // only logged and counted
+		out.era = named
 	}
-	return answer{Reply: reply, status: resp.StatusCode, etag: resp.Header.Get("ETag")}, nil
+	return out, nil
 }
 
 // newRequest returns the HTTP request of call in the configured dialect.
--- a/storeclient/entry.go
+++ b/storeclient/entry.go
@@ -146,6 +146,7 @@
 type Snapshot struct {
 	Entries  []Entry
 	Revision uint64 // revision of the store at the first page; zero if the store reports none
+	Era      Era    // in which Revision counts
 }
 
 // Snapshot returns the entries whose keys begin with prefix and the revision to watch after. Its error is *UnavailableError.
@@ -161,7 +162,7 @@
 			return Snapshot{}, unexpectedAnswer(call, a)
 		}
 		if call.After == "" {
-			s.Revision = a.Revision
+			s.Revision, s.Era = a.Revision, a.era
 		}
 		for _, e := range a.Entries {
 			s.Entries = append(s.Entries, e.entry())
--- a/storeclient/watch.go
+++ b/storeclient/watch.go
@@ -19,6 +19,7 @@
 type Changes struct {
 	Entries  []Change
 	Revision uint64
+	Era      Era // in which Revision counts
 }
 
 // Watch waits up to Config.WatchWait for changes of the keys that begin with prefix after
@@ -51,7 +52,7 @@
 	if a.Result != ResultOK {
 		return Changes{}, unexpectedAnswer(call, a)
 	}
-	changes := Changes{Revision: a.Revision}
+	changes := Changes{Revision: a.Revision, Era: a.era}
 	for _, e := range a.Entries {
 		changes.Entries = append(changes.Entries, Change{Entry: e.entry(), Deleted: e.Deleted})
 	}
