replicator, messenger: revisions are compared only within one era of the store

Callers were served by an old configuration, and at leaving endpoints, for as long as an instance lived, after the store had come back from a copy some seconds old. The store gives revisions out again; the replica took their order for the order of events, in complete lists too, so that whatever was written at a revision that it had seen before was ignored, and what was lost stayed.

A list or a watch now has the era of its answer. A watch of a later era is followed by a list; a list of a later era replaces all entries, whose revisions count as lower than any of it. What the copy lacks stays for 2.2 s, in which its writer may write it again, and longer while the store is lost. Answers, updates and changes of an earlier era are ignored. Instances tell each other the era; a peer that names none, of a version before this, counts as in the era of the one that asks.

--- a/messenger/messenger_test.go
+++ b/messenger/messenger_test.go
@@ -33,13 +33,13 @@
 			if after < 5 {
 				return replicator.PeerChanges{}, errStale
 			}
-			return replicator.PeerChanges{Age: 40 * time.Millisecond, Changes: storeclient.Changes{Revision: 9, Entries: []storeclient.Change{{Entry: storeclient.Entry{Key: "a", Value: []byte("x"), Revision: 8}}, {Entry: storeclient.Entry{Key: "b", Revision: 9}, Deleted: true}}}}, nil
+			return replicator.PeerChanges{Age: 40 * time.Millisecond, Changes: storeclient.Changes{Era: 3, Revision: 9, Entries: []storeclient.Change{{Entry: storeclient.Entry{Key: "a", Value: []byte("x"), Revision: 8}}, {Entry: storeclient.Entry{Key: "b", Revision: 9}, Deleted: true}}}}, nil
 		},
 		UpdateSince: func(after uint64) replicator.Update {
 			if after >= 9 {
 				return replicator.Update{IsInContact: true, ContactTime: 9 * time.Second, AnswerAge: 20 * time.Millisecond}
 			}
-			return replicator.Update{Revision: 9, Entries: []storeclient.Change{{Entry: storeclient.Entry{Key: "a", Value: []byte("x"), Revision: 8}}}}
+			return replicator.Update{Era: 3, Revision: 9, Entries: []storeclient.Change{{Entry: storeclient.Entry{Key: "a", Value: []byte("x"), Revision: 8}}}}
 		},
 		Report: func(_ context.Context, id identifier.Endpoint) (groupformer.Reported, error) {
 			if id != "e1" {
@@ -88,7 +88,9 @@
 	peers.Set(start(t, "marfa-1", "marfa", stalled))
 	m := messenger.New(messenger.Config{Peers: &peers, HTTP: http.DefaultClient})
 
-	is.Equal(m.FetchUpdate(ctx, 4).Revision, uint64(9))
+	update := m.FetchUpdate(ctx, 4)
+	is.Equal(update.Revision, uint64(9))
+	is.Equal(update.Era, storeclient.Era(3))
 	is.Equal(m.FetchUpdate(ctx, 9), replicator.Update{IsInContact: true, ContactTime: 9 * time.Second, AnswerAge: 20 * time.Millisecond})
 
 	alpine, ok := peers.Find("alpine-1")
@@ -96,6 +98,7 @@
 	changes, err := m.WatchPeer(ctx, alpine, 7)
 	is.NoErr(err)
 	is.Equal(changes.Revision, uint64(9))
+	is.Equal(changes.Era, storeclient.Era(3))
 	is.Equal(changes.Age, 40*time.Millisecond)
 	is.True(changes.Entries[1].Deleted)
 	_, err = m.WatchPeer(ctx, alpine, 4)
--- a/messenger/wire.go
+++ b/messenger/wire.go
@@ -44,6 +44,7 @@
 
 // updateWire is the wire form of replicator.Update.
 type updateWire struct {
+	Era         storeclient.Era    `json:"era,omitempty"` // in which the revisions count; absent in versions before it
 	Revision    uint64             `json:"revision"`
 	Whole       bool               `json:"whole,omitempty"`
 	InContact   bool               `json:"inContact,omitempty"`
@@ -54,7 +55,7 @@
 
 func encodeUpdate(u replicator.Update) updateWire {
 	return updateWire{
-		Revision: u.Revision, Whole: u.Complete, Entries: append(encodeEntries(u.Entries), encodeReferences(u.References)...),
+		Era: u.Era, Revision: u.Revision, Whole: u.Complete, Entries: append(encodeEntries(u.Entries), encodeReferences(u.References)...),
 		InContact: u.IsInContact, ContactTime: formatter.Duration(u.ContactTime), AnswerAge: formatter.Duration(u.AnswerAge),
 	}
 }
@@ -62,13 +63,14 @@
 func (w updateWire) update() replicator.Update {
 	entries, references := decodeEntries(w.Entries)
 	return replicator.Update{
-		Revision: w.Revision, Complete: w.Whole, Entries: entries, References: references,
+		Era: w.Era, Revision: w.Revision, Complete: w.Whole, Entries: entries, References: references,
 		IsInContact: w.InContact, ContactTime: max(w.ContactTime.Std(), 0), AnswerAge: max(w.AnswerAge.Std(), 0),
 	}
 }
 
 // changesWire is the wire form of replicator.PeerChanges.
 type changesWire struct {
+	Era      storeclient.Era    `json:"era,omitempty"` // in which the revisions count; absent in versions before it
 	Revision uint64             `json:"revision"`
 	Entries  []changeWire       `json:"entries"`
 	Age      formatter.Duration `json:"age,omitempty"`
@@ -84,13 +86,13 @@
 }
 
 func encodeChanges(c replicator.PeerChanges) changesWire {
-	return changesWire{Revision: c.Revision, Entries: append(encodeEntries(c.Entries), encodeReferences(c.References)...), Age: formatter.Duration(c.Age)}
+	return changesWire{Era: c.Era, Revision: c.Revision, Entries: append(encodeEntries(c.Entries), encodeReferences(c.References)...), Age: formatter.Duration(c.Age)}
 }
 
 func (w changesWire) changes() replicator.PeerChanges {
 	entries, references := decodeEntries(w.Entries)
 	return replicator.PeerChanges{
-		Changes: storeclient.Changes{Revision: w.Revision, Entries: entries}, References: references, Age: max(w.Age.Std(), 0),
+		Changes: storeclient.Changes{Era: w.Era, Revision: w.Revision, Entries: entries}, References: references, Age: max(w.Age.Std(), 0),
 	}
 }
 
--- a/replicator/action.go
+++ b/replicator/action.go
@@ -6,7 +6,7 @@
 	"amaranthmill/storeclient"
 )
 
-// Action is an output of a Core: List, Watch, QueryPeers, FetchValue, WakeAt, NotifyChanges,
+// Action is an output of a Core: List, Watch, QueryPeers, FetchValue, WakeAt, Restored, NotifyChanges,
 // Health or Contact.
 type Action interface{ action() }
 
--- a/replicator/core.go
+++ b/replicator/core.go
@@ -16,6 +16,7 @@
 	defaultPeerInterval   = 300 * time.Millisecond
 	defaultContactTime    = 2200 * time.Millisecond
 	defaultAnswerTimeout  = 1600 * time.Millisecond
+	defaultRestoreGrace   = 2200 * time.Millisecond // slightly longer than the other writers take to write their entries again
 	maxContactGap         = 2400 * time.Millisecond // between two answers of the store for which it counts as answering without interruption; entries live for three intervals of 1.2 s, so that none expires in less
 	lossThreshold         = 2                       // consecutive failures after which the store counts as lost; a single watch may be aborted at any time
 )
@@ -26,7 +27,7 @@
 // ends only at its timeout.
 // Core is not safe for concurrent use.
 type Core struct {
-	minInterval, urgentInterval, backoff, maxBackoff, peerInterval, contactTime, answerTimeout time.Duration
+	minInterval, urgentInterval, backoff, maxBackoff, peerInterval, contactTime, answerTimeout, restoreGrace time.Duration
 
 	urgent bool
 
@@ -36,6 +37,7 @@
 	removed      []storeclient.Change     // the latest maxRemovals removals, in order of revision
 	removalFloor uint64                   // removals up to this revision may be missing from removed
 	gaps         []gap                    // the latest maxGaps gaps above removalFloor, in order of revision
+	era          storeclient.Era          // in which all revisions count
 	revision     uint64
 	listed       bool // the entries are complete as of revision
 	fromPeer     bool // the entries came from a peer and have to be confirmed by a list from the store
@@ -52,6 +54,7 @@
 	queryUntil   time.Time // end of the queries after the return of the store
 	contactSince time.Time // when the store began to answer without interruption
 	peerContact  Contact   // the last known time in which it has answered peers without interruption
+	confirmUntil time.Time // when the entries that a restored store lacks are removed; zero if there are none
 }
 
 // NewCore returns a Core for cfg. It uses only the durations of cfg.
@@ -59,7 +62,7 @@
 	cfg = cfg.withDefaults()
 	return &Core{
 		minInterval: cfg.MinInterval, urgentInterval: cfg.UrgentInterval, backoff: cfg.Backoff, maxBackoff: cfg.MaxBackoff, peerInterval: cfg.PeerInterval,
-		contactTime: cfg.ContactTime, answerTimeout: cfg.AnswerTimeout,
+		contactTime: cfg.ContactTime, answerTimeout: cfg.AnswerTimeout, restoreGrace: cfg.RestoreGrace,
 		entries: map[string]storeclient.Entry{}, missing: map[string]*missingValue{},
 	}
 }
@@ -72,6 +75,7 @@
 	defaulter.Set(&c.PeerInterval, defaultPeerInterval)
 	defaulter.Set(&c.ContactTime, defaultContactTime)
 	defaulter.Set(&c.AnswerTimeout, defaultAnswerTimeout)
+	defaulter.Set(&c.RestoreGrace, defaultRestoreGrace)
 	return c
 }
 
@@ -118,10 +122,14 @@
 	if e.Call.Round != c.round {
 		return nil // it may hold entries that have been removed since
 	}
+	if e.Snapshot.Era < c.era {
+		return c.handleFailure(now, Failed{Call: e.Call})
+	}
 	if !c.listed && len(c.entries) == 0 {
 		c.removalFloor = e.Snapshot.Revision
 	}
 	out := c.handleSuccess(now, 0, e.Call)
+	out = append(out, c.adoptEra(now, e.Snapshot.Era, e.Snapshot.Revision)...)
 	out = append(out, c.replaceEntries(now, e.Snapshot)...)
 	c.listed, c.fromPeer = true, false
 	return append(out, c.scheduleCall(now)...)
@@ -131,6 +139,9 @@
 	if e.Call.Round != c.round {
 		return nil // it may hold entries that have been removed since
 	}
+	if e.Changes.Era != c.era {
+		return c.handleFailure(now, Failed{Compacted: e.Changes.Era > c.era, Call: e.Call}) // the history of a later era starts with a list
+	}
 	out := c.handleSuccess(now, e.Age, e.Call)
 	out = append(out, c.applyChanges(now, e.Changes)...)
 	out = append(out, c.applyReferences(now, e.References)...)
@@ -202,6 +213,7 @@
 		return out
 	}
 	c.lost, c.nextQueryAt, c.queryUntil = false, now, now.Add(c.contactTime)
+	c.extendConfirmation(now)
 	return append(out, Health{Since: c.lostAt, Answered: answered})
 }
 
@@ -238,7 +250,20 @@
 }
 
 func (c *Core) handleUpdate(now time.Time, u Update) []Action {
+	era := c.peerEra(u.Era)
+	if era < c.era {
+		return nil
+	}
 	var out []Action
+	if era > c.era {
+		switch {
+		case !c.lost:
+			return nil // the store's own answer shows the new era
+		case !u.Complete:
+			return []Action{QueryPeers{}}
+		}
+		out = c.adoptEra(now, era, u.Revision)
+	}
 	if u.IsInContact {
 		until := now.Add(-u.AnswerAge)
 		contact := Contact{Since: until.Add(-u.ContactTime), Until: until}
@@ -274,14 +299,19 @@
 		out = append(out, c.startCall(now)...)
 	}
 	out = append(out, c.startFetches(now)...)
+	out = append(out, c.dropUnconfirmed(now)...)
 	return append(out, c.scheduleWake()...)
 }
 
-// scheduleWake requests a tick at the earliest of the next call, the next query to peers and the next fetch
-// of a value, if one is due.
+// scheduleWake requests a tick at the earliest of the next call, the next query to peers, the next fetch of a value
+// and the removal of the entries that a restored store lacks, if one is due.
 func (c *Core) scheduleWake() []Action {
 	at := c.nextCallAt
-	for _, next := range []time.Time{c.nextQueryAt, c.nextFetchAt()} {
+	confirmUntil := c.confirmUntil
+	if c.lost {
+		confirmUntil = time.Time{}
+	}
+	for _, next := range []time.Time{c.nextQueryAt, c.nextFetchAt(), confirmUntil} {
 		if at.IsZero() || (!next.IsZero() && next.Before(at)) {
 			at = next
 		}
--- a/replicator/doc.go
+++ b/replicator/doc.go
@@ -7,6 +7,11 @@
 // all of them. An entry is replaced only by one with a later revision, so a delayed answer never reverts
 // the replica.
 //
+// Revisions are compared only within one era of the store. When the store has been restored from an older copy, it gives
+// them out again: the replica then takes over a complete list of the new era, whatever its revisions are. An entry that
+// the copy lacks stays for a time, in which its writer may write it again. Answers and updates of an earlier era are
+// ignored.
+//
 // A peer that follows the replica gets references to large values, if it knows them, and fetches the values beside
 // its watch. While a value is missing, the replica passes the reference on, and tells peers that do not know
 // references a revision before that value, so that none of them skips it.
--- a/replicator/entries.go
+++ b/replicator/entries.go
@@ -25,7 +25,7 @@
 		}
 	}
 	for _, key := range slices.Sorted(maps.Keys(c.entries)) {
-		if !listed[key] && c.entries[key].Revision <= s.Revision {
+		if e := c.entries[key]; !listed[key] && !isUnconfirmed(e) && e.Revision <= s.Revision {
 			removal := storeclient.Change{Entry: storeclient.Entry{Key: key, Revision: s.Revision}, Deleted: true}
 			changes = append(changes, removal)
 			c.recordRemoval(removal)
--- a/replicator/reference.go
+++ b/replicator/reference.go
@@ -180,7 +180,7 @@
 	if !ok {
 		return storeclient.Changes{}, nil, false
 	}
-	changes.Revision = c.revision
+	changes.Revision, changes.Era = c.revision, c.era
 	for _, ch := range all.Entries {
 		switch {
 		case ch.Deleted || len(ch.Value) <= LargeSize:
@@ -197,10 +197,10 @@
 // receiver deletes the keys that it does not name.
 func (c *Core) UpdateWithReferences(after uint64) Update {
 	if c.revision <= after {
-		return Update{}
+		return Update{Era: c.era}
 	}
 	if changes, ok := c.allChangesSince(after); ok {
-		return Update{Revision: c.revision, Entries: changes.Entries, References: c.missingSince(after)}
+		return Update{Era: c.era, Revision: c.revision, Entries: changes.Entries, References: c.missingSince(after)}
 	}
 	u := c.completeUpdate()
 	u.Revision, u.References = c.revision, c.missingSince(0)
--- a/replicator/replicator.go
+++ b/replicator/replicator.go
@@ -78,6 +78,7 @@
 	OnChange  func([]storeclient.Change) // called in the order of the changes
 	OnHealth  func(Health)               // may be nil
 	OnContact func(Contact)              // the store answers a peer; may be nil
+	OnRestore func(Restored)             // the store was restored from an older copy; called before OnChange with what the copy holds; may be nil
 
 	Values  ValueSource        // fetches the values of references; nil if Upstream and Peers return no references
 	OnValue func(ValueArrival) // a value that was fetched is about to be applied; may be nil
@@ -90,6 +91,7 @@
 	MaxBackoff     time.Duration // upper bound of the delay after a failure; 400 ms
 	PeerInterval   time.Duration // between two queries to peers while the store is lost and after its return; 300 ms
 	AnswerTimeout  time.Duration // after the store's last answer, in which a watch is the only call; longer than MinInterval and the time for which the store and peers hold a watch; 1.6 s
+	RestoreGrace   time.Duration // after a restore of the store, in which entries that its copy lacks may be written again; 2.2 s
 	ContactTime    time.Duration // after the return of the store, in which peers are queried since when it has answered them; 2.2 s
 
 	Logger zerolog.Logger
@@ -236,6 +238,8 @@
 		r.cfg.OnChange(a.Changes)
 	case Health:
 		r.reportHealth(a)
+	case Restored:
+		r.reportRestore(a)
 	case Contact:
 		if r.cfg.OnContact != nil {
 			r.cfg.OnContact(a)
@@ -256,20 +260,9 @@
 	if err != nil {
 		return r.classifyFailure(err, call)
 	}
-	r.logOldList(s)
 	return Listed{Snapshot: s, Call: call}
 }
 
-// logOldList logs that a list has a lower revision than the replica.
-func (r *Replicator) logOldList(s storeclient.Snapshot) {
-	r.mu.Lock()
-	revision := r.core.Revision()
-	r.mu.Unlock()
-	if s.Revision < revision {
-		r.cfg.Logger.Warn().Uint64("revision", s.Revision).Uint64("replica", revision).Msg("list of the store is older than the replica, entries with a lower revision are ignored")
-	}
-}
-
 func (r *Replicator) watchChanges(ctx context.Context, w Watch) Event {
 	if w.Poll {
 		return r.pollChanges(ctx, w)
@@ -319,8 +312,8 @@
 func (r *Replicator) pollChanges(ctx context.Context, w Watch) Event {
 	if upstream, ok := r.cfg.Upstream.(PollingUpstream); ok && !r.isLost() {
 		ch, err := upstream.Poll(ctx, w.After)
-		if err == nil {
-			return Watched{Changes: ch.Changes, References: ch.References, Age: ch.Age, Call: w.Call}
+		if e, err := r.acceptChanges(ch, w, err); err == nil {
+			return e
 		}
 	}
 	if r.prefersList() {
@@ -350,6 +343,19 @@
 		return nil, &NoPeerError{}
 	}
 	ch, err := r.cfg.Upstream.Watch(ctx, w.After)
+	return r.acceptChanges(ch, w, err)
+}
+
+// acceptChanges returns the event for what a peer has returned to w. Its error is err, or *StaleError if the peer does not
+// know of a restore of the store that this replica knows of.
+func (r *Replicator) acceptChanges(ch PeerChanges, w Watch, err error) (Event, error) {
+	r.mu.Lock()
+	era := r.core.Era()
+	ch.Era = r.core.peerEra(ch.Era)
+	r.mu.Unlock()
+	if err == nil && ch.Era < era {
+		return nil, &StaleError{After: w.After}
+	}
 	return Watched{Changes: ch.Changes, References: ch.References, Age: ch.Age, Call: w.Call}, err
 }
 
@@ -366,6 +372,15 @@
 	return Failed{NotSent: errors.As(err, &rejected), Call: call}
 }
 
+// reportRestore logs a restore of the store and reports it.
+func (r *Replicator) reportRestore(a Restored) {
+	r.cfg.Logger.Warn().Uint64("era", uint64(a.Era)).Uint64("revision", a.Revision).Uint64("oldRevision", a.OldRevision).
+		Msg("store was restored from an older copy, the replica follows its list from now on")
+	if r.cfg.OnRestore != nil {
+		r.cfg.OnRestore(a)
+	}
+}
+
 func (r *Replicator) reportHealth(h Health) {
 	if h.Lost {
 		r.cfg.Logger.Warn().Dur("sinceAnswer", time.Since(h.Since)).Msg("store lost")
--- a/replicator/session_test.go
+++ b/replicator/session_test.go
@@ -47,7 +47,7 @@
 	case "failed":
 		e = replicator.Failed{Compacted: ev.Bool("compacted"), NotSent: ev.Bool("notSent"), Call: s.callOf(ev)}
 	case "peer":
-		e = replicator.PeerAnswered{Update: replicator.Update{Revision: uint64(ev.Int("revision")), Complete: !ev.Bool("changes"), Entries: entries(ev), References: references(ev), IsInContact: ev.Has("contact"), ContactTime: ev.Duration("contact"), AnswerAge: ev.Duration("age")}}
+		e = replicator.PeerAnswered{Update: replicator.Update{Era: era(ev), Revision: uint64(ev.Int("revision")), Complete: !ev.Bool("changes"), Entries: entries(ev), References: references(ev), IsInContact: ev.Has("contact"), ContactTime: ev.Duration("contact"), AnswerAge: ev.Duration("age")}}
 	case "pass":
 		return out, nil
 	case "update":
@@ -100,6 +100,9 @@
 	return fmt.Sprintf("update: %s at %d complete=%t", describe(u.Entries), u.Revision, u.Complete)
 }
 
+// era returns the era of an answer, or zero if the event names none.
+func era(ev scripter.Event) storeclient.Era { return storeclient.Era(ev.Int("era")) }
+
 // entries parses "key@revision" words joined by "+". A word that begins with "-" is a removal.
 func entries(ev scripter.Event) []storeclient.Change {
 	var out []storeclient.Change
@@ -140,7 +143,7 @@
 }
 
 func snapshot(ev scripter.Event) storeclient.Snapshot {
-	s := storeclient.Snapshot{Revision: uint64(ev.Int("revision"))}
+	s := storeclient.Snapshot{Era: era(ev), Revision: uint64(ev.Int("revision"))}
 	for _, ch := range entries(ev) {
 		s.Entries = append(s.Entries, ch.Entry)
 	}
@@ -148,7 +151,7 @@
 }
 
 func changes(ev scripter.Event) storeclient.Changes {
-	return storeclient.Changes{Revision: uint64(ev.Int("revision")), Entries: entries(ev)}
+	return storeclient.Changes{Era: era(ev), Revision: uint64(ev.Int("revision")), Entries: entries(ev)}
 }
 
 func (s *session) step(now time.Time, e replicator.Event) []string {
@@ -169,6 +172,8 @@
 			line = fmt.Sprintf("query peers after %d", a.After)
 		case replicator.NotifyChanges:
 			line = "change " + describe(a.Changes)
+		case replicator.Restored:
+			line = fmt.Sprintf("restored to %d in era %d, was at %d", a.Revision, a.Era, a.OldRevision)
 		case replicator.Health:
 			line = fmt.Sprintf("health lost=%t", a.Lost)
 		case replicator.Contact:
--- a/replicator/update.go
+++ b/replicator/update.go
@@ -11,11 +11,12 @@
 
 // Update is what a replica holds beyond the revision of another replica.
 type Update struct {
-	Revision    uint64        // of the replica; zero if it has nothing newer
-	Complete    bool          // Entries is the complete replica rather than the changes
-	IsInContact bool          // the store answers the replica
-	ContactTime time.Duration // for which it has answered the replica, or peers of which that knows, without interruption until its last answer to the replica
-	AnswerAge   time.Duration // since that answer
+	Era         storeclient.Era // in which the revisions count
+	Revision    uint64          // of the replica; zero if it has nothing newer
+	Complete    bool            // Entries is the complete replica rather than the changes
+	IsInContact bool            // the store answers the replica
+	ContactTime time.Duration   // for which it has answered the replica, or peers of which that knows, without interruption until its last answer to the replica
+	AnswerAge   time.Duration   // since that answer
 	Entries     []storeclient.Change
 	References  []Reference // to values that the replica itself is missing; nil for a peer that does not know references
 }
@@ -35,19 +36,21 @@
 // that the receiver does not skip that value.
 func (c *Core) UpdateSince(after uint64) Update {
 	if c.completeRevision() <= after {
-		return Update{}
+		return Update{Era: c.era}
 	}
 	if changes, ok := c.ChangesSince(after); ok {
-		return Update{Revision: changes.Revision, Entries: changes.Entries}
+		return Update{Era: c.era, Revision: changes.Revision, Entries: changes.Entries}
 	}
 	return c.completeUpdate()
 }
 
-// completeUpdate returns the complete replica.
+// completeUpdate returns the complete replica, without the entries that a restored store lacks.
 func (c *Core) completeUpdate() Update {
-	u := Update{Revision: c.completeRevision(), Complete: true}
+	u := Update{Era: c.era, Revision: c.completeRevision(), Complete: true}
 	for _, key := range slices.Sorted(maps.Keys(c.entries)) {
-		u.Entries = append(u.Entries, storeclient.Change{Entry: c.entries[key]})
+		if e := c.entries[key]; !isUnconfirmed(e) {
+			u.Entries = append(u.Entries, storeclient.Change{Entry: e})
+		}
 	}
 	return u
 }
@@ -108,7 +111,7 @@
 	if after < c.removalFloor || !c.listed || c.isInGap(after) {
 		return storeclient.Changes{}, false
 	}
-	out := storeclient.Changes{Revision: c.revision}
+	out := storeclient.Changes{Revision: c.revision, Era: c.era}
 	for _, e := range c.entries {
 		if e.Revision > after {
 			out.Entries = append(out.Entries, storeclient.Change{Entry: e})
--- a/replicator/values.go
+++ b/replicator/values.go
@@ -123,11 +123,15 @@
 	bytes   int
 }
 
-// add keeps the large values among the changes of actions, and drops the oldest ones beyond the bounds. It
+// add keeps the large values among the changes of actions, and drops the oldest ones beyond the bounds and those of an
+// earlier era. It
 // returns whether actions notify of changes.
 func (v *versions) add(actions []Action) bool {
 	changed := false
 	for _, a := range actions {
+		if _, ok := a.(Restored); ok {
+			v.entries, v.bytes = nil, 0 // their revisions may be given out again
+		}
 		n, ok := a.(NotifyChanges)
 		changed = changed || ok
 		for _, ch := range n.Changes {
