endpointlister: the copy of a restored store does not bring back what has left

Callers could be sent to an endpoint that the instance had known to drain or to be gone, once the store had come back from a copy in which it was ready: the entry of the copy was taken for a new statement of the endpoint. Revisions can't tell, because they start again.

The lister keeps what each endpoint has said last, by the start of its process and the number of the write, also for two minutes after it has left. For 5 s after a restore, in which an endpoint writes again or its entry expires, an entry of the copy that says something older, or is that of an endpoint that has left, changes nothing; one written since the restore counts at once. An entry that is still there after that shows that its endpoint lives.

--- a/endpointlister/doc.go
+++ b/endpointlister/doc.go
@@ -12,4 +12,8 @@
 // another instance all the while, a missing entry shows that its endpoint has left. Only a short
 // time is allowed after the end of such a cut, in which endpoints that were cut off together with
 // this instance renew their entries. The shells report what other instances say as StoreSeen.
+//
+// A store that was restored from an older copy holds entries that endpoints have replaced or removed since. What an
+// endpoint has said last, by the start of its process and the number of the write, holds until it has had the time to
+// write again; an entry that is still there then shows that the endpoint lives.
 package endpointlister
--- a/endpointlister/lister.go
+++ b/endpointlister/lister.go
@@ -29,7 +29,7 @@
 	CutGrace time.Duration // after the end of a cut of this instance, in which the entry of an endpoint that was cut off with it may reappear; zero means 1.3 s
 }
 
-// Event is an input of a Lister: EntryWritten, EntryRemoved, StoreLost, StoreRegained, StoreSeen or
+// Event is an input of a Lister: EntryWritten, EntryRemoved, StoreLost, StoreRegained, StoreRestored, StoreSeen or
 // Ticked.
 type Event interface{ event() }
 
@@ -37,6 +37,7 @@
 type EntryWritten struct {
 	Endpoint Endpoint
 	Sequence uint64 // number of writes of the entry since Endpoint.ProcessStart
+	Revision uint64 // of the entry in the store
 }
 
 // EntryRemoved reports that the entry of an endpoint is no longer in the store.
@@ -120,6 +121,7 @@
 	seenUntil    time.Time                         // the last known time at which it answered one; later while it answers this one
 	heardAt      time.Time                         // when that was learned
 	reachedAt    time.Time                         // end of the last long time without such news
+	memory       memory                            // of what endpoints have said
 }
 
 // New returns a Lister for cfg.
@@ -131,9 +133,32 @@
 
 // Step applies e at now and returns the actions that it causes.
 func (l *Lister) Step(now time.Time, e Event) []Action {
+	out := l.handle(now, e)
+	for _, attested := range l.memory.takeAttested(now) {
+		out = append(out, l.handleWritten(now, attested)...)
+	}
+	if len(l.memory.doubted) > 0 {
+		out = append(out, WakeAt{At: l.nextDecision(now)})
+	}
+	return out
+}
+
+// nextDecision returns when the doubted entries count, or when a grace period ends before that while entries are missing.
+func (l *Lister) nextDecision(now time.Time) time.Time {
+	at := l.memory.attestedAt
+	if len(l.missingSince) == 0 || l.isUnseen(now) {
+		return at
+	}
+	if until, _ := l.graceEnd(); until.Before(at) {
+		return until
+	}
+	return at
+}
+
+func (l *Lister) handle(now time.Time, e Event) []Action {
 	switch e := e.(type) {
 	case EntryWritten:
-		return l.handleWritten(now, e.Endpoint)
+		return l.handleWritten(now, e)
 	case EntryRemoved:
 		return l.handleRemoved(now, e.ID)
 	case StoreLost:
@@ -142,6 +167,9 @@
 		l.recordContact(now, StoreSeen{Since: now, Until: now})
 		l.storeLost = false
 		return l.expire(now)
+	case StoreRestored:
+		l.memory.revision, l.memory.attestedAt = e.Revision, now.Add(attestTime)
+		clear(l.memory.doubted) // the entries of the copy before are gone
 	case StoreSeen:
 		if !l.storeLost {
 			l.seenUntil, l.heardAt = now, now
@@ -154,8 +182,14 @@
 	return nil
 }
 
-func (l *Lister) handleWritten(now time.Time, e Endpoint) []Action {
+// handleWritten takes over an entry. One that comes from the copy of a restored store changes nothing for now: what the
+// endpoint has said since holds, also that it left.
+func (l *Lister) handleWritten(now time.Time, written EntryWritten) []Action {
+	e := written.Endpoint
 	delete(l.missingSince, e.ID)
+	if l.memory.doubts(now, written, l.isListed(e.ID)) {
+		return nil
+	}
 	old, ok := l.endpoints[e.ID]
 	e.setWarmAt(now, old)
 	l.endpoints[e.ID] = e
@@ -166,6 +200,7 @@
 }
 
 func (l *Lister) handleRemoved(now time.Time, id identifier.Endpoint) []Action {
+	delete(l.memory.doubted, id)
 	if _, ok := l.endpoints[id]; !ok {
 		return nil
 	}
@@ -230,10 +265,17 @@
 		out = append(out, gone)
 		delete(l.endpoints, id)
 		delete(l.missingSince, id)
+		l.memory.depart(now, id, l.isListed)
 	}
 	return out
 }
 
+// isListed reports whether an endpoint is on the list.
+func (l *Lister) isListed(id identifier.Endpoint) bool {
+	_, ok := l.endpoints[id]
+	return ok
+}
+
 // graceEnd returns the time from which a missing entry shows that its endpoint has left, and the
 // grace period that ends then.
 func (l *Lister) graceEnd() (time.Time, Hold) {
--- a/endpointlister/session_test.go
+++ b/endpointlister/session_test.go
@@ -39,8 +39,8 @@
 	id := identifier.Endpoint(ev.Str("endpoint"))
 	switch ev.Name {
 	case "written":
-		e := endpointlister.Endpoint{ID: id, Draining: ev.Bool("draining"), Membership: endpointlister.Membership{Group: identifier.Group(ev.Str("group"))}}
-		return append(out, s.step(now, endpointlister.EntryWritten{Endpoint: e})...), nil
+		e := endpointlister.Endpoint{ID: id, ProcessStart: identifier.ProcessStart(ev.Int("start")), Draining: ev.Bool("draining"), Membership: endpointlister.Membership{Group: identifier.Group(ev.Str("group"))}}
+		return append(out, s.step(now, endpointlister.EntryWritten{Endpoint: e, Sequence: uint64(ev.Int("sequence")), Revision: uint64(ev.Int("revision"))})...), nil
 	case "removed":
 		return append(out, s.step(now, endpointlister.EntryRemoved{ID: id})...), nil
 	case "lost":
@@ -49,6 +49,8 @@
 		return append(out, s.step(now, endpointlister.StoreRegained{})...), nil
 	case "seen":
 		return append(out, s.step(now, endpointlister.StoreSeen{Since: now.Add(-ev.Duration("for")), Until: now.Add(-ev.Duration("age"))})...), nil
+	case "restored":
+		return append(out, s.step(now, endpointlister.StoreRestored{Revision: uint64(ev.Int("revision"))})...), nil
 	case "pass":
 		return out, nil
 	}
--- a/replicator/restore_world_test.go
+++ b/replicator/restore_world_test.go
@@ -382,7 +382,7 @@
 	for i := range fleetSize {
 		m := &restoreMember{world: w, index: i, lister: endpointlister.New(endpointlister.Config{}), listed: map[string]endpointlister.Endpoint{}, left: map[string]bool{}}
 		m.timer = time.AfterFunc(time.Hour, func() { m.step(endpointlister.Ticked{}) })
-		cfg := replicator.Config{Store: m, Peers: m, OnChange: m.apply, OnHealth: m.setHealth, OnContact: func(c replicator.Contact) { m.step(endpointlister.StoreSeen(c)) }}
+		cfg := replicator.Config{Store: m, Peers: m, OnChange: m.apply, OnHealth: m.setHealth, OnContact: func(c replicator.Contact) { m.step(endpointlister.StoreSeen(c)) }, OnRestore: func(a replicator.Restored) { m.step(endpointlister.StoreRestored{Revision: a.Revision}) }}
 		if i%2 == 1 {
 			cfg.Upstream = &restoreUpstream{world: w, parent: i - 1}
 		}
@@ -414,7 +414,7 @@
 			m.step(endpointlister.EntryRemoved{ID: identifier.Endpoint(c.Key)})
 		default:
 			start, sequence, isDraining := parseBeat(c.Value)
-			m.step(endpointlister.EntryWritten{Sequence: sequence, Endpoint: endpointlister.Endpoint{ID: identifier.Endpoint(c.Key), ProcessStart: identifier.ProcessStart(start), Draining: isDraining}})
+			m.step(endpointlister.EntryWritten{Sequence: sequence, Revision: c.Revision, Endpoint: endpointlister.Endpoint{ID: identifier.Endpoint(c.Key), ProcessStart: identifier.ProcessStart(start), Draining: isDraining}})
 		}
 	}
 }
--- a/runner/hosted.go
+++ b/runner/hosted.go
@@ -114,7 +114,7 @@
 	h.upstream = &upstream{hosted: h, failedAt: map[identifier.Instance]time.Time{}, pending: map[identifier.Instance]int{}}
 	h.replica = replicator.New(replicator.Config{
 		Store: h.store, Peers: h.messenger, Upstream: h.upstream, OnChange: h.view.applyChanges, OnHealth: h.view.setStoreHealth,
-		OnContact: h.view.recordContact, Values: h.upstream, OnValue: h.valueMeters.countArrival,
+		OnContact: h.view.recordContact, OnRestore: h.view.handleRestore, Values: h.upstream, OnValue: h.valueMeters.countArrival,
 		MinInterval: minInterval(s.Machine.LinkMbps), ListAfterTimeout: s.Machine.LinkMbps > 0 && s.Machine.LinkMbps < narrowLinkMbps, Logger: logger,
 	})
 	h.newLeases()
--- a/runner/hosted_view.go
+++ b/runner/hosted_view.go
@@ -205,13 +205,13 @@
 		v.stepLister(endpointlister.EntryRemoved{ID: id})
 		return
 	}
-	e, err := platform.DecodeEndpoint(c.Key, c.Value)
+	e, err := platform.DecodeEndpoint(c.Key, c.Value, c.Revision)
 	if err != nil {
 		v.hosted.logger.Warn().Err(err).Uint64("revision", c.Revision).Msg("entry of an endpoint can't be decoded, the endpoint counts as removed")
 		v.stepLister(endpointlister.EntryRemoved{ID: id})
 		return
 	}
-	v.stepLister(endpointlister.EntryWritten{Endpoint: e})
+	v.stepLister(e)
 }
 
 // setStoreHealth passes on whether the store answers.
@@ -226,6 +226,11 @@
 	v.stepAndPublish(endpointlister.StoreRegained{})
 }
 
+// handleRestore passes on that the store was restored from an older copy.
+func (v *view) handleRestore(r replicator.Restored) {
+	v.stepAndPublish(endpointlister.StoreRestored{Revision: r.Revision})
+}
+
 // recordContact passes on that the store answers a peer.
 func (v *view) recordContact(c replicator.Contact) {
 	v.stepAndPublish(endpointlister.StoreSeen(c))
