storeclient: answers, revisions and leases count in one era of the store

A store that was restored from an older copy gives out revisions and lease numbers again. A renewal could extend, and a revocation end, a lease that is another instance's by now; a conditional write could meet by chance a revision of the new history; an answer of the old history that came late counted as the present state.

A lease's ID carries the era in which it was granted. A write that names a revision or a lease of an era that has ended is not sent, and has an unknown outcome if it was answered in a later one; such a lease counts as ended. An answer of an earlier era, without an era or with one that can't be read is not used once the store has named one. A list whose pages are of two eras fails. A store that names no era is served as before.

--- a/storeclient/client.go
+++ b/storeclient/client.go
@@ -68,6 +68,9 @@
 // attempt sends call once. It returns *UnavailableError or, for a write that may have an effect,
 // *UnknownError.
 func (c *Client) attempt(ctx context.Context, call Call) (answer, error) {
+	if err := c.checkEra(call); err != nil {
+		return answer{}, &UnavailableError{Call: call.Operation, Cause: err}
+	}
 	if err := c.admit(ctx, call); err != nil {
 		c.meters.count(ctx, call.Operation, "refused", 0)
 		return answer{}, &UnavailableError{Call: call.Operation, Cause: err}
@@ -75,8 +78,7 @@
 	start := c.cfg.Now()
 	a, err := c.exchange(ctx, call)
 	ok := err == nil && a.Result != ResultBusy && a.Result != ResultFailed
-	var malformed *MalformedError
-	c.recordOutcome(ctx, call, ok || errors.As(err, &malformed), err)
+	c.recordOutcome(ctx, call, ok || isUnusable(err), err)
 	c.meters.count(ctx, call.Operation, resultName(a, err), c.cfg.Now().Sub(start))
 	if ok {
 		return a, nil
@@ -90,6 +92,13 @@
 	return answer{}, &UnknownError{Call: call.Operation, Key: call.Key, Cause: err}
 }
 
+// isUnusable reports whether the store has answered, with an answer that can't be used.
+func isUnusable(err error) bool {
+	var malformed *MalformedError
+	var foreign *EraError
+	return errors.As(err, &malformed) || errors.As(err, &foreign) || isEnded(err)
+}
+
 // admit waits for the budget and checks the circuit. If the circuit blocks calls, admit does not wait.
 func (c *Client) admit(ctx context.Context, call Call) error {
 	if c.circuitBlocked() {
@@ -158,7 +167,8 @@
 }
 
 // exchange sends call over HTTP and decodes the answer. It returns a *MalformedError if the body of
-// the answer cannot be decoded.
+// the answer cannot be decoded, and an *EraError or *EndedEraError if it and
+// the call do not belong to the current era.
 func (c *Client) exchange(ctx context.Context, call Call) (answer, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.cfg.CallTimeout+call.Wait)
 	defer cancel()
@@ -185,9 +195,9 @@
 	}
 	out := answer{Reply: reply, status: resp.StatusCode, etag: resp.Header.Get("ETag")}
 	if reply.Result.showsState() {
-		named, problem := c.cfg.Dialect.Era(resp.Header)
-		_ = c.recordEra(call, named, problem) // only logged and counted
-		out.era = named
+		if out.era, err = c.acceptEra(call, resp.Header); err != nil {
+			return answer{}, err
+		}
 	}
 	return out, nil
 }
@@ -238,7 +248,7 @@
 		}
 		errors.As(err, &unknown)
 		var circuitErr *CircuitError
-		if errors.As(err, &circuitErr) {
+		if errors.As(err, &circuitErr) || isEnded(err) {
 			break
 		}
 	}
--- a/storeclient/config.go
+++ b/storeclient/config.go
@@ -37,6 +37,8 @@
 
 	WatchWait time.Duration // longest time for which the store holds one watch; default 30 s
 
+	OnRestore func(Era) // the store was restored from an older copy, by the new era; must not block; may be nil
+
 	Random rand.Source      // for jitter and write names; default: seeded by the runtime
 	Now    func() time.Time // default time.Now
 	Logger zerolog.Logger   // the zero value logs nothing
--- a/storeclient/dialect.go
+++ b/storeclient/dialect.go
@@ -38,6 +38,7 @@
 	Key       string        // key of an entry; common prefix of a list or watch; lease of a renewal or revocation
 	After     string        // last key of the previous page of a list; empty for the first page
 	Revision  uint64        // revision that the key must have for a write; revision after which a watch starts
+	Era       Era           // in which Revision and Lease of a write count; zero if that is not known
 	Value     []byte        // value of a create or swap
 	Lease     LeaseID       // lease to attach to the key, or to renew or revoke
 	TTL       time.Duration // time to live of a granted lease
@@ -45,6 +46,10 @@
 	ETag      string        // ETag of the answer that the caller has; empty for none
 }
 
+// dependsOnEra reports whether the call is a write whose meaning depends on the era: the store may have given its
+// revision or its lease out again in a later one.
+func (c Call) dependsOnEra() bool { return c.Operation.isWrite() && (c.Revision > 0 || c.Lease != "") }
+
 // Request is a call as encoded by a Dialect. Body is sent as JSON unless it is nil.
 type Request struct {
 	Method string
--- a/storeclient/entry.go
+++ b/storeclient/entry.go
@@ -77,8 +77,14 @@
 // outcome by reading the key back.
 func (c *Client) put(ctx context.Context, op Operation, key string, revision uint64, value []byte, lease LeaseID) (Entry, error) {
 	name := c.newWriteName()
-	call := Call{Operation: op, Key: key, Revision: revision, Value: addWriteName(name, value), Lease: lease}
+	call := Call{Operation: op, Key: key, Revision: revision, Era: c.Era(), Value: addWriteName(name, value)}
+	if lease != "" {
+		call.Lease, call.Era = splitLease(lease)
+	}
 	a, mayHaveApplied, err := c.callWithRetries(ctx, call)
+	if isEnded(err) && !mayHaveApplied && lease != "" {
+		return Entry{}, &NotFoundError{Key: string(lease)}
+	}
 	if err != nil {
 		return Entry{}, err
 	}
@@ -115,7 +121,7 @@
 // Delete removes key if its last write has the given revision. Its errors are *NotFoundError,
 // *ConflictError, *UnavailableError and *UnknownError.
 func (c *Client) Delete(ctx context.Context, key string, revision uint64) error {
-	call := Call{Operation: OperationDelete, Key: key, Revision: revision}
+	call := Call{Operation: OperationDelete, Key: key, Revision: revision, Era: c.Era()}
 	a, mayHaveApplied, err := c.callWithRetries(ctx, call)
 	if err != nil {
 		return err
@@ -164,6 +170,9 @@
 		if call.After == "" {
 			s.Revision, s.Era = a.Revision, a.era
 		}
+		if a.era != s.Era {
+			return Snapshot{}, &UnavailableError{Call: call.Operation, Cause: &EndedEraError{Era: s.Era, Known: a.era}}
+		}
 		for _, e := range a.Entries {
 			s.Entries = append(s.Entries, e.entry())
 			call.After = e.Key
--- a/storeclient/fake_test.go
+++ b/storeclient/fake_test.go
@@ -4,12 +4,15 @@
 	"bytes"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strconv"
 	"strings"
 	"time"
+
+	"amaranthmill/storeclient"
 )
 
 // fault is the fault injected into one call of the platform's store.
@@ -24,6 +27,10 @@
 	faultDown     fault = "down"     // 503
 	faultSlow     fault = "slow"     // the call takes effect, and the answer arrives after 3 s
 	faultStale    fault = "stale"    // a read returns the value before the last write
+	faultNoEra    fault = "noEra"    // the answer names no era
+	faultBadEra   fault = "badEra"   // the answer's era can't be read
+	faultOldEra   fault = "oldEra"   // the answer names the era before the current one
+	faultRestore  fault = "restore"  // the call is performed in the era after the one in which it was sent
 )
 
 type stored struct {
@@ -39,10 +46,47 @@
 	entries     map[string]stored
 	previous    map[string]stored // the value that the last write of each key replaced
 	revision    uint64
+	era         uint64 // zero for a store that names none
 	calls       []string
 	delayedCall func()
 }
 
+// eraDialect is the plain dialect with a header that names the era.
+type eraDialect struct{ storeclient.PlainDialect }
+
+func (eraDialect) Era(h http.Header) (storeclient.Era, string) {
+	text := h.Get("Era")
+	era, err := strconv.ParseUint(text, 10, 64)
+	if err != nil && text != "" {
+		return 0, "can't be read"
+	}
+	return storeclient.Era(era), ""
+}
+
+// restore brings the store back, in an era, from a copy that has no entries after a revision.
+func (p *platform) restore(era string, revision uint64) {
+	p.era, _ = strconv.ParseUint(era, 10, 64)
+	for path, e := range p.entries {
+		if e.Revision > revision {
+			delete(p.entries, path)
+		}
+	}
+	p.revision = revision
+}
+
+// header returns the header of an answer.
+func (p *platform) header(f fault) http.Header {
+	switch {
+	case p.era == 0 || f == faultNoEra:
+		return http.Header{}
+	case f == faultBadEra:
+		return http.Header{"Era": {"x"}}
+	case f == faultOldEra:
+		return http.Header{"Era": {fmt.Sprint(p.era - 1)}}
+	}
+	return http.Header{"Era": {fmt.Sprint(p.era)}}
+}
+
 func (p *platform) RoundTrip(r *http.Request) (*http.Response, error) {
 	p.calls = append(p.calls, r.Method+r.URL.Query().Get("wait"))
 	f := fault("")
@@ -71,6 +115,9 @@
 	case faultStale:
 		return response(http.StatusOK, p.previous[r.URL.Path]), nil
 	}
+	if f == faultRestore {
+		p.era++
+	}
 	status, answer := p.apply(r, body)
 	switch f {
 	case faultLose, faultReplaced:
@@ -85,11 +132,13 @@
 			return nil, r.Context().Err()
 		}
 	}
-	return response(status, answer), nil
+	resp := response(status, answer)
+	resp.Header = p.header(f)
+	return resp, nil
 }
 
 func (p *platform) apply(r *http.Request, body map[string]string) (int, any) {
-	if r.URL.Path == "/watch" {
+	if r.URL.Path == "/watch" || r.URL.Path == "/kv" {
 		return http.StatusOK, map[string]uint64{"revision": p.revision}
 	}
 	if strings.HasPrefix(r.URL.Path, "/leases") {
--- a/storeclient/lease.go
+++ b/storeclient/lease.go
@@ -19,24 +19,30 @@
 	if a.Result != ResultOK || a.Lease == "" {
 		return "", unexpectedAnswer(call, a)
 	}
-	return a.Lease, nil
+	return scopedLease(a.Lease, a.era), nil
 }
 
 // Renew restarts the time to live of the lease. It makes only one attempt, so that its caller knows
-// when the successful attempt was sent. Its errors are *NotFoundError for an expired lease,
+// when the successful attempt was sent. Its errors are *NotFoundError for a lease that has expired or is of an era that has ended,
 // *UnavailableError and *UnknownError.
 func (c *Client) Renew(ctx context.Context, lease LeaseID) error {
-	call := Call{Operation: OperationRenew, Key: string(lease), Lease: lease}
+	id, era := splitLease(lease)
+	call := Call{Operation: OperationRenew, Key: string(lease), Lease: id, Era: era}
 	a, err := c.attempt(ctx, call)
+	if isEnded(err) {
+		return &NotFoundError{Key: call.Key}
+	}
 	return leaseError(call, a, err)
 }
 
 // Revoke ends the lease and removes its keys. Its errors are *UnavailableError and
-// *UnknownError; a lease that has already expired is not an error.
+// *UnknownError; a lease that has already expired, or is of an era that has ended,
+// is not an error.
 func (c *Client) Revoke(ctx context.Context, lease LeaseID) error {
-	call := Call{Operation: OperationRevoke, Key: string(lease), Lease: lease}
+	id, era := splitLease(lease)
+	call := Call{Operation: OperationRevoke, Key: string(lease), Lease: id, Era: era}
 	a, _, err := c.callWithRetries(ctx, call)
-	if err == nil && a.Result == ResultNoLease {
+	if isEnded(err) || err == nil && a.Result == ResultNoLease {
 		return nil
 	}
 	return leaseError(call, a, err)
--- a/storeclient/session_test.go
+++ b/storeclient/session_test.go
@@ -43,7 +43,8 @@
 	p := &platform{entries: map[string]stored{}, previous: map[string]stored{}}
 	c := storeclient.New(storeclient.Config{
 		Address: netip.MustParseAddrPort("10.0.0.1:80"),
-		HTTP:    &http.Client{Transport: p}, Random: rand.NewPCG(1, 2), WritesPerSecond: 1, Burst: 12,
+		HTTP:    &http.Client{Transport: p}, Random: rand.NewPCG(1, 2), WritesPerSecond: 1, Burst: 12, Dialect: eraDialect{},
+		OnRestore: func(era storeclient.Era) { p.calls = append(p.calls, fmt.Sprintf("(restored in era %d)", era)) },
 	})
 	start := time.Now()
 	var out []string
@@ -56,6 +57,10 @@
 			}
 			continue
 		}
+		if e.ev.Name == "restore" {
+			p.restore(e.ev.Str("era"), uint64(e.ev.Int("revision")))
+			continue
+		}
 		p.calls = nil
 		began := time.Now()
 		result := call(c, e.ev)
@@ -90,8 +95,18 @@
 		var changes storeclient.Changes
 		changes, err = c.Watch(ctx, key, revision)
 		e.Revision = changes.Revision
+	case "list":
+		var s storeclient.Snapshot
+		s, err = c.Snapshot(ctx, "")
+		e.Revision = s.Revision
+	case "grant":
+		var lease storeclient.LeaseID
+		lease, err = c.Grant(ctx, time.Minute)
+		e.Value = []byte(lease)
+	case "revoke":
+		err = c.Revoke(ctx, storeclient.LeaseID(ev.Str("lease")))
 	case "renew":
-		err = c.Renew(ctx, "lease-1")
+		err = c.Renew(ctx, storeclient.LeaseID(ev.Str("lease")))
 	default:
 		return "no such event"
 	}
