leaser: leases are acquired again after a restore of the store

A holder acted on its lease for up to three quarters of its time to live after the store had come back from a copy that lacks the lease, while another instance could claim the key at once: two holders.

The holder now gives up the lease at the first answer of a later era and acquires another one; the answer to a call from before does not count.

--- a/leaser/core.go
+++ b/leaser/core.go
@@ -23,6 +23,9 @@
 	stopping      bool
 	isWithdrawn   bool // the lease is released, and no other is acquired
 	callPending   bool
+	isOutdated    bool      // the pending call was made before a restore of the store
+	isLastHolder  bool      // the key was claimed, and no other holder has been seen since
+	acquireAfter  time.Time // when another holder from before a restore must have stopped acting; zero if there was none
 	ended         bool
 }
 
@@ -35,7 +38,7 @@
 	phaseHeld                 // the key is claimed under the lease
 )
 
-// Event is an input of a Core: Tick, Answered, Freed, CheckIntervalSet, CandidacySet or Stop.
+// Event is an input of a Core: Tick, Answered, Freed, Restored, CheckIntervalSet, CandidacySet or Stop.
 type Event interface{ event() }
 
 // Tick reports the current time. Wall is the wall clock, which advances while the machine is
@@ -53,6 +56,10 @@
 // Freed reports that the key was deleted, so that the core checks it at once.
 type Freed struct{}
 
+// Restored reports that the store was restored from an older copy, so that it may not know the lease, or may have granted
+// its number to another holder. It comes before the answer that shows the restore.
+type Restored struct{}
+
 // CheckIntervalSet replaces Config.CheckInterval from the next check on.
 type CheckIntervalSet struct{ Interval time.Duration }
 
@@ -66,6 +73,7 @@
 func (Tick) event()             {}
 func (Answered) event()         {}
 func (Freed) event()            {}
+func (Restored) event()         {}
 func (CheckIntervalSet) event() {}
 func (CandidacySet) event()     {}
 func (Stop) event()             {}
@@ -102,7 +110,7 @@
 }
 
 // Hold states until when the holder may act. If Until is zero, the holder must not act. Fence is
-// the revision of the key and serves as fencing number: it increases with each new holder.
+// the revision of the key and serves as fencing number: it increases with each new holder in one era of the store.
 type Hold struct {
 	Until time.Time
 	Fence uint64
@@ -129,6 +137,8 @@
 		out = c.handleTick(now, e.Wall)
 	case Answered:
 		out = c.handleAnswer(now, e)
+	case Restored:
+		out = c.handleRestore(now)
 	case CheckIntervalSet:
 		c.checkInterval = e.Interval
 	case Freed:
@@ -155,6 +165,17 @@
 	return c.startCall(now)
 }
 
+// handleRestore gives up the lease and acquires another one. An instance other than the last holder waits for the time to
+// live first: the last holder may not know of the restore yet, and acts until its last renewal ends.
+func (c *Core) handleRestore(now time.Time) []Action {
+	if !c.isLastHolder {
+		c.acquireAfter = now.Add(c.ttl)
+	}
+	c.phase, c.lease, c.freeSince = phaseIdle, "", time.Time{}
+	c.isOutdated = c.callPending
+	return c.restart(now)
+}
+
 // isReleasing reports whether the core releases the lease and acquires no other.
 func (c *Core) isReleasing() bool { return c.stopping || c.isWithdrawn }
 
@@ -205,6 +226,10 @@
 // handleAnswer advances the phase by the result of a call and starts or schedules the next call.
 func (c *Core) handleAnswer(now time.Time, e Answered) []Action {
 	c.callPending = false
+	if c.isOutdated {
+		c.isOutdated = false
+		return c.startCall(now)
+	}
 	if c.isReleasing() || e.Call == CallRevoke {
 		if e.Call == CallGrant && e.Result == ResultOK {
 			c.lease = e.Lease
@@ -225,12 +250,16 @@
 	case e.Result == ResultRefused:
 		c.freeSince = time.Time{}
 		c.phase, c.lease, c.holdUntil = phaseIdle, "", time.Time{}
+		c.isLastHolder = c.isLastHolder && e.Call != CallCheck && e.Call != CallClaim
 		if e.Call == CallRenew {
 			c.nextCallAt = now
 			return c.startCall(now) // the lease has expired, so that the key is probably free
 		}
 		c.nextCallAt = now.Add(c.checkInterval)
 		return nil
+	case e.Call == CallCheck && now.Before(c.acquireAfter):
+		c.nextCallAt = c.acquireAfter
+		return nil
 	case e.Call == CallCheck && c.defersAcquisition(now):
 		c.nextCallAt = c.freeSince.Add(c.acquireDelay)
 		return nil
@@ -245,7 +274,7 @@
 	if e.Call == CallClaim {
 		c.fence = e.Fence
 	}
-	c.phase = phaseHeld
+	c.phase, c.isLastHolder = phaseHeld, true
 	c.nextCallAt = c.sentAt.Add(c.ttl / 3)
 	if e.Call == CallClaim || c.sentAt.IsZero() {
 		c.nextCallAt = now // a claim does not extend the lease and a renewal sent before a pause does not count: renew at once
--- a/leaser/core_test.go
+++ b/leaser/core_test.go
@@ -31,6 +31,8 @@
 		e = leaser.Stop{}
 	case "candidate":
 		e = leaser.CandidacySet{IsCandidate: ev.Bool("is")}
+	case "restored":
+		e = leaser.Restored{}
 	case "freed":
 		e = leaser.Freed{}
 	case "checkInterval":
--- a/leaser/leaser.go
+++ b/leaser/leaser.go
@@ -78,6 +78,9 @@
 // Freed reports that the key was deleted, so that the leaser checks it at once.
 func (l *Leaser) Freed() { l.step.Submit(Freed{}) }
 
+// Restored reports that the store was restored from an older copy. It does not block.
+func (l *Leaser) Restored() { l.step.Submit(Restored{}) }
+
 // SetCheckInterval replaces Config.CheckInterval from the next check on.
 func (l *Leaser) SetCheckInterval(d time.Duration) { l.step.Submit(CheckIntervalSet{Interval: d}) }
 
--- a/runner/hosted.go
+++ b/runner/hosted.go
@@ -128,10 +128,16 @@
 		Address: s.Store.Address, Instance: s.Instance, Dialect: platform.Store{}, HTTP: h.newClient(s.SourceAddress, storeTimeout),
 		ReadsPerSecond: storeShare * s.Store.ReadsPerSecond, WritesPerSecond: storeShare * s.Store.WritesPerSecond,
 		CallTimeout: storeTimeout, BackoffBase: storeBackoff, BackoffMax: storeBackoffMax, CircuitFailures: circuitFailures,
-		TrialDelayBase: circuitWait, TrialDelayMax: circuitWait, WatchWait: storeWait(s.Machine.LinkMbps), Logger: h.logger, Meter: h.meter,
+		TrialDelayBase: circuitWait, TrialDelayMax: circuitWait, WatchWait: storeWait(s.Machine.LinkMbps), OnRestore: h.handleRestore, Logger: h.logger, Meter: h.meter,
 	})
 }
 
+// handleRestore makes the leases be acquired again after a restore of the store.
+func (h *hosted) handleRestore(storeclient.Era) {
+	h.instanceLease.Restored()
+	h.formingLease.Restored()
+}
+
 // newForwarder returns the forwarder of callers' requests. Its callbacks use components that are created after it.
 func (h *hosted) newForwarder() *forwarder.Forwarder {
 	s := h.settings
