groupformer: epochs go on when the store was restored

After a restore of the store from an older copy, the fence of the next holder of the lease may be lower than that of the holders before. Its epochs were lower than those that engines had seen, so that engines refused its joins and lost groups were not formed again; a holder whose own fence fell kept the state of its old lease.

Epochs now go on from the highest one that an engine shows in its entry or report, and skip a growing number when an engine refuses one as too low. A fence that differs is a new lease, also if it is lower.

--- a/groupformer/doc.go
+++ b/groupformer/doc.go
@@ -9,7 +9,8 @@
 //     closed and out of that group, or counts as dead. An engine that only answers nothing
 //     counts as dead after a longer time than a live engine may be silent.
 //   - Epochs only increase, across all holders of the lease: the fence, which is the revision
-//     of the lease's key, forms their high-order part.
+//     of the lease's key, forms their high-order part. After a restore of the store the fence may
+//     be lower; epochs go on from the highest one that an engine has shown or refused.
 //   - Each order carries the number of orders that the engine has accepted so far. An order
 //     without an answer may be executed late; if the engine has accepted another order in the
 //     meantime, the number no longer matches and the engine rejects the late order.
--- a/groupformer/former.go
+++ b/groupformer/former.go
@@ -31,8 +31,7 @@
 	released           map[identifier.Group]releasedGroup // dissolved groups, which their members may still report
 	assignedCurrent    bool                               // engine.assigned is up to date; false after groups or engines changed
 	leaseUntil         time.Time                          // when the lease ends unless it is renewed
-	fence              uint64                             // of the current lease
-	epochsIssued       uint64                             // under the current fence
+	epochs             epochs
 	ordersIssued       uint64
 	loadBudgets        map[identifier.Service]*loadBudget
 	demands            map[poolKey]*demand
@@ -125,13 +124,13 @@
 
 func (f *Former) emit(a Action) { f.actions = append(f.actions, a) }
 
-// setLease records the lease. Under a new fence, the known groups are discarded and learned
+// setLease records the lease. Under another fence, the known groups are discarded and learned
 // again from the engines.
 func (f *Former) setLease(now time.Time, lease LeaseSet) {
-	if lease.Fence > f.fence {
+	if lease.Fence != f.epochs.fence && lease.Fence > 0 {
 		f.demandReports, f.allocations = demandReports{}, map[identifier.Service]*allocation{}
 		f.leaseBeganAt = now
-		f.fence, f.epochsIssued = lease.Fence, 0
+		f.epochs.setFence(lease.Fence)
 		f.groups, f.assignedCurrent = map[identifier.Group]*group{}, false
 		f.released = map[identifier.Group]releasedGroup{}
 		for _, e := range f.engines {
@@ -143,16 +142,6 @@
 	f.leaseUntil = lease.Until
 }
 
-// epochsPerFence bounds the epochs that one holder of the lease issues.
-const epochsPerFence = 1 << 20
-
-// nextEpoch returns an epoch that is higher than all epochs issued before by any holder of the
-// lease.
-func (f *Former) nextEpoch() identifier.Epoch {
-	f.epochsIssued++
-	return identifier.Epoch(f.fence*epochsPerFence + f.epochsIssued)
-}
-
 // setServices replaces the services. Services without models are ignored.
 func (f *Former) setServices(now time.Time, services []resolver.Service) {
 	f.services = map[identifier.Service]*resolver.EngineProfile{}
@@ -190,6 +179,7 @@
 	if l.FabricDomain == "" {
 		return
 	}
+	f.epochs.observe(l.Membership.Epoch)
 	if e := f.engines[l.ID]; e != nil {
 		e.applyListing(now, l)
 		return
--- a/groupformer/group.go
+++ b/groupformer/group.go
@@ -218,7 +218,7 @@
 
 // createGroup starts to form a group of free engines.
 func (f *Former) createGroup(now time.Time, service identifier.Service, model resolver.Model, members []*engine) {
-	epoch := f.nextEpoch()
+	epoch := f.epochs.next()
 	g := &group{
 		name: groupName(members[0].ID, epoch), epoch: epoch, model: model, service: service, phaseSince: now,
 	}
--- a/groupformer/order.go
+++ b/groupformer/order.go
@@ -27,6 +27,7 @@
 		e.uncertain = true
 	case ResultStale:
 		e.uncertain = true
+		f.epochs.raise()
 		if g := f.groups[operationGroup(order.Operation)]; g != nil {
 			f.dissolve(now, g, e.ID, "stale")
 		}
--- a/groupformer/query.go
+++ b/groupformer/query.go
@@ -39,6 +39,7 @@
 	if e == nil {
 		return
 	}
+	f.epochs.observe(r.Endpoint.Membership.Epoch)
 	if r.Endpoint.ProcessStart == e.ProcessStart {
 		e.applyReport(now, r)
 		return
