messenger: a compressed value is found by its content

The compressed large values that are kept for followers were found by key and revision. After a restore of the store another value can have the same revision, and followers would have been sent the old one, with a checksum that fits it: they would have kept an older configuration (CONFIG), seen by reading. They are found by the checksums of value and base now. TestValueOfLaterEraIsSent fails before.

--- a/messenger/value.go
+++ b/messenger/value.go
@@ -214,30 +214,28 @@
 	bytes   int // of the kept values
 }
 
-// encoding is a compressed value.
+// encoding is a compressed value. Its checksums identify it, because a restored store gives out revisions again.
 type encoding struct {
-	key            string
-	revision, base uint64
-	compressed     []byte
-	sum            uint64 // of the value
+	sum, baseSum uint64 // of the value and of its base
+	compressed   []byte
 }
 
 // encode returns v in compressed form.
 func (c *valueCache) encode(v replicator.Value) (encoding, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for _, e := range c.kept {
-		if e.key == v.Key && e.revision == v.Revision && e.base == v.BaseRevision {
-			return e, nil
+	e := encoding{sum: differ.Sum(v.Value), baseSum: differ.Sum(v.Base)}
+	for _, kept := range c.kept {
+		if kept.sum == e.sum && kept.baseSum == e.baseSum {
+			return kept, nil
 		}
 	}
-	compressed, err := c.encoder.Encode(v.Value, v.Base)
-	if err != nil {
+	var err error
+	if e.compressed, err = c.encoder.Encode(v.Value, v.Base); err != nil {
 		return encoding{}, err
 	}
-	e := encoding{key: v.Key, revision: v.Revision, base: v.BaseRevision, compressed: compressed, sum: differ.Sum(v.Value)}
 	c.kept = append(c.kept, e)
-	c.bytes += len(compressed)
+	c.bytes += len(e.compressed)
 	for len(c.kept) > maxEncodings || c.bytes > maxEncodingBytes {
 		c.bytes -= len(c.kept[0].compressed)
 		c.kept = slices.Delete(c.kept, 0, 1)
--- a/messenger/value_test.go
+++ b/messenger/value_test.go
@@ -201,3 +201,24 @@
 	var sum *differ.SumError
 	is.True(errors.As(err, &sum))
 }
+
+// TestValueOfLaterEraIsSent guards against a compressed value that is sent again after the store was restored from an older
+// copy: another value has the same revision then.
+func TestValueOfLaterEraIsSent(t *testing.T) {
+	is := is.New(t)
+	value := largeValue(8)
+	m := messenger.New(messenger.Config{Peers: &messenger.Peers{}, Values: messenger.Values{
+		Value: func(context.Context, string, uint64, uint64, time.Duration) (replicator.Value, error) {
+			return replicator.Value{Entry: storeclient.Entry{Key: "config", Value: value, Revision: 9}}, nil
+		},
+	}})
+	server := httptest.NewServer(m.Handler())
+	defer server.Close()
+	peer := messenger.Peer{Instance: "alpine-1", Address: netip.MustParseAddrPort(server.Listener.Addr().String())}
+	follower, _ := newFollower(&messenger.Peers{})
+	for _, value = range [][]byte{largeValue(8), largeValue(7)} {
+		e, err := follower.FetchValue(t.Context(), peer, replicator.Reference{Key: "config", Revision: 9}, storeclient.Entry{})
+		is.NoErr(err)
+		is.True(bytes.Equal(e.Value, value))
+	}
+}
