standin/hosted: the store is restored from an older copy

The stand-in store had no such fault. It keeps copies of the last ten seconds and comes back from one in the next era, which all its answers name; revisions and lease numbers are given out again, and the operator and the engines write again what is lost. An engine's entry counts its writes in sequence.

endpointlister: an entry of the copy with the same sequence as the last statement is doubted too.

--- a/endpointlister/restore.go
+++ b/endpointlister/restore.go
@@ -59,7 +59,7 @@
 	}
 	s := statement{start: e.Endpoint.ProcessStart, sequence: e.Sequence}
 	last, isKnown := m.last[e.Endpoint.ID]
-	isOld := s.precedes(last) || isKnown && !isListed && s.start <= last.start
+	isOld := isKnown && (!last.precedes(s) || !isListed && s.start <= last.start)
 	if isOld && e.Revision <= m.revision && now.Before(m.attestedAt) {
 		m.doubted[e.Endpoint.ID] = e
 		return true
--- a/standin/hosted/engine.go
+++ b/standin/hosted/engine.go
@@ -47,6 +47,7 @@
 	draining        bool
 	born            int64 // start time in Unix milliseconds
 	acceptedOrders  uint64
+	writes          uint64 // of its entry
 	models          []string
 	staged          []string
 	group           membership
@@ -194,13 +195,18 @@
 func (e *Engine) publish() {
 	e.mu.Lock()
 	unpublished := e.dead || e.disconnected
+	e.writes++
+	writes := e.writes
 	e.mu.Unlock()
-	if !unpublished {
-		e.store.Put("servers/"+e.ID, e.report())
+	if unpublished {
+		return
 	}
+	entry := e.report()
+	entry["sequence"] = writes
+	e.store.Put("servers/"+e.ID, entry)
 }
 
-// report returns the engine's report, which is also the value of its entry.
+// report returns the engine's report, which is also the value of its entry but for the sequence.
 func (e *Engine) report() map[string]any {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/standin/hosted/store.go
+++ b/standin/hosted/store.go
@@ -18,12 +18,15 @@
 	down        bool
 	delay       time.Duration // before each answer
 	answerLoss  lossCounter   // answers to writes that were performed
+	era         uint64        // rises with each restore
 	revision    uint64
 	compactedTo uint64 // revision up to which the history was dropped
 	items       map[string]item
 	history     []item
 	leases      map[uint64]*lease
-	changed     chan struct{} // closed and replaced at each change
+	changed     chan struct{}     // closed and replaced at each change
+	copies      []storeCopy       // from which the store may be restored, in order of time
+	written     map[string][]byte // what the operator and the engines wrote last, by key; nil for a removed one
 }
 
 // item is an entry. With Tombstone set, it records the removal of the entry.
@@ -43,7 +46,7 @@
 
 // NewStore returns an empty store.
 func NewStore() *Store {
-	return &Store{items: map[string]item{}, leases: map[uint64]*lease{}, changed: make(chan struct{})}
+	return &Store{era: 1, items: map[string]item{}, leases: map[uint64]*lease{}, changed: make(chan struct{}), written: map[string][]byte{}}
 }
 
 // SetDown sets whether the store answers every call with status 503.
@@ -96,13 +99,15 @@
 func (s *Store) PutRaw(key string, value []byte) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.written[key] = value
 	s.put(key, value, 0)
 }
 
-// Remove deletes a key.
+// Remove deletes a key as the operator and the engines do.
 func (s *Store) Remove(key string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.written[key] = nil
 	s.remove(key)
 }
 
@@ -135,6 +140,7 @@
 
 func (s *Store) appendHistory(it item) {
 	s.history = append(s.history, it)
+	s.keepCopy()
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
@@ -172,6 +178,7 @@
 		s.mu.Lock()
 		down, delay := s.down, s.delay
 		s.expireLeases()
+		s.nameEra(w)
 		s.mu.Unlock()
 		if down {
 			w.WriteHeader(http.StatusServiceUnavailable)
@@ -187,6 +194,11 @@
 	})
 }
 
+// nameEra names the store's era in the header of an answer. s.mu is held.
+func (s *Store) nameEra(w http.ResponseWriter) {
+	w.Header().Set("Store-Era", strconv.FormatUint(s.era, 10))
+}
+
 func writeJSON(w http.ResponseWriter, status int, v any) {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
@@ -196,6 +208,7 @@
 func (s *Store) serveKey(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.nameEra(w)
 	it, ok := s.items[r.URL.Query().Get("key")]
 	if !ok {
 		w.WriteHeader(http.StatusNotFound)
@@ -210,6 +223,7 @@
 func (s *Store) serveRange(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.nameEra(w)
 	q := r.URL.Query()
 	out := struct {
 		Items         []item `json:"items"`
@@ -236,7 +250,7 @@
 	timer := time.NewTimer(time.Duration(ms) * time.Millisecond)
 	defer timer.Stop()
 	for {
-		events, revision, changed, compacted := s.eventsSince(q.Get("prefix"), after)
+		events, revision, changed, compacted := s.eventsSince(w, q.Get("prefix"), after)
 		if compacted {
 			w.WriteHeader(http.StatusGone)
 			return
@@ -257,17 +271,18 @@
 }
 
 // eventsSince returns the changes after a revision to keys with a prefix, the current
-// revision and a channel that is closed at the next change. It sets compacted if the history
-// that it needs was dropped.
-func (s *Store) eventsSince(prefix string, after uint64) (events []item, revision uint64, changed chan struct{}, compacted bool) {
+// revision and a channel that is closed at the next change, for the answer to w. It sets compacted if
+// the history that it needs was dropped, or the store does not have the revision.
+func (s *Store) eventsSince(w http.ResponseWriter, prefix string, after uint64) (events []item, revision uint64, changed chan struct{}, compacted bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.nameEra(w)
 	for _, it := range s.history {
 		if it.Revision > after && strings.HasPrefix(it.Key, prefix) {
 			events = append(events, it)
 		}
 	}
-	return events, s.revision, s.changed, after < s.compactedTo
+	return events, s.revision, s.changed, after < s.compactedTo || after > s.revision
 }
 
 func (s *Store) serveTransaction(w http.ResponseWriter, r *http.Request) {
@@ -282,6 +297,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.nameEra(w)
 	for _, c := range t.Expected {
 		if s.items[c.Key].Revision != c.Revision {
 			var items []item
@@ -319,6 +335,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.nameEra(w)
 	s.revision++
 	ttl := time.Duration(body.TTLMs) * time.Millisecond
 	s.leases[s.revision] = &lease{ttl: ttl, expiry: time.Now().Add(ttl)}
@@ -328,6 +345,7 @@
 func (s *Store) serveKeep(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.nameEra(w)
 	id, _ := strconv.ParseUint(r.PathValue("id"), 10, 64)
 	l := s.leases[id]
 	if l == nil {
@@ -341,6 +359,7 @@
 func (s *Store) serveLeaseEnd(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.nameEra(w)
 	id, _ := strconv.ParseUint(r.PathValue("id"), 10, 64)
 	if s.leases[id] == nil {
 		w.WriteHeader(http.StatusNotFound)
