amaranthmill: SIGHUP is handled from the start of the process

A SIGHUP that came within some 6 ms of the start ended the process: the signal was registered only when all components were created. It is registered first now.

--- a/cmd/amaranthmill/main.go
+++ b/cmd/amaranthmill/main.go
@@ -8,6 +8,8 @@
 	"fmt"
 	"io"
 	"os"
+	"os/signal"
+	"syscall"
 
 	"amaranthmill/configurer"
 	"amaranthmill/internal/identifier"
@@ -71,6 +73,8 @@
 // runHosted runs an instance on a platform. Its log lines go through a buffer, so that writing
 // them never delays a request.
 func runHosted(o *options) {
+	reloads := make(chan os.Signal, 1)
+	signal.Notify(reloads, syscall.SIGHUP) // before all else, because the signal ends a process that does not handle it
 	settings, err := configurer.ReadHosted(o.settingsPath())
 	exitOnInvalid(o, err)
 	logs := logwriter.New(logwriter.Config{Out: os.Stdout})
@@ -81,7 +85,7 @@
 		_ = logs.Run(ctx) // always returns nil
 	}()
 	logger := newLogger(logs, settings.Log.Level, settings.Instance)
-	err = runner.RunHosted(o.settingsPath(), settings, logger)
+	err = runner.RunHosted(o.settingsPath(), settings, reloads, logger)
 	if err != nil {
 		logger.Error().Interface("error", eris.ToJSON(err, false)).Msg("instance failed")
 	}
--- a/runner/hosted_reload.go
+++ b/runner/hosted_reload.go
@@ -4,9 +4,7 @@
 	"bytes"
 	"context"
 	"os"
-	"os/signal"
 	"reflect"
-	"syscall"
 	"time"
 
 	"amaranthmill/configurer"
@@ -21,30 +19,28 @@
 // can't be read or is invalid, the settings remain unchanged.
 type reloader struct {
 	path    string
+	signals <-chan os.Signal // SIGHUP
 	logger  zerolog.Logger
 	apply   func(old, settings *configurer.HostedSettings)
 	current *configurer.HostedSettings
 	text    []byte // content of the file at the last read
 }
 
-func newReloader(path string, s *configurer.HostedSettings, logger zerolog.Logger, apply func(old, settings *configurer.HostedSettings)) *reloader {
-	r := &reloader{path: path, logger: logger, apply: apply, current: s}
+func newReloader(path string, s *configurer.HostedSettings, signals <-chan os.Signal, logger zerolog.Logger, apply func(old, settings *configurer.HostedSettings)) *reloader {
+	r := &reloader{path: path, signals: signals, logger: logger, apply: apply, current: s}
 	r.text, _ = os.ReadFile(path) // the caller has just read the file; reloadIfChanged reports an error
 	return r
 }
 
 // run reads the file at intervals and at each SIGHUP until ctx is done. It returns nil.
 func (r *reloader) run(ctx context.Context) error {
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
-	defer signal.Stop(hup)
 	t := time.NewTicker(reloadInterval)
 	defer t.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-hup:
+		case <-r.signals:
 			r.logger.Info().Msg("SIGHUP received, the settings file is read again")
 		case <-t.C:
 		}
--- a/runner/hosted_run.go
+++ b/runner/hosted_run.go
@@ -27,9 +27,9 @@
 }
 
 // RunHosted runs an instance on a platform until a signal stops it or one of its actors fails.
-// The settings s were read from path, which is read again when it changes. RunHosted returns
-// the same errors as Run.
-func RunHosted(path string, s *configurer.HostedSettings, logger zerolog.Logger) error {
+// The settings s were read from path, which is read again when it changes and at each signal from reloads. RunHosted
+// returns the same errors as Run.
+func RunHosted(path string, s *configurer.HostedSettings, reloads <-chan os.Signal, logger zerolog.Logger) error {
 	runtime.GOMAXPROCS(s.Machine.Cores)
 	debug.SetMemoryLimit(int64(memoryShare * float64(s.Machine.MemoryMB) * (1 << 20)))
 	h, err := newHosted(s, logger)
@@ -56,7 +56,7 @@
 	g.Add(newHTTPActor(newHTTPServer(s.Listen.Readiness.String(), h.readinessHandler(draining)), nil))
 	g.Add(newHTTPActor(newHTTPServer(s.Listen.Metrics.String(), h.metrics), nil))
 	g.Add(newHTTPActor(peers, st.stopped))
-	reload := newReloader(path, s, logger, h.apply)
+	reload := newReloader(path, s, reloads, logger, h.apply)
 	for _, actor := range []func(context.Context) error{h.replica.Run, h.view.run, h.groupFormer.run, h.quarantine.run, h.pruneConnections, h.requestDemand, reload.run} {
 		g.Add(newActor(actor))
 	}
