--- a/standin/cmd/standin/soak.go
+++ b/standin/cmd/standin/soak.go
@@ -28,6 +28,7 @@
 	Length      time.Duration `long:"length" default:"8s" description:"how long faults come"`
 	Logs        string        `long:"logs" description:"a folder in which the logs of runs that failed are kept"`
 	Verbose     bool          `long:"verbose" description:"print the faults of each run"`
+	Restores    bool          `long:"restores" description:"restore the store from copies that are some seconds old"`
 	Cold        bool          `long:"cold" description:"make engines cold after their start and at other times, when they take few requests per second"`
 	Large       bool          `long:"large-configuration" description:"let the configuration grow to 1,640 routes and change ten times per second, beside the faults and after the last one"`
 }
@@ -79,7 +80,7 @@
 		return false
 	}
 	report, err := soak.Run(soak.Config{
-		Binary: binary, Dir: dir, Seed: seed, Instances: c.Instances, Engines: c.Engines, Callers: c.Callers, Crashing: c.Crashing, CrashingPart: c.Part, Silences: c.Silences, Leaving: c.Leaving, Limits: c.Limits, Cold: c.Cold, Cuts: c.Cuts, Evacuations: c.Evacuations, Large: c.Large, Length: c.Length,
+		Binary: binary, Dir: dir, Seed: seed, Instances: c.Instances, Engines: c.Engines, Callers: c.Callers, Crashing: c.Crashing, CrashingPart: c.Part, Silences: c.Silences, Leaving: c.Leaving, Limits: c.Limits, Cold: c.Cold, Restores: c.Restores, Cuts: c.Cuts, Evacuations: c.Evacuations, Large: c.Large, Length: c.Length,
 	})
 	mu.Lock()
 	defer mu.Unlock()
--- a/standin/soak/fault.go
+++ b/standin/soak/fault.go
@@ -138,6 +138,9 @@
 		For time.Duration
 	}
 
+	// RestoreStore takes the store away for a time, after which it is back from a copy of at least the given age.
+	RestoreStore struct{ Age, Away time.Duration }
+
 	// Compact drops the store's history.
 	Compact struct{}
 
@@ -174,6 +177,7 @@
 func (StoreDown) fault()         {}
 func (StoreSlow) fault()         {}
 func (StoreDeaf) fault()         {}
+func (RestoreStore) fault()      {}
 func (Compact) fault()           {}
 func (ChangeKeys) fault()        {}
 func (Reconfigure) fault()       {}
--- a/standin/soak/soak.go
+++ b/standin/soak/soak.go
@@ -29,6 +29,7 @@
 	Leaving     bool          // engines say in their answers that they leave or that they want no requests for a time
 	Evacuations bool          // failure domains are evacuated for a time
 	Length      time.Duration // the period in which faults are injected; zero means 8 s
+	Restores    bool          // the store is restored from older copies
 	Cold        bool          // engines are cold after their start, and at other times
 	Large       bool          // the configuration grows to many routes and changes ten times per second, also after the last fault, and instances name the bandwidths of their links
 
@@ -162,6 +163,9 @@
 	if s.cfg.Large {
 		s.checkLargeConfiguration()
 	}
+	if s.cfg.Restores {
+		s.checkAfterRestores()
+	}
 	s.summarize(&out)
 	return out
 }
@@ -174,6 +178,7 @@
 	cutStream
 	evacuationStream
 	coldStream
+	restoreStream
 )
 
 // plan returns the faults of the run. Silences and statements have generators of their own, so
@@ -201,6 +206,9 @@
 	if s.cfg.Evacuations {
 		steps = AddEvacuations(steps, rand.New(rand.NewPCG(s.cfg.Seed, evacuationStream)), s.cfg.Length)
 	}
+	if s.cfg.Restores {
+		steps = AddRestores(steps, rand.New(rand.NewPCG(s.cfg.Seed, restoreStream)), s.cfg.Length)
+	}
 	return steps
 }
 
--- a/standin/soak/soak_test.go
+++ b/standin/soak/soak_test.go
@@ -121,6 +121,11 @@
 	runSeeds(t, soak.Config{Evacuations: true, Length: 6 * time.Second}, 60, 61)
 }
 
+// TestRestoreSeeds runs two fixed seeds with a store that is restored from older copies, beside the other faults and cuts.
+func TestRestoreSeeds(t *testing.T) {
+	runSeeds(t, soak.Config{Restores: true, Cuts: true, Callers: 24, Length: 6 * time.Second}, 70, 71)
+}
+
 // TestLargeConfigurationSeeds runs a fixed seed with a configuration of 1,640 routes that changes ten times per second.
 func TestLargeConfigurationSeeds(t *testing.T) {
 	runSeeds(t, soak.Config{Large: true, Length: 6 * time.Second}, 60)
--- a/standin/soak/version.go
+++ b/standin/soak/version.go
@@ -81,7 +81,12 @@
 
 // requestRoute sends a request to a route by its number, records it and returns the status of the answer.
 func (s *soak) requestRoute(client *http.Client, instance, route int) (status int, err error) {
-	sent := sentRequest{id: fmt.Sprintf("route-%d-%d", instance, route), instance: instance, sentAt: time.Now()}
+	return s.requestRouteAs(client, fmt.Sprintf("route-%d-%d", instance, route), instance, route)
+}
+
+// requestRouteAs is requestRoute for a request with an ID of its own.
+func (s *soak) requestRouteAs(client *http.Client, id string, instance, route int) (status int, err error) {
+	sent := sentRequest{id: id, instance: instance, sentAt: time.Now()}
 	defer func() {
 		sent.status, sent.endedAt = status, time.Now()
 		s.record.addRequest(sent)
