requester: a copy of an earlier refusal is no answer

A faulty endpoint wrote its refusal of an earlier request once more on a kept connection (another operator's report). The caller of the next request was told that it had not run while the endpoint ran it (REFUSED): an answer that is no success and has no ID counted as its answer. A request that is sent again on the connection on which it was refused has the same ID, so that not even the ID told.

An answer without an ID counts only as the first one on its connection; later, the outcome is unknown. A request that was refused on a connection is not sent there again.

--- a/requester/connection.go
+++ b/requester/connection.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -27,6 +28,8 @@
 	limit           *limitreader.Reader // between the connection and in
 	out             *bufio.Writer
 	written         atomic.Int64  // bytes written to the connection so far
+	isReused        bool          // a request was answered on the connection before the present one
+	refused         []string      // IDs of the latest requests without a success
 	reusable        bool          // the last answer permits another request on the connection
 	peerIdleTimeout time.Duration // time for which the endpoint keeps the idle connection open; zero if not announced
 	expiresAt       time.Time
@@ -70,6 +73,24 @@
 	}
 }
 
+// maxRefusedIDs bounds the IDs that a connection keeps.
+const maxRefusedIDs = 8
+
+// recordAnswer records the answer to the request with an ID.
+func (c *connection) recordAnswer(id string, resp *http.Response) {
+	c.isReused = true
+	if isSuccess(resp.StatusCode) {
+		return
+	}
+	if len(c.refused) >= maxRefusedIDs {
+		c.refused = slices.Delete(c.refused, 0, 1)
+	}
+	c.refused = append(c.refused, id)
+}
+
+// hasRefused reports whether one of the latest requests with an ID had an answer that is no success.
+func (c *connection) hasRefused(id string) bool { return id != "" && slices.Contains(c.refused, id) }
+
 // isQuiet reports whether the endpoint has sent no further bytes and not closed the connection.
 func (c *connection) isQuiet() bool {
 	if c.in.Buffered() > 0 {
--- a/requester/requester.go
+++ b/requester/requester.go
@@ -101,7 +101,7 @@
 		return nil, &NotSentError{Cause: err}
 	}
 	addr := req.Address.String()
-	conn, err := r.connect(ctx, addr, req.NewConnection)
+	conn, err := r.connect(ctx, addr, req)
 	if err != nil {
 		return nil, &NotSentError{Cause: err}
 	}
@@ -127,8 +127,8 @@
 	}, nil
 }
 
-// read returns the answer to req and skips answers to earlier requests. Its error may be
-// *limitreader.LimitError.
+// read returns the answer to req and skips answers to earlier requests. An answer without an ID may be a copy of a refusal
+// of an earlier request, unless it is the first one on its connection. The error may be *limitreader.LimitError.
 func (r *Requester) read(conn *connection, req *Request) (*http.Response, error) {
 	request := &http.Request{Method: req.Method}
 	conn.limit.SetLimit("head of an answer", headLimit)
@@ -145,7 +145,8 @@
 		id := ""
 		if r.cfg.IdentityHeader != "" && req.ID != "" {
 			id = resp.Header.Get(r.cfg.IdentityHeader)
-			if id == req.ID || (id == "" && !isSuccess(resp.StatusCode)) {
+			if id == req.ID || (id == "" && !isSuccess(resp.StatusCode) && !conn.isReused) {
+				conn.recordAnswer(req.ID, resp)
 				return resp, nil
 			}
 		} else {
@@ -172,13 +173,18 @@
 
 func isSuccess(status int) bool { return status >= 200 && status < 300 }
 
-// connect returns an idle connection that is still usable, or a new connection.
-func (r *Requester) connect(ctx context.Context, addr string, dialNew bool) (*connection, error) {
-	for !dialNew {
+// connect returns an idle connection that is still usable for req, or a new connection. A connection on which the same
+// request was refused is not used for it: a second copy of the refusal could not be told from the answer.
+func (r *Requester) connect(ctx context.Context, addr string, req *Request) (*connection, error) {
+	for !req.NewConnection {
 		conn := r.takeIdle(addr)
 		if conn == nil {
 			break
 		}
+		if conn.hasRefused(req.ID) {
+			r.putIdle(addr, conn)
+			break
+		}
 		if time.Now().Before(conn.expiresAt) && conn.isQuiet() {
 			return conn, nil
 		}
