forwarder: an empty second answer does not complete a broken stream

A stream had begun and broke off; the next endpoint answered with status 200 and no event. An attempt without an event after a broken one now counts as broken: another endpoint is tried, and otherwise the connection is aborted, after which the caller may resume and learn whether there was anything left.

TestNoSecondAnswerCompletesBrokenStream tries this, an error, a refusal, a reset after the head and an answer without length as second answer, directly and through a peer: only the empty one failed, and only directly.

--- a/forwarder/answer.go
+++ b/forwarder/answer.go
@@ -67,12 +67,13 @@
 
 // completedStreamEnding returns the ending of a stream that ended without an error. A stream
 // without any event counts as broken unless the caller resumed it, because then the caller
-// may already have all events.
-func (x *exchange) completedStreamEnding(a *attempt, answer *requester.Answer) scheduler.Ending {
-	if x.relay.hasStarted() {
+// may already have all events. An attempt without an event that follows a broken one does not
+// show that the stream is complete either; the caller may resume it and learn that.
+func (x *exchange) completedStreamEnding(a *attempt, answer *requester.Answer, hasEvents bool) scheduler.Ending {
+	if hasEvents {
 		return scheduler.Completed{}
 	}
-	if x.fields.LastEventID < 0 {
+	if x.relay.hasStarted() || x.fields.LastEventID < 0 {
 		return scheduler.Broken{}
 	}
 	a.held = heldAnswer{status: answer.Status, header: answer.Header}
@@ -88,11 +89,11 @@
 	in.Reset(answer)
 	defer streamBuffers.Put(in)
 	var event []byte
-	for {
+	for hasEvents := false; ; hasEvents = true {
 		var err error
 		event, err = eventreader.Read(event[:0], in, maxEventBytes)
 		if errors.Is(err, io.EOF) {
-			return x.completedStreamEnding(a, answer)
+			return x.completedStreamEnding(a, answer, hasEvents)
 		}
 		if err != nil {
 			f.logBroken(x, err)
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -54,6 +54,78 @@
 	is.True(err != nil)
 }
 
+// secondAnswers are answers that do not go on with a stream.
+var secondAnswers = map[string]http.HandlerFunc{
+	"empty stream": func(w http.ResponseWriter, r *http.Request) { events(w, r, -1, false) },
+	"reset after the head": func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Content-Type", "text/event-stream")
+		w.Header().Set("Signature", "s")
+		w.WriteHeader(http.StatusOK)
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	},
+	"error": func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Signature", "s")
+		http.Error(w, "failed-text", http.StatusInternalServerError)
+	},
+	"refusal": func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Not-Run", "1")
+		http.Error(w, "failed-text", http.StatusServiceUnavailable)
+	},
+	"answer without length": func(w http.ResponseWriter, _ *http.Request) {
+		conn, out, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			return
+		}
+		_, _ = out.WriteString("HTTP/1.1 500 Internal Server Error\r\nSignature: s\r\n\r\nfailed-text")
+		_ = out.Flush()
+		_ = conn.Close()
+	},
+}
+
+// TestNoSecondAnswerCompletesBrokenStream checks that a stream which has begun and breaks does not end as complete, nor with
+// the text of an error, if the next endpoint does not go on with it, directly or through a peer.
+func TestNoSecondAnswerCompletesBrokenStream(t *testing.T) {
+	for name, second := range secondAnswers {
+		for _, viaPeer := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s,viaPeer=%t", name, viaPeer), func(t *testing.T) {
+				is := is.New(t)
+				var once sync.Once
+				handler := func(w http.ResponseWriter, r *http.Request) {
+					answer := second
+					once.Do(func() { answer = func(w http.ResponseWriter, r *http.Request) { events(w, r, 2, true) } })
+					answer(w, r)
+				}
+				text, err := getFromTwo(t, viaPeer, handler)
+				is.True(err != nil)
+				is.True(!strings.Contains(text, "failed-text") && !strings.Contains(text, "HTTP/"))
+				is.True(strings.Count(text, "data: ") == 3)
+			})
+		}
+	}
+}
+
+// getFromTwo requests a stream from two endpoints with the same handler, through a peer or directly, and returns what arrived.
+func getFromTwo(t *testing.T, viaPeer bool, h http.HandlerFunc) (string, error) {
+	var resp *http.Response
+	if viaPeer {
+		fl := newFleet(t, 1)
+		for range 2 {
+			fl.peers["peer-1"].add(h)
+		}
+		resp = fl.get("/stream/x")
+	} else {
+		x := newFixture(t)
+		for range 2 {
+			x.add(h)
+		}
+		resp = x.get("/stream/x")
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	return string(text), err
+}
+
 // TestEmptyStream checks that a stream without any event is not a valid answer, unless the caller resumes after the last event.
 func TestEmptyStream(t *testing.T) {
 	is := is.New(t)
