--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -57,7 +57,7 @@
 // secondAnswers are answers that do not go on with a stream.
 var secondAnswers = map[string]http.HandlerFunc{
 	"empty stream": func(w http.ResponseWriter, r *http.Request) { events(w, r, -1, false) },
-	"reset after the head": func(w http.ResponseWriter, r *http.Request) {
+	"reset after the head": func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "text/event-stream")
 		w.Header().Set("Signature", "s")
 		w.WriteHeader(http.StatusOK)
