--- a/standin/soak/apply.go
+++ b/standin/soak/apply.go
@@ -70,10 +70,8 @@
 	case CloseEngine:
 		e := s.liveEngine(f.Engine)
 		s.applyFor(allEngines, f.For, func() { e.Close(f.For) }, func() {})
-	case StoreDown, StoreSlow, StoreDeaf, Compact:
+	case StoreDown, StoreSlow, StoreDeaf, RestoreStore, Compact:
 		s.applyToStore(f)
-	case RestoreStore:
-		s.restoreStore(f)
 	case ChangeKeys:
 		s.changeKeys(f.Add)
 	case Reconfigure:
@@ -91,6 +89,8 @@
 		s.applyFor(allInstances, f.For, func() { s.platform.Store.SetDelay(f.Delay) }, func() { s.platform.Store.SetDelay(0) })
 	case StoreDeaf:
 		s.applyFor(allInstances, f.For, func() { s.platform.Store.LoseAnswers(f.In) }, func() { s.platform.Store.LoseAnswers(0) })
+	case RestoreStore:
+		s.restoreStore(f)
 	case Compact:
 		s.applyFor(allInstances, 0, s.platform.Store.Compact, func() {})
 	}
