endpointlister: a doubted entry shows nothing while the store is lost

The entry of a restored store's copy that contradicts what an endpoint said last counted after 5 s, because an endpoint that does not live lets it expire. If the store was lost again within these 5 s, nothing could expire or be rewritten, and endpoints that had left came back. The time starts again with the store's return.

--- a/endpointlister/lister.go
+++ b/endpointlister/lister.go
@@ -134,6 +134,9 @@
 // Step applies e at now and returns the actions that it causes.
 func (l *Lister) Step(now time.Time, e Event) []Action {
 	out := l.handle(now, e)
+	if l.storeLost {
+		return out // a doubted entry shows nothing while the store does not answer
+	}
 	for _, attested := range l.memory.takeAttested(now) {
 		out = append(out, l.handleWritten(now, attested)...)
 	}
@@ -166,6 +169,7 @@
 	case StoreRegained:
 		l.recordContact(now, StoreSeen{Since: now, Until: now})
 		l.storeLost = false
+		l.memory.extend(now)
 		return l.expire(now)
 	case StoreRestored:
 		l.memory.revision, l.memory.attestedAt = e.Revision, now.Add(attestTime)
--- a/endpointlister/restore.go
+++ b/endpointlister/restore.go
@@ -69,6 +69,13 @@
 	return false
 }
 
+// extend restarts attestTime if entries are doubted, because the store was lost in it.
+func (m *memory) extend(now time.Time) {
+	if len(m.doubted) > 0 {
+		m.attestedAt = now.Add(attestTime)
+	}
+}
+
 // depart records that an endpoint has left the list, and forgets those that left long ago and did not come back. isListed
 // reports whether an endpoint is on the list.
 func (m *memory) depart(now time.Time, id identifier.Endpoint, isListed func(identifier.Endpoint) bool) {
--- a/replicator/restore_test.go
+++ b/replicator/restore_test.go
@@ -10,13 +10,16 @@
 // Figures of a world of the restore test.
 const (
 	restores        = 3                // of the store, one after the other
-	restoreInterval = 12 * time.Second // between two of them
+	restoreInterval = 22 * time.Second // between two of them
 	longestAway     = 1500 * time.Millisecond
 	longestCopyAge  = 8 * time.Second
-	actShare        = 12 // one in so many steps of 20 ms the operator or an endpoint does something
+	longestPause    = 4 * time.Second // after half of the returns, until the store is away once more
+	longestOutage   = 8 * time.Second // of that second time
+	actShare        = 12              // one in so many steps of 20 ms the operator or an endpoint does something
 )
 
-// playRestores plays the world of a seed and returns what breaks a bound. If losesData is not set, the store is away, but returns with all that it acknowledged.
+// playRestores plays the world of a seed and returns what breaks a bound. If losesData is not set, the store is away, but
+// returns with all that it acknowledged.
 func playRestores(t *testing.T, seed uint64, losesData bool) error {
 	ctx, cancel := context.WithCancel(t.Context())
 	defer func() {
@@ -27,31 +30,49 @@
 	w := newRestoreWorld(seed)
 	w.losesData = losesData
 	w.start(ctx)
-	start := time.Now()
-	for n := range restores {
-		from := start.Add(time.Duration(n+1)*restoreInterval + time.Duration(w.random.Int64N(int64(3*time.Second))))
-		away := span{from, from.Add(time.Duration(w.random.Int64N(int64(longestAway))))}
-		cut := span{from.Add(-time.Duration(w.random.Int64N(int64(2 * time.Second)))), away.until.Add(time.Duration(w.random.Int64N(int64(4 * time.Second))))}
-		if i := w.random.IntN(2 * fleetSize); i < fleetSize {
-			w.cuts[i] = append(w.cuts[i], cut)
-		}
-		for now := time.Now(); now.Before(start.Add(time.Duration(n+2) * restoreInterval)); now = time.Now() {
-			if n == 0 || !now.Before(from.Add(-restoreInterval/2)) {
-				w.prepare(away)
-			}
+	for range restores {
+		w.planRestore()
+		end := time.Now().Add(restoreInterval)
+		for isAgain := w.random.IntN(2) == 0; time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
 			synctest.Wait()
+			now := time.Now()
 			w.tick(now)
+			if isAgain && w.isRestored {
+				isAgain = false
+				w.planOutage()
+			}
 			if w.random.IntN(actShare) == 0 {
 				w.act(now)
 			}
 			synctest.Wait()
 			w.check(now)
-			time.Sleep(20 * time.Millisecond)
 		}
 	}
 	return w.errRestore()
 }
 
+// planRestore sets when the store is away next, and cuts an instance off from it around that time in half of the cases.
+func (w *restoreWorld) planRestore() {
+	from := time.Now().Add(restoreInterval/3 + w.draw(3*time.Second))
+	w.away = span{from, from.Add(w.draw(longestAway))}
+	w.isRestored, w.keepsData, w.copyAge = false, !w.losesData, w.draw(longestCopyAge)
+	if i := w.random.IntN(2 * fleetSize); i < fleetSize {
+		w.cuts[i] = append(w.cuts[i], span{from.Add(-w.draw(2 * time.Second)), w.away.until.Add(w.draw(4 * time.Second))})
+	}
+}
+
+// planOutage lets the store be away once more soon after its return. It loses data again or none.
+func (w *restoreWorld) planOutage() {
+	from := time.Now().Add(w.draw(longestPause))
+	w.away = span{from, from.Add(w.draw(longestOutage))}
+	w.isRestored, w.keepsData = false, !w.losesData || w.random.IntN(2) == 0
+}
+
+// draw returns a random time below a limit.
+func (w *restoreWorld) draw(limit time.Duration) time.Duration {
+	return time.Duration(w.random.Int64N(int64(limit)))
+}
+
 // checkRestores plays the worlds of all seeds.
 func checkRestores(t *testing.T, losesData bool) {
 	for seed := range *fleetSeeds {
--- a/replicator/restore_world_test.go
+++ b/replicator/restore_world_test.go
@@ -66,10 +66,12 @@
 	members [fleetSize]*restoreMember
 	cuts    [fleetSize][]span // of an instance from the store
 
-	losesData  bool // at a return
+	losesData  bool // at some returns
+	keepsData  bool // at the next one
 	away       span // the last time in which the store was away
 	copyAge    time.Duration
 	isRestored bool      // the store is back from away
+	returnedAt time.Time // when it was back last
 	rewriteAt  time.Time // when the operator writes its newest version again
 	processes  map[string]*process
 	lastBeat   map[string]time.Time // by key
@@ -185,7 +187,7 @@
 func (w *restoreWorld) restore(now time.Time) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.losesData {
+	if !w.keepsData {
 		back := w.copies[0]
 		for _, c := range w.copies {
 			if !c.at.After(w.away.from.Add(-w.copyAge)) {
@@ -196,13 +198,13 @@
 		w.copies = []storeCopy{{now, back.state}}
 		w.era++
 	}
-	w.isAway, w.isRestored = false, true
-	w.rewriteAt = now.Add(time.Duration(w.random.Int64N(int64(rewriteLatest))))
+	w.isAway, w.isRestored, w.returnedAt = false, true, now
+	w.rewriteAt = now.Add(w.draw(rewriteLatest))
 	for key := range w.state.entries {
 		w.lastBeat[key] = now
 	}
 	for _, key := range slices.Sorted(maps.Keys(w.processes)) { // what was written while the store was away is written now
-		w.processes[key].nextBeatAt = now.Add(time.Duration(w.random.Int64N(int64(beatInterval))))
+		w.processes[key].nextBeatAt = now.Add(w.draw(beatInterval))
 	}
 }
 
@@ -468,7 +470,7 @@
 
 // check checks each instance that is in reach of the store against the bounds, while the store is stable.
 func (w *restoreWorld) check(now time.Time) {
-	if !w.isRestored && !now.Before(w.away.from) || now.Before(w.away.until.Add(stableTime+drainTime)) && !w.away.until.IsZero() && w.isRestored {
+	if !w.isRestored && !now.Before(w.away.from) || now.Before(w.returnedAt.Add(stableTime+drainTime)) {
 		return
 	}
 	due := uint64(0)
