--- a/requester/connection.go
+++ b/requester/connection.go
@@ -28,7 +28,7 @@
 	limit           *limitreader.Reader // between the connection and in
 	out             *bufio.Writer
 	written         atomic.Int64  // bytes written to the connection so far
-	isReused        bool          // a request was answered on the connection before the present one
+	isReused        bool          // another request was answered on the connection before
 	refused         []string      // IDs of the latest requests without a success
 	reusable        bool          // the last answer permits another request on the connection
 	peerIdleTimeout time.Duration // time for which the endpoint keeps the idle connection open; zero if not announced
@@ -76,10 +76,9 @@
 // maxRefusedIDs bounds the IDs that a connection keeps.
 const maxRefusedIDs = 8
 
-// recordAnswer records the answer to the request with an ID.
-func (c *connection) recordAnswer(id string, resp *http.Response) {
-	c.isReused = true
-	if isSuccess(resp.StatusCode) {
+// recordAnswer records the status of the answer to the request with an ID.
+func (c *connection) recordAnswer(id string, status int) {
+	if isSuccess(status) {
 		return
 	}
 	if len(c.refused) >= maxRefusedIDs {
--- a/requester/requester.go
+++ b/requester/requester.go
@@ -146,7 +146,7 @@
 		if r.cfg.IdentityHeader != "" && req.ID != "" {
 			id = resp.Header.Get(r.cfg.IdentityHeader)
 			if id == req.ID || (id == "" && !isSuccess(resp.StatusCode) && !conn.isReused) {
-				conn.recordAnswer(req.ID, resp)
+				conn.recordAnswer(req.ID, resp.StatusCode)
 				return resp, nil
 			}
 		} else {
@@ -186,6 +186,7 @@
 			break
 		}
 		if time.Now().Before(conn.expiresAt) && conn.isQuiet() {
+			conn.isReused = true
 			return conn, nil
 		}
 		_ = conn.Close()
