replicator: an answer that is older than the replica does not bring a removed key back

An instance that had lost the store, and that a peer had told of a removal, applied the put of the same key from an answer of the store that was older and still under way. The replica compared such an entry only with the one that it holds; a removed key leaves none. If the answer ended before the removal, no later watch showed that again: an endpoint that had left stayed listed until the next list.

The replica knows all keys at its revision, so that an entry at or before it which it does not hold was removed since, and is ignored, unless only its value is missing.

--- a/replicator/entries.go
+++ b/replicator/entries.go
@@ -18,8 +18,8 @@
 	}
 	for _, e := range s.Entries {
 		listed[e.Key] = true
-		c.dropMissing(e.Key, e.Revision)
-		if old, ok := c.entries[e.Key]; !ok || old.Revision < e.Revision {
+		wasMissing := c.dropMissing(e.Key, e.Revision)
+		if old, ok := c.entries[e.Key]; ok && old.Revision < e.Revision || !ok && (wasMissing || !c.isRemoved(e)) {
 			c.entries[e.Key] = e
 			changes = append(changes, storeclient.Change{Entry: e})
 		}
@@ -52,7 +52,7 @@
 		if !ok && ch.Deleted && (wasMissing || ch.Revision > c.revision) {
 			c.recordRemoval(ch) // a follower may have the entry from another replica, or know a reference
 		}
-		if ok && old.Revision >= ch.Revision || !ok && ch.Deleted {
+		if ok && old.Revision >= ch.Revision || !ok && (ch.Deleted || !wasMissing && c.isRemoved(ch.Entry)) {
 			continue
 		}
 		if ch.Deleted {
@@ -68,6 +68,10 @@
 	return notify(changes)
 }
 
+// isRemoved reports whether an entry that the replica does not hold has been removed since. The replica knows the state of
+// all keys at its revision, so that an answer with such an entry is older than the replica.
+func (c *Core) isRemoved(e storeclient.Entry) bool { return e.Revision <= c.revision }
+
 func notify(changes []storeclient.Change) []Action {
 	if len(changes) == 0 {
 		return nil
