replicator: changes after a revision of an earlier era are not applied

After the store had come back from an older copy, an instance could skip changes for good: it kept the old entry of a key, the configuration among them, and told peers a revision whose entries it did not have. An instance that has lost the store adopts the new era from a peer's complete replica; a watch that it had made before, after a revision of the old era, was then answered in the new one, and its changes were applied although they begin elsewhere in the new history. The same with a query to a peer that is answered after a list of a later era.

Calls and queries now carry the era in which their revision counts. An answer to a watch of an earlier era is followed by a list, and a peer's changes after a revision of one are ignored.

Session restored_store_late_answers: without the change c@16 is applied at 300ms and a@12 is skipped, and without the part for queries e@21 hides d@15. In restored_store_peers the answer without an era moves behind a query of the new era, because it would be ignored before; it is checked as before.

--- a/replicator/action.go
+++ b/replicator/action.go
@@ -14,8 +14,9 @@
 // between two answers belong to one round.
 type Call struct {
 	Round      uint64
-	At         time.Time // when the call was made
-	PreviousAt time.Time // when the call before it was made
+	Era        storeclient.Era // of the replica when the call was made, in which the revision of a Watch counts
+	At         time.Time       // when the call was made
+	PreviousAt time.Time       // when the call before it was made
 }
 
 // List requests all entries from the store.
@@ -29,8 +30,11 @@
 	Call  Call
 }
 
-// QueryPeers queries one peer for what its replica holds beyond a revision.
-type QueryPeers struct{ After uint64 }
+// QueryPeers queries one peer for what its replica holds beyond a revision. Its answer is reported with the query.
+type QueryPeers struct {
+	Era   storeclient.Era // in which After counts
+	After uint64
+}
 
 // WakeAt requests a Ticked event at At. It replaces the previous WakeAt.
 type WakeAt struct{ At time.Time }
--- a/replicator/core.go
+++ b/replicator/core.go
@@ -98,7 +98,7 @@
 	case ValueFailed:
 		return c.handleValueFailure(now, e)
 	case PeerAnswered:
-		return c.handleUpdate(now, e.Update)
+		return c.handleUpdate(now, e)
 	case Ticked:
 		return c.handleTick(now)
 	}
@@ -139,8 +139,8 @@
 	if e.Call.Round != c.round {
 		return nil // it may hold entries that have been removed since
 	}
-	if e.Changes.Era != c.era {
-		return c.handleFailure(now, Failed{Compacted: e.Changes.Era > c.era, Call: e.Call}) // the history of a later era starts with a list
+	if e.Changes.Era != c.era || e.Call.Era != c.era {
+		return c.handleFailure(now, Failed{Compacted: e.Changes.Era >= c.era, Call: e.Call}) // the history of a later era starts with a list
 	}
 	out := c.handleSuccess(now, e.Age, e.Call)
 	out = append(out, c.applyChanges(now, e.Changes)...)
@@ -150,7 +150,7 @@
 
 // startCall starts a List if the entries are incomplete or unconfirmed, and a Watch otherwise.
 func (c *Core) startCall(now time.Time) []Action {
-	call := Call{Round: c.round, At: now, PreviousAt: c.calledAt}
+	call := Call{Round: c.round, Era: c.era, At: now, PreviousAt: c.calledAt}
 	isList, isOverdue := !c.listed || c.fromPeer, c.pending > 0
 	c.calledAt, c.nextCallAt = now, time.Time{}
 	c.pending++
@@ -249,7 +249,8 @@
 	}
 }
 
-func (c *Core) handleUpdate(now time.Time, u Update) []Action {
+func (c *Core) handleUpdate(now time.Time, e PeerAnswered) []Action {
+	u := e.Update
 	era := c.peerEra(u.Era)
 	if era < c.era {
 		return nil
@@ -260,7 +261,7 @@
 		case !c.lost:
 			return nil // the store's own answer shows the new era
 		case !u.Complete:
-			return []Action{QueryPeers{}}
+			return []Action{QueryPeers{Era: c.era}}
 		}
 		out = c.adoptEra(now, era, u.Revision)
 	}
@@ -270,7 +271,8 @@
 		c.peerContact = contact.extend(c.peerContact)
 		out = append(out, contact)
 	}
-	if !c.lost || u.Revision <= c.revision {
+	isGap := !u.Complete && e.Query.Era != c.era // the changes begin after a revision of an earlier era
+	if !c.lost || u.Revision <= c.revision || isGap {
 		return out
 	}
 	if !u.Complete {
@@ -293,7 +295,7 @@
 	}
 	if !c.nextQueryAt.IsZero() && !now.Before(c.nextQueryAt) {
 		c.nextQueryAt = now.Add(c.peerInterval)
-		out = append(out, QueryPeers{After: c.completeRevision()})
+		out = append(out, QueryPeers{Era: c.era, After: c.completeRevision()})
 	}
 	if !c.nextCallAt.IsZero() && !now.Before(c.nextCallAt) {
 		out = append(out, c.startCall(now)...)
--- a/replicator/event.go
+++ b/replicator/event.go
@@ -36,7 +36,10 @@
 }
 
 // PeerAnswered is the answer to a QueryPeers action: what a peer's replica holds beyond this one.
-type PeerAnswered struct{ Update Update }
+type PeerAnswered struct {
+	Update Update
+	Query  QueryPeers
+}
 
 // UrgentSet switches between fetching each change as soon as possible and batching several changes
 // into one call.
--- a/replicator/replicator.go
+++ b/replicator/replicator.go
@@ -230,7 +230,7 @@
 		go r.submit(ctx, func() Event { return r.fetchValue(ctx, a) })
 	case QueryPeers:
 		if r.cfg.Peers != nil {
-			go r.submit(ctx, func() Event { return PeerAnswered{Update: r.cfg.Peers.FetchUpdate(ctx, a.After)} })
+			go r.submit(ctx, func() Event { return PeerAnswered{Update: r.cfg.Peers.FetchUpdate(ctx, a.After), Query: a} })
 		}
 	case WakeAt:
 		r.timer.Reset(time.Until(a.At))
--- a/replicator/session_test.go
+++ b/replicator/session_test.go
@@ -13,9 +13,10 @@
 
 // session runs a Core by a script. It delivers each tick at the time that the Core requested.
 type session struct {
-	core   *replicator.Core
-	wakeAt time.Time
-	call   replicator.Call // the last one
+	core    *replicator.Core
+	wakeAt  time.Time
+	call    replicator.Call // the last one
+	queries []replicator.QueryPeers
 }
 
 func TestSessions(t *testing.T) {
@@ -47,7 +48,7 @@
 	case "failed":
 		e = replicator.Failed{Compacted: ev.Bool("compacted"), NotSent: ev.Bool("notSent"), Call: s.callOf(ev)}
 	case "peer":
-		e = replicator.PeerAnswered{Update: replicator.Update{Era: era(ev), Revision: uint64(ev.Int("revision")), Complete: !ev.Bool("changes"), Entries: entries(ev), References: references(ev), IsInContact: ev.Has("contact"), ContactTime: ev.Duration("contact"), AnswerAge: ev.Duration("age")}}
+		e = replicator.PeerAnswered{Query: s.queryOf(ev), Update: replicator.Update{Era: era(ev), Revision: uint64(ev.Int("revision")), Complete: !ev.Bool("changes"), Entries: entries(ev), References: references(ev), IsInContact: ev.Has("contact"), ContactTime: ev.Duration("contact"), AnswerAge: ev.Duration("age")}}
 	case "pass":
 		return out, nil
 	case "update":
@@ -76,6 +77,15 @@
 	return call
 }
 
+// queryOf returns the query that an event answers: the last one, unless the event answers an earlier one.
+func (s *session) queryOf(ev scripter.Event) replicator.QueryPeers {
+	i := len(s.queries) - 1 - ev.Int("queriesAgo")
+	if i < 0 {
+		return replicator.QueryPeers{}
+	}
+	return s.queries[i]
+}
+
 // contact describes the contact that a peer would be told of.
 func (s *session) contact(now time.Time) string {
 	c, ok := s.core.Contact(now)
@@ -169,7 +179,7 @@
 		case replicator.FetchValue:
 			line = fmt.Sprintf("fetch %d %s@%d base %d", a.Number, a.Key, a.Revision, a.Base)
 		case replicator.QueryPeers:
-			line = fmt.Sprintf("query peers after %d", a.After)
+			line, s.queries = fmt.Sprintf("query peers after %d", a.After), append(s.queries, a)
 		case replicator.NotifyChanges:
 			line = "change " + describe(a.Changes)
 		case replicator.Restored:
