replicator, messenger, storeclient: a value that is fetched counts in the era of its reference only

After the store had come back from an older copy, an instance that followed the new era could get a large value (16 KB and more) from a peer that was still in the earlier one, at a revision that the store gives out again. The exchange of values named a revision and no era.

References, the question and the answer of the exchange name the era. A peer waits for the asked era as for the revision; an answer of another era is a failed fetch, and so is one that names none, of an earlier version of the program, once the replica has seen a restore. A value read from the store counts only if the store was in the asked era.

--- a/messenger/value.go
+++ b/messenger/value.go
@@ -26,6 +26,7 @@
 
 // Headers of an answer with a value. The body is the value, compressed by package differ.
 const (
+	headerEra      = "X-Value-Era" // in which the revisions count; absent in versions before it
 	headerRevision = "X-Value-Revision"
 	headerBase     = "X-Value-Base" // revision of the version that is the dictionary; absent for none
 	headerSize     = "X-Value-Size" // of the decompressed value in bytes
@@ -40,9 +41,9 @@
 
 // Values gives peers access to the large values of the local replica.
 type Values struct {
-	Watch                func(ctx context.Context, after uint64, wait time.Duration) (replicator.PeerChanges, error)                // waits for changes, with references in place of large values
-	UpdateWithReferences func(after uint64) replicator.Update                                                                       // what the local replica holds beyond a revision, with references to missing values
-	Value                func(ctx context.Context, key string, revision, base uint64, wait time.Duration) (replicator.Value, error) // waits for a value; its error may be *replicator.MissingValueError
+	Watch                func(ctx context.Context, after uint64, wait time.Duration) (replicator.PeerChanges, error)                          // waits for changes, with references in place of large values
+	UpdateWithReferences func(after uint64) replicator.Update                                                                                 // what the local replica holds beyond a revision, with references to missing values
+	Value                func(ctx context.Context, reference replicator.Reference, base uint64, wait time.Duration) (replicator.Value, error) // waits for a value; its error may be *replicator.MissingValueError
 }
 
 func (v Values) isSet() bool { return v.Value != nil }
@@ -92,7 +93,9 @@
 	if err != nil {
 		base = 0 // the value is sent without a base
 	}
-	v, err := m.cfg.Values.Value(r.Context(), query.Get("key"), revision, base, valueWait)
+	era, _ := strconv.ParseUint(query.Get("era"), 10, 64) // peers of versions before it name none
+	reference := replicator.Reference{Key: query.Get("key"), Era: storeclient.Era(era), Revision: revision}
+	v, err := m.cfg.Values.Value(r.Context(), reference, base, valueWait)
 	if err != nil {
 		status := http.StatusServiceUnavailable
 		var missing *replicator.MissingValueError
@@ -110,6 +113,7 @@
 	h := w.Header()
 	h.Set("Content-Type", "application/octet-stream")
 	h.Set("Content-Length", strconv.Itoa(len(e.compressed)))
+	h.Set(headerEra, strconv.FormatUint(uint64(v.Era), 10))
 	h.Set(headerRevision, strconv.FormatUint(v.Revision, 10))
 	h.Set(headerSize, strconv.Itoa(len(v.Value)))
 	h.Set(headerSum, strconv.FormatUint(e.sum, 16))
@@ -132,7 +136,7 @@
 // FetchValue fetches the value of a reference, or a newer version of it, from a peer. If base has a value, the
 // peer may send the difference to it; if that can't be applied, the value is fetched in full. Its error is
 // *StatusError, *differ.SumError or an error of the HTTP exchange.
-func (m *Messenger) FetchValue(ctx context.Context, p Peer, r replicator.Reference, base storeclient.Entry) (storeclient.Entry, error) {
+func (m *Messenger) FetchValue(ctx context.Context, p Peer, r replicator.Reference, base storeclient.Entry) (replicator.Version, error) {
 	e, err := m.fetchValue(ctx, p, r, base)
 	var difference *DifferenceError
 	if errors.As(err, &difference) {
@@ -143,44 +147,48 @@
 	return e, err
 }
 
-func (m *Messenger) fetchValue(ctx context.Context, p Peer, r replicator.Reference, base storeclient.Entry) (storeclient.Entry, error) {
+func (m *Messenger) fetchValue(ctx context.Context, p Peer, r replicator.Reference, base storeclient.Entry) (replicator.Version, error) {
 	ctx, cancel := context.WithTimeout(ctx, m.cfg.Timeout+valueWait+valueTransferTime)
 	defer cancel()
-	query := url.Values{"key": {r.Key}, "revision": {strconv.FormatUint(r.Revision, 10)}, "base": {strconv.FormatUint(base.Revision, 10)}}
+	query := url.Values{
+		"key": {r.Key}, "era": {strconv.FormatUint(uint64(r.Era), 10)}, "revision": {strconv.FormatUint(r.Revision, 10)},
+		"base": {strconv.FormatUint(base.Revision, 10)},
+	}
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+p.Address.String()+pathValue+"?"+query.Encode(), nil)
 	if err != nil {
-		return storeclient.Entry{}, err
+		return replicator.Version{}, err
 	}
 	resp, err := m.cfg.HTTP.Do(req)
 	if err != nil {
-		return storeclient.Entry{}, err
+		return replicator.Version{}, err
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
-		return storeclient.Entry{}, &StatusError{Status: resp.StatusCode}
+		return replicator.Version{}, &StatusError{Status: resp.StatusCode}
 	}
 	compressed, err := io.ReadAll(limitreader.New(resp.Body, "value from a peer", bodyLimit))
 	if err != nil {
-		return storeclient.Entry{}, err
+		return replicator.Version{}, err
 	}
 	return m.decodeValue(resp.Header, r, base, compressed)
 }
 
-// decodeValue returns the entry of an answer. Its error is *DifferenceError if the answer was compressed with a
+// decodeValue returns the version of an answer. Its error is *DifferenceError if the answer was compressed with a
 // base.
-func (m *Messenger) decodeValue(h http.Header, r replicator.Reference, base storeclient.Entry, compressed []byte) (storeclient.Entry, error) {
+func (m *Messenger) decodeValue(h http.Header, r replicator.Reference, base storeclient.Entry, compressed []byte) (replicator.Version, error) {
 	revision, err := strconv.ParseUint(h.Get(headerRevision), 10, 64)
 	if err != nil {
-		return storeclient.Entry{}, err
+		return replicator.Version{}, err
 	}
 	sum, err := strconv.ParseUint(h.Get(headerSum), 16, 64)
 	if err != nil {
-		return storeclient.Entry{}, err
+		return replicator.Version{}, err
 	}
 	size, err := strconv.Atoi(h.Get(headerSize))
 	if err != nil {
-		return storeclient.Entry{}, err
+		return replicator.Version{}, err
 	}
+	era, _ := strconv.ParseUint(h.Get(headerEra), 10, 64)   // absent in versions before it
 	used, _ := strconv.ParseUint(h.Get(headerBase), 10, 64) // absent without a base
 	m.reportTransfer(ValueTransfer{Difference: used > 0, Bytes: len(compressed)})
 	var value []byte
@@ -194,7 +202,7 @@
 	default:
 		err = &DifferenceError{Cause: &BaseError{Asked: base.Revision, Used: used}}
 	}
-	return storeclient.Entry{Key: r.Key, Value: value, Revision: revision}, err
+	return replicator.Version{Entry: storeclient.Entry{Key: r.Key, Value: value, Revision: revision}, Era: storeclient.Era(era)}, err
 }
 
 // Bounds of the compressed values that are kept. Followers of one replica have few different bases, and a value of
--- a/messenger/value_test.go
+++ b/messenger/value_test.go
@@ -63,11 +63,11 @@
 			UpdateWithReferences: func(uint64) replicator.Update {
 				return replicator.Update{Revision: 10, References: []replicator.Reference{{Key: "config", Revision: 9, Size: 7}}}
 			},
-			Value: func(_ context.Context, key string, revision, base uint64, _ time.Duration) (replicator.Value, error) {
-				if key != "config" || revision > 9 {
-					return replicator.Value{}, &replicator.MissingValueError{Key: key, Revision: revision, IsGone: key != "config"}
+			Value: func(_ context.Context, r replicator.Reference, base uint64, _ time.Duration) (replicator.Value, error) {
+				if r.Key != "config" || r.Revision > 9 {
+					return replicator.Value{}, &replicator.MissingValueError{Key: r.Key, Revision: r.Revision, IsGone: r.Key != "config"}
 				}
-				v := replicator.Value{Entry: storeclient.Entry{Key: key, Value: versions[9], Revision: 9}}
+				v := replicator.Value{Version: replicator.Version{Entry: storeclient.Entry{Key: r.Key, Value: versions[9], Revision: 9}, Era: r.Era}}
 				if old, ok := versions[base]; ok {
 					v.Base, v.BaseRevision = old, base
 				}
@@ -92,7 +92,7 @@
 	var received []messenger.ValueTransfer
 	return messenger.New(messenger.Config{
 		Peers: peers, HTTP: http.DefaultClient, OnTransfer: func(v messenger.ValueTransfer) { received = append(received, v) },
-		Values: messenger.Values{Value: func(context.Context, string, uint64, uint64, time.Duration) (replicator.Value, error) {
+		Values: messenger.Values{Value: func(context.Context, replicator.Reference, uint64, time.Duration) (replicator.Value, error) {
 			return replicator.Value{}, &replicator.MissingValueError{}
 		}},
 	}), &received
@@ -146,6 +146,46 @@
 	is.Equal(status.Status, http.StatusNotFound)
 }
 
+// TestValueNamesItsEra checks that a peer is asked for a value in an era and names the era of its answer. Without it, a value
+// of an earlier era would be taken for one of the present era.
+func TestValueNamesItsEra(t *testing.T) {
+	is := is.New(t)
+	var asked storeclient.Era
+	m := messenger.New(messenger.Config{Peers: &messenger.Peers{}, Values: messenger.Values{
+		Value: func(_ context.Context, r replicator.Reference, _ uint64, _ time.Duration) (replicator.Value, error) {
+			asked = r.Era
+			return replicator.Value{Version: replicator.Version{Entry: storeclient.Entry{Key: r.Key, Value: largeValue(9), Revision: 9}, Era: 3}}, nil
+		},
+	}})
+	isOld := false
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if isOld {
+			w = headerless{w}
+		}
+		m.Handler().ServeHTTP(w, r)
+	}))
+	defer server.Close()
+	peer := messenger.Peer{Instance: "alpine-1", Address: netip.MustParseAddrPort(server.Listener.Addr().String())}
+	follower, _ := newFollower(&messenger.Peers{})
+	v, err := follower.FetchValue(t.Context(), peer, replicator.Reference{Key: "config", Era: 2, Revision: 9}, storeclient.Entry{})
+	is.NoErr(err)
+	is.Equal(asked, storeclient.Era(2))
+	is.Equal(v.Era, storeclient.Era(3))
+
+	isOld = true
+	v, err = follower.FetchValue(t.Context(), peer, replicator.Reference{Key: "config", Era: 2, Revision: 9}, storeclient.Entry{})
+	is.NoErr(err)
+	is.Equal(v.Era, storeclient.Era(0)) // not known
+}
+
+// headerless writes answers as a version does that names no era of a value.
+type headerless struct{ http.ResponseWriter }
+
+func (w headerless) Write(b []byte) (int, error) {
+	w.Header().Del("X-Value-Era")
+	return w.ResponseWriter.Write(b)
+}
+
 // TestOldPeerHasNoValues checks that a peer without the call answers as one of the version before it does.
 func TestOldPeerHasNoValues(t *testing.T) {
 	is := is.New(t)
@@ -208,8 +248,8 @@
 	is := is.New(t)
 	value := largeValue(8)
 	m := messenger.New(messenger.Config{Peers: &messenger.Peers{}, Values: messenger.Values{
-		Value: func(context.Context, string, uint64, uint64, time.Duration) (replicator.Value, error) {
-			return replicator.Value{Entry: storeclient.Entry{Key: "config", Value: value, Revision: 9}}, nil
+		Value: func(context.Context, replicator.Reference, uint64, time.Duration) (replicator.Value, error) {
+			return replicator.Value{Version: replicator.Version{Entry: storeclient.Entry{Key: "config", Value: value, Revision: 9}}}, nil
 		},
 	}})
 	server := httptest.NewServer(m.Handler())
--- a/messenger/wire.go
+++ b/messenger/wire.go
@@ -61,7 +61,7 @@
 }
 
 func (w updateWire) update() replicator.Update {
-	entries, references := decodeEntries(w.Entries)
+	entries, references := decodeEntries(w.Entries, w.Era)
 	return replicator.Update{
 		Era: w.Era, Revision: w.Revision, Complete: w.Whole, Entries: entries, References: references,
 		IsInContact: w.InContact, ContactTime: max(w.ContactTime.Std(), 0), AnswerAge: max(w.AnswerAge.Std(), 0),
@@ -90,7 +90,7 @@
 }
 
 func (w changesWire) changes() replicator.PeerChanges {
-	entries, references := decodeEntries(w.Entries)
+	entries, references := decodeEntries(w.Entries, w.Era)
 	return replicator.PeerChanges{
 		Changes: storeclient.Changes{Era: w.Era, Revision: w.Revision, Entries: entries}, References: references, Age: max(w.Age.Std(), 0),
 	}
@@ -112,10 +112,10 @@
 	return out
 }
 
-func decodeEntries(entries []changeWire) (out []storeclient.Change, references []replicator.Reference) {
+func decodeEntries(entries []changeWire, era storeclient.Era) (out []storeclient.Change, references []replicator.Reference) {
 	for _, e := range entries {
 		if e.Deferred {
-			references = append(references, replicator.Reference{Key: e.Key, Revision: e.Revision, Size: max(e.Size, 0)})
+			references = append(references, replicator.Reference{Key: e.Key, Era: era, Revision: e.Revision, Size: max(e.Size, 0)})
 			continue
 		}
 		out = append(out, storeclient.Change{Entry: storeclient.Entry{Key: e.Key, Value: e.Value, Revision: e.Revision}, Deleted: e.Deleted})
--- a/replicator/core.go
+++ b/replicator/core.go
@@ -38,6 +38,7 @@
 	removalFloor uint64                   // removals up to this revision may be missing from removed
 	gaps         []gap                    // the latest maxGaps gaps above removalFloor, in order of revision
 	era          storeclient.Era          // in which all revisions count
+	wasRestored  bool                     // the store has been restored since the first list
 	revision     uint64
 	listed       bool // the entries are complete as of revision
 	fromPeer     bool // the entries came from a peer and have to be confirmed by a list from the store
--- a/replicator/reference.go
+++ b/replicator/reference.go
@@ -15,6 +15,7 @@
 // Reference names a version of a large value without the value.
 type Reference struct {
 	Key      string
+	Era      storeclient.Era // in which the revision counts; zero if its source names none
 	Revision uint64
 	Size     int // of the value in bytes
 }
@@ -43,7 +44,7 @@
 // ValueFetched is the answer to a FetchValue action.
 type ValueFetched struct {
 	Number uint64
-	Entry  storeclient.Entry
+	Version
 }
 
 // ValueFailed reports that a FetchValue action has failed.
@@ -64,6 +65,7 @@
 		if e, ok := c.entries[r.Key]; ok && e.Revision >= r.Revision {
 			continue
 		}
+		r.Era = c.era
 		m := c.missing[r.Key]
 		switch {
 		case m == nil:
@@ -97,7 +99,7 @@
 	if m == nil || m.fetch != e.Number {
 		return nil
 	}
-	if e.Entry.Revision < m.requested {
+	if !c.isCurrent(e.Version) || e.Entry.Revision < m.requested {
 		return c.handleValueFailure(now, ValueFailed{Number: e.Number, Key: e.Entry.Key})
 	}
 	m.fetch, m.failures, m.retryAt = 0, 0, now
@@ -112,6 +114,12 @@
 	return append(out, c.scheduleWake()...)
 }
 
+// isCurrent reports whether the revision of a fetched version counts in the era of the replica. A peer of a version that
+// names no era may still be in the one before the last restore, if there was one.
+func (c *Core) isCurrent(v Version) bool {
+	return v.Era == c.era || v.Era == 0 && !c.wasRestored
+}
+
 // handleValueFailure schedules the next fetch.
 func (c *Core) handleValueFailure(now time.Time, e ValueFailed) []Action {
 	m := c.missing[e.Key]
@@ -186,7 +194,7 @@
 		case ch.Deleted || len(ch.Value) <= LargeSize:
 			changes.Entries = append(changes.Entries, ch)
 		case c.missing[ch.Key] == nil:
-			references = append(references, Reference{Key: ch.Key, Revision: ch.Revision, Size: len(ch.Value)})
+			references = append(references, Reference{Key: ch.Key, Era: c.era, Revision: ch.Revision, Size: len(ch.Value)})
 		}
 	}
 	return changes, append(references, c.missingSince(after)...), true
--- a/replicator/restore.go
+++ b/replicator/restore.go
@@ -46,6 +46,7 @@
 		e.Revision = 0
 		c.entries[key] = e
 	}
+	c.wasRestored = true
 	c.missing = map[string]*missingValue{}
 	c.removed, c.gaps = nil, nil
 	c.removalFloor, c.revision = revision, 0
--- a/replicator/session_test.go
+++ b/replicator/session_test.go
@@ -42,7 +42,7 @@
 	case "watched":
 		e = replicator.Watched{Changes: changes(ev), References: references(ev), Call: s.callOf(ev)}
 	case "value":
-		e = replicator.ValueFetched{Number: uint64(ev.Int("number")), Entry: storeclient.Entry{Key: ev.Str("key"), Revision: uint64(ev.Int("revision"))}}
+		e = replicator.ValueFetched{Number: uint64(ev.Int("number")), Version: replicator.Version{Entry: storeclient.Entry{Key: ev.Str("key"), Revision: uint64(ev.Int("revision"))}, Era: era(ev)}}
 	case "noValue":
 		e = replicator.ValueFailed{Number: uint64(ev.Int("number")), Key: ev.Str("key")}
 	case "failed":
--- a/replicator/values.go
+++ b/replicator/values.go
@@ -10,19 +10,25 @@
 	"amaranthmill/storeclient"
 )
 
+// Version is a version of a large value.
+type Version struct {
+	storeclient.Entry
+	Era storeclient.Era // in which the revision counts; zero if its source names none
+}
+
 // Value is a version of a large value, with an earlier version of it as base if the replica still has the
 // one that was asked for.
 type Value struct {
-	storeclient.Entry
+	Version
 	Base         []byte // nil if there is none
 	BaseRevision uint64 // zero if there is none
 }
 
 // ValueSource fetches the values of references. It must be safe for concurrent use.
 type ValueSource interface {
-	// FetchValue returns the value of a reference, or a newer version of it. The version that the replica holds is
-	// given as base; its Revision is zero if there is none.
-	FetchValue(ctx context.Context, r Reference, base storeclient.Entry) (storeclient.Entry, error)
+	// FetchValue returns the value of a reference, or a newer version of it in the same era. The version that the
+	// replica holds is given as base; its Revision is zero if there is none.
+	FetchValue(ctx context.Context, r Reference, base storeclient.Entry) (Version, error)
 }
 
 // ValueArrival reports how a value was fetched.
@@ -31,15 +37,16 @@
 	Wait  time.Duration // since the replica learned that there is a newer version
 }
 
-// MissingValueError reports that the replica does not have the value of a key at a revision or a later one.
+// MissingValueError reports that the replica does not have the value of a key at a revision of an era or a later one.
 type MissingValueError struct {
 	Key      string
+	Era      storeclient.Era
 	Revision uint64
 	IsGone   bool // the key does not exist
 }
 
 func (e *MissingValueError) Error() string {
-	return fmt.Sprintf("replicator: the replica does not have key %q at revision %d or a later one", e.Key, e.Revision)
+	return fmt.Sprintf("replicator: the replica does not have key %q at revision %d of era %d or a later one", e.Key, e.Revision, e.Era)
 }
 
 // WatchReferences does what Watch does, but returns references in place of large values.
@@ -58,30 +65,34 @@
 	return r.addContact(r.core.UpdateWithReferences(after))
 }
 
-// Value waits at most wait for the value of a key at a revision or a later one, and returns the newest
-// that it has. Its error is *MissingValueError.
-func (r *Replicator) Value(ctx context.Context, key string, revision, base uint64, wait time.Duration) (Value, error) {
+// Value waits at most wait for the value of a reference or a newer version in the same era, and returns the newest
+// that it has. It also waits for the era; that of a reference which names none is the replica's. Its error is
+// *MissingValueError.
+func (r *Replicator) Value(ctx context.Context, reference Reference, base uint64, wait time.Duration) (Value, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
+	missing := &MissingValueError{Key: reference.Key, Era: reference.Era, Revision: reference.Revision}
 	for {
 		r.mu.Lock()
-		answered := r.answered
-		e, newest := r.core.Entry(key)
-		v := Value{Entry: e}
-		if old, ok := r.versions.find(key, base); ok {
+		answered, era := r.answered, r.core.Era()
+		isEra := r.core.peerEra(reference.Era) == era
+		e, newest := r.core.Entry(reference.Key)
+		v := Value{Version: Version{Entry: e, Era: era}}
+		if old, ok := r.versions.find(reference.Key, base); ok {
 			v.Base, v.BaseRevision = old.Value, base
 		}
 		r.mu.Unlock()
-		if e.Revision >= revision && e.Revision > 0 {
+		if isEra && e.Revision >= reference.Revision && e.Revision > 0 {
 			return v, nil
 		}
-		if newest == 0 {
-			return Value{}, &MissingValueError{Key: key, Revision: revision, IsGone: true}
+		missing.IsGone = isEra && newest == 0
+		if missing.IsGone || reference.Era != 0 && reference.Era < era {
+			return Value{}, missing
 		}
 		select {
 		case <-answered:
 		case <-ctx.Done():
-			return Value{}, &MissingValueError{Key: key, Revision: revision}
+			return Value{}, missing
 		}
 	}
 }
@@ -94,20 +105,20 @@
 	r.mu.Lock()
 	base, _ := r.core.Entry(a.Key)
 	r.mu.Unlock()
-	e, err := storeclient.Entry{}, errNoValueSource
+	v, err := Version{}, errNoValueSource
 	if r.cfg.Values != nil {
-		e, err = r.cfg.Values.FetchValue(ctx, a.Reference, base)
+		v, err = r.cfg.Values.FetchValue(ctx, a.Reference, base)
 	}
 	line := r.cfg.Logger.Debug().Err(err).Str("key", a.Key).Uint64("revision", a.Revision).Int("size", a.Size).Dur("sinceReference", time.Since(a.Since))
 	if err != nil {
 		line.Int("failures", a.Failures+1).Msg("value of a reference not fetched; retrying after a delay")
 		return ValueFailed{Number: a.Number, Key: a.Key}
 	}
-	line.Uint64("fetched", e.Revision).Msg("value of a reference fetched")
+	line.Uint64("fetched", v.Revision).Uint64("era", uint64(v.Era)).Msg("value of a reference fetched")
 	if r.cfg.OnValue != nil {
-		r.cfg.OnValue(ValueArrival{Entry: e, Wait: time.Since(a.Since)})
+		r.cfg.OnValue(ValueArrival{Entry: v.Entry, Wait: time.Since(a.Since)})
 	}
-	return ValueFetched{Number: a.Number, Entry: e}
+	return ValueFetched{Number: a.Number, Version: v}
 }
 
 // Bounds of the versions of large values that are kept as bases for differences.
--- a/runner/hosted_values.go
+++ b/runner/hosted_values.go
@@ -20,8 +20,8 @@
 			return h.replica.WatchReferences(ctx, after, wait)
 		},
 		UpdateWithReferences: func(after uint64) replicator.Update { return h.replica.UpdateWithReferences(after) },
-		Value: func(ctx context.Context, key string, revision, base uint64, wait time.Duration) (replicator.Value, error) {
-			return h.replica.Value(ctx, key, revision, base, wait)
+		Value: func(ctx context.Context, reference replicator.Reference, base uint64, wait time.Duration) (replicator.Value, error) {
+			return h.replica.Value(ctx, reference, base, wait)
 		},
 	}
 }
@@ -65,14 +65,14 @@
 
 // fetchedValue is the outcome of a fetch of a value.
 type fetchedValue struct {
-	entry storeclient.Entry
-	err   error
+	version replicator.Version
+	err     error
 }
 
 // FetchValue fetches the value of a reference from the peer that this instance follows. Another peer, and after it the
 // store, is tried beside the pending fetches when one fails or the last one has not answered in time. The error
 // is that of the source that failed last.
-func (u *upstream) FetchValue(ctx context.Context, r replicator.Reference, base storeclient.Entry) (storeclient.Entry, error) {
+func (u *upstream) FetchValue(ctx context.Context, r replicator.Reference, base storeclient.Entry) (replicator.Version, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	var sources []func() fetchedValue
@@ -99,28 +99,28 @@
 		case last = <-fetched:
 			pending--
 			if last.err == nil {
-				return last.entry, nil
+				return last.version, nil
 			}
 		case <-hedge:
 		}
 	}
-	return storeclient.Entry{}, last.err
+	return replicator.Version{}, last.err
 }
 
 func (u *upstream) fetchFromPeer(ctx context.Context, p messenger.Peer, r replicator.Reference, base storeclient.Entry) fetchedValue {
-	e, err := u.hosted.messenger.FetchValue(ctx, p, r, base)
+	v, err := u.hosted.messenger.FetchValue(ctx, p, r, base)
 	if err != nil && ctx.Err() == nil {
 		u.hosted.logger.Debug().Err(err).Str("peer", string(p.Instance)).Str("key", r.Key).Uint64("revision", r.Revision).Msg("value not fetched from peer")
 	}
-	return fetchedValue{e, err}
+	return fetchedValue{v, err}
 }
 
 func (u *upstream) fetchFromStore(ctx context.Context, r replicator.Reference) fetchedValue {
-	e, err := u.hosted.store.GetAtLeast(ctx, r.Key, r.Revision)
+	e, err := u.hosted.store.GetAtLeast(ctx, r.Key, r.Era, r.Revision)
 	if err == nil {
 		u.hosted.logger.Info().Str("key", r.Key).Uint64("revision", e.Revision).Int("size", len(e.Value)).Msg("value fetched from the store, because no peer has returned it")
 	}
-	return fetchedValue{e, err}
+	return fetchedValue{replicator.Version{Entry: e, Era: r.Era}, err}
 }
 
 // valuePeers returns the peers to fetch a value from, in the order in which to try them: the one that this instance
--- a/runner/load_test.go
+++ b/runner/load_test.go
@@ -20,6 +20,7 @@
 	"amaranthmill/configurer"
 	"amaranthmill/internal/formatter"
 	"amaranthmill/internal/identifier"
+	"amaranthmill/replicator"
 
 	"github.com/rs/zerolog"
 )
@@ -392,6 +393,6 @@
 
 // hasKey reports whether the replica of the node has a version of a key at a revision or a later one.
 func (n *loadNode) hasKey(key string, revision uint64) bool {
-	_, err := n.hosted.replica.Value(context.Background(), key, revision, 0, 0)
+	_, err := n.hosted.replica.Value(context.Background(), replicator.Reference{Key: key, Revision: revision}, 0, 0)
 	return err == nil
 }
--- a/runner/version_bench_test.go
+++ b/runner/version_bench_test.go
@@ -49,8 +49,8 @@
 	newPeer := func(revision *uint64) http.Handler {
 		newest := value(1)
 		m := messenger.New(messenger.Config{Peers: &messenger.Peers{}, Values: messenger.Values{
-			Value: func(_ context.Context, key string, _, asked uint64, _ time.Duration) (replicator.Value, error) {
-				v := replicator.Value{Entry: storeclient.Entry{Key: key, Value: newest, Revision: *revision}}
+			Value: func(_ context.Context, r replicator.Reference, asked uint64, _ time.Duration) (replicator.Value, error) {
+				v := replicator.Value{Version: replicator.Version{Entry: storeclient.Entry{Key: r.Key, Value: newest, Revision: *revision}}}
 				if asked == held.Revision {
 					v.Base, v.BaseRevision = held.Value, held.Revision
 				}
--- a/storeclient/entry.go
+++ b/storeclient/entry.go
@@ -11,26 +11,29 @@
 
 // Get returns the entry of key. Its errors are *NotFoundError and *UnavailableError.
 func (c *Client) Get(ctx context.Context, key string) (Entry, error) {
-	stored, err := c.get(ctx, key, 0)
+	stored, _, err := c.get(ctx, key, 0)
 	if err != nil {
 		return Entry{}, err
 	}
 	return stored.entry(), nil
 }
 
-// GetAtLeast returns the entry of key at a revision or a later one. Its errors are *NotFoundError and
-// *UnavailableError, whose cause is *StaleError if the store returned an older one.
-func (c *Client) GetAtLeast(ctx context.Context, key string, revision uint64) (Entry, error) {
-	stored, err := c.get(ctx, key, revision)
+// GetAtLeast returns the entry of key at a revision of an era or a later one. Its errors are *NotFoundError and
+// *UnavailableError, whose cause is *StaleError if the store returned an older one, and *EndedEraError if it is in another era.
+func (c *Client) GetAtLeast(ctx context.Context, key string, era Era, revision uint64) (Entry, error) {
+	stored, answered, err := c.get(ctx, key, revision)
 	if err != nil {
 		return Entry{}, err
 	}
+	if answered != era {
+		return Entry{}, &UnavailableError{Call: OperationGet, Cause: &EndedEraError{Era: era, Known: answered}}
+	}
 	return stored.entry(), nil
 }
 
-// get returns key as stored. It repeats the read if the answer is stale, that is, older than
+// get returns key as stored, and the era of the answer. It repeats the read if the answer is stale, that is, older than
 // revision atLeast.
-func (c *Client) get(ctx context.Context, key string, atLeast uint64) (StoredEntry, error) {
+func (c *Client) get(ctx context.Context, key string, atLeast uint64) (StoredEntry, Era, error) {
 	call := Call{Operation: OperationGet, Key: key}
 	for attempt := range c.cfg.Attempts {
 		if attempt > 0 && c.backOff(ctx, attempt) != nil {
@@ -38,19 +41,19 @@
 		}
 		a, _, err := c.callWithRetries(ctx, call)
 		if err != nil {
-			return StoredEntry{}, err
+			return StoredEntry{}, 0, err
 		}
 		if a.Result == ResultNotFound {
-			return StoredEntry{}, &NotFoundError{Key: key}
+			return StoredEntry{}, 0, &NotFoundError{Key: key}
 		}
 		if a.Result != ResultOK || len(a.Entries) != 1 {
-			return StoredEntry{}, unexpectedAnswer(call, a)
+			return StoredEntry{}, 0, unexpectedAnswer(call, a)
 		}
 		if a.Entries[0].Revision >= atLeast {
-			return a.Entries[0], nil
+			return a.Entries[0], a.era, nil
 		}
 	}
-	return StoredEntry{}, &UnavailableError{Call: OperationGet, Cause: &StaleError{Key: key, Revision: atLeast}}
+	return StoredEntry{}, 0, &UnavailableError{Call: OperationGet, Cause: &StaleError{Key: key, Revision: atLeast}}
 }
 
 // Create stores value under key if the key does not exist. With a lease other than "", the key
@@ -107,7 +110,7 @@
 // conflict at revision. The conflict is either with the write itself or with another writer. In the
 // second case, the write may have taken effect before the other one replaced its value.
 func (c *Client) readBack(ctx context.Context, call Call, name string, revision uint64) (Entry, error) {
-	stored, err := c.get(ctx, call.Key, revision)
+	stored, _, err := c.get(ctx, call.Key, revision)
 	if err != nil {
 		return Entry{}, &UnknownError{Call: call.Operation, Key: call.Key, Cause: err}
 	}
--- a/storeclient/session_test.go
+++ b/storeclient/session_test.go
@@ -84,7 +84,7 @@
 	case "get":
 		e, err = c.Get(ctx, key)
 	case "getAtLeast":
-		e, err = c.GetAtLeast(ctx, key, revision)
+		e, err = c.GetAtLeast(ctx, key, storeclient.Era(ev.Int("era")), revision)
 	case "create":
 		e, err = c.Create(ctx, key, value, storeclient.LeaseID(ev.Str("lease")))
 	case "swap":
