replicator, runner: logs tell where each version came from, and which answers were ignored

'configuration in force' now has the era, the source (list, watch, update, value) and the peer; a version that is not put in force has a line with its reason, and a counter. The replica logs each answer that it does not apply, or not in full, with its reason, its era and revision and those of the replica. A gauge has the version in force.

TestConfigurationLogNamesItsOrigin; sessions of replicator show the ignored answers. messenger TestExchanges also expects the peer's name.

--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -196,7 +196,9 @@
 	if err := m.exchange(ctx, p, http.MethodGet, path, nil, &w); err != nil {
 		return replicator.PeerChanges{}, err
 	}
-	return w.changes(), nil
+	changes := w.changes()
+	changes.Peer = p.Instance
+	return changes, nil
 }
 
 func (m *Messenger) serveStalled(w http.ResponseWriter, r *http.Request) {
@@ -246,6 +248,7 @@
 		m.cfg.Logger.Debug().Err(err).Str("peer", string(p.Instance)).Msg("peer did not return an update; querying another peer next")
 	}
 	u := w.update()
+	u.Peer = p.Instance
 	hasNews := u.Revision > after
 	if !u.IsInContact || u.ContactTime < minContactTime {
 		m.selector.reject(now, p.Instance, hasNews)
--- a/messenger/messenger_test.go
+++ b/messenger/messenger_test.go
@@ -91,7 +91,7 @@
 	update := m.FetchUpdate(ctx, 4)
 	is.Equal(update.Revision, uint64(9))
 	is.Equal(update.Era, storeclient.Era(3))
-	is.Equal(m.FetchUpdate(ctx, 9), replicator.Update{IsInContact: true, ContactTime: 9 * time.Second, AnswerAge: 20 * time.Millisecond})
+	is.Equal(m.FetchUpdate(ctx, 9), replicator.Update{Peer: "alpine-1", IsInContact: true, ContactTime: 9 * time.Second, AnswerAge: 20 * time.Millisecond})
 
 	alpine, ok := peers.Find("alpine-1")
 	is.True(ok)
--- a/messenger/value.go
+++ b/messenger/value.go
@@ -170,7 +170,9 @@
 	if err != nil {
 		return replicator.Version{}, err
 	}
-	return m.decodeValue(resp.Header, r, base, compressed)
+	v, err := m.decodeValue(resp.Header, r, base, compressed)
+	v.Peer = p.Instance
+	return v, err
 }
 
 // decodeValue returns the version of an answer. Its error is *DifferenceError if the answer was compressed with a
--- a/replicator/action.go
+++ b/replicator/action.go
@@ -7,7 +7,7 @@
 )
 
 // Action is an output of a Core: List, Watch, QueryPeers, FetchValue, WakeAt, Restored, NotifyChanges,
-// Health or Contact.
+// Ignored, Health or Contact.
 type Action interface{ action() }
 
 // Call identifies a call to the store. Its answer or failure is reported with the same Call. All calls
@@ -40,7 +40,10 @@
 type WakeAt struct{ At time.Time }
 
 // NotifyChanges reports entries that were written or removed, in the order in which they were applied.
-type NotifyChanges struct{ Changes []storeclient.Change }
+type NotifyChanges struct {
+	Changes []storeclient.Change
+	Origin  Origin
+}
 
 // Health reports that the store was lost or answers again.
 type Health struct {
--- a/replicator/core.go
+++ b/replicator/core.go
@@ -120,31 +120,35 @@
 }
 
 func (c *Core) handleList(now time.Time, e Listed) []Action {
+	from := Origin{Kind: OriginList, Era: e.Snapshot.Era}
 	if e.Call.Round != c.round {
-		return nil // it may hold entries that have been removed since
+		return c.ignore(IgnoredOvertaken, from, e.Snapshot.Revision) // it may hold entries that have been removed since
 	}
 	if e.Snapshot.Era < c.era {
-		return c.handleFailure(now, Failed{Call: e.Call})
+		out := c.ignore(IgnoredOtherEra, from, e.Snapshot.Revision)
+		return append(out, c.handleFailure(now, Failed{Call: e.Call})...)
 	}
 	if !c.listed && len(c.entries) == 0 {
 		c.removalFloor = e.Snapshot.Revision
 	}
 	out := c.handleSuccess(now, 0, e.Call)
 	out = append(out, c.adoptEra(now, e.Snapshot.Era, e.Snapshot.Revision)...)
-	out = append(out, c.replaceEntries(now, e.Snapshot)...)
+	out = append(out, c.replaceEntries(now, from, e.Snapshot)...)
 	c.listed, c.fromPeer = true, false
 	return append(out, c.scheduleCall(now)...)
 }
 
 func (c *Core) handleWatch(now time.Time, e Watched) []Action {
+	from := Origin{Kind: OriginWatch, Era: e.Changes.Era, Peer: e.Peer}
 	if e.Call.Round != c.round {
-		return nil // it may hold entries that have been removed since
+		return c.ignore(IgnoredOvertaken, from, e.Changes.Revision) // it may hold entries that have been removed since
 	}
 	if e.Changes.Era != c.era || e.Call.Era != c.era {
-		return c.handleFailure(now, Failed{Compacted: e.Changes.Era >= c.era, Call: e.Call}) // the history of a later era starts with a list
+		out := c.ignore(IgnoredOtherEra, from, e.Changes.Revision)
+		return append(out, c.handleFailure(now, Failed{Compacted: e.Changes.Era >= c.era, Call: e.Call})...) // the history of a later era starts with a list
 	}
 	out := c.handleSuccess(now, e.Age, e.Call)
-	out = append(out, c.applyChanges(now, e.Changes)...)
+	out = append(out, c.applyChanges(now, from, e.Changes)...)
 	out = append(out, c.applyReferences(now, e.References)...)
 	return append(out, c.scheduleCall(now)...)
 }
@@ -253,8 +257,9 @@
 func (c *Core) handleUpdate(now time.Time, e PeerAnswered) []Action {
 	u := e.Update
 	era := c.peerEra(u.Era)
+	from := Origin{Kind: OriginUpdate, Era: era, Peer: u.Peer}
 	if era < c.era {
-		return nil
+		return c.ignore(IgnoredOtherEra, from, u.Revision)
 	}
 	var out []Action
 	if era > c.era {
@@ -272,15 +277,17 @@
 		c.peerContact = contact.extend(c.peerContact)
 		out = append(out, contact)
 	}
-	isGap := !u.Complete && e.Query.Era != c.era // the changes begin after a revision of an earlier era
-	if !c.lost || u.Revision <= c.revision || isGap {
+	if !c.lost || u.Revision <= c.revision {
 		return out
 	}
+	if !u.Complete && e.Query.Era != c.era { // the changes begin after a revision of an earlier era
+		return append(out, c.ignore(IgnoredOtherEra, from, u.Revision)...)
+	}
 	if !u.Complete {
-		out = append(out, c.applyChanges(now, storeclient.Changes{Revision: u.Revision, Entries: u.Entries})...)
+		out = append(out, c.applyChanges(now, from, storeclient.Changes{Revision: u.Revision, Entries: u.Entries})...)
 	} else {
 		c.fromPeer = true
-		out = append(out, c.replaceEntries(now, u.snapshot(), u.References...)...)
+		out = append(out, c.replaceEntries(now, from, u.snapshot(), u.References...)...)
 	}
 	if len(u.References) == 0 {
 		return out
--- a/replicator/event.go
+++ b/replicator/event.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"amaranthmill/internal/identifier"
 	"amaranthmill/storeclient"
 )
 
@@ -23,7 +24,8 @@
 // changes come; it is zero if the store itself has just answered.
 type Watched struct {
 	Changes    storeclient.Changes
-	References []Reference // to large values that changed
+	References []Reference         // to large values that changed
+	Peer       identifier.Instance // that has answered; empty for the store
 	Age        time.Duration
 	Call       Call // of the Watch action
 }
--- a/replicator/outage_test.go
+++ b/replicator/outage_test.go
@@ -89,7 +89,7 @@
 			ctx, cancel := context.WithCancel(t.Context())
 			cutAt := time.Now().Add(5 * time.Second)
 			r := replicator.New(replicator.Config{
-				Store: &cutStore{cutAt: cutAt, healAt: cutAt.Add(10 * time.Second)}, OnChange: func([]storeclient.Change) {},
+				Store: &cutStore{cutAt: cutAt, healAt: cutAt.Add(10 * time.Second)}, OnChange: func([]storeclient.Change, replicator.Origin) {},
 			})
 			go func() { _ = r.Run(ctx) }()
 			time.Sleep(time.Until(cutAt.Add(start)))
@@ -153,7 +153,7 @@
 			var seenAt [levels]time.Time
 			var above *replicator.Replicator
 			for level := range levels {
-				cfg := replicator.Config{Store: &cutStore{changeAt: changeAt}, OnChange: func([]storeclient.Change) { seenAt[level] = time.Now() }}
+				cfg := replicator.Config{Store: &cutStore{changeAt: changeAt}, OnChange: func([]storeclient.Change, replicator.Origin) { seenAt[level] = time.Now() }}
 				if above == nil {
 					cfg.Store = &cutStore{changeAt: changeAt, cutAt: cutAt, healAt: cutAt.Add(time.Minute)}
 				} else {
@@ -205,7 +205,7 @@
 			cutAt := time.Now().Add(5 * time.Second)
 			changeAt := cutAt.Add(10 * time.Millisecond)
 			followed := replicator.New(replicator.Config{
-				Store: &cutStore{changeAt: changeAt, cutAt: cutAt, healAt: cutAt.Add(time.Minute)}, OnChange: func([]storeclient.Change) {},
+				Store: &cutStore{changeAt: changeAt, cutAt: cutAt, healAt: cutAt.Add(time.Minute)}, OnChange: func([]storeclient.Change, replicator.Origin) {},
 			})
 			go func() { _ = followed.Run(ctx) }()
 			time.Sleep(170 * time.Millisecond) // the instances do not start at once
@@ -213,7 +213,7 @@
 			follower := replicator.New(replicator.Config{
 				Store:    &cutStore{changeAt: changeAt},
 				Upstream: &silentUpstream{peerUpstream: peerUpstream{replica: followed}, silentAt: cutAt.Add(delay)},
-				OnChange: func([]storeclient.Change) { seenAt = time.Now() },
+				OnChange: func([]storeclient.Change, replicator.Origin) { seenAt = time.Now() },
 			})
 			go func() { _ = follower.Run(ctx) }()
 			time.Sleep(15 * time.Second)
@@ -239,7 +239,7 @@
 			lost := false
 			var regainedAt time.Time
 			r := replicator.New(replicator.Config{
-				Store: &cutStore{cutAt: cutAt, healAt: healAt}, OnChange: func([]storeclient.Change) {},
+				Store: &cutStore{cutAt: cutAt, healAt: healAt}, OnChange: func([]storeclient.Change, replicator.Origin) {},
 				OnHealth: func(h replicator.Health) { lost, regainedAt = h.Lost, time.Now() },
 			})
 			go func() { _ = r.Run(ctx) }()
--- a/replicator/reference.go
+++ b/replicator/reference.go
@@ -99,15 +99,20 @@
 	if m == nil || m.fetch != e.Number {
 		return nil
 	}
-	if !c.isCurrent(e.Version) || e.Entry.Revision < m.requested {
-		return c.handleValueFailure(now, ValueFailed{Number: e.Number, Key: e.Entry.Key})
+	failed := ValueFailed{Number: e.Number, Key: e.Entry.Key}
+	switch {
+	case !c.isCurrent(e.Version):
+		out := c.ignore(IgnoredOtherEra, Origin{Kind: OriginValue, Era: e.Era, Peer: e.Peer}, e.Entry.Revision)
+		return append(out, c.handleValueFailure(now, failed)...)
+	case e.Entry.Revision < m.requested:
+		return c.handleValueFailure(now, failed)
 	}
 	m.fetch, m.failures, m.retryAt = 0, 0, now
 	var out []Action
 	if old, ok := c.entries[e.Entry.Key]; !ok || old.Revision < e.Entry.Revision {
 		c.entries[e.Entry.Key] = e.Entry
 		m.since = now
-		out = notify([]storeclient.Change{{Entry: e.Entry}})
+		out = notify([]storeclient.Change{{Entry: e.Entry}}, Origin{Kind: OriginValue, Era: c.era, Peer: e.Peer})
 	}
 	c.dropMissing(e.Entry.Key, e.Entry.Revision)
 	out = append(out, c.startFetches(now)...)
--- a/replicator/replicator.go
+++ b/replicator/replicator.go
@@ -9,6 +9,7 @@
 
 	"github.com/rs/zerolog"
 
+	"amaranthmill/internal/identifier"
 	"amaranthmill/storeclient"
 )
 
@@ -54,8 +55,9 @@
 // PeerChanges are what a replica returns to a peer that follows it.
 type PeerChanges struct {
 	storeclient.Changes
-	References []Reference   // to large values that changed, whose values the follower fetches
-	Age        time.Duration // since the store's last answer, to the replica or to the one that it follows
+	Peer       identifier.Instance // that has returned them; empty for the store
+	References []Reference         // to large values that changed, whose values the follower fetches
+	Age        time.Duration       // since the store's last answer, to the replica or to the one that it follows
 }
 
 // StaleError reports that a peer can't follow this replica, because the store has not answered
@@ -73,12 +75,12 @@
 // default that its comment states.
 type Config struct {
 	Store     Store
-	Peers     Peers                      // nil if there are none
-	Upstream  Upstream                   // nil if the replica always follows the store itself
-	OnChange  func([]storeclient.Change) // called in the order of the changes
-	OnHealth  func(Health)               // may be nil
-	OnContact func(Contact)              // the store answers a peer; may be nil
-	OnRestore func(Restored)             // the store was restored from an older copy; called before OnChange with what the copy holds; may be nil
+	Peers     Peers                              // nil if there are none
+	Upstream  Upstream                           // nil if the replica always follows the store itself
+	OnChange  func([]storeclient.Change, Origin) // called in the order of the changes
+	OnHealth  func(Health)                       // may be nil
+	OnContact func(Contact)                      // the store answers a peer; may be nil
+	OnRestore func(Restored)                     // the store was restored from an older copy; called before OnChange with what the copy holds; may be nil
 
 	Values  ValueSource        // fetches the values of references; nil if Upstream and Peers return no references
 	OnValue func(ValueArrival) // a value that was fetched is about to be applied; may be nil
@@ -235,7 +237,9 @@
 	case WakeAt:
 		r.timer.Reset(time.Until(a.At))
 	case NotifyChanges:
-		r.cfg.OnChange(a.Changes)
+		r.cfg.OnChange(a.Changes, a.Origin)
+	case Ignored:
+		r.reportIgnored(a)
 	case Health:
 		r.reportHealth(a)
 	case Restored:
@@ -356,7 +360,7 @@
 	if err == nil && ch.Era < era {
 		return nil, &StaleError{After: w.After}
 	}
-	return Watched{Changes: ch.Changes, References: ch.References, Age: ch.Age, Call: w.Call}, err
+	return Watched{Changes: ch.Changes, References: ch.References, Peer: ch.Peer, Age: ch.Age, Call: w.Call}, err
 }
 
 // classifyFailure returns the event for a failed call. It logs most errors at debug level only,
@@ -371,24 +375,3 @@
 	var rejected *storeclient.CircuitError
 	return Failed{NotSent: errors.As(err, &rejected), Call: call}
 }
-
-// reportRestore logs a restore of the store and reports it.
-func (r *Replicator) reportRestore(a Restored) {
-	r.cfg.Logger.Warn().Uint64("era", uint64(a.Era)).Uint64("revision", a.Revision).Uint64("oldRevision", a.OldRevision).
-		Msg("store was restored from an older copy, the replica follows its list from now on")
-	if r.cfg.OnRestore != nil {
-		r.cfg.OnRestore(a)
-	}
-}
-
-func (r *Replicator) reportHealth(h Health) {
-	if h.Lost {
-		r.cfg.Logger.Warn().Dur("sinceAnswer", time.Since(h.Since)).Msg("store lost")
-	} else {
-		r.cfg.Logger.Info().Dur("lostFor", time.Since(h.Since)).Dur("sinceFailedCall", time.Since(h.Answered.PreviousAt)).Dur("answer", time.Since(h.Answered.At)).
-			Msg("store regained")
-	}
-	if r.cfg.OnHealth != nil {
-		r.cfg.OnHealth(h)
-	}
-}
--- a/replicator/restore.go
+++ b/replicator/restore.go
@@ -72,7 +72,7 @@
 			delete(c.entries, key)
 		}
 	}
-	return notify(changes)
+	return notify(changes, Origin{Kind: OriginGrace, Era: c.era})
 }
 
 // extendConfirmation restarts the time for writing entries again, because the store was lost in it.
--- a/replicator/restore_member_test.go
+++ b/replicator/restore_member_test.go
@@ -146,7 +146,7 @@
 }
 
 // apply applies changes of the replica as an instance does.
-func (m *restoreMember) apply(changes []storeclient.Change) {
+func (m *restoreMember) apply(changes []storeclient.Change, _ replicator.Origin) {
 	for _, c := range changes {
 		switch {
 		case c.Key == versionKey && !c.Deleted:
--- a/replicator/session_test.go
+++ b/replicator/session_test.go
@@ -184,6 +184,8 @@
 			line = "change " + describe(a.Changes)
 		case replicator.Restored:
 			line = fmt.Sprintf("restored to %d in era %d, was at %d", a.Revision, a.Era, a.OldRevision)
+		case replicator.Ignored:
+			line = fmt.Sprintf("ignored %s at %d of era %d, %s, first %q", a.Origin.Kind, a.Revision, a.Origin.Era, a.Reason, a.Key)
 		case replicator.Health:
 			line = fmt.Sprintf("health lost=%t", a.Lost)
 		case replicator.Contact:
--- a/replicator/update.go
+++ b/replicator/update.go
@@ -6,17 +6,19 @@
 	"slices"
 	"time"
 
+	"amaranthmill/internal/identifier"
 	"amaranthmill/storeclient"
 )
 
 // Update is what a replica holds beyond the revision of another replica.
 type Update struct {
-	Era         storeclient.Era // in which the revisions count
-	Revision    uint64          // of the replica; zero if it has nothing newer
-	Complete    bool            // Entries is the complete replica rather than the changes
-	IsInContact bool            // the store answers the replica
-	ContactTime time.Duration   // for which it has answered the replica, or peers of which that knows, without interruption until its last answer to the replica
-	AnswerAge   time.Duration   // since that answer
+	Peer        identifier.Instance // that has returned it
+	Era         storeclient.Era     // in which the revisions count
+	Revision    uint64              // of the replica; zero if it has nothing newer
+	Complete    bool                // Entries is the complete replica rather than the changes
+	IsInContact bool                // the store answers the replica
+	ContactTime time.Duration       // for which it has answered the replica, or peers of which that knows, without interruption until its last answer to the replica
+	AnswerAge   time.Duration       // since that answer
 	Entries     []storeclient.Change
 	References  []Reference // to values that the replica itself is missing; nil for a peer that does not know references
 }
--- a/replicator/value_fleet_test.go
+++ b/replicator/value_fleet_test.go
@@ -291,7 +291,7 @@
 }
 
 // apply records changes and reports those that go back in their era, or that the store has not written so in it.
-func (m *valueMember) apply(changes []storeclient.Change) {
+func (m *valueMember) apply(changes []storeclient.Change, _ replicator.Origin) {
 	for _, ch := range changes {
 		m.mu.Lock()
 		old, ok := m.applied[ch.Key]
--- a/replicator/values.go
+++ b/replicator/values.go
@@ -7,13 +7,15 @@
 	"slices"
 	"time"
 
+	"amaranthmill/internal/identifier"
 	"amaranthmill/storeclient"
 )
 
 // Version is a version of a large value.
 type Version struct {
 	storeclient.Entry
-	Era storeclient.Era // in which the revision counts; zero if its source names none
+	Era  storeclient.Era     // in which the revision counts; zero if its source names none
+	Peer identifier.Instance // that has returned it; empty for the store
 }
 
 // Value is a version of a large value, with an earlier version of it as base if the replica still has the
--- a/replicator/world_test.go
+++ b/replicator/world_test.go
@@ -231,7 +231,7 @@
 				m.step(endpointlister.StoreRegained{})
 			}
 		},
-		OnChange: func(changes []storeclient.Change) {
+		OnChange: func(changes []storeclient.Change, _ replicator.Origin) {
 			for _, c := range changes {
 				id := identifier.Endpoint(c.Key)
 				if c.Deleted {
--- a/runner/cold_test.go
+++ b/runner/cold_test.go
@@ -40,7 +40,7 @@
 				is.NoErr(err)
 				return storeclient.Change{Entry: storeclient.Entry{Key: key, Value: text}}
 			}
-			h.view.applyChanges([]storeclient.Change{
+			h.view.applyFromStore([]storeclient.Change{
 				change("servers/i-1", map[string]any{"service": "ledger", "address": "127.0.0.1:1", "zone": "here", "version": "v1", "slots": 8, "state": "ready", "coldLeftMs": 60000, "sequence": 0, "born": 1787150514949}),
 				change("op/config", map[string]any{"version": 1, "services": []any{map[string]any{"name": "ledger", "maxConns": 10, "coldStartS": 3, "coldPerS": tc.perSecond}}, "limits": map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 20, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000}}),
 			})
@@ -69,7 +69,7 @@
 			s.Machine.MemoryMB, s.Bounds.ColdExcess, s.Bounds.ColdSlack = 400, 1.5, 5
 			h, err := newHosted(s, zerolog.New(log))
 			is.NoErr(err)
-			h.view.applyChanges([]storeclient.Change{
+			h.view.applyFromStore([]storeclient.Change{
 				{Entry: storeclient.Entry{Key: "op/config", Value: []byte(`{"version":1,"services":[{"name":"ledger","maxConns":10,"coldStartS":3,"coldPerS":15}],"limits":{"maxHeaderBytes":16384,"maxBodyBytes":1048576,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}`)}},
 				{Entry: storeclient.Entry{Key: instancePrefix + "b1", Value: []byte("b1/1 " + server.Listener.Addr().String() + " here 7")}},
 				{Entry: storeclient.Entry{Key: "servers/i-1", Value: []byte(`{"service":"ledger","address":"127.0.0.1:1","zone":"here","version":"v1","slots":8,"state":"ready","sequence":0,"born":1787150514949}`)}},
--- a/runner/connection_test.go
+++ b/runner/connection_test.go
@@ -37,7 +37,7 @@
 		}
 		changes = append(changes, storeclient.Change{Entry: storeclient.Entry{Key: fmt.Sprintf("servers/i-%d", i), Value: value}})
 	}
-	h.view.applyChanges(changes)
+	h.view.applyFromStore(changes)
 	return h
 }
 
--- a/runner/evacuation_test.go
+++ b/runner/evacuation_test.go
@@ -130,11 +130,11 @@
 func TestEvacuationAppliesBeforeListOfSameBatch(t *testing.T) {
 	is := is.New(t)
 	f := newEvacuationFixture(t)
-	f.hosted.view.applyChanges([]storeclient.Change{f.listing("ledger-1", "d1"), f.change("op/evacuate/d1", struct{}{}), f.configuration()}) // the first list
+	f.hosted.view.applyFromStore([]storeclient.Change{f.listing("ledger-1", "d1"), f.change("op/evacuate/d1", struct{}{}), f.configuration()}) // the first list
 	f.sendMeanwhile(func() {
 		for range 300 {
-			f.hosted.view.applyChanges([]storeclient.Change{f.removal("servers/ledger-1"), f.removal("op/evacuate/d1")})
-			f.hosted.view.applyChanges([]storeclient.Change{f.listing("ledger-1", "d1"), f.change("op/evacuate/d1", struct{}{})})
+			f.hosted.view.applyFromStore([]storeclient.Change{f.removal("servers/ledger-1"), f.removal("op/evacuate/d1")})
+			f.hosted.view.applyFromStore([]storeclient.Change{f.listing("ledger-1", "d1"), f.change("op/evacuate/d1", struct{}{})})
 		}
 	})
 	is.Equal(f.requests.Load(), int64(0))
@@ -142,7 +142,7 @@
 	is.Equal(answer.Code, http.StatusServiceUnavailable)
 	is.Equal(answer.Header().Get("Retry-After"), "3")
 	is.True(strings.Contains(answer.Body.String(), "evacuated"))
-	f.hosted.view.applyChanges([]storeclient.Change{f.removal("op/evacuate/d1")})
+	f.hosted.view.applyFromStore([]storeclient.Change{f.removal("op/evacuate/d1")})
 	is.Equal(f.send(1<<20+1).Code, http.StatusOK)
 	is.Equal(f.requests.Load(), int64(1))
 	is.True(f.log.count("failure domain evacuated") > 0)
@@ -154,11 +154,11 @@
 func TestEvacuationEndsAfterListOfSameBatch(t *testing.T) {
 	is := is.New(t)
 	f := newEvacuationFixture(t)
-	f.hosted.view.applyChanges([]storeclient.Change{f.configuration(), f.change("op/evacuate/d1", struct{}{}), f.listing("ledger-1", "d1")})
+	f.hosted.view.applyFromStore([]storeclient.Change{f.configuration(), f.change("op/evacuate/d1", struct{}{}), f.listing("ledger-1", "d1")})
 	f.sendMeanwhile(func() {
 		for range 300 {
-			f.hosted.view.applyChanges([]storeclient.Change{f.removal("op/evacuate/d1"), f.removal("servers/ledger-1")})
-			f.hosted.view.applyChanges([]storeclient.Change{f.change("op/evacuate/d1", struct{}{}), f.listing("ledger-1", "d1")})
+			f.hosted.view.applyFromStore([]storeclient.Change{f.removal("op/evacuate/d1"), f.removal("servers/ledger-1")})
+			f.hosted.view.applyFromStore([]storeclient.Change{f.change("op/evacuate/d1", struct{}{}), f.listing("ledger-1", "d1")})
 		}
 	})
 	is.Equal(f.requests.Load(), int64(0))
@@ -169,15 +169,15 @@
 func TestMalformedEvacuation(t *testing.T) {
 	is := is.New(t)
 	f := newEvacuationFixture(t)
-	f.hosted.view.applyChanges([]storeclient.Change{f.configuration(), f.listing("ledger-1", "d1")})
+	f.hosted.view.applyFromStore([]storeclient.Change{f.configuration(), f.listing("ledger-1", "d1")})
 	malformed := storeclient.Change{Entry: storeclient.Entry{Key: "op/evacuate/d1", Value: []byte("{"), Revision: 100}}
-	f.hosted.view.applyChanges([]storeclient.Change{malformed})
-	f.hosted.view.applyChanges([]storeclient.Change{malformed})
+	f.hosted.view.applyFromStore([]storeclient.Change{malformed})
+	f.hosted.view.applyFromStore([]storeclient.Change{malformed})
 	is.Equal(f.send(1).Code, http.StatusOK)
 	is.Equal(f.log.count("entry of an evacuation is not JSON"), 1)
-	f.hosted.view.applyChanges([]storeclient.Change{f.change("op/evacuate/d1", struct{}{})})
+	f.hosted.view.applyFromStore([]storeclient.Change{f.change("op/evacuate/d1", struct{}{})})
 	malformed.Revision = 102
-	f.hosted.view.applyChanges([]storeclient.Change{malformed})
+	f.hosted.view.applyFromStore([]storeclient.Change{malformed})
 	is.Equal(f.send(2).Code, http.StatusServiceUnavailable)
 	is.Equal(f.log.count("entry of an evacuation is not JSON"), 2)
 	is.Equal(len(f.hosted.view.listEvacuations()), 1)
@@ -188,10 +188,10 @@
 func TestEvacuationOfUnknownDomain(t *testing.T) {
 	is := is.New(t)
 	f := newEvacuationFixture(t)
-	f.hosted.view.applyChanges([]storeclient.Change{f.configuration(), f.listing("ledger-1", "d1"), f.change("op/evacuate/d2", struct{}{})})
+	f.hosted.view.applyFromStore([]storeclient.Change{f.configuration(), f.listing("ledger-1", "d1"), f.change("op/evacuate/d2", struct{}{})})
 	is.Equal(f.log.count("has no listed endpoints"), 1)
 	is.Equal(f.send(1).Code, http.StatusOK)
-	f.hosted.view.applyChanges([]storeclient.Change{f.removal("servers/ledger-1"), f.listing("ledger-2", "d2")})
+	f.hosted.view.applyFromStore([]storeclient.Change{f.removal("servers/ledger-1"), f.listing("ledger-2", "d2")})
 	is.Equal(f.send(2).Code, http.StatusServiceUnavailable)
 }
 
@@ -199,7 +199,7 @@
 func TestEvacuationStaysWhileStoreIsLost(t *testing.T) {
 	is := is.New(t)
 	f := newEvacuationFixture(t)
-	f.hosted.view.applyChanges([]storeclient.Change{f.configuration(), f.listing("ledger-1", "d1"), f.change("op/evacuate/d1", struct{}{})})
+	f.hosted.view.applyFromStore([]storeclient.Change{f.configuration(), f.listing("ledger-1", "d1"), f.change("op/evacuate/d1", struct{}{})})
 	f.hosted.view.setStoreHealth(replicator.Health{Lost: true})
 	is.Equal(f.send(1).Code, http.StatusServiceUnavailable)
 	f.hosted.view.setStoreHealth(replicator.Health{})
--- a/runner/hosted_pace.go
+++ b/runner/hosted_pace.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"amaranthmill/replicator"
-	"amaranthmill/storeclient"
 )
 
 // configurationInterval is the time between two large configurations that are put in force. Decoding 1,640
@@ -16,15 +15,15 @@
 // configurationPace bounds how often a large configuration is put in force. Its zero value is ready for use.
 // The mutex of the view guards it.
 type configurationPace struct {
-	nextAt  time.Time            // from when the next large one may be put in force
-	waiting []storeclient.Change // large ones in order of arrival; the older ones are fallbacks for newer ones that can't be decoded
-	timer   *time.Timer          // applies the newest valid one of waiting; nil before the first
+	nextAt  time.Time             // from when the next large one may be put in force
+	waiting []configurationChange // large ones in order of arrival; the older ones are fallbacks for newer ones that can't be decoded
+	timer   *time.Timer           // applies the newest valid one of waiting; nil before the first
 }
 
 // paceConfiguration puts a configuration in force, at once if it is small or the last large one is old enough.
 // Otherwise it waits, and a newer valid one takes its place in the meantime. A deletion leaves those that wait.
 // v.mu is held.
-func (v *view) paceConfiguration(c storeclient.Change) {
+func (v *view) paceConfiguration(c configurationChange) {
 	now := time.Now()
 	switch {
 	case c.Deleted:
@@ -32,10 +31,12 @@
 		return
 	case len(c.Value) <= replicator.LargeSize:
 		if v.applyConfiguration(c) {
+			v.countSuperseded(v.pace.waiting)
 			v.pace.waiting = nil
 		}
 		return
 	}
+	c.arrivedAt = now
 	v.pace.waiting = append(v.pace.waiting, c)
 	switch {
 	case !now.Before(v.pace.nextAt):
@@ -49,8 +50,9 @@
 
 // applyNewest puts the newest valid configuration of those that wait in force. v.mu is held.
 func (v *view) applyNewest() {
-	for _, c := range slices.Backward(v.pace.waiting) {
+	for i, c := range slices.Backward(v.pace.waiting) {
 		if v.applyConfiguration(c) {
+			v.countSuperseded(v.pace.waiting[:i])
 			break
 		}
 	}
--- a/runner/hosted_view.go
+++ b/runner/hosted_view.go
@@ -25,25 +25,27 @@
 type view struct {
 	hosted *hosted
 
-	mu        sync.Mutex // guards the fields below
-	lister    *endpointlister.Lister
-	timer     *time.Timer                   // submits Ticked at the time that the lister requested
-	changes   endpointlister.Collector      // changes of the list that are not published
-	held      []endpointlister.EndpointHeld // endpoints without an entry that stay listed and are not logged
-	endpoints map[identifier.Endpoint]endpointlister.Endpoint
-	targets   *targetlister.Lister
-	instances map[identifier.Instance]identifier.FailureDomain // including this one; the failure domain is empty if it is not known
-	ownKey    string                                           // value of this instance's own key; empty if it is not listed
-	holder    identifier.Instance                              // of the group-forming lease; empty if it is not known
-	evacuator *evacuator.Evacuator
-	evacuated []identifier.FailureDomain // as the components know it, sorted
-	pace      configurationPace
-	decoder   platform.ConfigurationDecoder
+	mu             sync.Mutex // guards the fields below
+	lister         *endpointlister.Lister
+	timer          *time.Timer                   // submits Ticked at the time that the lister requested
+	changes        endpointlister.Collector      // changes of the list that are not published
+	held           []endpointlister.EndpointHeld // endpoints without an entry that stay listed and are not logged
+	endpoints      map[identifier.Endpoint]endpointlister.Endpoint
+	targets        *targetlister.Lister
+	instances      map[identifier.Instance]identifier.FailureDomain // including this one; the failure domain is empty if it is not known
+	ownKey         string                                           // value of this instance's own key; empty if it is not listed
+	holder         identifier.Instance                              // of the group-forming lease; empty if it is not known
+	evacuator      *evacuator.Evacuator
+	evacuated      []identifier.FailureDomain // as the components know it, sorted
+	pace           configurationPace
+	configurations configurationMeters
+	decoder        platform.ConfigurationDecoder
 }
 
 func newView(h *hosted) *view {
 	v := &view{hosted: h, lister: endpointlister.New(endpointlister.Config{}), endpoints: map[identifier.Endpoint]endpointlister.Endpoint{}, targets: targetlister.New(), instances: map[identifier.Instance]identifier.FailureDomain{}, evacuator: evacuator.New()}
 	v.registerEvacuationGauge(h.meter)
+	v.configurations = newConfigurationMeters(h.meter, h.resolver)
 	v.timer = time.AfterFunc(time.Hour, func() { v.stepAndPublish(endpointlister.Ticked{}) })
 	return v
 }
@@ -57,15 +59,15 @@
 }
 
 // applyChanges applies changes of the store, in their order. The changes of the list of endpoints
-// are published together after the last one. Evacuations begin before it is published and end after it.
-func (v *view) applyChanges(changes []storeclient.Change) {
+// are published together after the last one. from is where the replica has them from. Evacuations begin before it is published and end after it.
+func (v *view) applyChanges(changes []storeclient.Change, from replicator.Origin) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	evacuations := v.beginEvacuations(changes)
 	for _, c := range changes {
 		switch {
 		case platform.IsConfigurationKey(c.Key):
-			v.paceConfiguration(c)
+			v.paceConfiguration(configurationChange{Change: c, origin: from})
 		case c.Key == formingKey:
 			v.setFormingHolder(c)
 		case strings.HasPrefix(c.Key, instancePrefix):
@@ -89,29 +91,6 @@
 	v.hosted.forwarder.ChangeTargets(v.targets.SetRestored(a.Domain, time.Now()))
 }
 
-// applyConfiguration puts the operator's configuration in force. If the entry was deleted or
-// can't be decoded, the configuration in force stays. It returns whether the configuration was put in force.
-// v.mu is held.
-func (v *view) applyConfiguration(c storeclient.Change) bool {
-	if c.Deleted {
-		v.hosted.logger.Warn().Msg("configuration was deleted from the store, the one in force stays")
-		return false
-	}
-	configuration, err := v.decoder.Decode(c.Value)
-	if err != nil {
-		v.hosted.logger.Error().Err(err).Uint64("revision", c.Revision).Msg("configuration can't be decoded, the one in force stays")
-		return false
-	}
-	if !v.hosted.resolver.Set(configuration) {
-		return false
-	}
-	v.hosted.logger.Info().Uint64("version", uint64(configuration.Version)).Uint64("revision", c.Revision).
-		Int("routes", len(configuration.Routes)).Int("accounts", len(configuration.Accounts)).Msg("configuration in force")
-	v.hosted.groupFormer.setServices(configuration.Services)
-	v.hosted.forwarder.ChangeTargets(v.targets.SetServices(configuration.Services))
-	return true
-}
-
 // setFormingHolder records the instance that forms groups. If the key was deleted, this instance
 // tries at once to acquire the lease. v.mu is held.
 func (v *view) setFormingHolder(c storeclient.Change) {
--- a/runner/pace_test.go
+++ b/runner/pace_test.go
@@ -23,7 +23,7 @@
 		h, err := newHosted(s, zerolog.Nop())
 		is.NoErr(err)
 		put := func(version, routes int) {
-			h.view.applyChanges([]storeclient.Change{{Entry: storeclient.Entry{Key: "op/config", Value: loadConfiguration(version, routes)}}})
+			h.view.applyFromStore([]storeclient.Change{{Entry: storeclient.Entry{Key: "op/config", Value: loadConfiguration(version, routes)}}})
 		}
 		put(1, 200)
 		is.Equal(int(h.resolver.Version()), 1) // the first one is put in force at once
@@ -42,7 +42,7 @@
 		is.Equal(int(h.resolver.Version()), 7) // the large one before it no longer waits
 		put(8, 200)
 		put(9, 200)
-		h.view.applyChanges([]storeclient.Change{{Entry: storeclient.Entry{Key: "op/config"}, Deleted: true}})
+		h.view.applyFromStore([]storeclient.Change{{Entry: storeclient.Entry{Key: "op/config"}, Deleted: true}})
 		is.Equal(int(h.resolver.Version()), 8) // the deletion does not put the one that waits in force sooner
 		time.Sleep(time.Second)
 		is.Equal(int(h.resolver.Version()), 9)
@@ -68,7 +68,7 @@
 				h, err := newHosted(s, zerolog.Nop())
 				is.NoErr(err)
 				put := func(value []byte) {
-					h.view.applyChanges([]storeclient.Change{{Entry: storeclient.Entry{Key: "op/config", Value: value}}})
+					h.view.applyFromStore([]storeclient.Change{{Entry: storeclient.Entry{Key: "op/config", Value: value}}})
 				}
 				put(loadConfiguration(1, 200))
 				put(loadConfiguration(2, 200))
--- a/runner/version_bench_test.go
+++ b/runner/version_bench_test.go
@@ -94,7 +94,7 @@
 		for version := base; b.Loop(); version++ {
 			copy(value, fmt.Sprintf(`{"version":%d`, version))
 			v.pace.nextAt = time.Time{}
-			v.applyChanges([]storeclient.Change{{Entry: storeclient.Entry{Key: "op/config", Value: value}}})
+			v.applyFromStore([]storeclient.Change{{Entry: storeclient.Entry{Key: "op/config", Value: value}}})
 		}
 		b.ReportMetric(float64((processorTime(b)-start).Microseconds())/float64(b.N), "cpu-µs/op")
 	})
--- a/runner/view_bench_test.go
+++ b/runner/view_bench_test.go
@@ -32,7 +32,7 @@
 	for i := range n {
 		changes = append(changes, benchEntry(i, 1, "open"))
 	}
-	h.view.applyChanges(changes)
+	h.view.applyFromStore(changes)
 	return h.view
 }
 
@@ -65,7 +65,7 @@
 			for b.Loop() {
 				epoch++
 				i := epoch * benchGroupSize % n / benchGroupSize * benchGroupSize
-				v.applyChanges([]storeclient.Change{benchEntry(i, epoch, "open")})
+				v.applyFromStore([]storeclient.Change{benchEntry(i, epoch, "open")})
 			}
 		})
 	}
@@ -80,8 +80,8 @@
 			b.ReportAllocs()
 			for b.Loop() {
 				c := benchEntry(0, 1, "open")
-				v.applyChanges([]storeclient.Change{{Entry: storeclient.Entry{Key: c.Key}, Deleted: true}})
-				v.applyChanges([]storeclient.Change{c})
+				v.applyFromStore([]storeclient.Change{{Entry: storeclient.Entry{Key: c.Key}, Deleted: true}})
+				v.applyFromStore([]storeclient.Change{c})
 			}
 		})
 	}
