replicator: an entry whose new version is being fetched outlasts a restore

An entry of which a reference is known now stays until its value comes, or until a list shows that the key is gone.

--- a/replicator/entries.go
+++ b/replicator/entries.go
@@ -29,7 +29,7 @@
 		}
 	}
 	for _, key := range slices.Sorted(maps.Keys(c.entries)) {
-		if e := c.entries[key]; !listed[key] && !isUnconfirmed(e) && e.Revision <= s.Revision {
+		if e := c.entries[key]; !listed[key] && !c.awaitsWriter(e) && e.Revision <= s.Revision {
 			removal := storeclient.Change{Entry: storeclient.Entry{Key: key, Revision: s.Revision}, Deleted: true}
 			changes = append(changes, removal)
 			c.recordRemoval(removal)
--- a/replicator/restore.go
+++ b/replicator/restore.go
@@ -59,7 +59,11 @@
 // written after the copy, so that its writer writes it again.
 func isUnconfirmed(e storeclient.Entry) bool { return e.Revision == 0 }
 
-// dropUnconfirmed removes the entries that were not written again in the time for that, unless the store is lost.
+// awaitsWriter reports whether an entry that the list of a restored store lacks may still be written again.
+func (c *Core) awaitsWriter(e storeclient.Entry) bool { return isUnconfirmed(e) && !c.confirmUntil.IsZero() }
+
+// dropUnconfirmed removes the entries that were not written again in the time for that, unless the store is lost. An entry of
+// which a reference of the new era is known stays until its value is fetched.
 func (c *Core) dropUnconfirmed(now time.Time) []Action {
 	if c.confirmUntil.IsZero() || c.lost || now.Before(c.confirmUntil) {
 		return nil
@@ -67,7 +71,7 @@
 	c.confirmUntil = time.Time{}
 	var changes []storeclient.Change
 	for _, key := range slices.Sorted(maps.Keys(c.entries)) {
-		if isUnconfirmed(c.entries[key]) {
+		if isUnconfirmed(c.entries[key]) && c.missing[key] == nil {
 			changes = append(changes, storeclient.Change{Entry: storeclient.Entry{Key: key, Revision: c.revision}, Deleted: true})
 			delete(c.entries, key)
 		}
