--- a/replicator/restore.go
+++ b/replicator/restore.go
@@ -60,7 +60,9 @@
 func isUnconfirmed(e storeclient.Entry) bool { return e.Revision == 0 }
 
 // awaitsWriter reports whether an entry that the list of a restored store lacks may still be written again.
-func (c *Core) awaitsWriter(e storeclient.Entry) bool { return isUnconfirmed(e) && !c.confirmUntil.IsZero() }
+func (c *Core) awaitsWriter(e storeclient.Entry) bool {
+	return isUnconfirmed(e) && !c.confirmUntil.IsZero()
+}
 
 // dropUnconfirmed removes the entries that were not written again in the time for that, unless the store is lost. An entry of
 // which a reference of the new era is known stays until its value is fetched.
