--- a/standin/cmd/standin/soak.go
+++ b/standin/cmd/standin/soak.go
@@ -29,6 +29,7 @@
 	Logs        string        `long:"logs" description:"a folder in which the logs of runs that failed are kept"`
 	Verbose     bool          `long:"verbose" description:"print the faults of each run"`
 	Restores    bool          `long:"restores" description:"restore the store from copies that are some seconds old"`
+	Drills      bool          `long:"drills" description:"in place of the other faults, restore the store in series while versions of the configuration follow one another, and judge each version at each instance"`
 	Cold        bool          `long:"cold" description:"make engines cold after their start and at other times, when they take few requests per second"`
 	Large       bool          `long:"large-configuration" description:"let the configuration grow to 1,640 routes and change ten times per second, beside the faults and after the last one"`
 }
@@ -80,7 +81,7 @@
 		return false
 	}
 	report, err := soak.Run(soak.Config{
-		Binary: binary, Dir: dir, Seed: seed, Instances: c.Instances, Engines: c.Engines, Callers: c.Callers, Crashing: c.Crashing, CrashingPart: c.Part, Silences: c.Silences, Leaving: c.Leaving, Limits: c.Limits, Cold: c.Cold, Restores: c.Restores, Cuts: c.Cuts, Evacuations: c.Evacuations, Large: c.Large, Length: c.Length,
+		Binary: binary, Dir: dir, Seed: seed, Instances: c.Instances, Engines: c.Engines, Callers: c.Callers, Crashing: c.Crashing, CrashingPart: c.Part, Silences: c.Silences, Leaving: c.Leaving, Limits: c.Limits, Cold: c.Cold, Restores: c.Restores, Drills: c.Drills, Cuts: c.Cuts, Evacuations: c.Evacuations, Large: c.Large, Length: c.Length,
 	})
 	mu.Lock()
 	defer mu.Unlock()
@@ -88,8 +89,8 @@
 		fmt.Fprintf(os.Stderr, "seed %d: %v\n", seed, err)
 		return false
 	}
-	fmt.Printf("seed %d: %d faults, %d requests, %d answered whole, %d refused, %d runs that crash their engine, %d promises broken\n",
-		seed, len(report.Steps), report.Sent, report.Answered, report.NotRun, report.Crashes, len(report.Violations))
+	fmt.Printf("seed %d: %d faults, %d requests, %d answered whole, %d refused, %d runs that crash their engine, %d requests by which a version was judged, %d promises broken\n",
+		seed, len(report.Steps), report.Sent, report.Answered, report.NotRun, report.Crashes, report.Judged, len(report.Violations))
 	if c.Verbose || len(report.Violations) > 0 {
 		for _, s := range report.Steps {
 			fmt.Printf("  %s\n", s)
--- a/standin/hosted/platform.go
+++ b/standin/hosted/platform.go
@@ -29,6 +29,7 @@
 	engines     []*Engine
 	violations  []string
 	moreRoutes  int           // routes of PlainService in the configuration beside the usual ones
+	hidden      []int         // numbers of those that it lacks
 	crashMarker string        // text in the body of requests that crash their engine; empty for none
 	crashPart   string        // ID of the part of prompts that crashes engines; empty for none
 	onCrash     func(*Engine) // replaces an engine that a request crashed
@@ -140,11 +141,11 @@
 }
 
 // SetMoreRoutes sets how many routes of PlainService the next versions of the configuration have beside the usual
-// ones. MoreRoutePrefix returns their prefixes.
-func (p *Platform) SetMoreRoutes(n int) {
+// ones, and the numbers of those that they lack. MoreRoutePrefix returns their prefixes.
+func (p *Platform) SetMoreRoutes(n int, hidden ...int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.moreRoutes = n
+	p.moreRoutes, p.hidden = n, hidden
 }
 
 // MoreRoutePrefix returns the prefix of a route by its number, from 0.
@@ -166,6 +167,9 @@
 	routes := []any{route("guides", "/guides/", "stream", ModelService, 2), route("holds", "/holds/", "unsafe", PlainService, 2), route("lookups", "/lookups/", "safe", PlainService, 2)}
 	p.mu.Lock()
 	for n := range p.moreRoutes {
+		if slices.Contains(p.hidden, n) {
+			continue
+		}
 		routes = append(routes, route(fmt.Sprintf("more-%d", n), MoreRoutePrefix(n), "safe", PlainService, 2))
 	}
 	p.mu.Unlock()
--- a/standin/soak/apply.go
+++ b/standin/soak/apply.go
@@ -70,6 +70,8 @@
 	case CloseEngine:
 		e := s.liveEngine(f.Engine)
 		s.applyFor(allEngines, f.For, func() { e.Close(f.For) }, func() {})
+	case CutStore:
+		s.cutStore(f)
 	case StoreDown, StoreSlow, StoreDeaf, RestoreStore, Compact:
 		s.applyToStore(f)
 	case ChangeKeys:
--- a/standin/soak/restore.go
+++ b/standin/soak/restore.go
@@ -26,12 +26,27 @@
 
 // restoreStore takes the store away for a time, after which it is back from an older copy.
 func (s *soak) restoreStore(f RestoreStore) {
-	s.applyFor(allInstances, f.Away, func() { s.platform.Store.SetDown(true) }, func() {
+	s.applyFor(allInstances, f.Away, func() {
+		s.setStoreAway(true)
+		s.platform.Store.SetDown(true)
+	}, func() {
 		s.platform.Store.Restore(f.Age, rewriteTime)
 		s.platform.Store.SetDown(false)
+		s.setStoreAway(false)
 	})
 }
 
+// setStoreAway tells the operator of drills, if there is one, whether the store is away.
+func (s *soak) setStoreAway(away bool) {
+	switch {
+	case s.operator == nil:
+	case away:
+		s.operator.away.Add(1)
+	default:
+		s.operator.away.Add(-1)
+	}
+}
+
 // checkAfterRestores adds a route and drains an endpoint while no fault is injected. It records each instance that does not
 // know the route, or sends a request to the endpoint, later than the bounds allow.
 func (s *soak) checkAfterRestores() {
--- a/standin/soak/soak.go
+++ b/standin/soak/soak.go
@@ -30,6 +30,7 @@
 	Evacuations bool          // failure domains are evacuated for a time
 	Length      time.Duration // the period in which faults are injected; zero means 8 s
 	Restores    bool          // the store is restored from older copies
+	Drills      bool          // in place of the other faults, the store is restored in series while versions of the configuration follow one another and are judged
 	Cold        bool          // engines are cold after their start, and at other times
 	Large       bool          // the configuration grows to many routes and changes ten times per second, also after the last fault, and instances name the bandwidths of their links
 
@@ -60,6 +61,7 @@
 	NotRun     int      // refused with a status that guarantees that the request was not run
 	Violations []string // of guarantees; empty if all were kept
 
+	Judged             int // requests that show which version an instance has, while it had to have each in time
 	BoundByEvacuations int // requests that were sent while an evacuation had to be in force at their instance
 }
 
@@ -72,9 +74,10 @@
 	record    record
 	faultWork sync.WaitGroup // faults in the background
 
-	version        int  // of the configuration
-	secondKeyValid bool // in the configuration
-	moreRoutes     int  // in the configuration
+	version        int       // of the configuration
+	secondKeyValid bool      // in the configuration
+	moreRoutes     int       // in the configuration
+	operator       *operator // nil without drills
 
 	mu           sync.Mutex               // guards the fields below
 	links        map[string]*relayer.Link // to engines, by engine ID
@@ -143,7 +146,10 @@
 		c := s.newCaller(n, rand.New(rand.NewPCG(s.cfg.Seed, uint64(n))))
 		callers.Go(func() { c.run(ctx) })
 	}
-	stopCrashing := func() {}
+	stopCrashing, stopDrills := func() {}, func() int { return 0 }
+	if s.cfg.Drills {
+		stopDrills = s.startDrills(r)
+	}
 	switch {
 	case s.cfg.CrashingPart:
 		stopCrashing = s.startCrashingPart()
@@ -157,6 +163,7 @@
 	}
 	s.faultWork.Wait()
 	stopCrashing()
+	out.Judged = stopDrills()
 	stop()
 	callers.Wait()
 	s.awaitService("after the last fault", recoveryTimeout, r)
@@ -184,6 +191,9 @@
 // plan returns the faults of the run. Silences and statements have generators of their own, so
 // that a seed gives the same other faults without them.
 func (s *soak) plan(r *rand.Rand) []Step {
+	if s.cfg.Drills {
+		return planDrills(r, s.cfg.Length, s.cfg.Instances)
+	}
 	steps := Plan(r, s.cfg.Length)
 	if s.cfg.Silences {
 		steps = AddSilences(steps, rand.New(rand.NewPCG(s.cfg.Seed, silenceStream)), s.cfg.Length)
--- a/standin/soak/soak_test.go
+++ b/standin/soak/soak_test.go
@@ -53,6 +53,9 @@
 			for _, b := range report.Violations {
 				t.Error(b)
 			}
+			if report.Judged == 0 && cfg.Drills {
+				t.Error("no request was judged, so that the seed has checked no version")
+			}
 			if report.Crashes == 0 && (cfg.Crashing || cfg.CrashingPart) {
 				t.Error("no request that crashes its engine ran")
 			}
@@ -126,6 +129,13 @@
 	runSeeds(t, soak.Config{Restores: true, Cuts: true, Callers: 24, Length: 6 * time.Second}, 70, 71)
 }
 
+// TestDrillSeeds runs two fixed seeds with a store that is restored in series while versions of the configuration follow one
+// another, and instances that are cut off from it meanwhile: an instance may ignore each version after a restore, so that it refuses
+// requests for routes that were acknowledged.
+func TestDrillSeeds(t *testing.T) {
+	runSeeds(t, soak.Config{Drills: true, Instances: 6, Callers: 4, Length: 18 * time.Second}, 51100, 51105)
+}
+
 // TestLargeConfigurationSeeds runs a fixed seed with a configuration of 1,640 routes that changes ten times per second.
 func TestLargeConfigurationSeeds(t *testing.T) {
 	runSeeds(t, soak.Config{Large: true, Length: 6 * time.Second}, 60)
--- a/standin/soak/version.go
+++ b/standin/soak/version.go
@@ -28,7 +28,7 @@
 // tree.
 func (c Config) linkMbps(instance int) float64 {
 	switch {
-	case !c.Large:
+	case !c.Large && !(c.Drills && c.Seed%2 == 0):
 		return 0
 	case instance == 0:
 		return wideLink
