--- a/standin/hosted/hosted_test.go
+++ b/standin/hosted/hosted_test.go
@@ -42,6 +42,7 @@
 	retrySlack         int
 	hasLinks           bool // the instances reach each engine over a link
 	hasStoreLinks      bool // each instance reaches the store over a link of its own
+	memoryMB           int  // of an instance's machine; zero for the default
 }
 
 // fixture is a platform with instances, engines and an endpoint of the plain service.
@@ -157,7 +158,7 @@
 	}
 	i := &instance{name: name, callers: ports[0].String(), readiness: ports[1].String(), peers: ports[2], exit: make(chan error, 1)}
 	i.source = netip.AddrFrom4([4]byte{127, 0, 0, byte(firstSource + len(f.instances))})
-	settings := hosted.InstanceSettings{Name: name, Ports: ports, Store: f.storeAddress(name), StopLimit: 8 * time.Second, RetrySlack: f.cfg.retrySlack}
+	settings := hosted.InstanceSettings{Name: name, Ports: ports, Store: f.storeAddress(name), StopLimit: 8 * time.Second, RetrySlack: f.cfg.retrySlack, MemoryMB: f.cfg.memoryMB}
 	if f.cfg.hasLinks {
 		settings.Source = i.source
 	}
--- a/standin/hosted/settings.go
+++ b/standin/hosted/settings.go
@@ -1,6 +1,7 @@
 package hosted
 
 import (
+	"cmp"
 	"encoding/json"
 	"net/netip"
 	"time"
@@ -22,8 +23,12 @@
 	RetrySlack int // retries that all instances together may accumulate
 	Cold       Cold
 	LinkMbps   float64 // bandwidth of the machine's link; zero if it is not known
+	MemoryMB   int     // of the machine; zero means defaultMemoryMB
 }
 
+// defaultMemoryMB is the memory of a machine.
+const defaultMemoryMB = 500
+
 // Encode returns the settings file of an instance.
 func (s InstanceSettings) Encode() ([]byte, error) {
 	type object = map[string]any
@@ -35,7 +40,7 @@
 		"instance": s.Name, "failureDomain": "here", "sourceAddress": s.Source,
 		"listen":  object{"callers": s.Ports[0], "readiness": s.Ports[1], "readinessPath": "/ready", "peers": s.Ports[2], "metrics": s.Ports[3]},
 		"store":   object{"address": s.Store, "readsPerSecond": 2000, "writesPerSecond": 400, "leaseMin": "1s"},
-		"machine": object{"cores": 1, "memoryMB": 500, "linkMbps": s.LinkMbps},
+		"machine": object{"cores": 1, "memoryMB": cmp.Or(s.MemoryMB, defaultMemoryMB), "linkMbps": s.LinkMbps},
 		"bounds":  bounds, "firstStart": true,
 		"log": object{"level": "info"},
 	})
