--- a/forwarder/peer_fixture_test.go
+++ b/forwarder/peer_fixture_test.go
@@ -3,11 +3,11 @@
 import (
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
 	"sync/atomic"
+	"syscall"
 	"testing"
 
 	"amaranthmill/forwarder"
@@ -73,14 +73,23 @@
 	return netip.MustParseAddrPort(p.server.Listener.Addr().String()), true
 }
 
-// unusedAddress returns an address that refuses connections.
+// unusedAddress returns an address that refuses connections until the test ends. Its port stays bound, so that no server of another
+// test gets it.
 func unusedAddress(t *testing.T) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	socket, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer l.Close()
-	return l.Addr().String()
+	t.Cleanup(func() { _ = syscall.Close(socket) })
+	if err := syscall.Bind(socket, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
+		t.Fatal(err)
+	}
+	name, err := syscall.Getsockname(socket)
+	if err != nil {
+		t.Fatal(err)
+	}
+	bound := name.(*syscall.SockaddrInet4)
+	return netip.AddrPortFrom(netip.AddrFrom4(bound.Addr), uint16(bound.Port)).String()
 }
 
 // signed answers with a text under the endpoint's signature.
