forwarder, scheduler, runner: each request has its answer before a planned stop ends

Nothing bounded a request by the end of the stop. A connection on which no request came held the stop up until the same end, with code 1.

A stop has two more times. A request that is not whole 0.5 s after the listener closes is refused at once as not run, with a time to return. The end of the stop, less 0.3 s, is the deadline of all requests: what waits is refused in time, what runs is answered that it may have run. Connections without a complete head are closed at the first time, and the shutdown ends with the last answer.

--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -61,6 +61,8 @@
 	mu        sync.Mutex // guards the fields below
 	random    *rand.Rand
 	exchanges map[scheduler.Ref]*exchange
+	stop      Stop
+	bodies    map[*arrivingBody]bool
 	limited   map[identifier.Process]bool // processes that name a limit
 	cold      map[identifier.Process]bool // processes that are cold
 }
@@ -80,7 +82,7 @@
 		cfg.OnAttempt = func(quarantiner.Event) {}
 	}
 	defaulter.Set(&cfg.HeldBytes, defaultHeldBytes)
-	f := &Forwarder{cfg: cfg, core: scheduler.New(cfg.Scheduler), random: rand.New(cfg.Random), exchanges: map[scheduler.Ref]*exchange{}, limited: map[identifier.Process]bool{}, cold: map[identifier.Process]bool{}}
+	f := &Forwarder{cfg: cfg, core: scheduler.New(cfg.Scheduler), random: rand.New(cfg.Random), exchanges: map[scheduler.Ref]*exchange{}, bodies: map[*arrivingBody]bool{}, limited: map[identifier.Process]bool{}, cold: map[identifier.Process]bool{}}
 	f.held.left.Store(cfg.HeldBytes)
 	f.step = stepper.New(stepper.Config[scheduler.Event, scheduler.Action]{Core: f.core, Handle: f.handle})
 	f.meters = newMeters(cfg.Meter, cfg.Scheduler.FailureDomain)
@@ -119,9 +121,6 @@
 // SetRestriction replaces the restriction of the requests with a fingerprint.
 func (f *Forwarder) SetRestriction(r scheduler.RestrictionSet) { f.step.Submit(r) }
 
-// Drain makes each further answer ask its caller to close the connection. Requests are still served.
-func (f *Forwarder) Drain() { f.draining.Store(true) }
-
 // Requests returns the number of requests accepted for scheduling so far.
 func (f *Forwarder) Requests() uint64 { return f.lastRef.Load() }
 
--- a/forwarder/peer_serve.go
+++ b/forwarder/peer_serve.go
@@ -58,7 +58,7 @@
 	x := &exchange{
 		ref: scheduler.Ref(f.lastRef.Add(1)), arrivedAt: arrivedAt.Add(-hop.Age.Std()), match: hop.match(), fields: fields, request: r, body: body,
 		hasBody: r.ContentLength != 0 || len(body) > 0, inbox: make(chan scheduler.Action, 4),
-		service: hop.Service, pool: hop.Pool, deadline: arrivedAt.Add(hop.Left.Std()), origin: hop,
+		service: hop.Service, pool: hop.Pool, deadline: f.currentStop().limitDeadline(arrivedAt.Add(hop.Left.Std())), origin: hop,
 	}
 	x.identity = fingerprintOf(x)
 	x.parts = partsOf(x)
--- a/forwarder/peer_test.go
+++ b/forwarder/peer_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/matryer/is"
 
+	"amaranthmill/forwarder"
 	"amaranthmill/internal/identifier"
 	"amaranthmill/scheduler"
 )
@@ -139,7 +140,7 @@
 	statuses := make(chan int, 1)
 	go func() { statuses <- fl.get("/hold/1").StatusCode }()
 	stopping := <-begun
-	stopping.f.Drain()
+	stopping.f.Drain(forwarder.Stop{})
 	for range 10 {
 		is.Equal(fl.get("/hold/2").StatusCode, http.StatusOK)
 	}
--- a/forwarder/relay_test.go
+++ b/forwarder/relay_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/matryer/is"
 
+	"amaranthmill/forwarder"
 	"amaranthmill/quarantiner"
 )
 
@@ -35,7 +36,7 @@
 				events(w, r, 1, false)
 			})
 			if tc.draining {
-				x.f.Drain()
+				x.f.Drain(forwarder.Stop{})
 			}
 			resp := x.get("/stream/x")
 			is.Equal(body(resp), "id: 0\ndata: a\n\nid: 1\ndata: b\n\n")
--- a/forwarder/serve.go
+++ b/forwarder/serve.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"strings"
 	"time"
@@ -26,10 +25,8 @@
 // ServeHTTP serves one request.
 func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	arrivedAt := time.Now()
-	if f.draining.Load() {
-		w.Header().Set("Connection", "close")
-	}
 	x, problem := f.accept(w, r, arrivedAt)
+	f.closeIfDraining(w) // the stop may have begun while the body arrived
 	if problem != nil {
 		problem.Write(w)
 		return
@@ -37,6 +34,13 @@
 	f.run(w, x)
 }
 
+// closeIfDraining makes an answer ask its caller to close the connection if the instance stops.
+func (f *Forwarder) closeIfDraining(w http.ResponseWriter) {
+	if f.draining.Load() {
+		w.Header().Set("Connection", "close")
+	}
+}
+
 // accept resolves and reads a request. If the request is refused, it returns the problem document for the caller.
 func (f *Forwarder) accept(w http.ResponseWriter, r *http.Request, arrivedAt time.Time) (*exchange, *problemwriter.Problem) {
 	fields, err := f.cfg.Dialect.ParseRequest(r.Header)
@@ -62,6 +66,7 @@
 	if fields.Timeout > 0 && fields.Timeout < match.Route.Timeout {
 		x.deadline = arrivedAt.Add(max(fields.Timeout, minTimeout))
 	}
+	x.deadline = f.currentStop().limitDeadline(x.deadline)
 	x.identity = fingerprintOf(x)
 	x.service = match.Route.PickService(f.drawFraction())
 	x.pool = f.poolOf(x.service, fields)
@@ -70,16 +75,16 @@
 	return x, nil
 }
 
-// readBody reads the complete body. Its error may be *http.MaxBytesError.
+// readBody reads the complete body. Its error may be *http.MaxBytesError or *StoppingError.
 func (f *Forwarder) readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
 	if r.ContentLength == 0 {
-		return nil, nil
+		return nil, f.checkStop()
 	}
 	limit := int64(defaultBodyLimit)
 	if c := f.cfg.Resolver.Configuration(); c != nil && c.Limits.BodyBytes > 0 {
 		limit = c.Limits.BodyBytes
 	}
-	return io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	return f.readArriving(w, http.MaxBytesReader(w, r.Body, limit))
 }
 
 // refusalStatus returns the status and reason for refusing a request before it is scheduled.
@@ -88,7 +93,10 @@
 	var noRoute *resolver.NoRouteError
 	var unknownKey *resolver.UnknownKeyError
 	var tooLarge *http.MaxBytesError
+	var stopping *StoppingError
 	switch {
+	case errors.As(err, &stopping):
+		return http.StatusServiceUnavailable, string(scheduler.ReasonStopping)
 	case errors.As(err, &noConfiguration):
 		return http.StatusServiceUnavailable, "noConfiguration"
 	case errors.As(err, &noRoute):
@@ -106,7 +114,11 @@
 	f.meters.countRefusal(status, reason)
 	f.setRequestID(w, fields)
 	p := problemwriter.New(problemwriter.OutcomeNotRun, status, reason, err.Error(), identifier.Request(fields.ID))
-	if status == http.StatusServiceUnavailable {
+	var stopping *StoppingError
+	switch {
+	case errors.As(err, &stopping):
+		p.RetryAfter = stoppingRetryAfter.Seconds()
+	case status == http.StatusServiceUnavailable:
 		p.RetryAfter = noConfigurationRetryAfter.Seconds()
 	}
 	return &p
--- a/runner/hosted.go
+++ b/runner/hosted.go
@@ -57,6 +57,8 @@
 	pruneInterval        = 2 * time.Second         // between two searches for idle connections
 	stopMargin           = 400 * time.Millisecond  // between the instance's own stop limit and the platform's, at which the platform kills the process
 	hostedStopNotice     = 2300 * time.Millisecond // from the report that the instance is not ready until it accepts no more connections
+	lateBodyTime         = 500 * time.Millisecond  // after that, in which requests that have begun to arrive may become complete
+	lastAnswerMargin     = 300 * time.Millisecond  // between the last answers and the instance's own stop limit
 	memoryShare          = 0.75                    // fraction of the machine's memory that is the soft limit of the Go runtime, near which the garbage collector runs more often
 	retryShare           = 0.9                     // fraction of the operator's bounds on retries that is used
 	heldShare            = 0.125                   // fraction of the machine's memory that held answers may use
--- a/runner/hosted_run.go
+++ b/runner/hosted_run.go
@@ -1,7 +1,6 @@
 package runner
 
 import (
-	"cmp"
 	"context"
 	"net/http"
 	"os"
@@ -9,8 +8,10 @@
 	"runtime"
 	"runtime/debug"
 	"syscall"
+	"time"
 
 	"amaranthmill/configurer"
+	"amaranthmill/forwarder"
 	"amaranthmill/leaser"
 	"amaranthmill/resolver"
 
@@ -36,7 +37,7 @@
 	if err != nil {
 		return err
 	}
-	callers := newHTTPServer(s.Listen.Callers.String(), h.forwarder)
+	callers := newTrackedServer(s.Listen.Callers.String(), h.forwarder)
 	draining := make(chan struct{})
 	var g run.Group
 	signals := make(chan os.Signal, 2)
@@ -44,18 +45,20 @@
 	defer signal.Stop(signals)
 	st := newStopper(signals)
 	st.notice, st.limit, st.logger = hostedStopNotice, s.Bounds.StopLimit.Std()-stopMargin, logger
+	var stop forwarder.Stop
 	st.drain = func() {
 		close(draining)
-		h.forwarder.Drain()
+		stop = st.bounds(time.Now())
+		h.forwarder.Drain(stop)
 	}
-	peers := newHTTPServer(s.Listen.Peers.String(), h.forwarder.PeerHandler(h.messenger.Handler()))
+	peers := newTrackedServer(s.Listen.Peers.String(), h.forwarder.PeerHandler(h.messenger.Handler()))
 	peers.ReadTimeout = peerReadTimeout
-	st.finish = func(ctx context.Context) error { return shutdownAll(ctx, callers, peers) }
+	st.finish = func(ctx context.Context) error { return shutdownAll(ctx, stop.AcceptUntil, callers, peers) }
 	g.Add(st.run, st.interrupt)
-	g.Add(newHTTPActor(callers, st.stopped))
+	g.Add(newHTTPActor(callers.Server, st.stopped))
 	g.Add(newHTTPActor(newHTTPServer(s.Listen.Readiness.String(), h.readinessHandler(draining)), nil))
 	g.Add(newHTTPActor(newHTTPServer(s.Listen.Metrics.String(), h.metrics), nil))
-	g.Add(newHTTPActor(peers, st.stopped))
+	g.Add(newHTTPActor(peers.Server, st.stopped))
 	reload := newReloader(path, s, reloads, logger, h.apply)
 	for _, actor := range []func(context.Context) error{h.replica.Run, h.view.run, h.groupFormer.run, h.quarantine.run, h.pruneConnections, h.requestDemand, reload.run} {
 		g.Add(newActor(actor))
@@ -69,18 +72,14 @@
 	return err
 }
 
-// shutdownAll shuts servers down at the same time: each accepts no more connections and completes the requests
-// in flight. It returns the first error.
-func shutdownAll(ctx context.Context, servers ...*http.Server) error {
-	ended := make(chan error, len(servers))
-	for _, s := range servers {
-		go func() { ended <- s.Shutdown(ctx) }()
+// bounds returns the bounds on the requests of a hosted instance whose stop begins now.
+func (s *stopper) bounds(now time.Time) forwarder.Stop {
+	answerUntil := now.Add(max(s.limit-lastAnswerMargin, 0))
+	acceptUntil := now.Add(s.notice + lateBodyTime)
+	if acceptUntil.After(answerUntil) {
+		acceptUntil = answerUntil
 	}
-	var first error
-	for range servers {
-		first = cmp.Or(first, <-ended)
-	}
-	return first
+	return forwarder.Stop{AcceptUntil: acceptUntil, AnswerUntil: answerUntil}
 }
 
 // newDrainedActor returns an actor that runs f and cancels the context of f when draining is
--- a/scheduler/event.go
+++ b/scheduler/event.go
@@ -7,7 +7,7 @@
 )
 
 // Event is an input of a Scheduler: TargetsChanged, InstancesSet, RetryBudgetSet, RestrictionSet,
-// ProcessStated, ProcessEnded, LimitsReported, Arrived, Progressed, Ended, CallerLeft, PeerAnswered, Probed, DemandDue or Ticked.
+// ProcessStated, ProcessEnded, LimitsReported, Stopping, Arrived, Progressed, Ended, CallerLeft, PeerAnswered, Probed, DemandDue or Ticked.
 type Event interface{ event() }
 
 // TargetsChanged changes the set of targets. No target is in both Changed and Removed.
@@ -63,6 +63,9 @@
 	PerSecond float64 // requests that it takes from all instances together, from MinLimit to MaxLimit; zero if it names no limit
 }
 
+// Stopping reports that the instance stops: no request, present or later, has a deadline after At.
+type Stopping struct{ At time.Time }
+
 // Arrived reports a new request.
 type Arrived struct {
 	Ref     Ref
@@ -111,6 +114,7 @@
 func (RestrictionSet) event() {}
 func (ProcessStated) event()  {}
 func (ProcessEnded) event()   {}
+func (Stopping) event()       {}
 func (Arrived) event()        {}
 func (Progressed) event()     {}
 func (Ended) event()          {}
--- a/scheduler/flight.go
+++ b/scheduler/flight.go
@@ -68,6 +68,7 @@
 
 func (s *Scheduler) handleArrival(now time.Time, e Arrived) {
 	f := &flight{Request: e.Request, ref: e.Ref}
+	s.limitDeadline(f)
 	s.flights[f.ref] = f
 	if f.Fingerprint != 0 {
 		s.copies[f.Fingerprint]++
@@ -80,6 +81,22 @@
 	s.place(now, f)
 }
 
+// limitDeadline sets the deadline of f to the end of an instance that stops, if it is later. A waiting request keeps its place by
+// the new deadline.
+func (s *Scheduler) limitDeadline(f *flight) {
+	if s.stopAt.IsZero() || !s.stopAt.Before(f.Deadline) {
+		return
+	}
+	_, isQueued := s.queues[f.Pool].find(f)
+	if isQueued {
+		s.dequeue(f)
+	}
+	f.Deadline = s.stopAt
+	if isQueued {
+		s.enqueue(f)
+	}
+}
+
 // place sends f to a target or through a peer, lets f wait for a target, or gives f up.
 func (s *Scheduler) place(now time.Time, f *flight) {
 	if f.Deadline.Sub(now) < minServeTime {
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -59,6 +59,7 @@
 	targets map[identifier.Endpoint]*target
 	pools   map[identifier.Pool]*pool
 	flights map[Ref]*flight
+	stopAt  time.Time                  // deadline of all requests of an instance that stops; zero if it does not
 	queues  map[identifier.Pool]*queue // of the pools with requests that wait for a target
 	rates   map[identifier.Pool]*poolRates
 	budget  retryBudget
@@ -148,6 +149,11 @@
 		s.handleStatement(now, e)
 	case ProcessEnded:
 		s.handleProcessEnded(now, e.Process)
+	case Stopping:
+		s.stopAt = e.At
+		for _, ref := range slices.Sorted(maps.Keys(s.flights)) {
+			s.limitDeadline(s.flights[ref])
+		}
 	case Arrived:
 		s.handleArrival(now, e)
 	case Progressed:
--- a/scheduler/session_test.go
+++ b/scheduler/session_test.go
@@ -97,6 +97,8 @@
 		return scheduler.Probed{Target: t, Answered: ev.Bool("answered")}, nil
 	case "callerLeft":
 		return scheduler.CallerLeft{Ref: ref}, nil
+	case "stopping":
+		return scheduler.Stopping{At: now.Add(ev.Duration("in"))}, nil
 	case "pass":
 		return nil, nil
 	}
