--- a/standin/hosted/stop_test.go
+++ b/standin/hosted/stop_test.go
@@ -37,6 +37,22 @@
 	returnIn string // the Retry-After field
 }
 
+// check reports what is wrong with the answer to a request that endpoints ran so often.
+func (r lateRequest) check(t *testing.T, runs int) {
+	t.Logf("%s: status %d, Retry-After %q, %d runs, %v", r.name, r.status, r.returnIn, runs, r.err)
+	switch {
+	case runs > 1:
+		t.Errorf("%s ran %d times", r.name, runs)
+	case runs == 1 && (r.status == 0 || r.status == http.StatusServiceUnavailable):
+		t.Errorf("%s was passed on and has no answer that says so: status %d, %v", r.name, r.status, r.err)
+	case r.status == http.StatusServiceUnavailable && r.returnIn == "":
+		t.Errorf("%s was refused without a time to come back", r.name)
+	}
+	if strings.HasPrefix(r.name, "slow-") && runs > 0 {
+		t.Errorf("%s was passed on although it was whole only after %s", r.name, lateEnd)
+	}
+}
+
 // sendParts sends a request in two parts at two times after a start, and reads the answer to its end.
 func (f *fixture) sendParts(i *instance, name, first, rest string, start time.Time, firstAt, restAt time.Duration) lateRequest {
 	out := lateRequest{name: name}
@@ -121,18 +137,7 @@
 		for _, e := range endpoints {
 			runs += e.countRuns(r.name)
 		}
-		t.Logf("%s: status %d, Retry-After %q, %d runs, %v", r.name, r.status, r.returnIn, runs, r.err)
-		switch {
-		case runs > 1:
-			t.Errorf("%s ran %d times", r.name, runs)
-		case runs == 1 && (r.status == 0 || r.status == http.StatusServiceUnavailable):
-			t.Errorf("%s was passed on and has no answer that says so: status %d, %v", r.name, r.status, r.err)
-		case r.status == http.StatusServiceUnavailable && r.returnIn == "":
-			t.Errorf("%s was refused without a time to come back", r.name)
-		}
-		if strings.HasPrefix(r.name, "slow-") && runs > 0 {
-			t.Errorf("%s was passed on although it was whole only after %s", r.name, lateEnd)
-		}
+		r.check(t, runs)
 	}
 	t.Logf("the instance ended after %s", stoppedAt)
 	is.True(stoppedAt < stopLimit)
--- a/standin/soak/apply.go
+++ b/standin/soak/apply.go
@@ -70,9 +70,7 @@
 	case CloseEngine:
 		e := s.liveEngine(f.Engine)
 		s.applyFor(allEngines, f.For, func() { e.Close(f.For) }, func() {})
-	case CutStore:
-		s.cutStore(f)
-	case StoreDown, StoreSlow, StoreDeaf, RestoreStore, Compact:
+	case CutStore, StoreDown, StoreSlow, StoreDeaf, RestoreStore, Compact:
 		s.applyToStore(f)
 	case ChangeKeys:
 		s.changeKeys(f.Add)
@@ -85,6 +83,8 @@
 
 func (s *soak) applyToStore(f Fault) {
 	switch f := f.(type) {
+	case CutStore:
+		s.cutStore(f)
 	case StoreDown:
 		s.applyFor(allInstances, f.For, func() { s.platform.Store.SetDown(true) }, func() { s.platform.Store.SetDown(false) })
 	case StoreSlow:
