--- a/standin/hosted/stop_test.go
+++ b/standin/hosted/stop_test.go
@@ -79,8 +79,8 @@
 	return out
 }
 
-// head returns the head of a request that may run once, with a body of 10 bytes.
-func head(id string) string {
+// unsafeHead returns the head of a request that may run once, with a body of 10 bytes.
+func unsafeHead(id string) string {
 	return fmt.Sprintf("POST /holds/7 HTTP/1.1\r\nHost: %s\r\nX-Attempt-Id: %s\r\nX-Deadline-Remaining: 8000\r\nAuthorization: Token %s\r\nContent-Length: 10\r\n\r\n", hosted.Host, id, hosted.APIKey)
 }
 
@@ -110,11 +110,11 @@
 	send := func(name, first, rest string, firstAt, restAt time.Duration) {
 		callers.Go(func() { results <- f.sendParts(stopped, name, first, rest, start, firstAt, restAt) })
 	}
-	whole := head("slow-body") + "0123456789"
+	whole := unsafeHead("slow-body") + "0123456789"
 	send("slow-body", whole[:len(whole)-5], whole[len(whole)-5:], lateStart, lateEnd)
-	slowHead := head("slow-head") + "0123456789"
+	slowHead := unsafeHead("slow-head") + "0123456789"
 	send("slow-head", slowHead[:40], slowHead[40:], lateStart, lateEnd)
-	send("last-moment", head("last-moment")+"0123456789", "", lastMoment, lastMoment)
+	send("last-moment", unsafeHead("last-moment")+"0123456789", "", lastMoment, lastMoment)
 	send("silent", "", "", silentAt, steadyWithin)
 	for n := range 8 {
 		callers.Go(func() { f.sendSteadily(stopped, n, start, results) })
@@ -152,7 +152,7 @@
 func (f *fixture) sendSteadily(i *instance, caller int, start time.Time, results chan<- lateRequest) {
 	for n := 0; time.Since(start) < steadyWithin; n++ {
 		name := fmt.Sprintf("steady-%d-%d", caller, n)
-		r := f.sendParts(i, name, head(name)+"0123456789", "", start, 0, 0)
+		r := f.sendParts(i, name, unsafeHead(name)+"0123456789", "", start, 0, 0)
 		if r.status != 0 || n < 3 {
 			results <- r
 		}
