--- a/standin/hosted/fixture_test.go
+++ b/standin/hosted/fixture_test.go
@@ -28,6 +28,9 @@
 	hasLinks           bool // the instances reach each engine over a link
 	hasStoreLinks      bool // each instance reaches the store over a link of its own
 	memoryMB           int  // of an instance's machine; zero for the default
+	descriptors        int  // that an instance may open; zero for no limit of the test
+
+	limits func(*hosted.Limits) // changes the limits of callers; nil leaves the default
 }
 
 // fixture is a platform with instances, engines and an endpoint of the plain service.
@@ -36,7 +39,7 @@
 	platform  *hosted.Platform
 	instances []*instance
 	cfg       fixtureConfig
-	requests  int                      // sent by plainEndpoints
+	requests  int                      // sent by plainEndpoints or hold
 	links     map[string]*relayer.Link // to engines, by engine ID, and to the store, by the name of the instance
 }
 
@@ -76,6 +79,10 @@
 	}
 	f := &fixture{t: t, platform: p, cfg: cfg, links: map[string]*relayer.Link{}}
 	t.Cleanup(f.close)
+	if cfg.limits != nil {
+		cfg.limits(&p.Limits)
+		p.Configure(2, hosted.APIKey)
+	}
 	if cfg.hasLinks {
 		p.ListedAddress = f.addLink
 	}
@@ -156,6 +163,9 @@
 		f.t.Fatal(err)
 	}
 	i.command = exec.Command(binary, "--hosted", path)
+	if n := f.cfg.descriptors; n > 0 {
+		i.command = exec.Command("sh", "-c", `ulimit -n "$0" && exec "$@"`, fmt.Sprint(n), binary, "--hosted", path)
+	}
 	i.command.Stdout, i.command.Stderr = i, i
 	if err := i.command.Start(); err != nil {
 		f.t.Fatal(err)
--- a/standin/hosted/platform.go
+++ b/standin/hosted/platform.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"time"
 )
 
 // Model is a model that the engines can load.
@@ -21,6 +22,7 @@
 	Models        []Model
 	Cold          Cold                                     // of all engines and endpoints that are started; set it before they are, and before Configure
 	ListedAddress func(id, address string) (string, error) // returns the address to publish for an engine that listens at address; if nil, address itself is published
+	Limits        Limits                                   // of callers, in the configuration; set it before Configure
 
 	server  *http.Server
 	address string
@@ -36,6 +38,23 @@
 	crashRuns   []CrashRun
 }
 
+// Limits are the limits of callers in the configuration.
+type Limits struct {
+	HeaderBytes, BodyBytes     int
+	HeaderTimeout, IdleTimeout time.Duration
+}
+
+// defaultLimits are the limits that Start sets.
+var defaultLimits = Limits{HeaderBytes: 16 << 10, BodyBytes: 1 << 20, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second}
+
+// wire returns the limits as the configuration has them.
+func (l Limits) wire() map[string]any {
+	return map[string]any{
+		"maxHeaderBytes": l.HeaderBytes, "maxBodyBytes": l.BodyBytes,
+		"headerTimeoutMs": l.HeaderTimeout.Milliseconds(), "idleTimeoutMs": l.IdleTimeout.Milliseconds(),
+	}
+}
+
 // Names of the services, the host, the API key and the client account in the configuration.
 const (
 	ModelService = "guides"
@@ -51,7 +70,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &Platform{Store: NewStore(), Models: models, address: l.Addr().String()}
+	p := &Platform{Store: NewStore(), Models: models, Limits: defaultLimits, address: l.Addr().String()}
 	p.server = &http.Server{Handler: p.Store.Handler()}
 	go func() { _ = p.server.Serve(l) }() // returns when the platform is closed
 	p.Configure(1, APIKey)
@@ -182,7 +201,7 @@
 			}},
 			map[string]any{"name": PlainService, "maxConns": 100, "coldStartS": p.Cold.Time.Seconds(), "coldPerS": p.Cold.PerSecond, "healthPath": healthPath},
 		},
-		"limits":  map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 20, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+		"limits":  p.Limits.wire(),
 		"tenants": []any{map[string]any{"name": Account, "apiKeys": keys}},
 	})
 }
