evictor, forwarder: bodies of requests share one bounded memory

Callers saw: 70 clients that sent bodies of legal size, most of them stopping just short of the end, ended an instance of 414 MB, and with it all other callers' requests.

Cause: http.MaxBytesReader bounds one body, nothing bounded all of them; io.ReadAll keeps each body, also in chunks or pieces, for as long as its client keeps the connection open, and leaves its smaller buffers to the garbage collector.

Change: evictor, a core of its own, holds the memory of all requests that arrive or are served within callers.memoryMB, a quarter of the machine's by default. If it is used up, the incomplete request with the greatest product of memory and time gives way once it has been arriving for a second; if that does not suffice, the one that asks is refused. Both as not run: 503 with Retry-After, then the connection closes (docs/design/0055-callers-memory.md). Buffers are counted before they are made. A body whose length exceeds the limit is refused at its head. Log lines of refusals bound the host and the path.

TestBodyWithoutMemoryIsRefused and TestShortBodyGivesWay need no process.

--- a/configurer/hosted.go
+++ b/configurer/hosted.go
@@ -1,6 +1,7 @@
 package configurer
 
 import (
+	"fmt"
 	"net/netip"
 	"os"
 
@@ -21,6 +22,7 @@
 	Store         HostedStore              `json:"store"`
 	Machine       Machine                  `json:"machine"`
 	Bounds        Bounds                   `json:"bounds"`
+	Callers       Callers                  `json:"callers"`
 	SourceAddress netip.Addr               `json:"sourceAddress"` // from which the instance connects to endpoints, peers and the store; empty for the system's choice
 	FirstStart    bool                     `json:"firstStart"`    // the whole system starts for the first time
 	Log           Log                      `json:"log"`
@@ -51,6 +53,11 @@
 	LinkMbps float64 `json:"linkMbps" validate:"gte=0"` // bandwidth of the machine's link in Mbit/s; zero if it is not known
 }
 
+// Callers holds the limits on what callers may use of the instance, beside those in the operator's configuration.
+type Callers struct {
+	MemoryMB int `json:"memoryMB" validate:"gte=0"` // for the requests that arrive or are served, at most half of the machine's; default a quarter of it
+}
+
 // Bounds are the times and rates that the platform's operator requires.
 type Bounds struct {
 	StopLimit   formatter.Duration `json:"stopLimit"`                   // from SIGTERM to the end of the process; default 8s
@@ -66,6 +73,8 @@
 const (
 	defaultHostedStopLimit = 8e9
 	defaultLeaseMin        = 1e9
+	callersMemoryPart      = 4 // of the machine's memory, one part is for requests
+	maxCallersMemoryPart   = 2 // the same, for the most that can be set
 )
 
 // ReadHosted reads the settings file of a hosted instance at path. Its errors are those of Read.
@@ -90,5 +99,11 @@
 	defaulter.Set(&h.Bounds.StopLimit, defaultHostedStopLimit)
 	defaulter.Set(&h.Store.LeaseMin, defaultLeaseMin)
 	defaulter.Set(&h.Log.Level, defaultLogLevel)
+	defaulter.Set(&h.Callers.MemoryMB, max(h.Machine.MemoryMB/callersMemoryPart, 1))
+	if most := max(h.Machine.MemoryMB/maxCallersMemoryPart, 1); h.Callers.MemoryMB > most {
+		return nil, &decoder.DocumentError{Faults: []decoder.Fault{{
+			Path: "callers.memoryMB", Message: fmt.Sprintf("is more than half of machine.memoryMB; write %d or less, or 0 for the default", most),
+		}}}
+	}
 	return &h, nil
 }
--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"amaranthmill/evictor"
 	"amaranthmill/internal/identifier"
 	"amaranthmill/quarantiner"
 	"amaranthmill/resolver"
@@ -24,6 +25,7 @@
 	parts     []quarantiner.Part
 	request   *http.Request
 	body      []byte
+	memory    *evictor.Account // of the body; nil without one
 	hasBody   bool
 	service   identifier.Service
 	pool      identifier.Pool
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -11,6 +11,7 @@
 	"github.com/rs/zerolog"
 	"go.opentelemetry.io/otel/metric"
 
+	"amaranthmill/evictor"
 	"amaranthmill/internal/defaulter"
 	"amaranthmill/internal/identifier"
 	"amaranthmill/internal/stepper"
@@ -29,6 +30,7 @@
 	Requester       *requester.Requester
 	Dialect         Dialect
 	Scheduler       scheduler.Config
+	Memory          *evictor.Memory                  // for the bodies of requests; nil means one of the default size
 	HeldBytes       int64                            // bytes that the held answers of all requests may use beyond the first 64 KiB of each; zero means 64 MiB
 	OnStalled       func(t scheduler.Target)         // called when a target stalls; must not block
 	OnLimits        func(news []scheduler.LimitNews) // what this instance knows about the limits of endpoints, named and cold, once a second while there is something; must not block
@@ -81,6 +83,9 @@
 	if cfg.OnAttempt == nil {
 		cfg.OnAttempt = func(quarantiner.Event) {}
 	}
+	if cfg.Memory == nil {
+		cfg.Memory = evictor.NewMemory(evictor.MemoryConfig{Logger: cfg.Logger, Meter: cfg.Meter})
+	}
 	defaulter.Set(&cfg.HeldBytes, defaultHeldBytes)
 	f := &Forwarder{cfg: cfg, core: scheduler.New(cfg.Scheduler), random: rand.New(cfg.Random), exchanges: map[scheduler.Ref]*exchange{}, bodies: map[*arrivingBody]bool{}, limited: map[identifier.Process]bool{}, cold: map[identifier.Process]bool{}}
 	f.held.left.Store(cfg.HeldBytes)
--- a/forwarder/log.go
+++ b/forwarder/log.go
@@ -20,10 +20,15 @@
 }
 
 func (f *Forwarder) logRefused(r *http.Request, fields RequestFields, status int, reason string, err error) {
-	f.cfg.Logger.Warn().Str("request", fields.ID).Str("host", r.Host).Str("path", r.URL.Path).Int("status", status).
+	f.cfg.Logger.Warn().Str("request", fields.ID).Str("host", truncate(r.Host)).Str("path", truncate(r.URL.Path)).Int("status", status).
 		Uint64("version", uint64(f.cfg.Resolver.Version())).Str("reason", reason).AnErr("cause", err).Msg("refused")
 }
 
+// maxLoggedBytes bounds a text of a caller in a log line.
+const maxLoggedBytes = 200
+
+func truncate(text string) string { return text[:min(len(text), maxLoggedBytes)] }
+
 func (f *Forwarder) logSend(x *exchange, a *attempt) {
 	e := f.cfg.Logger.Info()
 	if a.Attempt > 1 {
--- a/forwarder/peer_serve.go
+++ b/forwarder/peer_serve.go
@@ -51,12 +51,12 @@
 		return nil, err
 	}
 	fields.LastEventID = hop.LastEvent
-	body, err := f.readBody(w, r)
+	body, memory, err := f.readBody(w, r)
 	if err != nil {
 		return nil, err
 	}
 	x := &exchange{
-		ref: scheduler.Ref(f.lastRef.Add(1)), arrivedAt: arrivedAt.Add(-hop.Age.Std()), match: hop.match(), fields: fields, request: r, body: body,
+		ref: scheduler.Ref(f.lastRef.Add(1)), arrivedAt: arrivedAt.Add(-hop.Age.Std()), match: hop.match(), fields: fields, request: r, body: body, memory: memory,
 		hasBody: r.ContentLength != 0 || len(body) > 0, inbox: make(chan scheduler.Action, 4),
 		service: hop.Service, pool: hop.Pool, deadline: f.currentStop().limitDeadline(arrivedAt.Add(hop.Left.Std())), origin: hop,
 	}
@@ -71,7 +71,7 @@
 	status, reason := refusalStatus(err)
 	f.logRefused(r, RequestFields{ID: r.Header.Get(f.cfg.Dialect.IdentityHeader())}, status, reason, err)
 	f.meters.countRefusal(status, reason)
-	w.Header().Set(hopField, hopAnswer{Outcome: hopNotRun, Reason: scheduler.Reason(reason)}.encode())
+	w.Header().Set(hopField, hopAnswer{Outcome: hopNotRun, Reason: scheduler.Reason(reason), RetryAfter: formatter.Duration(retryAfter(err))}.encode())
 	problemwriter.New(problemwriter.OutcomeNotRun, status, reason, err.Error(), identifier.Request(r.Header.Get(f.cfg.Dialect.IdentityHeader()))).Write(w)
 }
 
--- a/forwarder/serve.go
+++ b/forwarder/serve.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"amaranthmill/evictor"
 	"amaranthmill/internal/identifier"
 	"amaranthmill/internal/problemwriter"
 	"amaranthmill/quarantiner"
@@ -53,13 +54,13 @@
 		status, reason := refusalStatus(err)
 		return nil, f.refuse(w, r, fields, status, reason, err)
 	}
-	body, err := f.readBody(w, r)
+	body, memory, err := f.readBody(w, r)
 	if err != nil {
 		status, reason := refusalStatus(err)
 		return nil, f.refuse(w, r, fields, status, reason, err)
 	}
 	x := &exchange{
-		ref: scheduler.Ref(f.lastRef.Add(1)), arrivedAt: arrivedAt, match: match, fields: fields, request: r, body: body,
+		ref: scheduler.Ref(f.lastRef.Add(1)), arrivedAt: arrivedAt, match: match, fields: fields, request: r, body: body, memory: memory,
 		hasBody: r.ContentLength != 0 || len(body) > 0, inbox: make(chan scheduler.Action, 4),
 	}
 	x.deadline = arrivedAt.Add(match.Route.Timeout)
@@ -75,18 +76,6 @@
 	return x, nil
 }
 
-// readBody reads the complete body. Its error may be *http.MaxBytesError or *StoppingError.
-func (f *Forwarder) readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
-	if r.ContentLength == 0 {
-		return nil, f.checkStop()
-	}
-	limit := int64(defaultBodyLimit)
-	if c := f.cfg.Resolver.Configuration(); c != nil && c.Limits.BodyBytes > 0 {
-		limit = c.Limits.BodyBytes
-	}
-	return f.readArriving(w, http.MaxBytesReader(w, r.Body, limit))
-}
-
 // refusalStatus returns the status and reason for refusing a request before it is scheduled.
 func refusalStatus(err error) (int, string) {
 	var noConfiguration *resolver.NoConfigurationError
@@ -94,9 +83,15 @@
 	var unknownKey *resolver.UnknownKeyError
 	var tooLarge *http.MaxBytesError
 	var stopping *StoppingError
+	var full *evictor.FullError
+	var evicted *evictor.EvictedError
 	switch {
 	case errors.As(err, &stopping):
 		return http.StatusServiceUnavailable, string(scheduler.ReasonStopping)
+	case errors.As(err, &full):
+		return http.StatusServiceUnavailable, "memoryFull"
+	case errors.As(err, &evicted):
+		return http.StatusServiceUnavailable, "evicted"
 	case errors.As(err, &noConfiguration):
 		return http.StatusServiceUnavailable, "noConfiguration"
 	case errors.As(err, &noRoute):
@@ -114,14 +109,25 @@
 	f.meters.countRefusal(status, reason)
 	f.setRequestID(w, fields)
 	p := problemwriter.New(problemwriter.OutcomeNotRun, status, reason, err.Error(), identifier.Request(fields.ID))
+	p.RetryAfter = retryAfter(err).Seconds()
+	return &p
+}
+
+// retryAfter returns the time after which a caller whose request was refused with err should retry, or zero if a retry is of no use.
+func retryAfter(err error) time.Duration {
 	var stopping *StoppingError
+	var noConfiguration *resolver.NoConfigurationError
+	var full *evictor.FullError
+	var evicted *evictor.EvictedError
 	switch {
 	case errors.As(err, &stopping):
-		p.RetryAfter = stoppingRetryAfter.Seconds()
-	case status == http.StatusServiceUnavailable:
-		p.RetryAfter = noConfigurationRetryAfter.Seconds()
+		return stoppingRetryAfter
+	case errors.As(err, &noConfiguration):
+		return noConfigurationRetryAfter
+	case errors.As(err, &full), errors.As(err, &evicted):
+		return evictor.RetryAfter
 	}
-	return &p
+	return 0
 }
 
 // setRequestID sets the request's ID in an answer of this system.
@@ -136,6 +142,7 @@
 	f.add(x)
 	defer f.remove(x)
 	defer f.releaseHeld(x)
+	defer x.memory.Release()
 	f.meters.addRunning(1)
 	defer f.meters.addRunning(-1)
 	stop := context.AfterFunc(x.request.Context(), func() { f.step.Submit(scheduler.CallerLeft{Ref: x.ref}) })
--- a/forwarder/stop.go
+++ b/forwarder/stop.go
@@ -1,8 +1,6 @@
 package forwarder
 
 import (
-	"io"
-	"net/http"
 	"time"
 
 	"amaranthmill/scheduler"
@@ -80,34 +78,3 @@
 	}
 	return deadline
 }
-
-// arrivingBody is the body of a request that has not arrived completely.
-type arrivingBody struct{ controller *http.ResponseController }
-
-// setDeadline sets when reading the body fails. A zero time removes it.
-func (b *arrivingBody) setDeadline(at time.Time) {
-	_ = b.controller.SetReadDeadline(at) // not supported without a connection, as in tests; checkStop then refuses the request
-}
-
-// readArriving reads a body to its end. It returns *StoppingError if the instance stops before.
-func (f *Forwarder) readArriving(w http.ResponseWriter, in io.Reader) ([]byte, error) {
-	b := &arrivingBody{controller: http.NewResponseController(w)}
-	f.mu.Lock()
-	f.bodies[b] = true
-	if !f.stop.AcceptUntil.IsZero() {
-		b.setDeadline(f.stop.AcceptUntil)
-	}
-	f.mu.Unlock()
-	body, err := io.ReadAll(in)
-	f.mu.Lock()
-	delete(f.bodies, b)
-	isStopping := !f.stop.AcceptUntil.IsZero()
-	f.mu.Unlock()
-	if err := f.checkStop(); err != nil {
-		return nil, err // the deadline stays, so that the server does not wait for the rest of the body
-	}
-	if isStopping {
-		b.setDeadline(time.Time{}) // otherwise the caller would count as gone at that time
-	}
-	return body, err
-}
--- a/runner/hosted.go
+++ b/runner/hosted.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"amaranthmill/configurer"
+	"amaranthmill/evictor"
 	"amaranthmill/forwarder"
 	"amaranthmill/internal/identifier"
 	"amaranthmill/leaser"
@@ -79,6 +80,7 @@
 	replica       *replicator.Replicator
 	resolver      *resolver.Resolver
 	requester     *requester.Requester
+	memory        *evictor.Memory // for callers' requests
 	forwarder     *forwarder.Forwarder
 	view          *view
 	leaving       *leavingProcesses
@@ -107,6 +109,7 @@
 	h.storeMeters, h.valueMeters = newStoreMeters(h.meter), newValueMeters(h.meter)
 	h.store = h.newStore()
 	h.requester = requester.New(requester.Config{IdentityHeader: platform.Headers{}.IdentityHeader(), SourceAddress: s.SourceAddress})
+	h.memory = evictor.NewMemory(evictor.MemoryConfig{Config: evictor.Config{Limit: int64(s.Callers.MemoryMB) << 20}, Logger: logger, Meter: h.meter})
 	h.forwarder = h.newForwarder()
 	h.leaving = newLeavingProcesses(h.meter)
 	h.groupFormer = newGroupFormer(h)
@@ -150,6 +153,7 @@
 			ColdExcess: s.Bounds.ColdExcess, ColdSlack: s.Bounds.ColdSlack,
 			RetryWindow: s.Bounds.RetryWindow.Std(), FirstStart: s.FirstStart, Random: rand.NewPCG(rand.Uint64(), rand.Uint64()),
 		},
+		Memory:          h.memory,
 		HeldBytes:       int64(heldShare * float64(s.Machine.MemoryMB) * (1 << 20)),
 		OnStalled:       h.reportStall,
 		OnLeaving:       h.reportLeaving,
--- a/runner/hosted_reload.go
+++ b/runner/hosted_reload.go
@@ -71,14 +71,14 @@
 }
 
 // apply applies the settings that can change while the instance runs: the bounds on retries and
-// the log level. Changes of the addresses, the store and the machine take effect at the next
-// start.
+// the log level. Changes of the addresses, the store, the machine and the limits of
+// callers take effect at the next start.
 func (h *hosted) apply(old, settings *configurer.HostedSettings) {
 	h.forwarder.SetRetryBudget(retryShare*settings.Bounds.RetryRatio, retryShare*settings.Bounds.RetrySlack)
 	if level, err := zerolog.ParseLevel(settings.Log.Level); err == nil {
 		zerolog.SetGlobalLevel(level)
 	}
-	if !reflect.DeepEqual(old.Listen, settings.Listen) || !reflect.DeepEqual(old.Store, settings.Store) || old.Machine != settings.Machine {
-		h.logger.Warn().Msg("changed settings of addresses, store or machine take effect at the next start")
+	if !reflect.DeepEqual(old.Listen, settings.Listen) || !reflect.DeepEqual(old.Store, settings.Store) || old.Machine != settings.Machine || old.Callers != settings.Callers {
+		h.logger.Warn().Msg("changed settings of addresses, store, machine or callers take effect at the next start")
 	}
 }
