forwarder: a body must have arrived by the deadline of its request

Callers saw: a client whose body stops short keeps its connection, its buffers and a goroutine for as long as it likes, and gets no answer.

Cause: nothing set a deadline for the arrival of a body. Scheduling, which ends requests at their deadlines, begins only once the body is whole.

Change: reading the body fails at the request's deadline (the caller's time or the route's timeout, whichever is first), or earlier if the instance stops. The request is refused as not run with 408, reason bodyTimeout, counted in forwarder.refusals, and the connection closes. The bounds are the operator's timeoutMs and the caller's own time, so that no request that could still be served meets them. Requests of peers keep the bound of the peers' server.

TestBodyThatStopsShortEnds needs no process.

--- a/forwarder/body.go
+++ b/forwarder/body.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"time"
@@ -21,20 +22,56 @@
 // arrivingBody is the body of a request that has not arrived completely.
 type arrivingBody struct {
 	controller *http.ResponseController
+	until      time.Time // by which it must have arrived; zero for no bound
 
-	mu      sync.Mutex // guards the fields below
-	isEnded bool       // no more is read
+	mu          sync.Mutex // guards the fields below
+	hasDeadline bool
+	isEnded     bool // no more is read
 }
 
-// setDeadline sets when reading the body fails. A zero time removes it.
-func (b *arrivingBody) setDeadline(at time.Time) {
+// setDeadline sets when reading the body fails: at the time by which it must have arrived, or before that when the instance that stops
+// takes no more. Zero times set no bound.
+func (b *arrivingBody) setDeadline(acceptUntil time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if !b.isEnded {
-		_ = b.controller.SetReadDeadline(at) // not supported without a connection, as in tests; checkStop then refuses the request
+	if at := earliest(b.until, acceptUntil); !at.IsZero() && !b.isEnded {
+		b.hasDeadline = true
+		_ = b.controller.SetReadDeadline(at) // not supported without a connection, as in tests; the checks after the body then refuse the request
 	}
 }
 
+// removeDeadline lets the connection be read without a bound. Otherwise the caller would count as gone at the deadline.
+func (b *arrivingBody) removeDeadline() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.hasDeadline {
+		_ = b.controller.SetReadDeadline(time.Time{}) // see setDeadline
+	}
+}
+
+// checkTime returns *BodyTimeoutError if the body has not arrived in time.
+func (b *arrivingBody) checkTime(err error) error {
+	if errors.Is(err, os.ErrDeadlineExceeded) && !b.until.IsZero() && !time.Now().Before(b.until) {
+		return &BodyTimeoutError{}
+	}
+	return err
+}
+
+// BodyTimeoutError reports that the body of a request had not arrived by the request's deadline.
+type BodyTimeoutError struct{}
+
+func (e *BodyTimeoutError) Error() string {
+	return "forwarder: the body of the request had not arrived completely by the request's deadline"
+}
+
+// earliest returns the earlier one of two times. A zero time is later than any other.
+func earliest(a, b time.Time) time.Time {
+	if a.IsZero() || !b.IsZero() && b.Before(a) {
+		return b
+	}
+	return a
+}
+
 // end makes reading the body fail from now on.
 func (b *arrivingBody) end() {
 	b.mu.Lock()
@@ -43,9 +80,9 @@
 	_ = b.controller.SetReadDeadline(past) // see setDeadline
 }
 
-// readBody reads the complete body. The account holds its memory until it is released; it is nil without a body. The error may be
-// *http.MaxBytesError, *StoppingError, *evictor.FullError or *evictor.EvictedError.
-func (f *Forwarder) readBody(w http.ResponseWriter, r *http.Request) ([]byte, *evictor.Account, error) {
+// readBody reads the complete body, which must have arrived by until unless that is zero. The account holds its memory until it is released;
+// it is nil without a body. The error may be *http.MaxBytesError, *BodyTimeoutError, *StoppingError, *evictor.FullError or *evictor.EvictedError.
+func (f *Forwarder) readBody(w http.ResponseWriter, r *http.Request, until time.Time) ([]byte, *evictor.Account, error) {
 	if r.ContentLength == 0 {
 		return nil, nil, f.checkStop()
 	}
@@ -57,7 +94,7 @@
 	if r.ContentLength > 0 {
 		size = r.ContentLength
 	}
-	b := &arrivingBody{controller: http.NewResponseController(w)}
+	b := &arrivingBody{controller: http.NewResponseController(w), until: until}
 	if size > limit {
 		abandonBody(w, b)
 		return nil, nil, &http.MaxBytesError{Limit: limit}
@@ -65,15 +102,13 @@
 	f.addBody(b)
 	account := f.cfg.Memory.Open(b.end)
 	body, err := readInto(account, http.MaxBytesReader(w, r.Body, limit), size)
-	isStopping := f.removeBody(b)
-	if err := cmp.Or(f.checkStop(), account.Complete(), err); err != nil {
+	f.removeBody(b)
+	if err := cmp.Or(f.checkStop(), account.Complete(), b.checkTime(err)); err != nil {
 		account.Release()
 		abandonBody(w, b)
 		return nil, nil, err
 	}
-	if isStopping {
-		b.setDeadline(time.Time{}) // otherwise the caller would count as gone at that time
-	}
+	b.removeDeadline()
 	return body, account, nil
 }
 
@@ -82,17 +117,14 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.bodies[b] = true
-	if !f.stop.AcceptUntil.IsZero() {
-		b.setDeadline(f.stop.AcceptUntil)
-	}
+	b.setDeadline(f.stop.AcceptUntil)
 }
 
-// removeBody removes a body of which no more is read. It reports whether the instance stops.
-func (f *Forwarder) removeBody(b *arrivingBody) (isStopping bool) {
+// removeBody removes a body of which no more is read.
+func (f *Forwarder) removeBody(b *arrivingBody) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	delete(f.bodies, b)
-	return !f.stop.AcceptUntil.IsZero()
 }
 
 // readInto reads a body of at most size bytes to its end. Its buffers are counted in the account before they are made, the
--- a/forwarder/body_test.go
+++ b/forwarder/body_test.go
@@ -153,3 +153,71 @@
 		}
 	}
 }
+
+// TestBodyThatStopsShortEnds guards against a body that stops short and is held for as long as its client keeps the connection open. At the
+// deadline of the request, its own or that of the route, it is refused as not run; the connection closes. A request whose body takes long
+// and is whole before that is served.
+func TestBodyThatStopsShortEnds(t *testing.T) {
+	for name, tc := range map[string]struct {
+		timeout string
+		isWhole bool
+		status  int
+	}{
+		"own deadline":   {"Timeout: 300\r\n", false, http.StatusRequestTimeout},
+		"route deadline": {"", false, http.StatusRequestTimeout},
+		"whole in time":  {"", true, http.StatusOK},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			x := newFixture(t)
+			runs := x.add(func(w http.ResponseWriter, _ *http.Request) { signed(w, "ok") })
+			conn, err := net.Dial("tcp", x.server.Listener.Addr().String())
+			is.NoErr(err)
+			defer conn.Close()
+			_, err = fmt.Fprintf(conn, "POST /hold/1 HTTP/1.1\r\nHost: 127.0.0.1\r\nId: short\r\nKey: k1\r\n%sContent-Length: 3\r\n\r\n", tc.timeout)
+			is.NoErr(err)
+			for i := range 2 {
+				time.Sleep(50 * time.Millisecond)
+				_, err = fmt.Fprint(conn, i)
+				is.NoErr(err)
+			}
+			if tc.isWhole {
+				_, err = io.WriteString(conn, "x")
+				is.NoErr(err)
+			}
+			in := bufio.NewReader(conn)
+			resp, err := http.ReadResponse(in, nil)
+			is.NoErr(err)
+			is.Equal(resp.StatusCode, tc.status)
+			is.Equal(resp.Close, !tc.isWhole)
+			is.Equal(runs.Load() == 1, tc.isWhole)
+			_ = body(resp)
+			if !tc.isWhole {
+				_, err = in.ReadByte()
+				is.Equal(err, io.EOF)
+			}
+		})
+	}
+}
+
+// TestCallerStaysAfterItsBody checks that a caller whose body has arrived does not count as gone at the deadline for the body, and that its connection
+// can be used again.
+func TestCallerStaysAfterItsBody(t *testing.T) {
+	is := is.New(t)
+	x := newFixture(t)
+	x.add(func(w http.ResponseWriter, _ *http.Request) { signed(w, "ok") })
+	conn, err := net.Dial("tcp", x.server.Listener.Addr().String())
+	is.NoErr(err)
+	defer conn.Close()
+	in := bufio.NewReader(conn)
+	for range 2 { // the connection is used again later than the deadline of the first request
+		_, err = io.WriteString(conn, "POST /hold/1 HTTP/1.1\r\nHost: 127.0.0.1\r\nId: again\r\nKey: k1\r\nTimeout: 300\r\nContent-Length: 1\r\n\r\nx")
+		is.NoErr(err)
+		resp, err := http.ReadResponse(in, nil)
+		is.NoErr(err)
+		is.Equal(resp.StatusCode, http.StatusOK)
+		is.Equal(body(resp), "ok")
+		time.Sleep(400 * time.Millisecond)
+	}
+}
--- a/forwarder/peer_serve.go
+++ b/forwarder/peer_serve.go
@@ -51,7 +51,7 @@
 		return nil, err
 	}
 	fields.LastEventID = hop.LastEvent
-	body, memory, err := f.readBody(w, r)
+	body, memory, err := f.readBody(w, r, time.Time{})
 	if err != nil {
 		return nil, err
 	}
--- a/forwarder/serve.go
+++ b/forwarder/serve.go
@@ -54,7 +54,11 @@
 		status, reason := refusalStatus(err)
 		return nil, f.refuse(w, r, fields, status, reason, err)
 	}
-	body, memory, err := f.readBody(w, r)
+	deadline := arrivedAt.Add(match.Route.Timeout)
+	if fields.Timeout > 0 && fields.Timeout < match.Route.Timeout {
+		deadline = arrivedAt.Add(max(fields.Timeout, minTimeout))
+	}
+	body, memory, err := f.readBody(w, r, deadline)
 	if err != nil {
 		status, reason := refusalStatus(err)
 		return nil, f.refuse(w, r, fields, status, reason, err)
@@ -62,12 +66,8 @@
 	x := &exchange{
 		ref: scheduler.Ref(f.lastRef.Add(1)), arrivedAt: arrivedAt, match: match, fields: fields, request: r, body: body, memory: memory,
 		hasBody: r.ContentLength != 0 || len(body) > 0, inbox: make(chan scheduler.Action, 4),
+		deadline: f.currentStop().limitDeadline(deadline),
 	}
-	x.deadline = arrivedAt.Add(match.Route.Timeout)
-	if fields.Timeout > 0 && fields.Timeout < match.Route.Timeout {
-		x.deadline = arrivedAt.Add(max(fields.Timeout, minTimeout))
-	}
-	x.deadline = f.currentStop().limitDeadline(x.deadline)
 	x.identity = fingerprintOf(x)
 	x.service = match.Route.PickService(f.drawFraction())
 	x.pool = f.poolOf(x.service, fields)
@@ -85,9 +85,12 @@
 	var stopping *StoppingError
 	var full *evictor.FullError
 	var evicted *evictor.EvictedError
+	var late *BodyTimeoutError
 	switch {
 	case errors.As(err, &stopping):
 		return http.StatusServiceUnavailable, string(scheduler.ReasonStopping)
+	case errors.As(err, &late):
+		return http.StatusRequestTimeout, "bodyTimeout"
 	case errors.As(err, &full):
 		return http.StatusServiceUnavailable, "memoryFull"
 	case errors.As(err, &evicted):
