acceptor: heads have the configuration's limits and count toward the memory

Callers saw: clients that send heads without end, or complete heads of legal size with thousands of short fields that stop short, ended an instance.

Cause: nothing used the operator's maxHeaderBytes and headerTimeoutMs. http.Server took heads of 1 MB, 64 times the limit, and kept them for 10 s; the map and the strings of short fields use some twenty times the bytes of a head; nothing bounded the heads of all connections together.

Change: acceptor wraps the callers' listener.

--- a/configurer/hosted.go
+++ b/configurer/hosted.go
@@ -55,7 +55,9 @@
 
 // Callers holds the limits on what callers may use of the instance, beside those in the operator's configuration.
 type Callers struct {
-	MemoryMB int `json:"memoryMB" validate:"gte=0"` // for the requests that arrive or are served, at most half of the machine's; default a quarter of it
+	MemoryMB      int                `json:"memoryMB" validate:"gte=0"`      // for the requests that arrive or are served, at most half of the machine's; default a quarter of it
+	HeaderBytes   int                `json:"headerBytes" validate:"gte=0"`   // of one head, while the configuration sets no limit; default 65536
+	HeaderTimeout formatter.Duration `json:"headerTimeout" validate:"gte=0"` // from the first byte of a head to its last, while the configuration sets no limit; default 10s
 }
 
 // Bounds are the times and rates that the platform's operator requires.
@@ -73,6 +75,8 @@
 const (
 	defaultHostedStopLimit = 8e9
 	defaultLeaseMin        = 1e9
+	defaultHeaderBytes     = 64 << 10
+	defaultHeaderTimeout   = 10e9
 	callersMemoryPart      = 4 // of the machine's memory, one part is for requests
 	maxCallersMemoryPart   = 2 // the same, for the most that can be set
 )
@@ -99,6 +103,8 @@
 	defaulter.Set(&h.Bounds.StopLimit, defaultHostedStopLimit)
 	defaulter.Set(&h.Store.LeaseMin, defaultLeaseMin)
 	defaulter.Set(&h.Log.Level, defaultLogLevel)
+	defaulter.Set(&h.Callers.HeaderBytes, defaultHeaderBytes)
+	defaulter.Set(&h.Callers.HeaderTimeout, defaultHeaderTimeout)
 	defaulter.Set(&h.Callers.MemoryMB, max(h.Machine.MemoryMB/callersMemoryPart, 1))
 	if most := max(h.Machine.MemoryMB/maxCallersMemoryPart, 1); h.Callers.MemoryMB > most {
 		return nil, &decoder.DocumentError{Faults: []decoder.Fault{{
--- /dev/null
+++ b/runner/hosted_callers.go
@@ -0,0 +1,30 @@
+package runner
+
+import (
+	"cmp"
+	"math"
+	"net"
+
+	"amaranthmill/acceptor"
+)
+
+// newCallersServer returns the server of callers' requests, whose connections have the limits in force.
+func (h *hosted) newCallersServer() *trackedServer {
+	s := newTrackedServer(h.settings.Listen.Callers.String(), h.forwarder)
+	s.MaxHeaderBytes = math.MaxInt32 // the acceptor has the limit
+	s.wrap = func(l net.Listener) net.Listener {
+		return acceptor.New(l, acceptor.Config{Limits: h.callerLimits, Memory: h.memory, Logger: h.logger, Meter: h.meter})
+	}
+	return s
+}
+
+// callerLimits returns the limits of the operator's configuration, and those of the settings for what it does not limit.
+func (h *hosted) callerLimits() acceptor.Limits {
+	s := h.settings.Callers
+	out := acceptor.Limits{HeaderBytes: s.HeaderBytes, HeaderTimeout: s.HeaderTimeout.Std()}
+	if c := h.resolver.Configuration(); c != nil {
+		out.HeaderBytes = cmp.Or(max(c.Limits.HeaderBytes, 0), out.HeaderBytes)
+		out.HeaderTimeout = cmp.Or(max(c.Limits.HeaderTimeout, 0), out.HeaderTimeout)
+	}
+	return out
+}
--- a/runner/hosted_run.go
+++ b/runner/hosted_run.go
@@ -37,7 +37,7 @@
 	if err != nil {
 		return err
 	}
-	callers := newTrackedServer(s.Listen.Callers.String(), h.forwarder)
+	callers := h.newCallersServer()
 	draining := make(chan struct{})
 	var g run.Group
 	signals := make(chan os.Signal, 2)
@@ -55,10 +55,10 @@
 	peers.ReadTimeout = peerReadTimeout
 	st.finish = func(ctx context.Context) error { return shutdownAll(ctx, stop.AcceptUntil, callers, peers) }
 	g.Add(st.run, st.interrupt)
-	g.Add(newHTTPActor(callers.Server, st.stopped))
+	g.Add(newHTTPActor(callers, st.stopped))
 	g.Add(newHTTPActor(newHTTPServer(s.Listen.Readiness.String(), h.readinessHandler(draining)), nil))
 	g.Add(newHTTPActor(newHTTPServer(s.Listen.Metrics.String(), h.metrics), nil))
-	g.Add(newHTTPActor(peers.Server, st.stopped))
+	g.Add(newHTTPActor(peers, st.stopped))
 	reload := newReloader(path, s, reloads, logger, h.apply)
 	for _, actor := range []func(context.Context) error{h.replica.Run, h.view.run, h.groupFormer.run, h.quarantine.run, h.pruneConnections, h.requestDemand, reload.run} {
 		g.Add(newActor(actor))
--- a/runner/hosted_stop.go
+++ b/runner/hosted_stop.go
@@ -16,11 +16,18 @@
 // seconds for connections on which no request has arrived, and up to half a second after the last answer.
 type trackedServer struct {
 	*http.Server
+	wrap func(net.Listener) net.Listener // returns the listener to accept from; nil means the one given
 
 	mu    sync.Mutex
 	serve map[net.Conn]bool // open connections, with whether the handler has begun to serve a request that has no complete answer
 }
 
+// requestConn is a connection that is told when it has a request.
+type requestConn interface {
+	BeginRequest() error // the head has arrived; its error says why the request must be refused
+	EndRequest()         // the answer is complete
+}
+
 // connectionKey is the key of a request's connection in its context.
 type connectionKey struct{}
 
@@ -30,6 +37,9 @@
 	s.Server = newHTTPServer(address, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if conn, ok := r.Context().Value(connectionKey{}).(net.Conn); ok {
 			s.setServing(conn, true)
+			if c, ok := conn.(requestConn); ok && c.BeginRequest() != nil {
+				panic(http.ErrAbortHandler) // closes the connection; the request has not run
+			}
 		}
 		h.ServeHTTP(w, r)
 	}))
@@ -40,6 +50,18 @@
 	return s
 }
 
+// ListenAndServe listens on the server's address and serves the connections that it accepts from the wrapped listener.
+func (s *trackedServer) ListenAndServe() error {
+	l, err := net.Listen("tcp", s.Addr)
+	if err != nil {
+		return err
+	}
+	if s.wrap != nil {
+		l = s.wrap(l)
+	}
+	return s.Serve(l)
+}
+
 func (s *trackedServer) setServing(c net.Conn, isServing bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -49,7 +71,12 @@
 // noteState records the state of a connection. One that is idle has sent its last answer.
 func (s *trackedServer) noteState(c net.Conn, state http.ConnState) {
 	switch state {
-	case http.StateNew, http.StateIdle:
+	case http.StateNew:
+		s.setServing(c, false)
+	case http.StateIdle:
+		if c, ok := c.(requestConn); ok {
+			c.EndRequest()
+		}
 		s.setServing(c, false)
 	case http.StateClosed, http.StateHijacked:
 		s.mu.Lock()
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -52,10 +52,16 @@
 	return func() error { return f(ctx) }, func(error) { cancel() }
 }
 
+// httpServer is an *http.Server or a *trackedServer.
+type httpServer interface {
+	ListenAndServe() error // returns http.ErrServerClosed once the server was closed or shut down
+	Close() error
+}
+
 // newHTTPActor returns the actor of an HTTP server. If stopped is not nil, a server that was
 // shut down waits until stopped is closed before its actor ends, because the end of one actor
 // interrupts all others, which still have work during a graceful stop.
-func newHTTPActor(s *http.Server, stopped <-chan struct{}) (execute func() error, interrupt func(error)) {
+func newHTTPActor(s httpServer, stopped <-chan struct{}) (execute func() error, interrupt func(error)) {
 	execute = func() error {
 		err := s.ListenAndServe()
 		if !errors.Is(err, http.ErrServerClosed) {
