acceptor: a connection without a request ends after the configuration's idle time

Callers saw: connections that clients leave open and unused stayed for two minutes, eight times the operator's idleTimeoutMs, each with a descriptor and the buffers of the server.

Cause: nothing used the idle timeout of the operator's configuration; http.Server had one of its own.

Change: acceptor ends a connection that has waited for the first byte of a head for the idle time in force, counted as acceptor.closed idle, without a log line. callers.idleTimeout holds while the configuration sets none.

--- a/acceptor/acceptor_test.go
+++ b/acceptor/acceptor_test.go
@@ -240,3 +240,58 @@
 	status, _ = c.answer()
 	is.Equal(status, 0)
 }
+
+// TestIdleTimeout checks that a connection without a request ends, new or used, and that one which is
+// used again within the limit stays.
+func TestIdleTimeout(t *testing.T) {
+	const timeout = 400 * time.Millisecond
+	is := is.New(t)
+	x := newFixture(t, acceptor.Limits{HeaderBytes: headerBytes, IdleTimeout: timeout}, evictor.Config{})
+	c := x.dial()
+	for range 5 {
+		time.Sleep(timeout / 2)
+		c.write(head(100, 0))
+		status, _ := c.answer()
+		is.Equal(status, http.StatusOK)
+	}
+	for _, c := range []*caller{c, x.dial()} {
+		_, err := c.in.ReadByte()
+		is.Equal(err, io.EOF)
+	}
+}
+
+// suspendedConn is a connection whose process was suspended when a request arrived: the first read fails, because its deadline has passed meanwhile.
+type suspendedConn struct {
+	net.Conn
+	hasRead bool
+}
+
+func (c *suspendedConn) Read(p []byte) (int, error) {
+	if !c.hasRead {
+		c.hasRead = true
+		return 0, os.ErrDeadlineExceeded
+	}
+	return copy(p, "GET / HTTP/1.1\r\n"), nil
+}
+
+func (c *suspendedConn) SetReadDeadline(time.Time) error { return nil }
+
+// oneConn is a listener that accepts one connection.
+type oneConn struct {
+	net.Listener
+	conn net.Conn
+}
+
+func (l oneConn) Accept() (net.Conn, error) { return l.conn, nil }
+
+// TestRequestThatArrivedInTimeIsRead guards against a suspension of the process that ends connections whose request has arrived meanwhile.
+func TestRequestThatArrivedInTimeIsRead(t *testing.T) {
+	is := is.New(t)
+	l := acceptor.New(oneConn{conn: &suspendedConn{}}, acceptor.Config{Limits: func() acceptor.Limits { return acceptor.Limits{IdleTimeout: time.Nanosecond} }})
+	c, err := l.Accept()
+	is.NoErr(err)
+	p := make([]byte, 100)
+	n, err := c.Read(p)
+	is.NoErr(err)
+	is.Equal(string(p[:n]), "GET / HTTP/1.1\r\n")
+}
--- a/acceptor/conn.go
+++ b/acceptor/conn.go
@@ -17,6 +17,7 @@
 	readAheadBytes = 4 << 10                // that the server reads beyond a head, at most
 	bytesPerByte   = 2                      // memory that the server uses for each byte of a head
 	bytesPerLine   = 320                    // the same for each line
+	arrivedTime    = 5 * time.Millisecond   // to read what has arrived
 	refusalTime    = 500 * time.Millisecond // in which a caller can read that its head is refused
 )
 
@@ -58,12 +59,35 @@
 	account  *evictor.Account // of the head; nil outside phaseHead and phaseServed
 }
 
-func newConn(l *Listener, c net.Conn) *Conn { return &Conn{Conn: c, listener: l} }
+func newConn(l *Listener, conn net.Conn) *Conn {
+	c := &Conn{Conn: conn, listener: l}
+	c.wait()
+	return c
+}
+
+// wait begins phaseWaiting.
+func (c *Conn) wait() {
+	until := after(c.listener.cfg.Limits().IdleTimeout)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.setPhase(phaseWaiting, until)
+}
+
+// after returns the time after a timeout from now, or zero if there is none.
+func after(timeout time.Duration) time.Time {
+	if timeout <= 0 {
+		return time.Time{}
+	}
+	return time.Now().Add(timeout)
+}
 
 // Read implements net.Conn. It fails with a *net.OpError if the head is refused, on which the server closes the connection without an answer of
 // its own.
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.isIdleOver() {
+		n, err = c.readArrived(p)
+	}
 	if n > 0 {
 		if why := c.receive(p[:n]); why != nil {
 			return 0, &net.OpError{Op: "read", Net: "tcp", Addr: c.RemoteAddr(), Err: why}
@@ -113,10 +137,7 @@
 	if m := c.listener.cfg.Memory; m != nil {
 		account = m.Open(c.evict)
 	}
-	var until time.Time
-	if t := c.listener.cfg.Limits().HeaderTimeout; t > 0 {
-		until = time.Now().Add(t)
-	}
+	until := after(c.listener.cfg.Limits().HeaderTimeout)
 	c.headBytes = 0
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -157,16 +178,35 @@
 	return err
 }
 
-// reportTimeout reports that the connection ends because a head has not arrived in time, or gave way to others.
+// isIdleOver reports whether the connection has had no request for the idle timeout.
+func (c *Conn) isIdleOver() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	return c.phase == phaseWaiting && !c.until.IsZero() && !now.Before(c.until) && (c.deadline.IsZero() || now.Before(c.deadline))
+}
+
+// readArrived reads what has arrived already. After the process was suspended, the idle timeout is over although a request has arrived in
+// time.
+func (c *Conn) readArrived(p []byte) (int, error) {
+	if err := c.Conn.SetReadDeadline(time.Now().Add(arrivedTime)); err != nil {
+		return 0, err
+	}
+	return c.Conn.Read(p)
+}
+
+// reportTimeout reports that the connection ends because its phase is over, or because its head gave way to others.
 func (c *Conn) reportTimeout() {
 	c.mu.Lock()
-	isLate := c.phase == phaseHead && !c.until.IsZero() && !time.Now().Before(c.until)
+	phase, isOver := c.phase, !c.until.IsZero() && !time.Now().Before(c.until)
 	c.mu.Unlock()
 	switch {
 	case c.isEvicted.Load():
 		c.listener.report(c, reasonMemory)
-	case isLate:
+	case isOver && phase == phaseHead:
 		c.listener.report(c, reasonHeadTimeout)
+	case isOver && phase == phaseWaiting:
+		c.listener.count(reasonIdle)
 	}
 }
 
@@ -182,10 +222,8 @@
 
 // EndRequest reports that the answer is complete and that the connection waits for the next request.
 func (c *Conn) EndRequest() {
-	c.mu.Lock()
-	c.setPhase(phaseWaiting, time.Time{})
-	c.mu.Unlock()
 	c.release()
+	c.wait()
 }
 
 // release gives back the memory of the head.
--- a/acceptor/listener.go
+++ b/acceptor/listener.go
@@ -20,6 +20,7 @@
 type Limits struct {
 	HeaderBytes   int           // of one head
 	HeaderTimeout time.Duration // from the first byte of a head to its last
+	IdleTimeout   time.Duration // until the first byte of a head, from the start of a connection or the answer before
 }
 
 // Config configures a Listener. Limits is required.
@@ -64,11 +65,17 @@
 const (
 	reasonHeadTooLarge reason = "headTooLarge"
 	reasonHeadTimeout  reason = "headTimeout"
+	reasonIdle         reason = "idle"
 	reasonMemory       reason = "memory" // for requests, which is used up
 )
 
-// report counts and logs a connection that is closed.
-func (l *Listener) report(c *Conn, why reason) {
+// count counts a connection that is closed.
+func (l *Listener) count(why reason) {
 	l.closed.Add(context.Background(), 1, metric.WithAttributes(attribute.String("reason", string(why))))
+}
+
+// report counts and logs a connection that is closed although its caller was sending.
+func (l *Listener) report(c *Conn, why reason) {
+	l.count(why)
 	l.logger.Warn().Str("reason", string(why)).Stringer("caller", c.RemoteAddr()).Int("headBytes", c.headBytes).Msg("connection of a caller is closed")
 }
--- a/configurer/hosted.go
+++ b/configurer/hosted.go
@@ -58,6 +58,7 @@
 	MemoryMB      int                `json:"memoryMB" validate:"gte=0"`      // for the requests that arrive or are served, at most half of the machine's; default a quarter of it
 	HeaderBytes   int                `json:"headerBytes" validate:"gte=0"`   // of one head, while the configuration sets no limit; default 65536
 	HeaderTimeout formatter.Duration `json:"headerTimeout" validate:"gte=0"` // from the first byte of a head to its last, while the configuration sets no limit; default 10s
+	IdleTimeout   formatter.Duration `json:"idleTimeout" validate:"gte=0"`   // of a connection without a request, while the configuration sets no limit; default 2m
 }
 
 // Bounds are the times and rates that the platform's operator requires.
@@ -77,6 +78,7 @@
 	defaultLeaseMin        = 1e9
 	defaultHeaderBytes     = 64 << 10
 	defaultHeaderTimeout   = 10e9
+	defaultIdleTimeout     = 120e9
 	callersMemoryPart      = 4 // of the machine's memory, one part is for requests
 	maxCallersMemoryPart   = 2 // the same, for the most that can be set
 )
@@ -105,6 +107,7 @@
 	defaulter.Set(&h.Log.Level, defaultLogLevel)
 	defaulter.Set(&h.Callers.HeaderBytes, defaultHeaderBytes)
 	defaulter.Set(&h.Callers.HeaderTimeout, defaultHeaderTimeout)
+	defaulter.Set(&h.Callers.IdleTimeout, defaultIdleTimeout)
 	defaulter.Set(&h.Callers.MemoryMB, max(h.Machine.MemoryMB/callersMemoryPart, 1))
 	if most := max(h.Machine.MemoryMB/maxCallersMemoryPart, 1); h.Callers.MemoryMB > most {
 		return nil, &decoder.DocumentError{Faults: []decoder.Fault{{
--- a/configurer/hosted_test.go
+++ b/configurer/hosted_test.go
@@ -35,5 +35,5 @@
 
 // show lists the settings in force.
 func show(c configurer.Callers) string {
-	return fmt.Sprintf("memoryMB=%d headerBytes=%d headerTimeout=%s\n", c.MemoryMB, c.HeaderBytes, c.HeaderTimeout)
+	return fmt.Sprintf("memoryMB=%d headerBytes=%d headerTimeout=%s idleTimeout=%s\n", c.MemoryMB, c.HeaderBytes, c.HeaderTimeout, c.IdleTimeout)
 }
--- a/runner/hosted_callers.go
+++ b/runner/hosted_callers.go
@@ -11,7 +11,7 @@
 // newCallersServer returns the server of callers' requests, whose connections have the limits in force.
 func (h *hosted) newCallersServer() *trackedServer {
 	s := newTrackedServer(h.settings.Listen.Callers.String(), h.forwarder)
-	s.MaxHeaderBytes = math.MaxInt32 // the acceptor has the limit
+	s.MaxHeaderBytes, s.ReadHeaderTimeout, s.IdleTimeout = math.MaxInt32, 0, 0 // the acceptor has the limits
 	s.wrap = func(l net.Listener) net.Listener {
 		return acceptor.New(l, acceptor.Config{Limits: h.callerLimits, Memory: h.memory, Logger: h.logger, Meter: h.meter})
 	}
@@ -21,10 +21,11 @@
 // callerLimits returns the limits of the operator's configuration, and those of the settings for what it does not limit.
 func (h *hosted) callerLimits() acceptor.Limits {
 	s := h.settings.Callers
-	out := acceptor.Limits{HeaderBytes: s.HeaderBytes, HeaderTimeout: s.HeaderTimeout.Std()}
+	out := acceptor.Limits{HeaderBytes: s.HeaderBytes, HeaderTimeout: s.HeaderTimeout.Std(), IdleTimeout: s.IdleTimeout.Std()}
 	if c := h.resolver.Configuration(); c != nil {
 		out.HeaderBytes = cmp.Or(max(c.Limits.HeaderBytes, 0), out.HeaderBytes)
 		out.HeaderTimeout = cmp.Or(max(c.Limits.HeaderTimeout, 0), out.HeaderTimeout)
+		out.IdleTimeout = cmp.Or(max(c.Limits.IdleTimeout, 0), out.IdleTimeout)
 	}
 	return out
 }
