acceptor: a bounded number of callers' connections

Callers saw: clients that keep more connections than a process may open shut out all others, and endpoints could no longer be reached: accept and dial fail for want of a descriptor until the clients leave.

Cause: nothing bounded the connections that callers keep open.

Change: at most callers.maxConnections, by default three quarters of the descriptors beyond the 200 that the platform reserves.

--- a/acceptor/acceptor_test.go
+++ b/acceptor/acceptor_test.go
@@ -20,7 +20,10 @@
 	"amaranthmill/evictor"
 )
 
-const headerBytes = 2000
+const (
+	headerBytes    = 2000
+	maxConnections = 10
+)
 
 // fixture is an HTTP server behind a Listener, which answers with the length of the body.
 type fixture struct {
@@ -41,7 +44,7 @@
 		t.Fatal(err)
 	}
 	l := acceptor.New(inner, acceptor.Config{
-		Limits: func() acceptor.Limits { return *x.limits.Load() }, Memory: evictor.NewMemory(evictor.MemoryConfig{Config: memory}),
+		Limits: func() acceptor.Limits { return *x.limits.Load() }, Memory: evictor.NewMemory(evictor.MemoryConfig{Config: memory}), MaxConnections: maxConnections,
 	})
 	s := &http.Server{
 		Handler: http.HandlerFunc(x.serve),
@@ -295,3 +298,53 @@
 	is.NoErr(err)
 	is.Equal(string(p[:n]), "GET / HTTP/1.1\r\n")
 }
+
+// TestIdleConnectionsGiveWay guards against connections without requests that keep new ones out: those that have waited for longest end, first of all one that
+// has sent nothing.
+func TestIdleConnectionsGiveWay(t *testing.T) {
+	is := is.New(t)
+	x := newFixture(t, acceptor.Limits{HeaderBytes: headerBytes}, evictor.Config{})
+	silent, used := x.dial(), []*caller{}
+	for range 3 * maxConnections {
+		c := x.dial()
+		c.write(head(100, 0))
+		status, _ := c.answer()
+		is.Equal(status, http.StatusOK)
+		used = append(used, c)
+	}
+	for _, c := range append([]*caller{silent}, used[:2*maxConnections]...) {
+		_, err := c.in.ReadByte()
+		is.Equal(err, io.EOF)
+	}
+	for _, c := range used[2*maxConnections:] {
+		c.write(head(100, 0))
+		status, _ := c.answer()
+		is.Equal(status, http.StatusOK)
+	}
+}
+
+// TestShortHeadsGiveConnections guards against heads that stop short and keep all connections: once they have been arriving for longer than the patience, they end when new
+// connections come. Until then a new one is closed, because no other may give way.
+func TestShortHeadsGiveConnections(t *testing.T) {
+	is := is.New(t)
+	x := newFixture(t, acceptor.Limits{HeaderBytes: headerBytes}, evictor.Config{Patience: 100 * time.Millisecond})
+	ends := make(chan error, maxConnections)
+	for range maxConnections {
+		c := x.dial()
+		c.write("GET / HTTP/1.1\r\nHost: ")
+		go func() {
+			_, err := c.in.ReadByte()
+			ends <- err
+		}()
+	}
+	for end := time.Now().Add(5 * time.Second); ; {
+		c := x.dial()
+		if _, err := io.WriteString(c, head(100, 0)); err == nil {
+			if status, _ := c.answer(); status == http.StatusOK {
+				break
+			}
+		}
+		is.True(time.Now().Before(end)) // closed within the patience
+	}
+	is.True(!errors.Is(<-ends, os.ErrDeadlineExceeded))
+}
--- a/acceptor/conn.go
+++ b/acceptor/conn.go
@@ -49,6 +49,7 @@
 type Conn struct {
 	net.Conn
 	listener  *Listener
+	ref       Ref
 	headBytes int // of the head that arrives; used by the goroutine that reads
 	isEvicted atomic.Bool
 
@@ -139,6 +140,7 @@
 	}
 	until := after(c.listener.cfg.Limits().HeaderTimeout)
 	c.headBytes = 0
+	c.listener.submit(Received{Ref: c.ref})
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.account = account
@@ -213,6 +215,7 @@
 // BeginRequest reports that the head of a request has arrived. It returns *evictor.EvictedError if the head has given way to others meanwhile; the
 // request must then be refused.
 func (c *Conn) BeginRequest() error {
+	c.listener.submit(Received{Ref: c.ref}) // if the head was read with the request before
 	c.mu.Lock()
 	c.setPhase(phaseServed, time.Time{})
 	account := c.account
@@ -223,6 +226,7 @@
 // EndRequest reports that the answer is complete and that the connection waits for the next request.
 func (c *Conn) EndRequest() {
 	c.release()
+	c.listener.submit(Waited{Ref: c.ref})
 	c.wait()
 }
 
@@ -257,5 +261,6 @@
 // Close implements net.Conn.
 func (c *Conn) Close() error {
 	c.release()
+	c.listener.remove(c)
 	return c.Conn.Close()
 }
--- a/configurer/hosted_test.go
+++ b/configurer/hosted_test.go
@@ -10,6 +10,7 @@
 	"amaranthmill/internal/decoder"
 
 	"github.com/cockroachdb/datadriven"
+	"github.com/matryer/is"
 )
 
 // hostedMinimal are the settings that have no default.
@@ -29,11 +30,25 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		return show(s.Callers)
+		return show(s)
 	})
 }
 
 // show lists the settings in force.
-func show(c configurer.Callers) string {
-	return fmt.Sprintf("memoryMB=%d headerBytes=%d headerTimeout=%s idleTimeout=%s\n", c.MemoryMB, c.HeaderBytes, c.HeaderTimeout, c.IdleTimeout)
+func show(s *configurer.HostedSettings) string {
+	c := s.Callers
+	return fmt.Sprintf("memoryMB=%d headerBytes=%d headerTimeout=%s idleTimeout=%s maxConnections=%d\n",
+		c.MemoryMB, c.HeaderBytes, c.HeaderTimeout, c.IdleTimeout, s.MaxCallerConnections(2870))
+}
+
+// TestMaxCallerConnections checks the default of the limit on connections.
+func TestMaxCallerConnections(t *testing.T) {
+	is := is.New(t)
+	s := &configurer.HostedSettings{}
+	is.Equal(s.MaxCallerConnections(0), 0) // no limit is known
+	is.Equal(s.MaxCallerConnections(100), 1)
+	s.Machine.Descriptors = 1000
+	is.Equal(s.MaxCallerConnections(2870), 600)
+	s.Callers.MaxConnections = 5
+	is.Equal(s.MaxCallerConnections(2870), 5)
 }
--- a/evictor/core.go
+++ b/evictor/core.go
@@ -70,6 +70,8 @@
 		if r := c.requests[e.Ref]; r != nil {
 			c.remove(r)
 		}
+	case Displaced:
+		c.handleDisplaced(now)
 	}
 	return c.actions
 }
@@ -99,14 +101,30 @@
 		return
 	}
 	for _, v := range victims {
-		c.emit(Evict{Ref: v.ref, Bytes: v.bytes})
-		c.remove(v)
+		c.evict(v)
 	}
 	r.bytes += e.Bytes
 	c.used += e.Bytes
 	c.emit(Grant{Ref: e.Ref})
 }
 
+func (c *Core) evict(v *request) {
+	c.emit(Evict{Ref: v.ref, Bytes: v.bytes})
+	c.remove(v)
+}
+
+func (c *Core) handleDisplaced(now time.Time) {
+	var oldest *request
+	for _, v := range c.requests {
+		if c.canGiveWay(now, v) && (oldest == nil || cmp.Or(v.since.Compare(oldest.since), cmp.Compare(v.ref, oldest.ref)) < 0) {
+			oldest = v
+		}
+	}
+	if oldest != nil {
+		c.evict(oldest)
+	}
+}
+
 // ceiling returns up to which sum of all requests a request of a size gets memory.
 func (c *Core) ceiling(bytes int64) int64 {
 	if bytes <= c.cfg.SmallBytes {
@@ -123,7 +141,7 @@
 	c.victims = c.victims[:0]
 	available := int64(0)
 	for _, v := range c.requests {
-		if v != r && c.canGiveWay(now, v) {
+		if v != r && v.bytes > 0 && c.canGiveWay(now, v) {
 			c.victims = append(c.victims, v)
 			available += v.bytes
 		}
@@ -142,7 +160,7 @@
 }
 
 func (c *Core) canGiveWay(now time.Time, v *request) bool {
-	return !v.isComplete && v.bytes > 0 && now.Sub(v.since) >= c.cfg.Patience
+	return !v.isComplete && now.Sub(v.since) >= c.cfg.Patience
 }
 
 // cost returns the product of a request's memory and the time for which it has been arriving, in byte seconds.
--- a/evictor/event.go
+++ b/evictor/event.go
@@ -3,7 +3,7 @@
 // Ref identifies one request, or the head of one, at one instance.
 type Ref uint64
 
-// Event is an input of a Core: Requested, Returned, Completed or Released.
+// Event is an input of a Core: Requested, Returned, Completed, Released or Displaced.
 type Event interface{ event() }
 
 // Requested asks for memory for a request. The first one adds the request, which arrives from then on.
@@ -24,10 +24,15 @@
 // Released ends a request and gives back all its memory.
 type Released struct{ Ref Ref }
 
+// Displaced asks that the request which has been arriving for longest gives way, whatever its memory, because its connection is
+// needed for others.
+type Displaced struct{}
+
 func (Requested) event() {}
 func (Returned) event()  {}
 func (Completed) event() {}
 func (Released) event()  {}
+func (Displaced) event() {}
 
 // Action is what a Core decides: Grant, Refuse or Evict.
 type Action interface{ action() }
--- a/evictor/evictor_test.go
+++ b/evictor/evictor_test.go
@@ -32,6 +32,8 @@
 		e = evictor.Completed{Ref: ref}
 	case "release":
 		e = evictor.Released{Ref: ref}
+	case "displace":
+		e = evictor.Displaced{}
 	default:
 		return nil, fmt.Errorf("unknown event %q", ev.Name)
 	}
@@ -199,3 +201,22 @@
 	a.Return(1)
 	a.Release()
 }
+
+// TestDisplace checks that the request that has been arriving for longest gives way for its connection, and none if all have arrived.
+func TestDisplace(t *testing.T) {
+	is := is.New(t)
+	m := evictor.NewMemory(evictor.MemoryConfig{Config: evictor.Config{Limit: 1000, Patience: time.Nanosecond}})
+	evicted := []string{}
+	for _, name := range []string{"complete", "first", "second"} {
+		a := m.Open(func() { evicted = append(evicted, name) })
+		is.NoErr(a.Reserve(1))
+		if name == "complete" {
+			is.NoErr(a.Complete())
+		}
+	}
+	time.Sleep(time.Millisecond) // longer than the patience
+	is.True(m.Displace())
+	is.True(m.Displace())
+	is.True(!m.Displace())
+	is.Equal(evicted, []string{"first", "second"})
+}
--- a/evictor/memory.go
+++ b/evictor/memory.go
@@ -3,14 +3,13 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
 	"go.opentelemetry.io/otel/metric"
 	"go.opentelemetry.io/otel/metric/noop"
-
-	"amaranthmill/internal/stepper"
 )
 
 // RetryAfter is the time after which a caller whose request was refused or evicted should retry. By then, requests
@@ -31,7 +30,7 @@
 type EvictedError struct{}
 
 func (e *EvictedError) Error() string {
-	return "evictor: the request had not arrived completely when its memory was needed for others"
+	return "evictor: the request had not arrived completely when its memory or its connection was needed for others"
 }
 
 // MemoryConfig configures a Memory. The zero value is usable.
@@ -43,22 +42,21 @@
 
 // Memory is the memory for the requests that an instance receives. It is safe for concurrent use.
 type Memory struct {
-	core      *Core
-	step      *stepper.Stepper[Event, Action]
-	lastRef   atomic.Uint64
 	logger    zerolog.Logger // logs at most one line in logInterval
 	refusals  metric.Int64Counter
 	evictions metric.Int64Counter
 
-	accounts map[Ref]*Account // guarded by step
+	mu       sync.Mutex // guards the fields below
+	core     *Core
+	accounts map[Ref]*Account
+	lastRef  Ref
 }
 
-// Account is the memory of one request. Its methods may be called on nil, which has no bound. They are for one goroutine at a time.
+// Account is the memory of one request. Its methods may be called on nil, which has no bound. It is safe for concurrent use.
 type Account struct {
 	memory    *Memory
 	ref       Ref
 	onEvict   func()
-	isRefused bool // the answer to the last Reserve, within which it is set
 	isEvicted atomic.Bool
 }
 
@@ -71,12 +69,13 @@
 		core: NewCore(cfg.Config), accounts: map[Ref]*Account{},
 		logger: cfg.Logger.Sample(&zerolog.BurstSampler{Burst: 1, Period: logInterval}),
 	}
-	m.step = stepper.New(stepper.Config[Event, Action]{Core: m.core, Handle: m.handle})
 	m.refusals, _ = cfg.Meter.Int64Counter("evictor.refusals", metric.WithDescription("Requests that got no memory."))
 	m.evictions, _ = cfg.Meter.Int64Counter("evictor.evictions", metric.WithDescription("Requests that gave way to others before they had arrived completely."))
 	_, _ = cfg.Meter.Int64ObservableGauge("evictor.used", metric.WithUnit("By"), metric.WithDescription("Memory of the requests that arrive or are served."),
 		metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
-			m.step.Inspect(func() { o.Observe(m.core.Used()) })
+			m.mu.Lock()
+			defer m.mu.Unlock()
+			o.Observe(m.core.Used())
 			return nil
 		}))
 	return m
@@ -85,18 +84,36 @@
 // Open returns the account of a new request. It calls onEvict, which must not block and must not call the account,
 // if the request gives way to others.
 func (m *Memory) Open(onEvict func()) *Account {
-	a := &Account{memory: m, ref: Ref(m.lastRef.Add(1)), onEvict: onEvict}
-	m.step.Inspect(func() { m.accounts[a.ref] = a })
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.lastRef++
+	a := &Account{memory: m, ref: m.lastRef, onEvict: onEvict}
+	m.accounts[a.ref] = a
 	return a
 }
 
-// handle carries out an action of the core.
+// Displace makes the request that has been arriving for longest give way, because its connection is needed for
+// others. It returns false if no request can give way.
+func (m *Memory) Displace() bool {
+	_, ok := m.submit(Displaced{}).(Evict)
+	return ok
+}
+
+// submit applies e and carries out the actions that it causes. It returns the last one, or nil.
+func (m *Memory) submit(e Event) (last Action) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, a := range m.core.Step(time.Now(), e) {
+		m.handle(a)
+		last = a
+	}
+	return last
+}
+
+// handle carries out an action of the core. m.mu is held.
 func (m *Memory) handle(a Action) {
 	switch a := a.(type) {
-	case Grant:
-		m.accounts[a.Ref].isRefused = false
 	case Refuse:
-		m.accounts[a.Ref].isRefused = true
 		m.refusals.Add(context.Background(), 1)
 		m.logger.Warn().Int64("used", m.core.Used()).Int("requests", len(m.accounts)).Msg("no memory is left for a request, it is refused")
 	case Evict:
@@ -114,11 +131,11 @@
 	if a == nil {
 		return nil
 	}
-	a.memory.step.Submit(Requested{Ref: a.ref, Bytes: n})
+	_, isRefused := a.memory.submit(Requested{Ref: a.ref, Bytes: n}).(Refuse)
 	switch {
 	case a.isEvicted.Load():
 		return &EvictedError{}
-	case a.isRefused:
+	case isRefused:
 		return &FullError{Bytes: n}
 	}
 	return nil
@@ -135,7 +152,7 @@
 // Return gives back n bytes.
 func (a *Account) Return(n int64) {
 	if a != nil {
-		a.memory.step.Submit(Returned{Ref: a.ref, Bytes: n})
+		a.memory.submit(Returned{Ref: a.ref, Bytes: n})
 	}
 }
 
@@ -144,7 +161,7 @@
 	if a == nil {
 		return nil
 	}
-	a.memory.step.Submit(Completed{Ref: a.ref})
+	a.memory.submit(Completed{Ref: a.ref})
 	return a.Err()
 }
 
@@ -153,6 +170,8 @@
 	if a == nil {
 		return
 	}
-	a.memory.step.Submit(Released{Ref: a.ref})
-	a.memory.step.Inspect(func() { delete(a.memory.accounts, a.ref) })
+	a.memory.submit(Released{Ref: a.ref})
+	a.memory.mu.Lock()
+	defer a.memory.mu.Unlock()
+	delete(a.memory.accounts, a.ref)
 }
