--- a/standin/hosted/clients_test.go
+++ b/standin/hosted/clients_test.go
@@ -4,9 +4,11 @@
 	"bytes"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -120,11 +122,27 @@
 		c.repeat("X-Field: value\r\n")
 	}},
 	"extension_without_end":        {400, func(c *client) { c.write(c.head("Transfer-Encoding: chunked\r\n\r\n1;")); c.repeat("x") }},
+	"many_bodies_of_60_KiB":        {1500, func(c *client) { c.write(c.head("Content-Length: 61440\r\n\r\n") + strings.Repeat("x", 61439)) }},
+	"heads_of_legal_size":          {1500, func(c *client) { c.write(c.head("X-Field: " + strings.Repeat("x", clientsHeaderBytes-1024))) }},
 	"short_bodies_left_open":       {400, func(c *client) { c.write(c.head("Content-Length: 2000\r\n\r\n") + strings.Repeat("x", 1000)) }},
 	"heads_stop_short":             {400, func(c *client) { c.write(c.head("")) }},
 	"connections_that_say_nothing": {400, func(*client) {}},
 }
 
+// crowdOfAllKinds returns a crowd whose connections do what those of the other crowds do, one after the other in order of their names.
+func crowdOfAllKinds(connections int) crowd {
+	names := slices.Sorted(maps.Keys(clientCrowds))
+	return crowd{connections, func(c *client) { clientCrowds[names[c.number%len(names)]].send(c) }}
+}
+
+// TestClientsOfAllKinds mixes the crowds, so that heads and bodies, large and small ones, use the memory of one process at the same time.
+func TestClientsOfAllKinds(t *testing.T) {
+	f := startClientsFixture(t, fixtureConfig{instances: 1, engines: 4, retrySlack: hosted.RetrySlack, memoryMB: clientsMachineMB, limits: limitClients})
+	c := crowdOfAllKinds(1200)
+	f.meetCrowd(f.instances[0], c)
+	f.checkSurvival(f.instances[0], c.connections+clientsSlack)
+}
+
 // TestClientsLeaveMemory sends what clients must not send, or what stops short, over many connections at once, which stay open. An
 // instance that keeps all of it runs out of the memory of its machine and ends, and the requests of all other callers with it.
 func TestClientsLeaveMemory(t *testing.T) {
