requester: an answer with a status that HTTP does not have is no answer

Callers saw: an endpoint in trouble answered HTTP/1.1 000 with signature, ID and body; the connection closed without an answer (001 and 099 alike). 600 and 999 were passed on as the endpoint's answer, also through a peer. Through a peer the first three ended as 502, because the peer's handler panicked. The scheduler counted all of them as answers of a sound endpoint.

Cause: http.ReadResponse takes any three digits as a status, and so did the requester; http.ResponseWriter panics on codes below 100, after the scheduler had counted the request as delivered, and the stack went to standard error.

Change: the requester takes statuses from 100 to 599. Any other is a broken attempt, as other bytes that are no answer: what may be repeated is repeated elsewhere, and the caller of any other request learns that it may have run (502). The log line 'no whole answer' names the status.

--- a/requester/errors.go
+++ b/requester/errors.go
@@ -32,5 +32,12 @@
 	return fmt.Sprintf("requester: an answer with status %d has the ID %q instead of the request's", e.Status, e.ID)
 }
 
+// StatusError is the cause of a *BrokenError if an answer has a status that HTTP does not have.
+type StatusError struct{ Status int }
+
+func (e *StatusError) Error() string {
+	return fmt.Sprintf("requester: an answer has the status %03d instead of one from 100 to 599", e.Status)
+}
+
 // errTooManyStaleAnswers is the cause of a *BrokenError after more than maxStaleAnswers stale answers.
 var errTooManyStaleAnswers = errors.New("requester: too many stale answers to earlier requests")
--- a/requester/requester.go
+++ b/requester/requester.go
@@ -128,7 +128,7 @@
 }
 
 // read returns the answer to req and skips answers to earlier requests. An answer without an ID may be a copy of a refusal
-// of an earlier request, unless it is the first one on its connection. The error may be *limitreader.LimitError.
+// of an earlier request, unless it is the first one on its connection. The error may be *limitreader.LimitError or *StatusError.
 func (r *Requester) read(conn *connection, req *Request) (*http.Response, error) {
 	request := &http.Request{Method: req.Method}
 	conn.limit.SetLimit("head of an answer", headLimit)
@@ -138,6 +138,9 @@
 		if err != nil {
 			return nil, cmp.Or(conn.limit.Err(), err)
 		}
+		if !isStatus(resp.StatusCode) {
+			return nil, &StatusError{Status: resp.StatusCode}
+		}
 		if isInterim(resp.StatusCode) {
 			continue
 		}
@@ -169,6 +172,9 @@
 	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
 }
 
+// isStatus reports whether HTTP has statuses of the class of one (RFC 9110, section 15).
+func isStatus(status int) bool { return status >= 100 && status < 600 }
+
 func isInterim(status int) bool { return status >= 100 && status < 200 }
 
 func isSuccess(status int) bool { return status >= 200 && status < 300 }
