acceptor: at most an eighth more connections while displaced ones close

A request that gives way for its connection is answered first, and the server leaves its caller half a second to read that. New connections took their places at once, so that a client that opens connections without end could have more open than the limit says, by as many as it opens in that time. Found by reading. Beyond an eighth more than the limit the new connection closes (session displaced).

--- a/acceptor/core.go
+++ b/acceptor/core.go
@@ -31,7 +31,7 @@
 // Action is what a Core decides: Close or Displace.
 type Action interface{ action() }
 
-// Close closes a connection without a request, which gives way to a new one. The Core has removed it.
+// Close closes a connection without a request, which gives way to a new one or is the new one itself. The Core has removed it.
 type Close struct{ Ref Ref }
 
 // Displace asks that a request which has not arrived completely gives way to a new connection, because each other connection has a
@@ -50,6 +50,10 @@
 	actions []Action
 }
 
+// displacedPart is the part of the limit by which more connections may be open, because those whose requests give way close only after
+// their answers.
+const displacedPart = 8
+
 // NewCore returns a Core for at most limit open connections; zero means no limit.
 func NewCore(limit int) *Core {
 	return &Core{limit: limit, open: map[Ref]*list.Element{}, waiting: list.New()}
@@ -80,17 +84,15 @@
 }
 
 func (c *Core) handleOpened(ref Ref) {
-	isFull := c.limit > 0 && len(c.open) >= c.limit
-	first := c.waiting.Front()
 	c.open[ref] = c.waiting.PushBack(ref)
+	first := c.waiting.Front().Value.(Ref)
 	switch {
-	case !isFull:
-	case first == nil:
+	case c.limit <= 0 || len(c.open) <= c.limit:
+	case first == ref && len(c.open) <= c.limit+c.limit/displacedPart+1:
 		c.actions = append(c.actions, Displace{Ref: ref})
 	default:
-		victim := first.Value.(Ref)
-		c.remove(victim)
-		c.actions = append(c.actions, Close{Ref: victim})
+		c.remove(first)
+		c.actions = append(c.actions, Close{Ref: first})
 	}
 }
 
--- a/acceptor/listener.go
+++ b/acceptor/listener.go
@@ -77,19 +77,24 @@
 		}
 		c := newConn(l, conn)
 		victim, mustDisplace := l.open(c)
-		if victim != nil {
+		if mustDisplace && (l.cfg.Memory == nil || !l.cfg.Memory.Displace()) {
+			victim = c
+		}
+		switch victim {
+		case nil:
+		case c:
+			l.report(c, reasonConnections)
+			_ = c.Close() // nothing was sent
+			continue
+		default:
 			l.report(victim, reasonConnections)
 			_ = victim.Conn.Close() // the server then closes victim
 		}
-		if !mustDisplace || l.cfg.Memory != nil && l.cfg.Memory.Displace() {
-			return c, nil
-		}
-		l.report(c, reasonConnections)
-		_ = c.Close() // nothing was sent
+		return c, nil
 	}
 }
 
-// open adds a connection. It returns the one that gives way, if any, and whether a request must give way.
+// open adds a connection. It returns the one that gives way, if any, which may be the new one, and whether a request must give way.
 func (l *Listener) open(c *Conn) (victim *Conn, mustDisplace bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/evictor/memory.go
+++ b/evictor/memory.go
@@ -141,14 +141,6 @@
 	return nil
 }
 
-// Err returns *EvictedError if the request has given way to others.
-func (a *Account) Err() error {
-	if a != nil && a.isEvicted.Load() {
-		return &EvictedError{}
-	}
-	return nil
-}
-
 // Return gives back n bytes.
 func (a *Account) Return(n int64) {
 	if a != nil {
@@ -162,7 +154,10 @@
 		return nil
 	}
 	a.memory.submit(Completed{Ref: a.ref})
-	return a.Err()
+	if a.isEvicted.Load() {
+		return &EvictedError{}
+	}
+	return nil
 }
 
 // Release ends the request and gives back its memory. Further calls do nothing.
--- a/forwarder/body.go
+++ b/forwarder/body.go
@@ -105,7 +105,11 @@
 	f.removeBody(b)
 	if err := cmp.Or(f.checkStop(), account.Complete(), b.checkTime(err)); err != nil {
 		account.Release()
-		abandonBody(w, b)
+		if status, _ := refusalStatus(err); status == http.StatusBadRequest {
+			b.end() // the caller has left, or what it sends is no body
+		} else {
+			abandonBody(w, b)
+		}
 		return nil, nil, err
 	}
 	b.removeDeadline()
