evictor: a released request gets no memory

Found by reading: the server may close a connection from another goroutine than the one that reads its head, as a stop does. The head's account was then released while the reader asked for more, so that memory belonged to a request without an account: it was never free again, and the process would have ended with a nil dereference when that request had to give way.

Reserve now refuses a released account, under the lock of Memory, and the reader of a head uses the account that it opened. TestReleasedAccountGetsNoMemory failed before; TestCloseWhileHeadsArrive (race detector) did not and stays as a guard.

--- a/acceptor/acceptor_test.go
+++ b/acceptor/acceptor_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"os"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -31,6 +32,7 @@
 	addr   string
 	limits atomic.Pointer[acceptor.Limits]
 	served atomic.Int32 // requests
+	close  func()
 }
 
 // connKey is the key of a request's connection in its context.
@@ -58,7 +60,8 @@
 		},
 	}
 	go func() { _ = s.Serve(l) }() // returns when the server is closed
-	t.Cleanup(func() { _ = s.Close() })
+	x.close = func() { _ = s.Close() }
+	t.Cleanup(x.close)
 	x.addr = inner.Addr().String()
 	return x
 }
@@ -348,3 +351,22 @@
 	}
 	is.True(!errors.Is(<-ends, os.ErrDeadlineExceeded))
 }
+
+// TestCloseWhileHeadsArrive closes the server while heads arrive and compete for memory, for the race detector: the connections are closed by another goroutine than
+// the one that reads them.
+func TestCloseWhileHeadsArrive(t *testing.T) {
+	x := newFixture(t, acceptor.Limits{HeaderBytes: headerBytes}, evictor.Config{Limit: 10_000, SmallBytes: 10_000, Patience: time.Nanosecond})
+	var callers sync.WaitGroup
+	for range 2 * maxConnections {
+		c := x.dial()
+		callers.Go(func() {
+			for err := error(nil); err == nil; { // until the server is closed
+				_, err = io.WriteString(c, head(200, 0))
+			}
+		})
+		callers.Go(func() { _, _ = io.Copy(io.Discard, c) }) // ends with the connection
+	}
+	time.Sleep(100 * time.Millisecond) // heads arrive
+	x.close()
+	callers.Wait()
+}
--- a/acceptor/conn.go
+++ b/acceptor/conn.go
@@ -102,11 +102,12 @@
 
 // receive counts what has arrived if it belongs to a head. Its errors are *HeadTooLargeError, *evictor.FullError and *evictor.EvictedError.
 func (c *Conn) receive(p []byte) error {
-	switch c.currentPhase() {
+	phase, account := c.current()
+	switch phase {
 	case phaseServed:
 		return nil
 	case phaseWaiting:
-		c.beginHead()
+		account = c.beginHead()
 	}
 	c.headBytes += len(p)
 	if limit := c.listener.cfg.Limits().HeaderBytes; limit > 0 && c.headBytes > limit+readAheadBytes {
@@ -114,7 +115,7 @@
 		c.refuseHead()
 		return &HeadTooLargeError{Limit: limit}
 	}
-	if err := c.account.Reserve(headCost(p)); err != nil {
+	if err := account.Reserve(headCost(p)); err != nil {
 		c.listener.report(c, reasonMemory)
 		return err
 	}
@@ -126,14 +127,15 @@
 	return int64(bytesPerByte*len(p) + bytesPerLine*bytes.Count(p, []byte{'\n'}))
 }
 
-func (c *Conn) currentPhase() phase {
+// current returns the phase and the account of the head.
+func (c *Conn) current() (phase, *evictor.Account) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.phase
+	return c.phase, c.account
 }
 
-// beginHead begins phaseHead.
-func (c *Conn) beginHead() {
+// beginHead begins phaseHead. It returns the account of the head.
+func (c *Conn) beginHead() *evictor.Account {
 	var account *evictor.Account
 	if m := c.listener.cfg.Memory; m != nil {
 		account = m.Open(c.evict)
@@ -145,6 +147,7 @@
 	defer c.mu.Unlock()
 	c.account = account
 	c.setPhase(phaseHead, until)
+	return account
 }
 
 // setPhase begins a phase that ends at a time, or has no bound if that is zero. c.mu is held.
--- a/evictor/evictor_test.go
+++ b/evictor/evictor_test.go
@@ -192,6 +192,21 @@
 	is.NoErr(all.Reserve(1000))
 }
 
+// TestReleasedAccountGetsNoMemory guards against a request whose connection is closed while its head is read: what it asks for later belongs to nobody, would
+// never be free again, and nobody could be told that it gives way.
+func TestReleasedAccountGetsNoMemory(t *testing.T) {
+	is := is.New(t)
+	m := evictor.NewMemory(evictor.MemoryConfig{Config: evictor.Config{Limit: 1000, SmallBytes: 1000, Patience: time.Nanosecond}})
+	a := m.Open(func() { t.Error("a released request gives way") })
+	is.NoErr(a.Reserve(500))
+	a.Release()
+	is.True(errors.As(a.Reserve(500), new(*evictor.EvictedError)))
+	b := m.Open(func() {})
+	is.NoErr(b.Reserve(1000))
+	is.True(!errors.As(b.Complete(), new(*evictor.EvictedError)))
+	is.True(!m.Displace())
+}
+
 // TestNilAccount checks that a request without an account has no bound.
 func TestNilAccount(t *testing.T) {
 	is := is.New(t)
--- a/evictor/memory.go
+++ b/evictor/memory.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -48,7 +47,7 @@
 
 	mu       sync.Mutex // guards the fields below
 	core     *Core
-	accounts map[Ref]*Account
+	accounts map[Ref]*Account // until they are released; each request of the core has one
 	lastRef  Ref
 }
 
@@ -57,7 +56,7 @@
 	memory    *Memory
 	ref       Ref
 	onEvict   func()
-	isEvicted atomic.Bool
+	isEvicted bool // guarded by memory.mu
 }
 
 // NewMemory returns a Memory for cfg.
@@ -95,14 +94,14 @@
 // Displace makes the request that has been arriving for longest give way, because its connection is needed for
 // others. It returns false if no request can give way.
 func (m *Memory) Displace() bool {
-	_, ok := m.submit(Displaced{}).(Evict)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	_, ok := m.step(Displaced{}).(Evict)
 	return ok
 }
 
-// submit applies e and carries out the actions that it causes. It returns the last one, or nil.
-func (m *Memory) submit(e Event) (last Action) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
+// step applies e and carries out the actions that it causes. It returns the last one, or nil. m.mu is held.
+func (m *Memory) step(e Event) (last Action) {
 	for _, a := range m.core.Step(time.Now(), e) {
 		m.handle(a)
 		last = a
@@ -118,7 +117,7 @@
 		m.logger.Warn().Int64("used", m.core.Used()).Int("requests", len(m.accounts)).Msg("no memory is left for a request, it is refused")
 	case Evict:
 		victim := m.accounts[a.Ref]
-		victim.isEvicted.Store(true)
+		victim.isEvicted = true
 		victim.onEvict()
 		m.evictions.Add(context.Background(), 1)
 		m.logger.Warn().Int64("bytes", a.Bytes).Int64("used", m.core.Used()).Int("requests", len(m.accounts)).
@@ -126,16 +125,19 @@
 	}
 }
 
-// Reserve asks for memory for n more bytes. Its errors are *FullError and *EvictedError.
+// Reserve asks for memory for n more bytes. Its errors are *FullError and *EvictedError, the latter also after Release: the connection of a
+// request may be closed while it is read.
 func (a *Account) Reserve(n int64) error {
 	if a == nil {
 		return nil
 	}
-	_, isRefused := a.memory.submit(Requested{Ref: a.ref, Bytes: n}).(Refuse)
-	switch {
-	case a.isEvicted.Load():
+	m := a.memory
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if a.isEvicted || m.accounts[a.ref] == nil {
 		return &EvictedError{}
-	case isRefused:
+	}
+	if _, isRefused := m.step(Requested{Ref: a.ref, Bytes: n}).(Refuse); isRefused {
 		return &FullError{Bytes: n}
 	}
 	return nil
@@ -143,9 +145,13 @@
 
 // Return gives back n bytes.
 func (a *Account) Return(n int64) {
-	if a != nil {
-		a.memory.submit(Returned{Ref: a.ref, Bytes: n})
+	if a == nil {
+		return
 	}
+	m := a.memory
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.step(Returned{Ref: a.ref, Bytes: n})
 }
 
 // Complete reports that the request has arrived completely. It returns *EvictedError if it has given way before.
@@ -153,10 +159,13 @@
 	if a == nil {
 		return nil
 	}
-	a.memory.submit(Completed{Ref: a.ref})
-	if a.isEvicted.Load() {
+	m := a.memory
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if a.isEvicted {
 		return &EvictedError{}
 	}
+	m.step(Completed{Ref: a.ref})
 	return nil
 }
 
@@ -165,8 +174,9 @@
 	if a == nil {
 		return
 	}
-	a.memory.submit(Released{Ref: a.ref})
-	a.memory.mu.Lock()
-	defer a.memory.mu.Unlock()
-	delete(a.memory.accounts, a.ref)
+	m := a.memory
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.step(Released{Ref: a.ref})
+	delete(m.accounts, a.ref)
 }
