runner: an address that refuses keeps its port for the whole test

Callers saw nothing: the test was at fault, not the product. The test closed the listener of an endpoint that is to refuse connections, and so gave its port back; a later listener of the same test, or of another process, could get it, and the endpoint then accepted connections.

The address now belongs to a socket that is bound and does not listen, until the test ends: a connection to it is refused, and nobody else gets the port. Same cases, same expectations.

--- a/runner/connection_test.go
+++ b/runner/connection_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http/httptest"
 	"net/netip"
+	"syscall"
 	"testing"
 
 	"github.com/matryer/is"
@@ -41,20 +42,38 @@
 	return h
 }
 
-// listen returns an address that accepts connections, or one that refuses them.
+// listen returns an address that accepts connections, or one that refuses them. One that refuses is bound until the test
+// ends: a port that is given back at once may become that of another listener, which then accepts.
 func listen(t *testing.T, accepts bool) string {
+	if !accepts {
+		return bindRefused(t)
+	}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	if accepts {
-		t.Cleanup(func() { _ = l.Close() })
-	} else {
-		_ = l.Close()
-	}
+	t.Cleanup(func() { _ = l.Close() })
 	return l.Addr().String()
 }
 
+// bindRefused returns the address of a socket that does not listen.
+func bindRefused(t *testing.T) string {
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = syscall.Close(fd) })
+	if err := syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
+		t.Fatal(err)
+	}
+	bound, err := syscall.Getsockname(fd)
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := bound.(*syscall.SockaddrInet4)
+	return netip.AddrPortFrom(netip.AddrFrom4(address.Addr), uint16(address.Port)).String()
+}
+
 // TestCutInstanceSuspectsNoRequest breaks a request's connections to two endpoints. If an instance that has lost its links
 // finds that both accept no connection, they have not ended: the request was quarantined at all instances.
 // Endpoints that have ended must count still, also where some links are lost.
