standin/trial: clients that misbehave at the server of bundles

An instance with bundles (package server) has an interface of its own, with other code: bodies, heads and connections there had been read about only.

The tests start the system of the trials as processes and send crowds of 400 to 800 connections to one instance. They check that it lives, that its resident memory stays under 256 MB (128 that a node may spend on control, 64 for requests, as much again for the collector), its descriptors, and one ordinary request afterwards.

--- a/standin/internal/builder/builder.go
+++ b/standin/internal/builder/builder.go
@@ -10,11 +10,21 @@
 
 // BuildInstance builds the amaranthmill program into dir and returns the path of the binary.
 func BuildInstance(dir string) (string, error) {
-	binary := filepath.Join(dir, "amaranthmill")
-	if out, err := exec.Command("go", "build", "-o", binary, "amaranthmill/cmd/amaranthmill").CombinedOutput(); err != nil {
-		return "", fmt.Errorf("builder: go build of amaranthmill failed: %w\n%s", err, out)
+	if err := Build(dir, "amaranthmill/cmd/amaranthmill"); err != nil {
+		return "", err
 	}
-	return binary, nil
+	return filepath.Join(dir, "amaranthmill"), nil
+}
+
+// Build builds programs into dir, which must exist.
+func Build(dir string, programs ...string) error {
+	for _, program := range programs {
+		binary := filepath.Join(dir, filepath.Base(program))
+		if out, err := exec.Command("go", "build", "-o", binary, program).CombinedOutput(); err != nil {
+			return fmt.Errorf("builder: go build of %s failed: %w\n%s", program, err, out)
+		}
+	}
+	return nil
 }
 
 // RunTests builds the amaranthmill program into a temporary directory, stores the path of the binary in
--- a/standin/spawner/process.go
+++ b/standin/spawner/process.go
@@ -75,6 +75,9 @@
 	return p, nil
 }
 
+// ID returns the ID that the system gave the process.
+func (p *Process) ID() int { return p.cmd.Process.Pid }
+
 // Kill kills the process and waits until it has ended.
 func (p *Process) Kill() {
 	_ = p.cmd.Process.Kill()
