bodyreader: bodies with a bound on memory and time, out of forwarder

No change for callers: package server needs the same reading of bodies, which so far only the interface of the users' platform had. The body, its deadline and its buffers move to internal/bodyreader; what is the forwarder's own (the stop, the limits of the configuration in force) stays.

--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -12,6 +12,7 @@
 	"go.opentelemetry.io/otel/metric"
 
 	"amaranthmill/evictor"
+	"amaranthmill/internal/bodyreader"
 	"amaranthmill/internal/defaulter"
 	"amaranthmill/internal/identifier"
 	"amaranthmill/internal/stepper"
@@ -64,7 +65,7 @@
 	random    *rand.Rand
 	exchanges map[scheduler.Ref]*exchange
 	stop      Stop
-	bodies    map[*arrivingBody]bool
+	bodies    map[*bodyreader.Body]bool
 	limited   map[identifier.Process]bool // processes that name a limit
 	cold      map[identifier.Process]bool // processes that are cold
 }
@@ -87,7 +88,7 @@
 		cfg.Memory = evictor.NewMemory(evictor.MemoryConfig{Logger: cfg.Logger, Meter: cfg.Meter})
 	}
 	defaulter.Set(&cfg.HeldBytes, defaultHeldBytes)
-	f := &Forwarder{cfg: cfg, core: scheduler.New(cfg.Scheduler), random: rand.New(cfg.Random), exchanges: map[scheduler.Ref]*exchange{}, bodies: map[*arrivingBody]bool{}, limited: map[identifier.Process]bool{}, cold: map[identifier.Process]bool{}}
+	f := &Forwarder{cfg: cfg, core: scheduler.New(cfg.Scheduler), random: rand.New(cfg.Random), exchanges: map[scheduler.Ref]*exchange{}, bodies: map[*bodyreader.Body]bool{}, limited: map[identifier.Process]bool{}, cold: map[identifier.Process]bool{}}
 	f.held.left.Store(cfg.HeldBytes)
 	f.step = stepper.New(stepper.Config[scheduler.Event, scheduler.Action]{Core: f.core, Handle: f.handle})
 	f.meters = newMeters(cfg.Meter, cfg.Scheduler.FailureDomain)
--- a/forwarder/serve.go
+++ b/forwarder/serve.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"amaranthmill/evictor"
+	"amaranthmill/internal/bodyreader"
 	"amaranthmill/internal/identifier"
 	"amaranthmill/internal/problemwriter"
 	"amaranthmill/quarantiner"
@@ -85,7 +86,7 @@
 	var stopping *StoppingError
 	var full *evictor.FullError
 	var evicted *evictor.EvictedError
-	var late *BodyTimeoutError
+	var late *bodyreader.TimeoutError
 	switch {
 	case errors.As(err, &stopping):
 		return http.StatusServiceUnavailable, string(scheduler.ReasonStopping)
--- a/forwarder/stop.go
+++ b/forwarder/stop.go
@@ -27,7 +27,7 @@
 	f.mu.Lock()
 	f.stop = s
 	for body := range f.bodies {
-		body.setDeadline(s.AcceptUntil)
+		body.SetDeadline(s.AcceptUntil)
 	}
 	f.mu.Unlock()
 	f.draining.Store(true)
