server: bodies of requests share one bounded memory

Callers of an instance with bundles saw it take all memory: 400 bodies of 1 MiB that stop short of their end, of one key, took 484 MB. Cause: each body was read whole, up to limits.bodySize, and nothing bounded all of them together.

A body that finds none is refused at once (503 memoryFull); one that has not arrived completely gives way (503 evicted); both as not run, with a time to retry. A body that is longer than the limit is refused at its head (413). Counters and the bounded log lines are the evictor's.

The test of short bodies now sends its ordinary request over a new connection first: before that, the instance may not have accepted the crowd yet.

--- a/configurer/hosted.go
+++ b/configurer/hosted.go
@@ -55,15 +55,6 @@
 	Descriptors int     `json:"descriptors" validate:"gte=0"` // that the process may open; zero for the limit of the system
 }
 
-// Callers holds the limits on what callers may use of the instance, beside those in the operator's configuration.
-type Callers struct {
-	MemoryMB       int                `json:"memoryMB" validate:"gte=0"`       // for the requests that arrive or are served, at most half of the machine's; default a quarter of it
-	HeaderBytes    int                `json:"headerBytes" validate:"gte=0"`    // of one head, while the configuration sets no limit; default 65536
-	HeaderTimeout  formatter.Duration `json:"headerTimeout" validate:"gte=0"`  // from the first byte of a head to its last, while the configuration sets no limit; default 10s
-	IdleTimeout    formatter.Duration `json:"idleTimeout" validate:"gte=0"`    // of a connection without a request, while the configuration sets no limit; default 2m
-	MaxConnections int                `json:"maxConnections" validate:"gte=0"` // open at a time; default three quarters of the descriptors beyond 200
-}
-
 // Bounds are the times and rates that the platform's operator requires.
 type Bounds struct {
 	StopLimit   formatter.Duration `json:"stopLimit"`                   // from SIGTERM to the end of the process; default 8s
@@ -79,26 +70,14 @@
 const (
 	defaultHostedStopLimit = 8e9
 	defaultLeaseMin        = 1e9
-	defaultHeaderBytes     = 64 << 10
-	defaultHeaderTimeout   = 10e9
-	defaultIdleTimeout     = 120e9
-	fileDescriptors        = 200  // that are not for connections
-	callersConnectionShare = 0.75 // of the other descriptors, for callers; the rest is for endpoints, peers and the store
-	callersMemoryPart      = 4    // of the machine's memory, one part is for requests
-	maxCallersMemoryPart   = 2    // the same, for the most that can be set
+	callersMemoryPart      = 4 // of the machine's memory, one part is for requests
+	maxCallersMemoryPart   = 2 // the same, for the most that can be set
 )
 
 // MaxCallerConnections returns the number of connections of callers that may be open at a time, in a process that the system lets open a number
 // of descriptors. Zero, for a number of descriptors that is not known either, means no limit.
 func (h *HostedSettings) MaxCallerConnections(processDescriptors int) int {
-	if h.Callers.MaxConnections > 0 {
-		return h.Callers.MaxConnections
-	}
-	descriptors := cmp.Or(h.Machine.Descriptors, processDescriptors)
-	if descriptors == 0 {
-		return 0
-	}
-	return max(int(callersConnectionShare*float64(descriptors-fileDescriptors)), 1)
+	return h.Callers.maxConnections(cmp.Or(h.Machine.Descriptors, processDescriptors))
 }
 
 // ReadHosted reads the settings file of a hosted instance at path. Its errors are those of Read.
@@ -123,10 +102,7 @@
 	defaulter.Set(&h.Bounds.StopLimit, defaultHostedStopLimit)
 	defaulter.Set(&h.Store.LeaseMin, defaultLeaseMin)
 	defaulter.Set(&h.Log.Level, defaultLogLevel)
-	defaulter.Set(&h.Callers.HeaderBytes, defaultHeaderBytes)
-	defaulter.Set(&h.Callers.HeaderTimeout, defaultHeaderTimeout)
-	defaulter.Set(&h.Callers.IdleTimeout, defaultIdleTimeout)
-	defaulter.Set(&h.Callers.MemoryMB, max(h.Machine.MemoryMB/callersMemoryPart, 1))
+	h.Callers.setDefaults(max(h.Machine.MemoryMB/callersMemoryPart, 1))
 	if most := max(h.Machine.MemoryMB/maxCallersMemoryPart, 1); h.Callers.MemoryMB > most {
 		return nil, &decoder.DocumentError{Faults: []decoder.Fault{{
 			Path: "callers.memoryMB", Message: fmt.Sprintf("is more than half of machine.memoryMB; write %d or less, or 0 for the default", most),
--- a/configurer/read.go
+++ b/configurer/read.go
@@ -26,6 +26,7 @@
 	defaultStopNotice      = 2 * time.Second
 	defaultStopLimit       = time.Minute
 	defaultLogLevel        = "info"
+	defaultCallersMemoryMB = 64
 )
 
 // Read reads the settings file at path and fills in the defaults. If the settings are invalid,
@@ -49,9 +50,18 @@
 		return nil, err
 	}
 	s.setDefaults()
+	if least := leastMemoryMB(s.Limits.BodySize); s.Callers.MemoryMB < least {
+		return nil, &decoder.DocumentError{Faults: []decoder.Fault{{
+			Path: "callers.memoryMB", Message: fmt.Sprintf("is less than three bodies of limits.bodySize need; write %d or more, or 0 for the default", least),
+		}}}
+	}
 	return &s, nil
 }
 
+// leastMemoryMB returns the least memory for requests in which a body of a size is served: its last buffer stands beside the one before, and a
+// quarter of the memory is for small requests.
+func leastMemoryMB(bodySize int64) int { return int((3*bodySize + 1<<20 - 1) >> 20) }
+
 func (s *Settings) setDefaults() {
 	defaulter.Set(&s.Platform.Timeout, formatter.Duration(defaultPlatformTimeout))
 	defaulter.Set(&s.Platform.ReadsPerSecond, defaultReadsPerSecond)
@@ -60,6 +70,7 @@
 	defaulter.Set(&s.Limits.StopNotice, formatter.Duration(defaultStopNotice))
 	defaulter.Set(&s.Limits.StopLimit, formatter.Duration(defaultStopLimit))
 	defaulter.Set(&s.Log.Level, defaultLogLevel)
+	s.Callers.setDefaults(max(defaultCallersMemoryMB, leastMemoryMB(s.Limits.BodySize)))
 }
 
 // validate checks a pointer to settings against the validation rules of the struct tags. It
--- a/configurer/read_test.go
+++ b/configurer/read_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"os"
 	"strings"
 	"testing"
@@ -35,3 +36,23 @@
 	is.Equal(s.Limits.StopNotice.String(), "2s")
 	is.Equal(s.Log.Level, "info")
 }
+
+// TestParseCallers checks the defaults of the limits of callers, and that the memory for requests has room for a body of the largest size.
+func TestParseCallers(t *testing.T) {
+	minimal, err := os.ReadFile("testdata/minimal.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	fields := strings.TrimPrefix(strings.TrimSpace(string(minimal)), "{")
+	datadriven.RunTest(t, "testdata/server_callers", func(t *testing.T, d *datadriven.TestData) string {
+		s, err := configurer.Parse([]byte("{" + d.Input + "," + fields))
+		var de *decoder.DocumentError
+		if errors.As(err, &de) {
+			return strings.TrimPrefix(de.Error(), "decoder: ") + "\n"
+		}
+		if err != nil {
+			t.Fatal(err)
+		}
+		return fmt.Sprintf("memoryMB=%d\n", s.Callers.MemoryMB)
+	})
+}
--- a/configurer/settings.go
+++ b/configurer/settings.go
@@ -20,6 +20,7 @@
 	Operators     []Operator                `json:"operators" validate:"min=1,unique=Name,dive"`
 	FenceChecked  []identifier.FabricDomain `json:"fenceChecked"` // fabric domains whose engines refuse old fencing numbers
 	Limits        Limits                    `json:"limits"`
+	Callers       Callers                   `json:"callers"`
 	Log           Log                       `json:"log"`
 }
 
--- a/runner/instance.go
+++ b/runner/instance.go
@@ -13,6 +13,7 @@
 	"amaranthmill/claimer"
 	"amaranthmill/configurer"
 	"amaranthmill/dispatcher"
+	"amaranthmill/evictor"
 	"amaranthmill/grouper"
 	"amaranthmill/internal/identifier"
 	"amaranthmill/linker"
@@ -44,6 +45,7 @@
 	prober      *prober.Prober
 	grouper     *grouper.Grouper
 	server      *server.Server
+	memory      *evictor.Memory // for callers' requests
 	shares      *limitShares
 	admin       http.Handler
 
@@ -153,10 +155,11 @@
 		OnSuspicion: func(s linker.Suspicion) { i.linker.Broadcast(s) },
 	})
 	i.shares = newLimitShares(s.Instance, i.linker, i.dispatcher)
+	i.memory = evictor.NewMemory(evictor.MemoryConfig{Config: evictor.Config{Limit: int64(s.Callers.MemoryMB) << 20}, Logger: i.logger, Meter: i.meter})
 	i.server = server.New(server.Config{
 		Bundle: i.bundles.Current, Dispatcher: countingDispatcher{i.dispatcher, i.shares}, Ready: i.checkReady,
 		NewRequest: func() identifier.Request { return identifier.Request(rand.Text()) },
-		BodySize:   s.Limits.BodySize, Logger: i.logger,
+		BodySize:   s.Limits.BodySize, Memory: i.memory, Logger: i.logger,
 	})
 }
 
--- a/server/call.go
+++ b/server/call.go
@@ -27,11 +27,12 @@
 		writeProblem(w, c.id, newRefusal(http.StatusBadRequest, "noIdempotencyKey", "This call runs at most once and needs a key of its own in the header Idempotency-Key; use the same key when you ask again."))
 		return
 	}
-	body, refusal := s.readBody(w, r)
+	body, memory, refusal := s.readBody(w, r)
 	if refusal != nil {
 		writeProblem(w, c.id, *refusal)
 		return
 	}
+	defer memory.Release()
 	req := c.newRequest(r, name, deadline, body)
 	req.Kind, req.Pool = kind, identifier.Pool(name)
 	req.Path = subpathOf(r, string(name))
--- a/server/complete.go
+++ b/server/complete.go
@@ -1,14 +1,16 @@
 package server
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"time"
 
+	"amaranthmill/evictor"
+	"amaranthmill/internal/bodyreader"
 	"amaranthmill/internal/identifier"
 	"amaranthmill/internal/problemwriter"
 	"amaranthmill/router"
@@ -46,11 +48,12 @@
 
 // serveCompletion handles a chat completion.
 func (s *Server) serveCompletion(w http.ResponseWriter, r *http.Request, c caller) {
-	body, refusal := s.readBody(w, r)
+	body, memory, refusal := s.readBody(w, r)
 	if refusal != nil {
 		writeProblem(w, c.id, *refusal)
 		return
 	}
+	defer memory.Release()
 	var q completionRequest
 	if err := json.Unmarshal(body, &q); err != nil {
 		writeProblem(w, c.id, newRefusal(http.StatusBadRequest, "badJson", "The body is not a chat completion in JSON: "+err.Error()))
@@ -104,18 +107,53 @@
 	e.Msg("request ended")
 }
 
-// readBody returns the complete body, or the refusal of a request whose body is too large or
-// incomplete.
-func (s *Server) readBody(w http.ResponseWriter, r *http.Request) ([]byte, *router.NotRun) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, s.cfg.BodySize))
-	if err == nil {
-		return body, nil
+// readBody returns the complete body with the account of its memory, which the caller releases, or the refusal of a request whose body is
+// too large or incomplete, or for which no memory is left.
+func (s *Server) readBody(w http.ResponseWriter, r *http.Request) ([]byte, *evictor.Account, *router.NotRun) {
+	if r.ContentLength == 0 {
+		return nil, nil, nil
 	}
+	size := s.cfg.BodySize
+	if r.ContentLength > 0 {
+		size = r.ContentLength
+	}
+	b := bodyreader.New(w, r, time.Time{})
+	if size > s.cfg.BodySize {
+		b.Abandon()
+		return nil, nil, refusalOfBody(&http.MaxBytesError{Limit: s.cfg.BodySize})
+	}
+	account := s.cfg.Memory.Open(b.End)
+	body, err := b.Read(account, size, s.cfg.BodySize)
+	if err := cmp.Or(account.Complete(), err); err != nil {
+		account.Release()
+		refusal := refusalOfBody(err)
+		if refusal.Status == http.StatusBadRequest {
+			b.End() // the caller has left, or what it sends is no body
+		} else {
+			b.Abandon()
+		}
+		return nil, nil, refusal
+	}
+	return body, account, nil
+}
+
+// refusalOfBody returns the refusal of a request whose body could not be read.
+func refusalOfBody(err error) *router.NotRun {
 	refusal := newRefusal(http.StatusBadRequest, "bodyCut", "The body ended before its length.")
-	if tooLarge := (*http.MaxBytesError)(nil); errors.As(err, &tooLarge) {
+	var tooLarge *http.MaxBytesError
+	var full *evictor.FullError
+	var evicted *evictor.EvictedError
+	switch {
+	case errors.As(err, &tooLarge):
 		refusal = newRefusal(http.StatusRequestEntityTooLarge, "bodyTooLarge", "The body is larger than the instance takes; make it smaller.")
+	case errors.As(err, &full):
+		refusal = newRefusal(http.StatusServiceUnavailable, "memoryFull", "The instance has no memory left for the body.")
+		refusal.RetryAfter = evictor.RetryAfter
+	case errors.As(err, &evicted):
+		refusal = newRefusal(http.StatusServiceUnavailable, "evicted", "The body had not arrived completely when its memory was needed for others.")
+		refusal.RetryAfter = evictor.RetryAfter
 	}
-	return nil, &refusal
+	return &refusal
 }
 
 // requestDeadline returns the time by which r must be answered. The time limit is the Mill-Timeout
--- a/server/server.go
+++ b/server/server.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 
 	"amaranthmill/bundler"
+	"amaranthmill/evictor"
 	"amaranthmill/internal/identifier"
 	"amaranthmill/router"
 
@@ -30,6 +31,7 @@
 	Ready      func() error              // the reason why the instance should get no requests, or nil
 	NewRequest func() identifier.Request // returns a unique request ID
 	BodySize   int64                     // maximum size of a request's body in bytes; 0 selects 1 MiB
+	Memory     *evictor.Memory           // for the bodies of requests; nil means one of the default size
 	Logger     zerolog.Logger
 }
 
@@ -45,6 +47,9 @@
 	if cfg.BodySize == 0 {
 		cfg.BodySize = defaultBodySize
 	}
+	if cfg.Memory == nil {
+		cfg.Memory = evictor.NewMemory(evictor.MemoryConfig{Logger: cfg.Logger})
+	}
 	return &Server{cfg: cfg}
 }
 
--- a/standin/trial/clients_test.go
+++ b/standin/trial/clients_test.go
@@ -73,7 +73,9 @@
 		tr.meetCrowd(t, 400, func(w io.Writer, head string) {
 			_, _ = io.WriteString(w, head+"Mill-Timeout: 2s\r\nContent-Length: 2000\r\n\r\n"+strings.Repeat(" ", 1000))
 		})
-		is.New(t).NoErr(waitFor(startLimit, "the connections end", func() bool { return countDescriptors(t, tr.fleet.entries[0]) < clientsSlack }))
+		is := is.New(t)
+		is.NoErr(tr.awaitOrdinary()) // its connection is accepted after all others
+		is.NoErr(waitFor(startLimit, "the connections end", func() bool { return countDescriptors(t, tr.fleet.entries[0]) < clientsSlack }))
 		tr.checkSurvival(t, clientsSlack)
 	})
 }
@@ -103,8 +105,9 @@
 	is.True(open <= descriptors)
 }
 
-// awaitOrdinary waits until the first instance answers an ordinary request.
+// awaitOrdinary waits until the first instance answers an ordinary request over a new connection.
 func (t *trial) awaitOrdinary() error {
+	http.DefaultClient.CloseIdleConnections()
 	return waitFor(startLimit, "an ordinary request is answered", func() bool {
 		status, _ := t.sendCompletion(t.fleet.entries[0], "How is the seeing?")
 		return status == http.StatusOK
