server: a body must have arrived by the deadline of its request

A caller that sends a part of a body and then nothing kept its request, its connection and its memory for as long as it liked: 400 such bodies with a time limit of 2 s were open a minute later. Cause: the deadline bounded the answer, not the time in which the body is read.

Reading a body now fails at the deadline (Mill-Timeout, or that of the service; before its body is read, a chat completion has no model, so that the longest deadline of the models holds) and the request is refused as not run: 408 bodyTimeout, over a connection that closes. A Mill-Timeout that is no duration is refused before the body.

--- a/server/body_test.go
+++ b/server/body_test.go
@@ -152,3 +152,16 @@
 	is.True(resp.Close)
 	is.True(strings.Contains(text, `"outcome":"notRun","reason":"bodyTooLarge"`))
 }
+
+// TestShortBodyEndsAtDeadline guards against bodies that stop short of their end and stay: one that has not arrived by the time limit of its
+// request is refused as not run.
+func TestShortBodyEndsAtDeadline(t *testing.T) {
+	is := is.New(t)
+	x := newBodyFixture(t)
+	for _, path := range []string{"/services/ledger/look", "/v1/chat/completions"} {
+		resp, text := x.receive(x.start(path, "Mill-Timeout: 50ms\r\n", 999))
+		is.Equal(resp.StatusCode, http.StatusRequestTimeout)
+		is.True(resp.Close)
+		is.True(strings.Contains(text, `"outcome":"notRun","reason":"bodyTimeout"`))
+	}
+}
--- a/server/call.go
+++ b/server/call.go
@@ -27,7 +27,7 @@
 		writeProblem(w, c.id, newRefusal(http.StatusBadRequest, "noIdempotencyKey", "This call runs at most once and needs a key of its own in the header Idempotency-Key; use the same key when you ask again."))
 		return
 	}
-	body, memory, refusal := s.readBody(w, r)
+	body, memory, refusal := s.readBody(w, r, deadline)
 	if refusal != nil {
 		writeProblem(w, c.id, *refusal)
 		return
--- a/server/complete.go
+++ b/server/complete.go
@@ -48,7 +48,12 @@
 
 // serveCompletion handles a chat completion.
 func (s *Server) serveCompletion(w http.ResponseWriter, r *http.Request, c caller) {
-	body, memory, refusal := s.readBody(w, r)
+	arriveUntil, refusal := requestDeadline(r, c.index.longestDeadline)
+	if refusal != nil {
+		writeProblem(w, c.id, *refusal)
+		return
+	}
+	body, memory, refusal := s.readBody(w, r, arriveUntil)
 	if refusal != nil {
 		writeProblem(w, c.id, *refusal)
 		return
@@ -108,8 +113,8 @@
 }
 
 // readBody returns the complete body with the account of its memory, which the caller releases, or the refusal of a request whose body is
-// too large or incomplete, or for which no memory is left.
-func (s *Server) readBody(w http.ResponseWriter, r *http.Request) ([]byte, *evictor.Account, *router.NotRun) {
+// too large or incomplete, has not arrived by until, or for which no memory is left.
+func (s *Server) readBody(w http.ResponseWriter, r *http.Request, until time.Time) ([]byte, *evictor.Account, *router.NotRun) {
 	if r.ContentLength == 0 {
 		return nil, nil, nil
 	}
@@ -117,11 +122,12 @@
 	if r.ContentLength > 0 {
 		size = r.ContentLength
 	}
-	b := bodyreader.New(w, r, time.Time{})
+	b := bodyreader.New(w, r, until)
 	if size > s.cfg.BodySize {
 		b.Abandon()
 		return nil, nil, refusalOfBody(&http.MaxBytesError{Limit: s.cfg.BodySize})
 	}
+	b.SetDeadline(time.Time{})
 	account := s.cfg.Memory.Open(b.End)
 	body, err := b.Read(account, size, s.cfg.BodySize)
 	if err := cmp.Or(account.Complete(), err); err != nil {
@@ -134,6 +140,7 @@
 		}
 		return nil, nil, refusal
 	}
+	b.RemoveDeadline()
 	return body, account, nil
 }
 
@@ -143,9 +150,12 @@
 	var tooLarge *http.MaxBytesError
 	var full *evictor.FullError
 	var evicted *evictor.EvictedError
+	var late *bodyreader.TimeoutError
 	switch {
 	case errors.As(err, &tooLarge):
 		refusal = newRefusal(http.StatusRequestEntityTooLarge, "bodyTooLarge", "The body is larger than the instance takes; make it smaller.")
+	case errors.As(err, &late):
+		refusal = newRefusal(http.StatusRequestTimeout, "bodyTimeout", "The body had not arrived completely by the request's deadline.")
 	case errors.As(err, &full):
 		refusal = newRefusal(http.StatusServiceUnavailable, "memoryFull", "The instance has no memory left for the body.")
 		refusal.RetryAfter = evictor.RetryAfter
--- a/server/index.go
+++ b/server/index.go
@@ -1,8 +1,10 @@
 package server
 
 import (
+	"cmp"
 	"crypto/sha256"
 	"encoding/hex"
+	"time"
 
 	"amaranthmill/bundler"
 	"amaranthmill/internal/identifier"
@@ -14,6 +16,8 @@
 	accounts map[string]*bundler.Account // by the SHA-256 digest of a bearer key, in hexadecimal
 	models   map[identifier.Service]*bundler.Model
 	services map[identifier.Service]*bundler.Service
+
+	longestDeadline time.Duration // of the models; by then a body must have arrived, which names the model
 }
 
 // currentIndex returns the index of the bundle in force, or nil if there is none.
@@ -44,6 +48,7 @@
 	}
 	for i := range b.Models {
 		x.models[b.Models[i].Name] = &b.Models[i]
+		x.longestDeadline = max(x.longestDeadline, cmp.Or(b.Models[i].Deadline.Std(), defaultDeadline))
 	}
 	for i := range b.Services {
 		x.services[b.Services[i].Name] = &b.Services[i]
