server: heads and connections of callers have limits

Callers of an instance with bundles could send heads of 1 MiB each, the default of the HTTP server, and open connections without bound: 400 heads of fields without end took 743 MB. Cause: nothing bounded heads together, and nothing the connections.

A head that is too long gets 431.

--- a/configurer/callers.go
+++ b/configurer/callers.go
@@ -31,8 +31,9 @@
 	defaulter.Set(&c.IdleTimeout, defaultIdleTimeout)
 }
 
-// maxConnections returns the number of connections that may be open at a time, in a process that may open a number of descriptors.
-func (c *Callers) maxConnections(descriptors int) int {
+// ConnectionLimit returns the number of connections that may be open at a time, in a process that may open a number of descriptors. Zero, for a
+// number of descriptors that is not known either, means no limit.
+func (c *Callers) ConnectionLimit(descriptors int) int {
 	if c.MaxConnections > 0 || descriptors == 0 {
 		return c.MaxConnections
 	}
--- a/configurer/hosted.go
+++ b/configurer/hosted.go
@@ -77,7 +77,7 @@
 // MaxCallerConnections returns the number of connections of callers that may be open at a time, in a process that the system lets open a number
 // of descriptors. Zero, for a number of descriptors that is not known either, means no limit.
 func (h *HostedSettings) MaxCallerConnections(processDescriptors int) int {
-	return h.Callers.maxConnections(cmp.Or(h.Machine.Descriptors, processDescriptors))
+	return h.Callers.ConnectionLimit(cmp.Or(h.Machine.Descriptors, processDescriptors))
 }
 
 // ReadHosted reads the settings file of a hosted instance at path. Its errors are those of Read.
--- a/configurer/read_test.go
+++ b/configurer/read_test.go
@@ -53,6 +53,8 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		return fmt.Sprintf("memoryMB=%d\n", s.Callers.MemoryMB)
+		c := s.Callers
+		return fmt.Sprintf("memoryMB=%d headerBytes=%d headerTimeout=%s idleTimeout=%s maxConnections=%d\n",
+			c.MemoryMB, c.HeaderBytes, c.HeaderTimeout, c.IdleTimeout, c.ConnectionLimit(1000))
 	})
 }
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -24,7 +24,7 @@
 	}
 	i.setListings(nil)
 	i.updatePeers()
-	callers := newHTTPServer(s.Listen.Callers.String(), i.server.Handler())
+	callers := i.newCallersServer()
 	var g run.Group
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
@@ -32,7 +32,7 @@
 	st := newStopper(signals)
 	st.notice, st.limit, st.logger = s.Limits.StopNotice.Std(), s.Limits.StopLimit.Std(), logger
 	st.drain = i.server.Drain
-	st.finish = func(ctx context.Context) error { return i.finish(ctx, callers) }
+	st.finish = func(ctx context.Context) error { return i.finish(ctx, callers.Server) }
 	g.Add(st.run, st.interrupt)
 	g.Add(newHTTPActor(callers, st.stopped))
 	g.Add(newHTTPActor(newHTTPServer(s.Listen.Administration.String(), i.administrationHandler()), nil))
