dispatcher: an answer with a status that HTTP does not have is no answer

An engine or service of an instance with bundles that answered with the status 000, 001 or 099 had it passed to the server's writer, which panics at such a status: the caller got a closed connection. 600 and 999 were passed on as answers. With Mill-Outcome: notRun they counted as the endpoint's word that the request has not run.

The dispatcher now takes such bytes for a broken answer: nothing is passed on, a request that may run twice goes to another endpoint, any other is answered that it may have run.

--- a/dispatcher/attempt.go
+++ b/dispatcher/attempt.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"time"
 
+	"amaranthmill/requester"
 	"amaranthmill/router"
 )
 
@@ -32,6 +33,9 @@
 		return endingWithoutAnswer(ctx, evidence.mayHaveSent(ctx))
 	}
 	defer resp.Body.Close()
+	if !requester.IsStatus(resp.StatusCode) {
+		return endingWithoutAnswer(ctx, true) // no answer, and no statement that the request has not run
+	}
 	if refused, ok := parseRefusal(resp); ok {
 		return refused
 	}
--- a/requester/requester.go
+++ b/requester/requester.go
@@ -138,7 +138,7 @@
 		if err != nil {
 			return nil, cmp.Or(conn.limit.Err(), err)
 		}
-		if !isStatus(resp.StatusCode) {
+		if !IsStatus(resp.StatusCode) {
 			return nil, &StatusError{Status: resp.StatusCode}
 		}
 		if isInterim(resp.StatusCode) {
@@ -172,8 +172,8 @@
 	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
 }
 
-// isStatus reports whether HTTP has statuses of the class of one (RFC 9110, section 15).
-func isStatus(status int) bool { return status >= 100 && status < 600 }
+// IsStatus reports whether HTTP has statuses of the class of one (RFC 9110, section 15).
+func IsStatus(status int) bool { return status >= 100 && status < 600 }
 
 func isInterim(status int) bool { return status >= 100 && status < 200 }
 
