standin/hosted: a test waits until all clients are accepted

TestClientsDoNotStay counts descriptors until the crowd's connections have ended. If the instance had not accepted them yet, the count was small at once, and the last check could then find them open. An ordinary request over a new connection, which is accepted after all others, now comes first.

--- a/standin/hosted/clients_test.go
+++ b/standin/hosted/clients_test.go
@@ -198,6 +198,7 @@
 			}})
 			first := f.instances[0]
 			f.meetCrowd(first, crowd{400, send})
+			f.awaitOrdinary(first) // its connection is accepted after all others
 			f.await("the end of the connections", func() bool { return first.countDescriptors(t) < clientsSlack })
 			f.checkSurvival(first, clientsSlack)
 		})
