--- a/standin/trial/clients_test.go
+++ b/standin/trial/clients_test.go
@@ -23,6 +23,7 @@
 	clientsWriteTime  = 10 * time.Second // after which a client that sends without end stops
 	clientsSlack      = 150              // descriptors that an instance uses beside those of callers
 	clientsChunkCount = 100_000
+	clientsAllowed    = 100 // connections, where their number is limited
 )
 
 // clientSender sends what one client of a crowd sends, over its connection.
@@ -63,13 +64,13 @@
 		"connections_that_say_nothing": {400, func(io.Writer, string) {}},
 	} {
 		t.Run(name, func(t *testing.T) {
-			tr := startClientsTrial(t, bin)
+			tr := startClientsTrial(t, bin, nil)
 			tr.meetCrowd(t, c.connections, c.send)
 			tr.checkSurvival(t, c.connections+clientsSlack)
 		})
 	}
 	t.Run("short_bodies_do_not_stay", func(t *testing.T) {
-		tr := startClientsTrial(t, bin)
+		tr := startClientsTrial(t, bin, nil)
 		tr.meetCrowd(t, 400, func(w io.Writer, head string) {
 			_, _ = io.WriteString(w, head+"Mill-Timeout: 2s\r\nContent-Length: 2000\r\n\r\n"+strings.Repeat(" ", 1000))
 		})
@@ -78,13 +79,19 @@
 		is.NoErr(waitFor(startLimit, "the connections end", func() bool { return countDescriptors(t, tr.fleet.entries[0]) < clientsSlack }))
 		tr.checkSurvival(t, clientsSlack)
 	})
+	t.Run("more_connections_than_allowed", func(t *testing.T) {
+		tr := startClientsTrial(t, bin, map[string]any{"maxConnections": clientsAllowed})
+		tr.meetCrowd(t, 4*clientsAllowed, func(io.Writer, string) {})
+		tr.checkSurvival(t, clientsAllowed+clientsSlack)
+	})
 }
 
-// startClientsTrial starts a system whose first instance answers an ordinary request.
-func startClientsTrial(t *testing.T, bin string) *trial {
+// startClientsTrial starts a system with limits of callers, nil for the defaults, whose first instance answers an ordinary request.
+func startClientsTrial(t *testing.T, bin string, callers map[string]any) *trial {
 	is := is.New(t)
 	f, err := newFleet(bin, t.TempDir())
 	is.NoErr(err)
+	f.callers = callers
 	t.Cleanup(f.processes.KillAll)
 	tr := &trial{cfg: Config{Bin: bin, Out: io.Discard}, fleet: f, startTime: time.Now()}
 	is.NoErr(tr.startFleet())
--- a/standin/trial/fleet.go
+++ b/standin/trial/fleet.go
@@ -48,7 +48,8 @@
 	service         *endpoint
 	keys            map[string]credential // tokens of operators and the bearer key of the client account
 	publicKey       string
-	engineArgs      []string // additional arguments of every engine
+	engineArgs      []string       // additional arguments of every engine
+	callers         map[string]any // limits of callers in the settings of every entry instance; nil means the defaults
 }
 
 // credential is a bearer key or token with its digest, as millctl prints it.
@@ -170,6 +171,9 @@
 		"operators":    []object{operator("abel", "author"), operator("vera", "signer"), operator("ruth", "reader")},
 		"fenceChecked": []string{"fort-davis-rack", "alpine-rack", "marfa-rack"},
 	}
+	if f.callers != nil {
+		settings["callers"] = f.callers
+	}
 	b, err := json.MarshalIndent(settings, "", "  ")
 	if err != nil {
 		return err
