--- a/configurer/callers.go
+++ b/configurer/callers.go
@@ -7,7 +7,7 @@
 
 // Callers holds the limits on what callers may use of the instance, beside those in the operator's configuration.
 type Callers struct {
-	MemoryMB       int                `json:"memoryMB" validate:"gte=0"`       // for the requests that arrive or are served
+	MemoryMB       int                `json:"memoryMB" validate:"gte=0"`       // for the requests that arrive or are served; default a quarter of the machine's memory (at most half), or 64 where the settings don't name that
 	HeaderBytes    int                `json:"headerBytes" validate:"gte=0"`    // of one head, while the configuration sets no limit; default 65536
 	HeaderTimeout  formatter.Duration `json:"headerTimeout" validate:"gte=0"`  // from the first byte of a head to its last, while the configuration sets no limit; default 10s
 	IdleTimeout    formatter.Duration `json:"idleTimeout" validate:"gte=0"`    // of a connection without a request, while the configuration sets no limit; default 2m
